--- /dev/null
+++ b/benchmarks/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, the demo and the randomised run, all on loopback."""
--- /dev/null
+++ b/features/run_checks.py
@@ -0,0 +1,123 @@
+"""Run formatter, linter and all features; print one verdict.
+
+Each directory below ``features`` that holds a feature is run by its own
+``behave``, several side by side. Scenarios listed in ``KNOWN-RED.txt`` are run
+and printed, and don't fail the run.
+"""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+from pathlib import Path
+
+ROOT = Path(__file__).resolve().parent.parent
+KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
+PARALLEL_DIRECTORIES = 4
+DIRECTORY_TIMEOUT_S = 900
+
+
+@dataclass(frozen=True, kw_only=True)
+class Result:
+    name: str
+    passed: bool
+    detail: str
+
+
+def run_command(*arguments):
+    completed = subprocess.run(
+        [sys.executable, "-m", *arguments],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+    )
+    return Result(
+        name=" ".join(arguments),
+        passed=completed.returncode == 0,
+        detail=completed.stdout + completed.stderr,
+    )
+
+
+def find_feature_directories():
+    return sorted({path.parent for path in (ROOT / "features").rglob("*.feature")})
+
+
+def read_scenarios(report, detail):
+    for feature in json.loads(report or "[]"):
+        for element in feature.get("elements", []):
+            if element["type"] == "background":
+                continue
+            yield Result(
+                name=f"{feature['name']}: {element['name']}",
+                passed=element.get("status") == "passed",
+                detail=detail,
+            )
+
+
+def run_directory(directory):
+    with tempfile.NamedTemporaryFile(suffix=".json") as report:
+        command = [sys.executable, "-m", "behave", "--no-color", "-f", "json"]
+        command += ["-o", report.name, "-f", "plain", str(directory)]
+        environment = dict(os.environ, PYTHONPATH=str(ROOT))
+        try:
+            completed = subprocess.run(
+                command,
+                cwd=ROOT,
+                env=environment,
+                capture_output=True,
+                text=True,
+                timeout=DIRECTORY_TIMEOUT_S,
+            )
+        except subprocess.TimeoutExpired as error:
+            detail = f"ran longer than {DIRECTORY_TIMEOUT_S} s\n{error.stdout}"
+            return [Result(name=str(directory), passed=False, detail=detail)]
+        detail = completed.stdout + completed.stderr
+        results = list(read_scenarios(Path(report.name).read_text(), detail))
+    explained = any(not result.passed for result in results)
+    if completed.returncode != 0 and not explained or not results:
+        results.append(Result(name=str(directory), passed=False, detail=detail))
+    return results
+
+
+def read_known_red():
+    if not KNOWN_RED_FILE.exists():
+        return frozenset()
+    lines = KNOWN_RED_FILE.read_text().splitlines()
+    prefix = "test: "
+    return frozenset(
+        line.removeprefix(prefix) for line in lines if line.startswith(prefix)
+    )
+
+
+def report(results):
+    known_red = read_known_red()
+    failures = [result for result in results if not result.passed]
+    for detail in dict.fromkeys(failure.detail for failure in failures):
+        print(detail)
+    for failure in failures:
+        label = "KNOWN RED" if failure.name in known_red else "FAILED"
+        print(f"{label}: {failure.name}")
+    unknown = [failure for failure in failures if failure.name not in known_red]
+    passed = sum(result.passed for result in results)
+    skipped = len(failures) - len(unknown)
+    suffix = f", {skipped} skipped" if skipped else ""
+    print(f"{passed} passed, {len(unknown)} failed{suffix}")
+    return 1 if unknown else 0
+
+
+def main():
+    results = [run_command("ruff", "format", "--check", ".")]
+    results.append(run_command("ruff", "check", "."))
+    with ThreadPoolExecutor(PARALLEL_DIRECTORIES) as executor:
+        for directory_results in executor.map(
+            run_directory, find_feature_directories()
+        ):
+            results.extend(directory_results)
+    return report(results)
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- /dev/null
+++ b/jujubenotch/__init__.py
@@ -0,0 +1,1 @@
+"""A router for language-model traffic with service levels and priorities."""
--- /dev/null
+++ b/jujubenotch/admission/model.py
@@ -0,0 +1,80 @@
+"""The typed messages between those who need capacity and those who divide it."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+
+class WorkResult(StrEnum):
+    """How work on an upstream ended, as its instance saw it."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    ERROR = "error"
+    CONNECT_FAILED = "connect-failed"
+    REFUSED = "refused"
+    SILENT = "silent"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, kw_only=True)
+class WorkRequest:
+    """A request for one slot on an upstream.
+
+    :param target: The model or plain service that it needs.
+    :param tier: 0 is the most urgent, 3 the least.
+    :param arrived_s: When it arrived, on this process's monotonic clock.
+    :param first_token_by_s: When its first token is due, same clock.
+    :param deadline_s: When it must have ended, same clock.
+    :param max_wait_s: How long its class may wait for the floor, in seconds.
+    :param expected_tokens: Estimated length of the answer, in tokens.
+    :param prefix_key: Equal for requests with the same prompt prefix; empty
+        when unknown.
+    :param excluded_upstreams: Upstreams that it failed on already.
+    """
+
+    request_id: str
+    target: str
+    team: str
+    team_weight: float
+    team_limit: int
+    service_class: str
+    tier: int
+    arrived_s: float
+    first_token_by_s: float
+    deadline_s: float
+    max_wait_s: float
+    expected_tokens: int
+    prefix_key: str = ""
+    excluded_upstreams: frozenset[str] = frozenset()
+
+
+@dataclass(frozen=True, kw_only=True)
+class Grant:
+    """One slot on one upstream, given to one request.
+
+    :param grant_id: Unique over all instances.
+    :param home: The instance that keeps the account; empty when the slot
+        comes from the instance's own conservative share.
+    """
+
+    grant_id: str
+    request_id: str
+    upstream: str
+    home: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class WorkReport:
+    """What an instance saw of the work that a grant was for.
+
+    :param tokens: Tokens received.
+    :param first_token_s: From the send to the first token, in seconds;
+        ``None`` when there was none.
+    :param between_tokens_s: Mean gap between tokens, in seconds; ``None``
+        with fewer than two.
+    """
+
+    result: WorkResult
+    tokens: int = 0
+    first_token_s: float | None = None
+    between_tokens_s: float | None = None
--- /dev/null
+++ b/jujubenotch/logs/core.py
@@ -0,0 +1,83 @@
+"""One log line for each event."""
+
+import logging
+import sys
+
+from pythonjsonlogger.json import JsonFormatter
+
+
+class KeyValueFormatter(logging.Formatter):
+    """Formats a record as one line of key=value pairs.
+
+    >>> record = logging.makeLogRecord({"msg": "started", "levelname": "INFO"})
+    >>> "event=started" in KeyValueFormatter().format(record)
+    True
+    """
+
+    def format(self, record):
+        """Return the line.
+
+        :param record: A record made by :func:`log_event`.
+        :returns: One line without its end.
+        """
+        fields = {
+            "time": self.formatTime(record, "%Y-%m-%dT%H:%M:%S"),
+            "level": record.levelname,
+            "logger": record.name,
+            "event": record.getMessage(),
+            **getattr(record, "fields", {}),
+        }
+        if record.exc_info:
+            fields["exception"] = self.formatException(record.exc_info)
+        return " ".join(f"{key}={_quote(value)}" for key, value in fields.items())
+
+
+class EventJsonFormatter(JsonFormatter):
+    """Formats a record as one line of JSON, with its fields at the top level."""
+
+    def add_fields(self, log_data, record, message_dict):
+        """Add the event's own fields to the line.
+
+        :param log_data: The mapping that becomes the line.
+        :param record: The log record.
+        :param message_dict: What the message itself held.
+        """
+        super().add_fields(log_data, record, message_dict)
+        log_data["event"] = log_data.pop("message", record.getMessage())
+        log_data.update(log_data.pop("fields", {}))
+
+
+def configure_logging(*, format_name: str, level: str) -> None:
+    """Send all logs to standard error.
+
+    :param format_name: ``key-value`` or ``json``.
+    :param level: A level's name, for instance ``INFO``.
+    """
+    handler = logging.StreamHandler(sys.stderr)
+    if format_name == "json":
+        handler.setFormatter(
+            EventJsonFormatter("%(asctime)s %(levelname)s %(name)s %(message)s")
+        )
+    else:
+        handler.setFormatter(KeyValueFormatter())
+    logging.basicConfig(level=level, handlers=[handler], force=True)
+
+
+def log_event(logger: logging.Logger, level: int, event: str, **fields) -> None:
+    """Log one event.
+
+    :param logger: The logger of the module that the event comes from.
+    :param level: A level of :mod:`logging`.
+    :param event: The event's name, in lower case with hyphens.
+    :param fields: Its key=value pairs; never a caller's text or key.
+    """
+    if logger.isEnabledFor(level):
+        logger.log(level, event, extra={"fields": fields})
+
+
+def _quote(value):
+    text = str(value)
+    if not text or any(character in text for character in ' "=\n'):
+        escaped = text.replace("\\", "\\\\").replace('"', '\\"').replace("\n", "\\n")
+        return f'"{escaped}"'
+    return text
