--- a/jujubenotch/admission/__init__.py
+++ b/jujubenotch/admission/__init__.py
@@ -3,6 +3,12 @@
 Errors: none; a refusal is a value. Features: ``features/admission``.
 """
 
-from jujubenotch.admission.model import Grant, WorkReport, WorkRequest, WorkResult
+from jujubenotch.admission.model import (
+    Grant,
+    LoadReport,
+    WorkReport,
+    WorkRequest,
+    WorkResult,
+)
 
-__all__ = ["Grant", "WorkReport", "WorkRequest", "WorkResult"]
+__all__ = ["Grant", "LoadReport", "WorkReport", "WorkRequest", "WorkResult"]
--- a/jujubenotch/admission/model.py
+++ b/jujubenotch/admission/model.py
@@ -63,6 +63,23 @@
     home: str = ""
 
 
+@dataclass(frozen=True, kw_only=True)
+class LoadReport:
+    """What an upstream says of its own load, with a lag.
+
+    :param running: Requests that it runs.
+    :param waiting: Requests that wait in its own queue.
+    :param slots: Requests that it can run at once.
+    :param age_s: How old it says the report is, in seconds.
+    """
+
+    running: int
+    waiting: int
+    slots: int
+    is_leaving: bool = False
+    age_s: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True)
 class WorkReport:
     """What an instance saw of the work that a grant was for.
--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -24,6 +24,7 @@
         answered, in seconds.
     :param max_wait_s: How long the class's oldest request may wait before the
         floor serves it, in seconds.
+    :param idempotent: Whether its requests may be repeated.
     """
 
     name: str
@@ -32,6 +33,7 @@
     between_tokens_target_s: float = 0.032
     deadline_s: float = 60.0
     max_wait_s: float = 30.0
+    idempotent: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
