--- a/jujubenotch/callers/__init__.py
+++ b/jujubenotch/callers/__init__.py
@@ -1,1 +1,19 @@
-"""Placeholder."""
+"""The callers' HTTP interface: completions, models and plain services.
+
+Errors: ``CallersError`` and its kinds. Features: ``features/callers``.
+"""
+
+from jujubenotch.callers.app import (
+    CallerDependencies,
+    CallerLimits,
+    build_caller_app,
+)
+from jujubenotch.callers.errors import CallersError, RefusedRequestError
+
+__all__ = [
+    "CallerDependencies",
+    "CallerLimits",
+    "CallersError",
+    "RefusedRequestError",
+    "build_caller_app",
+]
--- /dev/null
+++ b/jujubenotch/callers/answers.py
@@ -0,0 +1,170 @@
+"""Writes outcomes to callers, as HTTP answers and as the last event of a stream."""
+
+import math
+
+import orjson
+from sanic import HTTPResponse, Request
+from sanic.exceptions import RequestCancelled, ServerError
+
+from jujubenotch.dispatch import Answer, CallerGoneError
+from jujubenotch.outcomes import Outcome, Refusal
+
+OUTCOME_HEADER = "X-Jujubenotch-Outcome"
+REASON_HEADER = "X-Jujubenotch-Reason"
+REQUEST_ID_HEADER = "X-Request-Id"
+_OWN_HEADERS = frozenset(
+    {OUTCOME_HEADER.lower(), REASON_HEADER.lower(), REQUEST_ID_HEADER.lower()}
+)
+_SELF_MADE_HEADERS = _OWN_HEADERS | {"content-type", "date", "server"}
+
+
+class CallerSink:
+    """Forwards a stream's head and events to one caller.
+
+    :param request: The caller's request.
+    :param request_id: The id that the caller is told.
+
+    >>> sink = CallerSink(request=None, request_id="a-1")
+    >>> sink.response is None
+    True
+    """
+
+    def __init__(self, *, request: Request, request_id: str):
+        self.request = request
+        self.request_id = request_id
+        self.response = None
+
+    async def start(self, status, headers):
+        """Send the head of the stream.
+
+        :param status: The HTTP status.
+        :param headers: The upstream's headers.
+        :raises CallerGoneError: The caller has left.
+        """
+        kept = {
+            name: value
+            for name, value in headers
+            if name.lower() not in _SELF_MADE_HEADERS
+        }
+        kept[REQUEST_ID_HEADER] = self.request_id
+        kept["Cache-Control"] = "no-cache"
+        self.response = await self.request.respond(
+            status=status, headers=kept, content_type="text/event-stream"
+        )
+
+    async def send(self, events):
+        """Send whole events.
+
+        :param events: The bytes of the events.
+        :raises CallerGoneError: The caller has left.
+        """
+        try:
+            await self.response.send(events)
+        except (RequestCancelled, ServerError, ConnectionError) as error:
+            raise CallerGoneError from error
+
+
+async def write_answer(
+    sink: CallerSink, answer: Answer, *, is_stream: bool
+) -> HTTPResponse | None:
+    """Tell the caller the outcome.
+
+    :param sink: The caller's sink.
+    :param answer: The outcome.
+    :param is_stream: Whether the caller asked for a stream.
+    :returns: The answer; ``None`` when it ended a stream.
+    """
+    if answer.is_streamed and is_stream:
+        if sink.response is None:
+            await sink.start(answer.status or 200, answer.headers)
+        if answer.body:
+            await sink.send(answer.body)
+        await sink.send(write_last_event(answer, sink.request_id))
+        await sink.response.eof()
+        return None
+    return write_whole(answer, sink.request_id)
+
+
+def write_last_event(answer: Answer, request_id: str) -> bytes:
+    """Write the last event of a stream, which names the outcome.
+
+    Only a completed stream gets the end marker. The comment line is passed
+    over by clients that don't know it.
+
+    :param answer: The outcome.
+    :param request_id: The request's id.
+    :returns: The event.
+    """
+    if answer.outcome is Outcome.COMPLETED:
+        comment = f": outcome={answer.outcome} request-id={request_id}\n"
+        return comment.encode() + b"data: [DONE]\n\n"
+    body = orjson.dumps(_write_error(answer, request_id))
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+def write_whole(answer: Answer, request_id: str) -> HTTPResponse:
+    """Write a whole answer or a refusal.
+
+    :param answer: The outcome.
+    :param request_id: The request's id.
+    :returns: The HTTP answer.
+    """
+    headers = [
+        (name, value)
+        for name, value in answer.headers
+        if name.lower() not in _SELF_MADE_HEADERS
+    ]
+    headers.append((REQUEST_ID_HEADER, request_id))
+    headers.append((OUTCOME_HEADER, str(answer.outcome)))
+    if answer.reason:
+        headers.append((REASON_HEADER, str(answer.reason)))
+    if answer.retry_after_s > 0:
+        headers.append(("Retry-After", str(math.ceil(answer.retry_after_s))))
+    body = answer.body
+    if not body and answer.outcome is not Outcome.COMPLETED:
+        body = orjson.dumps(_write_error(answer, request_id))
+    response = HTTPResponse(
+        body,
+        status=answer.status,
+        content_type=_find_content_type(answer),
+    )
+    for name, value in headers:
+        response.headers.add(name, value)
+    return response
+
+
+def refuse(refusal: Refusal, status: int) -> Answer:
+    """Turn a refusal into what the caller is told.
+
+    :param refusal: The refusal.
+    :param status: The HTTP status.
+    :returns: The answer.
+    """
+    return Answer(
+        outcome=Outcome.NOT_RUN,
+        status=status,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        retry_after_s=refusal.retry_after_s,
+    )
+
+
+def _find_content_type(answer):
+    for name, value in answer.headers:
+        if name.lower() == "content-type":
+            return value
+    return "application/json"
+
+
+def _write_error(answer, request_id):
+    reason = str(answer.reason or "")
+    return {
+        "error": {
+            "message": answer.detail or f"{answer.outcome}: {reason}",
+            "type": reason,
+            "code": reason,
+            "outcome": str(answer.outcome),
+            "request_id": request_id,
+            "retry_after_s": round(answer.retry_after_s, 3),
+        }
+    }
--- /dev/null
+++ b/jujubenotch/callers/app.py
@@ -0,0 +1,227 @@
+"""The callers' HTTP interface."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from sanic import HTTPResponse, Request, Sanic
+from sanic.exceptions import SanicException
+from sanic.response import json as json_response
+
+from jujubenotch.callers.answers import (
+    CallerSink,
+    refuse,
+    write_answer,
+    write_whole,
+)
+from jujubenotch.callers.classify import (
+    Arrival,
+    check_key,
+    classify_completion,
+    classify_service,
+    digest_key,
+)
+from jujubenotch.callers.errors import RefusedRequestError
+from jujubenotch.dispatch import CallerGoneError, Dispatcher, dispatch
+from jujubenotch.logs import log_event
+from jujubenotch.outcomes import Outcome, Refusal, RefusalReason
+from jujubenotch.records import Configuration, UpstreamKind
+
+logger = logging.getLogger(__name__)
+
+SERVICE_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
+NO_RESPONSE_TIMEOUT_S = 365 * 24 * 3600
+SHUTDOWN_RETRY_AFTER_S = 1.0
+SERVICE_UNAVAILABLE = 503
+INTERNAL_SERVER_ERROR = 500
+_REASON_BY_STATUS = {
+    401: RefusalReason.AUTHENTICATION,
+    403: RefusalReason.FORBIDDEN,
+    413: RefusalReason.BODY_TOO_LARGE,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerLimits:
+    """Bounds on what a caller may send.
+
+    :param body_timeout_s: For the head and body of one request.
+    :param idle_timeout_s: For an idle connection.
+
+    >>> CallerLimits(max_body_bytes=1000).max_header_bytes
+    16384
+    """
+
+    max_body_bytes: int = 8 * 1024 * 1024
+    max_header_bytes: int = 16 * 1024
+    body_timeout_s: float = 10.0
+    idle_timeout_s: float = 75.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerDependencies:
+    """What the callers' interface needs of the instance.
+
+    :param make_request_id: Returns a new id, unique over all instances.
+    :param is_stopping: Tells whether the instance takes nothing new.
+    :param count_refusal: Counts a refusal before dispatch.
+    """
+
+    dispatcher: Dispatcher
+    read_configuration: Callable[[], Configuration]
+    make_request_id: Callable[[], str]
+    is_stopping: Callable[[], bool]
+    count_refusal: Callable[[RefusalReason], None]
+
+
+def build_caller_app(
+    name: str, dependencies: CallerDependencies, limits: CallerLimits
+) -> Sanic:
+    """Build the callers' interface.
+
+    :param name: The application's name, unique in this process.
+    :param dependencies: What it needs of the instance.
+    :param limits: Bounds on what a caller may send.
+    :returns: An application to be served in the daemon's own loop.
+    """
+    app = Sanic(name, configure_logging=False)
+    _set_limits(app, limits)
+
+    async def serve_completion(request):
+        return await _serve(dependencies, request, classify_completion)
+
+    async def serve_service(request, name, path=""):
+        def classify(request, configuration, arrival):
+            return classify_service(request, configuration, arrival, name)
+
+        return await _serve(dependencies, request, classify)
+
+    async def list_models(request):
+        return _list_models(dependencies, request)
+
+    async def tell_error(request, error):
+        return _tell_error(dependencies, error)
+
+    app.add_route(
+        serve_completion, "/v1/chat/completions", methods=["POST"], name="chat"
+    )
+    app.add_route(
+        serve_completion, "/v1/completions", methods=["POST"], name="completions"
+    )
+    app.add_route(list_models, "/v1/models", methods=["GET"], name="models")
+    app.add_route(
+        serve_service, "/services/<name:str>", methods=SERVICE_METHODS, name="service"
+    )
+    app.add_route(
+        serve_service,
+        "/services/<name:str>/<path:path>",
+        methods=SERVICE_METHODS,
+        name="service_path",
+    )
+    app.exception(Exception)(tell_error)
+    return app
+
+
+def _set_limits(app, limits):
+    app.config.REQUEST_MAX_SIZE = limits.max_body_bytes
+    app.config.REQUEST_MAX_HEADER_SIZE = limits.max_header_bytes
+    app.config.REQUEST_TIMEOUT = limits.body_timeout_s
+    app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_s
+    # The deadline of the class bounds a request: the library's own timeout
+    # would cancel it and answer without an outcome.
+    app.config.RESPONSE_TIMEOUT = NO_RESPONSE_TIMEOUT_S
+    app.config.MOTD = False
+
+
+async def _serve(dependencies, request, classify):
+    arrival = Arrival(
+        request_id=dependencies.make_request_id(),
+        arrived_s=asyncio.get_running_loop().time(),
+    )
+    sink = CallerSink(request=request, request_id=arrival.request_id)
+    try:
+        _check_running(dependencies)
+        call = classify(request, dependencies.read_configuration(), arrival)
+    except RefusedRequestError as error:
+        return _refuse(dependencies, error, arrival.request_id)
+    answer = await dispatch(dependencies.dispatcher, call, sink)
+    try:
+        return await write_answer(sink, answer, is_stream=call.is_stream)
+    except CallerGoneError:
+        return None
+
+
+def _check_running(dependencies):
+    if dependencies.is_stopping():
+        raise RefusedRequestError(
+            status=SERVICE_UNAVAILABLE,
+            reason=RefusalReason.SHUTTING_DOWN,
+            detail="this instance is shutting down; the balancer knows others",
+        )
+
+
+def _refuse(dependencies, error, request_id):
+    refusal = error.refusal
+    dependencies.count_refusal(refusal.reason)
+    log_event(
+        logger,
+        logging.INFO,
+        "request-refused",
+        request_id=request_id,
+        reason=refusal.reason,
+    )
+    response = write_whole(refuse(refusal, error.status), request_id)
+    if refusal.reason is RefusalReason.SHUTTING_DOWN:
+        response.headers["Retry-After"] = str(int(SHUTDOWN_RETRY_AFTER_S))
+        response.headers["Connection"] = "close"
+    return response
+
+
+def _list_models(dependencies, request: Request) -> HTTPResponse:
+    configuration = dependencies.read_configuration()
+    try:
+        check_key(configuration, digest_key(request))
+    except RefusedRequestError as error:
+        return _refuse(dependencies, error, dependencies.make_request_id())
+    names = {
+        model
+        for upstream in configuration.upstreams.values()
+        if upstream.kind is UpstreamKind.MODEL
+        for model in upstream.models
+    }
+    models = [
+        {"id": name, "object": "model", "created": 0, "owned_by": "site"}
+        for name in sorted(names)
+    ]
+    return json_response({"object": "list", "data": models})
+
+
+def _tell_error(dependencies, error):
+    request_id = dependencies.make_request_id()
+    status = INTERNAL_SERVER_ERROR
+    if isinstance(error, SanicException):
+        status = error.status_code
+    if status >= INTERNAL_SERVER_ERROR:
+        log_event(
+            logger,
+            logging.ERROR,
+            "request-failed",
+            request_id=request_id,
+            error=type(error).__name__,
+        )
+        logger.debug("traceback", exc_info=error)
+        return write_whole(_unknown_answer(status), request_id)
+    reason = _REASON_BY_STATUS.get(status, RefusalReason.MALFORMED)
+    dependencies.count_refusal(reason)
+    detail = str(error) if isinstance(error, SanicException) else ""
+    refusal = Refusal(reason=reason, retry_after_s=0.0, detail=detail)
+    return write_whole(refuse(refusal, status), request_id)
+
+
+def _unknown_answer(status):
+    answer = refuse(Refusal(reason=RefusalReason.MALFORMED, retry_after_s=0.0), status)
+    answer.outcome = Outcome.UNKNOWN
+    answer.reason = None
+    answer.detail = "the instance failed on this request"
+    return answer
--- /dev/null
+++ b/jujubenotch/callers/classify.py
@@ -0,0 +1,227 @@
+"""Authenticates a caller and makes a call of its request."""
+
+import hashlib
+from dataclasses import dataclass
+
+from sanic import Request
+
+from jujubenotch.callers.completions import Completion, read_completion
+from jujubenotch.callers.errors import RefusedRequestError
+from jujubenotch.dispatch import Call, keep_end_to_end
+from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.records import (
+    CallerIdentity,
+    Configuration,
+    UpstreamKind,
+    find_binding,
+    is_idempotent,
+)
+
+AUTHORIZATION_SCHEME = "bearer "
+NON_IDEMPOTENT_HEADER = "X-Non-Idempotent"
+IDEMPOTENCY_KEY_HEADER = "Idempotency-Key"
+MAX_IDEMPOTENCY_KEY_LENGTH = 255
+BAD_REQUEST = 400
+UNAUTHORIZED = 401
+FORBIDDEN = 403
+NOT_FOUND = 404
+_STATUS_BY_REASON = {
+    RefusalReason.AUTHENTICATION: UNAUTHORIZED,
+    RefusalReason.FORBIDDEN: FORBIDDEN,
+    RefusalReason.NO_BINDING: FORBIDDEN,
+}
+_DROPPED_HEADERS = frozenset(
+    {
+        "authorization",
+        "content-length",
+        "cookie",
+        "expect",
+        "host",
+        "idempotency-key",
+        "last-event-id",
+        "x-non-idempotent",
+        "x-request-id",
+    }
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Arrival:
+    """What every request has, whatever it asks for.
+
+    :param arrived_s: When it arrived, monotonic, in seconds.
+    """
+
+    request_id: str
+    arrived_s: float
+
+
+def classify_completion(
+    request: Request, configuration: Configuration, arrival: Arrival
+) -> Call:
+    """Make a call of a completion request.
+
+    :param request: The caller's request.
+    :param configuration: The configuration in force.
+    :param arrival: Its id and time.
+    :returns: The call.
+    :raises RefusedRequestError: It can't be taken.
+    """
+    digest = digest_key(request)
+    needs_messages = request.path.endswith("/chat/completions")
+    check_key(configuration, digest)
+    completion = read_completion(request.body, needs_messages=needs_messages)
+    if not is_served(configuration, completion.model, UpstreamKind.MODEL):
+        raise RefusedRequestError(
+            status=NOT_FOUND,
+            reason=RefusalReason.UNKNOWN_MODEL,
+            detail="no upstream serves this model; GET /v1/models lists them",
+        )
+    identity = identify(configuration, digest, completion.model)
+    return _make_completion_call(request, identity, arrival, completion)
+
+
+def classify_service(
+    request: Request, configuration: Configuration, arrival: Arrival, name: str
+) -> Call:
+    """Make a call of a request to a plain service.
+
+    :param request: The caller's request.
+    :param configuration: The configuration in force.
+    :param arrival: Its id and time.
+    :param name: The service's name.
+    :returns: The call.
+    :raises RefusedRequestError: It can't be taken.
+    """
+    digest = digest_key(request)
+    check_key(configuration, digest)
+    if not is_served(configuration, name, UpstreamKind.SERVICE):
+        raise RefusedRequestError(
+            status=NOT_FOUND,
+            reason=RefusalReason.UNKNOWN_SERVICE,
+            detail="no upstream serves a service of this name",
+        )
+    identity = identify(configuration, digest, name)
+    path = request.raw_url.decode("ascii").removeprefix(f"/services/{name}")
+    may_repeat = is_idempotent(configuration, name, request.method, path)
+    return Call(
+        **_common_fields(request, identity, arrival, may_repeat=may_repeat),
+        target=name,
+        method=request.method,
+        path=path or "/",
+        body=request.body,
+    )
+
+
+def digest_key(request: Request) -> str:
+    """Return the digest of the caller's key.
+
+    :param request: The caller's request.
+    :returns: Lower-case hexadecimal SHA-256.
+    :raises RefusedRequestError: There is no key, or more than one.
+    """
+    values = request.headers.getall("authorization", [])
+    if len(values) == 1 and values[0].lower().startswith(AUTHORIZATION_SCHEME):
+        key = values[0][len(AUTHORIZATION_SCHEME) :].strip()
+        return hashlib.sha256(key.encode()).hexdigest()
+    raise _refuse_authentication("give the key as one header Authorization: Bearer KEY")
+
+
+def check_key(configuration: Configuration, digest: str) -> None:
+    """Check that a key is known before its request is looked at.
+
+    :param configuration: The configuration in force.
+    :param digest: The key's digest.
+    :raises RefusedRequestError: It is not known.
+    """
+    found = find_binding(configuration, digest, "")
+    if isinstance(found, Refusal) and found.reason is RefusalReason.AUTHENTICATION:
+        raise _refuse_authentication("the key is not known")
+
+
+def identify(configuration: Configuration, digest: str, target: str) -> CallerIdentity:
+    """Find who calls and in which class.
+
+    :param configuration: The configuration in force.
+    :param digest: The key's digest.
+    :param target: The model or plain service.
+    :returns: Team, application and class.
+    :raises RefusedRequestError: The key is not known or not bound.
+    """
+    identity = find_binding(configuration, digest, target)
+    if isinstance(identity, Refusal):
+        raise RefusedRequestError(
+            status=_STATUS_BY_REASON.get(identity.reason, FORBIDDEN),
+            reason=identity.reason,
+            detail=identity.detail,
+        )
+    return identity
+
+
+def is_served(configuration: Configuration, target: str, kind: UpstreamKind) -> bool:
+    """Tell whether any upstream serves a target.
+
+    :param configuration: The configuration in force.
+    :param target: The model or plain service.
+    :param kind: The kind of upstream.
+    :returns: True when one does, in any data centre.
+    """
+    return any(
+        upstream.kind is kind and target in upstream.models
+        for upstream in configuration.upstreams.values()
+    )
+
+
+def _refuse_authentication(detail):
+    return RefusedRequestError(
+        status=UNAUTHORIZED, reason=RefusalReason.AUTHENTICATION, detail=detail
+    )
+
+
+def _make_completion_call(request, identity, arrival, completion: Completion):
+    tier = identity.service_class.tier
+    return Call(
+        **_common_fields(request, identity, arrival, may_repeat=True),
+        target=completion.model,
+        method="POST",
+        path=request.path,
+        body=completion.write_body(tier),
+        is_stream=completion.is_stream,
+        expected_tokens=completion.expected_tokens,
+        prefix_key=completion.prefix_key,
+    )
+
+
+def _common_fields(request, identity, arrival, *, may_repeat):
+    is_marked = request.headers.get(NON_IDEMPOTENT_HEADER, "").lower() == "true"
+    headers = tuple(
+        (name, value)
+        for name, value in keep_end_to_end(request.headers.items())
+        if name.lower() not in _DROPPED_HEADERS
+    )
+    return {
+        "request_id": arrival.request_id,
+        "arrived_s": arrival.arrived_s,
+        "team": identity.team,
+        "service_class": identity.service_class,
+        "headers": headers,
+        "is_idempotent": may_repeat
+        and identity.service_class.idempotent
+        and not is_marked,
+        "idempotency_key": _read_idempotency_key(request),
+    }
+
+
+def _read_idempotency_key(request):
+    values = request.headers.getall(IDEMPOTENCY_KEY_HEADER, [])
+    if not values:
+        return ""
+    key = values[0].strip()
+    if len(values) > 1 or not key or len(key) > MAX_IDEMPOTENCY_KEY_LENGTH:
+        raise RefusedRequestError(
+            status=BAD_REQUEST,
+            reason=RefusalReason.MALFORMED,
+            detail=f"{IDEMPOTENCY_KEY_HEADER}: give one value of 1 to "
+            f"{MAX_IDEMPOTENCY_KEY_LENGTH} characters",
+        )
+    return key
--- /dev/null
+++ b/jujubenotch/dispatch/__init__.py
@@ -0,0 +1,38 @@
+"""One request's way: claim, slot, attempts, retries, outcome.
+
+Errors: ``CallerGoneError``; other ends are values. Features:
+``features/dispatch``.
+"""
+
+from jujubenotch.dispatch.attempt import keep_end_to_end, read_clock_s
+from jujubenotch.dispatch.call import Answer, Call, CallerGoneError, Sink
+from jujubenotch.dispatch.decide import AttemptEnd, GiveUp, Retry, decide_next
+from jujubenotch.dispatch.dispatcher import (
+    STATUS_BY_REFUSAL,
+    Claims,
+    Dispatcher,
+    Observer,
+    RetryBudget,
+    dispatch,
+    wait_until_idle,
+)
+
+__all__ = [
+    "STATUS_BY_REFUSAL",
+    "Answer",
+    "AttemptEnd",
+    "Call",
+    "CallerGoneError",
+    "Claims",
+    "Dispatcher",
+    "GiveUp",
+    "Observer",
+    "Retry",
+    "RetryBudget",
+    "Sink",
+    "decide_next",
+    "dispatch",
+    "keep_end_to_end",
+    "read_clock_s",
+    "wait_until_idle",
+]
--- /dev/null
+++ b/jujubenotch/dispatch/decide.py
@@ -0,0 +1,146 @@
+"""Decides what follows when an attempt ends without a whole answer."""
+
+from dataclasses import dataclass
+from enum import StrEnum
+
+from jujubenotch.admission import WorkResult
+from jujubenotch.dispatch.call import Call, Progress
+from jujubenotch.outcomes import FailureReason, Outcome, RefusalReason, RetryReason
+
+MAX_ATTEMPTS = 4
+
+
+class AttemptEnd(StrEnum):
+    """How an attempt on one upstream ended."""
+
+    COMPLETED = "completed"
+    CONNECT_FAILED = "connect-failed"
+    REFUSED = "refused"
+    UPSTREAM_ERROR = "upstream-error"
+    LOST = "lost"
+    SILENT = "silent"
+    TRUNCATED = "truncated"
+    DEADLINE = "deadline"
+
+
+RETRY_REASONS = {
+    AttemptEnd.CONNECT_FAILED: RetryReason.CONNECT_FAILED,
+    AttemptEnd.REFUSED: RetryReason.UPSTREAM_REFUSED,
+    AttemptEnd.UPSTREAM_ERROR: RetryReason.UPSTREAM_ERROR,
+    AttemptEnd.LOST: RetryReason.CONNECTION_LOST,
+    AttemptEnd.SILENT: RetryReason.SILENT,
+    AttemptEnd.TRUNCATED: RetryReason.STREAM_TRUNCATED,
+}
+
+WORK_RESULTS = {
+    AttemptEnd.COMPLETED: WorkResult.COMPLETED,
+    AttemptEnd.CONNECT_FAILED: WorkResult.CONNECT_FAILED,
+    AttemptEnd.REFUSED: WorkResult.REFUSED,
+    AttemptEnd.UPSTREAM_ERROR: WorkResult.ERROR,
+    AttemptEnd.LOST: WorkResult.LOST,
+    AttemptEnd.SILENT: WorkResult.SILENT,
+    AttemptEnd.TRUNCATED: WorkResult.LOST,
+    AttemptEnd.DEADLINE: WorkResult.CANCELLED,
+}
+
+_NOT_SENT = frozenset({AttemptEnd.CONNECT_FAILED, AttemptEnd.REFUSED})
+
+_FAILURE_REASONS = {
+    AttemptEnd.UPSTREAM_ERROR: FailureReason.UPSTREAM_ERROR,
+    AttemptEnd.LOST: FailureReason.CONNECTION_LOST,
+    AttemptEnd.SILENT: FailureReason.SILENT,
+    AttemptEnd.TRUNCATED: FailureReason.STREAM_TRUNCATED,
+    AttemptEnd.DEADLINE: FailureReason.DEADLINE_PASSED,
+}
+
+_REFUSAL_REASONS = {
+    AttemptEnd.CONNECT_FAILED: RefusalReason.UPSTREAM_UNREACHABLE,
+    AttemptEnd.REFUSED: RefusalReason.UPSTREAM_REFUSED,
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class Retry:
+    """The request is sent once more."""
+
+    reason: RetryReason
+
+
+@dataclass(frozen=True, kw_only=True)
+class GiveUp:
+    """The caller gets its final answer now.
+
+    :param reason: Why there is no whole answer.
+    """
+
+    outcome: Outcome
+    reason: FailureReason | RefusalReason
+
+
+def record_attempt(progress: Progress, end: AttemptEnd) -> None:
+    """Add what an attempt's end proves to the progress.
+
+    :param progress: The call's progress; changed in place.
+    :param end: How the attempt ended.
+    """
+    if end not in _NOT_SENT:
+        progress.may_have_run = True
+    if end in (AttemptEnd.UPSTREAM_ERROR, AttemptEnd.TRUNCATED):
+        progress.has_run = True
+
+
+def decide_next(
+    call: Call,
+    progress: Progress,
+    end: AttemptEnd,
+    *,
+    can_resume: bool,
+    has_budget: bool,
+    now_s: float,
+) -> Retry | GiveUp:
+    """Choose between one more attempt and the final answer.
+
+    :param call: The caller's request.
+    :param progress: Its progress, with the attempt that just ended.
+    :param end: How that attempt ended; not ``COMPLETED``.
+    :param can_resume: Whether a started stream may go on after its last event.
+    :param has_budget: Whether the retry budget allows one more attempt.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: What to do.
+    """
+    is_repeatable = call.is_idempotent or not progress.may_have_run
+    is_continuable = not progress.is_started or can_resume
+    if not is_repeatable or not is_continuable:
+        return give_up(progress, end)
+    if end is AttemptEnd.DEADLINE or now_s >= call.deadline_s:
+        return give_up(progress, end)
+    if progress.attempts >= MAX_ATTEMPTS or not has_budget:
+        return give_up(progress, end)
+    return Retry(reason=RETRY_REASONS[end])
+
+
+def give_up(progress: Progress, end: AttemptEnd) -> GiveUp:
+    """Tell what is known of a request that gets no further attempt.
+
+    :param progress: The call's progress, with the attempt that just ended.
+    :param end: How that attempt ended; not ``COMPLETED``.
+    :returns: The outcome and its reason.
+    """
+    outcome = name_outcome(progress)
+    if outcome is Outcome.NOT_RUN:
+        return GiveUp(outcome=outcome, reason=_REFUSAL_REASONS[end])
+    reason = _FAILURE_REASONS.get(end, FailureReason.RETRY_BUDGET)
+    return GiveUp(outcome=outcome, reason=reason)
+
+
+def name_outcome(progress: Progress) -> Outcome:
+    """Name the outcome of a request that has no whole answer.
+
+    :param progress: The call's progress.
+    :returns: ``NOT_RUN`` only when nothing that was sent can have started.
+    """
+    if progress.is_started or progress.has_run:
+        return Outcome.FAILED
+    if progress.may_have_run:
+        return Outcome.UNKNOWN
+    return Outcome.NOT_RUN
--- /dev/null
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -0,0 +1,370 @@
+"""Runs a caller's request to its outcome: slot, claim, attempts, answer."""
+
+import asyncio
+import contextlib
+import logging
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Protocol
+
+from jujubenotch.admission import WorkReport, WorkRequest, WorkResult
+from jujubenotch.capacity import Capacity
+from jujubenotch.dispatch.attempt import (
+    Attempt,
+    make_attempt,
+    read_clock_s,
+    report_attempt,
+)
+from jujubenotch.dispatch.call import Answer, Call, CallerGoneError, Progress, Sink
+from jujubenotch.dispatch.decide import (
+    AttemptEnd,
+    GiveUp,
+    decide_next,
+    name_outcome,
+    record_attempt,
+)
+from jujubenotch.invariants import assert_invariant
+from jujubenotch.logs import log_event
+from jujubenotch.outcomes import FailureReason, Outcome, Refusal, RefusalReason
+from jujubenotch.records import Configuration
+from jujubenotch.upstreams import UpstreamConnections
+
+logger = logging.getLogger(__name__)
+
+BAD_GATEWAY = 502
+GATEWAY_TIMEOUT = 504
+SERVICE_UNAVAILABLE = 503
+CONFLICT = 409
+TOO_MANY_REQUESTS = 429
+UNPROCESSABLE = 422
+UNREACHABLE_RETRY_AFTER_S = 1.0
+
+STATUS_BY_REFUSAL = {
+    RefusalReason.QUEUE_FULL: TOO_MANY_REQUESTS,
+    RefusalReason.TEAM_LIMIT: TOO_MANY_REQUESTS,
+    RefusalReason.DEADLINE_UNREACHABLE: TOO_MANY_REQUESTS,
+    RefusalReason.POWER_CAP: TOO_MANY_REQUESTS,
+    RefusalReason.CLAIM_HELD: CONFLICT,
+    RefusalReason.KEY_REUSED: UNPROCESSABLE,
+}
+
+
+class Claims(Protocol):
+    """At-most-once claims, as the dispatcher uses them."""
+
+    async def look_up(self, call: Call) -> Answer | None:
+        """Return the recorded answer, a refusal's answer, or ``None``."""
+
+    async def take(self, call: Call) -> Answer | None:
+        """Claim the call; ``None`` when it is this attempt's to send."""
+
+    def finish(self, call: Call, answer: Answer) -> None:
+        """Record the outcome of a claimed call; never blocks."""
+
+
+class Observer(Protocol):
+    """What is told of each step, for metrics and traces."""
+
+    def record(self, request_id: str, event: str, **fields) -> None:
+        """Add an event to the request's trace."""
+
+    def count_retry(self, reason: str) -> None:
+        """Count one retry."""
+
+    def count_end(self, call: Call, answer: Answer, report: WorkReport | None) -> None:
+        """Count the outcome of a call."""
+
+
+@dataclass(frozen=True, kw_only=True)
+class RetryBudget:
+    """The retry budget's two operations, with the present time in seconds."""
+
+    may_retry: Callable[[float], bool]
+    record_success: Callable[[float], None]
+
+
+@dataclass(kw_only=True)
+class Dispatcher:
+    """What running a call needs, and the calls in progress.
+
+    :param read_configuration: Returns the configuration in force.
+    :param in_progress: The tasks of the calls that run now.
+
+    >>> Dispatcher.__name__
+    'Dispatcher'
+    """
+
+    capacity: Capacity
+    connections: UpstreamConnections
+    claims: Claims
+    observer: Observer
+    retry_budget: RetryBudget
+    read_configuration: Callable[[], Configuration]
+    in_progress: set[asyncio.Task] = field(default_factory=set)
+
+
+async def dispatch(dispatcher: Dispatcher, call: Call, sink: Sink) -> Answer:
+    """Run a call to its outcome.
+
+    A call that is claimed, or sent and not idempotent, goes on by itself when
+    the caller leaves, so that its outcome is recorded; any other is cancelled.
+
+    :param dispatcher: The dispatcher.
+    :param call: The call.
+    :param sink: Where the events of a stream go.
+    :returns: What the caller is told.
+    """
+    progress = Progress()
+    if not call.is_idempotent:
+        sink = _tolerate_leaving(sink)
+    task = asyncio.create_task(_run(dispatcher, call, progress, sink))
+    dispatcher.in_progress.add(task)
+    task.add_done_callback(dispatcher.in_progress.discard)
+    try:
+        return await asyncio.shield(task)
+    except asyncio.CancelledError:
+        if not progress.is_bound:
+            task.cancel()
+        raise
+
+
+@dataclass(frozen=True, kw_only=True)
+class _TolerantSink:
+    """Goes on without the caller when it has left."""
+
+    start: Callable
+    send: Callable
+
+
+def _tolerate_leaving(sink):
+    async def start(status, headers):
+        with contextlib.suppress(CallerGoneError):
+            await sink.start(status, headers)
+
+    async def send(events):
+        with contextlib.suppress(CallerGoneError):
+            await sink.send(events)
+
+    return _TolerantSink(start=start, send=send)
+
+
+async def wait_until_idle(dispatcher: Dispatcher) -> None:
+    """Wait until no call is in progress.
+
+    :param dispatcher: The dispatcher.
+    """
+    while dispatcher.in_progress:
+        await asyncio.wait(dispatcher.in_progress)
+
+
+async def _run(dispatcher, call, progress, sink):
+    is_claimed = False
+    reports = []
+    answer = None
+    try:
+        if call.idempotency_key:
+            answer = await dispatcher.claims.look_up(call)
+        if answer is None:
+            answer, is_claimed = await _run_attempts(
+                dispatcher, call, progress, sink, reports
+            )
+    except CallerGoneError:
+        answer = _tell_failure(progress, FailureReason.CALLER_LEFT)
+    except asyncio.CancelledError:
+        answer = _tell_failure(progress, FailureReason.CALLER_LEFT)
+        raise
+    finally:
+        if answer is None:
+            answer = _tell_failure(progress, FailureReason.UPSTREAM_ERROR)
+        _finish(dispatcher, call, progress, answer, is_claimed, reports)
+    return answer
+
+
+def _finish(dispatcher, call, progress, answer, is_claimed, reports):
+    assert_invariant(
+        answer.outcome is not Outcome.NOT_RUN or not progress.may_have_run,
+        "not-run-was-not-sent",
+        request_id=call.request_id,
+    )
+    if is_claimed:
+        dispatcher.claims.finish(call, _with_recorded_events(answer, progress))
+    if answer.outcome is Outcome.COMPLETED:
+        dispatcher.retry_budget.record_success(read_clock_s())
+    report = reports[-1] if reports else None
+    dispatcher.observer.count_end(call, answer, report)
+
+
+def _with_recorded_events(answer, progress):
+    if not answer.is_streamed:
+        return answer
+    return Answer(
+        outcome=answer.outcome,
+        status=answer.status,
+        reason=answer.reason,
+        headers=(("Content-Type", "text/event-stream"),),
+        body=b"".join(progress.recorded),
+        is_streamed=True,
+    )
+
+
+async def _run_attempts(dispatcher, call, progress, sink, reports):
+    is_claimed = False
+    while True:
+        grant = await dispatcher.capacity.acquire(_write_work_request(call, progress))
+        if isinstance(grant, Refusal):
+            return _answer_refusal(progress, grant), is_claimed
+        dispatcher.observer.record(
+            call.request_id, "granted", upstream=grant.upstream, home=grant.home
+        )
+        progress.is_bound = bool(call.idempotency_key) or not call.is_idempotent
+        if call.idempotency_key and not is_claimed:
+            answer = await _claim(dispatcher, call, grant)
+            if answer is not None:
+                return answer, False
+            is_claimed = True
+        attempt = await _attempt(dispatcher, call, progress, grant, sink)
+        reports.append(report_attempt(attempt))
+        answer = _decide(dispatcher, call, progress, grant, attempt)
+        if answer is not None:
+            return answer, is_claimed
+
+
+async def _claim(dispatcher, call, grant):
+    answer = None
+    is_decided = False
+    try:
+        answer = await dispatcher.claims.take(call)
+        is_decided = True
+    finally:
+        if not is_decided or answer is not None:
+            _give_back(dispatcher, grant, WorkResult.CANCELLED)
+    return answer
+
+
+def _give_back(dispatcher, grant, result):
+    dispatcher.capacity.release(grant, WorkReport(result=result), read_clock_s())
+
+
+async def _attempt(dispatcher, call, progress, grant, sink):
+    attempt = Attempt(sent_at_s=read_clock_s())
+    upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
+    progress.attempts += 1
+    try:
+        if upstream is None:
+            attempt.end = AttemptEnd.CONNECT_FAILED
+        else:
+            await _attempt_in_time(dispatcher, upstream, call, progress, attempt, sink)
+    except BaseException:
+        # The caller has left or the deadline has passed after the send.
+        progress.may_have_run = True
+        raise
+    finally:
+        if attempt.end is None:
+            _give_back(dispatcher, grant, WorkResult.CANCELLED)
+        else:
+            dispatcher.capacity.release(grant, report_attempt(attempt), read_clock_s())
+    return attempt
+
+
+async def _attempt_in_time(dispatcher, upstream, call, progress, attempt, sink):
+    try:
+        async with asyncio.timeout_at(call.deadline_s):
+            await make_attempt(
+                dispatcher.connections, upstream, call, progress, attempt, sink
+            )
+    except TimeoutError:
+        attempt.end = AttemptEnd.DEADLINE
+
+
+def _decide(dispatcher, call, progress, grant, attempt):
+    end = attempt.end
+    dispatcher.observer.record(call.request_id, "attempt-ended", end=end)
+    if end is AttemptEnd.COMPLETED:
+        return attempt.answer
+    record_attempt(progress, end)
+    progress.failed_upstreams |= {grant.upstream}
+    now_s = read_clock_s()
+    upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
+    can_resume = bool(upstream and upstream.resumes_streams and progress.last_event_id)
+    decision = decide_next(
+        call,
+        progress,
+        end,
+        can_resume=can_resume,
+        has_budget=dispatcher.retry_budget.may_retry(now_s),
+        now_s=now_s,
+    )
+    if isinstance(decision, GiveUp):
+        return _answer_give_up(progress, attempt, decision)
+    dispatcher.observer.count_retry(decision.reason)
+    dispatcher.observer.record(call.request_id, "retried", reason=decision.reason)
+    log_event(
+        logger,
+        logging.WARNING,
+        "request-retried",
+        request_id=call.request_id,
+        reason=decision.reason,
+        upstream=grant.upstream,
+    )
+    return None
+
+
+def _write_work_request(call, progress):
+    service_class = call.service_class
+    return WorkRequest(
+        request_id=call.request_id,
+        target=call.target,
+        team=call.team.name,
+        team_weight=call.team.weight,
+        team_limit=call.team.max_in_progress,
+        service_class=service_class.name,
+        tier=service_class.tier,
+        arrived_s=call.arrived_s,
+        first_token_by_s=call.arrived_s + service_class.first_token_target_s,
+        deadline_s=call.deadline_s,
+        max_wait_s=service_class.max_wait_s,
+        expected_tokens=call.expected_tokens,
+        prefix_key=call.prefix_key,
+        excluded_upstreams=progress.failed_upstreams,
+    )
+
+
+def _answer_refusal(progress, refusal):
+    outcome = name_outcome(progress)
+    return Answer(
+        outcome=outcome,
+        status=STATUS_BY_REFUSAL.get(refusal.reason, SERVICE_UNAVAILABLE),
+        reason=refusal.reason,
+        detail=refusal.detail,
+        retry_after_s=refusal.retry_after_s,
+        is_streamed=progress.is_started,
+    )
+
+
+def _answer_give_up(progress, attempt, decision):
+    if attempt.answer is not None and not progress.is_started:
+        attempt.answer.reason = decision.reason
+        attempt.answer.outcome = decision.outcome
+        return attempt.answer
+    is_not_run = decision.outcome is Outcome.NOT_RUN
+    status = SERVICE_UNAVAILABLE if is_not_run else BAD_GATEWAY
+    if decision.reason is FailureReason.DEADLINE_PASSED:
+        status = GATEWAY_TIMEOUT
+    return Answer(
+        outcome=decision.outcome,
+        status=status,
+        reason=decision.reason,
+        detail=f"the request ended as {decision.outcome}: {decision.reason}",
+        retry_after_s=UNREACHABLE_RETRY_AFTER_S if is_not_run else 0.0,
+        is_streamed=progress.is_started,
+    )
+
+
+def _tell_failure(progress, reason):
+    outcome = name_outcome(progress)
+    return Answer(
+        outcome=outcome,
+        status=BAD_GATEWAY,
+        reason=reason,
+        is_streamed=progress.is_started,
+    )
--- /dev/null
+++ b/jujubenotch/listeners/__init__.py
@@ -0,0 +1,20 @@
+"""Serves HTTP applications in the daemon's own loop.
+
+Errors: ``ListenerError``. Features: ``features/daemon``.
+"""
+
+from jujubenotch.listeners.core import (
+    Listener,
+    ListenerError,
+    bind_socket,
+    start_listener,
+    stop_listener,
+)
+
+__all__ = [
+    "Listener",
+    "ListenerError",
+    "bind_socket",
+    "start_listener",
+    "stop_listener",
+]
--- /dev/null
+++ b/jujubenotch/listeners/core.py
@@ -0,0 +1,86 @@
+"""One listening socket and the application behind it."""
+
+import socket
+import ssl
+from dataclasses import dataclass
+
+from sanic import Sanic
+from sanic.server.async_server import AsyncioServer
+
+BACKLOG_CONNECTIONS = 1024
+
+
+class ListenerError(Exception):
+    """An address can't be listened on."""
+
+
+@dataclass(kw_only=True)
+class Listener:
+    """An application that serves.
+
+    :param port: The port that it listens on.
+
+    >>> Listener(app=None, server=None, host="127.0.0.1", port=80).port
+    80
+    """
+
+    app: Sanic
+    server: AsyncioServer
+    host: str
+    port: int
+
+
+def bind_socket(host: str, port: int) -> socket.socket:
+    """Bind a TCP address.
+
+    :param host: An IP number.
+    :param port: A port; 0 takes a free one.
+    :returns: The bound socket.
+    :raises ListenerError: The address is taken or not this instance's.
+    """
+    family = socket.AF_INET6 if ":" in host else socket.AF_INET
+    result = socket.socket(family, socket.SOCK_STREAM)
+    result.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    try:
+        result.bind((host, port))
+    except OSError as error:
+        result.close()
+        raise ListenerError(f"{host}:{port} can't be bound: {error}") from error
+    result.setblocking(False)
+    return result
+
+
+async def start_listener(
+    app: Sanic, bound: socket.socket, tls: ssl.SSLContext | None = None
+) -> Listener:
+    """Serve an application on a bound socket, in the running loop.
+
+    :param app: The application.
+    :param bound: The socket.
+    :param tls: The TLS context; ``None`` serves plain HTTP.
+    :returns: The listener.
+    """
+    host, port = bound.getsockname()[:2]
+    server = await app.create_server(
+        sock=bound,
+        ssl=tls,
+        backlog=BACKLOG_CONNECTIONS,
+        access_log=False,
+        return_asyncio_server=True,
+    )
+    await server.startup()
+    await server.start_serving()
+    return Listener(app=app, server=server, host=host, port=port)
+
+
+async def stop_listener(listener: Listener) -> None:
+    """Take no new connection and close the idle ones.
+
+    Connections with a request in progress stay open; the caller of this
+    function waits for those requests first.
+
+    :param listener: The listener.
+    """
+    listener.server.close()
+    for connection in list(listener.server.connections):
+        connection.close_if_idle()
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -1,1 +1,54 @@
-"""Placeholder."""
+"""HTTP exchanges with upstreams, their streams and load reports.
+
+Errors: ``UpstreamError`` and its kinds. Features: ``features/upstreams``.
+"""
+
+from jujubenotch.upstreams.connections import (
+    ConnectionLimits,
+    UpstreamConnections,
+    close_connections,
+    open_connections,
+)
+from jujubenotch.upstreams.errors import (
+    AnswerTooLargeError,
+    ConnectFailedError,
+    ConnectionLostError,
+    SilentUpstreamError,
+    UpstreamError,
+)
+from jujubenotch.upstreams.events import (
+    END_MARKER,
+    EventBuffer,
+    read_last_id,
+    take_whole_events,
+)
+from jujubenotch.upstreams.exchange import (
+    UpstreamAnswer,
+    UpstreamRequest,
+    open_exchange,
+    read_whole,
+    translated_errors,
+)
+from jujubenotch.upstreams.load import read_load
+
+__all__ = [
+    "END_MARKER",
+    "AnswerTooLargeError",
+    "ConnectFailedError",
+    "ConnectionLimits",
+    "ConnectionLostError",
+    "EventBuffer",
+    "SilentUpstreamError",
+    "UpstreamAnswer",
+    "UpstreamConnections",
+    "UpstreamError",
+    "UpstreamRequest",
+    "close_connections",
+    "open_connections",
+    "open_exchange",
+    "read_last_id",
+    "read_load",
+    "read_whole",
+    "take_whole_events",
+    "translated_errors",
+]
--- /dev/null
+++ b/jujubenotch/upstreams/events.py
@@ -0,0 +1,77 @@
+"""Server-sent events as bytes: whole events, the end marker, the last id.
+
+The payload of an event is never parsed on its way through.
+"""
+
+import re
+from dataclasses import dataclass
+
+END_MARKER = b"data: [DONE]"
+_EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
+_ID_LINE = re.compile(rb"^id: ?([^\r\n]+)", re.MULTILINE)
+
+
+@dataclass(slots=True, kw_only=True)
+class EventBuffer:
+    """What a stream has brought so far.
+
+    :param partial: The bytes of an event that has not ended yet.
+    :param last_events: The whole events that came last.
+    :param events: How many events came, without the end marker.
+    :param is_ended: Whether the end marker came.
+
+    >>> buffer = EventBuffer()
+    >>> take_whole_events(buffer, b"id: 0\\ndata: a\\n\\nid: 1\\nda")
+    b'id: 0\\ndata: a\\n\\n'
+    """
+
+    partial: bytes = b""
+    last_events: bytes = b""
+    events: int = 0
+    is_ended: bool = False
+
+
+def take_whole_events(buffer: EventBuffer, chunk: bytes) -> bytes:
+    """Add a chunk and return the events that are whole, without the end marker.
+
+    :param buffer: The stream's buffer; changed in place.
+    :param chunk: The bytes that came.
+    :returns: Whole events, to be forwarded unchanged; may be empty.
+    """
+    if buffer.partial:
+        chunk = buffer.partial + chunk
+        buffer.partial = b""
+    if not chunk.endswith(_EVENT_ENDS):
+        chunk = _split_partial(buffer, chunk)
+    if END_MARKER in chunk:
+        chunk = _cut_end_marker(buffer, chunk)
+    if chunk:
+        buffer.last_events = chunk
+        buffer.events += chunk.count(b"data:")
+    return chunk
+
+
+def read_last_id(buffer: EventBuffer) -> str:
+    """Return the id of the last whole event.
+
+    :param buffer: The stream's buffer.
+    :returns: The id; empty when the events carry none.
+    """
+    identifiers = _ID_LINE.findall(buffer.last_events)
+    return identifiers[-1].decode("latin-1") if identifiers else ""
+
+
+def _split_partial(buffer, chunk):
+    ends = [chunk.rfind(end) + len(end) for end in _EVENT_ENDS if end in chunk]
+    position = max(ends, default=0)
+    buffer.partial = chunk[position:]
+    return chunk[:position]
+
+
+def _cut_end_marker(buffer, chunk):
+    position = chunk.find(END_MARKER)
+    is_line_start = position == 0 or chunk[position - 1 : position] == b"\n"
+    if not is_line_start:
+        return chunk
+    buffer.is_ended = True
+    return chunk[:position]
--- /dev/null
+++ b/jujubenotch/upstreams/load.py
@@ -0,0 +1,56 @@
+"""Reads what an upstream says of its own load."""
+
+import aiohttp
+from pydantic import BaseModel, ConfigDict, NonNegativeFloat, NonNegativeInt
+from pydantic import ValidationError as InvalidLoadError
+
+from jujubenotch.admission import LoadReport
+from jujubenotch.records import Upstream
+from jujubenotch.upstreams.connections import UpstreamConnections
+from jujubenotch.upstreams.errors import ConnectionLostError
+from jujubenotch.upstreams.exchange import translated_errors
+
+LOAD_PATH = "/load"
+LOAD_TIMEOUT = aiohttp.ClientTimeout(total=1.0)
+
+
+class LoadDocument(BaseModel):
+    """The body of ``GET /load``.
+
+    >>> LoadDocument(running=1, waiting=0, slots=4).age_s
+    0.0
+    """
+
+    model_config = ConfigDict(extra="ignore")
+
+    running: NonNegativeInt
+    waiting: NonNegativeInt
+    slots: NonNegativeInt
+    is_leaving: bool = False
+    age_s: NonNegativeFloat = 0.0
+
+
+async def read_load(connections: UpstreamConnections, upstream: Upstream) -> LoadReport:
+    """Ask an upstream for its load.
+
+    :param connections: The connections to use.
+    :param upstream: The upstream to ask.
+    :returns: Its report; its age is in seconds.
+    :raises UpstreamError: It did not answer with a valid report within 1 s.
+    """
+    url = upstream.url + LOAD_PATH
+    with translated_errors():
+        response = await connections.reusable.get(url, timeout=LOAD_TIMEOUT)
+        async with response:
+            body = await response.read()
+    try:
+        document = LoadDocument.model_validate_json(body)
+    except InvalidLoadError as error:
+        raise ConnectionLostError(f"{url} gave no valid load report") from error
+    return LoadReport(
+        running=document.running,
+        waiting=document.waiting,
+        slots=document.slots,
+        is_leaving=document.is_leaving,
+        age_s=document.age_s,
+    )
