--- a/jujubenotch/records/__init__.py
+++ b/jujubenotch/records/__init__.py
@@ -1,9 +1,17 @@
 """Declarative records: classes, teams, bindings, upstreams, caps and limits.
 
-Errors: ``RecordsError``. Features: ``features/records``.
+Errors: ``RecordsError``; wrong records are the value ``InvalidRecords``.
+Features: ``features/records``.
 """
 
+from jujubenotch.records.build import (
+    build_configuration,
+    edit_configuration,
+    list_records,
+    read_record,
+)
 from jujubenotch.records.errors import RecordsError
+from jujubenotch.records.lookup import CallerIdentity, find_binding, is_idempotent
 from jujubenotch.records.model import (
     Application,
     Binding,
@@ -16,17 +24,48 @@
     Upstream,
     UpstreamKind,
 )
+from jujubenotch.records.parse import parse_documents
+from jujubenotch.records.record import (
+    Deletion,
+    Edit,
+    InvalidRecords,
+    Problem,
+    Record,
+    RecordBody,
+    RecordKey,
+    RecordKind,
+    Source,
+    key_of,
+)
 
 __all__ = [
     "Application",
     "Binding",
+    "CallerIdentity",
     "Configuration",
+    "Deletion",
+    "Edit",
+    "InvalidRecords",
     "Limits",
     "PowerCap",
+    "Problem",
+    "Record",
+    "RecordBody",
+    "RecordKey",
+    "RecordKind",
     "RecordsError",
     "Route",
     "ServiceClass",
+    "Source",
     "Team",
     "Upstream",
     "UpstreamKind",
+    "build_configuration",
+    "edit_configuration",
+    "find_binding",
+    "is_idempotent",
+    "key_of",
+    "list_records",
+    "parse_documents",
+    "read_record",
 ]
--- /dev/null
+++ b/jujubenotch/records/build.py
@@ -0,0 +1,137 @@
+"""Builds the configuration that records give together."""
+
+from collections.abc import Iterable
+from dataclasses import replace
+
+from jujubenotch.records.checks import find_problems
+from jujubenotch.records.model import Configuration, Limits
+from jujubenotch.records.record import (
+    Edit,
+    InvalidRecords,
+    Problem,
+    Record,
+    RecordBody,
+    RecordKey,
+    RecordKind,
+    key_of,
+)
+
+FIELD_BY_KIND = {
+    RecordKind.CLASS: "classes",
+    RecordKind.TEAM: "teams",
+    RecordKind.APPLICATION: "applications",
+    RecordKind.BINDING: "bindings",
+    RecordKind.UPSTREAM: "upstreams",
+    RecordKind.ROUTE: "routes",
+    RecordKind.POWER_CAP: "power_caps",
+}
+
+
+def build_configuration(
+    records: Iterable[Record], revision: int
+) -> Configuration | InvalidRecords:
+    """Build a configuration from all of its records, and check it.
+
+    :param records: Every record; no two with the same key.
+    :param revision: The configuration's global revision.
+    :returns: The configuration, or every problem found.
+    """
+    edit = Edit(records=tuple(records))
+    return edit_configuration(Configuration(), edit, revision)
+
+
+def edit_configuration(
+    configuration: Configuration, edit: Edit, revision: int
+) -> Configuration | InvalidRecords:
+    """Apply an edit to a configuration, and check the result.
+
+    :param configuration: The configuration that the edit starts from.
+    :param edit: The records to put and to delete.
+    :param revision: The new configuration's global revision.
+    :returns: The new configuration, or every problem found.
+    """
+    problems = [
+        Problem(
+            file=deletion.source.file,
+            line=deletion.source.line,
+            key=str(deletion.key),
+            message="is not in force, so it can't be deleted",
+            remedy="correct the name or leave the deletion out",
+        )
+        for deletion in edit.deletions
+        if read_record(configuration, deletion.key) is None
+    ]
+    edited = replace_records(
+        configuration,
+        puts=[record.body for record in edit.records],
+        deletes=[deletion.key for deletion in edit.deletions],
+        revision=revision,
+    )
+    sources = {record.body: record.source for record in edit.records}
+    problems += find_problems(edited, sources)
+    if problems:
+        return InvalidRecords(problems=tuple(problems))
+    return edited
+
+
+def replace_records(
+    configuration: Configuration,
+    *,
+    puts: Iterable[RecordBody],
+    deletes: Iterable[RecordKey],
+    revision: int,
+) -> Configuration:
+    """Return a configuration with some records changed, without any check.
+
+    :param configuration: The configuration to start from; it stays as it is.
+    :param puts: Records that are new or take the place of older ones.
+    :param deletes: Keys of records that go.
+    :param revision: The new configuration's global revision.
+    :returns: The new configuration; unchanged kinds share their mappings.
+    """
+    changed: dict[str, dict] = {}
+    limits = configuration.limits
+    for key in deletes:
+        if key.kind is RecordKind.LIMITS:
+            limits = Limits()
+        else:
+            _open(changed, configuration, key.kind).pop(key.name, None)
+    for body in puts:
+        key = key_of(body)
+        if key.kind is RecordKind.LIMITS:
+            limits = body
+        else:
+            _open(changed, configuration, key.kind)[key.name] = body
+    return replace(configuration, revision=revision, limits=limits, **changed)
+
+
+def list_records(configuration: Configuration) -> list[RecordBody]:
+    """Return all records of a configuration, by kind and name.
+
+    :param configuration: The configuration.
+    :returns: Its records; the limits stand last.
+    """
+    bodies = []
+    for field in FIELD_BY_KIND.values():
+        by_name = getattr(configuration, field)
+        bodies += [by_name[name] for name in sorted(by_name)]
+    return [*bodies, configuration.limits]
+
+
+def read_record(configuration: Configuration, key: RecordKey) -> RecordBody | None:
+    """Return one record.
+
+    :param configuration: The configuration.
+    :param key: The record's key.
+    :returns: The record; ``None`` when there is none.
+    """
+    if key.kind is RecordKind.LIMITS:
+        return configuration.limits
+    return getattr(configuration, FIELD_BY_KIND[key.kind]).get(key.name)
+
+
+def _open(changed, configuration, kind):
+    field = FIELD_BY_KIND[kind]
+    if field not in changed:
+        changed[field] = dict(getattr(configuration, field))
+    return changed[field]
--- /dev/null
+++ b/jujubenotch/records/index.py
@@ -0,0 +1,48 @@
+"""The index by which a caller's key is found among all records."""
+
+from dataclasses import dataclass
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from jujubenotch.records.model import Application, Binding, Configuration, Route
+
+
+@dataclass(frozen=True, kw_only=True)
+class LookupIndex:
+    """Finds records by what a request shows.
+
+    :param application_by_digest: Applications by the digest of their key.
+    :param bindings: Bindings by team, application and target; an empty
+        application or target stands for all.
+    :param routes: The routes of each plain service, the most specific first.
+    """
+
+    application_by_digest: dict[str, "Application"]
+    bindings: dict[tuple[str, str, str], "Binding"]
+    routes: dict[str, list["Route"]]
+
+
+def build_index(configuration: "Configuration") -> LookupIndex:
+    """Index a configuration.
+
+    :param configuration: The configuration.
+    :returns: Its index.
+    """
+    applications = configuration.applications.values()
+    bindings = configuration.bindings.values()
+    routes: dict[str, list[Route]] = {}
+    for route in configuration.routes.values():
+        routes.setdefault(route.service, []).append(route)
+    for service_routes in routes.values():
+        service_routes.sort(key=_rank_route)
+    return LookupIndex(
+        application_by_digest={entry.key_sha256: entry for entry in applications},
+        bindings={
+            (entry.team, entry.application, entry.target): entry for entry in bindings
+        },
+        routes=routes,
+    )
+
+
+def _rank_route(route):
+    return (-len(route.path_prefix), route.method == "*", route.name)
--- /dev/null
+++ b/jujubenotch/records/lookup.py
@@ -0,0 +1,107 @@
+"""Finds what the records say about a request."""
+
+from dataclasses import dataclass
+from urllib.parse import unquote
+
+from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.records.model import (
+    Application,
+    Binding,
+    Configuration,
+    ServiceClass,
+    Team,
+)
+
+RETRY_AFTER_CHANGE_S = 5.0
+SAFE_METHODS = frozenset({"GET", "HEAD", "OPTIONS"})
+ODD_SEGMENTS = frozenset({"", ".", ".."})
+
+
+@dataclass(frozen=True, kw_only=True)
+class CallerIdentity:
+    """Who makes a request, and the class that its binding gives.
+
+    :param team: The caller's team.
+    :param application: The team's application that the key belongs to.
+    :param service_class: The class of the request.
+    :param binding: The binding that gave the class.
+    """
+
+    team: Team
+    application: Application
+    service_class: ServiceClass
+    binding: Binding
+
+
+def find_binding(
+    configuration: Configuration, key_sha256: str, target: str
+) -> CallerIdentity | Refusal:
+    """Find the team, application and class of a request.
+
+    The most specific binding wins: an application's goes before its team's,
+    and one that names the target goes before one for all targets.
+
+    :param configuration: The configuration in force.
+    :param key_sha256: Lower-case hexadecimal SHA-256 of the caller's key.
+    :param target: The model or plain service that is asked for.
+    :returns: The caller's identity, or a refusal with reason
+        ``AUTHENTICATION`` or ``NO_BINDING``.
+    """
+    application = configuration.index.application_by_digest.get(key_sha256)
+    if application is None:
+        return Refusal(
+            reason=RefusalReason.AUTHENTICATION,
+            retry_after_s=RETRY_AFTER_CHANGE_S,
+            detail="the key belongs to no application; check the key",
+        )
+    binding = _find_most_specific(configuration, application, target)
+    if binding is None:
+        return Refusal(
+            reason=RefusalReason.NO_BINDING,
+            retry_after_s=RETRY_AFTER_CHANGE_S,
+            detail=f"application {application.name!r} is bound to no class for "
+            f"{target!r}; ask an operator for a binding",
+        )
+    return CallerIdentity(
+        team=configuration.teams[application.team],
+        application=application,
+        service_class=configuration.classes[binding.service_class],
+        binding=binding,
+    )
+
+
+def is_idempotent(
+    configuration: Configuration, service: str, method: str, path: str
+) -> bool:
+    """Tell whether a call of a plain service may be repeated.
+
+    The route with the longest matching prefix decides; of two, the one that
+    names the method. Without a route only safe methods may be repeated. A
+    path with empty or dot segments might reach a route by another spelling,
+    so that it is never taken as idempotent.
+
+    :param configuration: The configuration in force.
+    :param service: The plain service's name.
+    :param method: The HTTP method, in upper case.
+    :param path: The path below ``/services/NAME/``, as the caller wrote it.
+    :returns: Whether the call is idempotent.
+    """
+    plain_path = unquote(path.partition("?")[0]).removeprefix("/")
+    if any(segment in ODD_SEGMENTS for segment in plain_path.split("/")[:-1]):
+        return False
+    if plain_path.rpartition("/")[2] in {".", ".."} or "\\" in plain_path:
+        return False
+    for route in configuration.index.routes.get(service, ()):
+        is_method = route.method in ("*", method)
+        if is_method and plain_path.startswith(route.path_prefix.removeprefix("/")):
+            return route.idempotent
+    return method in SAFE_METHODS
+
+
+def _find_most_specific(configuration, application, target) -> Binding | None:
+    bindings = configuration.index.bindings
+    for name in (application.name, ""):
+        for wanted in (target, ""):
+            if binding := bindings.get((application.team, name, wanted)):
+                return binding
+    return None
--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
+
+from jujubenotch.records.index import LookupIndex, build_index
 
 
 class UpstreamKind(StrEnum):
@@ -154,3 +157,8 @@
     routes: dict[str, Route] = field(default_factory=dict)
     power_caps: dict[str, PowerCap] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
+
+    @cached_property
+    def index(self) -> LookupIndex:
+        """Return the index of the records, built at its first use."""
+        return build_index(self)
