--- /dev/null
+++ b/jujubenotch/routing/groups.py
@@ -0,0 +1,58 @@
+"""Groups of upstreams that share targets; each group has one account."""
+
+from dataclasses import dataclass, field
+
+from jujubenotch.records import Configuration, Upstream
+
+
+@dataclass(frozen=True, kw_only=True)
+class Groups:
+    """The groups of one data centre.
+
+    :param group_by_target: The group's name of each model or plain service.
+    :param upstreams_by_group: The upstreams of each group, by name.
+    """
+
+    group_by_target: dict[str, str] = field(default_factory=dict)
+    upstreams_by_group: dict[str, tuple[Upstream, ...]] = field(default_factory=dict)
+
+
+def group_upstreams(configuration: Configuration, data_centre: str) -> Groups:
+    """Divide a data centre's upstreams into groups that share no target.
+
+    A group is a connected component of upstreams and targets. Its name is that
+    of its data centre and its first target in alphabetical order, so that all
+    instances with the same configuration agree on it.
+
+    :param configuration: The records in force.
+    :param data_centre: The data centre.
+    :returns: The groups.
+    """
+    upstreams = [
+        upstream
+        for _, upstream in sorted(configuration.upstreams.items())
+        if upstream.data_centre == data_centre and upstream.models
+    ]
+    parents = {target: target for upstream in upstreams for target in upstream.models}
+    for upstream in upstreams:
+        for target in upstream.models[1:]:
+            _join(parents, upstream.models[0], target)
+    names = {target: f"{data_centre}/{_find(parents, target)}" for target in parents}
+    members: dict[str, list[Upstream]] = {}
+    for upstream in upstreams:
+        members.setdefault(names[upstream.models[0]], []).append(upstream)
+    return Groups(
+        group_by_target=names,
+        upstreams_by_group={name: tuple(group) for name, group in members.items()},
+    )
+
+
+def _find(parents, target):
+    while parents[target] != target:
+        target = parents[target]
+    return target
+
+
+def _join(parents, one, other):
+    first, second = sorted((_find(parents, one), _find(parents, other)))
+    parents[second] = first
