--- /dev/null
+++ b/features/metrics/metrics.feature
@@ -0,0 +1,40 @@
+Feature: Metrics
+
+  Background:
+    Given the metrics of one instance
+
+  Scenario: Each retry and failure reason has a counter from the start
+    When they are rendered
+    Then each retry reason and failure reason is at 0
+
+  Scenario Outline: What happens is counted under its own labels
+    When <what> happens
+    And they are rendered
+    Then the line "<line>" is there
+
+    Examples:
+      | what | line |
+      | an outcome | jujubenotch_outcomes_total{class="gate",outcome="completed"} 1 |
+      | a refusal | jujubenotch_refusals_total{reason="queue-full",tier="3"} 1 |
+      | an early refusal | jujubenotch_refusals_total{reason="authentication",tier="none"} 1 |
+      | a retry | jujubenotch_retries_total{reason="silent"} 1 |
+      | a failure | jujubenotch_failures_total{reason="stream-truncated"} 1 |
+      | a rejected change | jujubenotch_configuration_rejections_total 1 |
+      | a wrong key | jujubenotch_authentication_failures_total{listener="operators"} 1 |
+      | a violation | jujubenotch_invariant_violations_total{name="metrics-feature"} 1 |
+      | a first token | jujubenotch_first_token_seconds_bucket{class="gate",le="1.2"} 1.0 |
+      | a pace | jujubenotch_between_tokens_seconds_bucket{class="gate",le="0.032"} 1.0 |
+      | a gauge of each | jujubenotch_queued{tier="2"} 7 |
+      | a gauge of each | jujubenotch_slots_in_use{upstream="engine-1"} 5 |
+      | a gauge of each | jujubenotch_peers_connected 6 |
+      | a gauge of each | jujubenotch_revision 41 |
+      | a gauge of each | jujubenotch_requests_in_progress 9 |
+
+  Scenario: Two instances in one process don't share metrics
+    Given the metrics of another instance
+    When an outcome happens
+    Then the other's outcomes are still 0
+
+  Scenario: A scraper gets the format that it asks for
+    When they are rendered for "text/plain; version=0.0.4"
+    Then the content type is "text/plain; version=0.0.4; charset=utf-8"
--- a/jujubenotch/metrics/__init__.py
+++ b/jujubenotch/metrics/__init__.py
@@ -1,1 +1,44 @@
-"""Placeholder."""
+"""Counters, histograms and gauges for operators.
+
+Label values come from closed sets and from records, never from a caller.
+
+Errors: none. Features: ``features/metrics``.
+"""
+
+from jujubenotch.metrics.model import Metrics, make_metrics
+from jujubenotch.metrics.record import (
+    count_authentication_failure,
+    count_configuration_rejection,
+    count_failure,
+    count_outcome,
+    count_refusal,
+    count_retry,
+    observe_between_tokens,
+    observe_first_token,
+    set_peers_connected,
+    set_queued,
+    set_requests_in_progress,
+    set_revision,
+    set_slots_in_use,
+)
+from jujubenotch.metrics.render import read_value, render
+
+__all__ = [
+    "Metrics",
+    "count_authentication_failure",
+    "count_configuration_rejection",
+    "count_failure",
+    "count_outcome",
+    "count_refusal",
+    "count_retry",
+    "make_metrics",
+    "observe_between_tokens",
+    "observe_first_token",
+    "read_value",
+    "render",
+    "set_peers_connected",
+    "set_queued",
+    "set_requests_in_progress",
+    "set_revision",
+    "set_slots_in_use",
+]
