Queue by tier, target and team, with start-time fair queueing

Each operation searched the whole queue. A request now stands in lazy heaps (deadline, class age, team) and a stack (newest of its tier); taking it out marks it as dead, so enqueue, grant, withdraw and expire are O(log n). Removing entries from the middle of plain heaps was ruled out: it costs a search in each.

Teams of a tier share by start tags over all targets, on the length learned for their class and team, corrected by the true length on release; the earliest deadline of a team goes first. Team limits hold over the group.

The messages move to jujubenotch/work, so that routing may use them as well.

--- a/jujubenotch/admission/__init__.py
+++ b/jujubenotch/admission/__init__.py
@@ -3,30 +3,28 @@
 Errors: none; a refusal is a value. Features: ``features/admission``.
 """
 
-from jujubenotch.admission.model import (
-    Grant,
-    LoadReport,
-    WorkReport,
-    WorkRequest,
-    WorkResult,
-)
+from jujubenotch.admission.grants import grant_ready
 from jujubenotch.admission.pool import (
-    Pool,
-    PoolSummary,
-    RefusedRequest,
     configure_pool,
     enqueue,
     expire,
-    grant_ready,
     make_pool,
     mark_leaving,
-    next_wakeup_s,
     record_load,
     release,
     restore,
-    summarise,
     withdraw,
 )
+from jujubenotch.admission.state import Pool, RefusedRequest
+from jujubenotch.admission.summary import next_wakeup_s, summarise
+from jujubenotch.work import (
+    Grant,
+    LoadReport,
+    PoolSummary,
+    WorkReport,
+    WorkRequest,
+    WorkResult,
+)
 
 __all__ = [
     "Grant",
--- /dev/null
+++ b/jujubenotch/admission/queues.py
@@ -0,0 +1,84 @@
+"""Enters requests into a pool's queues and takes them out again."""
+
+from jujubenotch.admission.shares import (
+    close_queue,
+    offer_queue,
+    open_queue,
+)
+from jujubenotch.admission.state import ClassQueue, Lane, Pool, QueuedRequest
+from jujubenotch.work import TIERS, WorkRequest
+
+
+def add_request(pool: Pool, request: WorkRequest) -> QueuedRequest:
+    """Queue a request.
+
+    :param pool: The pool.
+    :param request: The request; its id is not queued yet.
+    :returns: Its entry.
+    """
+    pool.sequence += 1
+    queued = QueuedRequest(request=request, sequence=pool.sequence)
+    pool.queued[request.request_id] = queued
+    pool.queued_by_tier[request.tier] += 1
+    pool.newest[request.tier].push(queued)
+    pool.deadlines.push(request.deadline_s, queued)
+    _find_class(pool, request).requests.push(request.arrived_s, queued)
+    lane = pool.lanes[request.tier].get(request.target)
+    if lane is None:
+        lane = Lane(tier=request.tier, target=request.target)
+        pool.lanes[request.tier][request.target] = lane
+    lane.queued += 1
+    team_queue = open_queue(pool, lane, request)
+    team_queue.requests.push(request.deadline_s, queued)
+    if team_queue.entry is None:
+        offer_queue(lane, team_queue)
+    return queued
+
+
+def remove_request(pool: Pool, queued: QueuedRequest) -> None:
+    """Take a request out of all queues.
+
+    :param pool: The pool.
+    :param queued: The request's entry; it is live.
+    """
+    request = queued.request
+    queued.is_live = False
+    del pool.queued[request.request_id]
+    pool.queued_by_tier[request.tier] -= 1
+    pool.newest[request.tier].note_dead()
+    pool.deadlines.note_dead()
+    pool.classes[request.service_class].requests.note_dead()
+    lane = pool.lanes[request.tier][request.target]
+    lane.queued -= 1
+    team_queue = lane.teams[request.team]
+    team_queue.requests.note_dead()
+    if not len(team_queue.requests):
+        close_queue(lane, team_queue)
+    if not lane.queued:
+        del pool.lanes[request.tier][request.target]
+
+
+def find_newest_lowest(pool: Pool) -> QueuedRequest | None:
+    """Find the newest waiting request of the lowest tier that has any.
+
+    :param pool: The pool.
+    :returns: Its entry; ``None`` when none waits.
+    """
+    for tier in reversed(range(TIERS)):
+        if pool.queued_by_tier[tier]:
+            return pool.newest[tier].peek()
+    return None
+
+
+def _find_class(pool, request):
+    class_queue = pool.classes.get(request.service_class)
+    if class_queue is None:
+        class_queue = ClassQueue(
+            name=request.service_class,
+            tier=request.tier,
+            max_wait_s=request.max_wait_s,
+        )
+        pool.classes[request.service_class] = class_queue
+    class_queue.tier = request.tier
+    class_queue.max_wait_s = request.max_wait_s
+    return class_queue
--- /dev/null
+++ b/jujubenotch/admission/shares.py
@@ -0,0 +1,243 @@
+"""Start-time fair queueing among the teams of a tier.
+
+After Goyal, Vin and Cheng, "Start-time Fair Queuing" (1996). A team's start
+tag grows by the cost of each request that it starts, divided by its weight; the
+team with the smallest tag goes next. The cost is an estimate until the work
+has ended; then the tag is corrected by the true cost.
+"""
+
+import heapq
+
+from jujubenotch.admission.state import (
+    HeldSlot,
+    Lane,
+    Pool,
+    QueuedRequest,
+    TeamAccount,
+    TeamQueue,
+    TeamShare,
+)
+from jujubenotch.estimates import RunningMean, update_mean
+from jujubenotch.work import WorkReport, WorkRequest, WorkResult
+
+LEARNING_WEIGHT = 0.1
+MAX_LEARNED = 4096
+MIN_COST_TOKENS = 1.0
+MIN_WEIGHT = 1e-6
+MAX_STALE_ENTRIES = 64
+
+
+def estimate_tokens(pool: Pool, request: WorkRequest) -> float:
+    """Estimate the length of an answer from what its class and team got before.
+
+    :param pool: The pool.
+    :param request: The request.
+    :returns: Tokens, at least 1.
+    """
+    learned = pool.learned_tokens.get((request.service_class, request.team))
+    if learned is None:
+        learned = pool.learned_tokens.get((request.service_class, ""))
+    tokens = request.expected_tokens if learned is None else learned.value
+    return max(MIN_COST_TOKENS, tokens)
+
+
+def find_team(pool: Pool, name: str) -> TeamAccount:
+    """Find a team's account, or open it.
+
+    :param pool: The pool.
+    :param name: The team.
+    :returns: Its account.
+    """
+    account = pool.teams.get(name)
+    if account is None:
+        _sweep_teams(pool)
+        account = pool.teams[name] = TeamAccount(name=name)
+    return account
+
+
+def open_queue(pool: Pool, lane: Lane, request: WorkRequest) -> TeamQueue:
+    """Find a team's queue in a lane, or open it.
+
+    :param pool: The pool.
+    :param lane: The lane.
+    :param request: A request of the team that is about to wait there.
+    :returns: The queue.
+    """
+    account = find_team(pool, request.team)
+    share = _find_share(pool, account, request.tier, request.team_weight)
+    if account.limit != request.team_limit:
+        account.limit = request.team_limit
+        offer_team(pool, account)
+    team_queue = lane.teams.get(request.team)
+    if team_queue is not None:
+        return team_queue
+    if not share.queues:
+        share.tag = max(share.tag, pool.virtual_time[request.tier])
+    team_queue = TeamQueue(share=share)
+    lane.teams[request.team] = team_queue
+    lane.weight += share.weight
+    share.queues[lane.target] = team_queue
+    return team_queue
+
+
+def close_queue(lane: Lane, team_queue: TeamQueue) -> None:
+    """Take a team's empty queue out of its lane.
+
+    :param lane: The lane.
+    :param team_queue: The queue.
+    """
+    share = team_queue.share
+    team_queue.entry = None
+    del lane.teams[share.account.name]
+    del share.queues[lane.target]
+    lane.weight -= share.weight
+
+
+def offer_queue(lane: Lane, team_queue: TeamQueue) -> None:
+    """Put a team's queue in its place among the lane's teams.
+
+    A team at its limit is left out until a slot of it is released.
+
+    :param lane: The lane.
+    :param team_queue: The queue.
+    """
+    team_queue.entry = None
+    if is_at_limit(team_queue.share.account):
+        return
+    lane.offers += 1
+    team_queue.entry = (team_queue.share.tag, lane.offers, team_queue)
+    heapq.heappush(lane.entries, team_queue.entry)
+    if len(lane.entries) > 2 * len(lane.teams) + MAX_STALE_ENTRIES:
+        queues = lane.teams.values()
+        lane.entries = [queue.entry for queue in queues if queue.entry is not None]
+        heapq.heapify(lane.entries)
+
+
+def offer_team(pool: Pool, account: TeamAccount) -> None:
+    """Put all queues of a team in their places again.
+
+    :param pool: The pool.
+    :param account: The team, whose tag or limit has changed.
+    """
+    for tier, share in account.shares.items():
+        for target, team_queue in share.queues.items():
+            offer_queue(pool.lanes[tier][target], team_queue)
+
+
+def is_at_limit(account: TeamAccount) -> bool:
+    """Tell whether a team may start nothing more.
+
+    :param account: The team.
+    :returns: Whether it is at its limit.
+    """
+    return 0 < account.limit <= account.in_progress
+
+
+def peek_lane(lane: Lane) -> QueuedRequest | None:
+    """Find the request that is next in a lane.
+
+    :param lane: The lane.
+    :returns: The earliest deadline of the team with the smallest tag; ``None``
+        when every waiting team is at its limit.
+    """
+    while lane.entries:
+        entry = lane.entries[0]
+        team_queue = entry[2]
+        if team_queue.entry is entry and not is_at_limit(team_queue.share.account):
+            return team_queue.requests.peek()
+        heapq.heappop(lane.entries)
+        if team_queue.entry is entry:
+            team_queue.entry = None
+    return None
+
+
+def charge_start(
+    pool: Pool, *, team: str, tier: int, weight: float, cost: float
+) -> TeamAccount:
+    """Charge a team for a request that starts.
+
+    :param pool: The pool.
+    :param team: The team.
+    :param tier: The request's tier; it has left the queues.
+    :param weight: The team's weight.
+    :param cost: The request's estimated cost, in tokens.
+    :returns: The team's account.
+    """
+    account = find_team(pool, team)
+    share = _find_share(pool, account, tier, weight)
+    pool.virtual_time[tier] = max(pool.virtual_time[tier], share.tag)
+    share.tag += cost / share.weight
+    share.in_progress += 1
+    account.in_progress += 1
+    offer_team(pool, account)
+    return account
+
+
+def correct_charge(pool: Pool, held: HeldSlot, report: WorkReport) -> None:
+    """Replace the estimated cost of a request by its true one.
+
+    :param pool: The pool.
+    :param held: The slot that was released.
+    :param report: What was seen of the work.
+    """
+    account = held.team
+    share = account.shares[held.tier]
+    cost = max(MIN_COST_TOKENS, report.tokens)
+    share.tag = max(0.0, share.tag + (cost - held.cost) / share.weight)
+    if is_at_limit(account):
+        account.last_limited = pool.sequence
+    share.in_progress -= 1
+    account.in_progress -= 1
+    offer_team(pool, account)
+    if report.result is WorkResult.COMPLETED:
+        _learn_tokens(pool, (held.service_class, account.name), cost)
+        _learn_tokens(pool, (held.service_class, ""), cost)
+
+
+def _find_share(pool, account, tier, weight):
+    share = account.shares.get(tier)
+    weight = max(MIN_WEIGHT, weight)
+    if share is None:
+        share = account.shares[tier] = TeamShare(
+            account=account,
+            tier=tier,
+            weight=weight,
+            tag=pool.virtual_time[tier],
+        )
+    elif share.weight != weight:
+        for target in share.queues:
+            pool.lanes[tier][target].weight += weight - share.weight
+        share.weight = weight
+    return share
+
+
+def _learn_tokens(pool, key, tokens):
+    learned = pool.learned_tokens.get(key)
+    if learned is None:
+        if len(pool.learned_tokens) >= MAX_LEARNED:
+            del pool.learned_tokens[next(iter(pool.learned_tokens))]
+        learned = pool.learned_tokens[key] = RunningMean(weight=LEARNING_WEIGHT)
+    update_mean(learned, tokens)
+
+
+def _sweep_teams(pool):
+    """Drop idle teams once their number has doubled since the last sweep.
+
+    An idle team whose tags lie behind the virtual time would start anew at the
+    virtual time, so that nothing is lost with it.
+    """
+    if len(pool.teams) < max(MAX_STALE_ENTRIES, 2 * pool.teams_after_sweep):
+        return
+    idle = [name for name, team in pool.teams.items() if _is_forgettable(pool, team)]
+    for name in idle:
+        del pool.teams[name]
+    pool.teams_after_sweep = len(pool.teams)
+
+
+def _is_forgettable(pool, account):
+    if account.in_progress:
+        return False
+    return all(
+        not share.queues and share.tag <= pool.virtual_time[tier]
+        for tier, share in account.shares.items()
+    )
--- /dev/null
+++ b/jujubenotch/admission/summary.py
@@ -0,0 +1,42 @@
+"""Queries of a pool: when to look at it again, and what it holds."""
+
+from jujubenotch.admission.slots import is_in_service
+from jujubenotch.admission.state import Pool
+from jujubenotch.work import TIERS, PoolSummary
+
+DEFAULT_WAIT_S = 1.0
+
+
+def next_wakeup_s(pool: Pool, now_s: float) -> float | None:
+    """Tell when :func:`expire` and :func:`grant_ready` need to run again.
+
+    :param pool: The pool.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: A monotonic time in seconds; ``None`` when nothing is due.
+    """
+    if pool.refused:
+        return now_s
+    first = pool.deadlines.peek()
+    return first.request.deadline_s if first else None
+
+
+def summarise(pool: Pool, now_s: float) -> PoolSummary:
+    """Count what waits, runs and is free.
+
+    :param pool: The pool.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The summary.
+    """
+    in_progress = [0] * TIERS
+    free = 0
+    for account in pool.upstreams.values():
+        for tier, running in enumerate(account.running_by_tier):
+            in_progress[tier] += running
+        if is_in_service(account):
+            free += account.free
+    return PoolSummary(
+        queued=tuple(pool.queued_by_tier),
+        in_progress=tuple(in_progress),
+        free_slots=free,
+        wait_s=(0.0 if free else DEFAULT_WAIT_S,) * TIERS,
+    )
--- /dev/null
+++ b/jujubenotch/work/__init__.py
@@ -0,0 +1,24 @@
+"""Requests for slots, grants of them, and reports of what became of the work.
+
+Errors: none. Features: ``features/admission`` and ``features/routing``.
+"""
+
+from jujubenotch.work.core import (
+    TIERS,
+    Grant,
+    LoadReport,
+    PoolSummary,
+    WorkReport,
+    WorkRequest,
+    WorkResult,
+)
+
+__all__ = [
+    "TIERS",
+    "Grant",
+    "LoadReport",
+    "PoolSummary",
+    "WorkReport",
+    "WorkRequest",
+    "WorkResult",
+]
--- a/jujubenotch/admission/model.py
+++ b/jujubenotch/work/core.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+TIERS = 4
+
 
 class WorkResult(StrEnum):
     """How work on an upstream ended, as its instance saw it."""
@@ -30,6 +32,8 @@
     :param prefix_key: Equal for requests with the same prompt prefix; empty
         when unknown.
     :param excluded_upstreams: Upstreams that it failed on already.
+    :param between_tokens_target_s: Its class's bound on the mean gap between
+        tokens, in seconds; 0 is no bound.
     """
 
     request_id: str
@@ -46,6 +50,7 @@
     expected_tokens: int
     prefix_key: str = ""
     excluded_upstreams: frozenset[str] = frozenset()
+    between_tokens_target_s: float = 0.0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -95,3 +100,19 @@
     tokens: int = 0
     first_token_s: float | None = None
     between_tokens_s: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class PoolSummary:
+    """What others need to know of the account of a group of upstreams.
+
+    :param queued: Requests that wait, by tier.
+    :param in_progress: Requests that run, by tier.
+    :param free_slots: Requests that could start at once.
+    :param wait_s: Estimated wait of a new request by its tier, in seconds.
+    """
+
+    queued: tuple[int, ...]
+    in_progress: tuple[int, ...]
+    free_slots: int
+    wait_s: tuple[float, ...]
