Reserve slots and power for the upper tiers, with a floor for the lower

Long drafting filled every slot, so that an urgent request waited for a draft's end. Lower tiers now leave free what the upper tiers' recent arrivals need by Little's law (mean plus 1.5 square roots, less what they already run), over the group, as a part of each upstream, and as a part of the power cap. A fast and a slow window of arrivals follow a burst and outlast a lull.

The floor grants each class's oldest request once in its max_wait_s from an eighth of the slots. A request that waits for power holds back lower ones that would take it on a cheaper upstream.

--- a/features/admission/steps/pool_steps.py
+++ b/features/admission/steps/pool_steps.py
@@ -67,6 +67,7 @@
         limits=context.limits,
         power_watts=context.power_watts,
         share=context.share,
+        tiers=getattr(context, "tiers", None),
         now_s=context.now_s,
     )
 
--- /dev/null
+++ b/jujubenotch/admission/floor.py
@@ -0,0 +1,72 @@
+"""The floor: each class's oldest request runs within a bounded wait.
+
+While a class has requests waiting, its oldest is granted at least once in each
+``max_wait_s``, from a small part of the slots and outside the reserve. Then
+the next slot that becomes free is the floor's.
+"""
+
+from jujubenotch.admission.shares import is_at_limit
+from jujubenotch.admission.state import ClassQueue, Pool, QueuedRequest
+
+FLOOR_SHARE = 0.125
+MIN_FLOOR_SLOTS = 1
+FLOOR_LEAD = 0.9
+MAX_LOOK_AHEAD = 8
+
+
+def floor_due_s(class_queue: ClassQueue) -> float | None:
+    """Tell when the floor serves a class's oldest request.
+
+    :param class_queue: The class's waiting requests.
+    :returns: A monotonic time in seconds, somewhat before the class's bound so
+        that a slot can become free in time; ``None`` when nothing waits or the
+        class is of the most urgent tier.
+    """
+    if class_queue.tier == 0:
+        return None
+    oldest = class_queue.requests.peek()
+    if oldest is None:
+        return None
+    waits_since_s = max(oldest.request.arrived_s, class_queue.served_s)
+    return waits_since_s + FLOOR_LEAD * class_queue.max_wait_s
+
+
+def find_floor_due(pool: Pool, now_s: float) -> list[QueuedRequest]:
+    """Find the requests that the floor owes a slot, the longest due first.
+
+    :param pool: The pool.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: At most one request a class, and no more than the floor's free
+        slots.
+    """
+    due = []
+    for class_queue in pool.classes.values():
+        due_s = floor_due_s(class_queue)
+        if due_s is not None and due_s <= now_s:
+            due.append((due_s, class_queue.name, class_queue))
+    if not due:
+        return []
+    slots = sum(account.capacity for account in pool.upstreams.values())
+    bound = max(MIN_FLOOR_SLOTS, int(FLOOR_SHARE * slots))
+    oldest = [_find_oldest(pool, class_queue) for _, _, class_queue in sorted(due)]
+    found = [queued for queued in oldest if queued is not None]
+    return found[: max(0, bound - pool.floor_running)]
+
+
+def note_served(pool: Pool, queued: QueuedRequest, now_s: float) -> None:
+    """Note that a request starts, in case it is its class's oldest.
+
+    :param pool: The pool.
+    :param queued: The request's entry, still queued.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    class_queue = pool.classes[queued.request.service_class]
+    if class_queue.requests.peek() is queued:
+        class_queue.served_s = now_s
+
+
+def _find_oldest(pool, class_queue):
+    def may_start(queued):
+        return not is_at_limit(pool.teams[queued.request.team])
+
+    return class_queue.requests.find_first(may_start, MAX_LOOK_AHEAD)
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -1,13 +1,32 @@
 """Gives free slots to waiting requests, the most urgent tier first."""
 
+from dataclasses import dataclass, field
+
+from jujubenotch.admission.floor import find_floor_due, note_served
 from jujubenotch.admission.queues import remove_request
+from jujubenotch.admission.reserve import leaves_power, leaves_reserve
 from jujubenotch.admission.shares import charge_start, estimate_tokens, peek_lane
-from jujubenotch.admission.slots import take_slot
+from jujubenotch.admission.slots import (
+    POWER_TOLERANCE_WATTS,
+    is_power_metered,
+    take_slot,
+)
 from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.work import TIERS, Grant
 
-POWER_TOLERANCE_WATTS = 1e-6
+
+@dataclass(kw_only=True)
+class _Round:
+    """One look at all queues.
+
+    :param is_power_short: The power cap held back a request; what comes after
+        it may not take the power that it waits for.
+    """
+
+    now_s: float
+    grants: list[Grant] = field(default_factory=list)
+    is_power_short: bool = False
 
 
 def grant_ready(pool: Pool, now_s: float) -> list[Grant]:
@@ -15,25 +34,37 @@
 
     :param pool: The pool.
     :param now_s: The present monotonic time, in seconds.
-    :returns: The new grants, most urgent first.
+    :returns: The new grants: the floor's, then the most urgent first.
     """
-    grants = []
+    this_round = _Round(now_s=now_s)
+    _grant_floor(pool, this_round)
     for tier in range(TIERS):
-        _grant_tier(pool, tier, grants, now_s)
-    return grants
+        if pool.queued_by_tier[tier]:
+            _grant_tier(pool, tier, this_round)
+    return this_round.grants
 
 
-def _grant_tier(pool, tier, grants, now_s):
+def _grant_floor(pool, this_round):
+    for queued in find_floor_due(pool, this_round.now_s):
+        tier_of_no_reserve = 0
+        account = _find_place(
+            pool, queued.request, tier_of_no_reserve, _Round(now_s=this_round.now_s)
+        )
+        if account is not None:
+            _start_request(pool, queued, account, this_round, is_floor=True)
+
+
+def _grant_tier(pool, tier, this_round):
     open_lanes = list(pool.lanes[tier].values())
     while open_lanes:
         lane, queued = _find_next(open_lanes)
         if queued is None:
             return
-        account = _find_place(pool, queued.request)
+        account = _find_place(pool, queued.request, tier, this_round)
         if account is None:
             open_lanes.remove(lane)
             continue
-        grants.append(start_request(pool, queued, account, now_s))
+        _start_request(pool, queued, account, this_round)
         if not lane.queued:
             open_lanes.remove(lane)
 
@@ -49,51 +80,50 @@
     return first or (None, None)
 
 
-def _find_place(pool, request):
+def _find_place(pool, request, tier, this_round):
     target = pool.targets.get(request.target)
     if target is None or not target.free:
         return None
+    now_s = this_round.now_s
     accounts = [
         account
         for account in target.accounts
-        if account.free and has_power(pool, account)
+        if account.free and leaves_reserve(pool, account, tier, now_s)
     ]
-    preferred = [
+    powered = [
         account
         for account in accounts
-        if account.name not in request.excluded_upstreams
+        if _may_take_power(pool, account, tier, this_round)
+    ]
+    if accounts and not powered:
+        this_round.is_power_short = True
+        return None
+    preferred = [
+        account for account in powered if account.name not in request.excluded_upstreams
     ]
     return min(
-        preferred or accounts,
+        preferred or powered,
         key=lambda account: (account.running / account.slots, account.name),
         default=None,
     )
 
 
-def has_power(pool: Pool, account: UpstreamAccount) -> bool:
-    """Tell whether the power cap allows one more request on an upstream.
-
-    :param pool: The pool.
-    :param account: The upstream.
-    :returns: Whether it does.
-    """
-    if pool.power_watts is None:
+def _may_take_power(pool, account, tier, this_round):
+    if not is_power_metered(pool, account):
         return True
-    watts = pool.watts_in_use + account.record.watts_per_slot
-    return watts <= pool.power_watts + POWER_TOLERANCE_WATTS
-
-
-def start_request(
-    pool: Pool, queued: QueuedRequest, account: UpstreamAccount, now_s: float
-) -> Grant:
-    """Grant a slot to a waiting request.
-
-    :param pool: The pool.
-    :param queued: The request's entry.
-    :param account: The upstream, which has a free slot.
-    :param now_s: The present monotonic time, in seconds.
-    :returns: The grant.
-    """
+    if this_round.is_power_short:
+        return False
+    return leaves_power(pool, account, tier, this_round.now_s)
+
+
+def _start_request(
+    pool: Pool,
+    queued: QueuedRequest,
+    account: UpstreamAccount,
+    this_round: _Round,
+    *,
+    is_floor: bool = False,
+):
     request = queued.request
     assert_invariant(
         queued.is_live and request.request_id not in pool.held_requests,
@@ -101,6 +131,7 @@
         pool=pool.name,
         request_id=request.request_id,
     )
+    note_served(pool, queued, this_round.now_s)
     remove_request(pool, queued)
     pool.sequence += 1
     pool.grants_made += 1
@@ -124,14 +155,15 @@
         team=team,
         service_class=request.service_class,
         tier=request.tier,
-        started_s=now_s,
+        started_s=this_round.now_s,
         cost=cost,
         watts=account.record.watts_per_slot,
+        is_floor=is_floor,
     )
     take_slot(pool, account, held)
     pool.held_requests.add(request.request_id)
     _check_bounds(pool, account)
-    return grant
+    this_round.grants.append(grant)
 
 
 def _check_bounds(pool, account):
@@ -143,13 +175,11 @@
         running=account.running,
         capacity=account.capacity,
     )
-    cap_watts = pool.power_watts
     assert_invariant(
-        cap_watts is None
-        or not account.record.watts_per_slot
-        or pool.watts_in_use <= cap_watts + POWER_TOLERANCE_WATTS,
+        not is_power_metered(pool, account)
+        or pool.watts_in_use <= pool.power_watts + POWER_TOLERANCE_WATTS,
         "power-cap-held",
         pool=pool.name,
         watts_in_use=pool.watts_in_use,
-        power_watts=cap_watts,
+        power_watts=pool.power_watts,
     )
--- a/jujubenotch/admission/heaps.py
+++ b/jujubenotch/admission/heaps.py
@@ -44,6 +44,24 @@
             self._dead -= 1
         return entries[0][2] if entries else None
 
+    def find_first(self, accepts, looks: int):
+        """Find the first living request that is accepted.
+
+        :param accepts: Takes a request and tells whether it will do.
+        :param looks: How many requests to look at, at most.
+        :returns: The request, or ``None``.
+        """
+        passed = []
+        found = None
+        while found is None and len(passed) < looks and self.peek() is not None:
+            if accepts(self.peek()):
+                found = self.peek()
+            else:
+                passed.append(heapq.heappop(self._entries))
+        for entry in passed:
+            heapq.heappush(self._entries, entry)
+        return found
+
     def note_dead(self) -> None:
         """Count a request of this heap that was just marked as dead."""
         self._dead += 1
--- a/jujubenotch/admission/pool.py
+++ b/jujubenotch/admission/pool.py
@@ -9,6 +9,7 @@
     refuse_queued,
     refuse_unserved,
 )
+from jujubenotch.admission.reserve import count_arrival
 from jujubenotch.admission.shares import (
     MIN_COST_TOKENS,
     charge_start,
@@ -54,6 +55,7 @@
     power_watts: float | None,
     share: float = 1.0,
     now_s: float,
+    tiers: Collection[int] | None = None,
 ) -> None:
     """Give a pool its upstreams and limits; grants stay as they are.
 
@@ -64,8 +66,13 @@
         watts; ``None`` is no cap.
     :param share: The part of slots and power that this pool may use.
     :param now_s: The present monotonic time, in seconds.
+    :param tiers: Tiers of the classes that use the group; ``None`` keeps slots
+        for every tier. Where no class of an upper tier uses the group, nothing
+        is reserved before one is seen.
     """
     pool.limits = limits
+    if tiers is not None:
+        pool.tiers = frozenset(tiers)
     pool.power_watts = None if power_watts is None else power_watts * share
     for account in pool.upstreams.values():
         account.is_configured = False
@@ -95,6 +102,7 @@
         return None
     if not is_served(pool, request.target):
         return refuse_unserved(request.target)
+    count_arrival(pool, request.target, request.tier, now_s)
     refusal = make_room(pool, request, now_s)
     if refusal is None:
         add_request(pool, request)
@@ -243,7 +251,7 @@
 def _learn_hold(pool, held, report, now_s):
     target = pool.targets.get(held.target)
     if target is not None and report.result is WorkResult.COMPLETED:
-        update_mean(target.hold_s[held.tier], max(0.0, now_s - held.started_s))
+        update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
 
 
 def _drop_unused(pool):
--- a/jujubenotch/admission/slots.py
+++ b/jujubenotch/admission/slots.py
@@ -4,6 +4,8 @@
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.work import TIERS
 
+POWER_TOLERANCE_WATTS = 1e-6
+
 
 def is_in_service(account: UpstreamAccount) -> bool:
     """Tell whether an upstream may get new work at all.
@@ -25,6 +27,16 @@
     return account is not None and any(map(is_in_service, account.accounts))
 
 
+def is_power_metered(pool: Pool, account: UpstreamAccount) -> bool:
+    """Tell whether requests on an upstream count against a power cap.
+
+    :param pool: The pool.
+    :param account: The upstream.
+    :returns: Whether there is a cap and a request there takes power.
+    """
+    return pool.power_watts is not None and account.record.watts_per_slot > 0
+
+
 def refresh_capacity(pool: Pool, account: UpstreamAccount) -> None:
     """Set how many requests an upstream may run at present.
 
@@ -50,10 +62,14 @@
                 target.accounts = []
                 target.slots = target.free = 0
                 target.running_by_tier = [0] * TIERS
+                target.needs_at_s = None
                 pool.targets[name] = target
             target.accounts.append(account)
             target.slots += account.capacity
             target.free += account.free
+    for target in pool.targets.values():
+        watts = [account.record.watts_per_slot for account in target.accounts]
+        target.mean_watts = sum(watts) / len(watts)
     _recount_running(pool)
 
 
@@ -71,6 +87,7 @@
     running = account.running + 1
     _change_counts(pool, account, capacity=account.capacity, running=running)
     pool.watts_in_use += held.watts
+    pool.floor_running += held.is_floor
     pool.held[held.grant.grant_id] = held
 
 
@@ -89,6 +106,7 @@
         target.running_by_tier[held.tier] -= 1
     running = account.running - 1
     _change_counts(pool, account, capacity=account.capacity, running=running)
+    pool.floor_running -= held.is_floor
     pool.watts_in_use = pool.watts_in_use - held.watts if pool.held else 0.0
     assert_invariant(
         account.running >= 0,
@@ -113,5 +131,7 @@
     for name in account.record.models:
         target = pool.targets.get(name)
         if target is not None:
-            target.slots += capacity - slots
+            if capacity != slots:
+                target.slots += capacity - slots
+                target.needs_at_s = None
             target.free += account.free - free
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -3,11 +3,15 @@
 from dataclasses import dataclass, field
 
 from jujubenotch.admission.heaps import LazyHeap, LazyStack
-from jujubenotch.estimates import RunningMean
+from jujubenotch.estimates import DecayingRate, RunningMean
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Limits, Upstream
 from jujubenotch.work import TIERS, Grant, WorkRequest
 
+FAST_WINDOW_S = 5.0
+SLOW_WINDOW_S = 60.0
+HOLD_WEIGHT = 0.05
+
 
 def _count_tiers():
     return [0] * TIERS
@@ -140,14 +144,39 @@
         return max(0, self.capacity - self.running)
 
 
+def _make_hold_mean():
+    return RunningMean(weight=HOLD_WEIGHT)
+
+
+@dataclass(eq=False, kw_only=True, slots=True)
+class TierDemand:
+    """What one tier asks of one target.
+
+    :param fast: Recent arrivals; follows the start of a burst.
+    :param slow: Arrivals over a longer time; outlasts a lull.
+    :param hold_s: Mean time that its requests hold a slot, in seconds.
+    """
+
+    fast: DecayingRate = field(
+        default_factory=lambda: DecayingRate(window_s=FAST_WINDOW_S)
+    )
+    slow: DecayingRate = field(
+        default_factory=lambda: DecayingRate(window_s=SLOW_WINDOW_S)
+    )
+    hold_s: RunningMean = field(default_factory=_make_hold_mean)
+
+
 @dataclass(eq=False, kw_only=True)
 class TargetAccount:
     """The upstreams that serve one model or plain service.
 
     :param slots: Sum of the upstreams' capacities.
     :param free: Sum of their free slots.
+    :param mean_watts: Mean power of one slot, in watts.
     :param running_by_tier: Requests in progress for this target.
-    :param hold_s: Mean time that its requests hold a slot, by tier.
+    :param demands: What each tier asks of it.
+    :param needs: Slots that the tiers above each tier need.
+    :param needs_at_s: When they were worked out, monotonic, in seconds.
     """
 
     name: str
@@ -155,9 +184,12 @@
     slots: int = 0
     free: int = 0
     running_by_tier: list[int] = field(default_factory=_count_tiers)
-    hold_s: list[RunningMean] = field(
-        default_factory=lambda: [RunningMean(weight=0.05) for _ in range(TIERS)]
+    mean_watts: float = 0.0
+    demands: list[TierDemand] = field(
+        default_factory=lambda: [TierDemand() for _ in range(TIERS)]
     )
+    needs: list[int] = field(default_factory=_count_tiers)
+    needs_at_s: float | None = None
 
 
 @dataclass(eq=False, kw_only=True, slots=True)
@@ -166,6 +198,7 @@
 
     :param cost: What its team was charged, in tokens.
     :param watts: What it takes of the power cap, in watts.
+    :param is_floor: Whether the floor gave it.
     """
 
     grant: Grant
@@ -176,6 +209,7 @@
     started_s: float
     cost: float
     watts: float
+    is_floor: bool = False
 
 
 @dataclass(eq=False, kw_only=True)
@@ -189,6 +223,8 @@
     :param id_prefix: Starts each grant's id; unique over all instances.
     :param power_watts: Power that running requests may take, in watts.
     :param watts_in_use: Power that they take, in watts.
+    :param tiers: Tiers of the classes that use the group.
+    :param floor_running: Slots held that the floor gave.
     :param held_requests: The requests that hold a slot granted by this pool.
     :param sequence: Number of the last event; orders arrivals and grants.
     :param virtual_time: The start tag granted last, by tier.
@@ -200,6 +236,8 @@
     limits: Limits = field(default_factory=Limits)
     power_watts: float | None = None
     watts_in_use: float = 0.0
+    tiers: frozenset[int] = frozenset(range(TIERS))
+    floor_running: int = 0
     upstreams: dict[str, UpstreamAccount] = field(default_factory=dict)
     targets: dict[str, TargetAccount] = field(default_factory=dict)
     queued: dict[str, QueuedRequest] = field(default_factory=dict)
--- a/jujubenotch/admission/summary.py
+++ b/jujubenotch/admission/summary.py
@@ -1,10 +1,12 @@
 """Queries of a pool: when to look at it again, and what it holds."""
 
+from jujubenotch.admission.floor import floor_due_s
 from jujubenotch.admission.slots import is_in_service
 from jujubenotch.admission.state import Pool
 from jujubenotch.work import TIERS, PoolSummary
 
 DEFAULT_WAIT_S = 1.0
+RESERVE_RECHECK_S = 0.25
 
 
 def next_wakeup_s(pool: Pool, now_s: float) -> float | None:
@@ -17,7 +19,14 @@
     if pool.refused:
         return now_s
     first = pool.deadlines.peek()
-    return first.request.deadline_s if first else None
+    if first is None:
+        return None
+    due_s = [floor_due_s(class_queue) for class_queue in pool.classes.values()]
+    times_s = [time_s for time_s in due_s if time_s is not None and time_s > now_s]
+    times_s.append(first.request.deadline_s)
+    if any(target.free for target in pool.targets.values()):
+        times_s.append(now_s + RESERVE_RECHECK_S)
+    return min(times_s)
 
 
 def summarise(pool: Pool, now_s: float) -> PoolSummary:
