Refuse early what can't meet its deadline, and assert the pool's invariants

A request that the queue's drain rate shows to wait past its deadline is told so at its arrival, or once upper work delays it, the lowest tier's newest first and never while a lower tier waits. The drain rate is the slots that upper tiers don't take over the mean time that a request holds one; a measured rate of grants was ruled out, for an idle queue's rate is that of its arrivals. The time to come back follows from it, with jitter drawn from the request's id. A class's oldest request is never refused for its wait while the floor can serve it in time.

Invariants: slots, power cap, one grant a request, no refusal for room or wait while a lower tier waits, no lower grant beyond the floor before an upper one's deadline.

--- /dev/null
+++ b/features/admission/refusals.feature
@@ -0,0 +1,57 @@
+Feature: What can't be served in time is refused early, lowest tier first
+
+  Background:
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 2     |
+    And requests of every tier have held their slots for 2 seconds each
+
+  Scenario: A request that would wait past its deadline is refused at once
+    When 10 requests of tier 0 wait
+    And requests arrive
+      | id | tier | deadline_s |
+      | a  | 0    | 5          |
+      | b  | 0    | 30         |
+    Then "a" is refused with "deadline-unreachable"
+    And "b" is not refused
+    And "a" is told to come back in 12 to 18 seconds
+
+  Scenario: Nothing is refused for its predicted wait while a lower tier waits
+    When 10 requests of tier 0 wait
+    And requests arrive
+      | id    | tier | deadline_s |
+      | draft | 1    | 60         |
+      | a     | 0    | 5          |
+    Then "a" is not refused
+
+  Scenario: A team with a short queue is not refused for another's long one
+    When 40 requests of tier 1 wait
+    And requests arrive
+      | id | tier | deadline_s | team  |
+      | a  | 1    | 10         | other |
+    Then "a" is not refused
+
+  Scenario: The lowest tier's newest is refused once upper work delays it too long
+    When requests arrive
+      | id     | tier | deadline_s | class | max_wait_s |
+      | draft1 | 2    | 20         | bulk  | 10         |
+      | draft2 | 2    | 20         | bulk  | 10         |
+      | draft3 | 2    | 20         | bulk  | 10         |
+    And 60 requests of tier 0 wait
+    Then "draft3" is refused with "deadline-unreachable"
+    And "draft1" is not refused
+
+  Scenario: Two refused callers come back at different times, each always the same
+    When 10 requests of tier 0 wait
+    And requests arrive
+      | id | tier | deadline_s |
+      | a  | 0    | 5          |
+      | b  | 0    | 5          |
+    Then "a" and "b" are told different times to come back
+    And "a" is told the same time again
+
+  Scenario: The estimated wait follows the queue
+    Then the estimated wait of tier 0 is 0 seconds
+    When 10 requests of tier 0 wait
+    Then the estimated wait of tier 0 is 11 to 13 seconds
+    And the estimated wait of tier 3 is more than that of tier 0
--- a/features/admission/reserve.feature
+++ b/features/admission/reserve.feature
@@ -122,3 +122,34 @@
     Then "draft1" is granted and "draft2" waits
     When "draft1" is released
     Then "draft2" is granted
+
+  Scenario: What the reserve holds back is not passed by a lower tier
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 20    |
+    When 120 requests of tier 0 arrive at 2 a second and run for 2 seconds each
+    And 13 requests of tier 1 are running
+    And requests arrive
+      | id     | tier |
+      | middle | 1    |
+      | draft  | 2    |
+    Then "middle" is neither granted nor refused
+    And "draft" is neither granted nor refused
+
+  Scenario: A request that needs more power is not overtaken for ever by cheaper ones
+    Given a pool and 150 watts with upstreams
+      | name | models | slots | watts_per_slot |
+      | e1   | m      | 4     | 100            |
+      | e2   | n      | 4     | 40             |
+    When requests arrive
+      | id | tier | target | team |
+      | a  | 0    | m      | one  |
+      | b  | 0    | m      | two  |
+    And they are granted
+    And requests arrive
+      | id | tier | target | team   |
+      | c  | 0    | n      | third  |
+      | d  | 0    | n      | fourth |
+    Then "a" is granted and "c" waits
+    When "a" is released
+    Then "b" is granted and "d" waits
--- /dev/null
+++ b/features/admission/steps/refusals_steps.py
@@ -0,0 +1,67 @@
+from behave import given, then, when
+from pool_steps import make_request, settle
+from queues_steps import give_back
+from reserve_steps import arrive
+
+from jujubenotch.admission import enqueue, summarise
+
+QUIET_S = 1000.0
+
+
+@given("requests of every tier have held their slots for {hold_s:g} seconds each")
+def warm_up(context, hold_s):
+    for number in range(10):
+        for tier in range(4):
+            arrive(context, f"warm{number}/{tier}", tier)
+            settle(context)
+            context.now_s += hold_s
+            (held,) = context.pool.held.values()
+            give_back(context, held.grant)
+    context.now_s += QUIET_S
+    context.grants.clear()
+
+
+@when("{count:d} requests of tier {tier:d} wait")
+def queue_behind_running(context, count, tier):
+    for number in range(count + 2):
+        arrive(context, f"waiting{number}", tier)
+    settle(context)
+
+
+@then('"{request_id}" is told to come back in {least:g} to {most:g} seconds')
+def check_retry_after(context, request_id, least, most):
+    retry_after_s = context.refusals[request_id].retry_after_s
+    assert least <= retry_after_s <= most, retry_after_s
+
+
+@then('"{first}" and "{second}" are told different times to come back')
+def check_jitter(context, first, second):
+    refusals = context.refusals
+    assert refusals[first].retry_after_s != refusals[second].retry_after_s, refusals
+
+
+@then('"{request_id}" is told the same time again')
+def check_determinism(context, request_id):
+    row = {"id": request_id, "tier": 0, "deadline_s": 5}
+    request = make_request(row, context.now_s)
+    again = enqueue(context.pool, request, context.now_s)
+    assert again == context.refusals[request_id], again
+
+
+def read_wait_s(context, tier):
+    return summarise(context.pool, context.now_s).wait_s[tier]
+
+
+@then("the estimated wait of tier {tier:d} is {wait_s:g} seconds")
+def check_wait(context, tier, wait_s):
+    assert read_wait_s(context, tier) == wait_s
+
+
+@then("the estimated wait of tier {tier:d} is {least:g} to {most:g} seconds")
+def check_wait_range(context, tier, least, most):
+    assert least <= read_wait_s(context, tier) <= most, read_wait_s(context, tier)
+
+
+@then("the estimated wait of tier {tier:d} is more than that of tier {upper:d}")
+def check_wait_order(context, tier, upper):
+    assert read_wait_s(context, tier) > read_wait_s(context, upper)
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -162,10 +162,17 @@
     )
     take_slot(pool, account, held)
     pool.held_requests.add(request.request_id)
+    if not is_floor:
+        _note_grant(pool, account, request.tier)
     _check_bounds(pool, account)
     this_round.grants.append(grant)
 
 
+def _note_grant(pool, account, tier):
+    for name in account.record.models:
+        pool.targets[name].lower_grants[tier] = pool.sequence
+
+
 def _check_bounds(pool, account):
     assert_invariant(
         account.running <= account.capacity,
--- a/jujubenotch/admission/pool.py
+++ b/jujubenotch/admission/pool.py
@@ -5,6 +5,8 @@
 from jujubenotch.admission.queues import add_request, remove_request
 from jujubenotch.admission.refusals import (
     make_room,
+    refuse_early,
+    refuse_hopeless,
     refuse_overdue,
     refuse_queued,
     refuse_unserved,
@@ -101,9 +103,11 @@
     if request.request_id in pool.queued or request.request_id in pool.held_requests:
         return None
     if not is_served(pool, request.target):
-        return refuse_unserved(request.target)
+        return refuse_unserved(request)
     count_arrival(pool, request.target, request.tier, now_s)
-    refusal = make_room(pool, request, now_s)
+    refusal = refuse_early(pool, request, now_s)
+    if refusal is None:
+        refusal = make_room(pool, request, now_s)
     if refusal is None:
         add_request(pool, request)
     return refusal
@@ -117,6 +121,7 @@
     :returns: Them, and those that left to make room since the last call.
     """
     refuse_overdue(pool, now_s)
+    refuse_hopeless(pool, now_s)
     refused = pool.refused
     pool.refused = []
     return refused
@@ -278,4 +283,4 @@
         return
     for queued in list(pool.queued.values()):
         if queued.request.target in unserved:
-            refuse_queued(pool, queued, refuse_unserved(queued.request.target))
+            refuse_queued(pool, queued, refuse_unserved(queued.request))
--- a/jujubenotch/admission/queues.py
+++ b/jujubenotch/admission/queues.py
@@ -31,7 +31,7 @@
     team_queue = open_queue(pool, lane, request)
     team_queue.requests.push(request.deadline_s, queued)
     if team_queue.entry is None:
-        offer_queue(lane, team_queue)
+        offer_queue(pool, lane, team_queue)
     return queued
 
 
--- a/jujubenotch/admission/refusals.py
+++ b/jujubenotch/admission/refusals.py
@@ -1,27 +1,51 @@
 """Refuses what can't be queued or served, the lowest tier first."""
 
 from jujubenotch.admission.queues import find_newest_lowest, remove_request
-from jujubenotch.admission.shares import find_team, is_at_limit
+from jujubenotch.admission.shares import is_at_limit
 from jujubenotch.admission.state import Pool, QueuedRequest, RefusedRequest
+from jujubenotch.admission.waits import (
+    estimate_drain_s,
+    jitter_retry_s,
+    misses_deadline,
+    read_hold_s,
+)
+from jujubenotch.invariants import assert_invariant
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.work import WorkRequest
 
-RETRY_AFTER_S = 1.0
+UNSERVED_RETRY_AFTER_S = 1.0
 
 
-def refuse_unserved(target: str) -> Refusal:
-    """Say that no upstream serves a target.
+def refuse_unserved(request: WorkRequest) -> Refusal:
+    """Say that no upstream serves a request's target.
 
-    :param target: The model or plain service.
+    :param request: The request.
     :returns: The refusal.
     """
     return Refusal(
         reason=RefusalReason.NO_UPSTREAM,
-        retry_after_s=RETRY_AFTER_S,
-        detail=f"no upstream in service for {target!r}; come back",
+        retry_after_s=jitter_retry_s(UNSERVED_RETRY_AFTER_S, request.request_id),
+        detail=f"no upstream in service for {request.target!r}; come back",
     )
 
 
+def refuse_early(pool: Pool, request: WorkRequest, now_s: float) -> Refusal | None:
+    """Refuse a request that arrives if it can't meet its deadline.
+
+    While a lower tier waits, nothing is refused for its predicted wait.
+
+    :param pool: The pool.
+    :param request: A request that arrives.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: ``None`` when it may wait, else a refusal.
+    """
+    if any(pool.queued_by_tier[request.tier + 1 :]):
+        return None
+    if misses_deadline(pool, request, now_s, is_queued=False):
+        return _refuse_unreachable(pool, request, now_s)
+    return None
+
+
 def make_room(pool: Pool, request: WorkRequest, now_s: float) -> Refusal | None:
     """Keep the queue within its bound at the cost of the lowest tier.
 
@@ -64,25 +88,75 @@
         refuse_queued(pool, queued, _refuse_passed(pool, queued, now_s))
 
 
+def refuse_hopeless(pool: Pool, now_s: float) -> None:
+    """Refuse the lowest tier's newest requests that won't meet their deadline.
+
+    :param pool: The pool.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    while newest := find_newest_lowest(pool):
+        if not misses_deadline(pool, newest.request, now_s, is_queued=True):
+            return
+        refusal = _refuse_unreachable(pool, newest.request, now_s)
+        refuse_queued(pool, newest, refusal)
+
+
 def _refuse_passed(pool, queued, now_s):
-    team = find_team(pool, queued.request.team)
+    request = queued.request
+    team = pool.teams[request.team]
+    target = pool.targets[request.target]
     if is_at_limit(team):
+        hold_s = read_hold_s(target, request.tier)
         return Refusal(
             reason=RefusalReason.TEAM_LIMIT,
-            retry_after_s=RETRY_AFTER_S,
+            retry_after_s=jitter_retry_s(hold_s, request.request_id),
             detail=f"team {team.name!r} had {team.limit} requests in progress "
             "until the deadline; come back",
         )
+    lower_grant = max(target.lower_grants[request.tier + 1 :], default=0)
+    assert_invariant(
+        lower_grant <= max(queued.sequence, team.last_limited),
+        "no-lower-grant-before-deadline-refusal",
+        pool=pool.name,
+        request_id=request.request_id,
+        tier=request.tier,
+    )
     return Refusal(
         reason=RefusalReason.DEADLINE_PASSED,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=_retry_after_s(pool, request, now_s),
         detail="no slot became free before the deadline; come back",
     )
 
 
+def _refuse_unreachable(pool, request, now_s):
+    _check_nothing_lower_waits(pool, request)
+    return Refusal(
+        reason=RefusalReason.DEADLINE_UNREACHABLE,
+        retry_after_s=_retry_after_s(pool, request, now_s),
+        detail="the queue drains too slowly for the deadline; come back",
+    )
+
+
 def _refuse_full(pool, request, now_s):
+    _check_nothing_lower_waits(pool, request)
     return Refusal(
         reason=RefusalReason.QUEUE_FULL,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=_retry_after_s(pool, request, now_s),
         detail=f"{pool.limits.queue_requests} requests wait already; come back",
     )
+
+
+def _check_nothing_lower_waits(pool, request):
+    assert_invariant(
+        not any(pool.queued_by_tier[request.tier + 1 :]),
+        "no-refusal-while-lower-waits",
+        pool=pool.name,
+        request_id=request.request_id,
+        tier=request.tier,
+    )
+
+
+def _retry_after_s(pool, request, now_s):
+    target = pool.targets[request.target]
+    drain_s = estimate_drain_s(pool, target, request.tier, now_s)
+    return jitter_retry_s(drain_s, request.request_id)
--- a/jujubenotch/admission/shares.py
+++ b/jujubenotch/admission/shares.py
@@ -66,6 +66,7 @@
     account = find_team(pool, request.team)
     share = _find_share(pool, account, request.tier, request.team_weight)
     if account.limit != request.team_limit:
+        _note_limit(pool, account)
         account.limit = request.team_limit
         offer_team(pool, account)
     team_queue = lane.teams.get(request.team)
@@ -93,19 +94,20 @@
     lane.weight -= share.weight
 
 
-def offer_queue(lane: Lane, team_queue: TeamQueue) -> None:
+def offer_queue(pool: Pool, lane: Lane, team_queue: TeamQueue) -> None:
     """Put a team's queue in its place among the lane's teams.
 
     A team at its limit is left out until a slot of it is released.
 
+    :param pool: The pool.
     :param lane: The lane.
     :param team_queue: The queue.
     """
     team_queue.entry = None
     if is_at_limit(team_queue.share.account):
         return
-    lane.offers += 1
-    team_queue.entry = (team_queue.share.tag, lane.offers, team_queue)
+    pool.offers += 1
+    team_queue.entry = (team_queue.share.tag, pool.offers, team_queue)
     heapq.heappush(lane.entries, team_queue.entry)
     if len(lane.entries) > 2 * len(lane.teams) + MAX_STALE_ENTRIES:
         queues = lane.teams.values()
@@ -121,7 +123,7 @@
     """
     for tier, share in account.shares.items():
         for target, team_queue in share.queues.items():
-            offer_queue(pool.lanes[tier][target], team_queue)
+            offer_queue(pool, pool.lanes[tier][target], team_queue)
 
 
 def is_at_limit(account: TeamAccount) -> bool:
@@ -184,8 +186,7 @@
     share = account.shares[held.tier]
     cost = max(MIN_COST_TOKENS, report.tokens)
     share.tag = max(0.0, share.tag + (cost - held.cost) / share.weight)
-    if is_at_limit(account):
-        account.last_limited = pool.sequence
+    _note_limit(pool, account)
     share.in_progress -= 1
     account.in_progress -= 1
     offer_team(pool, account)
@@ -211,6 +212,11 @@
     return share
 
 
+def _note_limit(pool, account):
+    if is_at_limit(account):
+        account.last_limited = pool.sequence
+
+
 def _learn_tokens(pool, key, tokens):
     learned = pool.learned_tokens.get(key)
     if learned is None:
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -89,14 +89,12 @@
     :param teams: Queues of the teams with waiting requests, by team.
     :param entries: Heap of (tag, number, team queue); stale entries are dropped
         when they come up.
-    :param offers: Entries made so far; keeps equal tags in order.
     :param weight: Sum of the weights of the waiting teams.
     """
 
     tier: int
     target: str
     queued: int = 0
-    offers: int = 0
     weight: float = 0.0
     teams: dict[str, TeamQueue] = field(default_factory=dict)
     entries: list[tuple] = field(default_factory=list)
@@ -175,6 +173,8 @@
     :param mean_watts: Mean power of one slot, in watts.
     :param running_by_tier: Requests in progress for this target.
     :param demands: What each tier asks of it.
+    :param lower_grants: The sequence of the last grant by tier, other than the
+        floor's, on an upstream that serves this target.
     :param needs: Slots that the tiers above each tier need.
     :param needs_at_s: When they were worked out, monotonic, in seconds.
     """
@@ -188,6 +188,7 @@
     demands: list[TierDemand] = field(
         default_factory=lambda: [TierDemand() for _ in range(TIERS)]
     )
+    lower_grants: list[int] = field(default_factory=_count_tiers)
     needs: list[int] = field(default_factory=_count_tiers)
     needs_at_s: float | None = None
 
@@ -227,6 +228,7 @@
     :param floor_running: Slots held that the floor gave.
     :param held_requests: The requests that hold a slot granted by this pool.
     :param sequence: Number of the last event; orders arrivals and grants.
+    :param offers: Entries made in lanes so far; keeps equal tags in order.
     :param virtual_time: The start tag granted last, by tier.
     """
 
@@ -259,3 +261,4 @@
     refused: list[RefusedRequest] = field(default_factory=list)
     grants_made: int = 0
     sequence: int = 0
+    offers: int = 0
--- a/jujubenotch/admission/summary.py
+++ b/jujubenotch/admission/summary.py
@@ -3,9 +3,9 @@
 from jujubenotch.admission.floor import floor_due_s
 from jujubenotch.admission.slots import is_in_service
 from jujubenotch.admission.state import Pool
+from jujubenotch.admission.waits import estimate_drain_s
 from jujubenotch.work import TIERS, PoolSummary
 
-DEFAULT_WAIT_S = 1.0
 RESERVE_RECHECK_S = 0.25
 
 
@@ -47,5 +47,12 @@
         queued=tuple(pool.queued_by_tier),
         in_progress=tuple(in_progress),
         free_slots=free,
-        wait_s=(0.0 if free else DEFAULT_WAIT_S,) * TIERS,
+        wait_s=tuple(_worst_drain_s(pool, tier, now_s) for tier in range(TIERS)),
     )
+
+
+def _worst_drain_s(pool, tier, now_s):
+    waits_s = [
+        estimate_drain_s(pool, target, tier, now_s) for target in pool.targets.values()
+    ]
+    return max(waits_s, default=0.0)
--- /dev/null
+++ b/jujubenotch/admission/waits.py
@@ -0,0 +1,124 @@
+"""Estimates how long requests wait, from the rate at which the queue drains.
+
+A queue drains as fast as slots become free: the slots that the tiers above
+don't take, divided by the time that a request holds one.
+"""
+
+from jujubenotch.admission.reserve import DEFAULT_HOLD_S, offered_slots, required_free
+from jujubenotch.admission.state import Pool, TargetAccount
+from jujubenotch.estimates import draw_fraction
+from jujubenotch.work import WorkRequest
+
+MIN_DRAIN_SLOTS = 0.1
+MIN_HOLD_SAMPLES = 8
+MIN_RETRY_AFTER_S = 0.5
+MAX_RETRY_AFTER_S = 60.0
+RETRY_JITTER = 0.5
+
+
+def estimate_wait_s(
+    pool: Pool, target: TargetAccount, tier: int, now_s: float, *, ahead: float
+) -> float:
+    """Estimate when a request that waits behind others gets a slot.
+
+    :param pool: The pool.
+    :param target: The account of the request's model or plain service.
+    :param tier: The request's tier.
+    :param now_s: The present monotonic time, in seconds.
+    :param ahead: Requests of its own tier that go before it.
+    :returns: The wait, in seconds.
+    """
+    hold_s = read_hold_s(target, tier)
+    upper_slots = 0.0
+    work = (ahead + 1) * hold_s
+    for upper in range(tier):
+        lane = pool.lanes[upper].get(target.name)
+        if lane is not None:
+            work += lane.queued * read_hold_s(target, upper)
+        upper_slots += offered_slots(target.demands[upper], now_s)
+    return work / max(MIN_DRAIN_SLOTS, target.slots - upper_slots)
+
+
+def estimate_drain_s(
+    pool: Pool, target: TargetAccount, tier: int, now_s: float
+) -> float:
+    """Estimate when the queue of a tier, and those above it, will be empty.
+
+    :param pool: The pool.
+    :param target: The account of a model or plain service.
+    :param tier: The tier.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: Seconds; 0 when a request of the tier could start now.
+    """
+    lane = pool.lanes[tier].get(target.name)
+    queued = 0 if lane is None else lane.queued
+    if not queued and target.free > required_free(pool, target, tier, now_s):
+        return 0.0
+    return estimate_wait_s(pool, target, tier, now_s, ahead=queued)
+
+
+def misses_deadline(
+    pool: Pool, request: WorkRequest, now_s: float, *, is_queued: bool
+) -> bool:
+    """Predict whether a request will wait past its deadline.
+
+    No prediction is made before some requests of its tier and target have
+    ended. A class's oldest request is promised the floor's wait at most.
+
+    :param pool: The pool.
+    :param request: The newest request of its tier, queued or not.
+    :param now_s: The present monotonic time, in seconds.
+    :param is_queued: Whether it is in the queue already.
+    :returns: Whether it will.
+    """
+    target = pool.targets[request.target]
+    demand = target.demands[request.tier]
+    if demand.hold_s.samples < MIN_HOLD_SAMPLES:
+        return False
+    if not is_queued and target.free > required_free(pool, target, request.tier, now_s):
+        return False
+    ahead = _count_ahead(pool, request, is_queued)
+    wait_s = estimate_wait_s(pool, target, request.tier, now_s, ahead=ahead)
+    if request.tier > 0:
+        wait_s = min(wait_s, _promised_wait_s(pool, request, is_queued))
+    left_s = request.deadline_s - now_s
+    return wait_s > max(left_s - demand.hold_s.value, left_s / 2)
+
+
+def read_hold_s(target: TargetAccount, tier: int) -> float:
+    """Return how long a request of a tier holds a slot, on average.
+
+    :param target: The account of a model or plain service.
+    :param tier: The tier.
+    :returns: Seconds.
+    """
+    hold_s = target.demands[tier].hold_s.value
+    return DEFAULT_HOLD_S if hold_s is None else hold_s
+
+
+def jitter_retry_s(wait_s: float, request_id: str) -> float:
+    """Tell a refused caller when to come back, each a little differently.
+
+    :param wait_s: Estimated time until the queue has drained, in seconds.
+    :param request_id: The request.
+    :returns: Seconds.
+    """
+    bounded_s = min(MAX_RETRY_AFTER_S, max(MIN_RETRY_AFTER_S, wait_s))
+    return bounded_s * (1 + RETRY_JITTER * draw_fraction(request_id))
+
+
+def _count_ahead(pool, request, is_queued):
+    """Count what goes before a request: its team's queue, and others' turns."""
+    lane = pool.lanes[request.tier].get(request.target)
+    if lane is None:
+        return 0
+    team_queue = lane.teams.get(request.team)
+    own = 0 if team_queue is None else len(team_queue.requests) - is_queued
+    turns = max(1.0, lane.weight / request.team_weight)
+    return min(lane.queued - is_queued, (own + 1) * turns)
+
+
+def _promised_wait_s(pool, request, is_queued):
+    class_queue = pool.classes.get(request.service_class)
+    queued = 0 if class_queue is None else len(class_queue.requests) - is_queued
+    return (queued + 1) * request.max_wait_s
