Limit each upstream to what it holds within the time between tokens

A full batch can make every token late. An upstream's limit is now cut when the recent mean gap misses the tightest target seen there in the last minute, by the ratio missed (a half to 0.9), and grows by a slot a second while it is kept. A request that ran mostly before the last change is left out, so that one slow batch is not counted twice. A fixed cut of 0.85 was ruled out: with long drafts each step takes a draft's length. The dispatcher fills in the class's target.

--- a/features/admission/steps/invariants_steps.py
+++ b/features/admission/steps/invariants_steps.py
@@ -88,6 +88,7 @@
                 "deadline_s": deadline_s,
                 "max_wait_s": 4,
                 "excluded": excluded,
+                "between_tokens_target_s": 0.05,
             }
             request = make_request(row, self.now_s)
             if enqueue(self.pool, request, self.now_s) is None:
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -159,6 +159,7 @@
         cost=cost,
         watts=account.record.watts_per_slot,
         is_floor=is_floor,
+        between_tokens_target_s=request.between_tokens_target_s,
     )
     take_slot(pool, account, held)
     pool.held_requests.add(request.request_id)
--- a/jujubenotch/admission/pool.py
+++ b/jujubenotch/admission/pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 
+from jujubenotch.admission.concurrency import observe_between_tokens
 from jujubenotch.admission.queues import add_request, remove_request
 from jujubenotch.admission.refusals import (
     make_room,
@@ -155,6 +156,7 @@
     give_slot(pool, account, held)
     correct_charge(pool, held, report)
     _learn_hold(pool, held, report, now_s)
+    _follow_pace(pool, account, held, report, now_s)
     if not account.is_configured and not account.running:
         _drop_unused(pool)
 
@@ -259,6 +261,20 @@
         update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
 
 
+def _follow_pace(pool, account, held, report, now_s):
+    if report.between_tokens_s is None:
+        return
+    observe_between_tokens(
+        account.limit,
+        report.between_tokens_s,
+        target_s=held.between_tokens_target_s,
+        slots=account.slots,
+        started_s=held.started_s,
+        now_s=now_s,
+    )
+    refresh_capacity(pool, account)
+
+
 def _drop_unused(pool):
     unused = [
         name
--- a/jujubenotch/admission/slots.py
+++ b/jujubenotch/admission/slots.py
@@ -1,5 +1,6 @@
 """Keeps the counts of slots by upstream and by target."""
 
+from jujubenotch.admission.concurrency import read_limit
 from jujubenotch.admission.state import HeldSlot, Pool, TargetAccount, UpstreamAccount
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.work import TIERS
@@ -43,7 +44,9 @@
     :param pool: The pool.
     :param account: The upstream, whose state has changed.
     """
-    capacity = account.slots if is_in_service(account) else 0
+    capacity = 0
+    if is_in_service(account):
+        capacity = read_limit(account.limit, account.slots)
     _change_counts(pool, account, capacity=capacity, running=account.running)
 
 
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass, field
 
+from jujubenotch.admission.concurrency import ConcurrencyLimit
 from jujubenotch.admission.heaps import LazyHeap, LazyStack
 from jujubenotch.estimates import DecayingRate, RunningMean
 from jujubenotch.outcomes import Refusal
@@ -120,6 +121,7 @@
 
     :param slots: Requests that this pool may run on it.
     :param capacity: Requests that it may run at present; 0 out of service.
+    :param limit: What it holds within its classes' time between tokens.
     :param is_configured: False once the records dropped it.
     """
 
@@ -128,6 +130,7 @@
     capacity: int = 0
     running: int = 0
     running_by_tier: list[int] = field(default_factory=_count_tiers)
+    limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
     is_leaving: bool = False
     is_configured: bool = True
 
@@ -200,6 +203,7 @@
     :param cost: What its team was charged, in tokens.
     :param watts: What it takes of the power cap, in watts.
     :param is_floor: Whether the floor gave it.
+    :param between_tokens_target_s: Its class's bound; 0 is no bound.
     """
 
     grant: Grant
@@ -211,6 +215,7 @@
     cost: float
     watts: float
     is_floor: bool = False
+    between_tokens_target_s: float = 0.0
 
 
 @dataclass(eq=False, kw_only=True)
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -326,6 +326,7 @@
         expected_tokens=call.expected_tokens,
         prefix_key=call.prefix_key,
         excluded_upstreams=progress.failed_upstreams,
+        between_tokens_target_s=service_class.between_tokens_target_s,
     )
 
 
