Eject crashed and silent upstreams, and count what others run

A silent engine went on getting work until each request had timed out. Failures in a row now eject it (silence and failed connections weigh double), for a time that doubles with each failed probe from 1 s to 30 s. The least urgent waiting request is the probe; the most urgent tier probes only what it would wait for otherwise. A probe that goes on for 5 s lets the upstream back before its end, since a draft's end would keep it out for minutes.

--- a/features/admission/pool.feature
+++ b/features/admission/pool.feature
@@ -125,3 +125,16 @@
       | c  | 0    |
       | d  | 0    |
     Then 3 requests are granted
+
+  Scenario: Requests of unknown holders take room on an upstream
+    Given a pool with upstreams
+      | name | models | slots |
+      | e2   | m      | 4     |
+    When "e2" reports 3 running
+    And requests arrive
+      | id | tier |
+      | a  | 0    |
+      | b  | 0    |
+    Then "a" is granted and "b" waits
+    When 16 seconds pass
+    Then "b" is granted
--- /dev/null
+++ b/features/admission/probes.feature
@@ -0,0 +1,44 @@
+Feature: The pool sends nothing but probes to an ejected upstream
+
+  Background:
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 4     |
+      | e2   | m      | 4     |
+    And "e1" was ejected
+
+  Scenario: Work goes to the other upstreams
+    When requests arrive
+      | id | tier |
+      | a  | 0    |
+      | b  | 0    |
+    Then "a" is granted on "e2"
+    And "b" is granted on "e2"
+
+  Scenario: A lower tier's request probes, though a more urgent one waits
+    When 1 seconds pass
+    And requests arrive
+      | id    | tier |
+      | query | 0    |
+      | draft | 3    |
+    Then "draft" is granted on "e1"
+    And "query" is granted on "e2"
+
+  Scenario: The most urgent tier probes only when it would wait otherwise
+    When 1 seconds pass
+    And 4 requests of tier 0 are running
+    And requests arrive
+      | id | tier |
+      | a  | 0    |
+      | b  | 0    |
+    Then "a" is granted on "e1"
+    And "b" is neither granted nor refused
+
+  Scenario: A good probe opens the upstream
+    When 1 seconds pass
+    And requests arrive
+      | id    | tier |
+      | draft | 3    |
+    And "draft" is released
+    And 8 requests of tier 0 are running
+    Then every upstream runs 4 requests
--- /dev/null
+++ b/features/routing/steps/speed_steps.py
@@ -0,0 +1,70 @@
+from behave import given, then, when
+
+from jujubenotch.routing import (
+    OtherLoad,
+    Speed,
+    estimate_latency_s,
+    note_own_running,
+    read_other_running,
+    record_other_load,
+    record_speed,
+)
+from jujubenotch.work import LoadReport, WorkReport, WorkResult
+
+
+def make_report(first_token_s):
+    return WorkReport(result=WorkResult.COMPLETED, first_token_s=first_token_s)
+
+
+@given("the group takes {seconds:g} seconds to a first token")
+def set_typical(context, seconds):
+    context.now_s = 1000.0
+    context.typical = Speed()
+    context.speed = Speed()
+    record_speed(context.typical, make_report(seconds), context.now_s)
+
+
+@when("an upstream takes {seconds:g} seconds to a first token {count:d} times")
+def observe(context, seconds, count):
+    for _ in range(count):
+        record_speed(context.speed, make_report(seconds), context.now_s)
+
+
+@when("{seconds:g} seconds go by")
+def go_by(context, seconds):
+    context.now_s += seconds
+
+
+@then("its latency is estimated as {seconds:g} seconds")
+def check_latency(context, seconds):
+    latency_s = estimate_latency_s(context.speed, context.typical, context.now_s)
+    assert abs(latency_s - seconds) < 0.001, latency_s
+
+
+@given("this account ran {own:d} requests since {seconds:g} seconds")
+def set_own(context, own, seconds):
+    if not hasattr(context, "load"):
+        context.load = OtherLoad()
+        context.now_s = 1000.0
+    context.own = own
+    note_own_running(context.load, own, context.now_s - seconds)
+
+
+@when("the upstream reports {running:d} running and {waiting:d} waiting")
+def report(context, running, waiting):
+    report_late(context, running, waiting, 0.0)
+
+
+@when(
+    "the upstream reports {running:d} running and {waiting:d} waiting"
+    " {age_s:g} seconds late"
+)
+def report_late(context, running, waiting, age_s):
+    load = LoadReport(running=running, waiting=waiting, slots=8, age_s=age_s)
+    record_other_load(context.load, load, context.own, context.now_s)
+
+
+@then("others run {count:d} there")
+def check_others(context, count):
+    others = read_other_running(context.load, context.now_s)
+    assert others == count, others
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -8,13 +8,20 @@
 from jujubenotch.admission.shares import charge_start, estimate_tokens, peek_lane
 from jujubenotch.admission.slots import (
     POWER_TOLERANCE_WATTS,
+    is_in_service,
     is_power_metered,
+    refresh_capacity,
+    refresh_changed,
     take_slot,
 )
 from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
 from jujubenotch.invariants import assert_invariant
+from jujubenotch.routing import may_probe, start_probe
 from jujubenotch.work import TIERS, Grant
 
+ALL_TIERS = tuple(reversed(range(TIERS)))
+LEAST_URGENT_TIERS = ALL_TIERS[:-1]
+
 
 @dataclass(kw_only=True)
 class _Round:
@@ -34,16 +41,47 @@
 
     :param pool: The pool.
     :param now_s: The present monotonic time, in seconds.
-    :returns: The new grants: the floor's, then the most urgent first.
+    :returns: The new grants: probes and the floor's, then the most urgent
+        first.
     """
     this_round = _Round(now_s=now_s)
+    refresh_changed(pool, now_s)
+    _grant_probes(pool, this_round, LEAST_URGENT_TIERS)
     _grant_floor(pool, this_round)
     for tier in range(TIERS):
         if pool.queued_by_tier[tier]:
             _grant_tier(pool, tier, this_round)
+    _grant_probes(pool, this_round, ALL_TIERS)
     return this_round.grants
 
 
+def _grant_probes(pool, this_round, tiers):
+    """Probe ejected upstreams with the least urgent requests that wait.
+
+    The most urgent tier is asked only for what still waits in the end.
+    """
+    for account in list(pool.ejected.values()):
+        if not is_in_service(account) or not may_probe(
+            account.health, this_round.now_s
+        ):
+            continue
+        queued = _find_probe(pool, account, tiers)
+        has_room = account.running < account.slots
+        if queued and has_room and leaves_power(pool, account, 0, this_round.now_s):
+            start_probe(account.health, this_round.now_s)
+            _start_request(pool, queued, account, this_round, is_probe=True)
+            refresh_capacity(pool, account, this_round.now_s)
+
+
+def _find_probe(pool, account, tiers):
+    for tier in tiers:
+        lanes = [pool.lanes[tier].get(name) for name in account.record.models]
+        _, queued = _find_next([lane for lane in lanes if lane is not None])
+        if queued and account.name not in queued.request.excluded_upstreams:
+            return queued
+    return None
+
+
 def _grant_floor(pool, this_round):
     for queued in find_floor_due(pool, this_round.now_s):
         tier_of_no_reserve = 0
@@ -123,6 +161,7 @@
     this_round: _Round,
     *,
     is_floor: bool = False,
+    is_probe: bool = False,
 ):
     request = queued.request
     assert_invariant(
@@ -159,13 +198,14 @@
         cost=cost,
         watts=account.record.watts_per_slot,
         is_floor=is_floor,
+        is_probe=is_probe,
         between_tokens_target_s=request.between_tokens_target_s,
     )
-    take_slot(pool, account, held)
+    take_slot(pool, account, held, this_round.now_s)
     pool.held_requests.add(request.request_id)
-    if not is_floor:
+    if not is_floor and not is_probe:
         _note_grant(pool, account, request.tier)
-    _check_bounds(pool, account)
+    _check_bounds(pool, account, account.slots if is_probe else account.capacity)
     this_round.grants.append(grant)
 
 
@@ -174,14 +214,14 @@
         pool.targets[name].lower_grants[tier] = pool.sequence
 
 
-def _check_bounds(pool, account):
+def _check_bounds(pool, account, capacity):
     assert_invariant(
-        account.running <= account.capacity,
+        account.running <= capacity,
         "slots-not-exceeded",
         pool=pool.name,
         upstream=account.name,
         running=account.running,
-        capacity=account.capacity,
+        capacity=capacity,
     )
     assert_invariant(
         not is_power_metered(pool, account)
--- a/jujubenotch/admission/pool.py
+++ b/jujubenotch/admission/pool.py
@@ -34,6 +34,12 @@
 from jujubenotch.estimates import update_mean
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Limits, Upstream
+from jujubenotch.routing import (
+    note_restored,
+    record_other_load,
+    record_result,
+    record_speed,
+)
 from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest, WorkResult
 
 
@@ -83,7 +89,7 @@
         _configure_upstream(pool, record, share)
     rebuild_targets(pool)
     for account in pool.upstreams.values():
-        refresh_capacity(pool, account)
+        refresh_capacity(pool, account, now_s)
     _recount_watts(pool)
     _drop_unused(pool)
     _refuse_stranded(pool)
@@ -153,10 +159,12 @@
         return
     pool.sequence += 1
     account = pool.upstreams[held.grant.upstream]
-    give_slot(pool, account, held)
+    give_slot(pool, account, held, now_s)
     correct_charge(pool, held, report)
     _learn_hold(pool, held, report, now_s)
-    _follow_pace(pool, account, held, report, now_s)
+    _follow_pace(account, held, report, now_s)
+    _follow_health(pool, account, held, report, now_s)
+    refresh_capacity(pool, account, now_s)
     if not account.is_configured and not account.running:
         _drop_unused(pool)
 
@@ -204,7 +212,9 @@
         cost=cost,
         watts=account.record.watts_per_slot,
     )
-    take_slot(pool, account, held)
+    take_slot(pool, account, held, now_s)
+    note_restored(account.others)
+    refresh_capacity(pool, account, now_s)
 
 
 def record_load(pool: Pool, upstream: str, load: LoadReport, now_s: float) -> None:
@@ -215,6 +225,12 @@
     :param load: The report.
     :param now_s: The present monotonic time, in seconds.
     """
+    account = pool.upstreams.get(upstream)
+    if account is None:
+        return
+    account.reported_slots = load.slots
+    record_other_load(account.others, load, account.running, now_s)
+    refresh_capacity(pool, account, now_s)
     if load.is_leaving:
         mark_leaving(pool, upstream, now_s)
 
@@ -233,7 +249,7 @@
     if account is None or account.is_leaving is is_leaving:
         return
     account.is_leaving = is_leaving
-    refresh_capacity(pool, account)
+    refresh_capacity(pool, account, now_s)
     _refuse_stranded(pool)
 
 
@@ -261,7 +277,7 @@
         update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
 
 
-def _follow_pace(pool, account, held, report, now_s):
+def _follow_pace(account, held, report, now_s):
     if report.between_tokens_s is None:
         return
     observe_between_tokens(
@@ -272,7 +288,18 @@
         started_s=held.started_s,
         now_s=now_s,
     )
-    refresh_capacity(pool, account)
+
+
+def _follow_health(pool, account, held, report, now_s):
+    record_speed(account.speed, report, now_s)
+    record_speed(pool.typical, report, now_s)
+    record_result(
+        account.health,
+        report.result,
+        started_s=held.started_s,
+        now_s=now_s,
+        is_probe=held.is_probe,
+    )
 
 
 def _drop_unused(pool):
@@ -285,6 +312,7 @@
         return
     for name in unused:
         del pool.upstreams[name]
+        pool.ejected.pop(name, None)
     rebuild_targets(pool)
 
 
--- a/jujubenotch/admission/slots.py
+++ b/jujubenotch/admission/slots.py
@@ -1,8 +1,17 @@
 """Keeps the counts of slots by upstream and by target."""
 
+import math
+
 from jujubenotch.admission.concurrency import read_limit
 from jujubenotch.admission.state import HeldSlot, Pool, TargetAccount, UpstreamAccount
 from jujubenotch.invariants import assert_invariant
+from jujubenotch.routing import (
+    is_ejected,
+    next_change_s,
+    note_own_running,
+    read_other_running,
+    settle_probe,
+)
 from jujubenotch.work import TIERS
 
 POWER_TOLERANCE_WATTS = 1e-6
@@ -38,16 +47,50 @@
     return pool.power_watts is not None and account.record.watts_per_slot > 0
 
 
-def refresh_capacity(pool: Pool, account: UpstreamAccount) -> None:
+def refresh_capacity(pool: Pool, account: UpstreamAccount, now_s: float) -> None:
     """Set how many requests an upstream may run at present.
 
     :param pool: The pool.
     :param account: The upstream, whose state has changed.
+    :param now_s: The present monotonic time, in seconds.
     """
-    capacity = 0
-    if is_in_service(account):
-        capacity = read_limit(account.limit, account.slots)
+    capacity = _work_out_capacity(account, now_s)
     _change_counts(pool, account, capacity=capacity, running=account.running)
+    if account.health.ejected_until_s is None:
+        pool.ejected.pop(account.name, None)
+    else:
+        pool.ejected[account.name] = account
+    pool.next_change_s = min(pool.next_change_s, _read_change_s(account, now_s))
+
+
+def refresh_changed(pool: Pool, now_s: float) -> None:
+    """Bring the capacities up to date when time alone has changed them.
+
+    :param pool: The pool.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    if now_s < pool.next_change_s:
+        return
+    pool.next_change_s = math.inf
+    for account in pool.upstreams.values():
+        settle_probe(account.health, now_s)
+        refresh_capacity(pool, account, now_s)
+
+
+def _work_out_capacity(account, now_s):
+    if not is_in_service(account) or is_ejected(account.health, now_s):
+        return 0
+    slots = account.record.slots
+    if account.reported_slots:
+        slots = min(slots, account.reported_slots)
+    left = slots - read_other_running(account.others, now_s)
+    return max(1, min(read_limit(account.limit, account.slots), left))
+
+
+def _read_change_s(account, now_s):
+    times_s = [account.others.valid_until_s if account.others.running else math.inf]
+    times_s.append(next_change_s(account.health) or math.inf)
+    return min((time_s for time_s in times_s if time_s > now_s), default=math.inf)
 
 
 def rebuild_targets(pool: Pool) -> None:
@@ -76,12 +119,15 @@
     _recount_running(pool)
 
 
-def take_slot(pool: Pool, account: UpstreamAccount, held: HeldSlot) -> None:
+def take_slot(
+    pool: Pool, account: UpstreamAccount, held: HeldSlot, now_s: float
+) -> None:
     """Count a slot as taken.
 
     :param pool: The pool.
     :param account: The upstream.
     :param held: The slot.
+    :param now_s: The present monotonic time, in seconds.
     """
     account.running_by_tier[held.tier] += 1
     target = pool.targets.get(held.target)
@@ -89,17 +135,21 @@
         target.running_by_tier[held.tier] += 1
     running = account.running + 1
     _change_counts(pool, account, capacity=account.capacity, running=running)
+    note_own_running(account.others, running, now_s)
     pool.watts_in_use += held.watts
     pool.floor_running += held.is_floor
     pool.held[held.grant.grant_id] = held
 
 
-def give_slot(pool: Pool, account: UpstreamAccount, held: HeldSlot) -> None:
+def give_slot(
+    pool: Pool, account: UpstreamAccount, held: HeldSlot, now_s: float
+) -> None:
     """Count a slot as free again.
 
     :param pool: The pool.
     :param account: The upstream.
     :param held: The slot.
+    :param now_s: The present monotonic time, in seconds.
     """
     del pool.held[held.grant.grant_id]
     pool.held_requests.discard(held.grant.request_id)
@@ -109,6 +159,7 @@
         target.running_by_tier[held.tier] -= 1
     running = account.running - 1
     _change_counts(pool, account, capacity=account.capacity, running=running)
+    note_own_running(account.others, running, now_s)
     pool.floor_running -= held.is_floor
     pool.watts_in_use = pool.watts_in_use - held.watts if pool.held else 0.0
     assert_invariant(
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -7,6 +7,7 @@
 from jujubenotch.estimates import DecayingRate, RunningMean
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Limits, Upstream
+from jujubenotch.routing import Health, OtherLoad, Speed
 from jujubenotch.work import TIERS, Grant, WorkRequest
 
 FAST_WINDOW_S = 5.0
@@ -122,6 +123,7 @@
     :param slots: Requests that this pool may run on it.
     :param capacity: Requests that it may run at present; 0 out of service.
     :param limit: What it holds within its classes' time between tokens.
+    :param reported_slots: Requests that it says it can run; 0 is unknown.
     :param is_configured: False once the records dropped it.
     """
 
@@ -131,6 +133,10 @@
     running: int = 0
     running_by_tier: list[int] = field(default_factory=_count_tiers)
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
+    health: Health = field(default_factory=Health)
+    speed: Speed = field(default_factory=Speed)
+    others: OtherLoad = field(default_factory=OtherLoad)
+    reported_slots: int = 0
     is_leaving: bool = False
     is_configured: bool = True
 
@@ -203,6 +209,7 @@
     :param cost: What its team was charged, in tokens.
     :param watts: What it takes of the power cap, in watts.
     :param is_floor: Whether the floor gave it.
+    :param is_probe: Whether it probes an ejected upstream.
     :param between_tokens_target_s: Its class's bound; 0 is no bound.
     """
 
@@ -215,6 +222,7 @@
     cost: float
     watts: float
     is_floor: bool = False
+    is_probe: bool = False
     between_tokens_target_s: float = 0.0
 
 
@@ -229,6 +237,9 @@
     :param id_prefix: Starts each grant's id; unique over all instances.
     :param power_watts: Power that running requests may take, in watts.
     :param watts_in_use: Power that they take, in watts.
+    :param ejected: Upstreams that get nothing but probes, by name.
+    :param next_change_s: When time alone next changes an upstream's capacity.
+    :param typical: The latency seen over the whole group.
     :param tiers: Tiers of the classes that use the group.
     :param floor_running: Slots held that the floor gave.
     :param held_requests: The requests that hold a slot granted by this pool.
@@ -245,6 +256,9 @@
     watts_in_use: float = 0.0
     tiers: frozenset[int] = frozenset(range(TIERS))
     floor_running: int = 0
+    ejected: dict[str, UpstreamAccount] = field(default_factory=dict)
+    next_change_s: float = float("inf")
+    typical: Speed = field(default_factory=Speed)
     upstreams: dict[str, UpstreamAccount] = field(default_factory=dict)
     targets: dict[str, TargetAccount] = field(default_factory=dict)
     queued: dict[str, QueuedRequest] = field(default_factory=dict)
--- a/jujubenotch/admission/summary.py
+++ b/jujubenotch/admission/summary.py
@@ -24,6 +24,7 @@
     due_s = [floor_due_s(class_queue) for class_queue in pool.classes.values()]
     times_s = [time_s for time_s in due_s if time_s is not None and time_s > now_s]
     times_s.append(first.request.deadline_s)
+    times_s.append(pool.next_change_s)
     if any(target.free for target in pool.targets.values()):
         times_s.append(now_s + RESERVE_RECHECK_S)
     return min(times_s)
--- a/jujubenotch/admission/waits.py
+++ b/jujubenotch/admission/waits.py
@@ -63,7 +63,8 @@
     """Predict whether a request will wait past its deadline.
 
     No prediction is made before some requests of its tier and target have
-    ended. A class's oldest request is promised the floor's wait at most.
+    ended, nor while all upstreams are ejected. A class's oldest request is
+    promised the floor's wait at most.
 
     :param pool: The pool.
     :param request: The newest request of its tier, queued or not.
@@ -73,7 +74,7 @@
     """
     target = pool.targets[request.target]
     demand = target.demands[request.tier]
-    if demand.hold_s.samples < MIN_HOLD_SAMPLES:
+    if demand.hold_s.samples < MIN_HOLD_SAMPLES or not target.slots:
         return False
     if not is_queued and target.free > required_free(pool, target, request.tier, now_s):
         return False
--- /dev/null
+++ b/jujubenotch/routing/health.py
@@ -0,0 +1,155 @@
+"""Ejects upstreams that crash or fall silent, and lets them back by probes.
+
+An upstream that failed several times in a row gets no work for a time that
+doubles with each failed probe. Then one request probes it; when that succeeds,
+or goes on well for a while, the upstream is back.
+"""
+
+from dataclasses import dataclass
+
+from jujubenotch.work import WorkResult
+
+EJECT_AT_POINTS = 3
+FAILURE_POINTS = {
+    WorkResult.CONNECT_FAILED: 2,
+    WorkResult.SILENT: 2,
+    WorkResult.LOST: 1,
+    WorkResult.ERROR: 1,
+}
+FIRST_EJECTION_S = 1.0
+MAX_EJECTION_S = 30.0
+PROBE_PATIENCE_S = 5.0
+
+
+@dataclass(kw_only=True, slots=True)
+class Health:
+    """What the results of recent work tell of one upstream.
+
+    :param points: Weight of the failures since the last success.
+    :param ejections: Ejections since the upstream was last well.
+    :param ejected_until_s: When a probe may be sent, monotonic, in seconds;
+        ``None`` while it is well.
+    :param probe_started_s: When the probe in progress started, monotonic, in
+        seconds; ``None`` without one.
+
+    >>> health = Health()
+    >>> record_result(health, WorkResult.SILENT, started_s=0.0, now_s=1.0)
+    >>> is_ejected(health, 1.0)
+    False
+    """
+
+    points: int = 0
+    ejections: int = 0
+    ejected_until_s: float | None = None
+    probe_started_s: float | None = None
+
+
+def record_result(
+    health: Health,
+    result: WorkResult,
+    *,
+    started_s: float,
+    now_s: float,
+    is_probe: bool = False,
+) -> None:
+    """Take in how a request on an upstream ended.
+
+    While it is ejected, only a probe tells whether it is well again: other
+    requests started before.
+
+    :param health: The upstream's health; changed in place.
+    :param result: How the request ended.
+    :param started_s: When it was granted, monotonic, in seconds.
+    :param now_s: The present monotonic time, in seconds.
+    :param is_probe: Whether it was the probe.
+    """
+    settle_probe(health, now_s)
+    is_current = is_probe and health.probe_started_s == started_s
+    if is_current:
+        health.probe_started_s = None
+    if health.ejected_until_s is not None and not is_current:
+        return
+    if result in FAILURE_POINTS:
+        health.points += FAILURE_POINTS[result]
+        if is_current or health.points >= EJECT_AT_POINTS:
+            _eject(health, now_s)
+    elif result is WorkResult.COMPLETED:
+        _recover(health)
+
+
+def is_ejected(health: Health, now_s: float) -> bool:
+    """Tell whether an upstream gets no ordinary work.
+
+    :param health: The upstream's health.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: Whether it is ejected.
+    """
+    return health.ejected_until_s is not None and not _has_proved_well(health, now_s)
+
+
+def may_probe(health: Health, now_s: float) -> bool:
+    """Tell whether a probe may be sent now.
+
+    :param health: The upstream's health.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: Whether it is ejected, its time is over and no probe runs.
+    """
+    return (
+        health.ejected_until_s is not None
+        and health.probe_started_s is None
+        and health.ejected_until_s <= now_s
+    )
+
+
+def start_probe(health: Health, now_s: float) -> None:
+    """Note that a probe starts.
+
+    :param health: The upstream's health; changed in place.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    health.probe_started_s = now_s
+
+
+def settle_probe(health: Health, now_s: float) -> bool:
+    """Let an upstream back whose probe has gone on well for a while.
+
+    :param health: The upstream's health; changed in place.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: Whether it came back.
+    """
+    if not _has_proved_well(health, now_s):
+        return False
+    _recover(health)
+    return True
+
+
+def next_change_s(health: Health) -> float | None:
+    """Tell when time alone changes an upstream's health.
+
+    :param health: The upstream's health.
+    :returns: A monotonic time in seconds; ``None`` while it is well.
+    """
+    if health.ejected_until_s is None:
+        return None
+    if health.probe_started_s is None:
+        return health.ejected_until_s
+    return health.probe_started_s + PROBE_PATIENCE_S
+
+
+def _has_proved_well(health, now_s):
+    started_s = health.probe_started_s
+    return started_s is not None and now_s - started_s >= PROBE_PATIENCE_S
+
+
+def _eject(health, now_s):
+    ejection_s = min(MAX_EJECTION_S, FIRST_EJECTION_S * 2**health.ejections)
+    health.ejections += 1
+    health.ejected_until_s = now_s + ejection_s
+    health.probe_started_s = None
+
+
+def _recover(health):
+    health.points = 0
+    health.ejections = 0
+    health.ejected_until_s = None
+    health.probe_started_s = None
