Choose upstreams by expected first token, load and proven prefix affinity

The least loaded upstream was taken whatever its speed. The choice now weighs the latency seen here (fading into the group's over 30 s, so that a recovered one is found) by the relative load, others' requests included. A prefix draws a request by what hits were seen to save over misses, within 1.25 times the mean load and one slot; before that is known it only decides among equals. Excluded upstreams are the last resort.

--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -16,7 +16,13 @@
 )
 from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
 from jujubenotch.invariants import assert_invariant
-from jujubenotch.routing import may_probe, start_probe
+from jujubenotch.routing import (
+    choose_upstream,
+    find_affine,
+    may_probe,
+    remember_prefix,
+    start_probe,
+)
 from jujubenotch.work import TIERS, Grant
 
 ALL_TIERS = tuple(reversed(range(TIERS)))
@@ -136,13 +142,12 @@
     if accounts and not powered:
         this_round.is_power_short = True
         return None
-    preferred = [
-        account for account in powered if account.name not in request.excluded_upstreams
-    ]
-    return min(
-        preferred or powered,
-        key=lambda account: (account.running / account.slots, account.name),
-        default=None,
+    return choose_upstream(
+        powered,
+        request,
+        affinity=pool.affinity,
+        typical=pool.typical,
+        now_s=now_s,
     )
 
 
@@ -199,6 +204,7 @@
         watts=account.record.watts_per_slot,
         is_floor=is_floor,
         is_probe=is_probe,
+        is_prefix_hit=_note_prefix(pool, request, account),
         between_tokens_target_s=request.between_tokens_target_s,
     )
     take_slot(pool, account, held, this_round.now_s)
@@ -209,6 +215,14 @@
     this_round.grants.append(grant)
 
 
+def _note_prefix(pool, request, account):
+    if not request.prefix_key:
+        return None
+    is_hit = find_affine(pool.affinity, request.prefix_key) == account.name
+    remember_prefix(pool.affinity, request.prefix_key, account.name)
+    return is_hit
+
+
 def _note_grant(pool, account, tier):
     for name in account.record.models:
         pool.targets[name].lower_grants[tier] = pool.sequence
--- /dev/null
+++ b/jujubenotch/admission/learning.py
@@ -0,0 +1,62 @@
+"""What a pool learns from the reports of work that has ended."""
+
+from jujubenotch.admission.concurrency import observe_between_tokens
+from jujubenotch.admission.state import HeldSlot, Pool, UpstreamAccount
+from jujubenotch.estimates import update_mean
+from jujubenotch.routing import record_first_token, record_result, record_speed
+from jujubenotch.work import WorkReport, WorkResult
+
+
+def learn_from_report(
+    pool: Pool,
+    account: UpstreamAccount,
+    held: HeldSlot,
+    report: WorkReport,
+    now_s: float,
+) -> None:
+    """Learn how long, how fast and how well an upstream worked.
+
+    :param pool: The pool.
+    :param account: The upstream.
+    :param held: The slot that was released.
+    :param report: What was seen of the work.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    _learn_hold(pool, held, report, now_s)
+    _follow_pace(account, held, report, now_s)
+    _follow_speed(pool, account, held, report, now_s)
+    record_result(
+        account.health,
+        report.result,
+        started_s=held.started_s,
+        now_s=now_s,
+        is_probe=held.is_probe,
+    )
+
+
+def _learn_hold(pool, held, report, now_s):
+    target = pool.targets.get(held.target)
+    if target is not None and report.result is WorkResult.COMPLETED:
+        update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
+
+
+def _follow_pace(account, held, report, now_s):
+    if report.between_tokens_s is None:
+        return
+    observe_between_tokens(
+        account.limit,
+        report.between_tokens_s,
+        target_s=held.between_tokens_target_s,
+        slots=account.slots,
+        started_s=held.started_s,
+        now_s=now_s,
+    )
+
+
+def _follow_speed(pool, account, held, report, now_s):
+    record_speed(account.speed, report, now_s)
+    record_speed(pool.typical, report, now_s)
+    if held.is_prefix_hit is not None and report.first_token_s is not None:
+        record_first_token(
+            pool.affinity, report.first_token_s, is_hit=held.is_prefix_hit
+        )
--- a/jujubenotch/admission/pool.py
+++ b/jujubenotch/admission/pool.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Collection
 
-from jujubenotch.admission.concurrency import observe_between_tokens
+from jujubenotch.admission.learning import learn_from_report
 from jujubenotch.admission.queues import add_request, remove_request
 from jujubenotch.admission.refusals import (
     make_room,
@@ -31,16 +31,10 @@
     RefusedRequest,
     UpstreamAccount,
 )
-from jujubenotch.estimates import update_mean
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Limits, Upstream
-from jujubenotch.routing import (
-    note_restored,
-    record_other_load,
-    record_result,
-    record_speed,
-)
-from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest, WorkResult
+from jujubenotch.routing import note_restored, record_other_load
+from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest
 
 
 def make_pool(*, name: str, home: str, now_s: float, id_prefix: str = "") -> Pool:
@@ -161,9 +155,7 @@
     account = pool.upstreams[held.grant.upstream]
     give_slot(pool, account, held, now_s)
     correct_charge(pool, held, report)
-    _learn_hold(pool, held, report, now_s)
-    _follow_pace(account, held, report, now_s)
-    _follow_health(pool, account, held, report, now_s)
+    learn_from_report(pool, account, held, report, now_s)
     refresh_capacity(pool, account, now_s)
     if not account.is_configured and not account.running:
         _drop_unused(pool)
@@ -271,37 +263,6 @@
         pool.watts_in_use += held.watts
 
 
-def _learn_hold(pool, held, report, now_s):
-    target = pool.targets.get(held.target)
-    if target is not None and report.result is WorkResult.COMPLETED:
-        update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
-
-
-def _follow_pace(account, held, report, now_s):
-    if report.between_tokens_s is None:
-        return
-    observe_between_tokens(
-        account.limit,
-        report.between_tokens_s,
-        target_s=held.between_tokens_target_s,
-        slots=account.slots,
-        started_s=held.started_s,
-        now_s=now_s,
-    )
-
-
-def _follow_health(pool, account, held, report, now_s):
-    record_speed(account.speed, report, now_s)
-    record_speed(pool.typical, report, now_s)
-    record_result(
-        account.health,
-        report.result,
-        started_s=held.started_s,
-        now_s=now_s,
-        is_probe=held.is_probe,
-    )
-
-
 def _drop_unused(pool):
     unused = [
         name
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -7,7 +7,7 @@
 from jujubenotch.estimates import DecayingRate, RunningMean
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Limits, Upstream
-from jujubenotch.routing import Health, OtherLoad, Speed
+from jujubenotch.routing import Health, OtherLoad, PrefixAffinity, Speed
 from jujubenotch.work import TIERS, Grant, WorkRequest
 
 FAST_WINDOW_S = 5.0
@@ -210,6 +210,8 @@
     :param watts: What it takes of the power cap, in watts.
     :param is_floor: Whether the floor gave it.
     :param is_probe: Whether it probes an ejected upstream.
+    :param is_prefix_hit: Whether it went where its prefix had gone last;
+        ``None`` without a prefix.
     :param between_tokens_target_s: Its class's bound; 0 is no bound.
     """
 
@@ -223,6 +225,7 @@
     watts: float
     is_floor: bool = False
     is_probe: bool = False
+    is_prefix_hit: bool | None = None
     between_tokens_target_s: float = 0.0
 
 
@@ -240,6 +243,7 @@
     :param ejected: Upstreams that get nothing but probes, by name.
     :param next_change_s: When time alone next changes an upstream's capacity.
     :param typical: The latency seen over the whole group.
+    :param affinity: Where prompt prefixes went.
     :param tiers: Tiers of the classes that use the group.
     :param floor_running: Slots held that the floor gave.
     :param held_requests: The requests that hold a slot granted by this pool.
@@ -259,6 +263,7 @@
     ejected: dict[str, UpstreamAccount] = field(default_factory=dict)
     next_change_s: float = float("inf")
     typical: Speed = field(default_factory=Speed)
+    affinity: PrefixAffinity = field(default_factory=PrefixAffinity)
     upstreams: dict[str, UpstreamAccount] = field(default_factory=dict)
     targets: dict[str, TargetAccount] = field(default_factory=dict)
     queued: dict[str, QueuedRequest] = field(default_factory=dict)
--- a/jujubenotch/routing/__init__.py
+++ b/jujubenotch/routing/__init__.py
@@ -3,6 +3,14 @@
 Errors: none. Features: ``features/routing``.
 """
 
+from jujubenotch.routing.affinity import (
+    PrefixAffinity,
+    find_affine,
+    read_gain_s,
+    record_first_token,
+    remember_prefix,
+)
+from jujubenotch.routing.choice import Candidate, choose_upstream
 from jujubenotch.routing.groups import Groups, group_upstreams
 from jujubenotch.routing.health import (
     Health,
@@ -25,21 +33,28 @@
 )
 
 __all__ = [
+    "Candidate",
     "Groups",
     "Health",
     "OtherLoad",
+    "PrefixAffinity",
     "Speed",
+    "choose_upstream",
     "estimate_latency_s",
+    "find_affine",
     "group_upstreams",
     "is_ejected",
     "may_probe",
     "next_change_s",
     "note_own_running",
     "note_restored",
+    "read_gain_s",
     "read_other_running",
+    "record_first_token",
     "record_other_load",
     "record_result",
     "record_speed",
+    "remember_prefix",
     "settle_probe",
     "start_probe",
 ]
--- /dev/null
+++ b/jujubenotch/routing/choice.py
@@ -0,0 +1,87 @@
+"""Chooses among the upstreams that have a free slot for a request."""
+
+from collections.abc import Sequence
+from typing import Protocol
+
+from jujubenotch.estimates import draw_fraction
+from jujubenotch.routing.affinity import PrefixAffinity, find_affine, read_gain_s
+from jujubenotch.routing.speed import (
+    OtherLoad,
+    Speed,
+    estimate_latency_s,
+    read_other_running,
+)
+from jujubenotch.work import WorkRequest
+
+LOAD_BOUND = 1.25
+TIE_RATIO = 0.01
+
+
+class Candidate(Protocol):
+    """An upstream with a free slot.
+
+    :param capacity: Requests that it may run at present, at least 1.
+    :param running: Requests that the account knows to run.
+    """
+
+    name: str
+    capacity: int
+    running: int
+    speed: Speed
+    others: OtherLoad
+
+
+def choose_upstream(
+    candidates: Sequence[Candidate],
+    request: WorkRequest,
+    *,
+    affinity: PrefixAffinity,
+    typical: Speed,
+    now_s: float,
+) -> Candidate | None:
+    """Choose where a request is expected to get its first token soonest.
+
+    Upstreams that the request failed on already are the last resort. The one
+    that holds its prefix is preferred by what that was seen to save, as long as
+    its load is near the others'.
+
+    :param candidates: The upstreams with a free slot; none of them leaving.
+    :param request: The request.
+    :param affinity: Where prefixes went.
+    :param typical: The latency seen over the whole group.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The upstream; ``None`` when there is no candidate.
+    """
+    excluded = request.excluded_upstreams
+    preferred = [one for one in candidates if one.name not in excluded] or candidates
+    if len(preferred) < 2:
+        return preferred[0] if preferred else None
+    start = int(draw_fraction(request.request_id) * len(preferred))
+    rotated = [*preferred[start:], *preferred[:start]]
+    costs_s = [_expect_first_token_s(one, typical, now_s) for one in rotated]
+    best_s = min(costs_s)
+    best = rotated[costs_s.index(best_s)]
+    affine_name = find_affine(affinity, request.prefix_key)
+    for candidate, cost_s in zip(rotated, costs_s, strict=True):
+        if candidate.name == affine_name:
+            gain_s = read_gain_s(affinity)
+            gain_s = TIE_RATIO * best_s if gain_s is None else gain_s
+            if cost_s - gain_s <= best_s and _is_load_near(candidate, rotated, now_s):
+                return candidate
+    return best
+
+
+def _expect_first_token_s(candidate, typical, now_s):
+    latency_s = estimate_latency_s(candidate.speed, typical, now_s)
+    return latency_s * (1 + _read_load(candidate, now_s))
+
+
+def _read_load(candidate, now_s):
+    running = candidate.running + read_other_running(candidate.others, now_s)
+    return running / candidate.capacity
+
+
+def _is_load_near(candidate, candidates, now_s):
+    """Bound the load as in consistent hashing with bounded loads."""
+    mean = sum(_read_load(one, now_s) for one in candidates) / len(candidates)
+    return _read_load(candidate, now_s) <= LOAD_BOUND * mean + 1 / candidate.capacity
