--- a/jujubenotch/records/schema_v1.py
+++ b/jujubenotch/records/schema_v1.py
@@ -34,6 +34,7 @@
     between_tokens_target_ms: DurationMs = 32
     deadline_ms: DurationMs = 60_000
     max_wait_ms: DurationMs = 30_000
+    idempotent: bool = True
 
     def convert(self) -> list[ServiceClass]:
         """Return the class, with its durations in seconds."""
@@ -44,6 +45,7 @@
             between_tokens_target_s=_to_seconds(self.between_tokens_target_ms),
             deadline_s=_to_seconds(self.deadline_ms),
             max_wait_s=_to_seconds(self.max_wait_ms),
+            idempotent=self.idempotent,
         )
         return [service_class]
 
--- a/jujubenotch/records/schema_v2.py
+++ b/jujubenotch/records/schema_v2.py
@@ -24,6 +24,7 @@
     between_tokens_target_s: DurationS = 0.032
     deadline_s: DurationS = 60.0
     max_wait_s: DurationS = 30.0
+    idempotent: bool = True
 
     def convert(self) -> list[ServiceClass]:
         """Return the class."""
