Grant slots from one instance's own pools

The request path needs a Capacity to stand on before instances divide upstreams among them. LocalCapacity keeps one pool for each group of the data centre. Its keeper asks the pool after each change, and one task asks it again when the pool's own time has come; home and fallback will use the same keeper.

The queue's id of a request differs from the caller's, so that a request asked for twice can't be mixed up. A slot granted in the same turn in which its caller left is given back at once.

The power cap is divided among groups by their draw at full use: the parts never exceed the cap together. Lending an idle group's part to another was left out, since groups have different homes and a loan would need its own account.

Conclusion: six scenarios cover queueing, withdrawal, deadline, unknown model, closing and a double release.

--- /dev/null
+++ b/features/capacity/steps/local_steps.py
@@ -0,0 +1,145 @@
+import asyncio
+import itertools
+import time
+
+from behave import given, then, when
+
+from jujubenotch.admission import Grant, WorkReport, WorkRequest, WorkResult, summarise
+from jujubenotch.capacity import LocalCapacity
+from jujubenotch.records import Configuration, Upstream, UpstreamKind
+
+BOUND_S = 5.0
+numbers = itertools.count(1)
+
+
+def make_request(target="m", tier=0, deadline_in_s=60.0):
+    now_s = time.monotonic()
+    return WorkRequest(
+        request_id=f"r{next(numbers)}",
+        target=target,
+        team="t",
+        team_weight=1.0,
+        team_limit=0,
+        service_class="c",
+        tier=tier,
+        arrived_s=now_s,
+        first_token_by_s=now_s + deadline_in_s,
+        deadline_s=now_s + deadline_in_s,
+        max_wait_s=30.0,
+        expected_tokens=100,
+    )
+
+
+def make_configuration(slots, names=("u",), revision=1):
+    upstreams = {
+        name: Upstream(
+            name=name,
+            kind=UpstreamKind.MODEL,
+            data_centre="north",
+            url="http://127.0.0.1:1",
+            models=("m",),
+            slots=slots,
+        )
+        for name in names
+    }
+    return Configuration(revision=revision, upstreams=upstreams)
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(asyncio.wait_for(coroutine, BOUND_S))
+
+
+def settle(context):
+    run(context, asyncio.sleep(0.01))
+
+
+def read_granted(context):
+    return [
+        task.result()
+        for task in context.tasks
+        if task.done() and not task.cancelled() and isinstance(task.result(), Grant)
+    ]
+
+
+def start(context, request):
+    task = context.loop.create_task(context.capacity.acquire(request))
+    context.tasks.append(task)
+    settle(context)
+    return task
+
+
+def give_back(context, grant):
+    report = WorkReport(result=WorkResult.COMPLETED, tokens=10)
+    context.capacity.release(grant, report, time.monotonic())
+    settle(context)
+
+
+@given("one instance before an upstream of {slots:d} slots")
+def make_capacity(context, slots):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    context.tasks = []
+    context.capacity = LocalCapacity(
+        name="a", incarnation=1, data_centre="north", read_clock_s=time.monotonic
+    )
+    context.capacity.reconfigure(make_configuration(slots), time.monotonic())
+    context.add_cleanup(lambda: run(context, context.capacity.close()))
+
+
+@when("{count:d} requests ask for a slot")
+def ask(context, count):
+    for _ in range(count):
+        start(context, make_request())
+
+
+@when("a request with a deadline in {deadline_in_s:g} s asks for a slot")
+def ask_with_deadline(context, deadline_in_s):
+    context.last = start(context, make_request(deadline_in_s=deadline_in_s))
+
+
+@when('a request for model "{target}" asks for a slot')
+def ask_for_model(context, target):
+    context.last = start(context, make_request(target=target))
+
+
+@when("a slot is given back")
+def give_back_one(context):
+    give_back(context, read_granted(context)[0])
+
+
+@when("the first slot is given back twice")
+def give_back_twice(context):
+    grant = read_granted(context)[0]
+    give_back(context, grant)
+    give_back(context, grant)
+
+
+@when("the waiting request is cancelled")
+def cancel_waiting(context):
+    context.tasks[-1].cancel()
+    settle(context)
+
+
+@when("the capacity is closed")
+def close(context):
+    run(context, context.capacity.close())
+    context.last = context.tasks[-1]
+
+
+@then("{count:d} of them hold a slot")
+def check_granted(context, count):
+    assert len(read_granted(context)) == count, read_granted(context)
+
+
+@then("{count:d} slots are in use")
+def check_in_use(context, count):
+    pool = next(iter(context.capacity.keeper.pools.values()))
+    in_use = sum(summarise(pool, time.monotonic()).in_progress)
+    assert in_use == count, in_use
+
+
+@then('it is refused with "{reason}"')
+@then('the waiting request is refused with "{reason}"')
+def check_refusal(context, reason):
+    refusal = run(context, context.last)
+    assert refusal.reason == reason, refusal
--- a/jujubenotch/capacity/__init__.py
+++ b/jujubenotch/capacity/__init__.py
@@ -4,5 +4,6 @@
 """
 
 from jujubenotch.capacity.interface import Capacity
+from jujubenotch.capacity.local import LocalCapacity
 
-__all__ = ["Capacity"]
+__all__ = ["Capacity", "LocalCapacity"]
--- /dev/null
+++ b/jujubenotch/capacity/groups.py
@@ -0,0 +1,68 @@
+"""What each group of upstreams of one data centre is made of."""
+
+from dataclasses import dataclass, field
+
+from jujubenotch.records import Configuration, Limits, Upstream
+from jujubenotch.routing import group_upstreams
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupPlan:
+    """One group of upstreams, as the records in force describe it.
+
+    :param power_watts: The group's part of the data centre's power cap, in
+        watts; ``None`` when there is no cap.
+    """
+
+    name: str
+    upstreams: tuple[Upstream, ...]
+    limits: Limits
+    power_watts: float | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class GroupPlans:
+    """All groups of one data centre.
+
+    :param by_name: The groups by name.
+    :param by_target: The name of the group that serves a model or service.
+    :param by_upstream: The name of the group that an upstream belongs to.
+    """
+
+    by_name: dict[str, GroupPlan] = field(default_factory=dict)
+    by_target: dict[str, str] = field(default_factory=dict)
+    by_upstream: dict[str, str] = field(default_factory=dict)
+
+
+def plan_groups(configuration: Configuration, data_centre: str) -> GroupPlans:
+    """Work out the groups of a data centre and their parts of its power cap.
+
+    The cap is divided by what each group draws with every slot in use, so that
+    the parts together never exceed it.
+
+    :param configuration: The records in force.
+    :param data_centre: The data centre's name.
+    :returns: The groups.
+    """
+    groups = group_upstreams(configuration, data_centre)
+    members = groups.upstreams_by_group
+    draws_watts = {name: _full_draw_watts(group) for name, group in members.items()}
+    total_watts = sum(draws_watts.values())
+    cap = configuration.power_caps.get(data_centre)
+    plans = GroupPlans(by_target=groups.group_by_target)
+    for name, upstreams in members.items():
+        power_watts = None
+        if cap is not None and total_watts > 0:
+            power_watts = cap.watts * draws_watts[name] / total_watts
+        plans.by_name[name] = GroupPlan(
+            name=name,
+            upstreams=upstreams,
+            limits=configuration.limits,
+            power_watts=power_watts,
+        )
+        plans.by_upstream.update((upstream.name, name) for upstream in upstreams)
+    return plans
+
+
+def _full_draw_watts(upstreams):
+    return sum(upstream.slots * upstream.watts_per_slot for upstream in upstreams)
--- /dev/null
+++ b/jujubenotch/capacity/local.py
@@ -0,0 +1,188 @@
+"""Capacity on one instance alone: every group's pool is its own."""
+
+import asyncio
+import itertools
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+
+from jujubenotch.admission import Grant, LoadReport, WorkReport, WorkRequest, WorkResult
+from jujubenotch.capacity.groups import GroupPlans, plan_groups
+from jujubenotch.capacity.keeper import (
+    PoolKeeper,
+    cancel,
+    configure_group,
+    give_back,
+    run_keeper,
+    submit,
+    take_load,
+)
+from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.records import Configuration
+
+NO_UPSTREAM_RETRY_AFTER_S = 5.0
+CLOSING_RETRY_AFTER_S = 1.0
+
+
+class LocalCapacity:
+    """Divides the upstreams of a data centre on one instance, without peers.
+
+    :param name: This instance's name.
+    :param incarnation: Differs after each start of the instance.
+    :param data_centre: Its data centre.
+    :param read_clock_s: Reads this process's monotonic clock, in seconds.
+
+    >>> capacity = LocalCapacity(
+    ...     name="a",
+    ...     incarnation=time.time_ns(),
+    ...     data_centre="north",
+    ...     read_clock_s=time.monotonic,
+    ... )
+    >>> capacity.reconfigure(configuration, time.monotonic())
+    >>> grant = await capacity.acquire(request)
+    """
+
+    def __init__(
+        self,
+        *,
+        name: str,
+        incarnation: int,
+        data_centre: str,
+        read_clock_s: Callable[[], float],
+    ):
+        self.data_centre = data_centre
+        self.plans = GroupPlans()
+        self.keeper = PoolKeeper(
+            home=name,
+            id_prefix=f"{name}/{incarnation}",
+            read_clock_s=read_clock_s,
+            deliver=self._deliver,
+        )
+        self._waiting: dict[str, _Waiting] = {}
+        self._granted_groups: dict[str, str] = {}
+        self._numbers = itertools.count(1)
+        self._waker: asyncio.Task | None = None
+        self._is_closed = False
+
+    def reconfigure(self, configuration: Configuration, now_s: float) -> None:
+        """Put records in force.
+
+        :param configuration: The records.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        previous = self.plans
+        self.plans = plan_groups(configuration, self.data_centre)
+        for plan in self.plans.by_name.values():
+            configure_group(self.keeper, plan, share=1.0, now_s=now_s)
+        for name, plan in previous.by_name.items():
+            if name not in self.plans.by_name:
+                self._empty_group(plan, now_s)
+
+    async def acquire(self, request: WorkRequest) -> Grant | Refusal:
+        """Wait for a slot; cancelling the call withdraws the request.
+
+        :param request: The request.
+        :returns: The slot, or a refusal.
+        """
+        group = self.plans.by_target.get(request.target)
+        if self._is_closed:
+            return _refuse_closing()
+        if group is None:
+            return _refuse_no_upstream(request.target)
+        if self._waker is None:
+            self._waker = asyncio.create_task(run_keeper(self.keeper))
+        queue_id = f"{request.request_id}/{next(self._numbers)}"
+        queued = replace(request, request_id=queue_id)
+        waiting = _Waiting(group=group, future=asyncio.Future())
+        self._waiting[queue_id] = waiting
+        submit(self.keeper, group, queued, self.keeper.read_clock_s())
+        try:
+            answer = await waiting.future
+        except asyncio.CancelledError:
+            self._abandon(queue_id, waiting)
+            raise
+        finally:
+            self._waiting.pop(queue_id, None)
+        if isinstance(answer, Grant):
+            return replace(answer, request_id=request.request_id)
+        return answer
+
+    def release(self, grant: Grant, report: WorkReport, now_s: float) -> None:
+        """Give a slot back; a grant that was given back already is ignored.
+
+        :param grant: The slot.
+        :param report: What was seen of the work.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        group = self._granted_groups.pop(grant.grant_id, None)
+        if group is not None:
+            give_back(self.keeper, group, grant.grant_id, report, now_s)
+
+    def record_load(self, upstream: str, load: LoadReport, now_s: float) -> None:
+        """Take in an upstream's own report.
+
+        :param upstream: Its name; an unknown one is ignored.
+        :param load: What it says of its load.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        group = self.plans.by_upstream.get(upstream)
+        if group is not None:
+            take_load(self.keeper, group, upstream, load, now_s)
+
+    async def close(self) -> None:
+        """Refuse what still waits and stop the waker."""
+        self._is_closed = True
+        for queue_id in tuple(self._waiting):
+            self._deliver(queue_id, _refuse_closing())
+        if self._waker is not None:
+            self._waker.cancel()
+            await asyncio.gather(self._waker, return_exceptions=True)
+
+    def _deliver(self, queue_id, answer):
+        waiting = self._waiting.get(queue_id)
+        if isinstance(answer, Grant):
+            self._granted_groups[answer.grant_id] = waiting.group
+        if not waiting.future.done():
+            waiting.future.set_result(answer)
+        elif isinstance(answer, Grant):
+            self._release_unused(answer)
+
+    def _abandon(self, queue_id, waiting):
+        answer = None if waiting.future.cancelled() else waiting.future.result()
+        if isinstance(answer, Grant):
+            self._release_unused(answer)
+        else:
+            cancel(self.keeper, waiting.group, queue_id, self.keeper.read_clock_s())
+
+    def _release_unused(self, grant):
+        report = WorkReport(result=WorkResult.CANCELLED)
+        self.release(grant, report, self.keeper.read_clock_s())
+
+    def _empty_group(self, plan, now_s):
+        emptied = replace(plan, upstreams=())
+        configure_group(self.keeper, emptied, share=1.0, now_s=now_s)
+        for queue_id, waiting in tuple(self._waiting.items()):
+            if waiting.group == plan.name:
+                cancel(self.keeper, plan.name, queue_id, now_s)
+                self._deliver(queue_id, _refuse_no_upstream(plan.name))
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Waiting:
+    group: str
+    future: asyncio.Future
+
+
+def _refuse_closing():
+    return Refusal(
+        reason=RefusalReason.SHUTTING_DOWN,
+        retry_after_s=CLOSING_RETRY_AFTER_S,
+        detail="This instance is shutting down; send the request again.",
+    )
+
+
+def _refuse_no_upstream(target):
+    return Refusal(
+        reason=RefusalReason.NO_UPSTREAM,
+        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
+        detail=f"No upstream of this data centre serves {target!r}.",
+    )
