Wire the daemon; tell the end marker by its last place in a chunk

A token whose text held the end marker hid the real one in the same chunk: the first place was looked at. Found by the feature of chunks of every size; the last place is looked at now.

--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -91,6 +91,7 @@
     connections = open_connections(_read_connection_limits(settings))
     capacity = LocalCapacity(
         name=settings.instance.name,
+        incarnation=time.time_ns(),
         data_centre=settings.instance.data_centre,
         read_clock_s=time.monotonic,
     )
--- a/jujubenotch/upstreams/events.py
+++ b/jujubenotch/upstreams/events.py
@@ -69,7 +69,7 @@
 
 
 def _cut_end_marker(buffer, chunk):
-    position = chunk.find(END_MARKER)
+    position = chunk.rfind(END_MARKER)
     is_line_start = position == 0 or chunk[position - 1 : position] == b"\n"
     if not is_line_start:
         return chunk
