Add the model engine's stand-in and the embedded platform

The request path and the benchmarks need an upstream whose answer follows from the request alone, so that a cut, mixed or doubled answer shows.

--- a/jujubenotch/platform/__init__.py
+++ b/jujubenotch/platform/__init__.py
@@ -3,6 +3,7 @@
 Errors: ``PlatformError`` and its kinds. Features: ``features/platform``.
 """
 
+from jujubenotch.platform.embedded import EmbeddedPlatform
 from jujubenotch.platform.errors import (
     ConflictError,
     PlatformError,
@@ -18,6 +19,7 @@
 
 __all__ = [
     "ConflictError",
+    "EmbeddedPlatform",
     "ListedInstance",
     "Platform",
     "PlatformError",
--- /dev/null
+++ b/jujubenotch/platform/embedded.py
@@ -0,0 +1,97 @@
+"""The platform inside the process, for a newcomer and for tests."""
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+
+from jujubenotch.platform.errors import ConflictError
+from jujubenotch.platform.interface import ListedInstance, Row, Write
+
+
+@dataclass(kw_only=True)
+class EmbeddedPlatform:
+    """A platform that keeps everything in memory and ends with the process.
+
+    >>> EmbeddedPlatform().instances
+    []
+    """
+
+    tables: dict[str, dict[str, Row]] = field(default_factory=dict)
+    objects: dict[str, bytes] = field(default_factory=dict)
+    instances: list[ListedInstance] = field(default_factory=list)
+
+    async def transact(self, writes: Sequence[Write]) -> None:
+        """Apply all writes at once, or none.
+
+        :param writes: The writes; each sees the rows as they were before.
+        :raises ConflictError: A row's version is not the expected one.
+        """
+        for write in writes:
+            self._check_version(write)
+        for write in writes:
+            self._apply(write)
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Read one row.
+
+        :param table: The table's name.
+        :param key: The row's key.
+        :returns: The row; ``None`` when it does not exist.
+        """
+        return self.tables.get(table, {}).get(key)
+
+    async def scan(self, table: str, after_key: str = "") -> list[Row]:
+        """Read the rows with keys above ``after_key``, in key order.
+
+        :param table: The table's name.
+        :param after_key: The key that the first row comes after.
+        """
+        rows = self.tables.get(table, {})
+        return [rows[key] for key in sorted(rows) if key > after_key]
+
+    async def put_object(self, name: str, content: bytes) -> None:
+        """Store an object, replacing one of the same name.
+
+        :param name: The object's name.
+        :param content: Its content.
+        """
+        self.objects[name] = content
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Read an object.
+
+        :param name: The object's name.
+        :returns: Its content; ``None`` when it does not exist.
+        """
+        return self.objects.get(name)
+
+    async def list_instances(self) -> list[ListedInstance]:
+        """Read the list of instances and upstreams."""
+        return list(self.instances)
+
+    async def close(self) -> None:
+        """Do nothing; there is no connection to close."""
+
+    def set_instances(self, instances: Sequence[ListedInstance]) -> None:
+        """Replace the list of instances and upstreams.
+
+        :param instances: The new list.
+        """
+        self.instances = list(instances)
+
+    def _check_version(self, write):
+        row = self.tables.get(write.table, {}).get(write.key)
+        version = row.version if row else 0
+        if version != write.expected_version:
+            raise ConflictError(table=write.table, key=write.key)
+
+    def _apply(self, write):
+        rows = self.tables.setdefault(write.table, {})
+        if write.value is None:
+            rows.pop(write.key, None)
+            return
+        rows[write.key] = Row(
+            table=write.table,
+            key=write.key,
+            value=write.value,
+            version=write.expected_version + 1,
+        )
--- /dev/null
+++ b/standins/openai_format.py
@@ -0,0 +1,114 @@
+"""The bodies of both endpoints, as model clients expect them."""
+
+import time
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, model_validator
+
+from standins.answers import compute_request_digest, expected_tokens, read_max_tokens
+from standins.batching import CHARACTERS_PER_TOKEN
+
+END_EVENT = b"data: [DONE]\n\n"
+
+
+class GenerationRequest(BaseModel):
+    """The fields of a request that an engine reads; others are let through."""
+
+    model_config = ConfigDict(extra="allow")
+
+    model: str
+    messages: list[dict] | None = None
+    prompt: str | list[str] | None = None
+    max_tokens: int | None = Field(default=None, ge=1)
+    stream: bool = False
+    priority: int = 0
+
+    @model_validator(mode="after")
+    def _check_has_input(self):
+        if self.messages is None and self.prompt is None:
+            raise ValueError("messages or prompt must be given")
+        return self
+
+
+def read_prompt(body: dict) -> str:
+    """Return all text of a request's prompt.
+
+    :param body: The request's decoded JSON.
+    """
+    if body.get("messages") is None:
+        prompt = body["prompt"]
+        return prompt if isinstance(prompt, str) else "\n".join(prompt)
+    return "\n".join(str(message.get("content")) for message in body["messages"])
+
+
+def make_whole_answer(body: dict) -> bytes:
+    """Make the body of an answer that is not streamed.
+
+    :param body: The request's decoded JSON.
+    """
+    tokens = expected_tokens(body)
+    text = "".join(tokens)
+    reason = _finish_reason(body, tokens)
+    choice = {"index": 0, "finish_reason": reason, "logprobs": None}
+    if _is_chat(body):
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    prompt_tokens = len(read_prompt(body)) // CHARACTERS_PER_TOKEN + 1
+    usage = {
+        "prompt_tokens": prompt_tokens,
+        "completion_tokens": len(tokens),
+        "total_tokens": prompt_tokens + len(tokens),
+    }
+    kind = "chat.completion" if _is_chat(body) else "text_completion"
+    return orjson.dumps({**_head(body, kind), "choices": [choice], "usage": usage})
+
+
+def make_events(body: dict) -> list[bytes]:
+    """Make the events of a streamed answer, without its end marker.
+
+    :param body: The request's decoded JSON.
+    :returns: One event for each token; the first has the id 1.
+    """
+    tokens = expected_tokens(body)
+    kind = "chat.completion.chunk" if _is_chat(body) else "text_completion"
+    head = _head(body, kind)
+    events = []
+    for number, token in enumerate(tokens, start=1):
+        reason = _finish_reason(body, tokens) if number == len(tokens) else None
+        choice = {"index": 0, "finish_reason": reason, "logprobs": None}
+        if _is_chat(body):
+            choice["delta"] = {"content": token}
+            if number == 1:
+                choice["delta"]["role"] = "assistant"
+        else:
+            choice["text"] = token
+        data = orjson.dumps({**head, "choices": [choice]})
+        events.append(b"id: %d\ndata: %b\n\n" % (number, data))
+    return events
+
+
+def make_error(message: str, kind: str) -> dict:
+    """Make the body of an error.
+
+    :param message: What is wrong, in one sentence.
+    :param kind: The error's type, for instance ``invalid_request_error``.
+    """
+    return {"error": {"message": message, "type": kind, "param": None, "code": None}}
+
+
+def _is_chat(body):
+    return body.get("messages") is not None
+
+
+def _finish_reason(body, tokens):
+    return "length" if len(tokens) >= read_max_tokens(body) else "stop"
+
+
+def _head(body, kind):
+    return {
+        "id": f"answer-{compute_request_digest(body)[:24]}",
+        "object": kind,
+        "created": int(time.time()),
+        "model": body["model"],
+    }
--- /dev/null
+++ b/standins/serving.py
@@ -0,0 +1,71 @@
+"""Serves a sanic application in a loop of our own until a signal ends it."""
+
+import asyncio
+import signal
+import socket
+from collections.abc import Awaitable, Callable
+
+import uvloop
+from sanic import Sanic
+
+LONG_TIMEOUT_S = 3600
+
+
+def make_app(name: str) -> Sanic:
+    """Make an application that never times out a request.
+
+    :param name: Letters, digits, ``-`` and ``_``; unique in the process.
+    """
+    app = Sanic(name, configure_logging=False)
+    app.config.RESPONSE_TIMEOUT = LONG_TIMEOUT_S
+    app.config.REQUEST_TIMEOUT = LONG_TIMEOUT_S
+    app.config.KEEP_ALIVE_TIMEOUT = LONG_TIMEOUT_S
+    return app
+
+
+def run_server(
+    make: Callable[[], Sanic],
+    host: str,
+    port: int,
+    background: Callable[[Sanic], list[Awaitable]],
+) -> None:
+    """Serve until SIGTERM or SIGINT.
+
+    :param make: Makes the application, inside the loop.
+    :param host: The address to listen on.
+    :param port: The port; 0 takes a free one. One line on standard output
+        names it when the server is ready.
+    :param background: Returns what runs beside the server.
+    """
+    uvloop.install()
+    asyncio.run(_serve(make, host, port, background))
+
+
+async def _serve(make, host, port, background):
+    app = make()
+    listener = socket.create_server((host, port), backlog=1024)
+    server = await app.create_server(
+        sock=listener, return_asyncio_server=True, access_log=False
+    )
+    await server.startup()
+    await server.before_start()
+    await server.start_serving()
+    app.ctx.connections = server.connections
+    tasks = [asyncio.ensure_future(work) for work in background(app)]
+    port = listener.getsockname()[1]
+    print(f"listening host={host} port={port}", flush=True)
+    await _wait_for_signal(tasks)
+    server.close()
+
+
+async def _wait_for_signal(tasks):
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stop.set)
+    stopping = asyncio.ensure_future(stop.wait())
+    done, _ = await asyncio.wait(
+        [stopping, *tasks], return_when=asyncio.FIRST_COMPLETED
+    )
+    for task in done - {stopping}:
+        task.result()
--- /dev/null
+++ b/standins/upstream_controls.py
@@ -0,0 +1,56 @@
+"""The routes that every upstream's stand-in has beside its work."""
+
+import os
+from collections.abc import Callable
+
+from pydantic import ValidationError
+from sanic import Request, Sanic, response
+
+from standins.faults import FaultState, UpstreamFaults, set_faults
+from standins.load_report import LoadHistory, LoadSample, make_report
+
+
+def add_control_routes(
+    app: Sanic,
+    *,
+    fault_state: FaultState,
+    history: LoadHistory,
+    read_current: Callable[[], LoadSample],
+    read_statistics: Callable[[], dict],
+) -> None:
+    """Add ``/load``, ``/faults`` and ``/statistics``.
+
+    :param app: The stand-in's application.
+    :param fault_state: Its faults.
+    :param history: Its past load.
+    :param read_current: Reads its present load.
+    :param read_statistics: Reads what it has done so far.
+    """
+
+    async def load(request: Request):
+        return response.json(make_report(history, fault_state, read_current()))
+
+    async def statistics(request: Request):
+        return response.json(read_statistics())
+
+    async def change_faults(request: Request):
+        try:
+            faults = UpstreamFaults.model_validate_json(request.body)
+        except ValidationError as error:
+            return response.text(str(error), status=400)
+        set_faults(fault_state, faults)
+        if faults.exit_code is not None:
+            os._exit(faults.exit_code)
+        if faults.drop_connections:
+            _drop_connections(app, request)
+        return response.json(faults.model_dump())
+
+    app.add_route(load, "/load", name="load")
+    app.add_route(statistics, "/statistics", name="statistics")
+    app.add_route(change_faults, "/faults", methods=["POST"], name="faults")
+
+
+def _drop_connections(app, request):
+    for protocol in list(app.ctx.connections):
+        if protocol.transport is not request.transport:
+            protocol.transport.abort()
