--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -2,6 +2,9 @@
 
 from dataclasses import dataclass, field
 from enum import StrEnum
+from functools import cached_property
+
+from jujubenotch.records.index import LookupIndex, build_index
 
 
 class UpstreamKind(StrEnum):
@@ -24,6 +27,7 @@
         answered, in seconds.
     :param max_wait_s: How long the class's oldest request may wait before the
         floor serves it, in seconds.
+    :param idempotent: Whether its requests may be repeated.
     """
 
     name: str
@@ -32,6 +36,7 @@
     between_tokens_target_s: float = 0.032
     deadline_s: float = 60.0
     max_wait_s: float = 30.0
+    idempotent: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -154,3 +159,8 @@
     routes: dict[str, Route] = field(default_factory=dict)
     power_caps: dict[str, PowerCap] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
+
+    @cached_property
+    def index(self) -> LookupIndex:
+        """Return the index of the records, built at its first use."""
+        return build_index(self)
