Add the retry budget's deciding functions

A storm of retries must not follow an outage. The state is RetryHistory, since dispatch names its pair of operations RetryBudget.

--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -5,6 +5,7 @@
 """
 
 from jujubenotch.dispatch.attempt import keep_end_to_end, read_clock_s
+from jujubenotch.dispatch.budget import RetryHistory, may_retry, record_success
 from jujubenotch.dispatch.call import Answer, Call, CallerGoneError, Sink
 from jujubenotch.dispatch.decide import AttemptEnd, GiveUp, Retry, decide_next
 from jujubenotch.dispatch.dispatcher import (
@@ -29,10 +30,13 @@
     "Observer",
     "Retry",
     "RetryBudget",
+    "RetryHistory",
     "Sink",
     "decide_next",
     "dispatch",
     "keep_end_to_end",
+    "may_retry",
     "read_clock_s",
+    "record_success",
     "wait_until_idle",
 ]
