--- /dev/null
+++ b/features/capacity/bench.py
@@ -0,0 +1,170 @@
+"""Instances in one loop, for the features of capacity."""
+
+import asyncio
+import itertools
+import time
+from dataclasses import dataclass, field
+
+from jujubenotch.admission import (
+    Grant,
+    LoadReport,
+    WorkReport,
+    WorkRequest,
+    WorkResult,
+    summarise,
+)
+from jujubenotch.capacity import PeeredDependencies, start_peered_capacity
+from jujubenotch.membership import choose_by_rendezvous
+from jujubenotch.records import Configuration
+
+BOUND_S = 8.0
+incarnations = itertools.count(1)
+numbers = itertools.count(1)
+
+
+@dataclass
+class Bench:
+    loop: object
+    target: str
+    slots: int
+    configuration: Configuration
+    capacities: dict = field(default_factory=dict)
+    seeds: dict = field(default_factory=dict)
+    requests: list = field(default_factory=list)
+    revisions: set = field(default_factory=set)
+    is_upstream_leaving: bool = False
+    listed: list = field(default_factory=list)
+
+    @property
+    def group(self):
+        return f"north/{self.target}"
+
+
+def find_target(home, names):
+    for number in itertools.count():
+        target = f"m{number}"
+        if choose_by_rendezvous(f"north/{target}", names)[0] == home:
+            return target
+
+
+async def start_instance(bench, name, bound):
+    async def read_load(upstream):
+        return LoadReport(
+            running=0,
+            waiting=0,
+            slots=bench.slots,
+            is_leaving=bench.is_upstream_leaving,
+        )
+
+    async def list_instances():
+        return bench.listed
+
+    bench.capacities[name] = await start_peered_capacity(
+        PeeredDependencies(
+            name=name,
+            data_centre="north",
+            incarnation=next(incarnations),
+            advertised_host="127.0.0.1",
+            bound=bound,
+            read_configuration=lambda: bench.configuration,
+            read_clock_s=time.monotonic,
+            on_revision_seen=lambda revision, peer: bench.revisions.add(
+                (name, peer, revision)
+            ),
+            read_changes_since=lambda revision: [b"%d" % (revision + 1)],
+            read_trace=lambda request_id: f"{name}:{request_id}".encode(),
+            read_load=read_load,
+            list_instances=list_instances,
+            seeds=tuple(bench.seeds.values()),
+        )
+    )
+
+
+async def wait_until(holds):
+    async with asyncio.timeout(BOUND_S):
+        while not holds():
+            await asyncio.sleep(0.005)
+
+
+def wait(context, holds):
+    context.loop.run_until_complete(wait_until(holds))
+
+
+def read_in_use(capacity, group):
+    pool = capacity.state.home.keeper.pools.get(group)
+    return sum(summarise(pool, time.monotonic()).in_progress) if pool else None
+
+
+def read_home(bench, name):
+    return bench.capacities[name].state.client.groups[bench.group].account.home
+
+
+def is_settled(bench):
+    states = [capacity.state for capacity in bench.capacities.values()]
+    homes = {state.homes.get(bench.group) for state in states}
+    used = {state.client.groups[bench.group].account.home for state in states}
+    live = {state.live for state in states}
+    if len(homes) != 1 or homes != used or len(live) != 1:
+        return False
+    group = bench.capacities[next(iter(homes))].state.home.groups[bench.group]
+    return group.attached == set(bench.capacities)
+
+
+def ask(bench, name, count):
+    for _ in range(count):
+        request = make_request(target=bench.target)
+        task = bench.loop.create_task(bench.capacities[name].acquire(request))
+        bench.requests.append((name, task))
+
+
+def list_held(bench, name=None):
+    return [
+        task
+        for asker, task in bench.requests
+        if name in (None, asker) and task.done() and not task.cancelled()
+        if isinstance(task.result(), Grant)
+    ]
+
+
+def list_waiting(bench):
+    return [task for _, task in bench.requests if not task.done()]
+
+
+def give_back(bench, name):
+    for entry in bench.requests:
+        if entry[0] == name and entry[1].done():
+            bench.requests.remove(entry)
+            report = WorkReport(result=WorkResult.COMPLETED, tokens=3)
+            capacity = bench.capacities[name]
+            capacity.release(entry[1].result(), report, time.monotonic())
+            return
+
+
+async def close_all(bench):
+    for capacity in bench.capacities.values():
+        await capacity.close()
+    for _, task in bench.requests:
+        task.cancel()
+    await asyncio.sleep(0.02)
+
+
+def make_request(target="m", tier=0, deadline_in_s=60.0):
+    now_s = time.monotonic()
+    return WorkRequest(
+        request_id=f"r{next(numbers)}",
+        target=target,
+        team="t",
+        team_weight=1.0,
+        team_limit=0,
+        service_class="c",
+        tier=tier,
+        arrived_s=now_s,
+        first_token_by_s=now_s + deadline_in_s,
+        deadline_s=now_s + deadline_in_s,
+        max_wait_s=30.0,
+        expected_tokens=100,
+    )
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(asyncio.wait_for(coroutine, BOUND_S))
--- a/features/capacity/steps/local_steps.py
+++ b/features/capacity/steps/local_steps.py
@@ -1,34 +1,13 @@
 import asyncio
-import itertools
 import time
 
 from behave import given, then, when
 
-from jujubenotch.admission import Grant, WorkReport, WorkRequest, WorkResult, summarise
+from features.capacity.bench import make_request, run
+from jujubenotch.admission import Grant, WorkReport, WorkResult, summarise
 from jujubenotch.capacity import LocalCapacity
 from jujubenotch.records import Configuration, Upstream, UpstreamKind
 
-BOUND_S = 5.0
-numbers = itertools.count(1)
-
-
-def make_request(target="m", tier=0, deadline_in_s=60.0):
-    now_s = time.monotonic()
-    return WorkRequest(
-        request_id=f"r{next(numbers)}",
-        target=target,
-        team="t",
-        team_weight=1.0,
-        team_limit=0,
-        service_class="c",
-        tier=tier,
-        arrived_s=now_s,
-        first_token_by_s=now_s + deadline_in_s,
-        deadline_s=now_s + deadline_in_s,
-        max_wait_s=30.0,
-        expected_tokens=100,
-    )
-
 
 def make_configuration(slots, names=("u",), revision=1):
     upstreams = {
@@ -45,10 +24,6 @@
     return Configuration(revision=revision, upstreams=upstreams)
 
 
-def run(context, coroutine):
-    return context.loop.run_until_complete(asyncio.wait_for(coroutine, BOUND_S))
-
-
 def settle(context):
     run(context, asyncio.sleep(0.01))
 
--- /dev/null
+++ b/features/capacity/steps/peered_steps.py
@@ -0,0 +1,252 @@
+import asyncio
+import time
+
+from behave import given, then, when
+
+from features.capacity.bench import (
+    Bench,
+    ask,
+    close_all,
+    find_target,
+    give_back,
+    is_settled,
+    list_held,
+    list_waiting,
+    read_home,
+    read_in_use,
+    run,
+    start_instance,
+    wait,
+)
+from jujubenotch.listeners import bind_socket
+from jujubenotch.records import Configuration, Upstream, UpstreamKind
+from jujubenotch.settings import Seed
+
+
+@given('instances "{names}" before an upstream of {slots:d} slots with home "{home}"')
+def start_instances(context, names, slots, home):
+    names = names.split()
+    target = find_target(home, names)
+    upstream = Upstream(
+        name="u",
+        kind=UpstreamKind.MODEL,
+        data_centre="north",
+        url="http://127.0.0.1:1",
+        models=(target,),
+        slots=slots,
+    )
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(context.loop.close)
+    bench = Bench(
+        loop=context.loop,
+        target=target,
+        slots=slots,
+        configuration=Configuration(revision=3, upstreams={"u": upstream}),
+    )
+    context.bench = bench
+    bound = {name: bind_socket("127.0.0.1", 0) for name in names}
+    for name in names:
+        port = bound[name].getsockname()[1]
+        bench.seeds[name] = Seed(
+            name=name, data_centre="north", host="127.0.0.1", port=port
+        )
+    for name in names:
+        run(context, start_instance(bench, name, bound[name]))
+    context.add_cleanup(
+        lambda: context.loop.run_until_complete(close_all(context.bench))
+    )
+    wait(context, lambda: is_settled(bench))
+
+
+@when("each instance asks for {count:d} slots")
+def ask_each(context, count):
+    for name in context.bench.capacities:
+        ask(context.bench, name, count)
+        wait_for_answers(context)
+
+
+@when('"{name}" asks for {count:d} slots')
+def ask_at(context, name, count):
+    ask(context.bench, name, count)
+    wait_for_answers(context)
+
+
+def wait_for_answers(context):
+    run(context, asyncio.sleep(0.05))
+
+
+@when('"{name}" gives a slot back')
+def give_back_one(context, name):
+    give_back(context.bench, name)
+    wait_for_answers(context)
+
+
+@when('"{name}" gives {count:d} slots back')
+def give_back_some(context, name, count):
+    context.given_back = count
+    for _ in range(count):
+        give_back(context.bench, name)
+
+
+@when("the last request is cancelled")
+def cancel_last(context):
+    context.bench.requests.pop()[1].cancel()
+    wait_for_answers(context)
+
+
+@when('"{name}" begins to leave')
+def begin_leaving(context, name):
+    context.bench.capacities[name].begin_leaving()
+
+
+@when('"{name}" is lost')
+def lose(context, name):
+    bench = context.bench
+    run(context, bench.capacities.pop(name).close())
+    bench.requests = [entry for entry in bench.requests if entry[0] != name]
+
+
+@when('"{name}" restarts')
+def restart(context, name):
+    bench = context.bench
+    lose(context, name)
+    seed = bench.seeds[name]
+    bound = bind_socket(seed.host, seed.port)
+    run(context, start_instance(bench, name, bound))
+    wait(context, lambda: is_settled(bench))
+
+
+@when('"{name}" stops answering requests')
+def stop_answering(context, name):
+    fields = vars(context.bench.capacities[name].listener.service.context)
+    context.former = fields["on_frame"]
+    fields["on_frame"] = lambda session, frame: None
+
+
+@when('"{name}" answers requests again')
+def answer_again(context, name):
+    fields = vars(context.bench.capacities[name].listener.service.context)
+    fields["on_frame"] = context.former
+
+
+@when("the upstream reports that it is leaving")
+def report_leaving(context):
+    context.bench.is_upstream_leaving = True
+
+
+@when('"{name}" drains the upstream')
+def drain(context, name):
+    context.bench.capacities[name].drain("u")
+
+
+@then("{held:d} slots are held and {waiting:d} requests wait")
+def check_held(context, held, waiting):
+    bench = context.bench
+    wait(
+        context,
+        lambda: len(list_held(bench)) == held and len(list_waiting(bench)) == waiting,
+    )
+
+
+@then('{count:d} slots are in use at "{name}"')
+def check_in_use(context, count, name):
+    bench = context.bench
+    capacity = bench.capacities[name]
+    wait(context, lambda: read_in_use(capacity, bench.group) == count)
+
+
+@then('the home moves away from "{name}"')
+def check_home_moved(context, name):
+    bench = context.bench
+
+    def is_moved():
+        homes = {read_home(bench, other) for other in bench.capacities}
+        return len(homes) == 1 and not homes & {name, ""}
+
+    wait(context, is_moved)
+    context.new_home = read_home(bench, next(iter(bench.capacities)))
+
+
+@then("{count:d} slots are in use at the new home")
+def check_in_use_at_new_home(context, count):
+    check_in_use(context, count, context.new_home)
+
+
+@then(
+    'the new home grants at most {count:d} of 6 slots until "{name}" is known to be gone'
+)
+def check_share(context, count, name):
+    bench = context.bench
+    capacity = bench.capacities[context.new_home]
+    pool = capacity.state.home.keeper.pools[bench.group]
+    wait(context, lambda: pool.upstreams["u"].slots == count)
+    for other in bench.capacities.values():
+        other.state.membership.members.pop(name)
+    wait(context, lambda: pool.upstreams["u"].slots == bench.slots)
+
+
+@then('every request of "{name}" has held a slot')
+def check_all_granted(context, name):
+    wait(context, lambda: not list_waiting(context.bench))
+    assert len(list_held(context.bench, name)) == 1
+
+
+@then('"{name}" holds {count:d} slots')
+def check_holds(context, name, count):
+    wait(context, lambda: len(list_held(context.bench, name)) == count)
+
+
+@then('"{name}" is granted a slot of its own share')
+def check_own_share(context, name):
+    wait(context, lambda: list_held(context.bench, name))
+    assert list_held(context.bench, name)[0].result().home == ""
+
+
+@then('"{name}" gets its slots of "{home}" again')
+def check_returned(context, name, home):
+    wait(context, lambda: read_home(context.bench, name) == home)
+
+
+@then("all instances know within 2 s that it is leaving")
+def check_all_know(context):
+    started_s = time.monotonic()
+    for capacity in context.bench.capacities.values():
+        wait(context, lambda: capacity.list_upstream_states()[0].is_leaving)  # noqa: B023
+    assert time.monotonic() - started_s < 2.0
+
+
+@then('the last request is refused with "{reason}"')
+def check_refused(context, reason):
+    refusal = run(context, context.bench.requests.pop()[1])
+    assert refusal.reason == reason, refusal
+
+
+@then('"{name}" fetches the changes of "{peer}" after revision {revision:d}')
+def check_changes(context, name, peer, revision):
+    capacity = context.bench.capacities[name]
+    changes = run(context, capacity.fetch_changes(peer, revision))
+    assert changes == [b"%d" % (revision + 1)], changes
+
+
+@then('"{name}" fetches the trace "{request_id}" of "{peer}"')
+def check_trace(context, name, request_id, peer):
+    capacity = context.bench.capacities[name]
+    trace = run(context, capacity.fetch_trace(peer, request_id))
+    assert trace == f"{peer}:{request_id}".encode(), trace
+
+
+@then('"{name}" has seen revision {revision:d} at "{peer}"')
+def check_revision(context, name, revision, peer):
+    wait(context, lambda: (name, peer, revision) in context.bench.revisions)
+
+
+@then('"{name}" lists {count:d} live instances')
+def check_members(context, name, count):
+    members = context.bench.capacities[name].list_members()
+    assert [member.is_live for member in members] == [True] * count, members
+
+
+@then('"{name}" lists {used:d} of {limit:d} slots in use')
+def check_upstreams(context, name, used, limit):
+    (upstream,) = context.bench.capacities[name].list_upstream_states()
+    assert (upstream.slots_in_use, upstream.slots_limit) == (used, limit), upstream
--- /dev/null
+++ b/features/membership/steps/membership_steps.py
@@ -0,0 +1,169 @@
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from jujubenotch.membership import (
+    Membership,
+    choose_by_rendezvous,
+    choose_links,
+    find_leaving_upstreams,
+    list_first_hand_leaving,
+    list_known,
+    list_live,
+    record_heard,
+    record_incarnation,
+    record_list,
+    record_lost,
+    record_seeds,
+    record_upstream_report,
+)
+from jujubenotch.platform import ListedInstance
+from jujubenotch.settings import Seed
+
+PORT = 7000
+
+
+def meet(context, name, incarnation, data_centre="north"):
+    return record_incarnation(
+        context.membership,
+        name=name,
+        data_centre=data_centre,
+        incarnation=incarnation,
+        now_s=context.now_s,
+    )
+
+
+def tell(context, name, **news):
+    record_heard(context.membership, name, now_s=context.now_s, **news)
+
+
+@given(
+    'instance "a" of data centre "north" knows "{near}" there and "{far}" in "south"'
+)
+def make_membership(context, near, far):
+    context.now_s = 100.0
+    context.membership = Membership(name="a", data_centre="north")
+    for names, data_centre in ((near, "north"), (far, "south")):
+        seeds = [
+            Seed(name=name, data_centre=data_centre, host="127.0.0.1", port=PORT)
+            for name in names.split()
+        ]
+        record_seeds(context.membership, seeds, context.now_s)
+        for name in names.split():
+            assert meet(context, name, 1, data_centre)
+
+
+@when('the list shows that "{name}" is {what}')
+def show_in_list(context, name, what):
+    entry = ListedInstance(
+        name=name,
+        kind="instance",
+        data_centre="north",
+        peer_address=f"127.0.0.1:{PORT}",
+        is_leaving=what == "leaving",
+    )
+    record_list(context.membership, [entry], context.now_s)
+
+
+@when('a heartbeat of "{name}" says that "{same}" is {what}')
+def say_in_heartbeat(context, name, same, what):
+    tell(context, name, is_leaving=what == "leaving")
+
+
+@when('"{name}" is met again with a higher incarnation')
+def meet_again(context, name):
+    assert meet(context, name, 2)
+
+
+@when('{wait_s:g} s pass without a word of "{name}"')
+def pass_time(context, wait_s, name):
+    context.now_s += wait_s
+
+
+@when('"{name}" is lost')
+def lose(context, name):
+    record_lost(context.membership, name)
+
+
+@when('"{name}" says that upstream "{upstream}" is leaving')
+def say_upstream_leaving(context, name, upstream):
+    tell(context, name, leaving_upstreams=[upstream])
+
+
+@when('upstream "{upstream}" says that it is {what}')
+def report_upstream(context, upstream, what):
+    record_upstream_report(
+        context.membership,
+        upstream,
+        is_leaving=what == "leaving",
+        now_s=context.now_s,
+    )
+
+
+@then('"{name}" is among the live instances')
+def check_live(context, name):
+    assert name in list_live(context.membership, context.now_s)
+
+
+@then('"{name}" is not among the live instances')
+def check_not_live(context, name):
+    assert name not in list_live(context.membership, context.now_s)
+
+
+@then('"{name}" is among the known instances')
+def check_known(context, name):
+    assert name in list_known(context.membership)
+
+
+@then('"{name}" is not among the known instances')
+def check_not_known(context, name):
+    assert name not in list_known(context.membership)
+
+
+@then('"{name}" with its former incarnation is refused')
+def check_former(context, name):
+    assert not meet(context, name, 1)
+
+
+@then('upstream "{upstream}" is leaving')
+def check_leaving(context, upstream):
+    assert upstream in find_leaving_upstreams(context.membership, context.now_s)
+
+
+@then('upstream "{upstream}" is not leaving')
+def check_not_leaving(context, upstream):
+    assert upstream not in find_leaving_upstreams(context.membership, context.now_s)
+
+
+@then('"a" tells nobody of "{upstream}"')
+def check_untold(context, upstream):
+    told = list_first_hand_leaving(context.membership, context.now_s)
+    assert upstream not in told
+
+
+@then('"a" tells its peers of "{upstream}"')
+def check_told(context, upstream):
+    assert upstream in list_first_hand_leaving(context.membership, context.now_s)
+
+
+@then('"a" has links to "{near}" and to {count:d} of "{far}"')
+def check_links(context, near, count, far):
+    links = set(choose_links(context.membership))
+    assert set(near.split()) <= links
+    assert len(links & set(far.split())) == count, links
+
+
+@then("for {count:d} keys only those of a lost name move")
+def check_rendezvous(context, count):
+    names = st.sets(st.text("abcdef", min_size=1, max_size=4), min_size=2, max_size=9)
+
+    @settings(derandomize=True, database=None, max_examples=count)
+    @for_all(names, st.text(max_size=8), st.randoms())
+    def check(names, key, random):
+        lost = random.choice(sorted(names))
+        before = choose_by_rendezvous(key, names)
+        after = choose_by_rendezvous(key, names - {lost})
+        assert after == before or before == [lost]
+
+    check()
--- a/jujubenotch/capacity/__init__.py
+++ b/jujubenotch/capacity/__init__.py
@@ -5,5 +5,20 @@
 
 from jujubenotch.capacity.interface import Capacity
 from jujubenotch.capacity.local import LocalCapacity
+from jujubenotch.capacity.peered import (
+    MemberState,
+    PeeredCapacity,
+    UpstreamState,
+    start_peered_capacity,
+)
+from jujubenotch.capacity.peered_model import PeeredDependencies
 
-__all__ = ["Capacity", "LocalCapacity"]
+__all__ = [
+    "Capacity",
+    "LocalCapacity",
+    "MemberState",
+    "PeeredCapacity",
+    "PeeredDependencies",
+    "UpstreamState",
+    "start_peered_capacity",
+]
--- /dev/null
+++ b/jujubenotch/capacity/client.py
@@ -0,0 +1,354 @@
+"""Gets slots for this instance's requests from whoever keeps their group's account."""
+
+import asyncio
+import itertools
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass, field
+
+from jujubenotch.admission import Grant, WorkReport, WorkRequest, WorkResult
+from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.groups import GroupPlans
+from jujubenotch.invariants import assert_invariant
+from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.peers import HeldSlot, SlotRequest
+
+ACK_TIMEOUT_S = 0.3
+GRANT_VALID_S = 1.0
+ANSWER_GRACE_S = 1.0
+NO_UPSTREAM_RETRY_AFTER_S = 5.0
+CLOSING_RETRY_AFTER_S = 1.0
+LATE_RETRY_AFTER_S = 1.0
+
+CANCELLED = WorkReport(result=WorkResult.CANCELLED)
+
+
+@dataclass(kw_only=True, eq=False)
+class ClientEntry:
+    """One request of this instance, until its slot is given back.
+
+    :param number: Of its latest submission; each submission has its own.
+    :param submitted_s: When that was, on this process's monotonic clock.
+    :param is_queued: Whether the account has said that it has it.
+    :param answer: Gets the grant or refusal.
+    :param grant: Its slot, once it has one.
+    :param started_s: Since when it has it.
+    """
+
+    request: WorkRequest
+    group: str
+    answer: asyncio.Future
+    number: int = 0
+    submitted_s: float = 0.0
+    is_queued: bool = False
+    grant: Grant | None = None
+    started_s: float = 0.0
+
+
+@dataclass(kw_only=True)
+class ClientGroup:
+    """One group, and where its slots come from at present.
+
+    :param entries: Requests that wait or hold a slot, by number.
+    """
+
+    name: str
+    account: Account
+    entries: dict[int, ClientEntry] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class Client:
+    """The requests of this instance, changed only by this module's functions.
+
+    :param id_prefix: Starts the ids of grants; unique over all instances.
+    :param read_clock_s: Reads this process's monotonic clock, in seconds.
+    :param entries: Requests by the number of their latest submission.
+    :param held: Requests with a slot, by the id of their grant.
+
+    >>> Client(id_prefix="a/1", read_clock_s=time.monotonic).groups
+    {}
+    """
+
+    id_prefix: str
+    read_clock_s: Callable[[], float]
+    plans: GroupPlans = field(default_factory=GroupPlans)
+    groups: dict[str, ClientGroup] = field(default_factory=dict)
+    entries: dict[int, ClientEntry] = field(default_factory=dict)
+    held: dict[str, ClientEntry] = field(default_factory=dict)
+    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
+    is_closed: bool = False
+
+
+async def acquire(client: Client, request: WorkRequest) -> Grant | Refusal:
+    """Wait for a slot; cancelling the call withdraws the request.
+
+    :param client: The client.
+    :param request: The request.
+    :returns: The slot, or a refusal.
+    """
+    group = client.groups.get(client.plans.by_target.get(request.target, ""))
+    if client.is_closed:
+        return refuse_closing()
+    if group is None:
+        return refuse_no_upstream(request.target)
+    now_s = client.read_clock_s()
+    entry = ClientEntry(request=request, group=group.name, answer=asyncio.Future())
+    _submit(client, group, entry, now_s)
+    try:
+        async with asyncio.timeout(request.deadline_s - now_s + ANSWER_GRACE_S):
+            return await asyncio.shield(entry.answer)
+    except TimeoutError:
+        _abandon(client, entry)
+        return _refuse_late()
+    except asyncio.CancelledError:
+        _abandon(client, entry)
+        raise
+
+
+def give_back(client: Client, grant: Grant, report: WorkReport, now_s: float) -> None:
+    """Give a slot back; one that was given back already is ignored.
+
+    :param client: The client.
+    :param grant: The slot.
+    :param report: What was seen of the work.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    entry = client.held.pop(grant.grant_id, None)
+    if entry is None:
+        return
+    client.entries.pop(entry.number, None)
+    group = client.groups.get(entry.group)
+    if group is not None and group.entries.pop(entry.number, None) is not None:
+        group.account.release(group.name, entry.number, report, now_s)
+
+
+def move_group(client: Client, group: ClientGroup, account: Account) -> None:
+    """Get a group's slots from another account from now on.
+
+    Held slots stay valid and are told to it; what waits is queued there, with
+    its age.
+
+    :param client: The client.
+    :param group: The group.
+    :param account: The account; nothing happens when it is the present one.
+    """
+    if group.account is account:
+        return
+    now_s = client.read_clock_s()
+    group.account.leave(group.name, now_s)
+    group.account = account
+    _submit_all(client, group, now_s)
+
+
+def replan(client: Client, plans: GroupPlans, default: Account, now_s: float) -> None:
+    """Put other groups in force; requests follow their targets.
+
+    :param client: The client.
+    :param plans: The groups.
+    :param default: The account that new groups start with.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    former = client.groups
+    client.plans = plans
+    client.groups = {
+        name: former.get(name) or ClientGroup(name=name, account=default)
+        for name in plans.by_name
+    }
+    changed = set()
+    for entry in tuple(client.entries.values()):
+        name = plans.by_target.get(entry.request.target)
+        if name != entry.group:
+            changed |= {entry.group, name}
+            _regroup(client, former, entry, name)
+    for name, group in former.items():
+        if name in changed or name not in client.groups:
+            group.account.leave(name, now_s)
+    for name in changed & client.groups.keys():
+        _submit_all(client, client.groups[name], now_s)
+
+
+def take_queued(client: Client, number: int) -> None:
+    """Take in that an account has a request.
+
+    :param client: The client.
+    :param number: The request's number; an unknown one is ignored.
+    """
+    entry = client.entries.get(number)
+    if entry is not None:
+        entry.is_queued = True
+
+
+def take_grant(
+    client: Client, account: Account, number: int, upstream: str, age_s: float
+) -> None:
+    """Take in a grant; one that is too old or not wanted goes back.
+
+    :param client: The client.
+    :param account: Where it comes from.
+    :param number: The request's number.
+    :param upstream: The upstream that the slot is on.
+    :param age_s: Bound on how long ago it was made, in seconds.
+    """
+    entry = client.entries.get(number)
+    now_s = client.read_clock_s()
+    group = client.groups.get(entry.group) if entry else None
+    is_wanted = group is not None and group.account is account
+    if not is_wanted or age_s > GRANT_VALID_S:
+        account.release(entry.group if entry else "", number, CANCELLED, now_s)
+        if is_wanted:
+            _submit(client, group, entry, now_s)
+        return
+    assert_invariant(entry.grant is None, "grant-taken-once", number=number)
+    entry.grant = Grant(
+        grant_id=f"{client.id_prefix}/{number}",
+        request_id=entry.request.request_id,
+        upstream=upstream,
+        home=account.home,
+    )
+    entry.started_s = now_s
+    client.held[entry.grant.grant_id] = entry
+    _answer(entry, entry.grant)
+
+
+def take_refusal(client: Client, number: int, refusal: Refusal) -> None:
+    """Take in a refusal.
+
+    :param client: The client.
+    :param number: The request's number; an unknown one is ignored.
+    :param refusal: Why it gets no slot.
+    """
+    entry = client.entries.get(number)
+    if entry is not None and entry.grant is None:
+        _forget(client, entry)
+        _answer(entry, refusal)
+
+
+def find_unanswered(client: Client, now_s: float) -> set[Account]:
+    """Find the accounts that have not said in time that they have a request.
+
+    :param client: The client.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The accounts.
+    """
+    return {
+        group.account
+        for group in client.groups.values()
+        if group.account.link is not None
+        and any(
+            entry.grant is None
+            and not entry.is_queued
+            and now_s - entry.submitted_s > ACK_TIMEOUT_S
+            for entry in group.entries.values()
+        )
+    }
+
+
+def close(client: Client) -> None:
+    """Refuse what waits and all that comes.
+
+    :param client: The client.
+    """
+    client.is_closed = True
+    for entry in tuple(client.entries.values()):
+        if entry.grant is None:
+            _abandon(client, entry)
+            _answer(entry, refuse_closing())
+
+
+def refuse_closing() -> Refusal:
+    """Return the refusal of an instance that stops."""
+    return Refusal(
+        reason=RefusalReason.SHUTTING_DOWN,
+        retry_after_s=CLOSING_RETRY_AFTER_S,
+        detail="This instance is shutting down; send the request again.",
+    )
+
+
+def refuse_no_upstream(target: str) -> Refusal:
+    """Return the refusal of a target that nothing serves.
+
+    :param target: The model or plain service.
+    """
+    return Refusal(
+        reason=RefusalReason.NO_UPSTREAM,
+        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
+        detail=f"No upstream of this data centre serves {target!r}.",
+    )
+
+
+def _refuse_late():
+    return Refusal(
+        reason=RefusalReason.DEADLINE_PASSED,
+        retry_after_s=LATE_RETRY_AFTER_S,
+        detail="No slot was given before the deadline; send the request again.",
+    )
+
+
+def _submit(client, group, entry, now_s):
+    _forget(client, entry)
+    entry.number = next(client.numbers)
+    entry.submitted_s = now_s
+    entry.is_queued = False
+    client.entries[entry.number] = entry
+    group.entries[entry.number] = entry
+    asked = SlotRequest(number=entry.number, group=group.name, request=entry.request)
+    group.account.submit(asked, now_s)
+
+
+def _submit_all(client, group, now_s):
+    entries = list(group.entries.values())
+    held = [
+        HeldSlot(
+            number=entry.number,
+            group=group.name,
+            upstream=entry.grant.upstream,
+            request=entry.request,
+            started_s=entry.started_s,
+        )
+        for entry in entries
+        if entry.grant is not None
+    ]
+    account = group.account
+    account.hold(group.name, held, now_s)
+    for entry in entries:
+        if group.account is not account:
+            # The account declined while it was told, and all moved on.
+            return
+        if entry.grant is None and entry.number in group.entries:
+            _submit(client, group, entry, now_s)
+
+
+def _regroup(client, former, entry, name):
+    group = former.get(entry.group)
+    if group is not None:
+        group.entries.pop(entry.number, None)
+    if name is not None:
+        entry.group = name
+        client.groups[name].entries[entry.number] = entry
+    elif entry.grant is None:
+        _forget(client, entry)
+        _answer(entry, refuse_no_upstream(entry.request.target))
+
+
+def _forget(client, entry):
+    client.entries.pop(entry.number, None)
+    group = client.groups.get(entry.group)
+    if group is not None:
+        group.entries.pop(entry.number, None)
+
+
+def _abandon(client, entry):
+    now_s = client.read_clock_s()
+    if entry.grant is not None:
+        give_back(client, entry.grant, CANCELLED, now_s)
+        return
+    is_known = entry.number in client.entries
+    _forget(client, entry)
+    group = client.groups.get(entry.group)
+    if is_known and group is not None:
+        group.account.withdraw(group.name, entry.number, now_s)
+
+
+def _answer(entry, answer):
+    if not entry.answer.done():
+        entry.answer.set_result(answer)
--- /dev/null
+++ b/jujubenotch/capacity/polls.py
@@ -0,0 +1,138 @@
+"""The periodic work of an instance: its list of peers, its links, its upstreams."""
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+
+from jujubenotch.capacity.keeper import take_load
+from jujubenotch.capacity.peered_model import PeeredState, PeerLink
+from jujubenotch.capacity.refresh import refresh
+from jujubenotch.capacity.sessions import announce
+from jujubenotch.logs import log_event
+from jujubenotch.membership import (
+    choose_links,
+    list_first_hand_leaving,
+    record_list,
+    record_upstream_report,
+)
+from jujubenotch.peers import Link, LinkContext, run_link
+
+REFRESH_INTERVAL_S = 0.05
+LINKS_INTERVAL_S = 0.2
+LIST_INTERVAL_S = 1.0
+LIST_TIMEOUT_S = 2.0
+LOAD_INTERVAL_S = 0.5
+LOAD_TIMEOUT_S = 1.0
+
+logger = logging.getLogger(__name__)
+
+
+async def run_every(
+    interval_s: float, name: str, work: Callable[[], Awaitable[None]]
+) -> None:
+    """Do something again and again, whatever it raises, until cancelled.
+
+    :param interval_s: How long to wait between two rounds, in seconds.
+    :param name: Its name in the logs.
+    :param work: What to do.
+    """
+    while True:
+        try:
+            await work()
+        except Exception as error:
+            log_event(
+                logger, logging.WARNING, "poll-failed", name=name, cause=repr(error)
+            )
+        await asyncio.sleep(interval_s)
+
+
+async def refresh_once(state: PeeredState) -> None:
+    """Bring everything in line.
+
+    :param state: The instance's state.
+    """
+    refresh(state, state.dependencies.read_clock_s())
+
+
+async def read_list_once(state: PeeredState) -> None:
+    """Read the platform's list; without an answer the former one holds.
+
+    :param state: The instance's state.
+    """
+    async with asyncio.timeout(LIST_TIMEOUT_S):
+        listed = await state.dependencies.list_instances()
+    now_s = state.dependencies.read_clock_s()
+    record_list(state.membership, listed, now_s)
+    refresh(state, now_s)
+
+
+async def keep_links_once(state: PeeredState, context: LinkContext) -> None:
+    """Start the links that are missing and end those not needed any more.
+
+    :param state: The instance's state.
+    :param context: What links share.
+    """
+    members = state.membership.members
+    wanted = choose_links(state.membership)
+    for name in state.links.keys() - set(wanted):
+        await _end_link(state, name)
+    for name in wanted:
+        member = members[name]
+        if name not in state.links:
+            link = Link(name=name, host=member.host, port=member.port)
+            task = asyncio.create_task(run_link(link, context))
+            state.links[name] = PeerLink(link=link, task=task)
+        state.links[name].link.host = member.host
+        state.links[name].link.port = member.port
+
+
+async def poll_loads_once(state: PeeredState) -> None:
+    """Start reading the load of each upstream that is granted from here.
+
+    :param state: The instance's state.
+    """
+    for group in state.client.groups.values():
+        if group.account.link is not None and group.name not in state.home.groups:
+            continue
+        for upstream in state.client.plans.by_name[group.name].upstreams:
+            if upstream.name not in state.polling:
+                task = asyncio.create_task(_poll_load(state, group.name, upstream))
+                state.polling[upstream.name] = task
+
+
+async def _poll_load(state, group, upstream):
+    try:
+        async with asyncio.timeout(LOAD_TIMEOUT_S):
+            load = await state.dependencies.read_load(upstream)
+        _take_report(state, group, upstream, load)
+    except Exception as error:
+        log_event(
+            logger,
+            logging.DEBUG,
+            "load-unread",
+            upstream=upstream.name,
+            cause=repr(error),
+        )
+    finally:
+        state.polling.pop(upstream.name, None)
+
+
+def _take_report(state, group, upstream, load):
+    now_s = state.dependencies.read_clock_s()
+    for home in (state.home, state.fallback):
+        take_load(home.keeper, group, upstream.name, load, now_s)
+    former = list_first_hand_leaving(state.membership, now_s)
+    record_upstream_report(
+        state.membership, upstream.name, is_leaving=load.is_leaving, now_s=now_s
+    )
+    if list_first_hand_leaving(state.membership, now_s) != former:
+        refresh(state, now_s)
+        announce(state)
+
+
+async def _end_link(state, name):
+    task = state.links[name].task
+    task.cancel()
+    await asyncio.gather(task, return_exceptions=True)
+    del state.links[name]
+    refresh(state, state.dependencies.read_clock_s())
--- /dev/null
+++ b/jujubenotch/capacity/refresh.py
@@ -0,0 +1,123 @@
+"""Brings accounts, homes and shares in line with what is known of the members."""
+
+from jujubenotch.admission import mark_leaving
+from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.client import find_unanswered, move_group
+from jujubenotch.capacity.home import (
+    close_group,
+    drop_lost_holders,
+    open_group,
+)
+from jujubenotch.capacity.keeper import pump
+from jujubenotch.capacity.peered_model import PeeredState
+from jujubenotch.capacity.shares import choose_home_share, choose_own_share
+from jujubenotch.membership import (
+    choose_by_rendezvous,
+    find_leaving_upstreams,
+    forget_members,
+    list_known,
+    list_live,
+)
+
+
+def refresh(state: PeeredState, now_s: float) -> None:
+    """Bring everything in line; cheap when nothing has changed.
+
+    :param state: The instance's state.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    forget_members(state.membership, now_s)
+    for home in (state.home, state.fallback):
+        drop_lost_holders(home, now_s)
+    _suspect_unanswering(state, now_s)
+    _choose_homes(state, now_s)
+    _open_groups(state, now_s)
+    _mark_leaving(state, now_s)
+    for group in state.client.groups.values():
+        move_group(state.client, group, choose_account(state, group.name, now_s))
+
+
+def choose_account(state: PeeredState, group: str, now_s: float) -> Account:
+    """Choose where a group's slots come from.
+
+    :param state: The instance's state.
+    :param group: The group.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The home's account when it answers, else the own share's.
+    """
+    home = state.homes.get(group, "")
+    if home == state.dependencies.name:
+        return state.home_account
+    peer = state.links.get(home)
+    if peer is None or peer.account is None or peer.suspected_s is not None:
+        return state.fallback_account
+    if peer.declined_until_s.get(group, now_s) > now_s:
+        return state.fallback_account
+    return peer.account
+
+
+def _suspect_unanswering(state, now_s):
+    unanswered = find_unanswered(state.client, now_s)
+    for peer in state.links.values():
+        if peer.account in unanswered and peer.suspected_s is None:
+            peer.suspected_s = now_s
+
+
+def _choose_homes(state, now_s):
+    live = tuple(sorted(list_live(state.membership, now_s)))
+    if live == state.live and state.homes.keys() == state.client.groups.keys():
+        return
+    state.live = live
+    state.homes = {
+        group: next(iter(choose_by_rendezvous(group, live)), "")
+        for group in state.client.groups
+    }
+
+
+def _open_groups(state, now_s):
+    known = list_known(state.membership)
+    name = state.dependencies.name
+    plans = state.client.plans.by_name
+    for group in tuple(state.home.groups):
+        if group not in plans or state.homes.get(group) != name:
+            close_group(state.home, group, now_s)
+    for group in state.fallback.groups.keys() - plans.keys():
+        close_group(state.fallback, group, now_s)
+    for group, plan in plans.items():
+        open_group(state.fallback, plan, share=choose_own_share(known), now_s=now_s)
+        if state.homes.get(group) == name:
+            _open_home_group(state, plan, known, now_s)
+
+
+def _open_home_group(state, plan, known, now_s):
+    group = state.home.groups.get(plan.name)
+    share = choose_home_share(
+        known=known,
+        live=state.live,
+        attached={state.dependencies.name, *(group.attached if group else ())},
+        age_s=now_s - group.opened_s if group else 0.0,
+    )
+    open_group(state.home, plan, share=share, now_s=now_s)
+    if group is None:
+        _mark_in_pool(state.home, plan.name, state.leaving_upstreams, True, now_s)
+
+
+def _mark_leaving(state, now_s):
+    leaving = frozenset(find_leaving_upstreams(state.membership, now_s))
+    former = state.leaving_upstreams
+    if leaving == former:
+        return
+    state.leaving_upstreams = leaving
+    for home in (state.home, state.fallback):
+        for group in home.keeper.pools:
+            _mark_in_pool(home, group, leaving - former, True, now_s)
+            _mark_in_pool(home, group, former - leaving, False, now_s)
+
+
+def _mark_in_pool(home, group, upstreams, is_leaving, now_s):
+    if not upstreams:
+        return
+    pool = home.keeper.pools[group]
+    for upstream in upstreams:
+        mark_leaving(pool, upstream, now_s, is_leaving=is_leaving)
+    pump(home.keeper, group, now_s)
--- /dev/null
+++ b/jujubenotch/capacity/sessions.py
@@ -0,0 +1,271 @@
+"""Takes in what links and requesters' sessions bring."""
+
+from jujubenotch.admission import summarise
+from jujubenotch.capacity import home as home_accounts
+from jujubenotch.capacity.account import make_remote_account
+from jujubenotch.capacity.client import (
+    take_grant,
+    take_queued,
+    take_refusal,
+)
+from jujubenotch.capacity.home import HolderAnswers
+from jujubenotch.capacity.peered_model import PeeredState, RequesterSession
+from jujubenotch.capacity.refresh import refresh
+from jujubenotch.membership import (
+    list_first_hand_leaving,
+    record_heard,
+    record_incarnation,
+    record_lost,
+)
+from jujubenotch.peers import (
+    MS_PER_S,
+    Heartbeat,
+    Hello,
+    HomeFrame,
+    HomeSession,
+    Link,
+    RequesterFrame,
+    SlotGrant,
+    SlotRefusal,
+    open_frame,
+)
+
+DECLINED_RETRY_S = 0.5
+
+
+def read_hello(state: PeeredState) -> Hello:
+    """Return who this instance is.
+
+    :param state: The instance's state.
+    :returns: The greeting.
+    """
+    dependencies = state.dependencies
+    return Hello(
+        name=dependencies.name,
+        data_centre=dependencies.data_centre,
+        incarnation=dependencies.incarnation,
+        host=dependencies.advertised_host,
+        port=dependencies.bound.getsockname()[1],
+    )
+
+
+def read_heartbeat(state: PeeredState) -> Heartbeat:
+    """Return what requesters are told, with the pools kept here.
+
+    :param state: The instance's state.
+    :returns: The heartbeat.
+    """
+    now_s = state.dependencies.read_clock_s()
+    pools = state.home.keeper.pools
+    return Heartbeat(
+        revision=state.dependencies.read_configuration().revision,
+        is_leaving=state.membership.is_leaving,
+        pools={name: summarise(pool, now_s) for name, pool in pools.items()},
+        leaving_upstreams=tuple(list_first_hand_leaving(state.membership, now_s)),
+    )
+
+
+def read_short_heartbeat(state: PeeredState) -> Heartbeat:
+    """Return what homes are told.
+
+    :param state: The instance's state.
+    :returns: The heartbeat; the rest is told on the peer's own link.
+    """
+    return Heartbeat(
+        revision=state.dependencies.read_configuration().revision,
+        is_leaving=state.membership.is_leaving,
+    )
+
+
+def announce(state: PeeredState) -> None:
+    """Send a heartbeat to all at once, since something in it has changed.
+
+    :param state: The instance's state.
+    """
+    for peer in state.links.values():
+        if peer.account is not None:
+            open_frame(peer.link.outbox).heartbeat = read_short_heartbeat(state)
+    for requester in state.sessions.values():
+        open_frame(requester.session.outbox).heartbeat = read_heartbeat(state)
+
+
+def attach_link(state: PeeredState, link: Link, hello: Hello) -> None:
+    """Take in that a peer answers on a new session.
+
+    :param state: The instance's state.
+    :param link: The link to it.
+    :param hello: Who it is.
+    """
+    now_s = state.dependencies.read_clock_s()
+    peer = state.links[link.name]
+    peer.account = make_remote_account(link)
+    peer.suspected_s = None
+    peer.declined_until_s.clear()
+    _record_hello(state, hello, now_s)
+    refresh(state, now_s)
+
+
+def lose_link(state: PeeredState, link: Link) -> None:
+    """Take in the end of a session with a peer.
+
+    :param state: The instance's state.
+    :param link: The link to it.
+    """
+    peer = state.links.get(link.name)
+    if peer is not None:
+        peer.account = None
+    if link.name not in state.sessions:
+        record_lost(state.membership, link.name)
+    refresh(state, state.dependencies.read_clock_s())
+
+
+def take_home_frame(state: PeeredState, link: Link, frame: HomeFrame) -> None:
+    """Take in a frame of a peer that this instance has a link to.
+
+    :param state: The instance's state.
+    :param link: The link.
+    :param frame: The frame.
+    """
+    now_s = state.dependencies.read_clock_s()
+    peer = state.links[link.name]
+    account = peer.account
+    if peer.suspected_s is not None and link.echoed_s > peer.suspected_s:
+        peer.suspected_s = None
+    _take_heartbeat(state, link.name, frame.heartbeat, now_s, is_full=True)
+    for number in frame.queued:
+        take_queued(state.client, number)
+    age_s = now_s - frame.echoed_ms / MS_PER_S
+    for grant in frame.grants:
+        take_grant(state.client, account, grant.number, grant.upstream, age_s)
+    for entry in frame.refusals:
+        take_refusal(state.client, entry.number, entry.refusal)
+    for group in frame.not_home:
+        peer.declined_until_s[group] = now_s + DECLINED_RETRY_S
+    if frame.not_home:
+        refresh(state, now_s)
+
+
+def attach_session(state: PeeredState, session: HomeSession) -> bool:
+    """Take in a new requester's session.
+
+    :param state: The instance's state.
+    :param session: The session.
+    :returns: False when the requester is of a former incarnation.
+    """
+    now_s = state.dependencies.read_clock_s()
+    hello = session.hello
+    if not _record_hello(state, hello, now_s):
+        return False
+    answers = _make_answers(session)
+    state.sessions[hello.name] = RequesterSession(session=session, answers=answers)
+    home_accounts.attach_holder(
+        state.home, hello.name, hello.incarnation, answers, now_s
+    )
+    refresh(state, now_s)
+    return True
+
+
+def lose_session(state: PeeredState, session: HomeSession) -> None:
+    """Take in the end of a requester's session.
+
+    :param state: The instance's state.
+    :param session: The session; one that a later one replaced is ignored.
+    """
+    name = session.hello.name
+    requester = state.sessions.get(name)
+    if requester is None or requester.session is not session:
+        return
+    now_s = state.dependencies.read_clock_s()
+    del state.sessions[name]
+    home_accounts.lose_holder(state.home, name, requester.answers, now_s)
+    peer = state.links.get(name)
+    if peer is None or peer.account is None:
+        record_lost(state.membership, name)
+    refresh(state, now_s)
+
+
+def take_requester_frame(
+    state: PeeredState, session: HomeSession, frame: RequesterFrame
+) -> None:
+    """Take in a frame of a requester.
+
+    :param state: The instance's state.
+    :param session: Its session; one that a later one replaced is ignored.
+    :param frame: The frame.
+    """
+    name = session.hello.name
+    requester = state.sessions.get(name)
+    if requester is None or requester.session is not session:
+        return
+    now_s = state.dependencies.read_clock_s()
+    _take_heartbeat(state, name, frame.heartbeat, now_s, is_full=False)
+    home = state.home
+    for number in frame.withdrawn:
+        home_accounts.withdraw(home, name, number, now_s)
+    for entry in frame.releases:
+        home_accounts.release(home, name, entry.number, entry.report, now_s)
+    for group in frame.left_groups:
+        home_accounts.leave(home, name, group, now_s)
+    for group, held in frame.attachments.items():
+        home_accounts.hold(home, name, group, held, now_s)
+    for entry in frame.requests:
+        home_accounts.submit(home, name, entry, now_s)
+    if frame.attachments:
+        refresh(state, now_s)
+
+
+def _record_hello(state, hello, now_s):
+    return record_incarnation(
+        state.membership,
+        name=hello.name,
+        data_centre=hello.data_centre,
+        incarnation=hello.incarnation,
+        host=hello.host,
+        port=hello.port,
+        now_s=now_s,
+    )
+
+
+def _take_heartbeat(state, name, heartbeat, now_s, *, is_full):
+    if heartbeat is None:
+        record_heard(state.membership, name, now_s=now_s)
+        return
+    record_heard(
+        state.membership,
+        name,
+        now_s=now_s,
+        is_leaving=heartbeat.is_leaving,
+        leaving_upstreams=heartbeat.leaving_upstreams if is_full else None,
+    )
+    state.dependencies.on_revision_seen(heartbeat.revision, name)
+    if heartbeat.is_leaving or heartbeat.leaving_upstreams:
+        refresh(state, now_s)
+
+
+def _make_answers(session):
+    outbox = session.outbox
+
+    def answer_queued(number):
+        open_frame(outbox).queued.append(number)
+
+    def answer_granted(number, upstream):
+        frame: HomeFrame = open_frame(outbox)
+        if number in frame.queued:
+            frame.queued.remove(number)
+        frame.grants.append(SlotGrant(number=number, upstream=upstream))
+
+    def answer_refused(number, refusal):
+        entry = SlotRefusal(number=number, refusal=refusal)
+        open_frame(outbox).refusals.append(entry)
+
+    def answer_not_home(group):
+        frame: HomeFrame = open_frame(outbox)
+        if group not in frame.not_home:
+            frame.not_home.append(group)
+
+    return HolderAnswers(
+        queued=answer_queued,
+        granted=answer_granted,
+        refused=answer_refused,
+        not_home=answer_not_home,
+    )
--- /dev/null
+++ b/jujubenotch/membership/update.py
@@ -0,0 +1,191 @@
+"""Takes in news of instances and upstreams."""
+
+from collections.abc import Iterable
+
+from jujubenotch.membership.model import (
+    FORGET_AFTER_S,
+    Member,
+    Membership,
+    PeerNews,
+    UpstreamNews,
+)
+from jujubenotch.membership.read import is_live
+from jujubenotch.platform import ListedInstance
+from jujubenotch.settings import Seed
+
+
+def record_seeds(membership: Membership, seeds: Iterable[Seed], now_s: float) -> None:
+    """Take in the peers that the settings name.
+
+    :param membership: What is known.
+    :param seeds: The seeds; this instance's own is passed over.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    for seed in seeds:
+        if seed.name != membership.name:
+            _enter(membership, seed.name, seed.data_centre, seed.host, seed.port, now_s)
+
+
+def record_list(
+    membership: Membership, listed: Iterable[ListedInstance], now_s: float
+) -> None:
+    """Take in the platform's list, which may lag.
+
+    :param membership: What is known.
+    :param listed: The whole list.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    for member in membership.members.values():
+        member.is_listed = False
+    for news in membership.upstreams.values():
+        news.is_listed_leaving = False
+    for entry in listed:
+        if entry.kind == "upstream":
+            _find_news(membership, entry.name).is_listed_leaving = entry.is_leaving
+        elif entry.name != membership.name and entry.peer_address:
+            _record_listed_instance(membership, entry, now_s)
+
+
+def record_incarnation(
+    membership: Membership,
+    *,
+    name: str,
+    data_centre: str,
+    incarnation: int,
+    now_s: float,
+    host: str = "",
+    port: int = 0,
+) -> bool:
+    """Take in that a peer was met as a certain incarnation.
+
+    :param membership: What is known.
+    :param name: The peer's name.
+    :param data_centre: Its data centre.
+    :param incarnation: Grows with each of its starts.
+    :param now_s: The present monotonic time, in seconds.
+    :param host: Where it listens for peers; empty when unknown.
+    :param port: The port there, 0 when unknown.
+    :returns: False when a later incarnation is live already, so that this is
+        a remainder of a former one.
+    """
+    member = _enter(membership, name, data_centre, host, port, now_s)
+    if incarnation < member.incarnation and is_live(member, now_s):
+        return False
+    if member.incarnation not in (0, incarnation):
+        member.says_leaving = False
+        member.is_list_stale = member.is_listed_leaving
+    member.incarnation = incarnation
+    member.heard_s = now_s
+    return True
+
+
+def record_heard(
+    membership: Membership,
+    name: str,
+    *,
+    now_s: float,
+    is_leaving: bool | None = None,
+    leaving_upstreams: Iterable[str] | None = None,
+) -> None:
+    """Take in a frame of a peer.
+
+    :param membership: What is known.
+    :param name: The peer; an unknown one is ignored.
+    :param now_s: The present monotonic time, in seconds.
+    :param is_leaving: What it says of itself; ``None`` when it says nothing.
+    :param leaving_upstreams: All upstreams that it saw leaving first-hand;
+        ``None`` when it says nothing.
+    """
+    member = membership.members.get(name)
+    if member is None:
+        return
+    member.heard_s = now_s
+    member.known_s = now_s
+    if is_leaving is not None:
+        # Leaving is final for an incarnation.
+        member.says_leaving = member.says_leaving or is_leaving
+    if leaving_upstreams is not None:
+        membership.leaving_by_peer[name] = PeerNews(
+            leaving_upstreams=frozenset(leaving_upstreams), told_s=now_s
+        )
+
+
+def record_lost(membership: Membership, name: str) -> None:
+    """Take in that the connection with a peer ended.
+
+    :param membership: What is known.
+    :param name: The peer; an unknown one is ignored.
+    """
+    member = membership.members.get(name)
+    if member is not None:
+        member.heard_s = None
+
+
+def record_upstream_report(
+    membership: Membership, upstream: str, *, is_leaving: bool, now_s: float
+) -> None:
+    """Take in what an upstream itself says, read by this instance.
+
+    :param membership: What is known.
+    :param upstream: Its name.
+    :param is_leaving: Whether it says that it is leaving.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    news = _find_news(membership, upstream)
+    news.says_leaving = is_leaving
+    news.said_s = now_s
+
+
+def drain_upstream(membership: Membership, upstream: str) -> None:
+    """Take in that an operator wants an upstream drained.
+
+    :param membership: What is known.
+    :param upstream: Its name.
+    """
+    _find_news(membership, upstream).is_drained = True
+
+
+def forget_members(membership: Membership, now_s: float) -> None:
+    """Drop instances that no source has named for a while.
+
+    :param membership: What is known.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    for name, member in tuple(membership.members.items()):
+        if (
+            is_live(member, now_s)
+            or member.is_listed
+            or now_s - member.known_s < FORGET_AFTER_S
+        ):
+            continue
+        del membership.members[name]
+        membership.leaving_by_peer.pop(name, None)
+
+
+def _record_listed_instance(membership, entry, now_s):
+    host, _, port = entry.peer_address.rpartition(":")
+    if not port.isdecimal():
+        return
+    member = _enter(
+        membership, entry.name, entry.data_centre, host.strip("[]"), int(port), now_s
+    )
+    member.is_listed = True
+    member.is_listed_leaving = entry.is_leaving
+    if not entry.is_leaving:
+        member.is_list_stale = False
+
+
+def _enter(membership, name, data_centre, host, port, now_s):
+    member = membership.members.get(name)
+    if member is None:
+        member = Member(name=name, data_centre=data_centre, host=host, port=port)
+        membership.members[name] = member
+    if host and port:
+        member.host = host
+        member.port = port
+    member.known_s = now_s
+    return member
+
+
+def _find_news(membership, upstream):
+    return membership.upstreams.setdefault(upstream, UpstreamNews())
--- /dev/null
+++ b/jujubenotch/peers/decode.py
@@ -0,0 +1,235 @@
+"""Reads and checks frames, and puts their durations on this process's clock."""
+
+from dataclasses import dataclass, field
+
+from jujubenotch.admission import PoolSummary, WorkReport, WorkRequest, WorkResult
+from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.peers import peers_pb2
+from jujubenotch.peers.encode import MAX_INTERNED, MS_PER_S, US_PER_S
+from jujubenotch.peers.errors import MalformedFrameError
+from jujubenotch.peers.model import (
+    Heartbeat,
+    HeldSlot,
+    Hello,
+    HomeFrame,
+    RequesterFrame,
+    SlotGrant,
+    SlotRefusal,
+    SlotRelease,
+    SlotRequest,
+)
+
+MAX_TIER = 3
+MAX_NAME_CHARACTERS = 256
+
+
+@dataclass(kw_only=True)
+class ReceivedNames:
+    """What was received in full on a session, by its number there.
+
+    >>> ReceivedNames().by_id
+    {}
+    """
+
+    by_id: dict[int, object] = field(default_factory=dict)
+
+
+def decode_requester_frame(
+    message: peers_pb2.FromRequester, received: ReceivedNames, now_s: float
+) -> RequesterFrame:
+    """Read a requester's frame.
+
+    :param message: The message.
+    :param received: What was received on this session already.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The frame.
+    :raises MalformedFrameError: The message breaks the protocol.
+    """
+    for profile in message.profiles:
+        _check(profile.tier <= MAX_TIER, "tier out of bounds")
+        _check(profile.team_weight > 0, "weight not above 0")
+        _remember(received, profile.id, profile)
+    return RequesterFrame(
+        sent_ms=message.sent_ms,
+        echoed_ms=message.echoed_ms,
+        hello=_read_hello(message),
+        heartbeat=_read_heartbeat(message),
+        withdrawn=list(message.withdrawn),
+        releases=[_read_release(entry) for entry in message.releases],
+        left_groups=list(message.left_groups),
+        attachments={
+            entry.group: [_read_held(slot, received, now_s) for slot in entry.held]
+            for entry in message.attachments
+        },
+        requests=[_read_request(entry, received, now_s) for entry in message.requests],
+    )
+
+
+def decode_home_frame(
+    message: peers_pb2.FromHome, received: ReceivedNames
+) -> HomeFrame:
+    """Read a home's frame.
+
+    :param message: The message.
+    :param received: What was received on this session already.
+    :returns: The frame.
+    :raises MalformedFrameError: The message breaks the protocol.
+    """
+    for upstream in message.upstreams:
+        _remember(received, upstream.id, upstream.name)
+    return HomeFrame(
+        sent_ms=message.sent_ms,
+        echoed_ms=message.echoed_ms,
+        hello=_read_hello(message),
+        heartbeat=_read_heartbeat(message),
+        queued=list(message.queued),
+        not_home=list(message.not_home),
+        grants=[
+            SlotGrant(
+                number=entry.number, upstream=_recall(received, entry.upstream, str)
+            )
+            for entry in message.grants
+        ],
+        refusals=[_read_refusal(entry) for entry in message.refusals],
+    )
+
+
+def _read_hello(message):
+    if not message.HasField("hello"):
+        return None
+    hello = message.hello
+    _check(0 < len(hello.name) <= MAX_NAME_CHARACTERS, "hello without a name")
+    return Hello(
+        name=hello.name,
+        data_centre=hello.data_centre,
+        incarnation=hello.incarnation,
+        host=hello.host,
+        port=hello.port,
+    )
+
+
+def _read_heartbeat(message):
+    if not message.HasField("heartbeat"):
+        return None
+    heartbeat = message.heartbeat
+    return Heartbeat(
+        revision=heartbeat.revision,
+        is_leaving=heartbeat.is_leaving,
+        leaving_upstreams=tuple(heartbeat.leaving_upstreams),
+        pools={
+            pool.group: PoolSummary(
+                queued=tuple(pool.queued),
+                in_progress=tuple(pool.in_progress),
+                free_slots=pool.free_slots,
+                wait_s=tuple(wait_ms / MS_PER_S for wait_ms in pool.wait_ms),
+            )
+            for pool in heartbeat.pools
+        },
+    )
+
+
+def _read_release(entry):
+    return SlotRelease(
+        number=entry.number,
+        report=WorkReport(
+            result=_read_result(entry.result),
+            tokens=entry.tokens,
+            first_token_s=(
+                entry.first_token_ms / MS_PER_S
+                if entry.HasField("first_token_ms")
+                else None
+            ),
+            between_tokens_s=(
+                entry.between_tokens_us / US_PER_S
+                if entry.HasField("between_tokens_us")
+                else None
+            ),
+        ),
+    )
+
+
+def _read_result(value):
+    name = peers_pb2.Result.DESCRIPTOR.values_by_number.get(value)
+    result = WorkResult.__members__.get(name.name if name else "")
+    _check(result is not None, "unknown result")
+    return result
+
+
+def _read_held(slot, received, now_s):
+    profile = _recall(received, slot.profile, peers_pb2.Profile)
+    started_s = now_s - slot.age_ms / MS_PER_S
+    return HeldSlot(
+        number=slot.number,
+        group=profile.group,
+        upstream=slot.upstream,
+        started_s=started_s,
+        request=_make_request(
+            profile,
+            arrived_s=started_s,
+            first_token_by_s=started_s,
+            deadline_s=started_s,
+            expected_tokens=slot.expected_tokens,
+        ),
+    )
+
+
+def _read_request(entry, received, now_s):
+    profile = _recall(received, entry.profile, peers_pb2.Profile)
+    return SlotRequest(
+        number=entry.number,
+        group=profile.group,
+        request=_make_request(
+            profile,
+            arrived_s=now_s - entry.age_ms / MS_PER_S,
+            first_token_by_s=now_s + entry.first_token_in_ms / MS_PER_S,
+            deadline_s=now_s + entry.deadline_in_ms / MS_PER_S,
+            expected_tokens=entry.expected_tokens,
+            prefix_key=entry.prefix_key,
+            excluded_upstreams=frozenset(entry.excluded_upstreams),
+        ),
+    )
+
+
+def _make_request(profile, **fields):
+    return WorkRequest(
+        request_id="",
+        target=profile.target,
+        team=profile.team,
+        team_weight=profile.team_weight,
+        team_limit=profile.team_limit,
+        service_class=profile.service_class,
+        tier=profile.tier,
+        max_wait_s=profile.max_wait_ms / MS_PER_S,
+        **fields,
+    )
+
+
+def _read_refusal(entry):
+    try:
+        reason = RefusalReason(entry.reason)
+    except ValueError as error:
+        raise MalformedFrameError(str(error)) from error
+    return SlotRefusal(
+        number=entry.number,
+        refusal=Refusal(
+            reason=reason,
+            retry_after_s=entry.retry_after_ms / MS_PER_S,
+            detail=entry.detail,
+        ),
+    )
+
+
+def _remember(received, entry_id, value):
+    _check(entry_id < MAX_INTERNED, "too many interned entries")
+    received.by_id[entry_id] = value
+
+
+def _recall(received, entry_id, kind):
+    value = received.by_id.get(entry_id)
+    _check(isinstance(value, kind), f"unknown interned entry {entry_id}")
+    return value
+
+
+def _check(holds, problem):
+    if not holds:
+        raise MalformedFrameError(problem)
--- /dev/null
+++ b/jujubenotch/peers/link.py
@@ -0,0 +1,235 @@
+"""The requester's end of the session with one peer: one task for each peer."""
+
+import asyncio
+import contextlib
+import logging
+import random
+import ssl
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from grpclib.exceptions import GRPCError, ProtocolError, StreamTerminatedError
+
+from jujubenotch.logs import log_event
+from jujubenotch.peers.decode import ReceivedNames, decode_home_frame
+from jujubenotch.peers.encode import SentNames, encode_requester_frame
+from jujubenotch.peers.errors import MalformedFrameError, PeerError, PeerLostError
+from jujubenotch.peers.model import Heartbeat, Hello, HomeFrame, RequesterFrame
+from jujubenotch.peers.outbox import MS_PER_S, Outbox, open_frame, run_sender
+from jujubenotch.peers.peers_grpc import PeersStub
+from jujubenotch.peers.peers_pb2 import (
+    FetchChangesRequest,
+    FetchTraceRequest,
+)
+from jujubenotch.peers.sockets import PeerChannel
+
+SILENCE_TIMEOUT_S = 1.5
+FETCH_TIMEOUT_S = 2.0
+FIRST_BACKOFF_S = 0.1
+MAX_BACKOFF_S = 2.0
+MAX_BACKOFF_DOUBLINGS = 6
+
+logger = logging.getLogger(__name__)
+
+TRANSPORT_ERRORS = (
+    OSError,
+    TimeoutError,
+    GRPCError,
+    ProtocolError,
+    StreamTerminatedError,
+    MalformedFrameError,
+    PeerLostError,
+)
+
+
+@dataclass(kw_only=True)
+class Link:
+    """One peer, seen from the requester.
+
+    :param outbox: Messages for the next frame; only while attached.
+    :param is_attached: Whether a session is open and the peer has answered.
+    :param incarnation: The peer's, as it said last.
+    :param echoed_s: This process's latest stamp that the peer has seen, in
+        seconds of the own monotonic clock.
+    :param heartbeat: What the peer said last.
+    :param channel: The open connection, for unary calls.
+
+    >>> Link(name="b", host="10.0.0.2", port=7000).is_attached
+    False
+    """
+
+    name: str
+    host: str
+    port: int
+    outbox: Outbox | None = None
+    is_attached: bool = False
+    incarnation: int = 0
+    echoed_s: float = 0.0
+    heartbeat: Heartbeat | None = None
+    channel: PeerChannel | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class LinkContext:
+    """What all links of an instance share.
+
+    :param read_hello: Returns who this instance is.
+    :param read_heartbeat: Returns what to tell peers.
+    :param on_attached: Told when a peer has answered on a new session.
+    :param on_frame: Told of each frame, the first one included.
+    :param on_lost: Told when an attached session has ended.
+    :param tls: The TLS context; ``None`` connects in plain text.
+    """
+
+    read_hello: Callable[[], Hello]
+    read_heartbeat: Callable[[], Heartbeat]
+    read_clock_s: Callable[[], float]
+    on_attached: Callable[[Link, Hello], None]
+    on_frame: Callable[[Link, HomeFrame], None]
+    on_lost: Callable[[Link], None]
+    tls: ssl.SSLContext | None = None
+
+
+async def run_link(link: Link, context: LinkContext) -> None:
+    """Keep a session with a peer; runs until cancelled.
+
+    :param link: The link.
+    :param context: What links share.
+    """
+    failures = 0
+    while True:
+        try:
+            await _run_session(link, context)
+        except* TRANSPORT_ERRORS as group:
+            log_event(
+                logger,
+                logging.INFO if failures else logging.WARNING,
+                "peer-session-ended",
+                peer=link.name,
+                was_attached=link.is_attached,
+                cause=repr(group.exceptions[0]),
+            )
+        failures = 1 if link.is_attached else failures + 1
+        _detach(link, context)
+        await asyncio.sleep(choose_backoff_s(failures, random.random()))
+
+
+def choose_backoff_s(failures: int, fraction: float) -> float:
+    """Choose how long to wait before the next connect.
+
+    :param failures: Sessions that failed since the last that attached, from 1.
+    :param fraction: A random number from 0 up to 1.
+    :returns: Seconds, with jitter between a half and the whole of the bound.
+    """
+    doublings = min(failures - 1, MAX_BACKOFF_DOUBLINGS)
+    bound_s = min(MAX_BACKOFF_S, FIRST_BACKOFF_S * 2**doublings)
+    return bound_s * (1 + fraction) / 2
+
+
+async def fetch_changes(link: Link, after_revision: int) -> list[bytes]:
+    """Ask a peer for the changes of configuration after a revision.
+
+    :param link: The peer; attached.
+    :param after_revision: A revision.
+    :returns: The changes, in order.
+    :raises PeerError: The peer did not answer within 2 s.
+    """
+    request = FetchChangesRequest(after_revision=after_revision)
+    with _translated_errors(link):
+        stub = PeersStub(_require_channel(link))
+        reply = await stub.FetchChanges(request, timeout=FETCH_TIMEOUT_S)
+    return list(reply.changes)
+
+
+async def fetch_trace(link: Link, request_id: str) -> bytes | None:
+    """Ask a peer for the trace of a request.
+
+    :param link: The peer; attached.
+    :param request_id: The request.
+    :returns: The trace; ``None`` when the peer has none.
+    :raises PeerError: The peer did not answer within 2 s.
+    """
+    request = FetchTraceRequest(request_id=request_id)
+    with _translated_errors(link):
+        stub = PeersStub(_require_channel(link))
+        reply = await stub.FetchTrace(request, timeout=FETCH_TIMEOUT_S)
+    return reply.trace if reply.is_found else None
+
+
+def _require_channel(link):
+    if link.channel is None:
+        raise PeerLostError(f"there is no session with {link.name!r}")
+    return link.channel
+
+
+@contextlib.contextmanager
+def _translated_errors(link):
+    try:
+        yield
+    except (OSError, TimeoutError, GRPCError, StreamTerminatedError) as error:
+        raise PeerError(f"{link.name!r} did not answer: {error!r}") from error
+
+
+async def _run_session(link, context):
+    channel = PeerChannel(link.host, link.port, ssl=context.tls)
+    try:
+        async with PeersStub(channel).Session.open() as stream:
+            async with asyncio.timeout(SILENCE_TIMEOUT_S):
+                await stream.send_request()
+            link.channel = channel
+            link.outbox = Outbox(make_frame=RequesterFrame)
+            open_frame(link.outbox).hello = context.read_hello()
+            async with asyncio.TaskGroup() as tasks:
+                tasks.create_task(_send(link, context, stream))
+                tasks.create_task(_receive(link, context, stream))
+    finally:
+        link.channel = None
+        channel.close()
+
+
+async def _send(link, context, stream):
+    sent = SentNames()
+
+    async def send(frame):
+        message = encode_requester_frame(frame, sent, context.read_clock_s())
+        await stream.send_message(message)
+
+    await run_sender(
+        link.outbox,
+        send=send,
+        read_heartbeat=context.read_heartbeat,
+        read_clock_s=context.read_clock_s,
+    )
+
+
+async def _receive(link, context, stream):
+    received = ReceivedNames()
+    while True:
+        async with asyncio.timeout(SILENCE_TIMEOUT_S):
+            message = await stream.recv_message()
+        if message is None:
+            raise PeerLostError(f"{link.name!r} ended the session")
+        frame = decode_home_frame(message, received)
+        link.outbox.received_ms = frame.sent_ms
+        link.echoed_s = max(link.echoed_s, frame.echoed_ms / MS_PER_S)
+        if not link.is_attached:
+            _attach(link, context, frame)
+        if frame.heartbeat is not None:
+            link.heartbeat = frame.heartbeat
+        context.on_frame(link, frame)
+
+
+def _attach(link, context, frame):
+    if frame.hello is None or frame.hello.name != link.name:
+        raise MalformedFrameError(f"{link.name!r} did not say who it is")
+    link.is_attached = True
+    link.incarnation = frame.hello.incarnation
+    context.on_attached(link, frame.hello)
+
+
+def _detach(link, context):
+    link.outbox = None
+    link.heartbeat = None
+    if link.is_attached:
+        link.is_attached = False
+        context.on_lost(link)
