Add stand-ins for the platform, plain services and the network, and the HTTP platform

A held direction delivers its bytes when the hold ends, since TCP sends again; bytes dropped from the middle of a stream would be a fault that no network makes. A cut route keeps its port bound without listening, so that it refuses connections and no other process takes the port meanwhile.

The client tells a call that can't have taken effect (no connection, or a 503 with X-Not-Applied) from a write whose reply is lost. A call without a reply gives up its pool of connections, since idle ones may have gone silent too.

--- a/features/standins/steps/engine_steps.py
+++ b/features/standins/steps/engine_steps.py
@@ -1,12 +1,17 @@
 import asyncio
-import tempfile
-from pathlib import Path
 
 import aiohttp
 import openai
 from behave import given, then, when
 
 from features.programs import start_program
+from features.standins.requests import (
+    COMPLETION,
+    LONG,
+    TIMEOUT_S,
+    make_journal,
+    run,
+)
 from standins.answers import expected_length, expected_text
 from standins.batching import (
     Batch,
@@ -20,20 +25,15 @@
 from standins.journal import read_journal
 from standins.load_report import LoadHistory, LoadSample, make_report
 
-TIMEOUT_S = 20
 CHAT = {
     "model": "m",
     "messages": [{"role": "user", "content": "hello"}],
     "max_tokens": 80,
 }
-COMPLETION = {"model": "m", "prompt": "hello", "max_tokens": 80}
-LONG = {"model": "m", "prompt": "long", "max_tokens": 40000, "stream": True}
 
 
 def start_engine(context, *arguments):
-    directory = tempfile.TemporaryDirectory()
-    context.add_cleanup(directory.cleanup)
-    context.journal = str(Path(directory.name) / "journal.jsonl")
+    make_journal(context)
     context.engine = start_program(
         context,
         "standins.engine",
@@ -45,10 +45,6 @@
     )
 
 
-def run(coroutine):
-    return asyncio.run(asyncio.wait_for(coroutine, TIMEOUT_S))
-
-
 @given("an engine")
 def start(context):
     start_engine(context)
--- /dev/null
+++ b/features/standins/steps/relay_steps.py
@@ -0,0 +1,150 @@
+import asyncio
+import time
+from contextlib import suppress
+
+from behave import given, then, when
+
+from standins.relay_core import (
+    RelayMode,
+    Route,
+    close_route,
+    open_route,
+    set_mode,
+    silence_links,
+)
+
+TIMEOUT_S = 5
+SILENCE_S = 0.2
+
+
+def run(context, coroutine):
+    return context.loop.run_until_complete(asyncio.wait_for(coroutine, TIMEOUT_S))
+
+
+@given("an echo server behind a relay")
+def start(context):
+    context.loop = asyncio.new_event_loop()
+    context.received = 0
+
+    async def echo(reader, writer):
+        with suppress(ConnectionError):
+            while data := await reader.read(100):
+                context.received += len(data)
+                writer.write(data)
+        writer.close()
+
+    async def open_both():
+        context.server = await asyncio.start_server(echo, "127.0.0.1", 0)
+        port = context.server.sockets[0].getsockname()[1]
+        context.route = Route(target_host="127.0.0.1", target_port=port)
+        await open_route(context.route)
+
+    run(context, open_both())
+    context.add_cleanup(stop, context)
+
+
+def stop(context):
+    if "asking" in context:
+        context.asking.cancel()
+
+    async def close_all():
+        close_route(context.route)
+        context.server.close()
+        others = asyncio.all_tasks() - {asyncio.current_task()}
+        if others:
+            await asyncio.wait(others, timeout=TIMEOUT_S)
+
+    context.loop.run_until_complete(close_all())
+    context.loop.close()
+
+
+async def connect(context):
+    return await asyncio.open_connection("127.0.0.1", context.route.port)
+
+
+async def ask_for_echo(reader, writer, text):
+    writer.write(text.encode())
+    return (await reader.readexactly(len(text))).decode()
+
+
+@given("an open connection through the relay")
+def open_connection(context):
+    context.reader, context.writer = run(context, connect(context))
+    run(context, ask_for_echo(context.reader, context.writer, "ready"))
+    context.received = 0
+
+
+@when('the relay is set to "{mode}"')
+def change_mode(context, mode):
+    run(context, set_mode(context.route, RelayMode(mode)))
+
+
+@when("the relay's connections are silenced")
+def silence(context):
+    assert silence_links(context.route) == 1
+
+
+@when("the relay's delay is {delay_s:g} s")
+def set_delay(context, delay_s):
+    context.route.delay_s = delay_s
+
+
+@then('an echo of "{text}" comes back')
+def check_echo(context, text):
+    async def ask():
+        reader, writer = await connect(context)
+        answer = await ask_for_echo(reader, writer, text)
+        writer.close()
+        return answer
+
+    assert run(context, ask()) == text
+
+
+@then('an echo of "{text}" takes at least {least_s:g} s')
+def check_delayed_echo(context, text, least_s):
+    started_s = time.monotonic()
+    check_echo(context, text)
+    assert time.monotonic() - started_s >= least_s
+
+
+@then("the open connection is reset")
+def check_reset(context):
+    try:
+        data = run(context, context.reader.read(1))
+    except ConnectionResetError:
+        return
+    raise AssertionError(f"the connection gave {data!r}")
+
+
+@then("a new connection is refused")
+def check_refused_connection(context):
+    try:
+        run(context, connect(context))
+    except ConnectionRefusedError:
+        return
+    raise AssertionError("the connection was accepted")
+
+
+@then('an echo of "{text}" does not come back on the open connection')
+def check_no_echo(context, text):
+    async def ask():
+        context.asking = asyncio.ensure_future(
+            ask_for_echo(context.reader, context.writer, text)
+        )
+        await asyncio.wait([context.asking], timeout=SILENCE_S)
+        return context.asking.done()
+
+    assert not run(context, ask())
+
+
+@then("{count:d} bytes reached the echo server")
+def check_received(context, count):
+    assert context.received == count, context.received
+
+
+@then('the echo of "{text}" comes back on the open connection')
+def check_late_echo(context, text):
+    async def wait():
+        return await context.asking
+
+    assert run(context, wait()) == text
--- a/jujubenotch/platform/__init__.py
+++ b/jujubenotch/platform/__init__.py
@@ -3,6 +3,7 @@
 Errors: ``PlatformError`` and its kinds. Features: ``features/platform``.
 """
 
+from jujubenotch.platform.connect import connect_platform
 from jujubenotch.platform.embedded import EmbeddedPlatform
 from jujubenotch.platform.errors import (
     ConflictError,
@@ -10,6 +11,7 @@
     PlatformUnavailableError,
     ReplyLostError,
 )
+from jujubenotch.platform.http import HttpPlatform
 from jujubenotch.platform.interface import (
     ListedInstance,
     Platform,
@@ -20,6 +22,7 @@
 __all__ = [
     "ConflictError",
     "EmbeddedPlatform",
+    "HttpPlatform",
     "ListedInstance",
     "Platform",
     "PlatformError",
@@ -27,4 +30,5 @@
     "ReplyLostError",
     "Row",
     "Write",
+    "connect_platform",
 ]
--- /dev/null
+++ b/jujubenotch/platform/http.py
@@ -0,0 +1,241 @@
+"""The platform's services over HTTP."""
+
+import asyncio
+import base64
+from collections.abc import AsyncIterator, Sequence
+from contextlib import asynccontextmanager
+from dataclasses import dataclass, field
+
+import aiohttp
+import orjson
+from pydantic import BaseModel, TypeAdapter, ValidationError
+
+from jujubenotch.platform.errors import (
+    ConflictError,
+    PlatformError,
+    PlatformUnavailableError,
+    ReplyLostError,
+)
+from jujubenotch.platform.interface import ListedInstance, Row, Write
+
+NOT_APPLIED_HEADER = "X-Not-Applied"
+CONNECT_SHARE = 0.5
+KEEPALIVE_S = 5.0
+NOT_SENT_ERRORS = (aiohttp.ClientConnectorError, aiohttp.ConnectionTimeoutError)
+LOST_ERRORS = (aiohttp.ClientError, TimeoutError, OSError)
+
+
+class RowDocument(BaseModel):
+    """A row as the table service writes it; the value is in base64."""
+
+    key: str
+    value: str
+    version: int
+
+
+class ConflictDocument(BaseModel):
+    """The row that a transaction conflicts on."""
+
+    table: str
+    key: str
+
+
+@dataclass(eq=False, kw_only=True)
+class ConnectionPool:
+    """Connections that are reused together, and given up together.
+
+    :param in_progress: Calls that use the pool at present.
+    :param is_retired: Whether new calls use another pool.
+    """
+
+    session: aiohttp.ClientSession
+    in_progress: int = 0
+    is_retired: bool = False
+
+
+@dataclass(kw_only=True)
+class HttpPlatform:
+    """The platform behind one base address.
+
+    A call that got no reply in time gives up its pool of connections: those of
+    the pool that are idle may have gone silent too, and a new one may work.
+
+    :param url: ``http://host:port``, without a slash at its end.
+    :param timeout_s: Bound on each call, in seconds; half of it on connecting.
+
+    >>> HttpPlatform(url="http://127.0.0.1:9000", timeout_s=2.0).timeout_s
+    2.0
+    """
+
+    url: str
+    timeout_s: float
+    _pool: ConnectionPool | None = field(default=None, repr=False)
+
+    async def transact(self, writes: Sequence[Write]) -> None:
+        """Apply all writes at once, or none.
+
+        :param writes: The writes.
+        :raises ConflictError: A row's version is not the expected one.
+        :raises PlatformUnavailableError: Nothing took effect.
+        :raises ReplyLostError: They may have taken effect.
+        """
+        body = orjson.dumps({"writes": [_encode_write(write) for write in writes]})
+        status, content = await self._call(
+            "POST", "/transactions", data=body, lost=ReplyLostError
+        )
+        if status == 409:
+            conflict = _decode(TypeAdapter(ConflictDocument), content, ReplyLostError)
+            raise ConflictError(table=conflict.table, key=conflict.key)
+        _check_status(status, 200, lost=ReplyLostError)
+
+    async def read(self, table: str, key: str) -> Row | None:
+        """Read one row.
+
+        :param table: The table's name.
+        :param key: The row's key.
+        :returns: The row; ``None`` when it does not exist.
+        :raises PlatformUnavailableError: No answer came.
+        """
+        status, content = await self._call(
+            "GET", "/row", params={"table": table, "key": key}
+        )
+        if status == 404:
+            return None
+        _check_status(status, 200)
+        return _decode_row(table, _decode(TypeAdapter(RowDocument), content))
+
+    async def scan(self, table: str, after_key: str = "") -> list[Row]:
+        """Read the rows with keys above ``after_key``, in key order.
+
+        :param table: The table's name.
+        :param after_key: The key that the first row comes after.
+        :raises PlatformUnavailableError: No answer came.
+        """
+        status, content = await self._call(
+            "GET", "/rows", params={"table": table, "after_key": after_key}
+        )
+        _check_status(status, 200)
+        documents = _decode(TypeAdapter(list[RowDocument]), content)
+        return [_decode_row(table, document) for document in documents]
+
+    async def put_object(self, name: str, content: bytes) -> None:
+        """Store an object, replacing one of the same name.
+
+        :param name: The object's name.
+        :param content: Its content.
+        :raises PlatformUnavailableError: Nothing took effect.
+        :raises ReplyLostError: It may have taken effect.
+        """
+        status, _ = await self._call(
+            "PUT", "/object", params={"name": name}, data=content, lost=ReplyLostError
+        )
+        _check_status(status, 200, lost=ReplyLostError)
+
+    async def get_object(self, name: str) -> bytes | None:
+        """Read an object.
+
+        :param name: The object's name.
+        :returns: Its content; ``None`` when it does not exist.
+        :raises PlatformUnavailableError: No answer came.
+        """
+        status, content = await self._call("GET", "/object", params={"name": name})
+        if status == 404:
+            return None
+        _check_status(status, 200)
+        return content
+
+    async def list_instances(self) -> list[ListedInstance]:
+        """Read the lagging list of instances and upstreams.
+
+        :raises PlatformUnavailableError: No answer came.
+        """
+        status, content = await self._call("GET", "/instances")
+        _check_status(status, 200)
+        return _decode(TypeAdapter(list[ListedInstance]), content)
+
+    async def close(self) -> None:
+        """Close the connections to the platform."""
+        if self._pool is not None:
+            await self._pool.session.close()
+            self._pool = None
+
+    async def _call(
+        self, method, path, *, params=None, data=None, lost=PlatformUnavailableError
+    ):
+        # ``lost`` is raised when the call may have reached the platform.
+        try:
+            async with self._use_pool() as session:
+                async with session.request(
+                    method, self.url + path, params=params, data=data
+                ) as answer:
+                    content = await answer.read()
+        except NOT_SENT_ERRORS as error:
+            raise PlatformUnavailableError(f"can't connect to {self.url}") from error
+        except LOST_ERRORS as error:
+            raise lost(f"no reply from {self.url}{path}: {error!r}") from error
+        if answer.status == 503 and NOT_APPLIED_HEADER in answer.headers:
+            raise PlatformUnavailableError(f"{self.url}{path} is out of service")
+        return answer.status, content
+
+    @asynccontextmanager
+    async def _use_pool(self) -> AsyncIterator[aiohttp.ClientSession]:
+        if self._pool is None or self._pool.is_retired:
+            self._pool = self._open_pool()
+        pool = self._pool
+        pool.in_progress += 1
+        try:
+            yield pool.session
+        except TimeoutError:
+            pool.is_retired = True
+            raise
+        finally:
+            pool.in_progress -= 1
+            if pool.is_retired and pool.in_progress == 0:
+                await asyncio.shield(pool.session.close())
+
+    def _open_pool(self):
+        timeout = aiohttp.ClientTimeout(
+            total=self.timeout_s, connect=self.timeout_s * CONNECT_SHARE
+        )
+        connector = aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S)
+        session = aiohttp.ClientSession(
+            connector=connector,
+            timeout=timeout,
+            cookie_jar=aiohttp.DummyCookieJar(),
+        )
+        return ConnectionPool(session=session)
+
+
+def _check_status(
+    status: int, expected: int, *, lost: type[PlatformError] = PlatformUnavailableError
+) -> None:
+    if status != expected:
+        raise lost(f"the platform answered with status {status}")
+
+
+def _encode_write(write):
+    value = None
+    if write.value is not None:
+        value = base64.b64encode(write.value).decode()
+    return {
+        "table": write.table,
+        "key": write.key,
+        "value": value,
+        "expected_version": write.expected_version,
+    }
+
+
+def _decode(adapter, content, lost=PlatformUnavailableError):
+    try:
+        return adapter.validate_json(content)
+    except ValidationError as error:
+        raise lost("the platform's answer is not of the expected form") from error
+
+
+def _decode_row(table, document):
+    return Row(
+        table=table,
+        key=document.key,
+        value=base64.b64decode(document.value),
+        version=document.version,
+    )
--- a/standins/answers.py
+++ b/standins/answers.py
@@ -13,6 +13,7 @@
 DEFAULT_MAX_TOKENS = 512
 MEDIAN_LENGTH_RATIO = 0.25
 LENGTH_SIGMA = 0.8
+SERVICE_ANSWER_TOKENS = 16
 WORDS = (
     "amber basalt cedar delta ember fjord granite harbour indigo juniper kelp "
     "lagoon maple nectar orchard pebble quartz river saffron tundra umber "
@@ -68,6 +69,30 @@
     return len(expected_tokens(body))
 
 
+def compute_call_digest(method: str, path: str, content: bytes) -> str:
+    """Digest one call of a plain service.
+
+    :param method: The HTTP method.
+    :param path: The path as the service sees it, with its query.
+    :param content: The request's body.
+    :returns: A hexadecimal digest.
+    """
+    essence = b"\n".join([method.encode(), path.encode(), content])
+    return hashlib.sha256(essence).hexdigest()
+
+
+def expected_service_answer(method: str, path: str, content: bytes) -> bytes:
+    """Return a plain service's whole answer to one call.
+
+    :param method: The HTTP method.
+    :param path: The path as the service sees it, with its query.
+    :param content: The request's body.
+    """
+    digest = compute_call_digest(method, path, content)
+    receipt = "-".join(_draw_tokens(digest, SERVICE_ANSWER_TOKENS)).replace(" ", "")
+    return orjson.dumps({"digest": digest, "receipt": receipt})
+
+
 @lru_cache(maxsize=4096)
 def _draw_tokens(digest, max_tokens):
     generator = random.Random(digest)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -172,6 +172,8 @@
     try:
         if not order.stream:
             answer = await _answer_whole(engine, body, job)
+            if engine.fault_state.faults.is_losing_answers:
+                request.transport.abort()
             sent, end_state = length, "completed"
             return answer
         stream = await request.respond(
--- a/standins/faults.py
+++ b/standins/faults.py
@@ -18,6 +18,9 @@
     :param is_leaving: Say so in the load report.
     :param load_report: A load report to give in place of the true one.
     :param load_lag_s: Age of the load report; ``None`` keeps the option's.
+    :param is_losing_answers: Run each request, then abort its connection in
+        place of a whole answer.
+    :param is_closed: Abort all connections and accept none, for good.
     :param drop_connections: Abort all connections once, now.
     :param exit_code: End the process at once with this code.
     """
@@ -32,6 +35,8 @@
     is_leaving: bool = False
     load_report: dict[str, float | bool] | None = None
     load_lag_s: float | None = Field(default=None, ge=0)
+    is_losing_answers: bool = False
+    is_closed: bool = False
     drop_connections: bool = False
     exit_code: int | None = None
 
--- /dev/null
+++ b/standins/relay_core.py
@@ -0,0 +1,202 @@
+"""Forwards TCP connections, and cuts, holds, delays or silences them."""
+
+import asyncio
+import socket
+import struct
+from contextlib import suppress
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+CHUNK_BYTES = 65536
+MAX_CHUNKS_IN_TRANSIT = 64
+BACKLOG = 1024
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+
+
+class RelayMode(StrEnum):
+    """What becomes of a route's bytes.
+
+    A held byte is not lost: TCP sends it again until it arrives or an end gives
+    up, so it is delivered when the hold ends.
+    """
+
+    FORWARD = "forward"
+    CUT = "cut"
+    HOLD = "hold"
+    HOLD_TO_TARGET = "hold-to-target"
+    HOLD_FROM_TARGET = "hold-from-target"
+
+
+HOLDS_TO_TARGET = frozenset({RelayMode.HOLD, RelayMode.HOLD_TO_TARGET})
+HOLDS_FROM_TARGET = frozenset({RelayMode.HOLD, RelayMode.HOLD_FROM_TARGET})
+
+HOLDING_MODES = HOLDS_TO_TARGET | HOLDS_FROM_TARGET
+
+
+@dataclass(eq=False, kw_only=True)
+class Link:
+    """One connection through a route.
+
+    :param is_silent: The relay has lost track of it: nothing passes any more,
+        and neither end is told.
+    """
+
+    writers: list[asyncio.StreamWriter]
+    task: asyncio.Task
+    is_silent: bool = False
+
+
+@dataclass(kw_only=True)
+class Route:
+    """One listening port and where it leads.
+
+    :param target_host: Where connections are forwarded to.
+    :param port: The port that it listens on, known once it is opened.
+    :param delay_s: Delay of each byte in each direction, in seconds.
+    :param mode: What becomes of its bytes.
+
+    >>> Route(target_host="127.0.0.1", target_port=80).mode
+    <RelayMode.FORWARD: 'forward'>
+    """
+
+    target_host: str
+    target_port: int
+    host: str = "127.0.0.1"
+    port: int = 0
+    delay_s: float = 0.0
+    mode: RelayMode = RelayMode.FORWARD
+    links: set[Link] = field(default_factory=set)
+    mode_changed: asyncio.Event = field(default_factory=asyncio.Event)
+    _server: asyncio.Server | None = None
+    _reserved: socket.socket | None = None
+
+
+async def open_route(route: Route) -> None:
+    """Listen, on the route's port if it has one, else on a free one.
+
+    :param route: The route.
+    """
+    listener = route._reserved or _bind(route.host, route.port)
+    route._reserved = None
+    route.port = listener.getsockname()[1]
+
+    async def forward(reader, writer):
+        # asyncio.streams would log a cancelled handler as an error.
+        with suppress(asyncio.CancelledError):
+            await _forward(route, reader, writer)
+
+    route._server = await asyncio.start_server(forward, sock=listener, backlog=BACKLOG)
+
+
+def close_route(route: Route) -> None:
+    """Refuse new connections and reset those that there are.
+
+    :param route: The route.
+    """
+    if route._server is not None:
+        route._server.close()
+        route._server = None
+    for link in list(route.links):
+        _reset_link(link)
+        link.task.cancel()
+
+
+async def set_mode(route: Route, mode: RelayMode) -> None:
+    """Change what becomes of a route's bytes.
+
+    :param route: The route.
+    :param mode: The new mode.
+    """
+    was_cut = route.mode is RelayMode.CUT
+    route.mode = mode
+    if mode is RelayMode.CUT and not was_cut:
+        close_route(route)
+        # Bound without listening, so that the port refuses and stays ours.
+        route._reserved = _bind(route.host, route.port)
+    if was_cut and mode is not RelayMode.CUT:
+        await open_route(route)
+    route.mode_changed.set()
+    route.mode_changed = asyncio.Event()
+
+
+def silence_links(route: Route) -> int:
+    """Make the connections that there are silent for good; new ones work.
+
+    :param route: The route.
+    :returns: How many connections it silenced.
+    """
+    for link in route.links:
+        link.is_silent = True
+    return len(route.links)
+
+
+def _bind(host, port):
+    listener = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    listener.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    listener.bind((host, port))
+    return listener
+
+
+async def _forward(route, reader, writer):
+    link = Link(writers=[writer], task=asyncio.current_task())
+    route.links.add(link)
+    try:
+        target_reader, target_writer = await asyncio.open_connection(
+            route.target_host, route.target_port
+        )
+        link.writers.append(target_writer)
+        async with asyncio.TaskGroup() as group:
+            group.create_task(
+                _pump(route, link, reader, target_writer, HOLDS_TO_TARGET)
+            )
+            group.create_task(
+                _pump(route, link, target_reader, writer, HOLDS_FROM_TARGET)
+            )
+    except* OSError:
+        await _wait_until_passable(route, link, HOLDING_MODES)
+        _reset_link(link)
+    finally:
+        route.links.discard(link)
+        for link_writer in link.writers:
+            link_writer.close()
+
+
+async def _pump(route, link, reader, writer, holding_modes):
+    in_transit = asyncio.Queue(MAX_CHUNKS_IN_TRANSIT)
+    loop = asyncio.get_running_loop()
+    async with asyncio.TaskGroup() as group:
+        group.create_task(
+            _deliver(route, link, writer, in_transit, holding_modes, loop.time)
+        )
+        while True:
+            data = await reader.read(CHUNK_BYTES)
+            await in_transit.put((loop.time() + route.delay_s, data))
+            if not data:
+                return
+
+
+async def _deliver(route, link, writer, in_transit, holding_modes, clock):
+    while True:
+        due_s, data = await in_transit.get()
+        await asyncio.sleep(max(0.0, due_s - clock()))
+        await _wait_until_passable(route, link, holding_modes)
+        if not data:
+            writer.write_eof()
+            return
+        writer.write(data)
+        await writer.drain()
+
+
+async def _wait_until_passable(route, link, holding_modes):
+    while route.mode in holding_modes:
+        await route.mode_changed.wait()
+    while link.is_silent:
+        await asyncio.Event().wait()
+
+
+def _reset_link(link):
+    for writer in link.writers:
+        connection = writer.get_extra_info("socket")
+        if connection is not None and connection.fileno() >= 0:
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+        writer.transport.abort()
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -6,7 +6,8 @@
 from collections.abc import Awaitable, Callable
 
 import uvloop
-from sanic import Sanic
+from pydantic import ValidationError
+from sanic import Sanic, response
 
 LONG_TIMEOUT_S = 3600
 
@@ -20,6 +21,8 @@
     app.config.RESPONSE_TIMEOUT = LONG_TIMEOUT_S
     app.config.REQUEST_TIMEOUT = LONG_TIMEOUT_S
     app.config.KEEP_ALIVE_TIMEOUT = LONG_TIMEOUT_S
+    app.config.FALLBACK_ERROR_FORMAT = "json"
+    app.error_handler.add(ValidationError, _refuse_malformed)
     return app
 
 
@@ -41,6 +44,10 @@
     asyncio.run(_serve(make, host, port, background))
 
 
+async def _refuse_malformed(request, error):
+    return response.text(str(error), status=400)
+
+
 async def _serve(make, host, port, background):
     app = make()
     listener = socket.create_server((host, port), backlog=1024)
@@ -50,7 +57,7 @@
     await server.startup()
     await server.before_start()
     await server.start_serving()
-    app.ctx.connections = server.connections
+    app.ctx.server = server
     tasks = [asyncio.ensure_future(work) for work in background(app)]
     port = listener.getsockname()[1]
     print(f"listening host={host} port={port}", flush=True)
--- a/standins/upstream_controls.py
+++ b/standins/upstream_controls.py
@@ -3,7 +3,6 @@
 import os
 from collections.abc import Callable
 
-from pydantic import ValidationError
 from sanic import Request, Sanic, response
 
 from standins.faults import FaultState, UpstreamFaults, set_faults
@@ -34,14 +33,13 @@
         return response.json(read_statistics())
 
     async def change_faults(request: Request):
-        try:
-            faults = UpstreamFaults.model_validate_json(request.body)
-        except ValidationError as error:
-            return response.text(str(error), status=400)
+        faults = UpstreamFaults.model_validate_json(request.body)
         set_faults(fault_state, faults)
         if faults.exit_code is not None:
             os._exit(faults.exit_code)
-        if faults.drop_connections:
+        if faults.is_closed:
+            app.ctx.server.close()
+        if faults.drop_connections or faults.is_closed:
             _drop_connections(app, request)
         return response.json(faults.model_dump())
 
@@ -51,6 +49,6 @@
 
 
 def _drop_connections(app, request):
-    for protocol in list(app.ctx.connections):
+    for protocol in list(app.ctx.server.connections):
         if protocol.transport is not request.transport:
             protocol.transport.abort()
