Refuse a plain service named as a model; index what is served

Both would share one group of upstreams and so their slots. The index now holds the names of models and of plain services, so that a request's target is found in one look instead of a walk over all upstreams.

--- a/features/records/steps/records_steps.py
+++ b/features/records/steps/records_steps.py
@@ -137,6 +137,9 @@
         "a power cap below one slot": put(PowerCap(data_centre="a", watts=0.5)),
         "an upstream without its cost": put(replace(upstream, watts_per_slot=0.0)),
         "an upstream with another's address": put(upstream),
+        "a service named as a model": put(
+            replace(configuration.upstreams["returns-1"], models=("returns", "small"))
+        ),
         "a key used twice": put(
             Application(name="wrong", team="agents", key_sha256=digest)
         ),
--- a/jujubenotch/callers/app.py
+++ b/jujubenotch/callers/app.py
@@ -26,7 +26,7 @@
 from jujubenotch.dispatch import CallerGoneError, Dispatcher, dispatch
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Outcome, Refusal, RefusalReason
-from jujubenotch.records import Configuration, UpstreamKind
+from jujubenotch.records import Configuration
 
 logger = logging.getLogger(__name__)
 
@@ -184,15 +184,9 @@
         check_key(configuration, digest_key(request))
     except RefusedRequestError as error:
         return _refuse(dependencies, error, dependencies.make_request_id())
-    names = {
-        model
-        for upstream in configuration.upstreams.values()
-        if upstream.kind is UpstreamKind.MODEL
-        for model in upstream.models
-    }
     models = [
         {"id": name, "object": "model", "created": 0, "owned_by": "site"}
-        for name in sorted(names)
+        for name in sorted(configuration.index.model_targets)
     ]
     return json_response({"object": "list", "data": models})
 
--- a/jujubenotch/callers/classify.py
+++ b/jujubenotch/callers/classify.py
@@ -166,10 +166,10 @@
     :param kind: The kind of upstream.
     :returns: True when one does, in any data centre.
     """
-    return any(
-        upstream.kind is kind and target in upstream.models
-        for upstream in configuration.upstreams.values()
-    )
+    index = configuration.index
+    if kind is UpstreamKind.MODEL:
+        return target in index.model_targets
+    return target in index.service_targets
 
 
 def _refuse_authentication(detail):
--- a/jujubenotch/records/checks.py
+++ b/jujubenotch/records/checks.py
@@ -172,6 +172,14 @@
             "give the power of one running request, in watts",
         )
     for name in upstream.models:
+        if not is_model and name in configuration.index.model_targets:
+            yield (
+                upstream,
+                "models",
+                repr(name),
+                "is a model's name too, so both would share their slots",
+                "give the plain service a name of its own",
+            )
         if not is_model and "/" in name:
             yield (
                 upstream,
@@ -183,20 +191,11 @@
 
 
 def _check_routes(configuration) -> Iterator[tuple]:
-    services = _list_services(configuration)
+    services = configuration.index.service_targets
     for route in configuration.routes.values():
         yield from _check_route(services, route)
 
 
-def _list_services(configuration):
-    return frozenset(
-        name
-        for upstream in configuration.upstreams.values()
-        if upstream.kind is UpstreamKind.SERVICE
-        for name in upstream.models
-    )
-
-
 def _check_route(services, route: Route):
     if route.service not in services:
         yield (
--- a/jujubenotch/records/index.py
+++ b/jujubenotch/records/index.py
@@ -3,6 +3,8 @@
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
+from jujubenotch.records.upstream_kind import UpstreamKind
+
 if TYPE_CHECKING:
     from jujubenotch.records.model import Application, Binding, Configuration, Route
 
@@ -15,11 +17,15 @@
     :param bindings: Bindings by team, application and target; an empty
         application or target stands for all.
     :param routes: The routes of each plain service, the most specific first.
+    :param model_targets: The models that any upstream serves.
+    :param service_targets: The plain services that any upstream serves.
     """
 
     application_by_digest: dict[str, "Application"]
     bindings: dict[tuple[str, str, str], "Binding"]
     routes: dict[str, list["Route"]]
+    model_targets: frozenset[str]
+    service_targets: frozenset[str]
 
 
 def build_index(configuration: "Configuration") -> LookupIndex:
@@ -41,6 +47,17 @@
             (entry.team, entry.application, entry.target): entry for entry in bindings
         },
         routes=routes,
+        model_targets=_list_targets(configuration, UpstreamKind.MODEL),
+        service_targets=_list_targets(configuration, UpstreamKind.SERVICE),
+    )
+
+
+def _list_targets(configuration, kind):
+    return frozenset(
+        name
+        for upstream in configuration.upstreams.values()
+        if upstream.kind is kind
+        for name in upstream.models
     )
 
 
--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -1,17 +1,10 @@
 """The dataclasses that every schema version of the records converts to."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
 from functools import cached_property
 
 from jujubenotch.records.index import LookupIndex, build_index
-
-
-class UpstreamKind(StrEnum):
-    """What an upstream serves."""
-
-    MODEL = "model"
-    SERVICE = "service"
+from jujubenotch.records.upstream_kind import UpstreamKind
 
 
 @dataclass(frozen=True, kw_only=True)
--- /dev/null
+++ b/jujubenotch/records/upstream_kind.py
@@ -0,0 +1,10 @@
+"""The kinds of upstreams."""
+
+from enum import StrEnum
+
+
+class UpstreamKind(StrEnum):
+    """What an upstream serves."""
+
+    MODEL = "model"
+    SERVICE = "service"
