Replicate the configuration through the platform and from peer to peer

A change is one transaction: compare-and-set on each touched record's row and on the head's row, insertion of the change and of its id. The head's version alone would order the changes; the records' own rows also catch a replica that took in false revisions from a peer, and a deleted record's row stays, so that its version never starts again. The id's row is read after the head, so that a write that lands late between the two fails this attempt instead of showing up as a conflict with itself. Expected revisions are pinned at the first attempt, for unchanged records of a file too: else a retry would take another operator's change back.

--- /dev/null
+++ b/features/records/faulty_platform.py
@@ -0,0 +1,72 @@
+"""An embedded platform that refuses writes, loses replies and applies writes late."""
+
+import asyncio
+import random
+
+from jujubenotch.platform import (
+    EmbeddedPlatform,
+    PlatformError,
+    PlatformUnavailableError,
+    ReplyLostError,
+)
+
+LATE_S = 0.02
+
+
+class FaultyPlatform(EmbeddedPlatform):
+    def __init__(self, seed=0, fault_share=0.0):
+        super().__init__()
+        self.random = random.Random(seed)
+        self.fault_share = fault_share
+        self.is_down = False
+        self.is_read_down_after_write = False
+        self.next_faults = []
+        self.before_transact = []
+        self.late = set()
+
+    async def transact(self, writes):
+        await asyncio.sleep(0)
+        self._check_up()
+        if self.before_transact:
+            await self.before_transact.pop(0)()
+        fault = self._draw_fault()
+        if fault == "refused":
+            raise PlatformUnavailableError("down")
+        if fault == "late":
+            task = asyncio.ensure_future(self._apply_late(writes))
+            self.late.add(task)
+            raise ReplyLostError("no reply")
+        await super().transact(writes)
+        if fault == "reply lost":
+            raise ReplyLostError("no reply")
+
+    async def read(self, table, key):
+        await asyncio.sleep(0)
+        self._check_up()
+        return await super().read(table, key)
+
+    async def scan(self, table, after_key=""):
+        self._check_up()
+        return await super().scan(table, after_key)
+
+    async def get_object(self, name):
+        self._check_up()
+        return await super().get_object(name)
+
+    def _check_up(self):
+        if self.is_down:
+            raise PlatformUnavailableError("down")
+
+    def _draw_fault(self):
+        if self.next_faults:
+            return self.next_faults.pop(0)
+        if self.random.random() < self.fault_share:
+            return self.random.choice(["refused", "late", "reply lost"])
+        return "none"
+
+    async def _apply_late(self, writes):
+        await asyncio.sleep(LATE_S)
+        try:
+            await super().transact(writes)
+        except PlatformError:
+            pass
--- a/jujubenotch/records/__init__.py
+++ b/jujubenotch/records/__init__.py
@@ -10,6 +10,7 @@
     list_records,
     read_record,
 )
+from jujubenotch.records.change import RecordRevision
 from jujubenotch.records.errors import RecordsError
 from jujubenotch.records.lookup import CallerIdentity, find_binding, is_idempotent
 from jujubenotch.records.model import (
@@ -25,6 +26,8 @@
     UpstreamKind,
 )
 from jujubenotch.records.parse import parse_documents
+from jujubenotch.records.poll import Head, poll
+from jujubenotch.records.preview import preview_change
 from jujubenotch.records.record import (
     Deletion,
     Edit,
@@ -37,35 +40,75 @@
     Source,
     key_of,
 )
+from jujubenotch.records.replica import (
+    ConfigurationReplica,
+    apply_changes,
+    changes_since,
+    read_record_revision,
+)
+from jujubenotch.records.results import (
+    Accepted,
+    ChangeRefusal,
+    ChangeRefusalReason,
+    ChangeRequest,
+    Conflict,
+    Preview,
+    RecordDifference,
+    Unchanged,
+)
+from jujubenotch.records.store import (
+    ChangeResult,
+    ConfigurationStore,
+    submit_change,
+)
 
 __all__ = [
+    "Accepted",
     "Application",
     "Binding",
     "CallerIdentity",
+    "ChangeRefusal",
+    "ChangeRefusalReason",
+    "ChangeRequest",
+    "ChangeResult",
     "Configuration",
+    "ConfigurationReplica",
+    "ConfigurationStore",
+    "Conflict",
     "Deletion",
     "Edit",
+    "Head",
     "InvalidRecords",
     "Limits",
     "PowerCap",
+    "Preview",
     "Problem",
     "Record",
     "RecordBody",
+    "RecordDifference",
     "RecordKey",
     "RecordKind",
+    "RecordRevision",
     "RecordsError",
     "Route",
     "ServiceClass",
     "Source",
     "Team",
+    "Unchanged",
     "Upstream",
     "UpstreamKind",
+    "apply_changes",
     "build_configuration",
+    "changes_since",
     "edit_configuration",
     "find_binding",
     "is_idempotent",
     "key_of",
     "list_records",
     "parse_documents",
+    "poll",
+    "preview_change",
     "read_record",
+    "read_record_revision",
+    "submit_change",
 ]
--- /dev/null
+++ b/jujubenotch/records/change.py
@@ -0,0 +1,188 @@
+"""Committed changes and snapshots of the configuration, and their bytes.
+
+A member that this program doesn't know is passed over when it is read, so that
+instances of two releases can run side by side.
+"""
+
+import hashlib
+from dataclasses import dataclass, field
+
+import orjson
+from pydantic import TypeAdapter, ValidationError
+
+from jujubenotch.records.errors import RecordsError
+from jujubenotch.records.record import (
+    KIND_BY_BODY_TYPE,
+    RecordBody,
+    RecordKey,
+    RecordKind,
+    key_of,
+)
+
+MAX_REVISION = 10**20 - 1
+_BODY_TYPE_BY_KIND = {kind: body for body, kind in KIND_BY_BODY_TYPE.items()}
+_BODY_ADAPTERS = {
+    kind: TypeAdapter(body_type) for kind, body_type in _BODY_TYPE_BY_KIND.items()
+}
+
+
+@dataclass(frozen=True, kw_only=True)
+class RecordRevision:
+    """How often and when a record was changed; kept when it is deleted.
+
+    :param revision: The global revision of its last change.
+    :param changes: The number of its changes, which is also the version of its
+        row in the table service.
+    """
+
+    revision: int
+    changes: int
+
+
+NEVER_CHANGED = RecordRevision(revision=0, changes=0)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Change:
+    """One committed change of the configuration.
+
+    :param revision: The global revision that it made.
+    :param change_id: The operator's own id of the change.
+    :param puts: Records that are new or took the place of older ones.
+    :param deletes: Keys of the records that went.
+
+    >>> Change(revision=1, change_id="a", puts=(Team(name="agents"),)).keys
+    (RecordKey(kind=<RecordKind.TEAM: 'team'>, name='agents'),)
+    """
+
+    revision: int
+    change_id: str
+    puts: tuple[RecordBody, ...] = ()
+    deletes: tuple[RecordKey, ...] = ()
+
+    @property
+    def keys(self) -> tuple[RecordKey, ...]:
+        """Return the keys of all records that it touches."""
+        return (*(key_of(body) for body in self.puts), *self.deletes)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Snapshot:
+    """All records at one revision.
+
+    :param revision: The global revision.
+    :param bodies: Every record.
+    :param record_revisions: The revisions of every record ever changed.
+    """
+
+    revision: int
+    bodies: tuple[RecordBody, ...]
+    record_revisions: dict[RecordKey, RecordRevision] = field(default_factory=dict)
+
+
+def encode_change(change: Change) -> bytes:
+    """Encode a change.
+
+    :param change: The change.
+    :returns: JSON.
+    """
+    return orjson.dumps(
+        {
+            "type": "change",
+            "revision": change.revision,
+            "change_id": change.change_id,
+            "puts": [_pack_body(body) for body in change.puts],
+            "deletes": list(change.deletes),
+        }
+    )
+
+
+def encode_snapshot(snapshot: Snapshot) -> bytes:
+    """Encode a snapshot.
+
+    :param snapshot: The snapshot.
+    :returns: JSON.
+    """
+    revisions = [
+        [key.kind, key.name, entry.revision, entry.changes]
+        for key, entry in snapshot.record_revisions.items()
+    ]
+    return orjson.dumps(
+        {
+            "type": "snapshot",
+            "revision": snapshot.revision,
+            "bodies": [_pack_body(body) for body in snapshot.bodies],
+            "record_revisions": revisions,
+        }
+    )
+
+
+def decode_entry(content: bytes) -> Change | Snapshot:
+    """Decode a change or a snapshot.
+
+    :param content: What :func:`encode_change` or :func:`encode_snapshot` made.
+    :returns: The change or snapshot.
+    :raises RecordsError: The bytes are neither.
+    """
+    try:
+        values = orjson.loads(content)
+        if values["type"] == "change":
+            return _unpack_change(values)
+        if values["type"] == "snapshot":
+            return _unpack_snapshot(values)
+    except (ValidationError, ValueError, KeyError, TypeError) as error:
+        raise RecordsError(f"not a change of the records: {error!r}") from error
+    raise RecordsError(f"{values['type']!r} is neither a change nor a snapshot")
+
+
+def digest_records(puts: tuple[RecordBody, ...], deletes: tuple[RecordKey, ...]) -> str:
+    """Return a digest of what a change asks for, in whatever order.
+
+    :param puts: The records to put.
+    :param deletes: The keys of the records to delete.
+    :returns: Hexadecimal SHA-256.
+    """
+    ordered_puts = sorted(puts, key=key_of)
+    packed = [_pack_body(body) for body in ordered_puts]
+    content = orjson.dumps([packed, sorted(deletes)])
+    return hashlib.sha256(content).hexdigest()
+
+
+def _pack_body(body):
+    return {"kind": key_of(body).kind, "body": body}
+
+
+def _unpack_body(values):
+    kind = RecordKind(values["kind"])
+    return _BODY_ADAPTERS[kind].validate_python(values["body"])
+
+
+def _unpack_change(values):
+    deletes = tuple(
+        RecordKey(kind=RecordKind(key["kind"]), name=str(key["name"]))
+        for key in values["deletes"]
+    )
+    return Change(
+        revision=_read_revision(values["revision"]),
+        change_id=str(values["change_id"]),
+        puts=tuple(_unpack_body(body) for body in values["puts"]),
+        deletes=deletes,
+    )
+
+
+def _unpack_snapshot(values):
+    revisions = {}
+    for kind, name, revision, changes in values["record_revisions"]:
+        key = RecordKey(kind=RecordKind(kind), name=str(name))
+        revisions[key] = RecordRevision(revision=int(revision), changes=int(changes))
+    return Snapshot(
+        revision=_read_revision(values["revision"]),
+        bodies=tuple(_unpack_body(body) for body in values["bodies"]),
+        record_revisions=revisions,
+    )
+
+
+def _read_revision(value):
+    if type(value) is not int or not 0 < value <= MAX_REVISION:
+        raise ValueError(f"{value!r} is not a revision")
+    return value
--- /dev/null
+++ b/jujubenotch/records/store.py
@@ -0,0 +1,343 @@
+"""Commits changes of the configuration on the platform.
+
+A change is one transaction: compare-and-set on the row of each record that it
+touches and on the head's row, and insertion of the change and of its id. The
+id's row settles a lost reply, and makes a repeat harmless at any later time.
+"""
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass, field
+
+from jujubenotch.logs import log_event
+from jujubenotch.platform import (
+    ConflictError,
+    Platform,
+    PlatformError,
+    ReplyLostError,
+    Write,
+)
+from jujubenotch.records.build import edit_configuration
+from jujubenotch.records.change import (
+    Change,
+    digest_records,
+    encode_change,
+    encode_snapshot,
+)
+from jujubenotch.records.errors import RecordsError
+from jujubenotch.records.poll import Head, poll
+from jujubenotch.records.preview import (
+    drop_unchanged,
+    find_conflict,
+    find_expected_revisions,
+    list_keys,
+)
+from jujubenotch.records.record import Edit, InvalidRecords, Problem, RecordKey
+from jujubenotch.records.replica import (
+    ConfigurationReplica,
+    apply_change,
+    make_snapshot,
+    read_record_revision,
+)
+from jujubenotch.records.results import (
+    Accepted,
+    ChangeRefusal,
+    ChangeRefusalReason,
+    ChangeRequest,
+    Conflict,
+    Unchanged,
+)
+from jujubenotch.records.tables import (
+    CHANGE_IDS_TABLE,
+    CHANGES_TABLE,
+    HEAD_KEY,
+    HEAD_TABLE,
+    RECORDS_TABLE,
+    SNAPSHOT_KEY,
+    decode_row,
+    encode_row,
+    write_change_key,
+    write_record_key,
+    write_snapshot_name,
+)
+
+MAX_ATTEMPTS = 12
+MAX_FAILURES = 3
+MAX_RETRY_WAIT_S = 0.2
+RETRY_AFTER_S = 2.0
+SNAPSHOT_CHANGES = 500
+MAX_TOUCHED_RECORDS = 5000
+
+logger = logging.getLogger(__name__)
+
+ChangeResult = Accepted | Unchanged | Conflict | InvalidRecords | ChangeRefusal
+
+
+@dataclass(kw_only=True)
+class ConfigurationStore:
+    """Commits the changes that operators ask this instance for, one by one.
+
+    :param platform: The platform.
+    :param replica: The instance's replica.
+    :param snapshot_changes: A snapshot is stored whenever so many changes were
+        made.
+
+    >>> store = ConfigurationStore(platform=None, replica=ConfigurationReplica())
+    """
+
+    platform: Platform
+    replica: ConfigurationReplica
+    snapshot_changes: int = SNAPSHOT_CHANGES
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
+@dataclass(kw_only=True)
+class _Submission:
+    """One change on its way.
+
+    :param expected: The revision that each record must have, which stays the
+        same over all attempts.
+    :param may_have_taken_effect: Whether a reply was lost.
+    """
+
+    request: ChangeRequest
+    digest: str
+    expected: dict[RecordKey, int] = field(default_factory=dict)
+    may_have_taken_effect: bool = False
+
+
+async def submit_change(
+    store: ConfigurationStore, request: ChangeRequest
+) -> ChangeResult:
+    """Commit a change and put it in force here.
+
+    A change of other records in between is no conflict: the change is tried
+    again on the new head, a bounded number of times.
+
+    :param store: The store.
+    :param request: The change.
+    :returns: What became of it; only ``UNSETTLED`` leaves that open.
+    """
+    deletes = tuple(deletion.key for deletion in request.edit.deletions)
+    puts = tuple(record.body for record in request.edit.records)
+    submission = _Submission(request=request, digest=digest_records(puts, deletes))
+    async with store.lock:
+        result = await _try_repeatedly(store, submission)
+    log_event(
+        logger,
+        logging.INFO,
+        "change-submitted",
+        change_id=request.change_id,
+        result=type(result).__name__,
+        revision=store.replica.revision,
+    )
+    return result
+
+
+async def _try_repeatedly(store, submission):
+    refusal = _refuse_races()
+    failures = 0
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt:
+            await asyncio.sleep(random.uniform(0, MAX_RETRY_WAIT_S))
+        try:
+            result = await _try_once(store, submission)
+        except (PlatformError, RecordsError) as error:
+            failures += 1
+            submission.may_have_taken_effect |= isinstance(error, ReplyLostError)
+            refusal = _refuse_unavailable(error)
+            if failures == MAX_FAILURES:
+                break
+        else:
+            if result is not None:
+                return result
+    if submission.may_have_taken_effect:
+        return _refuse_unsettled()
+    return refusal
+
+
+async def _try_once(store, submission) -> ChangeResult | None:
+    """Try a change on the present head; ``None`` when another change came first."""
+    replica = store.replica
+    head = await poll(replica, store.platform)
+    # The id is looked up after the head: a write that lands in between, late
+    # from an earlier attempt, moves the head and so fails this attempt.
+    if earlier := await _find_earlier(store, submission):
+        return earlier
+    if head.revision != replica.revision:
+        return None
+    request = submission.request
+    _pin_expected_revisions(replica, submission)
+    if conflict := find_conflict(replica, request, submission.expected):
+        return conflict
+    edit = drop_unchanged(replica.configuration, request.edit)
+    if not list_keys(edit):
+        return Unchanged(revision=replica.revision)
+    if problems := await _check_edit(replica.configuration, edit):
+        return problems
+    if replica.revision != head.revision:
+        return None
+    change = _make_change(request.change_id, edit, head.revision + 1)
+    return await _commit(store, submission, head, change)
+
+
+async def _find_earlier(store, submission):
+    """Find whether a change of this id is committed already."""
+    change_id = submission.request.change_id
+    row = await store.platform.read(CHANGE_IDS_TABLE, change_id)
+    if row is None:
+        return None
+    values = decode_row(row.value)
+    if values.get("digest") != submission.digest:
+        return _refuse_reuse(change_id)
+    return Accepted(
+        revision=int(values["revision"]),
+        change_id=change_id,
+        is_repeated=not submission.may_have_taken_effect,
+    )
+
+
+async def _check_edit(configuration, edit) -> InvalidRecords | None:
+    if too_large := _check_size(edit):
+        return too_large
+    # The whole configuration is checked, which may take long when it is large.
+    edited = await asyncio.to_thread(
+        edit_configuration, configuration, edit, configuration.revision + 1
+    )
+    return edited if isinstance(edited, InvalidRecords) else None
+
+
+def _pin_expected_revisions(replica, submission):
+    found = find_expected_revisions(replica, submission.request)
+    for key, revision in found.items():
+        submission.expected.setdefault(key, revision)
+
+
+async def _commit(store, submission, head, change):
+    writes = _list_writes(store.replica, submission, head, change)
+    try:
+        await store.platform.transact(writes)
+    except ConflictError:
+        return None
+    apply_change(store.replica, change)
+    if change.revision % store.snapshot_changes == 0:
+        await _store_snapshot(store)
+    return Accepted(revision=change.revision, change_id=change.change_id)
+
+
+def _make_change(change_id, edit: Edit, revision) -> Change:
+    return Change(
+        revision=revision,
+        change_id=change_id,
+        puts=tuple(record.body for record in edit.records),
+        deletes=tuple(deletion.key for deletion in edit.deletions),
+    )
+
+
+def _list_writes(replica, submission, head: Head, change: Change) -> list[Write]:
+    content = encode_row(revision=change.revision)
+    id_content = encode_row(revision=change.revision, digest=submission.digest)
+    writes = [
+        Write(
+            table=HEAD_TABLE,
+            key=HEAD_KEY,
+            value=content,
+            expected_version=head.version,
+        ),
+        Write(
+            table=CHANGES_TABLE,
+            key=write_change_key(change.revision),
+            value=encode_change(change),
+            expected_version=0,
+        ),
+        Write(
+            table=CHANGE_IDS_TABLE,
+            key=change.change_id,
+            value=id_content,
+            expected_version=0,
+        ),
+    ]
+    # A deleted record's row stays, so that its version never starts again.
+    for key in change.keys:
+        write = Write(
+            table=RECORDS_TABLE,
+            key=write_record_key(key),
+            value=content,
+            expected_version=read_record_revision(replica, key).changes,
+        )
+        writes.append(write)
+    return writes
+
+
+async def _store_snapshot(store):
+    """Store a snapshot; a failure is made good by a later one."""
+    snapshot = make_snapshot(store.replica)
+    name = write_snapshot_name(snapshot.revision // store.snapshot_changes)
+    try:
+        pointer = await store.platform.read(HEAD_TABLE, SNAPSHOT_KEY)
+        if pointer and decode_row(pointer.value)["revision"] >= snapshot.revision:
+            return
+        content = await asyncio.to_thread(encode_snapshot, snapshot)
+        await store.platform.put_object(name, content)
+        write = Write(
+            table=HEAD_TABLE,
+            key=SNAPSHOT_KEY,
+            value=encode_row(revision=snapshot.revision, object=name),
+            expected_version=pointer.version if pointer else 0,
+        )
+        await store.platform.transact([write])
+    except (PlatformError, RecordsError) as error:
+        log_event(
+            logger,
+            logging.WARNING,
+            "snapshot-not-stored",
+            revision=snapshot.revision,
+            error=error,
+        )
+
+
+def _check_size(edit):
+    count = len(list_keys(edit))
+    if count <= MAX_TOUCHED_RECORDS:
+        return None
+    problem = Problem(
+        key="records",
+        value=str(count),
+        message=f"are more than the {MAX_TOUCHED_RECORDS} that one change may touch",
+        remedy="split the change",
+    )
+    return InvalidRecords(problems=(problem,))
+
+
+def _refuse_reuse(change_id):
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.CHANGE_ID_REUSED,
+        detail=f"change id {change_id!r} belongs to another change; take a new id",
+    )
+
+
+def _refuse_unavailable(error):
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.PLATFORM_UNAVAILABLE,
+        detail=f"nothing was changed by this request: {error}",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _refuse_races():
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.RACES,
+        detail=f"other changes came first {MAX_ATTEMPTS} times; nothing was "
+        "changed by this request",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def _refuse_unsettled():
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.UNSETTLED,
+        detail="the platform gave no answer, so the change may have been made; "
+        "repeat it with the same change id",
+        retry_after_s=RETRY_AFTER_S,
+    )
