--- /dev/null
+++ b/jujubenotch/claims/calls.py
@@ -0,0 +1,147 @@
+"""Claims of callers' requests, as the dispatcher uses them."""
+
+from dataclasses import dataclass, field
+
+from jujubenotch.claims.claim import claim, look_up
+from jujubenotch.claims.finish import close, finish
+from jujubenotch.claims.keys import digest_request
+from jujubenotch.claims.model import (
+    Claim,
+    ClaimFinished,
+    ClaimHeld,
+    ClaimRequest,
+    Claims,
+    ClaimTaken,
+    RecordedAnswer,
+)
+from jujubenotch.dispatch import Answer, Call
+from jujubenotch.outcomes import FailureReason, Outcome, Refusal, RefusalReason
+
+CONFLICT = 409
+UNPROCESSABLE = 422
+SERVICE_UNAVAILABLE = 503
+RECORDED_HEADERS = frozenset(
+    {
+        "content-encoding",
+        "content-language",
+        "content-type",
+        "etag",
+        "last-modified",
+        "location",
+    }
+)
+
+
+@dataclass(kw_only=True)
+class CallClaims:
+    """The claims that the calls of one instance hold.
+
+    :param held: The claim of each call that has taken one, by request id.
+
+    >>> CallClaims(claims=None).held
+    {}
+    """
+
+    claims: Claims
+    held: dict[str, Claim] = field(default_factory=dict)
+
+    async def look_up(self, call: Call) -> Answer | None:
+        """Answer a repeat, waiting while the first is in progress.
+
+        :param call: A call with a key.
+        :returns: The answer; ``None`` when the call may be claimed.
+        """
+        return _write_answer(await look_up(self.claims, _write_request(call)))
+
+    async def take(self, call: Call) -> Answer | None:
+        """Claim a call.
+
+        :param call: A call with a key.
+        :returns: ``None`` when the call is this attempt's to send, else what
+            to tell its caller.
+        """
+        result = await claim(self.claims, _write_request(call))
+        if isinstance(result, ClaimTaken):
+            self.held[call.request_id] = result.claim
+            return None
+        return _write_answer(result)
+
+    def finish(self, call: Call, answer: Answer) -> None:
+        """Record the outcome of a claimed call; never blocks.
+
+        :param call: The call.
+        :param answer: Its answer.
+        """
+        held = self.held.pop(call.request_id, None)
+        if held is not None:
+            finish(self.claims, held, _record_answer(answer))
+
+    async def close(self) -> None:
+        """Wait until each outcome is recorded or given up."""
+        await close(self.claims)
+
+
+def _write_request(call):
+    return ClaimRequest(
+        team=call.team.name,
+        idempotency_key=call.idempotency_key,
+        target=call.target,
+        fingerprint=digest_request(call.method, call.path, call.body),
+        deadline_s=call.deadline_s,
+    )
+
+
+def _record_answer(answer):
+    return RecordedAnswer(
+        outcome=answer.outcome,
+        status=answer.status,
+        reason=answer.reason,
+        headers=tuple(
+            (name, value)
+            for name, value in answer.headers
+            if name.lower() in RECORDED_HEADERS
+        ),
+        body=answer.body,
+        is_streamed=answer.is_streamed,
+    )
+
+
+def _write_answer(result):
+    if result is None:
+        return None
+    if isinstance(result, ClaimFinished):
+        return _write_recorded(result.answer)
+    if isinstance(result, Refusal):
+        return Answer(
+            outcome=Outcome.NOT_RUN,
+            status=SERVICE_UNAVAILABLE,
+            reason=result.reason,
+            detail=result.detail,
+            retry_after_s=result.retry_after_s,
+        )
+    if isinstance(result, ClaimHeld):
+        return Answer(
+            outcome=Outcome.UNKNOWN,
+            status=CONFLICT,
+            reason=FailureReason.CLAIM_HELD,
+            detail="an earlier request with this key may have run, and its outcome "
+            "isn't recorded; repeat it with the same key",
+            retry_after_s=result.retry_after_s,
+        )
+    return Answer(
+        outcome=Outcome.NOT_RUN,
+        status=UNPROCESSABLE,
+        reason=RefusalReason.KEY_REUSED,
+        detail="the key belongs to another request of this team; take a new key",
+    )
+
+
+def _write_recorded(answer):
+    return Answer(
+        outcome=answer.outcome,
+        status=answer.status,
+        reason=answer.reason,
+        headers=answer.headers,
+        body=answer.body,
+        is_streamed=answer.is_streamed,
+    )
--- /dev/null
+++ b/jujubenotch/claims/codec.py
@@ -0,0 +1,75 @@
+"""Turns a claim's row into bytes and back.
+
+A row is one line of JSON, then the body of the recorded answer as it is.
+"""
+
+from dataclasses import replace
+
+import orjson
+
+from jujubenotch.claims.errors import RowUnreadableError
+from jujubenotch.claims.model import ClaimRow, ClaimState, RecordedAnswer
+from jujubenotch.outcomes import FailureReason, Outcome, RefusalReason
+
+REASON_KINDS = {"failure": FailureReason, "refusal": RefusalReason}
+
+
+def encode_row(row: ClaimRow) -> bytes:
+    """Encode a row.
+
+    :param row: The row.
+    :returns: The value for the table service.
+    """
+    body = row.answer.body if row.answer else b""
+    head = {
+        "state": row.state,
+        "attempt_id": row.attempt_id,
+        "instance": row.instance,
+        "fingerprint": row.fingerprint,
+        "expires_hour": row.expires_hour,
+        "object_name": row.object_name,
+        "answer": _describe_answer(row.answer) if row.answer else None,
+    }
+    return orjson.dumps(head) + b"\n" + body
+
+
+def decode_row(value: bytes) -> ClaimRow:
+    """Decode a row.
+
+    :param value: The value from the table service.
+    :returns: The row.
+    :raises RowUnreadableError: It holds something else.
+    """
+    line, _, body = value.partition(b"\n")
+    try:
+        head = orjson.loads(line)
+        answer = head.pop("answer")
+        state = ClaimState(head.pop("state"))
+        if answer is not None:
+            answer = replace(_read_answer(answer), body=body)
+        return ClaimRow(state=state, answer=answer, **head)
+    except (ValueError, TypeError, KeyError, AttributeError) as error:
+        raise RowUnreadableError(f"the row of a claim: {error}") from error
+
+
+def _describe_answer(answer):
+    kinds = [name for name, kind in REASON_KINDS.items() if type(answer.reason) is kind]
+    return {
+        "outcome": answer.outcome,
+        "status": answer.status,
+        "reason": answer.reason,
+        "reason_kind": kinds[0] if kinds else None,
+        "headers": answer.headers,
+        "is_streamed": answer.is_streamed,
+    }
+
+
+def _read_answer(described):
+    kind = described["reason_kind"]
+    return RecordedAnswer(
+        outcome=Outcome(described["outcome"]),
+        status=described["status"],
+        reason=REASON_KINDS[kind](described["reason"]) if kind else None,
+        headers=tuple((name, value) for name, value in described["headers"]),
+        is_streamed=described["is_streamed"],
+    )
--- /dev/null
+++ b/jujubenotch/claims/group.py
@@ -0,0 +1,150 @@
+"""Groups writes that come within a few milliseconds into one transaction."""
+
+import asyncio
+import logging
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from jujubenotch.logs import log_event
+from jujubenotch.platform import (
+    ConflictError,
+    Platform,
+    PlatformUnavailableError,
+    Write,
+)
+
+logger = logging.getLogger(__name__)
+
+MAX_TRANSACTIONS = 4
+
+
+class WriteResult(StrEnum):
+    """What became of a submission.
+
+    ``REPLY_LOST`` means that it may have taken effect, or may do so later.
+    """
+
+    APPLIED = "applied"
+    CONFLICT = "conflict"
+    UNAVAILABLE = "unavailable"
+    REPLY_LOST = "reply-lost"
+
+
+@dataclass(frozen=True, kw_only=True)
+class Submission:
+    """Writes that take effect together, and who waits for them."""
+
+    writes: tuple[Write, ...]
+    result: asyncio.Future
+
+
+@dataclass(kw_only=True)
+class GroupWriter:
+    """The writes that wait for the next transaction.
+
+    :param delay_s: How long writes are gathered, in seconds.
+    :param max_submissions: Submissions of one transaction at most.
+    :param timeout_s: Bound of one transaction, in seconds.
+    :param gathering: The task that gathers; ``None`` while nothing waits.
+    :param committing: The transactions in progress.
+
+    >>> writer = GroupWriter(
+    ...     platform=None, delay_s=0.003, max_submissions=64, timeout_s=3.0
+    ... )
+    >>> writer.pending
+    []
+    """
+
+    platform: Platform
+    delay_s: float
+    max_submissions: int
+    timeout_s: float
+    pending: list[Submission] = field(default_factory=list)
+    gathering: asyncio.Task | None = None
+    committing: set[asyncio.Task] = field(default_factory=set)
+
+
+async def submit(writer: GroupWriter, writes: Sequence[Write]) -> WriteResult:
+    """Commit writes with others, in one transaction.
+
+    A conflict in another's row doesn't touch these writes.
+
+    :param writer: The writer.
+    :param writes: Writes that take effect together.
+    :returns: What became of them.
+    """
+    result = asyncio.get_running_loop().create_future()
+    writer.pending.append(Submission(writes=tuple(writes), result=result))
+    if writer.gathering is None:
+        writer.gathering = asyncio.create_task(_gather(writer))
+    return await result
+
+
+async def _gather(writer):
+    while writer.pending:
+        await asyncio.sleep(writer.delay_s)
+        while len(writer.committing) >= MAX_TRANSACTIONS:
+            await asyncio.wait(writer.committing, return_when=asyncio.FIRST_COMPLETED)
+        task = asyncio.create_task(_commit(writer, _take_group(writer)))
+        writer.committing.add(task)
+        task.add_done_callback(writer.committing.discard)
+    writer.gathering = None
+
+
+def _take_group(writer):
+    group, left, rows = [], [], set()
+    for submission in writer.pending:
+        names = {(write.table, write.key) for write in submission.writes}
+        # One transaction must not write a row twice.
+        if len(group) < writer.max_submissions and not names & rows:
+            group.append(submission)
+        else:
+            left.append(submission)
+        rows |= names
+    writer.pending[:] = left
+    return group
+
+
+async def _commit(writer, group):
+    while group:
+        try:
+            async with asyncio.timeout(writer.timeout_s):
+                await writer.platform.transact(
+                    [write for submission in group for write in submission.writes]
+                )
+        except ConflictError as error:
+            group = _drop_conflicting(group, error)
+            continue
+        except PlatformUnavailableError:
+            _resolve(group, WriteResult.UNAVAILABLE)
+        except Exception as error:
+            # Whatever else went wrong, the writes may have taken effect.
+            _log_doubt(error)
+            _resolve(group, WriteResult.REPLY_LOST)
+        else:
+            _resolve(group, WriteResult.APPLIED)
+        return
+
+
+def _drop_conflicting(group, error):
+    name = (error.table, error.key)
+    conflicting = [
+        submission
+        for submission in group
+        if any((write.table, write.key) == name for write in submission.writes)
+    ]
+    if not conflicting:
+        conflicting = group
+    _resolve(conflicting, WriteResult.CONFLICT)
+    return [submission for submission in group if submission not in conflicting]
+
+
+def _resolve(group, result):
+    for submission in group:
+        if not submission.result.done():
+            submission.result.set_result(result)
+
+
+def _log_doubt(error):
+    log_event(logger, logging.WARNING, "claim-reply-lost", error=type(error).__name__)
