--- /dev/null
+++ b/features/claims/faulty_platform.py
@@ -0,0 +1,81 @@
+"""A platform in memory that fails as its script says."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from jujubenotch.platform import (
+    ConflictError,
+    EmbeddedPlatform,
+    PlatformUnavailableError,
+    ReplyLostError,
+)
+
+LATE_S = {"lost-late": 7.0, "lost-soon": 0.08}
+HANG_S = 1e6
+
+
+@dataclass(kw_only=True)
+class FaultyPlatform(EmbeddedPlatform):
+    """Plays one fault of its script for each transaction or read, then none.
+
+    :param script: ``ok``, ``slow``, ``down``, ``lost-applied``, ``lost-dropped``,
+        ``lost-late``, ``lost-soon`` or ``hang``.
+    :param read_script: ``ok`` or ``down``.
+    :param outages: Pairs of loop times between which nothing answers.
+    """
+
+    script: list[str] = field(default_factory=list)
+    read_script: list[str] = field(default_factory=list)
+    outages: list[tuple[float, float]] = field(default_factory=list)
+    transactions: int = 0
+
+    async def transact(self, writes):
+        names = [(write.table, write.key) for write in writes]
+        assert len(names) == len(set(names)), "a row is written twice"
+        fault = self.script.pop(0) if self.script else "ok"
+        await asyncio.sleep(0.5 if fault == "slow" else 0.005)
+        self.check_up()
+        self.transactions += 1
+        if fault == "down":
+            raise PlatformUnavailableError
+        if fault in LATE_S:
+            asyncio.create_task(self.apply_late(writes, LATE_S[fault]))
+        if fault in ("ok", "slow", "lost-applied"):
+            await super().transact(writes)
+        if fault == "hang":
+            await asyncio.sleep(HANG_S)
+        if fault.startswith("lost"):
+            raise ReplyLostError
+        if any(start <= self.now_s() < end for start, end in self.outages):
+            raise ReplyLostError
+
+    async def apply_late(self, writes, delay_s):
+        await asyncio.sleep(delay_s)
+        try:
+            await EmbeddedPlatform.transact(self, writes)
+        except ConflictError:
+            return
+
+    async def read(self, table, key):
+        await asyncio.sleep(0.002)
+        self.check_up()
+        if self.read_script and self.read_script.pop(0) == "down":
+            raise PlatformUnavailableError
+        return await super().read(table, key)
+
+    async def put_object(self, name, content):
+        await asyncio.sleep(0.005)
+        self.check_up()
+        await super().put_object(name, content)
+
+    async def get_object(self, name):
+        await asyncio.sleep(0.002)
+        self.check_up()
+        return await super().get_object(name)
+
+    def check_up(self):
+        if any(start <= self.now_s() < end for start, end in self.outages):
+            raise PlatformUnavailableError
+
+    def now_s(self):
+        return asyncio.get_running_loop().time()
--- /dev/null
+++ b/features/claims/interleaving.py
@@ -0,0 +1,179 @@
+"""Random interleavings of requests with the same keys at several instances."""
+
+import asyncio
+from collections import defaultdict
+from dataclasses import dataclass, field
+
+from hypothesis import strategies as st
+
+from features.claims.faulty_platform import FaultyPlatform
+from features.claims.virtual_loop import VirtualLoop
+from jujubenotch.claims import (
+    ClaimFinished,
+    ClaimRequest,
+    ClaimTaken,
+    RecordedAnswer,
+    claim,
+    close,
+    finish,
+    look_up,
+    make_claims,
+)
+from jujubenotch.outcomes import Outcome, Refusal
+
+INSTANCES = ("a", "b", "c")
+KEYS = ("k1", "k2")
+DEADLINE_S = 30.0
+AFTER_ALL_S = 700.0
+ENDS = ("completed", "failed", "unknown", "not-run", "crash", "crash-before-send")
+FAULTS = ("ok", "slow", "down", "hang")
+FAULTS += ("lost-applied", "lost-dropped", "lost-late", "lost-soon")
+
+
+@dataclass(frozen=True, kw_only=True)
+class Actor:
+    """One request: when it comes, where, and what its owner does with a claim.
+
+    :param pause_s: How long it is paused between claim and send.
+    :param cancel_after_s: When it is cancelled before it holds the claim; 0 is
+        never.
+    """
+
+    number: int
+    instance: str
+    key: str
+    starts_s: float
+    pause_s: float
+    end: str
+    cancel_after_s: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Run:
+    """What was sent and told in one run."""
+
+    sent: dict[str, list[int]] = field(default_factory=lambda: defaultdict(list))
+    told: dict[int, Outcome] = field(default_factory=dict)
+    heard: list[tuple[str, RecordedAnswer]] = field(default_factory=list)
+    crashed: set[str] = field(default_factory=set)
+    last_results: dict[str, object] = field(default_factory=dict)
+
+
+ACTORS = st.builds(
+    Actor,
+    number=st.just(0),
+    instance=st.sampled_from(INSTANCES),
+    key=st.sampled_from(KEYS),
+    starts_s=st.sampled_from([0.0, 0.001, 0.004, 0.01, 0.3, 5.0, 7.0, 20.0]),
+    pause_s=st.sampled_from([0.0, 0.0, 0.01, 8.0, 40.0]),
+    end=st.sampled_from(ENDS),
+    cancel_after_s=st.sampled_from([0.0, 0.0, 0.0, 0.002, 0.006, 0.05, 3.0]),
+)
+PLANS = st.fixed_dictionaries(
+    {
+        "actors": st.lists(ACTORS, min_size=1, max_size=10),
+        "script": st.lists(st.sampled_from(FAULTS), max_size=20),
+        "read_script": st.lists(st.sampled_from(["ok", "down", "down"]), max_size=20),
+        "outages": st.lists(
+            st.tuples(st.sampled_from([0.0, 0.006, 0.3, 6.0]), st.floats(0.01, 60)),
+            max_size=2,
+        ),
+    }
+)
+
+
+def play(plan):
+    """Play a plan on a loop with a clock of its own, and tell what happened."""
+    loop = VirtualLoop()
+    try:
+        return loop.run_until_complete(_play(loop, plan))
+    finally:
+        for task in asyncio.all_tasks(loop):
+            task.cancel()
+        loop.run_until_complete(asyncio.sleep(0))
+        loop.close()
+
+
+async def _play(loop, plan):
+    start_s = loop.time()
+    outages = [
+        (start_s + at_s, start_s + at_s + long_s) for at_s, long_s in plan["outages"]
+    ]
+    platform = FaultyPlatform(
+        script=list(plan["script"]),
+        read_script=list(plan["read_script"]),
+        outages=outages,
+    )
+    claims = {name: make_claims(platform=platform, instance=name) for name in INSTANCES}
+    run = Run()
+    await asyncio.gather(
+        *(
+            _act(run, claims[actor.instance], actor, number)
+            for number, actor in enumerate(plan["actors"])
+        )
+    )
+    platform.script.clear()
+    platform.read_script.clear()
+    await asyncio.sleep(AFTER_ALL_S)
+    for instance in claims.values():
+        await close(instance)
+    for key in KEYS:
+        run.last_results[key] = await claim(claims["a"], _make_request(loop, key))
+    return run
+
+
+def _make_request(loop, key):
+    return ClaimRequest(
+        team="keepers",
+        idempotency_key=key,
+        target="returns",
+        fingerprint=f"request of {key}",
+        deadline_s=loop.time() + DEADLINE_S,
+    )
+
+
+async def _act(run, claims, actor, number):
+    loop = asyncio.get_running_loop()
+    await asyncio.sleep(actor.starts_s)
+    request = _make_request(loop, actor.key)
+    task = asyncio.create_task(_look_up_and_claim(claims, request))
+    if actor.cancel_after_s:
+        await asyncio.wait([task], timeout=actor.cancel_after_s)
+        task.cancel()
+    await asyncio.wait([task])
+    if task.cancelled():
+        return
+    result = task.result()
+    if isinstance(result, ClaimTaken):
+        await _own(run, claims, actor, number, result.claim)
+    elif isinstance(result, ClaimFinished):
+        run.heard.append((actor.key, result.answer))
+        run.told[number] = result.answer.outcome
+    elif isinstance(result, Refusal):
+        run.told[number] = Outcome.NOT_RUN
+    else:
+        run.told[number] = Outcome.UNKNOWN
+
+
+async def _look_up_and_claim(claims, request):
+    result = await look_up(claims, request)
+    return await claim(claims, request) if result is None else result
+
+
+async def _own(run, claims, actor, number, own):
+    await asyncio.sleep(actor.pause_s)
+    if actor.end == "crash-before-send":
+        run.crashed.add(actor.key)
+        return
+    if actor.end == "not-run":
+        run.told[number] = Outcome.NOT_RUN
+        answer = RecordedAnswer(outcome=Outcome.NOT_RUN, status=503)
+        return finish(claims, own, answer)
+    run.sent[actor.key].append(number)
+    await asyncio.sleep(0.2)
+    if actor.end == "crash":
+        run.crashed.add(actor.key)
+        return
+    outcome = run.told[number] = Outcome(actor.end)
+    body = f"answer {number}".encode()
+    finish(claims, own, RecordedAnswer(outcome=outcome, status=200, body=body))
--- /dev/null
+++ b/features/claims/steps/calls_steps.py
@@ -0,0 +1,222 @@
+import asyncio
+from unittest import mock
+
+from behave import given, then, when
+
+import features.claims.quoted  # noqa: F401
+from features.claims.faulty_platform import FaultyPlatform
+from features.claims.virtual_loop import VirtualLoop
+from jujubenotch.admission import Grant
+from jujubenotch.claims import CallClaims, close, make_claims
+from jujubenotch.dispatch import Answer, Call, Dispatcher, RetryBudget, dispatch
+from jujubenotch.dispatch.decide import AttemptEnd
+from jujubenotch.outcomes import Outcome
+from jujubenotch.records import (
+    Configuration,
+    ServiceClass,
+    Team,
+    Upstream,
+    UpstreamKind,
+)
+
+UPSTREAM = Upstream(
+    name="returns-1",
+    kind=UpstreamKind.SERVICE,
+    data_centre="north",
+    url="http://127.0.0.1:9",
+    models=("returns",),
+    slots=4,
+)
+
+
+def make_call(context, request_id, key, body=b"1 cow"):
+    return Call(
+        request_id=request_id,
+        target="returns",
+        team=Team(name="keepers"),
+        service_class=ServiceClass(name="gate", tier=0, first_token_target_s=1.2),
+        method="POST",
+        path="/file",
+        headers=(),
+        body=body,
+        arrived_s=context.loop.time(),
+        is_idempotent=False,
+        idempotency_key=key,
+    )
+
+
+class GivingCapacity:
+    """Gives the first slots and then fails."""
+
+    def __init__(self, slots):
+        self.slots = slots
+
+    async def acquire(self, request):
+        if not self.slots:
+            raise RuntimeError("no slot is left")
+        self.slots -= 1
+        return Grant(grant_id="1", request_id=request.request_id, upstream="returns-1")
+
+    def release(self, grant, report, now_s):
+        pass
+
+
+def make_dispatcher(context, name, slots, upstreams):
+    return Dispatcher(
+        capacity=GivingCapacity(slots),
+        connections=None,
+        claims=context.calls[name],
+        observer=mock.Mock(),
+        retry_budget=RetryBudget(
+            may_retry=lambda now_s: True, record_success=lambda now_s: None
+        ),
+        read_configuration=lambda: Configuration(upstreams=upstreams),
+    )
+
+
+@given("the calls of two instances on one platform")
+def make_calls(context):
+    context.loop = VirtualLoop()
+    context.add_cleanup(context.loop.close)
+    context.platform = FaultyPlatform()
+    context.calls = {
+        name: CallClaims(claims=make_claims(platform=context.platform, instance=name))
+        for name in ("a", "b")
+    }
+    context.by_id = {}
+    context.sent = []
+
+
+@given('key "{key:Quoted}" is held')
+def hold(context, key):
+    take(context, "r0", key, "a")
+
+
+@given('key "{key:Quoted}" is another call\'s')
+def hold_other(context, key):
+    call = make_call(context, "r0", key, body=b"2 cows")
+    context.loop.run_until_complete(context.calls["a"].take(call))
+
+
+@given("the platform is away")
+def stop_platform(context):
+    context.platform.outages.append((0.0, float("inf")))
+
+
+@when('call "{request_id:Quoted}" with key "{key:Quoted}" is taken at "{name:Quoted}"')
+def take(context, request_id, key, name):
+    call = context.by_id[request_id] = make_call(context, request_id, key)
+    context.answer = context.loop.run_until_complete(context.calls[name].take(call))
+
+
+@when(
+    'call "{request_id:Quoted}" with key "{key:Quoted}" is looked up at "{name:Quoted}"'
+)
+def look_up(context, request_id, key, name):
+    call = make_call(context, request_id, key)
+    context.answer = context.loop.run_until_complete(context.calls[name].look_up(call))
+
+
+@when(
+    'call "{request_id:Quoted}" is finished at "{name:Quoted}" as "{outcome:Quoted}" '
+    'with {status:d} and "{body:Quoted}"'
+)
+def finish(context, request_id, name, outcome, status, body):
+    answer = Answer(
+        outcome=Outcome(outcome),
+        status=status,
+        headers=(("Content-Type", "text/plain"), ("Set-Cookie", "secret")),
+        body=body.encode(),
+    )
+
+    async def finish_and_close():
+        context.calls[name].finish(context.by_id[request_id], answer)
+        await context.calls[name].close()
+
+    context.loop.run_until_complete(finish_and_close())
+
+
+@when(
+    'call "{request_id:Quoted}" with key "{key:Quoted}" is dispatched at '
+    '"{name:Quoted}" and asking for its second slot raises an error'
+)
+def dispatch_failing(context, request_id, key, name):
+    async def dispatch_and_close():
+        dispatcher = make_dispatcher(context, name, slots=1, upstreams={})
+        call = make_call(context, request_id, key)
+        try:
+            await dispatch(dispatcher, call, sink=mock.Mock())
+        except RuntimeError as error:
+            context.error = error
+        await close(context.calls[name].claims)
+
+    context.error = None
+    context.loop.run_until_complete(dispatch_and_close())
+
+
+@when(
+    'calls "{first:Quoted}" and "{second:Quoted}" with key "{key:Quoted}" are '
+    'dispatched at "{one:Quoted}" and "{other:Quoted}" at once'
+)
+def dispatch_both(context, first, second, key, one, other):
+    async def send(connections, upstream, call, progress, attempt, sink):
+        context.sent.append(call.body)
+        await asyncio.sleep(5.0)
+        attempt.end = AttemptEnd.COMPLETED
+        attempt.answer = Answer(outcome=Outcome.COMPLETED, status=200, body=b"filed")
+
+    async def dispatch_all():
+        upstreams = {UPSTREAM.name: UPSTREAM}
+        calls = [
+            dispatch(
+                make_dispatcher(context, name, slots=9, upstreams=upstreams),
+                make_call(context, request_id, key),
+                sink=mock.Mock(),
+            )
+            for name, request_id in ((one, first), (other, second))
+        ]
+        return await asyncio.gather(*calls)
+
+    with mock.patch("jujubenotch.dispatch.dispatcher.make_attempt", send):
+        context.answers = context.loop.run_until_complete(dispatch_all())
+
+
+@then("it is to be sent")
+def check_taken(context):
+    assert context.answer is None, context.answer
+
+
+@then("the error is passed on")
+def check_error(context):
+    assert context.error is not None
+
+
+@then('its answer is "{outcome:Quoted}" with {status:d} and "{body:Quoted}"')
+def check_answer(context, outcome, status, body):
+    answer = context.answer
+    actual = (answer.outcome, answer.status, answer.body.decode())
+    assert actual == (outcome, status, body), answer
+
+
+@then('its answer is "{outcome:Quoted}" with {status:d} for "{reason:Quoted}"')
+def check_reason(context, outcome, status, reason):
+    answer = context.answer
+    actual = (answer.outcome, answer.status, answer.reason)
+    assert actual == (outcome, status, reason), answer
+    assert answer.retry_after_s > 0 or reason == "key-reused", answer
+
+
+@then('its headers are "{names:Quoted}"')
+def check_headers(context, names):
+    assert ", ".join(name for name, _ in context.answer.headers) == names
+
+
+@then('both answers are "{outcome:Quoted}" with "{body:Quoted}"')
+def check_both(context, outcome, body):
+    actual = [(answer.outcome, answer.body.decode()) for answer in context.answers]
+    assert actual == [(outcome, body)] * 2, context.answers
+
+
+@then('"filed" was sent once')
+def check_sent_once(context):
+    assert len(context.sent) == 1, context.sent
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -91,6 +91,7 @@
 
     :param may_have_run: Something was sent that isn't proved not started.
     :param has_run: An upstream answered, so that it ran.
+    :param is_claimed: Its key's claim is this call's.
     :param is_bound: It is claimed, or sent and not idempotent, and goes on when
         its caller leaves.
     :param is_started: The head of a stream was forwarded to the caller.
@@ -101,6 +102,7 @@
 
     may_have_run: bool = False
     has_run: bool = False
+    is_claimed: bool = False
     is_bound: bool = False
     is_started: bool = False
     last_event_id: str = ""
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -115,7 +115,7 @@
     :returns: What the caller is told.
     """
     progress = Progress()
-    if not call.is_idempotent:
+    if call.idempotency_key or not call.is_idempotent:
         sink = _tolerate_leaving(sink)
     task = asyncio.create_task(_run(dispatcher, call, progress, sink))
     dispatcher.in_progress.add(task)
@@ -158,16 +158,13 @@
 
 
 async def _run(dispatcher, call, progress, sink):
-    is_claimed = False
     reports = []
     answer = None
     try:
         if call.idempotency_key:
             answer = await dispatcher.claims.look_up(call)
         if answer is None:
-            answer, is_claimed = await _run_attempts(
-                dispatcher, call, progress, sink, reports
-            )
+            answer = await _run_attempts(dispatcher, call, progress, sink, reports)
     except CallerGoneError:
         answer = _tell_failure(progress, FailureReason.CALLER_LEFT)
     except asyncio.CancelledError:
@@ -176,17 +173,17 @@
     finally:
         if answer is None:
             answer = _tell_failure(progress, FailureReason.UPSTREAM_ERROR)
-        _finish(dispatcher, call, progress, answer, is_claimed, reports)
+        _finish(dispatcher, call, progress, answer, reports)
     return answer
 
 
-def _finish(dispatcher, call, progress, answer, is_claimed, reports):
+def _finish(dispatcher, call, progress, answer, reports):
     assert_invariant(
         answer.outcome is not Outcome.NOT_RUN or not progress.may_have_run,
         "not-run-was-not-sent",
         request_id=call.request_id,
     )
-    if is_claimed:
+    if progress.is_claimed:
         dispatcher.claims.finish(call, _with_recorded_events(answer, progress))
     if answer.outcome is Outcome.COMPLETED:
         dispatcher.retry_budget.record_success(read_clock_s())
@@ -208,28 +205,41 @@
 
 
 async def _run_attempts(dispatcher, call, progress, sink, reports):
-    is_claimed = False
     while True:
         grant = await dispatcher.capacity.acquire(_write_work_request(call, progress))
         if isinstance(grant, Refusal):
-            return _answer_refusal(progress, grant), is_claimed
+            return _answer_refusal(progress, grant)
         dispatcher.observer.record(
             call.request_id, "granted", upstream=grant.upstream, home=grant.home
         )
         progress.is_bound = bool(call.idempotency_key) or not call.is_idempotent
-        if call.idempotency_key and not is_claimed:
-            answer = await _claim(dispatcher, call, grant)
+        if call.idempotency_key and not progress.is_claimed:
+            answer = await _claim(dispatcher, call, progress, grant)
             if answer is not None:
-                return answer, False
-            is_claimed = True
+                return answer
+            if not progress.is_claimed:
+                continue
         attempt = await _attempt(dispatcher, call, progress, grant, sink)
         reports.append(report_attempt(attempt))
         answer = _decide(dispatcher, call, progress, grant, attempt)
         if answer is not None:
-            return answer, is_claimed
+            return answer
+
+
+async def _claim(dispatcher, call, progress, grant):
+    """Claim a call; without an answer or a claim it asks for a slot again."""
+    answer = await _take(dispatcher, call, grant)
+    if answer is None:
+        progress.is_claimed = True
+        return None
+    progress.is_bound = False
+    if answer.reason is FailureReason.CLAIM_HELD:
+        # Another attempt was first; its outcome is awaited without a slot.
+        return await dispatcher.claims.look_up(call)
+    return answer
 
 
-async def _claim(dispatcher, call, grant):
+async def _take(dispatcher, call, grant):
     answer = None
     is_decided = False
     try:
