--- /dev/null
+++ b/benchmarks/callers.py
@@ -0,0 +1,229 @@
+"""Sends a planned load and records what each caller was told."""
+
+import asyncio
+import time
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass, field
+
+import aiohttp
+import orjson
+
+from benchmarks.workload import PlannedRequest
+from standins.answers import expected_length, expected_service_answer, expected_text
+
+OUTCOME_HEADER = "X-Jujubenotch-Outcome"
+REASON_HEADER = "X-Jujubenotch-Reason"
+END_MARKER = "[DONE]"
+NO_ANSWER = "no-answer"
+CUT = "cut"
+GRACE_S = 15.0
+
+
+@dataclass(kw_only=True)
+class RequestRecord:
+    """What one caller saw; times are in seconds from the planned moment.
+
+    :param outcome: An outcome that the caller was told; ``no-answer`` when the
+        connection gave none in time, ``cut`` for a stream without its last
+        event.
+    :param first_token_s: ``None`` unless a streamed token came.
+    :param between_tokens_s: Mean gap; ``None`` with fewer than two tokens.
+    :param tokens: Tokens received.
+    :param expected_tokens: Length of the right answer; 0 for a plain service.
+    :param is_right: Whether the whole answer was the expected one.
+    """
+
+    number: int
+    service_class: str
+    tier: int
+    team: str
+    is_stream: bool
+    is_service: bool
+    at_s: float
+    idempotency_key: str = ""
+    request_id: str = ""
+    outcome: str = NO_ANSWER
+    reason: str = ""
+    status: int = 0
+    retry_after_s: float = 0.0
+    first_token_s: float | None = None
+    between_tokens_s: float | None = None
+    total_s: float = 0.0
+    tokens: int = 0
+    expected_tokens: int = 0
+    is_right: bool = False
+
+
+@dataclass(kw_only=True)
+class StreamView:
+    """What has come of one stream.
+
+    :param ids: The ids of its events, in order.
+    """
+
+    parts: list[str] = field(default_factory=list)
+    ids: list[int] = field(default_factory=list)
+    first_at_s: float | None = None
+    last_at_s: float | None = None
+    has_end_marker: bool = False
+    error: dict | None = None
+
+
+async def send_load(
+    plan: Sequence[PlannedRequest],
+    *,
+    entries: Sequence[str],
+    key_of: Callable[[PlannedRequest], str],
+) -> list[RequestRecord]:
+    """Send each request at its time, whatever became of those before it.
+
+    :param plan: The requests, in order of time.
+    :param entries: Base addresses that requests are spread over.
+    :param key_of: Returns the caller's key for a request.
+    :returns: One record for each request, in order of the plan.
+    """
+    connector = aiohttp.TCPConnector(limit=0)
+    timeout = aiohttp.ClientTimeout(total=None)
+    async with aiohttp.ClientSession(connector=connector, timeout=timeout) as session:
+        start_s = time.monotonic()
+        tasks = []
+        for planned in plan:
+            await asyncio.sleep(start_s + planned.at_s - time.monotonic())
+            url = entries[planned.entry % len(entries)]
+            sending = _send(session, url, planned, key_of(planned), start_s)
+            tasks.append(asyncio.ensure_future(sending))
+        return await asyncio.gather(*tasks)
+
+
+async def _send(session, url, planned, key, start_s):
+    record = _make_record(planned)
+    begin_s = start_s + planned.at_s
+    headers = {"Authorization": f"Bearer {key}"}
+    bound_s = planned.service_class.deadline_s + GRACE_S
+    try:
+        async with asyncio.timeout(bound_s):
+            if planned.body is None:
+                await _call_service(session, url, planned, headers, record)
+            else:
+                await _ask_model(session, url, planned, headers, record, begin_s)
+    except (aiohttp.ClientError, TimeoutError, OSError) as error:
+        record.reason = type(error).__name__
+    record.total_s = time.monotonic() - begin_s
+    return record
+
+
+def _make_record(planned):
+    body = planned.body or {}
+    return RequestRecord(
+        number=planned.number,
+        service_class=planned.service_class.name,
+        tier=planned.service_class.tier,
+        team=planned.team,
+        is_stream=body.get("stream", False),
+        is_service=planned.body is None,
+        at_s=planned.at_s,
+        idempotency_key=planned.idempotency_key,
+        expected_tokens=expected_length(body) if body else 0,
+    )
+
+
+async def _call_service(session, url, planned, headers, record):
+    path = f"/submissions/{planned.number}"
+    content = planned.idempotency_key.encode()
+    headers["Idempotency-Key"] = planned.idempotency_key
+    async with session.post(
+        f"{url}/services/{planned.target}{path}", data=content, headers=headers
+    ) as answer:
+        received = await answer.read()
+    _read_head(answer, record)
+    record.is_right = received == expected_service_answer("POST", path, content)
+
+
+async def _ask_model(session, url, planned, headers, record, begin_s):
+    async with session.post(
+        f"{url}/v1/chat/completions", json=planned.body, headers=headers
+    ) as answer:
+        _read_head(answer, record)
+        if answer.content_type == "text/event-stream":
+            await _read_stream(answer, planned.body, record, begin_s)
+            return
+        content = await answer.read()
+    if answer.status == 200:
+        text = orjson.loads(content)["choices"][0]["message"]["content"]
+        record.tokens = len(text.split())
+        record.is_right = text == expected_text(planned.body)
+
+
+def _read_head(answer, record):
+    is_fine = answer.status < 400
+    default = "completed" if is_fine else "failed"
+    if answer.headers.get("X-Not-Started"):
+        default = "not-run"
+    record.status = answer.status
+    record.outcome = answer.headers.get(OUTCOME_HEADER, default)
+    record.reason = answer.headers.get(REASON_HEADER, "")
+    record.request_id = answer.headers.get("X-Request-Id", "")
+    record.retry_after_s = float(answer.headers.get("Retry-After", 0))
+
+
+async def _read_stream(answer, body, record, begin_s):
+    view = StreamView()
+    record.outcome = CUT
+    try:
+        rest = b""
+        async for chunk in answer.content.iter_any():
+            *events, rest = (rest + chunk).split(b"\n\n")
+            now_s = time.monotonic()
+            for event in events:
+                read_event(view, event.decode(), now_s)
+    finally:
+        summarise_stream(view, body, record, begin_s)
+
+
+def read_event(view: StreamView, event: str, now_s: float) -> None:
+    """Take in one event of a stream.
+
+    :param view: What has come so far.
+    :param event: The event's lines, without the empty line after them.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    lines = event.split("\n")
+    data = next((line[6:] for line in lines if line.startswith("data: ")), None)
+    if data is None:
+        return
+    if data == END_MARKER:
+        view.has_end_marker = True
+        return
+    if "event: error" in lines:
+        view.error = orjson.loads(data)["error"]
+        return
+    view.ids += [int(line[4:]) for line in lines if line.startswith("id: ")]
+    view.parts.append(orjson.loads(data)["choices"][0]["delta"].get("content", ""))
+    view.first_at_s = view.first_at_s or now_s
+    view.last_at_s = now_s
+
+
+def summarise_stream(
+    view: StreamView, body: dict, record: RequestRecord, begin_s: float
+) -> None:
+    """Write into a record what came of its stream.
+
+    :param view: All that came.
+    :param body: The request's body.
+    :param record: The request's record.
+    :param begin_s: When it was planned to be sent, monotonic, in seconds.
+    """
+    record.tokens = len(view.parts)
+    if view.first_at_s is not None:
+        record.first_token_s = view.first_at_s - begin_s
+    if len(view.parts) > 1:
+        span_s = view.last_at_s - view.first_at_s
+        record.between_tokens_s = span_s / (len(view.parts) - 1)
+    if view.has_end_marker:
+        record.outcome = "completed"
+    if view.error is not None:
+        record.outcome = view.error.get("outcome", "failed")
+        record.reason = view.error.get("code", "")
+        record.retry_after_s = view.error.get("retry_after_s", 0.0)
+    is_whole = view.ids == list(range(1, record.expected_tokens + 1))
+    record.is_right = is_whole and "".join(view.parts) == expected_text(body)
