--- /dev/null
+++ b/jujubenotch/admission/grants.py
@@ -0,0 +1,185 @@
+"""Gives free slots to waiting requests, the most urgent tier first."""
+
+from dataclasses import dataclass, field
+
+from jujubenotch.admission.floor import find_floor_due, note_served
+from jujubenotch.admission.queues import remove_request
+from jujubenotch.admission.reserve import leaves_power, leaves_reserve
+from jujubenotch.admission.shares import charge_start, estimate_tokens, peek_lane
+from jujubenotch.admission.slots import (
+    POWER_TOLERANCE_WATTS,
+    is_power_metered,
+    take_slot,
+)
+from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
+from jujubenotch.invariants import assert_invariant
+from jujubenotch.work import TIERS, Grant
+
+
+@dataclass(kw_only=True)
+class _Round:
+    """One look at all queues.
+
+    :param is_power_short: The power cap held back a request; what comes after
+        it may not take the power that it waits for.
+    """
+
+    now_s: float
+    grants: list[Grant] = field(default_factory=list)
+    is_power_short: bool = False
+
+
+def grant_ready(pool: Pool, now_s: float) -> list[Grant]:
+    """Grant slots to all requests that can start now.
+
+    :param pool: The pool.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The new grants: the floor's, then the most urgent first.
+    """
+    this_round = _Round(now_s=now_s)
+    _grant_floor(pool, this_round)
+    for tier in range(TIERS):
+        if pool.queued_by_tier[tier]:
+            _grant_tier(pool, tier, this_round)
+    return this_round.grants
+
+
+def _grant_floor(pool, this_round):
+    for queued in find_floor_due(pool, this_round.now_s):
+        tier_of_no_reserve = 0
+        account = _find_place(
+            pool, queued.request, tier_of_no_reserve, _Round(now_s=this_round.now_s)
+        )
+        if account is not None:
+            _start_request(pool, queued, account, this_round, is_floor=True)
+
+
+def _grant_tier(pool, tier, this_round):
+    open_lanes = list(pool.lanes[tier].values())
+    while open_lanes:
+        lane, queued = _find_next(open_lanes)
+        if queued is None:
+            return
+        account = _find_place(pool, queued.request, tier, this_round)
+        if account is None:
+            open_lanes.remove(lane)
+            continue
+        _start_request(pool, queued, account, this_round)
+        if not lane.queued:
+            open_lanes.remove(lane)
+
+
+def _find_next(lanes):
+    first = None
+    for lane in lanes:
+        queued = peek_lane(lane)
+        if queued is None:
+            continue
+        if first is None or lane.entries[0][:2] < first[0].entries[0][:2]:
+            first = (lane, queued)
+    return first or (None, None)
+
+
+def _find_place(pool, request, tier, this_round):
+    target = pool.targets.get(request.target)
+    if target is None or not target.free:
+        return None
+    now_s = this_round.now_s
+    accounts = [
+        account
+        for account in target.accounts
+        if account.free and leaves_reserve(pool, account, tier, now_s)
+    ]
+    powered = [
+        account
+        for account in accounts
+        if _may_take_power(pool, account, tier, this_round)
+    ]
+    if accounts and not powered:
+        this_round.is_power_short = True
+        return None
+    preferred = [
+        account for account in powered if account.name not in request.excluded_upstreams
+    ]
+    return min(
+        preferred or powered,
+        key=lambda account: (account.running / account.slots, account.name),
+        default=None,
+    )
+
+
+def _may_take_power(pool, account, tier, this_round):
+    if not is_power_metered(pool, account):
+        return True
+    if this_round.is_power_short:
+        return False
+    return leaves_power(pool, account, tier, this_round.now_s)
+
+
+def _start_request(
+    pool: Pool,
+    queued: QueuedRequest,
+    account: UpstreamAccount,
+    this_round: _Round,
+    *,
+    is_floor: bool = False,
+):
+    request = queued.request
+    assert_invariant(
+        queued.is_live and request.request_id not in pool.held_requests,
+        "one-grant-per-request",
+        pool=pool.name,
+        request_id=request.request_id,
+    )
+    note_served(pool, queued, this_round.now_s)
+    remove_request(pool, queued)
+    pool.sequence += 1
+    pool.grants_made += 1
+    grant = Grant(
+        grant_id=f"{pool.id_prefix}/{pool.grants_made}",
+        request_id=request.request_id,
+        upstream=account.name,
+        home=pool.home,
+    )
+    cost = estimate_tokens(pool, request)
+    team = charge_start(
+        pool,
+        team=request.team,
+        tier=request.tier,
+        weight=request.team_weight,
+        cost=cost,
+    )
+    held = HeldSlot(
+        grant=grant,
+        target=request.target,
+        team=team,
+        service_class=request.service_class,
+        tier=request.tier,
+        started_s=this_round.now_s,
+        cost=cost,
+        watts=account.record.watts_per_slot,
+        is_floor=is_floor,
+    )
+    take_slot(pool, account, held)
+    pool.held_requests.add(request.request_id)
+    _check_bounds(pool, account)
+    this_round.grants.append(grant)
+
+
+def _check_bounds(pool, account):
+    assert_invariant(
+        account.running <= account.capacity,
+        "slots-not-exceeded",
+        pool=pool.name,
+        upstream=account.name,
+        running=account.running,
+        capacity=account.capacity,
+    )
+    assert_invariant(
+        not is_power_metered(pool, account)
+        or pool.watts_in_use <= pool.power_watts + POWER_TOLERANCE_WATTS,
+        "power-cap-held",
+        pool=pool.name,
+        watts_in_use=pool.watts_in_use,
+        power_watts=pool.power_watts,
+    )
