Run the daemon on the platform, with peers, claims and spread configuration

The instance follows the platform's configuration (a poll a second) and its peers' (revision in each heartbeat, changes fetched from the peer that has them), divides capacity by home instances, and claims keyed work. Without the platform it serves on with what is in force.

--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -1,19 +1,24 @@
-"""Starts the parts of one instance, and stops them in order."""
+"""Runs one instance: starts its parts, waits for a signal, stops in order."""
 
 import asyncio
 import itertools
 import logging
-import secrets
 import signal
 import time
-from dataclasses import dataclass, field
-from pathlib import Path
 
 from jujubenotch.callers import CallerDependencies, CallerLimits, build_caller_app
-from jujubenotch.capacity import LocalCapacity
-from jujubenotch.daemon.errors import DaemonError
+from jujubenotch.capacity import PeeredDependencies, start_peered_capacity
+from jujubenotch.claims import CallClaims, make_claims, run_sweeper
+from jujubenotch.daemon.configuration import (
+    EMBEDDED_CHANGE_ID,
+    ConfigurationKeeper,
+    load_embedded_records,
+    poll_once,
+    run_polls,
+)
 from jujubenotch.daemon.observer import CallObserver
-from jujubenotch.daemon.unclaimed import Unclaimed
+from jujubenotch.daemon.parts import Instance
+from jujubenotch.daemon.spread import ConfigurationSpread, see_revision
 from jujubenotch.dispatch import (
     Dispatcher,
     RetryBudget,
@@ -23,123 +28,96 @@
     wait_until_idle,
 )
 from jujubenotch.invariants import make_violations_fatal
-from jujubenotch.listeners import (
-    Listener,
-    bind_socket,
-    start_listener,
-    stop_listener,
-)
+from jujubenotch.listeners import bind_socket, start_listener, stop_listener
 from jujubenotch.logs import configure_logging, log_event
-from jujubenotch.metrics import make_metrics
+from jujubenotch.metrics import make_metrics, set_revision
+from jujubenotch.platform import connect_platform
 from jujubenotch.records import (
-    Configuration,
-    InvalidRecords,
-    build_configuration,
-    parse_documents,
+    ConfigurationReplica,
+    ConfigurationStore,
+    changes_since,
 )
-from jujubenotch.settings import Settings
-from jujubenotch.traces import make_traces
+from jujubenotch.settings import Settings, parse_seed
+from jujubenotch.traces import encode_trace, make_traces, read_trace
 from jujubenotch.upstreams import (
     ConnectionLimits,
-    UpstreamConnections,
     close_connections,
     open_connections,
+    read_load,
 )
 
 logger = logging.getLogger(__name__)
 
-INCARNATION_BYTES = 4
-
-
-@dataclass(kw_only=True)
-class Instance:
-    """The running parts of one instance.
-
-    :param incarnation: Tells a restarted instance from the one before it.
-    """
-
-    settings: Settings
-    incarnation: str
-    configuration: Configuration
-    connections: UpstreamConnections
-    capacity: LocalCapacity
-    dispatcher: Dispatcher
-    listeners: list[Listener] = field(default_factory=list)
-    stopping: asyncio.Event = field(default_factory=asyncio.Event)
+# Long enough for each peer to hear of the leaving and to ask another home.
+LEAVING_NOTICE_S = 0.5
 
 
-async def run_instance(settings: Settings, path: str) -> None:
+async def run_instance(settings: Settings, settings_path: str) -> None:
     """Run an instance until a signal tells it to stop.
 
     :param settings: The checked settings.
-    :param path: The file that they came from, for rereading.
+    :param settings_path: The file that they came from, for rereading.
     :raises DaemonError: The records are wrong.
     :raises ListenerError: An address can't be listened on.
     """
     configure_logging(format_name=settings.logs.format, level=settings.logs.level)
     make_violations_fatal(is_fatal=settings.invariants.fatal)
-    instance = await start_instance(settings)
+    instance = await start_instance(settings, settings_path)
     loop = asyncio.get_running_loop()
-    for name in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(name, instance.stopping.set)
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, instance.stopping.set)
     await instance.stopping.wait()
     await stop_instance(instance)
 
 
-async def start_instance(settings: Settings) -> Instance:
+async def start_instance(settings: Settings, settings_path: str) -> Instance:
     """Start the parts of an instance.
 
     :param settings: The checked settings.
+    :param settings_path: The file that they came from.
     :returns: The running instance.
     :raises DaemonError: The records are wrong.
     :raises ListenerError: An address can't be listened on.
     """
-    bound = bind_socket(settings.callers.host, settings.callers.port)
+    callers_socket = bind_socket(settings.callers.host, settings.callers.port)
+    peers_socket = bind_socket(settings.peers.host, settings.peers.port)
+    incarnation = time.time_ns()
+    observer = CallObserver(metrics=make_metrics(), traces=make_traces())
+    keeper = await _start_configuration(settings, observer)
     connections = open_connections(_read_connection_limits(settings))
-    capacity = LocalCapacity(
-        name=settings.instance.name,
-        incarnation=time.time_ns(),
-        data_centre=settings.instance.data_centre,
-        read_clock_s=time.monotonic,
+    spread = ConfigurationSpread(keeper=keeper)
+    capacity = await start_peered_capacity(
+        _make_peered_dependencies(
+            settings, incarnation, peers_socket, keeper, connections, spread, observer
+        )
     )
+    spread.fetch_changes = capacity.fetch_changes
+    _follow_configuration(keeper, capacity, observer)
+    claims = make_claims(platform=keeper.platform, instance=settings.instance.name)
+    call_claims = CallClaims(claims=claims)
     instance = Instance(
         settings=settings,
-        incarnation=secrets.token_hex(INCARNATION_BYTES),
-        configuration=read_record_files(settings.platform.records),
+        settings_path=settings_path,
+        incarnation=incarnation,
+        observer=observer,
+        keeper=keeper,
         connections=connections,
         capacity=capacity,
-        dispatcher=None,
-    )
-    observer = CallObserver(metrics=make_metrics(), traces=make_traces())
-    instance.dispatcher = Dispatcher(
-        capacity=capacity,
-        connections=connections,
-        claims=Unclaimed(),
-        observer=observer,
-        retry_budget=_make_retry_budget(instance),
-        read_configuration=lambda: instance.configuration,
-    )
-    capacity.reconfigure(instance.configuration, time.monotonic())
-    app = build_caller_app(
-        f"callers-{settings.instance.name}",
-        CallerDependencies(
-            dispatcher=instance.dispatcher,
-            read_configuration=lambda: instance.configuration,
-            make_request_id=_number_requests(instance),
-            is_stopping=instance.stopping.is_set,
-            count_refusal=observer.count_early_refusal,
+        claims=call_claims,
+        dispatcher=Dispatcher(
+            capacity=capacity,
+            connections=connections,
+            claims=call_claims,
+            observer=observer,
+            retry_budget=_make_retry_budget(keeper),
+            read_configuration=lambda: keeper.replica.configuration,
         ),
-        _read_caller_limits(settings),
-    )
-    instance.listeners.append(await start_listener(app, bound))
-    log_event(
-        logger,
-        logging.INFO,
-        "instance-started",
-        instance=settings.instance.name,
-        data_centre=settings.instance.data_centre,
-        callers_port=instance.listeners[0].port,
+        operator_key_digests=settings.operators.key_sha256,
     )
+    instance.tasks.append(asyncio.create_task(run_polls(keeper)))
+    instance.tasks.append(asyncio.create_task(run_sweeper(claims)))
+    await _start_listeners(instance, callers_socket)
+    _log_start(instance)
     return instance
 
 
@@ -149,38 +127,131 @@
     :param instance: The running instance.
     """
     log_event(logger, logging.INFO, "instance-stopping")
-    await wait_until_idle(instance.dispatcher)
+    instance.stopping.set()
+    instance.capacity.begin_leaving()
+    # Callers that the balancer still sends here are refused, not cut off.
+    await asyncio.sleep(LEAVING_NOTICE_S)
+    await _wait_for_requests(instance)
     for listener in instance.listeners:
         await stop_listener(listener)
+    await instance.claims.close()
     await instance.capacity.close()
+    for task in instance.tasks:
+        task.cancel()
+    await asyncio.gather(*instance.tasks, return_exceptions=True)
     await close_connections(instance.connections)
+    await instance.keeper.platform.close()
     log_event(logger, logging.INFO, "instance-stopped")
 
 
-def read_record_files(paths: tuple[str, ...]) -> Configuration:
-    """Read the records of the embedded platform.
-
-    :param paths: TOML files.
-    :returns: The configuration that they give together.
-    :raises DaemonError: A file can't be read or the records are wrong.
-    """
+async def _wait_for_requests(instance):
+    bound_s = instance.settings.shutdown.max_wait_s or None
     try:
-        texts = {path: Path(path).read_text() for path in paths}
-    except OSError as error:
-        raise DaemonError(f"records: {error}") from error
-    edit = parse_documents(texts)
-    if not isinstance(edit, InvalidRecords):
-        edit = build_configuration(edit.records, revision=1)
-    if isinstance(edit, InvalidRecords):
-        raise DaemonError("\n".join(str(problem) for problem in edit.problems))
-    return edit
-
-
-def _make_retry_budget(instance):
+        async with asyncio.timeout(bound_s):
+            await wait_until_idle(instance.dispatcher)
+    except TimeoutError:
+        log_event(
+            logger,
+            logging.ERROR,
+            "requests-cut-off",
+            requests=len(instance.dispatcher.in_progress),
+            max_wait_s=bound_s,
+        )
+
+
+async def _start_configuration(settings, observer):
+    platform = connect_platform(
+        kind=settings.platform.kind,
+        url=settings.platform.url,
+        timeout_s=settings.platform.timeout_s,
+    )
+    replica = ConfigurationReplica()
+    keeper = ConfigurationKeeper(
+        platform=platform,
+        replica=replica,
+        store=ConfigurationStore(platform=platform, replica=replica),
+    )
+    if settings.platform.records:
+        await load_embedded_records(
+            keeper, settings.platform.records, EMBEDDED_CHANGE_ID
+        )
+    await poll_once(keeper)
+    return keeper
+
+
+def _follow_configuration(keeper, capacity, observer):
+    def put_in_force(configuration):
+        capacity.reconfigure(configuration, time.monotonic())
+        set_revision(observer.metrics, configuration.revision)
+        log_event(
+            logger,
+            logging.INFO,
+            "configuration-in-force",
+            revision=configuration.revision,
+        )
+
+    keeper.replica.on_change = put_in_force
+    put_in_force(keeper.replica.configuration)
+
+
+def _make_peered_dependencies(
+    settings, incarnation, bound, keeper, connections, spread, observer
+):
+    def read_own_trace(request_id):
+        trace = read_trace(observer.traces, request_id)
+        return encode_trace(trace) if trace else None
+
+    return PeeredDependencies(
+        name=settings.instance.name,
+        data_centre=settings.instance.data_centre,
+        incarnation=incarnation,
+        advertised_host=settings.instance.advertised_host,
+        bound=bound,
+        read_configuration=lambda: keeper.replica.configuration,
+        read_clock_s=time.monotonic,
+        on_revision_seen=lambda revision, peer: see_revision(spread, revision, peer),
+        read_changes_since=lambda revision: changes_since(keeper.replica, revision),
+        read_trace=read_own_trace,
+        read_load=lambda upstream: read_load(connections, upstream),
+        list_instances=keeper.platform.list_instances,
+        seeds=tuple(parse_seed(text) for text in settings.peers.seeds),
+    )
+
+
+async def _start_listeners(instance, callers_socket):
+    settings = instance.settings
+    dependencies = CallerDependencies(
+        dispatcher=instance.dispatcher,
+        read_configuration=lambda: instance.keeper.replica.configuration,
+        make_request_id=_number_requests(instance),
+        is_stopping=instance.stopping.is_set,
+        count_refusal=instance.observer.count_early_refusal,
+    )
+    callers = build_caller_app(
+        f"callers-{instance.name}", dependencies, _read_caller_limits(settings)
+    )
+    instance.listeners.append(await start_listener(callers, callers_socket))
+
+
+def _log_start(instance):
+    callers = instance.listeners[0]
+    log_event(
+        logger,
+        logging.INFO,
+        "instance-started",
+        instance=instance.name,
+        data_centre=instance.settings.instance.data_centre,
+        incarnation=instance.incarnation,
+        callers_port=callers.port,
+        revision=instance.keeper.replica.revision,
+    )
+
+
+def _make_retry_budget(keeper):
     history = RetryHistory()
 
     def may_retry_now(now_s):
-        return may_retry(history, instance.configuration.limits, now_s)
+        return may_retry(history, keeper.replica.configuration.limits, now_s)
 
     def record_success_now(now_s):
         record_success(history, now_s)
@@ -190,7 +261,7 @@
 
 def _number_requests(instance):
     numbers = itertools.count(1)
-    prefix = f"{instance.settings.instance.name}-{instance.incarnation}"
+    prefix = f"{instance.name}-{instance.incarnation:x}"
 
     def make_request_id():
         return f"{prefix}-{next(numbers)}"
--- /dev/null
+++ b/jujubenotch/daemon/parts.py
@@ -0,0 +1,53 @@
+"""The running parts of one instance."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from jujubenotch.capacity import PeeredCapacity
+from jujubenotch.claims import CallClaims
+from jujubenotch.daemon.configuration import ConfigurationKeeper
+from jujubenotch.daemon.observer import CallObserver
+from jujubenotch.dispatch import Dispatcher
+from jujubenotch.listeners import Listener
+from jujubenotch.settings import Settings
+from jujubenotch.upstreams import UpstreamConnections
+
+
+@dataclass(kw_only=True)
+class Instance:
+    """All parts of one running instance.
+
+    :param settings_path: The file that the settings came from.
+    :param incarnation: Grows with each start; tells a restarted instance from
+        the one before it.
+    :param tasks: The tasks that run until the instance ends.
+    :param stopping: Set when the instance takes nothing new.
+
+    >>> instance = await start_instance(settings, "a1.toml")
+    >>> instance.stopping.set()
+    >>> await stop_instance(instance)
+    """
+
+    settings: Settings
+    settings_path: str
+    incarnation: int
+    observer: CallObserver
+    keeper: ConfigurationKeeper
+    connections: UpstreamConnections
+    capacity: PeeredCapacity
+    claims: CallClaims
+    dispatcher: Dispatcher
+    operator_key_digests: tuple[str, ...]
+    listeners: list[Listener] = field(default_factory=list)
+    tasks: list[asyncio.Task] = field(default_factory=list)
+    stopping: asyncio.Event = field(default_factory=asyncio.Event)
+
+    @property
+    def name(self) -> str:
+        """The instance's name."""
+        return self.settings.instance.name
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether it takes new requests."""
+        return self.keeper.is_known and not self.stopping.is_set()
