Make TLS contexts from settings, check their files first, document claims

A certificate that doesn't fit its key, a locked key or a file of another kind is now told at the check of the settings, before anything listens.

--- a/jujubenotch/settings/__init__.py
+++ b/jujubenotch/settings/__init__.py
@@ -20,6 +20,11 @@
     UpstreamsSettings,
 )
 from jujubenotch.settings.seeds import Seed, parse_seed
+from jujubenotch.settings.tls import (
+    PeerContexts,
+    make_peer_contexts,
+    make_server_context,
+)
 
 __all__ = [
     "CallersSettings",
@@ -28,6 +33,7 @@
     "LogsSettings",
     "MutualTlsSettings",
     "OperatorsSettings",
+    "PeerContexts",
     "PeersSettings",
     "PlatformSettings",
     "Seed",
@@ -37,5 +43,7 @@
     "TlsSettings",
     "UpstreamsSettings",
     "load_settings",
+    "make_peer_contexts",
+    "make_server_context",
     "parse_seed",
 ]
--- a/jujubenotch/settings/load.py
+++ b/jujubenotch/settings/load.py
@@ -8,6 +8,7 @@
 
 from jujubenotch.settings.errors import SettingsError, describe_validation_error
 from jujubenotch.settings.model import Settings
+from jujubenotch.settings.tls import make_server_context
 
 LISTENERS = ("callers", "operators", "peers")
 WILDCARD_HOSTS = frozenset({"0.0.0.0", "::", "*"})
@@ -29,6 +30,8 @@
     settings = _validate_document(path, document)
     settings = _resolve_files(settings, path.resolve().parent)
     lines = [*_find_port_clashes(path, settings), *_find_missing_files(path, settings)]
+    if not lines:
+        lines = list(_find_wrong_certificates(path, settings))
     if lines:
         raise SettingsError(lines=lines)
     return settings
@@ -95,6 +98,17 @@
             yield f"{path}: {key} = {name!r}: no such file; name a readable file"
 
 
+def _find_wrong_certificates(path, settings):
+    for listener in LISTENERS:
+        tls = getattr(settings, listener).tls
+        if tls is None:
+            continue
+        try:
+            make_server_context(tls)
+        except SettingsError as error:
+            yield from (f"{path}: {listener}.tls.{line}" for line in error.lines)
+
+
 def _list_files(settings):
     for index, name in enumerate(settings.platform.records):
         yield f"platform.records.{index}", name
