--- a/jujubenotch/capacity/__init__.py
+++ b/jujubenotch/capacity/__init__.py
@@ -3,6 +3,7 @@
 Errors: none; a refusal is a value. Features: ``features/capacity``.
 """
 
+from jujubenotch.capacity.independent import IndependentCapacity
 from jujubenotch.capacity.interface import Capacity
 from jujubenotch.capacity.local import LocalCapacity
 from jujubenotch.capacity.peered import (
@@ -15,6 +16,7 @@
 
 __all__ = [
     "Capacity",
+    "IndependentCapacity",
     "LocalCapacity",
     "MemberState",
     "PeeredCapacity",
--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -7,7 +7,11 @@
 import time
 
 from jujubenotch.callers import CallerDependencies, CallerLimits, build_caller_app
-from jujubenotch.capacity import PeeredDependencies, start_peered_capacity
+from jujubenotch.capacity import (
+    IndependentCapacity,
+    PeeredDependencies,
+    start_peered_capacity,
+)
 from jujubenotch.claims import CallClaims, make_claims, run_sweeper
 from jujubenotch.daemon.configuration import (
     EMBEDDED_CHANGE_ID,
@@ -37,7 +41,12 @@
     ConfigurationStore,
     changes_since,
 )
-from jujubenotch.settings import Settings, parse_seed
+from jujubenotch.settings import (
+    Settings,
+    make_peer_contexts,
+    make_server_context,
+    parse_seed,
+)
 from jujubenotch.traces import encode_trace, make_traces, read_trace
 from jujubenotch.upstreams import (
     ConnectionLimits,
@@ -92,7 +101,8 @@
         )
     )
     spread.fetch_changes = capacity.fetch_changes
-    _follow_configuration(keeper, capacity, observer)
+    divider = _choose_division(settings, capacity, connections, incarnation)
+    _follow_configuration(keeper, capacity, divider, observer)
     claims = make_claims(platform=keeper.platform, instance=settings.instance.name)
     call_claims = CallClaims(claims=claims)
     instance = Instance(
@@ -105,7 +115,7 @@
         capacity=capacity,
         claims=call_claims,
         dispatcher=Dispatcher(
-            capacity=capacity,
+            capacity=divider,
             connections=connections,
             claims=call_claims,
             observer=observer,
@@ -135,6 +145,8 @@
     for listener in instance.listeners:
         await stop_listener(listener)
     await instance.claims.close()
+    if instance.dispatcher.capacity is not instance.capacity:
+        await instance.dispatcher.capacity.close()
     await instance.capacity.close()
     for task in instance.tasks:
         task.cancel()
@@ -179,9 +191,24 @@
     return keeper
 
 
-def _follow_configuration(keeper, capacity, observer):
+def _choose_division(settings, capacity, connections, incarnation):
+    if settings.capacity.division == "home":
+        return capacity
+    return IndependentCapacity(
+        name=settings.instance.name,
+        incarnation=incarnation,
+        data_centre=settings.instance.data_centre,
+        read_clock_s=time.monotonic,
+        read_load=lambda upstream: read_load(connections, upstream),
+    )
+
+
+def _follow_configuration(keeper, capacity, divider, observer):
     def put_in_force(configuration):
-        capacity.reconfigure(configuration, time.monotonic())
+        now_s = time.monotonic()
+        capacity.reconfigure(configuration, now_s)
+        if divider is not capacity:
+            divider.reconfigure(configuration, now_s)
         set_revision(observer.metrics, configuration.revision)
         log_event(
             logger,
@@ -201,6 +228,10 @@
         trace = read_trace(observer.traces, request_id)
         return encode_trace(trace) if trace else None
 
+    server_tls, client_tls = None, None
+    if settings.peers.tls is not None:
+        contexts = make_peer_contexts(settings.peers.tls)
+        server_tls, client_tls = contexts.server, contexts.client
     return PeeredDependencies(
         name=settings.instance.name,
         data_centre=settings.instance.data_centre,
@@ -215,6 +246,8 @@
         read_load=lambda upstream: read_load(connections, upstream),
         list_instances=keeper.platform.list_instances,
         seeds=tuple(parse_seed(text) for text in settings.peers.seeds),
+        server_tls=server_tls,
+        client_tls=client_tls,
     )
 
 
@@ -230,7 +263,8 @@
     callers = build_caller_app(
         f"callers-{instance.name}", dependencies, _read_caller_limits(settings)
     )
-    instance.listeners.append(await start_listener(callers, callers_socket))
+    tls = make_server_context(settings.callers.tls) if settings.callers.tls else None
+    instance.listeners.append(await start_listener(callers, callers_socket, tls))
 
 
 def _log_start(instance):
--- a/jujubenotch/settings/__init__.py
+++ b/jujubenotch/settings/__init__.py
@@ -7,6 +7,7 @@
 from jujubenotch.settings.load import load_settings
 from jujubenotch.settings.model import (
     CallersSettings,
+    CapacitySettings,
     InstanceSettings,
     InvariantsSettings,
     LogsSettings,
@@ -28,6 +29,7 @@
 
 __all__ = [
     "CallersSettings",
+    "CapacitySettings",
     "InstanceSettings",
     "InvariantsSettings",
     "LogsSettings",
--- a/jujubenotch/settings/model.py
+++ b/jujubenotch/settings/model.py
@@ -222,6 +222,17 @@
     )
 
 
+class CapacitySettings(Section):
+    """How the upstreams of a data centre are divided among its instances."""
+
+    division: Literal["home", "independent"] = Field(
+        "home",
+        description='"home" (one instance grants the slots of each group of '
+        'upstreams) or "independent" (each instance by its own counts and the '
+        "load reports; a baseline for measurements)",
+    )
+
+
 class InvariantsSettings(Section):
     """Invariants asserted inside the program."""
 
@@ -259,6 +270,9 @@
     upstreams: UpstreamsSettings = Field(
         default_factory=UpstreamsSettings, description="a table [upstreams]"
     )
+    capacity: CapacitySettings = Field(
+        default_factory=CapacitySettings, description="a table [capacity]"
+    )
     invariants: InvariantsSettings = Field(
         default_factory=InvariantsSettings, description="a table [invariants]"
     )
