--- a/jujubenotch/platform/__init__.py
+++ b/jujubenotch/platform/__init__.py
@@ -3,12 +3,15 @@
 Errors: ``PlatformError`` and its kinds. Features: ``features/platform``.
 """
 
+from jujubenotch.platform.connect import connect_platform
+from jujubenotch.platform.embedded import EmbeddedPlatform
 from jujubenotch.platform.errors import (
     ConflictError,
     PlatformError,
     PlatformUnavailableError,
     ReplyLostError,
 )
+from jujubenotch.platform.http import HttpPlatform
 from jujubenotch.platform.interface import (
     ListedInstance,
     Platform,
@@ -18,6 +21,8 @@
 
 __all__ = [
     "ConflictError",
+    "EmbeddedPlatform",
+    "HttpPlatform",
     "ListedInstance",
     "Platform",
     "PlatformError",
@@ -25,4 +30,5 @@
     "ReplyLostError",
     "Row",
     "Write",
+    "connect_platform",
 ]
--- a/jujubenotch/settings/__init__.py
+++ b/jujubenotch/settings/__init__.py
@@ -7,6 +7,7 @@
 from jujubenotch.settings.load import load_settings
 from jujubenotch.settings.model import (
     CallersSettings,
+    CapacitySettings,
     InstanceSettings,
     InvariantsSettings,
     LogsSettings,
@@ -20,14 +21,21 @@
     UpstreamsSettings,
 )
 from jujubenotch.settings.seeds import Seed, parse_seed
+from jujubenotch.settings.tls import (
+    PeerContexts,
+    make_peer_contexts,
+    make_server_context,
+)
 
 __all__ = [
     "CallersSettings",
+    "CapacitySettings",
     "InstanceSettings",
     "InvariantsSettings",
     "LogsSettings",
     "MutualTlsSettings",
     "OperatorsSettings",
+    "PeerContexts",
     "PeersSettings",
     "PlatformSettings",
     "Seed",
@@ -37,5 +45,7 @@
     "TlsSettings",
     "UpstreamsSettings",
     "load_settings",
+    "make_peer_contexts",
+    "make_server_context",
     "parse_seed",
 ]
--- a/jujubenotch/settings/model.py
+++ b/jujubenotch/settings/model.py
@@ -209,7 +209,10 @@
         1.0, description="seconds to open a connection, above 0"
     )
     idle_timeout_s: Timeout = Field(
-        10.0, description="seconds between two chunks of an answer, above 0"
+        2.5, description="seconds between two chunks of a stream, above 0"
+    )
+    answer_timeout_s: Timeout = Field(
+        60.0, description="seconds without a byte of a whole answer, above 0"
     )
     keepalive_s: int = Field(
         5,
@@ -222,6 +225,17 @@
     )
 
 
+class CapacitySettings(Section):
+    """How the upstreams of a data centre are divided among its instances."""
+
+    division: Literal["home", "independent"] = Field(
+        "home",
+        description='"home" (one instance grants the slots of each group of '
+        'upstreams) or "independent" (each instance by its own counts and the '
+        "load reports; a baseline for measurements)",
+    )
+
+
 class InvariantsSettings(Section):
     """Invariants asserted inside the program."""
 
@@ -259,6 +273,9 @@
     upstreams: UpstreamsSettings = Field(
         default_factory=UpstreamsSettings, description="a table [upstreams]"
     )
+    capacity: CapacitySettings = Field(
+        default_factory=CapacitySettings, description="a table [capacity]"
+    )
     invariants: InvariantsSettings = Field(
         default_factory=InvariantsSettings, description="a table [invariants]"
     )
