--- a/jujubenotch/routing/__init__.py
+++ b/jujubenotch/routing/__init__.py
@@ -21,6 +21,11 @@
     settle_probe,
     start_probe,
 )
+from jujubenotch.routing.overflow import (
+    RemoteGroup,
+    choose_data_centre,
+    estimate_remote_s,
+)
 from jujubenotch.routing.speed import (
     OtherLoad,
     Speed,
@@ -38,9 +43,12 @@
     "Health",
     "OtherLoad",
     "PrefixAffinity",
+    "RemoteGroup",
     "Speed",
+    "choose_data_centre",
     "choose_upstream",
     "estimate_latency_s",
+    "estimate_remote_s",
     "find_affine",
     "group_upstreams",
     "is_ejected",
