Tell each pool the tiers that its targets are bound to

A pool kept slots for urgent classes that may not use its group. The plan of a group now unites the tiers of its targets' bindings, found in one pass over them.

--- a/jujubenotch/capacity/groups.py
+++ b/jujubenotch/capacity/groups.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass, field
 
 from jujubenotch.records import Configuration, Limits, Upstream
-from jujubenotch.routing import group_upstreams
+from jujubenotch.routing import find_tiers, group_upstreams
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -12,12 +12,14 @@
 
     :param power_watts: The group's part of the data centre's power cap, in
         watts; ``None`` when there is no cap.
+    :param tiers: The tiers of the classes that may use the group.
     """
 
     name: str
     upstreams: tuple[Upstream, ...]
     limits: Limits
     power_watts: float | None = None
+    tiers: frozenset[int] = frozenset()
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -49,6 +51,7 @@
     draws_watts = {name: _full_draw_watts(group) for name, group in members.items()}
     total_watts = sum(draws_watts.values())
     cap = configuration.power_caps.get(data_centre)
+    tiers = find_tiers(configuration)
     plans = GroupPlans(by_target=groups.group_by_target)
     for name, upstreams in members.items():
         power_watts = None
@@ -59,10 +62,16 @@
             upstreams=upstreams,
             limits=configuration.limits,
             power_watts=power_watts,
+            tiers=_unite_tiers(tiers, upstreams),
         )
         plans.by_upstream.update((upstream.name, name) for upstream in upstreams)
     return plans
 
 
+def _unite_tiers(tiers, upstreams):
+    targets = {target for upstream in upstreams for target in upstream.models}
+    return frozenset(tiers[""].union(*(tiers.get(target, ()) for target in targets)))
+
+
 def _full_draw_watts(upstreams):
     return sum(upstream.slots * upstream.watts_per_slot for upstream in upstreams)
--- a/jujubenotch/capacity/keeper.py
+++ b/jujubenotch/capacity/keeper.py
@@ -87,6 +87,7 @@
         power_watts=plan.power_watts,
         share=share,
         now_s=now_s,
+        tiers=plan.tiers,
     )
     pump(keeper, plan.name, now_s)
 
--- a/jujubenotch/routing/__init__.py
+++ b/jujubenotch/routing/__init__.py
@@ -11,7 +11,7 @@
     remember_prefix,
 )
 from jujubenotch.routing.choice import Candidate, choose_upstream
-from jujubenotch.routing.groups import Groups, group_upstreams
+from jujubenotch.routing.groups import Groups, find_tiers, group_upstreams
 from jujubenotch.routing.health import (
     Health,
     is_ejected,
@@ -50,6 +50,7 @@
     "estimate_latency_s",
     "estimate_remote_s",
     "find_affine",
+    "find_tiers",
     "group_upstreams",
     "is_ejected",
     "may_probe",
--- a/jujubenotch/routing/groups.py
+++ b/jujubenotch/routing/groups.py
@@ -47,6 +47,20 @@
     )
 
 
+def find_tiers(configuration: Configuration) -> dict[str, set[int]]:
+    """Find the tiers of the classes that each target is bound to.
+
+    :param configuration: The records in force.
+    :returns: The tiers by model or plain service; those of the bindings to every
+        target stand under the empty name.
+    """
+    tiers: dict[str, set[int]] = {"": set()}
+    for binding in configuration.bindings.values():
+        tier = configuration.classes[binding.service_class].tier
+        tiers.setdefault(binding.target, set()).add(tier)
+    return tiers
+
+
 def _find(parents, target):
     while parents[target] != target:
         target = parents[target]
