--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -4,7 +4,7 @@
 
 from jujubenotch.admission.floor import find_floor_due, note_served
 from jujubenotch.admission.queues import remove_request
-from jujubenotch.admission.reserve import leaves_power, leaves_reserve
+from jujubenotch.admission.reserve import leaves_power, leaves_reserve, required_free
 from jujubenotch.admission.shares import charge_start, estimate_tokens, peek_lane
 from jujubenotch.admission.slots import (
     POWER_TOLERANCE_WATTS,
@@ -129,6 +129,8 @@
     if target is None or not target.free:
         return None
     now_s = this_round.now_s
+    if target.free <= required_free(pool, target, tier, now_s):
+        return None
     accounts = [
         account
         for account in target.accounts
--- a/jujubenotch/admission/slots.py
+++ b/jujubenotch/admission/slots.py
@@ -182,6 +182,7 @@
     slots = account.capacity
     account.capacity = capacity
     account.running = running
+    account.free = max(0, capacity - running)
     for name in account.record.models:
         target = pool.targets.get(name)
         if target is not None:
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -122,6 +122,7 @@
 
     :param slots: Requests that this pool may run on it.
     :param capacity: Requests that it may run at present; 0 out of service.
+    :param free: Slots that could be granted now.
     :param limit: What it holds within its classes' time between tokens.
     :param reported_slots: Requests that it says it can run; 0 is unknown.
     :param is_configured: False once the records dropped it.
@@ -130,6 +131,7 @@
     record: Upstream
     slots: int
     capacity: int = 0
+    free: int = 0
     running: int = 0
     running_by_tier: list[int] = field(default_factory=_count_tiers)
     limit: ConcurrencyLimit = field(default_factory=ConcurrencyLimit)
@@ -145,11 +147,6 @@
         """The upstream's name."""
         return self.record.name
 
-    @property
-    def free(self) -> int:
-        """Slots that could be granted now."""
-        return max(0, self.capacity - self.running)
-
 
 def _make_hold_mean():
     return RunningMean(weight=HOLD_WEIGHT)
