--- a/features/path/path.feature
+++ b/features/path/requests.feature
@@ -52,7 +52,7 @@
     And the daemon has no child process
 
   Scenario: A planned stop cuts off no stream in progress
-    When a long stream has begun
+    When a long openai stream has begun
     And the daemon is told to stop
     Then the stream ends whole
     And the daemon ends with exit code 0
--- a/features/path/steps/path_steps.py
+++ b/features/path/steps/path_steps.py
@@ -1,4 +1,3 @@
-import hashlib
 import http.client
 import json
 import os
@@ -13,42 +12,14 @@
 import tomli_w
 from behave import given, then, when
 
+from features.path.records import KEY, MODEL, make_record_document
 from features.programs import start_daemon, start_program, wait_until
 from standins.answers import expected_text
 
-KEY = "gate-key"
-MODEL = "returns-model"
 CHAT_PATH = "/v1/chat/completions"
 MAX_BODY_BYTES = 100_000
 
 
-def make_records(engine_url):
-    return {
-        "schema_version": 2,
-        "class": [{"name": "gate", "tier": 0, "first_token_target_s": 1.2}],
-        "team": [{"name": "agents"}],
-        "application": [
-            {
-                "name": "mart",
-                "team": "agents",
-                "key_sha256": hashlib.sha256(KEY.encode()).hexdigest(),
-            }
-        ],
-        "binding": [{"name": "b", "team": "agents", "class": "gate"}],
-        "upstream": [
-            {
-                "name": "engine-1",
-                "kind": "model",
-                "data_centre": "north",
-                "url": engine_url,
-                "models": [MODEL],
-                "slots": 4,
-                "resumes_streams": True,
-            }
-        ],
-    }
-
-
 @given("an engine")
 def give_engine(context):
     directory = tempfile.TemporaryDirectory()
@@ -67,7 +38,9 @@
 @given("a daemon with its embedded platform")
 def give_daemon(context):
     records = context.directory / "records.toml"
-    records.write_text(tomli_w.dumps(make_records(context.engine.url)))
+    records.write_text(
+        tomli_w.dumps(make_record_document({"engine-1": context.engine.url}, {}))
+    )
     context.daemon = start_daemon(
         context,
         context.directory,
@@ -262,7 +235,7 @@
     assert not children, children
 
 
-@when("a long stream has begun")
+@when("a long openai stream has begun")
 def begin_stream(context):
     context.request = make_body(stream=True, max_tokens=400)
     context.request["messages"][0]["content"] = "Draft the census narrative."
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -88,12 +88,17 @@
         socket_factory=make_socket,
         **arguments,
     )
-    return aiohttp.ClientSession(
+    session = aiohttp.ClientSession(
         connector=connector,
         timeout=_make_timeout(limits, limits.answer_timeout_s),
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
+    # The library would by itself send GET, PUT and DELETE once more when the
+    # connection is lost, whether or not the call may be repeated. It has no
+    # public switch for that.
+    session._retry_connection = False
+    return session
 
 
 def _make_timeout(limits, read_timeout_s):
