--- a/features/settings/settings.feature
+++ b/features/settings/settings.feature
@@ -28,7 +28,7 @@
       | [callers]\nport = 70000 | callers.port = 70000: input should be less than or equal to 65535; give a TCP port, 0 to 65535; 0 takes a free one |
       | [callers]\nport = "80" | callers.port = '80': input should be a valid integer; give a TCP port, 0 to 65535; 0 takes a free one |
       | [callers]\nidle_timeout_ms = 5 | callers.idle_timeout_ms = 5: unknown key; did you mean 'idle_timeout_s'? |
-      | [upstreams]\nidle_timeout_s = "5 s" | upstreams.idle_timeout_s = '5 s': input should be a valid number; give seconds between two chunks of an answer, above 0 |
+      | [upstreams]\nidle_timeout_s = "5 s" | upstreams.idle_timeout_s = '5 s': input should be a valid number; give seconds between two chunks of a stream, above 0 |
       | [shutdown]\nmax_wait_s = nan | shutdown.max_wait_s = nan: input should be a finite number; give seconds to wait for requests in progress, 0 to 86400; 0 waits until the last one ends |
       | [callers]\nport = 9\n[peers]\nport = 9 | peers.port = 9: the same as callers.port on the same address; give each listener its own port, or 0 |
       | [callers]\nport = 9\nhost = "::"\n[peers]\nport = 9 | peers.port = 9: the same as callers.port on the same address; give each listener its own port, or 0 |
