Serve operators: records, status, upstreams, instances, explain, drain

A body is read after its key was checked, so that no stranger fills the memory; the library lifts its bound from such bodies, so the handler sets it again. Files are parsed and checked in a thread, since a large fleet's take long.

The count of rejected changes now has the reason as label (changed in metrics and outcomes): an operator must tell a conflict from an outage.

The library rewrites its own classes when its first application starts, and fails with KeyError at a second in the same process; the listener now lets it do so once.

--- a/features/metrics/metrics.feature
+++ b/features/metrics/metrics.feature
@@ -19,7 +19,7 @@
       | an early refusal | jujubenotch_refusals_total{reason="authentication",tier="none"} 1 |
       | a retry | jujubenotch_retries_total{reason="silent"} 1 |
       | a failure | jujubenotch_failures_total{reason="stream-truncated"} 1 |
-      | a rejected change | jujubenotch_configuration_rejections_total 1 |
+      | a rejected change | jujubenotch_configuration_rejections_total{reason="conflict"} 1 |
       | a wrong key | jujubenotch_authentication_failures_total{listener="operators"} 1 |
       | a violation | jujubenotch_invariant_violations_total{name="metrics-feature"} 1 |
       | a first token | jujubenotch_first_token_seconds_bucket{class="gate",le="1.2"} 1.0 |
--- a/features/metrics/steps/metrics_steps.py
+++ b/features/metrics/steps/metrics_steps.py
@@ -2,7 +2,13 @@
 
 from jujubenotch import metrics
 from jujubenotch.invariants import assert_invariant, read_violations
-from jujubenotch.outcomes import FailureReason, Outcome, RefusalReason, RetryReason
+from jujubenotch.outcomes import (
+    ChangeRefusalReason,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    RetryReason,
+)
 
 
 def set_each_gauge(state):
@@ -30,7 +36,9 @@
     "a failure": lambda state: metrics.count_failure(
         state, FailureReason.STREAM_TRUNCATED
     ),
-    "a rejected change": metrics.count_configuration_rejection,
+    "a rejected change": lambda state: metrics.count_configuration_rejection(
+        state, ChangeRefusalReason.CONFLICT
+    ),
     "a wrong key": lambda state: metrics.count_authentication_failure(
         state, "operators"
     ),
--- /dev/null
+++ b/features/operators/steps/operators_steps.py
@@ -0,0 +1,274 @@
+import asyncio
+import hashlib
+import json
+import re
+from pathlib import Path
+
+import aiohttp
+from behave import given, then, when
+from hypothesis import given as generated
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from features.operator_server import KEY, OTHER_KEY, start_server
+from jujubenotch.metrics import read_value
+from jujubenotch.operators import OperatorLimits
+
+PAGE = Path(__file__).resolve().parents[3] / "docs" / "RECORDS.md"
+TIMEOUT = aiohttp.ClientTimeout(total=30)
+HEADERS_BY_KEY = {
+    "no key": [],
+    "a wrong key": [("Authorization", "Bearer wrong")],
+    "two keys": [("Authorization", f"Bearer {KEY}")] * 2,
+    "a digest": [
+        ("Authorization", "Bearer " + hashlib.sha256(KEY.encode()).hexdigest())
+    ],
+    "the key": [("Authorization", f"Bearer {KEY}")],
+    "a second key": [("Authorization", f"Bearer {OTHER_KEY}")],
+}
+
+
+@given("an instance's operators' interface")
+def start(context):
+    context.server = start_server(context)
+
+
+@given("an instance's operators' interface whose metrics need a key")
+def start_strict(context):
+    context.server = start_server(context, metrics_need_key=True)
+
+
+@given("an instance's operators' interface that takes {count:d} bytes")
+def start_bounded(context, count):
+    context.server = start_server(context, limits=OperatorLimits(max_body_bytes=count))
+
+
+@given("it is not ready")
+def set_not_ready(context):
+    context.server.is_ready = False
+
+
+@given("the platform is down")
+def set_down(context):
+    context.server.platform.is_down = True
+
+
+async def request(context, session, method, path, key="the key", body=None):
+    url = context.server.address + path
+    headers = HEADERS_BY_KEY[key]
+    async with session.request(method, url, data=body, headers=headers) as response:
+        context.status = response.status
+        context.headers = response.headers
+        context.body = await response.read()
+    is_json = "json" in context.headers.get("Content-Type", "")
+    context.answer = json.loads(context.body) if is_json else None
+
+
+def ask(context, method, path, key="the key", body=None):
+    async def run():
+        async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+            await request(context, session, method, path, key, body)
+
+    asyncio.run(run())
+
+
+@when("{method:w} {path:S} is asked with {key}")
+def ask_path(context, method, path, key):
+    ask(context, method, path, key)
+
+
+@then("the status is {status:d}")
+def check_status(context, status):
+    assert context.status == status, (context.status, context.body)
+
+
+@then("{count:d} wrong keys are counted for operators")
+def check_wrong_keys(context, count):
+    collector = context.server.metrics.authentication_failures
+    assert read_value(collector, listener="operators") == count
+
+
+@then('{count:d} rejection is counted for "{reason}"')
+def check_rejections(context, count, reason):
+    collector = context.server.metrics.configuration_rejections
+    assert read_value(collector, reason=reason) == count
+
+
+def apply(context, texts, change_id="", **fields):
+    context.changes = getattr(context, "changes", 0) + 1
+    document = {
+        "change_id": change_id or f"change-{context.changes}",
+        "files": [{"name": name, "text": text} for name, text in texts.items()],
+        **fields,
+    }
+    ask(context, "POST", "/v1/records/apply", body=json.dumps(document).encode())
+
+
+def read_page():
+    version_2, version_1 = re.findall(
+        r"```toml\n(schema_version.*?)```", PAGE.read_text(), re.DOTALL
+    )
+    without_class = re.sub(r"\[\[class\]\].*?\n\n", "", version_1, flags=re.DOTALL)
+    return {"new.toml": version_2, "old.toml": without_class}
+
+
+def write_team(name, weight):
+    return {
+        "team.toml": f'schema_version = 2\n[[team]]\nname = "{name}"\nweight = {weight}.0'
+    }
+
+
+@when("the records of docs/RECORDS.md are sent as a dry run")
+def preview_page(context):
+    apply(context, read_page(), dry_run=True)
+
+
+@when("the records of docs/RECORDS.md are sent")
+def apply_page(context):
+    apply(context, read_page())
+
+
+@given('team "{name}" was put with weight {first:d} and then with weight {second:d}')
+def put_twice(context, name, first, second):
+    apply(context, write_team(name, first))
+    apply(context, write_team(name, second))
+    check_result(context, "accepted", 200)
+
+
+@when('team "{name}" is sent with weight {weight:d}, edited from revision {base:d}')
+def apply_from(context, name, weight, base):
+    apply(context, write_team(name, weight), base_revision=base)
+
+
+@when('team "{name}" is sent again under the first\'s id with weight {weight:d}')
+def apply_reused(context, name, weight):
+    apply(context, write_team(name, weight), change_id="change-1")
+
+
+@when("records with two mistakes are sent")
+def apply_wrong(context):
+    text = 'schema_version = 2\n[[team]]\nname = "a"\nweight = "b"\ncolour = 1'
+    apply(context, {"wrong.toml": text})
+
+
+@then('the result is "{result}" with status {status:d}')
+def check_result(context, result, status):
+    found = (context.status, context.answer and context.answer.get("result"))
+    assert found == (status, result), (found, context.body)
+
+
+@then("the revision in force is {revision:d}")
+def check_revision(context, revision):
+    assert context.server.store.replica.revision == revision
+
+
+@then("the records are {keys}, each at revision {revision:d}")
+def check_records(context, keys, revision):
+    records = context.answer["records"]
+    found = [f"{record['kind']}/{record['name']}" for record in records]
+    assert found == keys.split(", "), found
+    assert {record["revision"] for record in records} == {revision}
+    assert all(record["body"]["name"] == record["name"] for record in records)
+
+
+@then(
+    "both sides are weight {old:f} at revision {revision:d} and weight {new:f} from revision {base:d}"
+)
+def check_sides(context, old, revision, new, base):
+    (difference,) = context.answer["differences"]
+    assert difference["in_force"]["weight"] == old
+    assert difference["wanted"]["weight"] == new
+    assert (difference["revision"], difference["expected_revision"]) == (revision, base)
+
+
+@then("{count:d} problems are told with file, key and remedy")
+def check_problems(context, count):
+    problems = context.answer["problems"]
+    assert len(problems) == count, problems
+    for problem in problems:
+        assert problem["file"] and problem["key"] and problem["remedy"], problem
+
+
+@then("the answer has a Retry-After header")
+def check_retry_after(context):
+    assert int(context.headers["Retry-After"]) > 0
+
+
+@when("the body {body} is sent to be applied")
+def apply_body(context, body):
+    body = b"" if body == "(empty)" else body.encode()
+    ask(context, "POST", "/v1/records/apply", body=body)
+
+
+@when("a body of {count:d} bytes is sent to be applied")
+def apply_large(context, count):
+    ask(context, "POST", "/v1/records/apply", body=b" " * count)
+
+
+@then("{count:d} generated bodies are refused without a failure of the instance")
+def check_generated(context, count):
+    keys = st.sampled_from(
+        "change_id files dry_run base_revision expected_revisions name text".split()
+    )
+    scalars = st.none() | st.booleans() | st.integers() | st.text(max_size=6)
+    values = st.recursive(
+        scalars,
+        lambda inner: (
+            st.lists(inner, max_size=2) | st.dictionaries(keys, inner, max_size=4)
+        ),
+        max_leaves=8,
+    )
+    files = st.lists(
+        st.fixed_dictionaries({"name": st.text(max_size=3), "text": st.text()}),
+        max_size=2,
+    )
+    documents = st.fixed_dictionaries(
+        {"change_id": st.just("a") | scalars, "files": files | values},
+        optional={"base_revision": scalars, "expected_revisions": values},
+    )
+    bodies = (documents | values).map(lambda value: json.dumps(value).encode())
+
+    async def send_all():
+        loop = asyncio.get_running_loop()
+        async with aiohttp.ClientSession(timeout=TIMEOUT) as session:
+
+            @settings(
+                derandomize=True, database=None, max_examples=count, deadline=None
+            )
+            @generated(bodies | st.binary(max_size=30))
+            def send(body):
+                coroutine = request(
+                    context, session, "POST", "/v1/records/apply", body=body
+                )
+                asyncio.run_coroutine_threadsafe(coroutine, loop).result(30)
+                assert context.status in (400, 422), (context.status, body)
+                assert context.answer
+
+            await asyncio.to_thread(send)
+
+    asyncio.run(send_all())
+    assert context.server.store.replica.revision == 0
+
+
+@then("its events are {events}")
+def check_events(context, events):
+    found = [event["event"] for event in context.answer["events"]]
+    assert found == events.split(", "), found
+
+
+@when("engine-1 is asked to be taken back")
+def take_back(context):
+    body = b'{"is_draining": false}'
+    ask(context, "POST", "/v1/upstreams/engine-1/drain", body=body)
+
+
+@then('upstream "{name}" is drained')
+def check_drained(context, name):
+    assert context.status == 200 and context.answer["is_draining"], context.body
+    assert context.server.drained[name] is True
+
+
+@then('upstream "{name}" is not drained')
+def check_not_drained(context, name):
+    assert context.status == 200 and not context.answer["is_draining"], context.body
+    assert context.server.drained[name] is False
--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -308,7 +308,6 @@
     return ConnectionLimits(
         connect_timeout_s=upstreams.connect_timeout_s,
         idle_timeout_s=upstreams.idle_timeout_s,
-        answer_timeout_s=upstreams.answer_timeout_s,
         keepalive_s=upstreams.keepalive_s,
         tcp_user_timeout_s=upstreams.tcp_user_timeout_s,
     )
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -118,7 +118,6 @@
         headers=headers,
         body=call.body,
         is_repeatable=call.is_idempotent,
-        is_stream=call.is_stream,
     )
 
 
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -61,6 +61,9 @@
     :returns: The listener.
     """
     host, port = bound.getsockname()[:2]
+    # The library rewrites its own classes when the first application starts,
+    # and fails if it does so again for a second one in the same process.
+    app.config.TOUCHUP = not getattr(Sanic, "__touched__", False)
     server = await app.create_server(
         sock=bound,
         ssl=tls,
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -4,7 +4,7 @@
 
 from aioprometheus import Counter, Gauge, Histogram, Registry
 
-from jujubenotch.outcomes import FailureReason, RetryReason
+from jujubenotch.outcomes import ChangeRefusalReason, FailureReason, RetryReason
 
 FIRST_TOKEN_BUCKETS_S = (
     0.05,
@@ -81,7 +81,8 @@
         metrics.retries.set({"reason": reason.value}, 0)
     for reason in FailureReason:
         metrics.failures.set({"reason": reason.value}, 0)
-    metrics.configuration_rejections.set({}, 0)
+    for reason in ChangeRefusalReason:
+        metrics.configuration_rejections.set({"reason": reason.value}, 0)
     for gauge in (metrics.peers_connected, metrics.revision):
         gauge.set({}, 0)
     metrics.requests_in_progress.set({}, 0)
@@ -95,7 +96,7 @@
         "retries": "Requests sent once more, by reason",
         "failures": "Requests sent that have no whole answer, by reason",
         "invariant_violations": "Invariants found violated, by name",
-        "configuration_rejections": "Changes of the records that were rejected",
+        "configuration_rejections": "Changes of the records rejected, by reason",
         "authentication_failures": "Wrong or missing keys, by listener",
     }
     return {
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -5,7 +5,13 @@
 """
 
 from jujubenotch.metrics.model import Metrics
-from jujubenotch.outcomes import FailureReason, Outcome, RefusalReason, RetryReason
+from jujubenotch.outcomes import (
+    ChangeRefusalReason,
+    FailureReason,
+    Outcome,
+    RefusalReason,
+    RetryReason,
+)
 
 
 def count_outcome(metrics: Metrics, outcome: Outcome, service_class: str) -> None:
@@ -49,12 +55,15 @@
     metrics.failures.inc({"reason": reason.value})
 
 
-def count_configuration_rejection(metrics: Metrics) -> None:
+def count_configuration_rejection(
+    metrics: Metrics, reason: ChangeRefusalReason
+) -> None:
     """Count a change of the records that was rejected.
 
     :param metrics: The metrics.
+    :param reason: Why.
     """
-    metrics.configuration_rejections.inc({})
+    metrics.configuration_rejections.inc({"reason": reason.value})
 
 
 def count_authentication_failure(metrics: Metrics, listener: str) -> None:
--- a/jujubenotch/operators/__init__.py
+++ b/jujubenotch/operators/__init__.py
@@ -1,1 +1,49 @@
-"""Placeholder."""
+"""The operators' HTTP interface: records, status, metrics and health.
+
+Errors: ``OperatorsError`` and its kinds. Features: ``features/operators``.
+"""
+
+from jujubenotch.operators.app import build_operator_app
+from jujubenotch.operators.dependencies import OperatorDependencies, OperatorLimits
+from jujubenotch.operators.documents import (
+    ApplyAnswer,
+    ApplyDocument,
+    DifferenceDocument,
+    DrainDocument,
+    ErrorDocument,
+    FileDocument,
+    InstanceDocument,
+    InstancesDocument,
+    ProblemDocument,
+    RecordDocument,
+    RecordsDocument,
+    StatusDocument,
+    TraceDocument,
+    TraceEventDocument,
+    UpstreamDocument,
+    UpstreamsDocument,
+)
+from jujubenotch.operators.errors import OperatorsError
+
+__all__ = [
+    "ApplyAnswer",
+    "ApplyDocument",
+    "DifferenceDocument",
+    "DrainDocument",
+    "ErrorDocument",
+    "FileDocument",
+    "InstanceDocument",
+    "InstancesDocument",
+    "OperatorDependencies",
+    "OperatorLimits",
+    "OperatorsError",
+    "ProblemDocument",
+    "RecordDocument",
+    "RecordsDocument",
+    "StatusDocument",
+    "TraceDocument",
+    "TraceEventDocument",
+    "UpstreamDocument",
+    "UpstreamsDocument",
+    "build_operator_app",
+]
--- /dev/null
+++ b/jujubenotch/operators/app.py
@@ -0,0 +1,233 @@
+"""The operators' HTTP interface."""
+
+import asyncio
+import logging
+import math
+
+from pydantic import BaseModel
+from sanic import HTTPResponse, Request, Sanic
+from sanic.exceptions import SanicException
+
+from jujubenotch.logs import log_event
+from jujubenotch.operators.apply import apply_records, drain_upstream
+from jujubenotch.operators.authenticate import check_key
+from jujubenotch.operators.convert import convert_records, convert_trace
+from jujubenotch.operators.dependencies import OperatorDependencies, OperatorLimits
+from jujubenotch.operators.documents import (
+    ErrorDocument,
+    InstancesDocument,
+    UpstreamsDocument,
+)
+from jujubenotch.operators.errors import (
+    MalformedDocumentError,
+    NotKnownError,
+    OperatorsError,
+    WrongKeyError,
+)
+from jujubenotch.outcomes import ChangeRefusalReason
+from jujubenotch.records import RecordKind, copy_replica
+
+logger = logging.getLogger(__name__)
+
+APPLY_TIMEOUT_S = 60
+NOT_READY = 503
+INTERNAL_SERVER_ERROR = 500
+UNAUTHORIZED = 401
+STATUS_BY_RESULT = {
+    "accepted": 200,
+    "unchanged": 200,
+    "preview": 200,
+    "conflict": 409,
+    "invalid": 422,
+    "refused": 503,
+}
+
+
+def build_operator_app(
+    name: str,
+    dependencies: OperatorDependencies,
+    limits: OperatorLimits | None = None,
+) -> Sanic:
+    """Build the operators' interface.
+
+    :param name: The application's name, unique in this process.
+    :param dependencies: What it needs of the instance.
+    :param limits: Bounds on what an operator may send.
+    :returns: An application to be served in the daemon's own loop.
+    """
+    app = Sanic(name, configure_logging=False)
+    limits = limits or OperatorLimits()
+    _set_limits(app, limits)
+    _add_command_routes(app, dependencies, limits.max_body_bytes)
+    _add_query_routes(app, dependencies)
+    _add_open_routes(app, dependencies)
+
+    async def tell_error(request, error):
+        return _tell_error(dependencies, request, error)
+
+    app.exception(Exception)(tell_error)
+    return app
+
+
+def _set_limits(app, limits):
+    app.config.REQUEST_MAX_SIZE = limits.max_body_bytes
+    app.config.REQUEST_MAX_HEADER_SIZE = limits.max_header_bytes
+    app.config.REQUEST_TIMEOUT = limits.body_timeout_s
+    app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_s
+    app.config.RESPONSE_TIMEOUT = APPLY_TIMEOUT_S
+    app.config.MOTD = False
+
+
+def _add_command_routes(app, dependencies, max_body_bytes):
+    # These handlers stream, so that a key is checked before a body is read.
+    async def serve_apply(request):
+        _authenticate(dependencies, request)
+        body = await _receive_body(request, max_body_bytes)
+        answer = await apply_records(dependencies, body)
+        status = _find_status(answer)
+        return _write(answer, status, answer.retry_after_s)
+
+    async def serve_drain(request, name):
+        _authenticate(dependencies, request)
+        body = await _receive_body(request, max_body_bytes)
+        return _write(await drain_upstream(dependencies, name, body))
+
+    app.add_route(
+        serve_apply, "/v1/records/apply", methods=["POST"], name="apply", stream=True
+    )
+    app.add_route(
+        serve_drain,
+        "/v1/upstreams/<name:str>/drain",
+        methods=["POST"],
+        name="drain",
+        stream=True,
+    )
+
+
+async def _receive_body(request, max_body_bytes):
+    # The library lifts its bound from the bodies of streaming handlers.
+    request.stream.request_max_size = max_body_bytes
+    await request.receive_body()
+    return request.body
+
+
+def _add_query_routes(app, dependencies):
+    async def serve_records(request):
+        _authenticate(dependencies, request)
+        return await _list_records(dependencies, request)
+
+    async def serve_status(request):
+        _authenticate(dependencies, request)
+        return _write(dependencies.read_status())
+
+    async def serve_upstreams(request):
+        _authenticate(dependencies, request)
+        return _write(UpstreamsDocument(upstreams=dependencies.read_upstreams()))
+
+    async def serve_instances(request):
+        _authenticate(dependencies, request)
+        return _write(InstancesDocument(instances=dependencies.read_instances()))
+
+    async def serve_request(request, request_id):
+        _authenticate(dependencies, request)
+        return await _explain(dependencies, request_id)
+
+    app.add_route(serve_records, "/v1/records", name="records")
+    app.add_route(serve_status, "/v1/status", name="status")
+    app.add_route(serve_upstreams, "/v1/upstreams", name="upstreams")
+    app.add_route(serve_instances, "/v1/instances", name="instances")
+    app.add_route(serve_request, "/v1/requests/<request_id:str>", name="request")
+
+
+def _add_open_routes(app, dependencies):
+    async def serve_health(request):
+        return HTTPResponse("alive\n", content_type="text/plain")
+
+    async def serve_ready(request):
+        if dependencies.is_ready():
+            return HTTPResponse("ready\n", content_type="text/plain")
+        return HTTPResponse("not ready\n", NOT_READY, content_type="text/plain")
+
+    async def serve_metrics(request):
+        if dependencies.metrics_need_key:
+            _authenticate(dependencies, request)
+        accept = request.headers.get("accept", "")
+        body, content_type = dependencies.render_metrics(accept)
+        return HTTPResponse(body, content_type=content_type)
+
+    app.add_route(serve_health, "/health", name="health")
+    app.add_route(serve_ready, "/ready", name="ready")
+    app.add_route(serve_metrics, "/metrics", name="metrics")
+
+
+def _authenticate(dependencies, request):
+    try:
+        check_key(request, dependencies.read_key_digests())
+    except WrongKeyError:
+        dependencies.count_authentication_failure()
+        raise
+
+
+async def _list_records(dependencies, request: Request) -> HTTPResponse:
+    kind = request.args.get("kind", "")
+    name = request.args.get("name", "")
+    if kind and kind not in {str(known) for known in RecordKind}:
+        raise MalformedDocumentError(
+            f"kind: give one of {', '.join(str(known) for known in RecordKind)}"
+        )
+    frozen = copy_replica(dependencies.store.replica)
+    document = await asyncio.to_thread(convert_records, frozen, kind, name)
+    if name and not document.records:
+        raise NotKnownError("there is no such record in force")
+    return _write(document)
+
+
+async def _explain(dependencies, request_id):
+    trace = await dependencies.explain(request_id)
+    if trace is None:
+        raise NotKnownError(
+            "no instance that can be reached knows this request; only recent "
+            "requests are kept"
+        )
+    return _write(convert_trace(trace))
+
+
+def _find_status(answer):
+    if answer.reason == ChangeRefusalReason.CHANGE_ID_REUSED:
+        return STATUS_BY_RESULT["conflict"]
+    return STATUS_BY_RESULT[answer.result]
+
+
+def _write(document: BaseModel, status=200, retry_after_s=0.0) -> HTTPResponse:
+    headers = {"Cache-Control": "no-store"}
+    if retry_after_s > 0:
+        headers["Retry-After"] = str(math.ceil(retry_after_s))
+    if status == UNAUTHORIZED:
+        headers["WWW-Authenticate"] = "Bearer"
+    return HTTPResponse(
+        document.model_dump_json(),
+        status=status,
+        headers=headers,
+        content_type="application/json",
+    )
+
+
+def _tell_error(dependencies, request, error):
+    if isinstance(error, OperatorsError):
+        document = ErrorDocument(reason=error.reason, detail=error.detail)
+        return _write(document, error.status)
+    if isinstance(error, SanicException) and error.status_code < INTERNAL_SERVER_ERROR:
+        if request is not None and request.path == "/v1/records/apply":
+            dependencies.count_rejection(ChangeRefusalReason.MALFORMED)
+        document = ErrorDocument(reason="malformed", detail=str(error))
+        return _write(document, error.status_code)
+    log_event(
+        logger, logging.ERROR, "operator-request-failed", error=type(error).__name__
+    )
+    logger.debug("traceback", exc_info=error)
+    document = ErrorDocument(
+        reason="internal",
+        detail="the instance failed on this request; a change may have been made, "
+        "so repeat it with the same change id",
+    )
+    return _write(document, INTERNAL_SERVER_ERROR)
--- /dev/null
+++ b/jujubenotch/operators/apply.py
@@ -0,0 +1,152 @@
+"""Commands of the operators' interface: changes of the records, drains."""
+
+import asyncio
+from typing import TypeVar
+
+from pydantic import BaseModel, ValidationError
+
+from jujubenotch.operators.convert import convert_result
+from jujubenotch.operators.dependencies import OperatorDependencies
+from jujubenotch.operators.documents import (
+    ApplyAnswer,
+    ApplyDocument,
+    DrainDocument,
+    DrainRequest,
+)
+from jujubenotch.operators.errors import MalformedDocumentError, NotKnownError
+from jujubenotch.outcomes import ChangeRefusalReason
+from jujubenotch.platform import PlatformError
+from jujubenotch.records import (
+    ChangeRefusal,
+    ChangeRequest,
+    Conflict,
+    InvalidRecords,
+    RecordKey,
+    RecordKind,
+    RecordsError,
+    copy_replica,
+    parse_documents,
+    poll,
+    preview_change,
+    submit_change,
+)
+
+MAX_SHOWN_CHARACTERS = 60
+
+Document = TypeVar("Document", bound=BaseModel)
+
+
+async def apply_records(dependencies: OperatorDependencies, body: bytes) -> ApplyAnswer:
+    """Change the records, or with ``dry_run`` tell what would change.
+
+    :param dependencies: What the interface needs of the instance.
+    :param body: An :class:`ApplyDocument`.
+    :returns: What became of it.
+    :raises MalformedDocumentError: The body is not such a document.
+    """
+    try:
+        document = await asyncio.to_thread(read_document, ApplyDocument, body)
+        _check_file_names(document)
+        expected = _read_expected_revisions(document)
+    except MalformedDocumentError:
+        dependencies.count_rejection(ChangeRefusalReason.MALFORMED)
+        raise
+    result = await _apply(dependencies, document, expected)
+    if not document.dry_run:
+        _count_rejection(dependencies, result)
+    return convert_result(dependencies.store.replica, document.change_id, result)
+
+
+async def drain_upstream(
+    dependencies: OperatorDependencies, name: str, body: bytes
+) -> DrainDocument:
+    """Send an upstream no new work, or send it work again.
+
+    :param dependencies: What the interface needs of the instance.
+    :param name: The upstream's name.
+    :param body: A :class:`DrainRequest`; an empty body drains.
+    :returns: What was done.
+    :raises MalformedDocumentError: The body is not such a document.
+    :raises NotKnownError: There is no such upstream in the records.
+    """
+    document = read_document(DrainRequest, body or b"{}")
+    if name not in dependencies.store.replica.configuration.upstreams:
+        raise NotKnownError("no upstream of this name is in the records")
+    await dependencies.drain(name, document.is_draining)
+    return DrainDocument(upstream=name, is_draining=document.is_draining)
+
+
+def read_document(model: type[Document], body: bytes) -> Document:
+    """Read a document that an operator sent.
+
+    :param model: What it must be.
+    :param body: JSON.
+    :returns: The document.
+    :raises MalformedDocumentError: The body is not such a document.
+    """
+    try:
+        return model.model_validate_json(body)
+    except ValidationError as error:
+        details = error.errors(include_url=False, include_input=False)
+        described = [
+            f"{'.'.join(map(str, detail['loc'])) or 'the body'}: {detail['msg']}"
+            for detail in details
+        ]
+        raise MalformedDocumentError("; ".join(described)) from error
+
+
+async def _apply(dependencies, document, expected):
+    texts = {file.name: file.text for file in document.files}
+    edit = await asyncio.to_thread(parse_documents, texts)
+    if isinstance(edit, InvalidRecords):
+        return edit
+    request = ChangeRequest(
+        change_id=document.change_id,
+        edit=edit,
+        expected_revisions=expected,
+        base_revision=document.base_revision,
+    )
+    store = dependencies.store
+    if not document.dry_run:
+        return await submit_change(store, request)
+    try:
+        await poll(store.replica, store.platform)
+    except (PlatformError, RecordsError):
+        # A preview against the records in force is better than none.
+        pass
+    # The thread must not see the replica change under it.
+    frozen = copy_replica(store.replica)
+    return await asyncio.to_thread(preview_change, frozen, request)
+
+
+def _read_expected_revisions(document):
+    return {
+        _read_record_key(text): revision
+        for text, revision in document.expected_revisions.items()
+    }
+
+
+def _read_record_key(text):
+    kind, _, name = text.partition("/")
+    try:
+        return RecordKey(kind=RecordKind(kind), name=name)
+    except ValueError as error:
+        shown = text[:MAX_SHOWN_CHARACTERS]
+        raise MalformedDocumentError(
+            f"expected_revisions: {shown!r} is not kind/name of a record"
+        ) from error
+
+
+def _check_file_names(document):
+    names = [file.name for file in document.files]
+    if len(set(names)) < len(names):
+        raise MalformedDocumentError("files: two files have the same name")
+
+
+def _count_rejection(dependencies, result):
+    if isinstance(result, InvalidRecords):
+        dependencies.count_rejection(ChangeRefusalReason.INVALID)
+    elif isinstance(result, Conflict):
+        dependencies.count_rejection(ChangeRefusalReason.CONFLICT)
+    elif isinstance(result, ChangeRefusal):
+        dependencies.count_rejection(result.reason)
--- a/jujubenotch/outcomes/__init__.py
+++ b/jujubenotch/outcomes/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from jujubenotch.outcomes.core import (
+    ChangeRefusalReason,
     FailureReason,
     Outcome,
     Refusal,
@@ -11,4 +12,11 @@
     RetryReason,
 )
 
-__all__ = ["FailureReason", "Outcome", "Refusal", "RefusalReason", "RetryReason"]
+__all__ = [
+    "ChangeRefusalReason",
+    "FailureReason",
+    "Outcome",
+    "Refusal",
+    "RefusalReason",
+    "RetryReason",
+]
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -65,6 +65,21 @@
     RETRY_BUDGET = "retry-budget"
 
 
+class ChangeRefusalReason(StrEnum):
+    """Why a change of the records was not made.
+
+    ``UNSETTLED`` is said when it may have been made.
+    """
+
+    MALFORMED = "malformed"
+    INVALID = "invalid"
+    CONFLICT = "conflict"
+    CHANGE_ID_REUSED = "change-id-reused"
+    PLATFORM_UNAVAILABLE = "platform-unavailable"
+    RACES = "races"
+    UNSETTLED = "unsettled"
+
+
 @dataclass(frozen=True, kw_only=True)
 class Refusal:
     """A sentinel that stands in place of a result, with its reason.
--- a/jujubenotch/records/replica.py
+++ b/jujubenotch/records/replica.py
@@ -64,6 +64,18 @@
     return replica.record_revisions.get(key, NEVER_CHANGED)
 
 
+def copy_replica(replica: ConfigurationReplica) -> ConfigurationReplica:
+    """Return a copy to be read while the replica goes on, in a thread for one.
+
+    :param replica: The replica.
+    :returns: Its records and revisions, without the recent changes.
+    """
+    return ConfigurationReplica(
+        configuration=replica.configuration,
+        record_revisions=dict(replica.record_revisions),
+    )
+
+
 def make_snapshot(replica: ConfigurationReplica) -> Snapshot:
     """Return all that a new instance needs to start from.
 
--- a/jujubenotch/records/results.py
+++ b/jujubenotch/records/results.py
@@ -1,8 +1,8 @@
 """What an operator asks of the records, and what became of it."""
 
 from dataclasses import dataclass, field
-from enum import StrEnum
 
+from jujubenotch.outcomes import ChangeRefusalReason
 from jujubenotch.records.record import Edit, RecordBody, RecordKey
 
 
@@ -89,15 +89,6 @@
     differences: tuple[RecordDifference, ...]
 
 
-class ChangeRefusalReason(StrEnum):
-    """Why a change was not made, or is not known to be made."""
-
-    CHANGE_ID_REUSED = "change-id-reused"
-    PLATFORM_UNAVAILABLE = "platform-unavailable"
-    RACES = "races"
-    UNSETTLED = "unsettled"
-
-
 @dataclass(frozen=True, kw_only=True)
 class ChangeRefusal:
     """A sentinel: a change was not made, or for ``UNSETTLED`` may be made.
--- a/jujubenotch/records/store.py
+++ b/jujubenotch/records/store.py
@@ -11,6 +11,7 @@
 from dataclasses import dataclass, field
 
 from jujubenotch.logs import log_event
+from jujubenotch.outcomes import ChangeRefusalReason
 from jujubenotch.platform import (
     ConflictError,
     Platform,
@@ -43,7 +44,6 @@
 from jujubenotch.records.results import (
     Accepted,
     ChangeRefusal,
-    ChangeRefusalReason,
     ChangeRequest,
     Conflict,
     Unchanged,
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -15,8 +15,7 @@
     """Bounds on every connection to an upstream.
 
     :param connect_timeout_s: For a new connection.
-    :param idle_timeout_s: Between two chunks of a stream, and to its head.
-    :param answer_timeout_s: Without a byte of a whole answer.
+    :param idle_timeout_s: Between two chunks of an answer.
     :param keepalive_s: Idle time before keepalive probes, and how long an
         unused connection is kept.
     :param tcp_user_timeout_s: How long sent data may stay unacknowledged.
@@ -28,7 +27,6 @@
 
     connect_timeout_s: float = 1.0
     idle_timeout_s: float = 2.5
-    answer_timeout_s: float = 60.0
     keepalive_s: float = 15.0
     tcp_user_timeout_s: float = 5.0
     max_answer_bytes: int = 64 * 1024 * 1024
@@ -42,12 +40,10 @@
     :param single_use: For non-idempotent requests: each gets a new connection,
         since one that an upstream closes while idle would leave it unknown
         whether the request ran.
-    :param stream_timeout: The bounds on a stream.
     """
 
     reusable: aiohttp.ClientSession
     single_use: aiohttp.ClientSession
-    stream_timeout: aiohttp.ClientTimeout
     limits: ConnectionLimits
 
 
@@ -60,7 +56,6 @@
     return UpstreamConnections(
         reusable=_make_session(limits, force_close=False),
         single_use=_make_session(limits, force_close=True),
-        stream_timeout=_make_timeout(limits, limits.idle_timeout_s),
         limits=limits,
     )
 
@@ -88,22 +83,19 @@
         socket_factory=make_socket,
         **arguments,
     )
+    timeout = aiohttp.ClientTimeout(
+        total=None,
+        sock_connect=limits.connect_timeout_s,
+        sock_read=limits.idle_timeout_s,
+    )
     return aiohttp.ClientSession(
         connector=connector,
-        timeout=_make_timeout(limits, limits.answer_timeout_s),
+        timeout=timeout,
         auto_decompress=False,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
 
 
-def _make_timeout(limits, read_timeout_s):
-    return aiohttp.ClientTimeout(
-        total=None,
-        sock_connect=limits.connect_timeout_s,
-        sock_read=read_timeout_s,
-    )
-
-
 def _set_options(target, limits):
     keepalive_s = max(1, int(limits.keepalive_s))
     user_timeout_ms = int(limits.tcp_user_timeout_s * MS_PER_S)
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -25,7 +25,6 @@
     :param url: The whole address.
     :param headers: Names and values, in order.
     :param is_repeatable: Whether it may be sent on a reused connection.
-    :param is_stream: Whether the answer is a stream of events.
     """
 
     method: str
@@ -33,7 +32,6 @@
     headers: tuple[tuple[str, str], ...]
     body: bytes
     is_repeatable: bool
-    is_stream: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -69,7 +67,6 @@
     session = connections.single_use
     if request.is_repeatable:
         session = connections.reusable
-    options = {"timeout": connections.stream_timeout} if request.is_stream else {}
     with translated_errors():
         response = await session.request(
             request.method,
@@ -77,7 +74,6 @@
             headers=request.headers,
             data=request.body or None,
             allow_redirects=False,
-            **options,
         )
     try:
         yield UpstreamAnswer(
