Add the operators' command-line tool

apply draws a change id and repeats the same change while no answer comes, so that a lost answer is never a lost or doubled change; when it gives up it says so with an exit code of its own and the id to go on with.

--- /dev/null
+++ b/features/cli/steps/cli_steps.py
@@ -0,0 +1,203 @@
+import asyncio
+import contextlib
+import io
+import json
+import os
+import re
+import shlex
+import ssl
+import subprocess
+import sys
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.certificates import make_authority, make_certificate
+from features.operator_server import KEY, call, start_server
+from jujubenotch.cli import program
+from jujubenotch.records import build_configuration, list_records, parse_documents
+
+ROOT = Path(__file__).resolve().parents[3]
+PROGRAM_TIMEOUT_S = 60
+
+
+@given("an instance and the files of docs/RECORDS.md")
+def start(context):
+    context.server = start_server(context)
+    context.address = context.server.address
+    context.key = KEY
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.directory = Path(directory.name)
+    text = (ROOT / "docs" / "RECORDS.md").read_text()
+    version_2, version_1 = re.findall(
+        r"```toml\n(schema_version.*?)```", text, re.DOTALL
+    )
+    without_class = re.sub(r"\[\[class\]\].*?\n\n", "", version_1, flags=re.DOTALL)
+    write(context, "new.toml", version_2)
+    write(context, "old.toml", without_class)
+
+
+def write(context, name, text):
+    (context.directory / name).write_text(text)
+
+
+@when('"{command}" is run')
+def run(context, command):
+    arguments = shlex.split(command)
+    if not any(argument.startswith("--address") for argument in arguments):
+        arguments.append(f"--address={context.address}")
+    output, errors = io.StringIO(), io.StringIO()
+    before = os.getcwd()
+    os.environ[program.KEY_VARIABLE] = context.key
+    os.chdir(context.directory)
+    program.commands.RETRY_WAIT_S = 0.01
+    try:
+        with contextlib.redirect_stdout(output), contextlib.redirect_stderr(errors):
+            context.code = program.main(arguments)
+    finally:
+        os.chdir(before)
+        del os.environ[program.KEY_VARIABLE]
+    context.stdout = output.getvalue()
+    context.printed = context.stdout + errors.getvalue()
+
+
+@given("the files are applied")
+def apply_files(context):
+    run(context, "apply new.toml old.toml")
+    assert context.code == 0, context.printed
+
+
+@given('the key "{key}" is in the environment')
+def set_key(context, key):
+    context.key = key
+
+
+@given("the platform is down")
+def set_down(context):
+    context.server.platform.is_down = True
+
+
+@when('a file "{name}" puts team "{team}" with weight {weight:d}')
+def write_team(context, name, team, weight):
+    write(
+        context,
+        name,
+        f'schema_version = 2\n[[team]]\nname = "{team}"\nweight = {weight}.0\n',
+    )
+
+
+@when('a file "{name}" deletes power_cap "{record}"')
+def write_deletion(context, name, record):
+    write(
+        context,
+        name,
+        f'schema_version = 1\n[[delete]]\nkind = "power_cap"\nname = "{record}"\n',
+    )
+
+
+@given('a file "{name}" with two mistakes')
+def write_wrong(context, name):
+    text = 'schema_version = 2\n[[team]]\nname = "a"\nweight = "b"\ncolour = 1\n'
+    write(context, name, text)
+
+
+@given("the answers of the next {count:d} requests are lost")
+def lose_answers(context, count):
+    """Put a relay before the instance that cuts connections as answers come."""
+    remaining = [count]
+
+    async def relay(reader, writer):
+        from_instance, to_instance = await asyncio.open_connection(
+            "127.0.0.1", context.server.port
+        )
+        forward = asyncio.ensure_future(copy(reader, to_instance))
+        if remaining[0]:
+            remaining[0] -= 1
+            await from_instance.read(1)
+        else:
+            with contextlib.suppress(asyncio.CancelledError):
+                await copy(from_instance, writer)
+        forward.cancel()
+        writer.transport.abort()
+        to_instance.transport.abort()
+
+    async def copy(reader, writer):
+        while content := await reader.read(65536):
+            writer.write(content)
+            await writer.drain()
+
+    async def serve():
+        return await asyncio.start_server(relay, "127.0.0.1", 0)
+
+    server = call(context.server, serve())
+    port = server.sockets[0].getsockname()[1]
+    context.address = f"http://127.0.0.1:{port}"
+    context.add_cleanup(context.server.loop.call_soon_threadsafe, server.close)
+
+
+@given("an instance behind TLS and the operator's key in a file")
+def start_tls(context):
+    authority = make_authority(context.directory, "ca")
+    files = make_certificate(context.directory, authority, "instance")
+    tls = ssl.SSLContext(ssl.PROTOCOL_TLS_SERVER)
+    tls.load_cert_chain(files.certificate, files.key)
+    server = start_server(context, tls=tls)
+    context.address = server.address
+    context.key = ""
+    write(context, "key.txt", KEY + "\n")
+
+
+@then('it ends with {code:d} and prints "{text}"')
+def check_end(context, code, text):
+    assert context.code == code, (context.code, context.printed)
+    check_printed(context, text)
+
+
+@then('it prints "{text}"')
+def check_printed(context, text):
+    assert text in context.printed, context.printed
+
+
+@then('it doesn\'t print "{text}"')
+def check_not_printed(context, text):
+    assert text not in context.printed, context.printed
+
+
+@then('it ends with 0 and prints a JSON object with "{member}"')
+def check_json(context, member):
+    assert context.code in (0, 1), context.printed
+    assert member in json.loads(context.stdout), context.stdout
+
+
+@then("its output is a file of schema version 2 with the records in force")
+def check_round_trip(context):
+    edit = parse_documents({"get.toml": context.stdout})
+    assert hasattr(edit, "records"), str(edit)
+    found = list_records(build_configuration(edit.records, 1))
+    assert found == list_records(context.server.store.replica.configuration)
+
+
+@then("the platform holds {count:d} change")
+def check_changes(context, count):
+    assert len(context.server.platform.tables["configuration-changes"]) == count
+
+
+@when('it is run as a program with "{arguments}"')
+def run_program(context, arguments):
+    completed = subprocess.run(
+        [sys.executable, "-m", "jujubenotch.cli.program", *arguments.split()],
+        cwd=ROOT,
+        capture_output=True,
+        text=True,
+        timeout=PROGRAM_TIMEOUT_S,
+    )
+    context.code = completed.returncode
+    context.stdout = completed.stdout
+    context.printed = completed.stdout + completed.stderr
+
+
+@then("docs/CLI.md holds the same text")
+def check_page(context):
+    assert context.stdout.strip() in (ROOT / "docs" / "CLI.md").read_text()
--- /dev/null
+++ b/jujubenotch/cli/commands.py
@@ -0,0 +1,113 @@
+"""Commands that change something: apply and drain."""
+
+import asyncio
+from urllib.parse import quote
+
+from jujubenotch.cli.client import APPLY_STATUSES, OperatorClient, ask
+from jujubenotch.cli.errors import (
+    ExitCode,
+    LostAnswerError,
+    UnreachableError,
+    UnsettledError,
+)
+from jujubenotch.cli.render import print_apply_answer, print_json
+from jujubenotch.operators import (
+    ApplyAnswer,
+    ApplyDocument,
+    DrainDocument,
+    DrainRequest,
+)
+from jujubenotch.outcomes import ChangeRefusalReason
+
+MAX_ATTEMPTS = 5
+RETRY_WAIT_S = 0.5
+EXIT_CODE_BY_RESULT = {
+    "accepted": ExitCode.DONE,
+    "unchanged": ExitCode.DONE,
+    "invalid": ExitCode.INVALID,
+    "conflict": ExitCode.CONFLICT,
+    "refused": ExitCode.REFUSED,
+}
+
+
+async def apply_files(
+    client: OperatorClient, document: ApplyDocument, *, is_json: bool
+) -> ExitCode:
+    """Change the records, and repeat the same change while no answer comes.
+
+    :param client: The instance to ask.
+    :param document: The change; its id makes a repeat harmless.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    :raises UnreachableError: Nothing was sent.
+    :raises UnsettledError: The change may have been made.
+    """
+    answer = await _apply_repeatedly(client, document)
+    if is_json:
+        print_json(answer)
+    else:
+        print_apply_answer(answer)
+    if answer.reason == ChangeRefusalReason.UNSETTLED:
+        return ExitCode.UNSETTLED
+    return EXIT_CODE_BY_RESULT[answer.result]
+
+
+async def drain_upstream(
+    client: OperatorClient, name: str, *, is_draining: bool, is_json: bool
+) -> ExitCode:
+    """Send an upstream no new work, or send it work again.
+
+    :param client: The instance to ask.
+    :param name: The upstream's name.
+    :param is_draining: False takes a drain back.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    path = f"/v1/upstreams/{quote(name, safe='')}/drain"
+    answer = await ask(
+        client,
+        "POST",
+        path,
+        DrainDocument,
+        body=DrainRequest(is_draining=is_draining),
+    )
+    if is_json:
+        print_json(answer)
+    elif answer.is_draining:
+        print(f"{answer.upstream} gets no new work")
+    else:
+        print(f"{answer.upstream} gets work again")
+    return ExitCode.DONE
+
+
+async def _apply_repeatedly(client, document) -> ApplyAnswer:
+    was_sent = False
+    last_error = None
+    for attempt in range(MAX_ATTEMPTS):
+        if attempt:
+            await asyncio.sleep(RETRY_WAIT_S * attempt)
+        try:
+            answer = await ask(
+                client,
+                "POST",
+                "/v1/records/apply",
+                ApplyAnswer,
+                body=document,
+                statuses=APPLY_STATUSES,
+            )
+        except LostAnswerError as error:
+            was_sent = True
+            last_error = error
+        except UnreachableError as error:
+            if not was_sent:
+                raise
+            last_error = error
+        else:
+            if answer.reason != ChangeRefusalReason.UNSETTLED:
+                return answer
+            was_sent = True
+            last_error = answer.detail
+    raise UnsettledError(
+        f"{last_error}\nThe change may have been made. Repeat the command with "
+        f"--change-id={document.change_id}: it is then made once."
+    )
--- /dev/null
+++ b/jujubenotch/cli/errors.py
@@ -0,0 +1,60 @@
+"""Errors of the command-line tool, and its exit codes."""
+
+from enum import IntEnum
+
+
+class ExitCode(IntEnum):
+    """What the shell is told."""
+
+    DONE = 0
+    DIFFERENT = 1
+    USAGE = 2
+    INVALID = 3
+    CONFLICT = 4
+    REFUSED = 5
+    UNSETTLED = 6
+    WRONG_KEY = 7
+    UNREACHABLE = 8
+    NOT_KNOWN = 9
+
+
+class CliError(Exception):
+    """A command can't be done; the text is for the operator."""
+
+    exit_code = ExitCode.REFUSED
+
+
+class UsageError(CliError):
+    """The command line is wrong, or a file can't be read."""
+
+    exit_code = ExitCode.USAGE
+
+
+class UnsettledError(CliError):
+    """A change may have been made."""
+
+    exit_code = ExitCode.UNSETTLED
+
+
+class WrongKeyError(CliError):
+    """The operator's key is missing or wrong."""
+
+    exit_code = ExitCode.WRONG_KEY
+
+
+class UnreachableError(CliError):
+    """The instance can't be reached; nothing was sent to it."""
+
+    exit_code = ExitCode.UNREACHABLE
+
+
+class LostAnswerError(CliError):
+    """A request was sent, and no answer came."""
+
+    exit_code = ExitCode.UNREACHABLE
+
+
+class NotKnownError(CliError):
+    """What was asked for is not known."""
+
+    exit_code = ExitCode.NOT_KNOWN
--- /dev/null
+++ b/jujubenotch/cli/queries.py
@@ -0,0 +1,149 @@
+"""Queries: they change nothing."""
+
+from urllib.parse import quote
+
+from jujubenotch.cli import render
+from jujubenotch.cli.client import APPLY_STATUSES, OperatorClient, ask
+from jujubenotch.cli.errors import ExitCode
+from jujubenotch.operators import (
+    ApplyAnswer,
+    ApplyDocument,
+    InstancesDocument,
+    RecordsDocument,
+    StatusDocument,
+    TraceDocument,
+    UpstreamsDocument,
+)
+from jujubenotch.records import (
+    InvalidRecords,
+    build_configuration,
+    parse_documents,
+)
+
+EXIT_CODE_BY_RESULT = {
+    "preview": ExitCode.DIFFERENT,
+    "invalid": ExitCode.INVALID,
+    "conflict": ExitCode.CONFLICT,
+}
+
+
+async def get_records(
+    client: OperatorClient, kind: str, name: str, *, is_json: bool
+) -> ExitCode:
+    """Print records in force, as TOML that can be edited and applied.
+
+    :param client: The instance to ask.
+    :param kind: Only this kind; empty for all.
+    :param name: Only this name; empty for all.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    given = {"kind": kind, "name": name}
+    parameters = {key: value for key, value in given.items() if value}
+    answer = await ask(
+        client, "GET", "/v1/records", RecordsDocument, parameters=parameters
+    )
+    _print(answer, render.print_records, is_json=is_json)
+    return ExitCode.DONE
+
+
+async def diff_files(
+    client: OperatorClient, document: ApplyDocument, *, is_json: bool
+) -> ExitCode:
+    """Print what a change would do.
+
+    :param client: The instance to ask.
+    :param document: The change, as a dry run.
+    :param is_json: Whether to print JSON.
+    :returns: ``DIFFERENT`` when records would change, ``DONE`` when none would.
+    """
+    answer = await ask(
+        client,
+        "POST",
+        "/v1/records/apply",
+        ApplyAnswer,
+        body=document,
+        statuses=APPLY_STATUSES,
+    )
+    _print(answer, render.print_apply_answer, is_json=is_json)
+    if answer.result == "preview" and not answer.differences:
+        return ExitCode.DONE
+    return EXIT_CODE_BY_RESULT.get(answer.result, ExitCode.REFUSED)
+
+
+def validate_files(
+    texts: dict[str, str], *, is_partial: bool, is_json: bool
+) -> ExitCode:
+    """Check files without asking any instance, and print every problem.
+
+    :param texts: The files' texts by their names.
+    :param is_partial: Whether the files are only a part of all records, so
+        that other records than theirs may be meant.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    result = parse_documents(texts)
+    if not isinstance(result, InvalidRecords) and not is_partial:
+        result = build_configuration(result.records, revision=1)
+    problems = result.problems if isinstance(result, InvalidRecords) else ()
+    render.print_problems(problems, is_json=is_json)
+    return ExitCode.INVALID if problems else ExitCode.DONE
+
+
+async def show_status(client: OperatorClient, *, is_json: bool) -> ExitCode:
+    """Print the state of an instance.
+
+    :param client: The instance to ask.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    answer = await ask(client, "GET", "/v1/status", StatusDocument)
+    _print(answer, render.print_fields, is_json=is_json)
+    return ExitCode.DONE
+
+
+async def show_upstreams(client: OperatorClient, *, is_json: bool) -> ExitCode:
+    """Print the upstreams as an instance sees them.
+
+    :param client: The instance to ask.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    answer = await ask(client, "GET", "/v1/upstreams", UpstreamsDocument)
+    _print(answer, lambda answer: render.print_table(answer.upstreams), is_json=is_json)
+    return ExitCode.DONE
+
+
+async def show_instances(client: OperatorClient, *, is_json: bool) -> ExitCode:
+    """Print the instances as one of them sees them.
+
+    :param client: The instance to ask.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    answer = await ask(client, "GET", "/v1/instances", InstancesDocument)
+    _print(answer, lambda answer: render.print_table(answer.instances), is_json=is_json)
+    return ExitCode.DONE
+
+
+async def explain_request(
+    client: OperatorClient, request_id: str, *, is_json: bool
+) -> ExitCode:
+    """Print what became of a request, event by event.
+
+    :param client: The instance to ask.
+    :param request_id: The request's id.
+    :param is_json: Whether to print JSON.
+    :returns: The exit code.
+    """
+    path = f"/v1/requests/{quote(request_id, safe='')}"
+    answer = await ask(client, "GET", path, TraceDocument)
+    _print(answer, render.print_trace, is_json=is_json)
+    return ExitCode.DONE
+
+
+def _print(answer, print_text, *, is_json):
+    if is_json:
+        render.print_json(answer)
+    else:
+        print_text(answer)
