--- /dev/null
+++ b/jujubenotch/records/refusals.py
@@ -0,0 +1,78 @@
+"""Why a change is refused before or without a transaction."""
+
+from jujubenotch.outcomes import ChangeRefusalReason
+from jujubenotch.records.record import Edit, InvalidRecords, Problem
+from jujubenotch.records.results import ChangeRefusal
+
+MAX_TOUCHED_RECORDS = 5000
+RETRY_AFTER_S = 2.0
+
+
+def check_size(edit: Edit) -> InvalidRecords | None:
+    """Check that an edit fits into one transaction.
+
+    :param edit: The edit that is left to do.
+    :returns: The problem; ``None`` when it fits.
+    """
+    count = len(edit.records) + len(edit.deletions)
+    if count <= MAX_TOUCHED_RECORDS:
+        return None
+    problem = Problem(
+        key="records",
+        value=str(count),
+        message=f"are more than the {MAX_TOUCHED_RECORDS} that one change may touch",
+        remedy="split the change",
+    )
+    return InvalidRecords(problems=(problem,))
+
+
+def refuse_reuse(change_id: str) -> ChangeRefusal:
+    """Refuse an id that belongs to another change.
+
+    :param change_id: The id.
+    :returns: The refusal.
+    """
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.CHANGE_ID_REUSED,
+        detail=f"change id {change_id!r} belongs to another change; take a new id",
+    )
+
+
+def refuse_unavailable(error: Exception) -> ChangeRefusal:
+    """Refuse a change that the platform could not be asked for.
+
+    :param error: What became of the last call.
+    :returns: The refusal.
+    """
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.PLATFORM_UNAVAILABLE,
+        detail=f"nothing was changed by this request: {error}",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def refuse_races(attempts: int) -> ChangeRefusal:
+    """Refuse a change that others always came before.
+
+    :param attempts: How often it was tried.
+    :returns: The refusal.
+    """
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.RACES,
+        detail=f"other changes came first {attempts} times; nothing was changed by "
+        "this request",
+        retry_after_s=RETRY_AFTER_S,
+    )
+
+
+def refuse_unsettled() -> ChangeRefusal:
+    """Tell that a change may have been made.
+
+    :returns: The refusal.
+    """
+    return ChangeRefusal(
+        reason=ChangeRefusalReason.UNSETTLED,
+        detail="the platform gave no answer, so the change may have been made; "
+        "repeat it with the same change id",
+        retry_after_s=RETRY_AFTER_S,
+    )
--- /dev/null
+++ b/jujubenotch/records/snapshot.py
@@ -0,0 +1,55 @@
+"""Stores snapshots, from which new instances start."""
+
+import asyncio
+import logging
+
+from jujubenotch.logs import log_event
+from jujubenotch.platform import Platform, PlatformError, Write
+from jujubenotch.records.change import encode_snapshot
+from jujubenotch.records.errors import RecordsError
+from jujubenotch.records.replica import ConfigurationReplica, make_snapshot
+from jujubenotch.records.tables import (
+    HEAD_TABLE,
+    SNAPSHOT_KEY,
+    decode_row,
+    encode_row,
+    write_snapshot_name,
+)
+
+logger = logging.getLogger(__name__)
+
+
+async def store_snapshot(
+    replica: ConfigurationReplica, platform: Platform, *, every_changes: int
+) -> None:
+    """Store a snapshot; a failure is logged, and made good by a later one.
+
+    The row that names the newest snapshot never goes back to an older one.
+
+    :param replica: The replica, at a committed revision.
+    :param platform: The platform.
+    :param every_changes: How many changes lie between two snapshots.
+    """
+    snapshot = make_snapshot(replica)
+    name = write_snapshot_name(snapshot.revision // every_changes)
+    try:
+        pointer = await platform.read(HEAD_TABLE, SNAPSHOT_KEY)
+        if pointer and decode_row(pointer.value)["revision"] >= snapshot.revision:
+            return
+        content = await asyncio.to_thread(encode_snapshot, snapshot)
+        await platform.put_object(name, content)
+        write = Write(
+            table=HEAD_TABLE,
+            key=SNAPSHOT_KEY,
+            value=encode_row(revision=snapshot.revision, object=name),
+            expected_version=pointer.version if pointer else 0,
+        )
+        await platform.transact([write])
+    except (PlatformError, RecordsError) as error:
+        log_event(
+            logger,
+            logging.WARNING,
+            "snapshot-not-stored",
+            revision=snapshot.revision,
+            error=error,
+        )
--- a/jujubenotch/records/store.py
+++ b/jujubenotch/records/store.py
@@ -11,7 +11,6 @@
 from dataclasses import dataclass, field
 
 from jujubenotch.logs import log_event
-from jujubenotch.outcomes import ChangeRefusalReason
 from jujubenotch.platform import (
     ConflictError,
     Platform,
@@ -24,7 +23,6 @@
     Change,
     digest_records,
     encode_change,
-    encode_snapshot,
 )
 from jujubenotch.records.errors import RecordsError
 from jujubenotch.records.poll import Head, poll
@@ -34,11 +32,17 @@
     find_expected_revisions,
     list_keys,
 )
-from jujubenotch.records.record import Edit, InvalidRecords, Problem, RecordKey
+from jujubenotch.records.record import Edit, InvalidRecords, RecordKey
+from jujubenotch.records.refusals import (
+    check_size,
+    refuse_races,
+    refuse_reuse,
+    refuse_unavailable,
+    refuse_unsettled,
+)
 from jujubenotch.records.replica import (
     ConfigurationReplica,
     apply_change,
-    make_snapshot,
     read_record_revision,
 )
 from jujubenotch.records.results import (
@@ -48,26 +52,23 @@
     Conflict,
     Unchanged,
 )
+from jujubenotch.records.snapshot import store_snapshot
 from jujubenotch.records.tables import (
     CHANGE_IDS_TABLE,
     CHANGES_TABLE,
     HEAD_KEY,
     HEAD_TABLE,
     RECORDS_TABLE,
-    SNAPSHOT_KEY,
     decode_row,
     encode_row,
     write_change_key,
     write_record_key,
-    write_snapshot_name,
 )
 
 MAX_ATTEMPTS = 12
 MAX_FAILURES = 3
 MAX_RETRY_WAIT_S = 0.2
-RETRY_AFTER_S = 2.0
 SNAPSHOT_CHANGES = 500
-MAX_TOUCHED_RECORDS = 5000
 
 logger = logging.getLogger(__name__)
 
@@ -136,7 +137,7 @@
 
 
 async def _try_repeatedly(store, submission):
-    refusal = _refuse_races()
+    refusal = refuse_races(MAX_ATTEMPTS)
     failures = 0
     for attempt in range(MAX_ATTEMPTS):
         if attempt:
@@ -146,14 +147,14 @@
         except (PlatformError, RecordsError) as error:
             failures += 1
             submission.may_have_taken_effect |= isinstance(error, ReplyLostError)
-            refusal = _refuse_unavailable(error)
+            refusal = refuse_unavailable(error)
             if failures == MAX_FAILURES:
                 break
         else:
             if result is not None:
                 return result
     if submission.may_have_taken_effect:
-        return _refuse_unsettled()
+        return refuse_unsettled()
     return refusal
 
 
@@ -190,7 +191,7 @@
         return None
     values = decode_row(row.value)
     if values.get("digest") != submission.digest:
-        return _refuse_reuse(change_id)
+        return refuse_reuse(change_id)
     return Accepted(
         revision=int(values["revision"]),
         change_id=change_id,
@@ -199,7 +200,7 @@
 
 
 async def _check_edit(configuration, edit) -> InvalidRecords | None:
-    if too_large := _check_size(edit):
+    if too_large := check_size(edit):
         return too_large
     # The whole configuration is checked, which may take long when it is large.
     edited = await asyncio.to_thread(
@@ -222,7 +223,9 @@
         return None
     apply_change(store.replica, change)
     if change.revision % store.snapshot_changes == 0:
-        await _store_snapshot(store)
+        await store_snapshot(
+            store.replica, store.platform, every_changes=store.snapshot_changes
+        )
     return Accepted(revision=change.revision, change_id=change.change_id)
 
 
@@ -268,76 +271,3 @@
         )
         writes.append(write)
     return writes
-
-
-async def _store_snapshot(store):
-    """Store a snapshot; a failure is made good by a later one."""
-    snapshot = make_snapshot(store.replica)
-    name = write_snapshot_name(snapshot.revision // store.snapshot_changes)
-    try:
-        pointer = await store.platform.read(HEAD_TABLE, SNAPSHOT_KEY)
-        if pointer and decode_row(pointer.value)["revision"] >= snapshot.revision:
-            return
-        content = await asyncio.to_thread(encode_snapshot, snapshot)
-        await store.platform.put_object(name, content)
-        write = Write(
-            table=HEAD_TABLE,
-            key=SNAPSHOT_KEY,
-            value=encode_row(revision=snapshot.revision, object=name),
-            expected_version=pointer.version if pointer else 0,
-        )
-        await store.platform.transact([write])
-    except (PlatformError, RecordsError) as error:
-        log_event(
-            logger,
-            logging.WARNING,
-            "snapshot-not-stored",
-            revision=snapshot.revision,
-            error=error,
-        )
-
-
-def _check_size(edit):
-    count = len(list_keys(edit))
-    if count <= MAX_TOUCHED_RECORDS:
-        return None
-    problem = Problem(
-        key="records",
-        value=str(count),
-        message=f"are more than the {MAX_TOUCHED_RECORDS} that one change may touch",
-        remedy="split the change",
-    )
-    return InvalidRecords(problems=(problem,))
-
-
-def _refuse_reuse(change_id):
-    return ChangeRefusal(
-        reason=ChangeRefusalReason.CHANGE_ID_REUSED,
-        detail=f"change id {change_id!r} belongs to another change; take a new id",
-    )
-
-
-def _refuse_unavailable(error):
-    return ChangeRefusal(
-        reason=ChangeRefusalReason.PLATFORM_UNAVAILABLE,
-        detail=f"nothing was changed by this request: {error}",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
-def _refuse_races():
-    return ChangeRefusal(
-        reason=ChangeRefusalReason.RACES,
-        detail=f"other changes came first {MAX_ATTEMPTS} times; nothing was "
-        "changed by this request",
-        retry_after_s=RETRY_AFTER_S,
-    )
-
-
-def _refuse_unsettled():
-    return ChangeRefusal(
-        reason=ChangeRefusalReason.UNSETTLED,
-        detail="the platform gave no answer, so the change may have been made; "
-        "repeat it with the same change id",
-        retry_after_s=RETRY_AFTER_S,
-    )
