--- a/jujubenotch/capacity/__init__.py
+++ b/jujubenotch/capacity/__init__.py
@@ -5,13 +5,10 @@
 
 from jujubenotch.capacity.interface import Capacity
 from jujubenotch.capacity.local import LocalCapacity
-from jujubenotch.capacity.peered import (
-    MemberState,
-    PeeredCapacity,
-    UpstreamState,
-    start_peered_capacity,
-)
+from jujubenotch.capacity.peered import PeeredCapacity
 from jujubenotch.capacity.peered_model import PeeredDependencies
+from jujubenotch.capacity.start import start_peered_capacity
+from jujubenotch.capacity.views import MemberState, UpstreamState
 
 __all__ = [
     "Capacity",
--- a/jujubenotch/capacity/account.py
+++ b/jujubenotch/capacity/account.py
@@ -5,7 +5,7 @@
 
 from jujubenotch.admission import WorkReport
 from jujubenotch.capacity import home as home_accounts
-from jujubenotch.capacity.home import Home
+from jujubenotch.capacity.home_model import Home
 from jujubenotch.peers import (
     HeldSlot,
     Link,
--- a/jujubenotch/capacity/client.py
+++ b/jujubenotch/capacity/client.py
@@ -1,84 +1,27 @@
 """Gets slots for this instance's requests from whoever keeps their group's account."""
 
 import asyncio
-import itertools
-from collections.abc import Callable, Iterator
-from dataclasses import dataclass, field
 
 from jujubenotch.admission import Grant, WorkReport, WorkRequest, WorkResult
 from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.client_model import Client, ClientEntry, ClientGroup
 from jujubenotch.capacity.groups import GroupPlans
+from jujubenotch.capacity.refusals import (
+    refuse_closing,
+    refuse_late,
+    refuse_no_upstream,
+)
 from jujubenotch.invariants import assert_invariant
-from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.outcomes import Refusal
 from jujubenotch.peers import HeldSlot, SlotRequest
 
 ACK_TIMEOUT_S = 0.3
 GRANT_VALID_S = 1.0
 ANSWER_GRACE_S = 1.0
-NO_UPSTREAM_RETRY_AFTER_S = 5.0
-CLOSING_RETRY_AFTER_S = 1.0
-LATE_RETRY_AFTER_S = 1.0
 
 CANCELLED = WorkReport(result=WorkResult.CANCELLED)
 
 
-@dataclass(kw_only=True, eq=False)
-class ClientEntry:
-    """One request of this instance, until its slot is given back.
-
-    :param number: Of its latest submission; each submission has its own.
-    :param submitted_s: When that was, on this process's monotonic clock.
-    :param is_queued: Whether the account has said that it has it.
-    :param answer: Gets the grant or refusal.
-    :param grant: Its slot, once it has one.
-    :param started_s: Since when it has it.
-    """
-
-    request: WorkRequest
-    group: str
-    answer: asyncio.Future
-    number: int = 0
-    submitted_s: float = 0.0
-    is_queued: bool = False
-    grant: Grant | None = None
-    started_s: float = 0.0
-
-
-@dataclass(kw_only=True)
-class ClientGroup:
-    """One group, and where its slots come from at present.
-
-    :param entries: Requests that wait or hold a slot, by number.
-    """
-
-    name: str
-    account: Account
-    entries: dict[int, ClientEntry] = field(default_factory=dict)
-
-
-@dataclass(kw_only=True)
-class Client:
-    """The requests of this instance, changed only by this module's functions.
-
-    :param id_prefix: Starts the ids of grants; unique over all instances.
-    :param read_clock_s: Reads this process's monotonic clock, in seconds.
-    :param entries: Requests by the number of their latest submission.
-    :param held: Requests with a slot, by the id of their grant.
-
-    >>> Client(id_prefix="a/1", read_clock_s=time.monotonic).groups
-    {}
-    """
-
-    id_prefix: str
-    read_clock_s: Callable[[], float]
-    plans: GroupPlans = field(default_factory=GroupPlans)
-    groups: dict[str, ClientGroup] = field(default_factory=dict)
-    entries: dict[int, ClientEntry] = field(default_factory=dict)
-    held: dict[str, ClientEntry] = field(default_factory=dict)
-    numbers: Iterator[int] = field(default_factory=lambda: itertools.count(1))
-    is_closed: bool = False
-
-
 async def acquire(client: Client, request: WorkRequest) -> Grant | Refusal:
     """Wait for a slot; cancelling the call withdraws the request.
 
@@ -99,7 +42,7 @@
             return await asyncio.shield(entry.answer)
     except TimeoutError:
         _abandon(client, entry)
-        return _refuse_late()
+        return refuse_late()
     except asyncio.CancelledError:
         _abandon(client, entry)
         raise
@@ -255,35 +198,6 @@
             _answer(entry, refuse_closing())
 
 
-def refuse_closing() -> Refusal:
-    """Return the refusal of an instance that stops."""
-    return Refusal(
-        reason=RefusalReason.SHUTTING_DOWN,
-        retry_after_s=CLOSING_RETRY_AFTER_S,
-        detail="This instance is shutting down; send the request again.",
-    )
-
-
-def refuse_no_upstream(target: str) -> Refusal:
-    """Return the refusal of a target that nothing serves.
-
-    :param target: The model or plain service.
-    """
-    return Refusal(
-        reason=RefusalReason.NO_UPSTREAM,
-        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
-        detail=f"No upstream of this data centre serves {target!r}.",
-    )
-
-
-def _refuse_late():
-    return Refusal(
-        reason=RefusalReason.DEADLINE_PASSED,
-        retry_after_s=LATE_RETRY_AFTER_S,
-        detail="No slot was given before the deadline; send the request again.",
-    )
-
-
 def _submit(client, group, entry, now_s):
     _forget(client, entry)
     entry.number = next(client.numbers)
--- /dev/null
+++ b/jujubenotch/capacity/holders.py
@@ -0,0 +1,82 @@
+"""The instances that get slots from the accounts kept here come and go."""
+
+from jujubenotch.capacity.home import drop_entries, drop_waiting, list_entries
+from jujubenotch.capacity.home_model import Holder, HolderAnswers, Home
+
+LOST_HOLDER_S = 5.0
+
+
+def attach_holder(
+    home: Home, name: str, incarnation: int, answers: HolderAnswers, now_s: float
+) -> None:
+    """Take in a holder, or the new session of a known one.
+
+    What a former incarnation held is free at once. What the same incarnation
+    had queued is dropped, since it sends that again.
+
+    :param home: The home.
+    :param name: The holder.
+    :param incarnation: The holder's.
+    :param answers: How to answer it.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    known = home.holders.get(name)
+    if known is not None and known.incarnation != incarnation:
+        _drop_holder(home, known, now_s)
+        known = None
+    if known is None:
+        home.holders[name] = Holder(name=name, incarnation=incarnation, answers=answers)
+        return
+    known.answers = answers
+    known.lost_s = None
+    drop_waiting(home, known, now_s)
+    _detach(home, name)
+
+
+def lose_holder(home: Home, name: str, answers: HolderAnswers, now_s: float) -> None:
+    """Take in the end of a holder's session; its slots stay for a while.
+
+    :param home: The home.
+    :param name: The holder.
+    :param answers: The session's; a later session's holder isn't lost.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    holder = home.holders.get(name)
+    if holder is None or holder.answers is not answers:
+        return
+    holder.lost_s = now_s
+    drop_waiting(home, holder, now_s)
+    _detach(home, name)
+
+
+def drop_lost_holders(home: Home, now_s: float) -> None:
+    """Free the slots of holders that have been lost for too long.
+
+    :param home: The home.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    for holder in tuple(home.holders.values()):
+        if holder.lost_s is not None and now_s - holder.lost_s >= LOST_HOLDER_S:
+            _drop_holder(home, holder, now_s)
+    for name, group in home.groups.items():
+        for holder_name, left_s in tuple(group.left_s.items()):
+            if now_s - left_s >= LOST_HOLDER_S:
+                del group.left_s[holder_name]
+                _drop_group_of(home, holder_name, name, now_s)
+
+
+def _drop_holder(home, holder, now_s):
+    drop_entries(home, tuple(holder.entries.values()), now_s)
+    _detach(home, holder.name)
+    del home.holders[holder.name]
+
+
+def _drop_group_of(home, name, group, now_s):
+    holder = home.holders.get(name)
+    if holder is not None:
+        drop_entries(home, list_entries(holder, group), now_s)
+
+
+def _detach(home, name):
+    for group in home.groups.values():
+        group.attached.discard(name)
--- a/jujubenotch/capacity/home.py
+++ b/jujubenotch/capacity/home.py
@@ -1,10 +1,16 @@
 """The accounts that this instance keeps for itself and for its peers."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import replace
 
 from jujubenotch.admission import Grant, WorkReport, WorkResult, restore
 from jujubenotch.capacity.groups import GroupPlan
+from jujubenotch.capacity.home_model import (
+    Holder,
+    Home,
+    HomeEntry,
+    HomeGroup,
+)
 from jujubenotch.capacity.keeper import (
     PoolKeeper,
     cancel,
@@ -17,79 +23,6 @@
 from jujubenotch.outcomes import Refusal
 from jujubenotch.peers import HeldSlot, SlotRequest
 
-LOST_HOLDER_S = 5.0
-
-
-@dataclass(frozen=True, kw_only=True, eq=False)
-class HolderAnswers:
-    """How a holder is told what became of its requests, by their numbers."""
-
-    queued: Callable[[int], None]
-    granted: Callable[[int, str], None]
-    refused: Callable[[int, Refusal], None]
-    not_home: Callable[[str], None]
-
-
-@dataclass(kw_only=True)
-class HomeEntry:
-    """One request of a holder, from its arrival until its slot is given back.
-
-    :param grant_id: The pool's name of its slot; empty while it waits.
-    """
-
-    holder: str
-    number: int
-    group: str
-    grant_id: str = ""
-
-
-@dataclass(kw_only=True)
-class Holder:
-    """One instance that gets slots here.
-
-    :param entries: Its requests and slots, by its own numbers.
-    :param lost_s: When its session ended, on this process's monotonic clock.
-    """
-
-    name: str
-    incarnation: int
-    answers: HolderAnswers
-    entries: dict[int, HomeEntry] = field(default_factory=dict)
-    lost_s: float | None = None
-
-
-@dataclass(kw_only=True)
-class HomeGroup:
-    """One group whose account is kept here.
-
-    :param opened_s: Since when, on this process's monotonic clock.
-    :param attached: The holders that have told what they hold.
-    :param left_s: When holders left for another account, same clock; their
-        slots still count for a while, since they still run.
-    """
-
-    plan: GroupPlan
-    share: float
-    opened_s: float
-    attached: set[str] = field(default_factory=set)
-    left_s: dict[str, float] = field(default_factory=dict)
-
-
-@dataclass(kw_only=True)
-class Home:
-    """All accounts kept here, changed only by this module's functions.
-
-    :param keeper: Their pools; its callback is :func:`deliver`.
-
-    >>> Home.__name__
-    'Home'
-    """
-
-    keeper: PoolKeeper
-    groups: dict[str, HomeGroup] = field(default_factory=dict)
-    holders: dict[str, Holder] = field(default_factory=dict)
-    entries: dict[str, HomeEntry] = field(default_factory=dict)
-
 
 def make_home(*, name: str, id_prefix: str, read_clock_s: Callable[[], float]) -> Home:
     """Make a home without accounts.
@@ -139,70 +72,11 @@
     # Without its pool, nothing that is dropped makes room for a new grant.
     home.keeper.pools.pop(name, None)
     for holder in tuple(home.holders.values()):
-        _drop_entries(home, _list_entries(holder, name), now_s)
+        drop_entries(home, list_entries(holder, name), now_s)
         if holder.lost_s is None and holder.name in group.attached:
             holder.answers.not_home(name)
 
 
-def attach_holder(
-    home: Home, name: str, incarnation: int, answers: HolderAnswers, now_s: float
-) -> None:
-    """Take in a holder, or the new session of a known one.
-
-    What a former incarnation held is free at once. What the same incarnation
-    had queued is dropped, since it sends that again.
-
-    :param home: The home.
-    :param name: The holder.
-    :param incarnation: The holder's.
-    :param answers: How to answer it.
-    :param now_s: The present monotonic time, in seconds.
-    """
-    known = home.holders.get(name)
-    if known is not None and known.incarnation != incarnation:
-        _drop_holder(home, known, now_s)
-        known = None
-    if known is None:
-        home.holders[name] = Holder(name=name, incarnation=incarnation, answers=answers)
-        return
-    known.answers = answers
-    known.lost_s = None
-    _drop_waiting(home, known, now_s)
-    _detach(home, name)
-
-
-def lose_holder(home: Home, name: str, answers: HolderAnswers, now_s: float) -> None:
-    """Take in the end of a holder's session; its slots stay for a while.
-
-    :param home: The home.
-    :param name: The holder.
-    :param answers: The session's; a later session's holder isn't lost.
-    :param now_s: The present monotonic time, in seconds.
-    """
-    holder = home.holders.get(name)
-    if holder is None or holder.answers is not answers:
-        return
-    holder.lost_s = now_s
-    _drop_waiting(home, holder, now_s)
-    _detach(home, name)
-
-
-def drop_lost_holders(home: Home, now_s: float) -> None:
-    """Free the slots of holders that have been lost for too long.
-
-    :param home: The home.
-    :param now_s: The present monotonic time, in seconds.
-    """
-    for holder in tuple(home.holders.values()):
-        if holder.lost_s is not None and now_s - holder.lost_s >= LOST_HOLDER_S:
-            _drop_holder(home, holder, now_s)
-    for name, group in home.groups.items():
-        for holder_name, left_s in tuple(group.left_s.items()):
-            if now_s - left_s >= LOST_HOLDER_S:
-                del group.left_s[holder_name]
-                _drop_group_of(home, holder_name, name, now_s)
-
-
 def hold(
     home: Home, name: str, group: str, held: Iterable[HeldSlot], now_s: float
 ) -> None:
@@ -221,11 +95,11 @@
     home.groups[group].attached.add(name)
     home.groups[group].left_s.pop(name, None)
     reported = {slot.number: slot for slot in held}
-    _drop_entries(
+    drop_entries(
         home,
         [
             entry
-            for entry in _list_entries(holder, group)
+            for entry in list_entries(holder, group)
             if not entry.grant_id or entry.number not in reported
         ],
         now_s,
@@ -249,7 +123,7 @@
     holder = home.holders.get(name)
     if holder is None or group not in home.groups:
         return
-    _drop_waiting(home, holder, now_s, group)
+    drop_waiting(home, holder, now_s, group)
     home.groups[group].attached.discard(name)
     home.groups[group].left_s[name] = now_s
 
@@ -288,7 +162,7 @@
     holder = home.holders.get(name)
     entry = holder.entries.get(number) if holder else None
     if entry is not None:
-        _drop_entries(home, [entry], now_s)
+        drop_entries(home, [entry], now_s)
 
 
 def release(
@@ -340,42 +214,44 @@
     return f"{holder.name}/{holder.incarnation}/{number}"
 
 
-def _list_entries(holder, group):
-    return [entry for entry in holder.entries.values() if entry.group == group]
-
-
-def _drop_holder(home, holder, now_s):
-    _drop_entries(home, tuple(holder.entries.values()), now_s)
-    _detach(home, holder.name)
-    del home.holders[holder.name]
+def list_entries(holder: Holder, group: str) -> list[HomeEntry]:
+    """List what a holder has of a group.
 
+    :param holder: The holder.
+    :param group: The group.
+    :returns: Its requests and slots.
+    """
+    return [entry for entry in holder.entries.values() if entry.group == group]
 
-def _drop_group_of(home, name, group, now_s):
-    holder = home.holders.get(name)
-    if holder is not None:
-        _drop_entries(home, _list_entries(holder, group), now_s)
 
+def drop_waiting(home: Home, holder: Holder, now_s: float, group: str = "") -> None:
+    """Forget a holder's requests that wait.
 
-def _drop_waiting(home, holder, now_s, group=""):
+    :param home: The home.
+    :param holder: The holder.
+    :param now_s: The present monotonic time, in seconds.
+    :param group: A group; empty for all.
+    """
     waiting = [
         entry
         for entry in holder.entries.values()
         if not entry.grant_id and group in ("", entry.group)
     ]
-    _drop_entries(home, waiting, now_s)
+    drop_entries(home, waiting, now_s)
 
 
-def _drop_entries(home, entries, now_s):
+def drop_entries(home: Home, entries: Iterable[HomeEntry], now_s: float) -> None:
+    """Forget requests and free slots.
+
+    :param home: The home.
+    :param entries: What to drop.
+    :param now_s: The present monotonic time, in seconds.
+    """
     report = WorkReport(result=WorkResult.CANCELLED)
     for entry in entries:
         release(home, entry.holder, entry.number, report, now_s)
 
 
-def _detach(home, name):
-    for group in home.groups.values():
-        group.attached.discard(name)
-
-
 def _forget(home, holder, entry):
     del holder.entries[entry.number]
     del home.entries[_name_entry(holder, entry.number)]
--- a/jujubenotch/capacity/local.py
+++ b/jujubenotch/capacity/local.py
@@ -16,12 +16,10 @@
     submit,
     take_load,
 )
-from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.capacity.refusals import refuse_closing, refuse_no_upstream
+from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Configuration
 
-NO_UPSTREAM_RETRY_AFTER_S = 5.0
-CLOSING_RETRY_AFTER_S = 1.0
-
 
 class LocalCapacity:
     """Divides the upstreams of a data centre on one instance, without peers.
@@ -85,9 +83,9 @@
         """
         group = self.plans.by_target.get(request.target)
         if self._is_closed:
-            return _refuse_closing()
+            return refuse_closing()
         if group is None:
-            return _refuse_no_upstream(request.target)
+            return refuse_no_upstream(request.target)
         if self._waker is None:
             self._waker = asyncio.create_task(run_keeper(self.keeper))
         queue_id = f"{request.request_id}/{next(self._numbers)}"
@@ -132,7 +130,7 @@
         """Refuse what still waits and stop the waker."""
         self._is_closed = True
         for queue_id in tuple(self._waiting):
-            self._deliver(queue_id, _refuse_closing())
+            self._deliver(queue_id, refuse_closing())
         if self._waker is not None:
             self._waker.cancel()
             await asyncio.gather(self._waker, return_exceptions=True)
@@ -163,26 +161,10 @@
         for queue_id, waiting in tuple(self._waiting.items()):
             if waiting.group == plan.name:
                 cancel(self.keeper, plan.name, queue_id, now_s)
-                self._deliver(queue_id, _refuse_no_upstream(plan.name))
+                self._deliver(queue_id, refuse_no_upstream(plan.name))
 
 
 @dataclass(frozen=True, kw_only=True)
 class _Waiting:
     group: str
     future: asyncio.Future
-
-
-def _refuse_closing():
-    return Refusal(
-        reason=RefusalReason.SHUTTING_DOWN,
-        retry_after_s=CLOSING_RETRY_AFTER_S,
-        detail="This instance is shutting down; send the request again.",
-    )
-
-
-def _refuse_no_upstream(target):
-    return Refusal(
-        reason=RefusalReason.NO_UPSTREAM,
-        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
-        detail=f"No upstream of this data centre serves {target!r}.",
-    )
--- a/jujubenotch/capacity/peered_model.py
+++ b/jujubenotch/capacity/peered_model.py
@@ -9,7 +9,7 @@
 from jujubenotch.admission import LoadReport
 from jujubenotch.capacity.account import Account
 from jujubenotch.capacity.client import Client
-from jujubenotch.capacity.home import HolderAnswers, Home
+from jujubenotch.capacity.home_model import HolderAnswers, Home
 from jujubenotch.membership import Membership
 from jujubenotch.peers import HomeSession, Link
 from jujubenotch.platform import ListedInstance
--- a/jujubenotch/capacity/refresh.py
+++ b/jujubenotch/capacity/refresh.py
@@ -3,11 +3,8 @@
 from jujubenotch.admission import mark_leaving
 from jujubenotch.capacity.account import Account
 from jujubenotch.capacity.client import find_unanswered, move_group
-from jujubenotch.capacity.home import (
-    close_group,
-    drop_lost_holders,
-    open_group,
-)
+from jujubenotch.capacity.holders import drop_lost_holders
+from jujubenotch.capacity.home import close_group, open_group
 from jujubenotch.capacity.keeper import pump
 from jujubenotch.capacity.peered_model import PeeredState
 from jujubenotch.capacity.shares import choose_home_share, choose_own_share
--- /dev/null
+++ b/jujubenotch/capacity/refusals.py
@@ -0,0 +1,37 @@
+"""The refusals that capacity itself gives."""
+
+from jujubenotch.outcomes import Refusal, RefusalReason
+
+NO_UPSTREAM_RETRY_AFTER_S = 5.0
+CLOSING_RETRY_AFTER_S = 1.0
+LATE_RETRY_AFTER_S = 1.0
+
+
+def refuse_closing() -> Refusal:
+    """Return the refusal of an instance that stops."""
+    return Refusal(
+        reason=RefusalReason.SHUTTING_DOWN,
+        retry_after_s=CLOSING_RETRY_AFTER_S,
+        detail="This instance is shutting down; send the request again.",
+    )
+
+
+def refuse_no_upstream(target: str) -> Refusal:
+    """Return the refusal of a target that nothing serves.
+
+    :param target: The model or plain service.
+    """
+    return Refusal(
+        reason=RefusalReason.NO_UPSTREAM,
+        retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
+        detail=f"No upstream of this data centre serves {target!r}.",
+    )
+
+
+def refuse_late() -> Refusal:
+    """Return the refusal of a request whose deadline has passed."""
+    return Refusal(
+        reason=RefusalReason.DEADLINE_PASSED,
+        retry_after_s=LATE_RETRY_AFTER_S,
+        detail="No slot was given before the deadline; send the request again.",
+    )
--- a/jujubenotch/capacity/sessions.py
+++ b/jujubenotch/capacity/sessions.py
@@ -1,6 +1,7 @@
 """Takes in what links and requesters' sessions bring."""
 
 from jujubenotch.admission import summarise
+from jujubenotch.capacity import holders
 from jujubenotch.capacity import home as home_accounts
 from jujubenotch.capacity.account import make_remote_account
 from jujubenotch.capacity.client import (
@@ -8,7 +9,7 @@
     take_queued,
     take_refusal,
 )
-from jujubenotch.capacity.home import HolderAnswers
+from jujubenotch.capacity.home_model import HolderAnswers
 from jujubenotch.capacity.peered_model import PeeredState, RequesterSession
 from jujubenotch.capacity.refresh import refresh
 from jujubenotch.membership import (
@@ -158,9 +159,7 @@
         return False
     answers = _make_answers(session)
     state.sessions[hello.name] = RequesterSession(session=session, answers=answers)
-    home_accounts.attach_holder(
-        state.home, hello.name, hello.incarnation, answers, now_s
-    )
+    holders.attach_holder(state.home, hello.name, hello.incarnation, answers, now_s)
     refresh(state, now_s)
     return True
 
@@ -177,7 +176,7 @@
         return
     now_s = state.dependencies.read_clock_s()
     del state.sessions[name]
-    home_accounts.lose_holder(state.home, name, requester.answers, now_s)
+    holders.lose_holder(state.home, name, requester.answers, now_s)
     peer = state.links.get(name)
     if peer is None or peer.account is None:
         record_lost(state.membership, name)
--- /dev/null
+++ b/jujubenotch/capacity/start.py
@@ -0,0 +1,144 @@
+"""Starts an instance's part in dividing capacity with its peers."""
+
+import asyncio
+
+from jujubenotch.capacity import client as client_module
+from jujubenotch.capacity.account import make_local_account
+from jujubenotch.capacity.client import Client
+from jujubenotch.capacity.holders import attach_holder
+from jujubenotch.capacity.home import make_home
+from jujubenotch.capacity.home_model import HolderAnswers
+from jujubenotch.capacity.keeper import run_keeper
+from jujubenotch.capacity.peered import PeeredCapacity
+from jujubenotch.capacity.peered_model import PeeredDependencies, PeeredState
+from jujubenotch.capacity.polls import (
+    LINKS_INTERVAL_S,
+    LIST_INTERVAL_S,
+    LOAD_INTERVAL_S,
+    REFRESH_INTERVAL_S,
+    keep_links_once,
+    poll_loads_once,
+    read_list_once,
+    refresh_once,
+    run_every,
+)
+from jujubenotch.capacity.sessions import (
+    attach_link,
+    attach_session,
+    lose_link,
+    lose_session,
+    read_heartbeat,
+    read_hello,
+    read_short_heartbeat,
+    take_home_frame,
+    take_requester_frame,
+)
+from jujubenotch.membership import (
+    Membership,
+    record_seeds,
+)
+from jujubenotch.peers import (
+    LinkContext,
+    ServiceContext,
+    start_service,
+)
+
+
+async def start_peered_capacity(dependencies: PeeredDependencies) -> PeeredCapacity:
+    """Start an instance's part in dividing capacity.
+
+    :param dependencies: What it needs.
+    :returns: The running part; end it with its ``close``.
+    """
+    state = _make_state(dependencies)
+    now_s = dependencies.read_clock_s()
+    record_seeds(state.membership, dependencies.seeds, now_s)
+    listener = await start_service(
+        _make_service_context(state), dependencies.bound, dependencies.server_tls
+    )
+    capacity = PeeredCapacity(state=state, listener=listener)
+    capacity.reconfigure(dependencies.read_configuration(), now_s)
+    _start_tasks(state)
+    return capacity
+
+
+def _make_state(dependencies):
+    name = dependencies.name
+    prefix = f"{name}/{dependencies.incarnation}"
+    clock = dependencies.read_clock_s
+    home = make_home(name=name, id_prefix=f"{prefix}/home", read_clock_s=clock)
+    fallback = make_home(name="", id_prefix=f"{prefix}/own", read_clock_s=clock)
+    state = PeeredState(
+        dependencies=dependencies,
+        membership=Membership(name=name, data_centre=dependencies.data_centre),
+        client=Client(id_prefix=prefix, read_clock_s=clock),
+        home=home,
+        fallback=fallback,
+        home_account=make_local_account(home, holder=name, name=name),
+        fallback_account=make_local_account(fallback, holder=name, name=""),
+    )
+    for kept, account in (
+        (home, state.home_account),
+        (fallback, state.fallback_account),
+    ):
+        answers = _answer_directly(state.client, account)
+        attach_holder(kept, name, dependencies.incarnation, answers, clock())
+    return state
+
+
+def _answer_directly(client, account):
+    def take_granted(number, upstream):
+        client_module.take_grant(client, account, number, upstream, 0.0)
+
+    def take_queued(number):
+        client_module.take_queued(client, number)
+
+    def take_refused(number, refusal):
+        client_module.take_refusal(client, number, refusal)
+
+    return HolderAnswers(
+        queued=take_queued,
+        granted=take_granted,
+        refused=take_refused,
+        not_home=lambda group: None,
+    )
+
+
+def _make_service_context(state):
+    dependencies = state.dependencies
+    return ServiceContext(
+        read_hello=lambda: read_hello(state),
+        read_heartbeat=lambda: read_heartbeat(state),
+        read_clock_s=dependencies.read_clock_s,
+        on_attached=lambda session: attach_session(state, session),
+        on_frame=lambda session, frame: take_requester_frame(state, session, frame),
+        on_lost=lambda session: lose_session(state, session),
+        read_changes_since=dependencies.read_changes_since,
+        read_trace=dependencies.read_trace,
+    )
+
+
+def _make_link_context(state):
+    dependencies = state.dependencies
+    return LinkContext(
+        read_hello=lambda: read_hello(state),
+        read_heartbeat=lambda: read_short_heartbeat(state),
+        read_clock_s=dependencies.read_clock_s,
+        on_attached=lambda link, hello: attach_link(state, link, hello),
+        on_frame=lambda link, frame: take_home_frame(state, link, frame),
+        on_lost=lambda link: lose_link(state, link),
+        tls=dependencies.client_tls,
+    )
+
+
+def _start_tasks(state):
+    links = _make_link_context(state)
+    polls = (
+        (REFRESH_INTERVAL_S, "refresh", lambda: refresh_once(state)),
+        (LINKS_INTERVAL_S, "links", lambda: keep_links_once(state, links)),
+        (LIST_INTERVAL_S, "list", lambda: read_list_once(state)),
+        (LOAD_INTERVAL_S, "loads", lambda: poll_loads_once(state)),
+    )
+    works = [run_every(*poll) for poll in polls]
+    works += [run_keeper(state.home.keeper), run_keeper(state.fallback.keeper)]
+    state.tasks.extend(asyncio.create_task(work) for work in works)
