--- a/features/peers/steps/peers_steps.py
+++ b/features/peers/steps/peers_steps.py
@@ -30,8 +30,6 @@
     SlotRefusal,
     SlotRelease,
     SlotRequest,
-    build_client_tls,
-    build_server_tls,
     choose_backoff_s,
     open_frame,
     peers_pb2,
@@ -49,7 +47,7 @@
     encode_home_frame,
     encode_requester_frame,
 )
-from jujubenotch.settings import MutualTlsSettings
+from jujubenotch.settings import MutualTlsSettings, make_peer_contexts
 
 NOW_S = 1000.0
 numbers = st.integers(0, 2**40)
@@ -353,14 +351,14 @@
     context.authority, context.key = make_authority(context.directory, "ours")
     certificate, key = issue(context.directory, "h", context.authority, context.key)
     tls = MutualTlsSettings(certificate=certificate, key=key, ca=str(context.authority))
-    start_listener(context, build_server_tls(tls))
+    start_listener(context, make_peer_contexts(tls).server)
 
 
 @when("a peer connects with a certificate of that authority")
 def connect_with_certificate(context):
     certificate, key = issue(context.directory, "r", context.authority, context.key)
     tls = MutualTlsSettings(certificate=certificate, key=key, ca=str(context.authority))
-    connect(context, build_client_tls(tls))
+    connect(context, make_peer_contexts(tls).client)
 
 
 @when("a peer connects with a certificate of another authority")
@@ -368,7 +366,7 @@
     other, other_key = make_authority(context.directory, "theirs")
     certificate, key = issue(context.directory, "r", other, other_key)
     tls = MutualTlsSettings(certificate=certificate, key=key, ca=str(context.authority))
-    connect(context, build_client_tls(tls))
+    connect(context, make_peer_contexts(tls).client)
 
 
 @then("a session is open")
--- a/jujubenotch/peers/__init__.py
+++ b/jujubenotch/peers/__init__.py
@@ -38,7 +38,6 @@
     start_service,
     stop_service,
 )
-from jujubenotch.peers.sockets import build_client_tls, build_server_tls
 
 __all__ = [
     "HEARTBEAT_INTERVAL_S",
@@ -62,8 +61,6 @@
     "SlotRefusal",
     "SlotRelease",
     "SlotRequest",
-    "build_client_tls",
-    "build_server_tls",
     "choose_backoff_s",
     "fetch_changes",
     "fetch_trace",
