--- a/jujubenotch/capacity/__init__.py
+++ b/jujubenotch/capacity/__init__.py
@@ -3,6 +3,7 @@
 Errors: none; a refusal is a value. Features: ``features/capacity``.
 """
 
+from jujubenotch.capacity.independent import IndependentCapacity
 from jujubenotch.capacity.interface import Capacity
 from jujubenotch.capacity.local import LocalCapacity
 from jujubenotch.capacity.peered import PeeredCapacity
@@ -12,6 +13,7 @@
 
 __all__ = [
     "Capacity",
+    "IndependentCapacity",
     "LocalCapacity",
     "MemberState",
     "PeeredCapacity",
