--- a/jujubenotch/admission/pool.py
+++ b/jujubenotch/admission/pool.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Collection
 
+from jujubenotch.admission.learning import learn_from_report
 from jujubenotch.admission.queues import add_request, remove_request
 from jujubenotch.admission.refusals import (
     make_room,
@@ -30,10 +31,10 @@
     RefusedRequest,
     UpstreamAccount,
 )
-from jujubenotch.estimates import update_mean
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Limits, Upstream
-from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest, WorkResult
+from jujubenotch.routing import note_restored, record_other_load
+from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest
 
 
 def make_pool(*, name: str, home: str, now_s: float, id_prefix: str = "") -> Pool:
@@ -82,7 +83,7 @@
         _configure_upstream(pool, record, share)
     rebuild_targets(pool)
     for account in pool.upstreams.values():
-        refresh_capacity(pool, account)
+        refresh_capacity(pool, account, now_s)
     _recount_watts(pool)
     _drop_unused(pool)
     _refuse_stranded(pool)
@@ -152,9 +153,10 @@
         return
     pool.sequence += 1
     account = pool.upstreams[held.grant.upstream]
-    give_slot(pool, account, held)
+    give_slot(pool, account, held, now_s)
     correct_charge(pool, held, report)
-    _learn_hold(pool, held, report, now_s)
+    learn_from_report(pool, account, held, report, now_s)
+    refresh_capacity(pool, account, now_s)
     if not account.is_configured and not account.running:
         _drop_unused(pool)
 
@@ -202,7 +204,9 @@
         cost=cost,
         watts=account.record.watts_per_slot,
     )
-    take_slot(pool, account, held)
+    take_slot(pool, account, held, now_s)
+    note_restored(account.others)
+    refresh_capacity(pool, account, now_s)
 
 
 def record_load(pool: Pool, upstream: str, load: LoadReport, now_s: float) -> None:
@@ -213,6 +217,12 @@
     :param load: The report.
     :param now_s: The present monotonic time, in seconds.
     """
+    account = pool.upstreams.get(upstream)
+    if account is None:
+        return
+    account.reported_slots = load.slots
+    record_other_load(account.others, load, account.running, now_s)
+    refresh_capacity(pool, account, now_s)
     if load.is_leaving:
         mark_leaving(pool, upstream, now_s)
 
@@ -231,7 +241,7 @@
     if account is None or account.is_leaving is is_leaving:
         return
     account.is_leaving = is_leaving
-    refresh_capacity(pool, account)
+    refresh_capacity(pool, account, now_s)
     _refuse_stranded(pool)
 
 
@@ -253,12 +263,6 @@
         pool.watts_in_use += held.watts
 
 
-def _learn_hold(pool, held, report, now_s):
-    target = pool.targets.get(held.target)
-    if target is not None and report.result is WorkResult.COMPLETED:
-        update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
-
-
 def _drop_unused(pool):
     unused = [
         name
@@ -269,6 +273,7 @@
         return
     for name in unused:
         del pool.upstreams[name]
+        pool.ejected.pop(name, None)
     rebuild_targets(pool)
 
 
