Run a deployment as separate processes, with relays between them

The demo, the experiment and the randomised run each need the same fleet: platform, engines, services and instances on fixed ports, so that a killed one comes back where its peers look for it. With relays, an instance advertises 127.0.0.N and listens on 127.0.0.1, so a relay can hold the same port; without that, the address told in its hello would lead peers around it. A route before an instance's peer listener holds all who dial it; cuts by pairs are left open. TeamPlan went into TeamShare, which is the same.

Before: no way to start more than one program by name. After: a feature kills, restarts and cuts parts of a fleet with relays and finds no process left.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+from benchmarks.workload import TeamShare
 from jujubenotch.records import ServiceClass
 
 
@@ -31,23 +32,12 @@
     slots: int = 16
 
 
-@dataclass(frozen=True, kw_only=True)
-class TeamPlan:
-    """A team with one application.
-
-    :param load_share: Its share of the deployment's requests.
-    """
-
-    name: str
-    weight: float
-    load_share: float
-
-
 @dataclass(frozen=True, kw_only=True)
 class Deployment:
     """What one of the users runs.
 
     :param instances: The data centre of each instance.
+    :param teams: Each has one application for each class.
     :param client_delay_ms: One-way delay between callers and instances.
     :param classes: From the most urgent tier to the least.
     """
@@ -57,7 +47,7 @@
     instances: tuple[str, ...]
     engines: tuple[EnginePlan, ...]
     services: tuple[ServicePlan, ...]
-    teams: tuple[TeamPlan, ...]
+    teams: tuple[TeamShare, ...]
     classes: tuple[ServiceClass, ...]
     client_delay_ms: float
 
@@ -99,6 +89,31 @@
     )
 
 
+def make_demo() -> Deployment:
+    """Return both users' work on one small fleet.
+
+    :returns: 2 data centres, 3 instances, 2 engines and 4 services.
+    """
+    places = ("north", "south")
+    models = ("dispatch-model", "returns-model")
+    engines = tuple(
+        EnginePlan(name=f"engine-{number}", data_centre=place, models=models)
+        for number, place in enumerate(places, start=1)
+    )
+    partnership = make_partnership()
+    frigotehnica = make_frigotehnica()
+    return Deployment(
+        name="demo",
+        data_centres=places,
+        instances=_spread(places, 3),
+        engines=engines,
+        services=_make_services(places, "returns") + _make_services(places, "dispatch"),
+        teams=partnership.teams[:3] + frigotehnica.teams[:3],
+        classes=partnership.classes + frigotehnica.classes,
+        client_delay_ms=0.0,
+    )
+
+
 DEPLOYMENTS = {"partnership": make_partnership, "frigotehnica": make_frigotehnica}
 
 
@@ -123,7 +138,7 @@
 def _make_teams(prefix):
     shares = (0.3, 0.2, 0.15, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05, 0.05)
     return tuple(
-        TeamPlan(
+        TeamShare(
             name=f"{prefix}-{number}",
             weight=2.0 if share >= 0.15 else 1.0,
             load_share=share,
--- /dev/null
+++ b/benchmarks/layout.py
@@ -0,0 +1,315 @@
+"""Works out the ports, settings and command lines of a fleet's processes."""
+
+import hashlib
+from collections.abc import Mapping
+from dataclasses import dataclass, field
+from pathlib import Path
+
+import orjson
+
+from benchmarks.deployments import Deployment
+from benchmarks.processes import LOOPBACK, take_free_ports
+from benchmarks.records import OPERATOR_KEY, write_settings
+
+PLATFORM = "platform"
+RELAYS = ("callers", "peers", "platform", "upstreams")
+PORTS_PER_INSTANCE = 3
+FIRST_ADVERTISED_NUMBER = 11
+MS_PER_S = 1000
+
+
+@dataclass(frozen=True, kw_only=True)
+class FleetPlan:
+    """What a fleet is made of.
+
+    :param seed: Seeds the stand-ins' own draws.
+    :param load_lag_s: Age of the upstreams' load reports.
+    :param list_lag_s: How far the platform's list lags.
+    :param service_delay_ms: Time that a call of a plain service runs.
+    :param has_relays: Whether a relay stands before each callers' and peers'
+        listener and each upstream, and between each instance and the platform.
+        Delays between callers and instances need it.
+    :param has_journals: Whether the platform and the upstreams write journals.
+    :param sections: Sections of settings, merged over each instance's own.
+    """
+
+    deployment: Deployment
+    seed: int = 1
+    load_lag_s: float = 0.0
+    list_lag_s: float = 0.0
+    service_delay_ms: float = 50.0
+    watts_by_data_centre: Mapping[str, float] = field(default_factory=dict)
+    has_relays: bool = False
+    has_journals: bool = False
+    sections: Mapping[str, Mapping] = field(default_factory=dict)
+
+
+@dataclass(frozen=True, kw_only=True)
+class InstancePlace:
+    """Where one instance is.
+
+    :param advertised_host: Where its peers reach it, directly or by a relay
+        that listens on the same port of another address.
+    """
+
+    name: str
+    data_centre: str
+    callers_port: int
+    operators_port: int
+    peers_port: int
+    advertised_host: str
+
+    @property
+    def operators_url(self) -> str:
+        """The operators' base address."""
+        return f"http://{LOOPBACK}:{self.operators_port}"
+
+
+@dataclass(frozen=True, kw_only=True)
+class RoutePlace:
+    """One route of a relay.
+
+    :param relay: The relay that it belongs to.
+    """
+
+    name: str
+    relay: str
+    host: str
+    port: int
+    target_port: int
+    delay_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True)
+class Layout:
+    """Where everything in a fleet is; the same over restarts.
+
+    :param directory: Where settings, journals and logs go.
+    :param ports: Ports of the platform, the upstreams and the relays, by name.
+    :param routes: Routes by name; empty without relays.
+    """
+
+    plan: FleetPlan
+    directory: Path
+    instances: dict[str, InstancePlace]
+    ports: dict[str, int]
+    routes: dict[str, RoutePlace]
+
+
+def make_layout(plan: FleetPlan, directory: Path) -> Layout:
+    """Choose names and free ports for a fleet.
+
+    :param plan: The plan.
+    :param directory: Where its files go; it exists.
+    """
+    deployment = plan.deployment
+    upstreams = [each.name for each in (*deployment.engines, *deployment.services)]
+    names = [PLATFORM, *upstreams]
+    if plan.has_relays:
+        names += [f"relay-{relay}" for relay in RELAYS]
+    count = len(deployment.instances)
+    # Instances, stand-ins, and the routes before callers, platform, upstreams.
+    free = take_free_ports((PORTS_PER_INSTANCE + 2) * count + 2 * len(names))
+    ports = {name: free.pop() for name in names}
+    instances = {}
+    for number, data_centre in enumerate(deployment.instances, start=1):
+        place = _place_instance(plan, number, data_centre, free)
+        instances[place.name] = place
+    routes = {}
+    if plan.has_relays:
+        routes = {
+            each.name: each for each in _place_routes(plan, instances, ports, free)
+        }
+    return Layout(
+        plan=plan, directory=directory, instances=instances, ports=ports, routes=routes
+    )
+
+
+def find_callers_url(layout: Layout, instance: str) -> str:
+    """Return the base address that callers reach an instance by.
+
+    :param layout: The layout.
+    :param instance: Its name.
+    """
+    route = layout.routes.get(f"callers-{instance}")
+    port = route.port if route else layout.instances[instance].callers_port
+    return f"http://{LOOPBACK}:{port}"
+
+
+def find_upstream_url(layout: Layout, upstream: str) -> str:
+    """Return the base address that instances reach an upstream by.
+
+    :param layout: The layout.
+    :param upstream: Its name.
+    """
+    route = layout.routes.get(f"upstream-{upstream}")
+    return f"http://{LOOPBACK}:{route.port if route else layout.ports[upstream]}"
+
+
+def list_published(layout: Layout) -> list[dict]:
+    """List all instances and upstreams as the platform publishes them.
+
+    :param layout: The layout.
+    """
+    listed = [
+        {
+            "name": place.name,
+            "kind": "instance",
+            "data_centre": place.data_centre,
+            "peer_address": f"{place.advertised_host}:{place.peers_port}",
+        }
+        for place in layout.instances.values()
+    ]
+    deployment = layout.plan.deployment
+    for upstream in (*deployment.engines, *deployment.services):
+        listed.append(
+            {
+                "name": upstream.name,
+                "kind": "upstream",
+                "data_centre": upstream.data_centre,
+            }
+        )
+    return listed
+
+
+def write_instance_settings(layout: Layout, instance: str) -> Path:
+    """Write the settings file of an instance.
+
+    :param layout: The layout.
+    :param instance: Its name.
+    :returns: The file.
+    """
+    place = layout.instances[instance]
+    seeds = [
+        f"{each.name}@{each.data_centre}@{each.advertised_host}:{each.peers_port}"
+        for each in layout.instances.values()
+        if each is not place
+    ]
+    route = layout.routes.get(f"platform-{instance}")
+    platform_port = route.port if route else layout.ports[PLATFORM]
+    digest = hashlib.sha256(OPERATOR_KEY.encode()).hexdigest()
+    sections = {
+        "instance": {
+            "name": place.name,
+            "data_centre": place.data_centre,
+            "advertised_host": place.advertised_host,
+        },
+        "callers": {"port": place.callers_port},
+        "operators": {"port": place.operators_port, "key_sha256": [digest]},
+        "peers": {"port": place.peers_port, "seeds": seeds},
+        "platform": {"kind": "http", "url": f"http://{LOOPBACK}:{platform_port}"},
+        "invariants": {"fatal": True},
+    }
+    for name, values in layout.plan.sections.items():
+        sections[name] = {**sections.get(name, {}), **values}
+    path = layout.directory / f"{instance}.toml"
+    write_settings(path, sections)
+    return path
+
+
+def write_platform_arguments(layout: Layout) -> list[str]:
+    """Write the platform's list and return its command line.
+
+    :param layout: The layout.
+    """
+    path = layout.directory / "instances.json"
+    path.write_bytes(orjson.dumps(list_published(layout)))
+    plan = layout.plan
+    return [
+        f"--port={layout.ports[PLATFORM]}",
+        f"--instances={path}",
+        f"--list-lag-s={plan.list_lag_s}",
+        f"--seed={plan.seed}",
+        *_write_journal_option(layout, PLATFORM),
+    ]
+
+
+def write_upstream_commands(layout: Layout) -> dict[str, tuple[str, list[str]]]:
+    """Return the module and command line of each upstream.
+
+    :param layout: The layout.
+    """
+    plan = layout.plan
+    commands = {}
+    for number, engine in enumerate(plan.deployment.engines, start=1):
+        commands[engine.name] = (
+            "standins.engine",
+            [
+                *_write_upstream_options(layout, engine),
+                f"--models={','.join(engine.models)}",
+                f"--seed={plan.seed * MS_PER_S + number}",
+                f"--step-ms={engine.step_ms}",
+                f"--step-per-request-ms={engine.step_per_request_ms}",
+            ],
+        )
+    for service in plan.deployment.services:
+        options = _write_upstream_options(layout, service)
+        options.append(f"--delay-ms={plan.service_delay_ms}")
+        commands[service.name] = ("standins.service", options)
+    return commands
+
+
+def _write_upstream_options(layout, upstream):
+    return [
+        f"--name={upstream.name}",
+        f"--port={layout.ports[upstream.name]}",
+        f"--slots={upstream.slots}",
+        f"--load-lag-s={layout.plan.load_lag_s}",
+        *_write_journal_option(layout, upstream.name),
+    ]
+
+
+def _write_journal_option(layout, name):
+    if not layout.plan.has_journals:
+        return []
+    return [f"--journal={layout.directory / name}.jsonl"]
+
+
+def _place_instance(plan, number, data_centre, free):
+    advertised_host = LOOPBACK
+    if plan.has_relays:
+        # All of 127.0.0.0/8 is loopback, so a relay can take the same port.
+        advertised_host = f"127.0.0.{FIRST_ADVERTISED_NUMBER + number}"
+    return InstancePlace(
+        name=f"{plan.deployment.name}-{number}",
+        data_centre=data_centre,
+        callers_port=free.pop(),
+        operators_port=free.pop(),
+        peers_port=free.pop(),
+        advertised_host=advertised_host,
+    )
+
+
+def _place_routes(plan, instances, ports, free):
+    client_delay_s = plan.deployment.client_delay_ms / MS_PER_S
+    for place in instances.values():
+        yield RoutePlace(
+            name=f"callers-{place.name}",
+            relay="callers",
+            host=LOOPBACK,
+            port=free.pop(),
+            target_port=place.callers_port,
+            delay_s=client_delay_s,
+        )
+        yield RoutePlace(
+            name=f"peers-{place.name}",
+            relay="peers",
+            host=place.advertised_host,
+            port=place.peers_port,
+            target_port=place.peers_port,
+        )
+        yield RoutePlace(
+            name=f"platform-{place.name}",
+            relay="platform",
+            host=LOOPBACK,
+            port=free.pop(),
+            target_port=ports[PLATFORM],
+        )
+    for upstream in (*plan.deployment.engines, *plan.deployment.services):
+        yield RoutePlace(
+            name=f"upstream-{upstream.name}",
+            relay="upstreams",
+            host=LOOPBACK,
+            port=free.pop(),
+            target_port=ports[upstream.name],
+        )
--- /dev/null
+++ b/features/benchmarks/steps/fleet_steps.py
@@ -0,0 +1,98 @@
+import asyncio
+import tempfile
+from pathlib import Path
+
+from behave import given, then, when
+
+from benchmarks import fleet as fleets
+from benchmarks.callers import send_load
+from benchmarks.controls import change_route
+from benchmarks.deployments import make_demo
+from benchmarks.layout import FleetPlan
+from benchmarks.records import application_key
+from benchmarks.workload import PlannedRequest
+
+QUERY = make_demo().classes[0]
+TEAM = make_demo().teams[0].name
+
+
+@given("a fleet with relays runs")
+def run_fleet(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    plan = FleetPlan(deployment=make_demo(), has_relays=True)
+    context.running = fleets.run_fleet(plan, Path(directory.name))
+    context.fleet = context.runner.run(context.running.__aenter__())
+    context.add_cleanup(stop_fleet, context)
+    context.processes = [
+        program.process for program in context.fleet.processes.running.values()
+    ]
+
+
+def stop_fleet(context):
+    if context.running is not None:
+        context.runner.run(context.running.__aexit__(None, None, None))
+        context.running = None
+
+
+def ask(context, entry):
+    body = {
+        "model": "returns-model",
+        "messages": [{"role": "user", "content": f"Query {entry}?"}],
+        "max_tokens": 20,
+        "stream": True,
+    }
+    planned = PlannedRequest(
+        number=entry,
+        at_s=0.0,
+        service_class=QUERY,
+        team=TEAM,
+        target="returns-model",
+        body=body,
+        entry=entry,
+    )
+    sending = send_load(
+        [planned],
+        entries=context.fleet.entries,
+        key_of=lambda _: application_key(TEAM, QUERY.name),
+    )
+    return context.runner.run(sending)[0]
+
+
+@then("each instance answers a query rightly")
+def check_answers(context):
+    for entry in range(len(context.fleet.entries)):
+        record = ask(context, entry)
+        assert record.outcome == "completed" and record.is_right, record
+
+
+@when("its first instance is killed and started again")
+def restart_instance(context):
+    context.runner.run(fleets.kill(context.fleet, "demo-1"))
+    context.runner.run(fleets.start(context.fleet, "demo-1"))
+    process = context.fleet.processes.running["demo-1"].process
+    context.processes.append(process)
+
+
+@when("an engine's route is cut")
+def cut_engine(context):
+    cutting = change_route(context.fleet, "upstream-engine-2", mode="cut")
+    context.runner.run(cutting)
+
+
+@then("a query of its data centre is refused and not run")
+def check_refused(context):
+    record = ask(context, 1)
+    assert record.outcome == "not-run" and record.reason, record
+
+
+@when("the fleet is stopped")
+def end_fleet(context):
+    stop_fleet(context)
+
+
+@then("none of its processes is left")
+def check_ended(context):
+    assert all(process.returncode is not None for process in context.processes)
--- a/standins/relay.py
+++ b/standins/relay.py
@@ -9,7 +9,7 @@
     --route=ROUTE   A route NAME=LISTEN-PORT:TARGET-HOST:TARGET-PORT.
 
 `GET /routes` shows the routes, `PUT /routes/NAME` with target_host,
-target_port and port (0 is free) opens one, `PATCH /routes/NAME` with mode or
+target_port, host and port (0 is free) opens one, `PATCH /routes/NAME` with mode or
 delay_s changes it, and `POST /routes/NAME/silence` silences its connections.
 """
 
@@ -35,6 +35,7 @@
 
     target_host: str
     target_port: int
+    host: str = "127.0.0.1"
     port: int = 0
     delay_s: float = Field(default=0.0, ge=0)
 
