Show both users' work on a small fleet with make demo

The demo runs three instances in two data centres, three engines and four plain services as processes, sends queries, sorting, drafting at 3 times capacity and non-idempotent submissions of both users, and prints attainment by class, goodput, wasted work and the reasons of refusals as tables.

--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -5,6 +5,8 @@
 from benchmarks.workload import TeamShare
 from jujubenotch.records import ServiceClass
 
+MS_PER_S = 1000
+
 
 @dataclass(frozen=True, kw_only=True)
 class EnginePlan:
@@ -21,6 +23,12 @@
     step_per_request_ms: float = 0.6
     watts_per_slot: float = 30.0
 
+    @property
+    def full_batch_tokens_per_s(self) -> float:
+        """Tokens that it generates in a second with every slot in use."""
+        step_ms = self.step_ms + self.step_per_request_ms * self.slots
+        return MS_PER_S * self.slots / step_ms
+
 
 @dataclass(frozen=True, kw_only=True)
 class ServicePlan:
@@ -92,13 +100,13 @@
 def make_demo() -> Deployment:
     """Return both users' work on one small fleet.
 
-    :returns: 2 data centres, 3 instances, 2 engines and 4 services.
+    :returns: 2 data centres, 3 instances, 3 engines and 4 services.
     """
     places = ("north", "south")
     models = ("dispatch-model", "returns-model")
     engines = tuple(
         EnginePlan(name=f"engine-{number}", data_centre=place, models=models)
-        for number, place in enumerate(places, start=1)
+        for number, place in enumerate(_spread(places, 3), start=1)
     )
     partnership = make_partnership()
     frigotehnica = make_frigotehnica()
--- a/benchmarks/report.py
+++ b/benchmarks/report.py
@@ -26,6 +26,7 @@
     "first p95 s",
     "between p95 ms",
 )
+REASON_HEAD = ("run", "class", "refused or failed for", "requests")
 RUN_HEAD = ("run", "elapsed s", "tokens/s", "wasted", "fairness", "refusal p95 ms")
 
 
@@ -40,8 +41,8 @@
         for each in measures.classes
     ]
     run_rows = [(name, *_describe_run(measures)) for name, measures in runs.items()]
-    reasons = [
-        f"{name}: {each.name}: {reason}: {count}"
+    reason_rows = [
+        (name, each.name, reason, count)
         for name, measures in runs.items()
         for each in measures.classes
         for reason, count in sorted(each.reasons.items())
@@ -52,8 +53,7 @@
             "",
             format_table(RUN_HEAD, run_rows),
             "",
-            "Refusals and failures by reason",
-            *(reasons or ["none"]),
+            format_table(REASON_HEAD, reason_rows or [("none", "", "", 0)]),
         ]
     )
 
