Let a request probe the upstream it failed on when all are ejected

A GET that a plain service's only upstream had failed three times waited to its deadline: its fourth attempt excluded the upstream, so that it never probed it.

--- a/features/admission/probes.feature
+++ b/features/admission/probes.feature
@@ -42,3 +42,22 @@
     And "draft" is released
     And 8 requests of tier 0 are running
     Then every upstream runs 4 requests
+
+  Scenario: A request that failed on the ejected upstream waits for another
+    When 1 seconds pass
+    And 4 requests of tier 0 are running
+    And requests arrive
+      | id | tier | excluded |
+      | a  | 0    | e1       |
+    Then "a" is neither granted nor refused
+
+  Scenario: A request that failed on all upstreams probes again
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 4     |
+    And "e1" was ejected
+    When 1 seconds pass
+    And requests arrive
+      | id | tier | excluded |
+      | a  | 0    | e1       |
+    Then "a" is granted on "e1"
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -83,11 +83,17 @@
     for tier in tiers:
         lanes = [pool.lanes[tier].get(name) for name in account.record.models]
         _, queued = _find_next([lane for lane in lanes if lane is not None])
-        if queued and account.name not in queued.request.excluded_upstreams:
+        if queued and _may_be_probe(pool, queued.request, account):
             return queued
     return None
 
 
+def _may_be_probe(pool, request, account):
+    """Keep a request from an upstream that it failed on, unless all are ejected."""
+    is_excluded = account.name in request.excluded_upstreams
+    return not is_excluded or not pool.targets[request.target].slots
+
+
 def _grant_floor(pool, this_round):
     for queued in find_floor_due(pool, this_round.now_s):
         tier_of_no_reserve = 0
