Drain upstreams by a record, so that a drain outlasts every instance

A drain was remembered by the instance that an operator asked, and told by its heartbeats: any replacement of that instance took it back without a word. It is now a record of its own kind, in force everywhere and taken back by its deletion. A field of the upstream's record was ruled out: the next apply of a whole file without it would have sent work again in the middle of an incident. Without the platform the instance remembers it as before, and the answer and the tool's exit code 10 say that it does not last.

capacity takes the records' drains for leaving upstreams; membership can take a remembered drain back.

--- a/features/capacity/peered_capacity.feature
+++ b/features/capacity/peered_capacity.feature
@@ -66,6 +66,14 @@
     When "b" drains the upstream
     Then all instances know within 2 s that it is leaving
 
+  Scenario: An upstream drained by a record gets nothing new until it is deleted
+    When a record drains the upstream
+    Then all instances know within 2 s that it is leaving
+    When "c" asks for 1 slots
+    Then the last request is refused with "no-upstream"
+    When the drain's record is deleted
+    Then all instances know within 2 s that it is not leaving
+
   Scenario: A peer gives its changes and traces, and tells its revision
     Then "b" fetches the changes of "a" after revision 1
     And "b" fetches the trace "r1" of "a"
--- a/features/capacity/steps/peered_steps.py
+++ b/features/capacity/steps/peered_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import time
+from dataclasses import replace
 
 from behave import given, then, when
 
@@ -19,7 +20,7 @@
     wait,
 )
 from jujubenotch.listeners import bind_socket
-from jujubenotch.records import Configuration, Upstream, UpstreamKind
+from jujubenotch.records import Configuration, Drain, Upstream, UpstreamKind
 from jujubenotch.settings import Seed
 
 
@@ -139,6 +140,19 @@
     context.bench.capacities[name].drain("u")
 
 
+@when("a record drains the upstream")
+def drain_by_record(context):
+    configuration = context.bench.configuration
+    drains = {"u": Drain(upstream="u")}
+    context.bench.configuration = replace(configuration, drains=drains)
+
+
+@when("the drain's record is deleted")
+def delete_drain(context):
+    configuration = context.bench.configuration
+    context.bench.configuration = replace(configuration, drains={})
+
+
 @then("{held:d} slots are held and {waiting:d} requests wait")
 def check_held(context, held, waiting):
     bench = context.bench
@@ -215,6 +229,14 @@
     assert time.monotonic() - started_s < 2.0
 
 
+@then("all instances know within 2 s that it is not leaving")
+def check_all_know_back(context):
+    started_s = time.monotonic()
+    for capacity in context.bench.capacities.values():
+        wait(context, lambda: not capacity.list_upstream_states()[0].is_leaving)  # noqa: B023
+    assert time.monotonic() - started_s < 2.0
+
+
 @then('the last request is refused with "{reason}"')
 def check_refused(context, reason):
     refusal = run(context, context.bench.requests.pop()[1])
--- a/features/cli/cli.feature
+++ b/features/cli/cli.feature
@@ -90,6 +90,12 @@
     When "apply new.toml old.toml" is run
     Then it ends with 5 and prints "platform-unavailable"
 
+  Scenario: Without the platform a drain is done, and told not to last
+    Given the files are applied
+    And the platform is down
+    When "drain engine-1" is run
+    Then it ends with 10 and prints "repeat this when the platform answers"
+
   Scenario Outline: What can't be done has its exit code
     When "<command>" is run
     Then it ends with <code> and prints "<text>"
--- a/features/operators/operators.feature
+++ b/features/operators/operators.feature
@@ -121,7 +121,22 @@
     When the records of docs/RECORDS.md are sent
     And POST /v1/upstreams/engine-1/drain is asked with the key
     Then upstream "engine-1" is drained
+    When POST /v1/upstreams/engine-1/drain is asked with the key
+    Then upstream "engine-1" is drained
+    And the revision in force is 2
+    When engine-1 is asked to be taken back
+    Then upstream "engine-1" is not drained
     When engine-1 is asked to be taken back
     Then upstream "engine-1" is not drained
+    And the revision in force is 3
     When POST /v1/upstreams/none/drain is asked with the key
     Then the status is 404
+
+  Scenario: Without the platform a drain is remembered by the instance
+    Given the records of docs/RECORDS.md are in force
+    And the platform is down
+    When POST /v1/upstreams/engine-1/drain is asked with the key
+    Then the instance remembers that "engine-1" is drained
+    Given the platform is up
+    When POST /v1/upstreams/engine-1/drain is asked with the key
+    Then upstream "engine-1" is drained
--- a/features/operators/steps/operators_steps.py
+++ b/features/operators/steps/operators_steps.py
@@ -264,11 +264,35 @@
 
 @then('upstream "{name}" is drained')
 def check_drained(context, name):
-    assert context.status == 200 and context.answer["is_draining"], context.body
-    assert context.server.drained[name] is True
+    check_drain(context, name, is_draining=True)
 
 
 @then('upstream "{name}" is not drained')
 def check_not_drained(context, name):
-    assert context.status == 200 and not context.answer["is_draining"], context.body
-    assert context.server.drained[name] is False
+    check_drain(context, name, is_draining=False)
+
+
+def check_drain(context, name, *, is_draining):
+    assert context.status == 200, context.body
+    assert context.answer["is_draining"] is is_draining, context.answer
+    assert context.answer["is_lasting"], context.answer
+    drains = context.server.store.replica.configuration.drains
+    assert (name in drains) is is_draining
+    assert not context.server.drained[name]
+
+
+@then('the instance remembers that "{name}" is drained')
+def check_remembered(context, name):
+    assert context.status == 200 and not context.answer["is_lasting"], context.body
+    assert context.server.drained[name]
+
+
+@given("the records of docs/RECORDS.md are in force")
+def put_in_force(context):
+    apply_page(context)
+    check_result(context, "accepted", 200)
+
+
+@given("the platform is up")
+def set_up(context):
+    context.server.platform.is_down = False
--- a/features/records/records.feature
+++ b/features/records/records.feature
@@ -79,6 +79,7 @@
       | an upstream without its cost          | upstream/wrong.watts_per_slot |
       | an upstream with another's address    | upstream/wrong.url        |
       | a key used twice                      | application/wrong.key_sha256 |
+      | a drain of a missing upstream         | drain/none.upstream       |
       | a service named as a model             | upstream/returns-1.models |
 
   Scenario: The most specific binding wins
--- a/features/records/steps/records_steps.py
+++ b/features/records/steps/records_steps.py
@@ -12,6 +12,7 @@
     Application,
     Binding,
     Deletion,
+    Drain,
     Edit,
     InvalidRecords,
     PowerCap,
@@ -137,6 +138,7 @@
         "a power cap below one slot": put(PowerCap(data_centre="a", watts=0.5)),
         "an upstream without its cost": put(replace(upstream, watts_per_slot=0.0)),
         "an upstream with another's address": put(upstream),
+        "a drain of a missing upstream": put(Drain(upstream="none")),
         "a service named as a model": put(
             replace(configuration.upstreams["returns-1"], models=("returns", "small"))
         ),
--- a/jujubenotch/capacity/peered.py
+++ b/jujubenotch/capacity/peered.py
@@ -144,12 +144,16 @@
         announce(self.state)
         refresh(self.state, self.state.dependencies.read_clock_s())
 
-    def drain(self, upstream: str) -> None:
+    def drain(self, upstream: str, *, is_drained: bool = True) -> None:
         """Send nothing new to an upstream, here and at all peers.
 
+        This instance alone remembers it; a drain that must outlast it is a
+        record.
+
         :param upstream: Its name.
+        :param is_drained: False takes back what this instance was told.
         """
-        drain_upstream(self.state.membership, upstream)
+        drain_upstream(self.state.membership, upstream, is_drained=is_drained)
         announce(self.state)
         refresh(self.state, self.state.dependencies.read_clock_s())
 
--- a/jujubenotch/capacity/refresh.py
+++ b/jujubenotch/capacity/refresh.py
@@ -103,7 +103,8 @@
 
 
 def _mark_leaving(state, now_s):
-    leaving = frozenset(find_leaving_upstreams(state.membership, now_s))
+    drained = state.dependencies.read_configuration().drains
+    leaving = frozenset(find_leaving_upstreams(state.membership, now_s)) | set(drained)
     former = state.leaving_upstreams
     if leaving == former:
         return
--- a/jujubenotch/cli/commands.py
+++ b/jujubenotch/cli/commands.py
@@ -10,7 +10,7 @@
     UnreachableError,
     UnsettledError,
 )
-from jujubenotch.cli.render import print_apply_answer, print_json
+from jujubenotch.cli.render import print_apply_answer, print_drain, print_json
 from jujubenotch.operators import (
     ApplyAnswer,
     ApplyDocument,
@@ -73,11 +73,9 @@
     )
     if is_json:
         print_json(answer)
-    elif answer.is_draining:
-        print(f"{answer.upstream} gets no new work")
     else:
-        print(f"{answer.upstream} gets work again")
-    return ExitCode.DONE
+        print_drain(answer)
+    return ExitCode.DONE if answer.is_lasting else ExitCode.NOT_LASTING
 
 
 async def _apply_repeatedly(client, document) -> ApplyAnswer:
--- a/jujubenotch/cli/errors.py
+++ b/jujubenotch/cli/errors.py
@@ -16,6 +16,7 @@
     WRONG_KEY = 7
     UNREACHABLE = 8
     NOT_KNOWN = 9
+    NOT_LASTING = 10
 
 
 class CliError(Exception):
--- a/jujubenotch/cli/program.py
+++ b/jujubenotch/cli/program.py
@@ -18,7 +18,7 @@
   diff       Show what apply would change.
   validate   Check files offline and print every problem.
   get        Print records in force as TOML. KIND is class, team, application,
-             binding, upstream, route, power_cap or limits.
+             binding, upstream, route, power_cap, drain or limits.
   status     Print the state of the instance.
   upstreams  Print the upstreams as the instance sees them.
   instances  Print the instances as the instance sees them.
@@ -58,6 +58,8 @@
   7  the operator's key is missing or wrong
   8  the instance can't be reached or gives no answer
   9  the record, request or upstream is not known
+  10 drain: done, but the records could not be changed, so that it ends when the
+     instance does; repeat it when the platform answers
 """
 
 import asyncio
--- a/jujubenotch/cli/render.py
+++ b/jujubenotch/cli/render.py
@@ -10,6 +10,7 @@
 from jujubenotch.operators import (
     ApplyAnswer,
     DifferenceDocument,
+    DrainDocument,
     RecordsDocument,
     TraceDocument,
 )
@@ -122,6 +123,23 @@
         print(f"{event.after_s:10.3f} s  {event.event} {fields}".rstrip())
 
 
+def print_drain(answer: DrainDocument) -> None:
+    """Print what became of a drain.
+
+    :param answer: The answer.
+    """
+    if answer.is_draining:
+        print(f"{answer.upstream} gets no new work")
+    else:
+        print(f"{answer.upstream} gets work again")
+    if not answer.is_lasting:
+        print(
+            f"the records were not changed ({answer.detail}); repeat this when the "
+            "platform answers, for it ends when the instance does",
+            file=sys.stderr,
+        )
+
+
 def _print_preview(answer):
     for difference in answer.differences:
         _print_difference(difference)
--- a/jujubenotch/membership/update.py
+++ b/jujubenotch/membership/update.py
@@ -136,13 +136,16 @@
     news.said_s = now_s
 
 
-def drain_upstream(membership: Membership, upstream: str) -> None:
+def drain_upstream(
+    membership: Membership, upstream: str, *, is_drained: bool = True
+) -> None:
     """Take in that an operator wants an upstream drained.
 
     :param membership: What is known.
     :param upstream: Its name.
+    :param is_drained: False when the operator takes it back.
     """
-    _find_news(membership, upstream).is_drained = True
+    _find_news(membership, upstream).is_drained = is_drained
 
 
 def forget_members(membership: Membership, now_s: float) -> None:
--- a/jujubenotch/operators/app.py
+++ b/jujubenotch/operators/app.py
@@ -9,7 +9,7 @@
 from sanic.exceptions import SanicException
 
 from jujubenotch.logs import log_event
-from jujubenotch.operators.apply import apply_records, drain_upstream
+from jujubenotch.operators.apply import apply_records
 from jujubenotch.operators.authenticate import check_key
 from jujubenotch.operators.convert import convert_records, convert_trace
 from jujubenotch.operators.dependencies import OperatorDependencies, OperatorLimits
@@ -18,6 +18,7 @@
     InstancesDocument,
     UpstreamsDocument,
 )
+from jujubenotch.operators.drain import drain_upstream
 from jujubenotch.operators.errors import (
     MalformedDocumentError,
     NotKnownError,
--- a/jujubenotch/operators/apply.py
+++ b/jujubenotch/operators/apply.py
@@ -1,4 +1,4 @@
-"""Commands of the operators' interface: changes of the records, drains."""
+"""Changes the records as operators ask."""
 
 import asyncio
 from typing import TypeVar
@@ -10,10 +10,8 @@
 from jujubenotch.operators.documents import (
     ApplyAnswer,
     ApplyDocument,
-    DrainDocument,
-    DrainRequest,
 )
-from jujubenotch.operators.errors import MalformedDocumentError, NotKnownError
+from jujubenotch.operators.errors import MalformedDocumentError
 from jujubenotch.outcomes import ChangeRefusalReason
 from jujubenotch.platform import PlatformError
 from jujubenotch.records import (
@@ -57,25 +55,6 @@
     return convert_result(dependencies.store.replica, document.change_id, result)
 
 
-async def drain_upstream(
-    dependencies: OperatorDependencies, name: str, body: bytes
-) -> DrainDocument:
-    """Send an upstream no new work, or send it work again.
-
-    :param dependencies: What the interface needs of the instance.
-    :param name: The upstream's name.
-    :param body: A :class:`DrainRequest`; an empty body drains.
-    :returns: What was done.
-    :raises MalformedDocumentError: The body is not such a document.
-    :raises NotKnownError: There is no such upstream in the records.
-    """
-    document = read_document(DrainRequest, body or b"{}")
-    if name not in dependencies.store.replica.configuration.upstreams:
-        raise NotKnownError("no upstream of this name is in the records")
-    await dependencies.drain(name, document.is_draining)
-    return DrainDocument(upstream=name, is_draining=document.is_draining)
-
-
 def read_document(model: type[Document], body: bytes) -> Document:
     """Read a document that an operator sent.
 
--- a/jujubenotch/operators/dependencies.py
+++ b/jujubenotch/operators/dependencies.py
@@ -43,8 +43,9 @@
     :param is_ready: Tells whether the instance takes new requests.
     :param explain: Finds the trace of a request, here or at the instance that
         took it; ``None`` when it isn't known.
-    :param drain: Tells every instance that an upstream gets no new work, or
-        with ``False`` that it gets it again. The upstream is in the records.
+    :param drain: Lets this instance remember that an upstream gets no new work,
+        and tell its peers; ``False`` takes that back. Used while the records
+        can't be changed.
     :param render_metrics: Takes an ``Accept`` header; returns body and type.
     :param count_rejection: Counts a change that was not made.
     :param count_authentication_failure: Counts a wrong key.
--- a/jujubenotch/operators/documents.py
+++ b/jujubenotch/operators/documents.py
@@ -55,9 +55,11 @@
     """Asks that an upstream gets no new work, or gets it again.
 
     :param is_draining: False takes a drain back.
+    :param change_id: The operator's own id of the change; empty draws one.
     """
 
     is_draining: bool = True
+    change_id: ChangeId | Literal[""] = ""
 
 
 class ErrorDocument(AnswerDocument):
@@ -234,7 +236,15 @@
 
 
 class DrainDocument(AnswerDocument):
-    """An upstream that gets no new work, or gets it again."""
+    """An upstream that gets no new work, or gets it again.
+
+    :param is_lasting: Whether the records say so; else only the instance that
+        was asked remembers it, and tells its peers.
+    :param revision: The revision of the records in force.
+    """
 
     upstream: str
     is_draining: bool
+    is_lasting: bool = True
+    revision: int = 0
+    detail: str = ""
--- /dev/null
+++ b/jujubenotch/operators/drain.py
@@ -0,0 +1,86 @@
+"""Drains upstreams, by a record where the platform answers."""
+
+import uuid
+
+from jujubenotch.operators.apply import read_document
+from jujubenotch.operators.dependencies import OperatorDependencies
+from jujubenotch.operators.documents import DrainDocument, DrainRequest
+from jujubenotch.operators.errors import ConflictingDrainError, NotKnownError
+from jujubenotch.records import (
+    Accepted,
+    ChangeRefusal,
+    ChangeRequest,
+    Conflict,
+    Deletion,
+    Drain,
+    Edit,
+    InvalidRecords,
+    Record,
+    RecordKey,
+    RecordKind,
+    submit_change,
+)
+
+
+async def drain_upstream(
+    dependencies: OperatorDependencies, name: str, body: bytes
+) -> DrainDocument:
+    """Send an upstream no new work, or send it work again.
+
+    The drain is a record, so that it outlasts every instance. While the
+    platform doesn't answer this instance remembers it and tells its peers.
+
+    :param dependencies: What the interface needs of the instance.
+    :param name: The upstream's name.
+    :param body: A :class:`DrainRequest`; an empty body drains.
+    :returns: What was done.
+    :raises MalformedDocumentError: The body is not such a document.
+    :raises NotKnownError: There is no such upstream in the records.
+    :raises ConflictingDrainError: Another operator did the opposite meanwhile.
+    """
+    document = read_document(DrainRequest, body or b"{}")
+    replica = dependencies.store.replica
+    if name not in replica.configuration.upstreams:
+        raise NotKnownError("no upstream of this name is in the records")
+    refusal = await _change_record(dependencies.store, name, document)
+    # A lasting drain needs no memory, and one taken back must leave none.
+    remembers = document.is_draining and refusal is not None
+    await dependencies.drain(name, remembers)
+    return DrainDocument(
+        upstream=name,
+        is_draining=document.is_draining,
+        is_lasting=refusal is None,
+        revision=replica.revision,
+        detail=refusal.detail if refusal else "",
+    )
+
+
+async def _change_record(store, name, document) -> ChangeRefusal | None:
+    request = ChangeRequest(
+        change_id=document.change_id or f"drain-{uuid.uuid4().hex}",
+        edit=_make_edit(name, is_draining=document.is_draining),
+    )
+    result = await submit_change(store, request)
+    if isinstance(result, Accepted):
+        return None
+    if isinstance(result, ChangeRefusal):
+        return result
+    is_drained = name in store.replica.configuration.drains
+    if is_drained != document.is_draining:
+        raise ConflictingDrainError(_describe(result))
+    return None
+
+
+def _make_edit(name, *, is_draining):
+    if is_draining:
+        return Edit(records=(Record(body=Drain(upstream=name)),))
+    key = RecordKey(kind=RecordKind.DRAIN, name=name)
+    return Edit(deletions=(Deletion(key=key),))
+
+
+def _describe(result):
+    if isinstance(result, Conflict):
+        return "another operator changed the drain meanwhile; look and ask again"
+    if isinstance(result, InvalidRecords):
+        return str(result)
+    return "the drain could not be changed"
--- a/jujubenotch/operators/errors.py
+++ b/jujubenotch/operators/errors.py
@@ -39,3 +39,10 @@
 
     def __init__(self, detail: str):
         super().__init__(status=404, reason="not-known", detail=detail)
+
+
+class ConflictingDrainError(OperatorsError):
+    """Another operator did the opposite meanwhile."""
+
+    def __init__(self, detail: str):
+        super().__init__(status=409, reason="conflict", detail=detail)
--- a/jujubenotch/records/build.py
+++ b/jujubenotch/records/build.py
@@ -24,6 +24,7 @@
     RecordKind.UPSTREAM: "upstreams",
     RecordKind.ROUTE: "routes",
     RecordKind.POWER_CAP: "power_caps",
+    RecordKind.DRAIN: "drains",
 }
 
 
--- a/jujubenotch/records/checks.py
+++ b/jujubenotch/records/checks.py
@@ -31,6 +31,7 @@
         *_check_upstreams(configuration),
         *_check_routes(configuration),
         *_check_power_caps(configuration),
+        *_check_drains(configuration),
     ]
     return [_locate(sources, *entry) for entry in found]
 
@@ -226,3 +227,15 @@
             "lets no request run that costs power",
             "raise it to the cost of at least one slot",
         )
+
+
+def _check_drains(configuration) -> Iterator[tuple]:
+    for drain in configuration.drains.values():
+        if drain.upstream not in configuration.upstreams:
+            yield (
+                drain,
+                "upstream",
+                repr(drain.upstream),
+                "is not an upstream",
+                "correct the name, or delete the drain with its upstream",
+            )
--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -122,6 +122,13 @@
     watts: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Drain:
+    """An upstream that gets no new work while this record is in force."""
+
+    upstream: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class Limits:
     """Bounds that hold for every instance.
@@ -151,6 +158,7 @@
     upstreams: dict[str, Upstream] = field(default_factory=dict)
     routes: dict[str, Route] = field(default_factory=dict)
     power_caps: dict[str, PowerCap] = field(default_factory=dict)
+    drains: dict[str, Drain] = field(default_factory=dict)
     limits: Limits = field(default_factory=Limits)
 
     @cached_property
--- a/jujubenotch/records/parse.py
+++ b/jujubenotch/records/parse.py
@@ -18,7 +18,15 @@
 )
 
 DOCUMENT_BY_VERSION = {1: schema_v1.Document, 2: schema_v2.Document}
-TABLES = ("team", "application", "binding", "upstream", "route", "power_cap")
+TABLES = (
+    "team",
+    "application",
+    "binding",
+    "upstream",
+    "route",
+    "power_cap",
+    "drain",
+)
 SECRET_KEYS = frozenset({"key_sha256"})
 MAX_VALUE_CHARACTERS = 60
 MAX_DOCUMENT_CHARACTERS = 32_000_000
--- a/jujubenotch/records/record.py
+++ b/jujubenotch/records/record.py
@@ -6,6 +6,7 @@
 from jujubenotch.records.model import (
     Application,
     Binding,
+    Drain,
     Limits,
     PowerCap,
     Route,
@@ -17,7 +18,15 @@
 LIMITS_NAME = "limits"
 
 RecordBody = (
-    ServiceClass | Team | Application | Binding | Upstream | Route | PowerCap | Limits
+    ServiceClass
+    | Team
+    | Application
+    | Binding
+    | Upstream
+    | Route
+    | PowerCap
+    | Drain
+    | Limits
 )
 
 
@@ -31,6 +40,7 @@
     UPSTREAM = "upstream"
     ROUTE = "route"
     POWER_CAP = "power_cap"
+    DRAIN = "drain"
     LIMITS = "limits"
 
 
@@ -42,6 +52,7 @@
     Upstream: RecordKind.UPSTREAM,
     Route: RecordKind.ROUTE,
     PowerCap: RecordKind.POWER_CAP,
+    Drain: RecordKind.DRAIN,
     Limits: RecordKind.LIMITS,
 }
 
@@ -51,8 +62,8 @@
     """Identifies a record.
 
     :param kind: The record's kind.
-    :param name: Its name; a power cap is named after its data centre, and the
-        limits are named ``limits``.
+    :param name: Its name; a power cap is named after its data centre, a drain
+        after its upstream, and the limits are named ``limits``.
 
     >>> str(RecordKey(kind=RecordKind.TEAM, name="agents"))
     'team/agents'
@@ -175,4 +186,6 @@
         return RecordKey(kind=kind, name=LIMITS_NAME)
     if kind is RecordKind.POWER_CAP:
         return RecordKey(kind=kind, name=body.data_centre)
+    if kind is RecordKind.DRAIN:
+        return RecordKey(kind=kind, name=body.upstream)
     return RecordKey(kind=kind, name=body.name)
--- a/jujubenotch/records/schema.py
+++ b/jujubenotch/records/schema.py
@@ -7,6 +7,7 @@
 from jujubenotch.records.model import (
     Application,
     Binding,
+    Drain,
     Limits,
     PowerCap,
     Route,
@@ -135,6 +136,16 @@
         return [PowerCap(**self.model_dump())]
 
 
+class DrainModel(StrictModel):
+    """The table ``[[drain]]``."""
+
+    upstream: Name
+
+    def convert(self) -> list[Drain]:
+        """Return the drain."""
+        return [Drain(**self.model_dump())]
+
+
 class LimitsModel(StrictModel):
     """The table ``[limits]``."""
 
@@ -158,6 +169,7 @@
         "upstream",
         "route",
         "power_cap",
+        "drain",
         "limits",
     ]
     name: Name
@@ -175,5 +187,6 @@
     upstream: list[UpstreamModel] = []
     route: list[RouteModel] = []
     power_cap: list[PowerCapModel] = []
+    drain: list[DrainModel] = []
     limits: LimitsModel | None = None
     delete: list[DeletionModel] = []
