--- /dev/null
+++ b/benchmarks/configuration.py
@@ -0,0 +1,162 @@
+"""Measures what the records cost one instance, by the number of teams.
+
+Each team has one application and one binding. Prints a table; run it by
+``python -m benchmarks.configuration``.
+"""
+
+import asyncio
+import gc
+import time
+import tracemalloc
+
+from jujubenotch.platform import EmbeddedPlatform
+from jujubenotch.records import (
+    ChangeRequest,
+    ConfigurationReplica,
+    ConfigurationStore,
+    Edit,
+    apply_changes,
+    changes_since,
+    find_binding,
+    parse_documents,
+    submit_change,
+)
+
+TEAMS = (1_000, 4_000, 12_000)
+TEAMS_IN_CHANGE = 1_000
+SMALL_CHANGES = 20
+MS_PER_S = 1000
+BYTES_PER_MB = 1_000_000
+
+
+def write_teams(first: int, count: int) -> str:
+    """Write the records of some teams.
+
+    :param first: The number of the first team.
+    :param count: How many.
+    :returns: TOML of schema version 2.
+    """
+    lines = ["schema_version = 2"]
+    for number in range(first, first + count):
+        lines.append(f'[[team]]\nname = "team-{number}"')
+        lines.append(
+            f'[[application]]\nname = "app-{number}"\nteam = "team-{number}"\n'
+            f'key_sha256 = "{number:064x}"'
+        )
+        lines.append(
+            f'[[binding]]\nname = "binding-{number}"\nteam = "team-{number}"\n'
+            f'class = "class-{number % 4}"'
+        )
+    return "\n".join(lines)
+
+
+def write_classes() -> str:
+    """Write a class for each tier.
+
+    :returns: TOML of schema version 2.
+    """
+    tables = [
+        f'[[class]]\nname = "class-{tier}"\ntier = {tier}\nfirst_token_target_s = 1.2'
+        for tier in range(4)
+    ]
+    return "\n".join(["schema_version = 2", *tables])
+
+
+async def apply_text(store: ConfigurationStore, change_id: str, text: str) -> None:
+    """Commit the records of a text.
+
+    :param store: The store.
+    :param change_id: The change's id.
+    :param text: TOML.
+    """
+    edit = parse_documents({"records.toml": text})
+    assert isinstance(edit, Edit), edit
+    await submit_change(store, ChangeRequest(change_id=change_id, edit=edit))
+
+
+async def measure(teams: int) -> dict[str, float]:
+    """Measure one size.
+
+    :param teams: The number of teams.
+    :returns: Figures by their names.
+    """
+    store = ConfigurationStore(
+        platform=EmbeddedPlatform(), replica=ConfigurationReplica()
+    )
+    await apply_text(store, "classes", write_classes())
+    for first in range(0, teams, TEAMS_IN_CHANGE):
+        await apply_text(store, f"teams-{first}", write_teams(first, TEAMS_IN_CHANGE))
+    store.replica.recent.clear()
+    figures = {"teams": teams, **measure_start(store)}
+    follower = ConfigurationReplica()
+    apply_changes(follower, changes_since(store.replica, 0))
+    figures |= await measure_small_change(store, follower)
+    return figures
+
+
+def measure_start(store: ConfigurationStore) -> dict[str, float]:
+    """Measure how an instance takes in everything at its start.
+
+    :param store: A store with all records in force.
+    :returns: Figures by their names.
+    """
+    started_s = time.process_time()
+    snapshot = changes_since(store.replica, 0)
+    encoded_s = time.process_time() - started_s
+    gc.collect()
+    tracemalloc.start()
+    before_bytes, _ = tracemalloc.get_traced_memory()
+    follower = ConfigurationReplica()
+    apply_changes(follower, snapshot)
+    find_binding(follower.configuration, "0", "m")
+    gc.collect()
+    after_bytes, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    started_s = time.process_time()
+    apply_changes(ConfigurationReplica(), snapshot)
+    return {
+        "snapshot_mb": len(snapshot[0]) / BYTES_PER_MB,
+        "encode_ms": encoded_s * MS_PER_S,
+        "load_ms": (time.process_time() - started_s) * MS_PER_S,
+        "memory_mb": (after_bytes - before_bytes) / BYTES_PER_MB,
+    }
+
+
+async def measure_small_change(
+    store: ConfigurationStore, follower: ConfigurationReplica
+) -> dict[str, float]:
+    """Measure changes of one record, where they are made and where they come in.
+
+    :param store: A store with all records in force.
+    :param follower: Another instance's replica, up to date.
+    :returns: Figures by their names.
+    """
+    started_s = time.process_time()
+    for number in range(SMALL_CHANGES):
+        text = 'schema_version = 2\n[[team]]\nname = "team-1"\n'
+        await apply_text(store, f"small-{number}", f"{text}weight = {number + 2}.0")
+    submitted_s = (time.process_time() - started_s) / SMALL_CHANGES
+    changes = changes_since(store.replica, follower.revision)
+    assert len(changes) == SMALL_CHANGES
+    started_s = time.process_time()
+    for change in changes:
+        apply_changes(follower, [change])
+        find_binding(follower.configuration, "0", "m")
+    applied_s = (time.process_time() - started_s) / SMALL_CHANGES
+    return {
+        "change_bytes": len(changes[0]),
+        "submit_ms": submitted_s * MS_PER_S,
+        "apply_ms": applied_s * MS_PER_S,
+    }
+
+
+def main() -> None:
+    """Measure each size and print a table."""
+    rows = [asyncio.run(measure(teams)) for teams in TEAMS]
+    print("  ".join(f"{name:>12}" for name in rows[0]))
+    for row in rows:
+        print("  ".join(f"{value:12.2f}" for value in row.values()))
+
+
+if __name__ == "__main__":
+    main()
--- a/jujubenotch/records/change.py
+++ b/jujubenotch/records/change.py
@@ -24,9 +24,12 @@
 _BODY_ADAPTERS = {
     kind: TypeAdapter(body_type) for kind, body_type in _BODY_TYPE_BY_KIND.items()
 }
+_BODIES_ADAPTERS = {
+    kind: TypeAdapter(list[body_type]) for kind, body_type in _BODY_TYPE_BY_KIND.items()
+}
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class RecordRevision:
     """How often and when a record was changed; kept when it is deleted.
 
@@ -103,15 +106,17 @@
     :param snapshot: The snapshot.
     :returns: JSON.
     """
-    revisions = [
-        [key.kind, key.name, entry.revision, entry.changes]
-        for key, entry in snapshot.record_revisions.items()
-    ]
+    bodies = {kind.value: [] for kind in RecordKind}
+    for body in snapshot.bodies:
+        bodies[KIND_BY_BODY_TYPE[type(body)]].append(body)
+    revisions = {kind.value: [] for kind in RecordKind}
+    for key, entry in snapshot.record_revisions.items():
+        revisions[key.kind].append([key.name, entry.revision, entry.changes])
     return orjson.dumps(
         {
             "type": "snapshot",
             "revision": snapshot.revision,
-            "bodies": [_pack_body(body) for body in snapshot.bodies],
+            "bodies": bodies,
             "record_revisions": revisions,
         }
     )
@@ -130,7 +135,13 @@
             return _unpack_change(values)
         if values["type"] == "snapshot":
             return _unpack_snapshot(values)
-    except (ValidationError, ValueError, KeyError, TypeError) as error:
+    except (
+        ValidationError,
+        ValueError,
+        LookupError,
+        TypeError,
+        AttributeError,
+    ) as error:
         raise RecordsError(f"not a change of the records: {error!r}") from error
     raise RecordsError(f"{values['type']!r} is neither a change nor a snapshot")
 
@@ -171,17 +182,30 @@
 
 
 def _unpack_snapshot(values):
+    bodies = []
+    for kind, entries in values["bodies"].items():
+        bodies += _BODIES_ADAPTERS[RecordKind(kind)].validate_python(entries)
     revisions = {}
-    for kind, name, revision, changes in values["record_revisions"]:
-        key = RecordKey(kind=RecordKind(kind), name=str(name))
-        revisions[key] = RecordRevision(revision=int(revision), changes=int(changes))
+    for kind, entries in values["record_revisions"].items():
+        revisions |= _unpack_revisions(RecordKind(kind), entries)
     return Snapshot(
         revision=_read_revision(values["revision"]),
-        bodies=tuple(_unpack_body(body) for body in values["bodies"]),
+        bodies=tuple(bodies),
         record_revisions=revisions,
     )
 
 
+def _unpack_revisions(kind, entries):
+    # Records that one change put share one object, which saves memory.
+    shared = {}
+    revisions = {}
+    for name, revision, changes in entries:
+        key = RecordKey(kind=kind, name=str(name))
+        entry = RecordRevision(revision=int(revision), changes=int(changes))
+        revisions[key] = shared.setdefault(entry, entry)
+    return revisions
+
+
 def _read_revision(value):
     if type(value) is not int or not 0 < value <= MAX_REVISION:
         raise ValueError(f"{value!r} is not a revision")
--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -7,7 +7,7 @@
 from jujubenotch.records.upstream_kind import UpstreamKind
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class ServiceClass:
     """A class of requests with its priority and latency targets.
 
@@ -32,7 +32,7 @@
     idempotent: bool = True
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Team:
     """A team that classes are bound to.
 
@@ -46,7 +46,7 @@
     max_in_progress: int = 0
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Application:
     """An application of a team, known by the digest of its key.
 
@@ -58,7 +58,7 @@
     key_sha256: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Binding:
     """Binds a team, or one of its applications, to a class.
 
@@ -73,7 +73,7 @@
     target: str = ""
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Upstream:
     """A model worker or a plain service.
 
@@ -98,7 +98,7 @@
     resumes_streams: bool = False
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Route:
     """Marks calls of a plain service as idempotent or not.
 
@@ -114,7 +114,7 @@
     idempotent: bool = True
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class PowerCap:
     """The power that running requests may take in one data centre, in watts."""
 
@@ -122,14 +122,14 @@
     watts: float
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Drain:
     """An upstream that gets no new work while this record is in force."""
 
     upstream: str
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Limits:
     """Bounds that hold for every instance.
 
--- a/jujubenotch/records/record.py
+++ b/jujubenotch/records/record.py
@@ -57,7 +57,7 @@
 }
 
 
-@dataclass(frozen=True, kw_only=True, order=True)
+@dataclass(frozen=True, kw_only=True, order=True, slots=True)
 class RecordKey:
     """Identifies a record.
 
