Get slots of another data centre through a linked peer

A linked peer acquires on the requester's behalf from its own data centre's account, so that no instance needs a session with the homes of all data centres; ruled out was a direct session to a remote home, which needs links to every instance there. Heartbeats across data centres carry the pools of the whole data centre.

--- a/features/capacity/bench.py
+++ b/features/capacity/bench.py
@@ -62,7 +62,7 @@
     bench.capacities[name] = await start_peered_capacity(
         PeeredDependencies(
             name=name,
-            data_centre="north",
+            data_centre=bench.seeds[name].data_centre,
             incarnation=next(incarnations),
             advertised_host="127.0.0.1",
             bound=bound,
--- a/features/peers/steps/peers_steps.py
+++ b/features/peers/steps/peers_steps.py
@@ -296,7 +296,7 @@
 def start_listener(context, tls):
     service = ServiceContext(
         read_hello=lambda: Hello(name="home", data_centre="north", incarnation=1),
-        read_heartbeat=Heartbeat,
+        read_heartbeat=lambda session: Heartbeat(),
         read_clock_s=context.loop.time,
         on_attached=lambda session: True,
         on_frame=lambda session, frame: None,
--- /dev/null
+++ b/jujubenotch/capacity/away.py
@@ -0,0 +1,198 @@
+"""Gets slots of another data centre for this instance's requests."""
+
+import asyncio
+from dataclasses import dataclass, field
+
+from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.client import ACK_TIMEOUT_S, CANCELLED, GRANT_VALID_S
+from jujubenotch.capacity.client_model import Client
+from jujubenotch.peers import HeldSlot, HomeFrame, SlotGrant, SlotRequest
+from jujubenotch.work import Grant, WorkReport, WorkRequest
+
+
+@dataclass(kw_only=True, eq=False)
+class AwayEntry:
+    """One request that went to another data centre.
+
+    :param is_queued: Set when the peer has said that it has the request.
+    :param answer: Gets the grant, or ``None`` when there is none to be had.
+    """
+
+    number: int
+    group: str
+    peer: str
+    request: WorkRequest
+    is_queued: asyncio.Event
+    answer: asyncio.Future
+    grant: Grant | None = None
+    started_s: float = 0.0
+
+
+@dataclass(kw_only=True)
+class Away:
+    """All such requests, changed only by this module's functions.
+
+    :param client: Gives the numbers, which are the same sequence as for
+        requests in the own data centre.
+    :param accounts: The peers there with an open session, by name.
+
+    >>> Away(client=client).entries
+    {}
+    """
+
+    client: Client
+    accounts: dict[str, Account] = field(default_factory=dict)
+    entries: dict[int, AwayEntry] = field(default_factory=dict)
+    held: dict[str, AwayEntry] = field(default_factory=dict)
+
+
+async def acquire_away(
+    away: Away, account: Account, group: str, request: WorkRequest
+) -> Grant | None:
+    """Wait for a slot of another data centre; cancelling withdraws the request.
+
+    :param away: The requests that went away.
+    :param account: A peer there.
+    :param group: The group there.
+    :param request: The request.
+    :returns: The slot; ``None`` when the peer has none or does not answer.
+    """
+    entry = AwayEntry(
+        number=next(away.client.numbers),
+        group=group,
+        peer=account.home,
+        request=request,
+        is_queued=asyncio.Event(),
+        answer=asyncio.Future(),
+    )
+    away.entries[entry.number] = entry
+    now_s = away.client.read_clock_s()
+    asked = SlotRequest(number=entry.number, group=group, request=request)
+    account.submit(asked, now_s)
+    try:
+        async with asyncio.timeout(ACK_TIMEOUT_S + 2 * account.link.delay_s):
+            await entry.is_queued.wait()
+        async with asyncio.timeout(request.deadline_s - now_s):
+            return await asyncio.shield(entry.answer)
+    except TimeoutError:
+        _withdraw(away, entry)
+        return None
+    except asyncio.CancelledError:
+        _withdraw(away, entry)
+        raise
+
+
+def give_back_away(away: Away, grant: Grant, report: WorkReport) -> None:
+    """Give a slot of another data centre back.
+
+    Without a session the peer finds out at the next one.
+
+    :param away: The requests that went away.
+    :param grant: The slot; an unknown one is ignored.
+    :param report: What was seen of the work.
+    """
+    entry = away.held.pop(grant.grant_id, None)
+    if entry is None:
+        return
+    del away.entries[entry.number]
+    account = away.accounts.get(entry.peer)
+    if account is not None:
+        now_s = away.client.read_clock_s()
+        account.release(entry.group, entry.number, report, now_s)
+
+
+def meet_peer(away: Away, account: Account, groups: list[str]) -> None:
+    """Take in a new session and tell what is held of its data centre's groups.
+
+    :param away: The requests that went away.
+    :param account: The session's account.
+    :param groups: The groups of its data centre.
+    """
+    away.accounts[account.home] = account
+    now_s = away.client.read_clock_s()
+    for group in groups:
+        held = [
+            HeldSlot(
+                number=entry.number,
+                group=group,
+                upstream=entry.grant.upstream,
+                request=entry.request,
+                started_s=entry.started_s,
+            )
+            for entry in away.held.values()
+            if entry.peer == account.home and entry.group == group
+        ]
+        account.hold(group, held, now_s)
+
+
+def lose_peer(away: Away, name: str) -> None:
+    """Take in the end of a session: what waits there is asked for at home.
+
+    :param away: The requests that went away.
+    :param name: The peer.
+    """
+    away.accounts.pop(name, None)
+    for entry in tuple(away.entries.values()):
+        if entry.peer == name and entry.grant is None:
+            _answer(away, entry, None)
+
+
+def take_away_frame(
+    away: Away, account: Account, frame: HomeFrame, age_s: float
+) -> None:
+    """Take in what a peer of another data centre answers.
+
+    :param away: The requests that went away.
+    :param account: The peer's.
+    :param frame: Its frame.
+    :param age_s: Bound on how old its grants are, in seconds.
+    """
+    for number in frame.queued:
+        if number in away.entries:
+            away.entries[number].is_queued.set()
+    for granted in frame.grants:
+        _take_grant(away, account, granted, age_s)
+    for refusal in frame.refusals:
+        if refusal.number in away.entries:
+            _answer(away, away.entries[refusal.number], None)
+    for entry in tuple(away.entries.values()):
+        is_declined = entry.peer == account.home and entry.group in frame.not_home
+        if is_declined and entry.grant is None:
+            _answer(away, entry, None)
+
+
+def _take_grant(away, account, granted: SlotGrant, age_s):
+    entry = away.entries.get(granted.number)
+    now_s = away.client.read_clock_s()
+    if entry is None or age_s > GRANT_VALID_S:
+        group = entry.group if entry else ""
+        account.release(group, granted.number, CANCELLED, now_s)
+        if entry is not None:
+            _answer(away, entry, None)
+        return
+    entry.grant = Grant(
+        grant_id=f"{away.client.id_prefix}/{entry.number}",
+        request_id=entry.request.request_id,
+        upstream=granted.upstream,
+        home=account.home,
+    )
+    entry.started_s = now_s
+    away.held[entry.grant.grant_id] = entry
+    _answer(away, entry, entry.grant)
+
+
+def _answer(away, entry, answer):
+    if answer is None:
+        away.entries.pop(entry.number, None)
+    entry.is_queued.set()
+    if not entry.answer.done():
+        entry.answer.set_result(answer)
+
+
+def _withdraw(away, entry):
+    if entry.grant is not None:
+        give_back_away(away, entry.grant, CANCELLED)
+        return
+    account = away.accounts.get(entry.peer)
+    if away.entries.pop(entry.number, None) is not None and account is not None:
+        account.withdraw(entry.group, entry.number, away.client.read_clock_s())
--- /dev/null
+++ b/jujubenotch/capacity/elsewhere.py
@@ -0,0 +1,107 @@
+"""Whether a request is better served in another data centre, and by which peer."""
+
+from dataclasses import dataclass
+
+from jujubenotch.admission import summarise
+from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.peered_model import PeeredState
+from jujubenotch.peers import HEARTBEAT_INTERVAL_S, Link
+from jujubenotch.records import Configuration
+from jujubenotch.routing import RemoteGroup, choose_data_centre, group_upstreams
+from jujubenotch.work import PoolSummary, WorkRequest
+
+SUMMARY_VALID_S = 0.05
+
+
+@dataclass(frozen=True, kw_only=True)
+class Elsewhere:
+    """A peer of another data centre and the group there to ask for."""
+
+    account: Account
+    group: str
+
+
+def list_remote_groups(
+    configuration: Configuration, data_centre: str
+) -> dict[str, dict[str, str]]:
+    """List the groups of all other data centres by target.
+
+    :param configuration: The records in force.
+    :param data_centre: The own data centre.
+    :returns: For each data centre, its groups by target.
+    """
+    names = {upstream.data_centre for upstream in configuration.upstreams.values()}
+    return {
+        name: group_upstreams(configuration, name).group_by_target
+        for name in names - {data_centre}
+    }
+
+
+def choose_elsewhere(
+    state: PeeredState, request: WorkRequest, now_s: float
+) -> Elsewhere | None:
+    """Choose a peer of another data centre for a request, if one serves it sooner.
+
+    :param state: The instance's state.
+    :param request: The request.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The peer; ``None`` to wait in the own data centre.
+    """
+    offers = list(_list_offers(state, request.target, now_s))
+    local = _read_local(state, request.target, now_s) if offers else None
+    if local is None:
+        return None
+    chosen = choose_data_centre(request, local, [remote for remote, _ in offers])
+    for remote, elsewhere in offers:
+        if remote.data_centre == chosen:
+            return elsewhere
+    return None
+
+
+def _read_local(state, target, now_s) -> PoolSummary | None:
+    """Return the group's account as known here; ``None`` when it isn't."""
+    group = state.client.plans.by_target.get(target)
+    pool = state.home.keeper.pools.get(group)
+    if pool is not None:
+        return _summarise_lately(state, pool, now_s)
+    peer = state.links.get(state.homes.get(group, ""))
+    if peer is None or peer.link.heartbeat is None:
+        return None
+    return peer.link.heartbeat.pools.get(group)
+
+
+def _summarise_lately(state, pool, now_s):
+    """Summarise a pool at most every 50 ms, since each request asks for it."""
+    made_s, summary = state.summaries.get(pool.name, (None, None))
+    if made_s is None or now_s - made_s > SUMMARY_VALID_S:
+        summary = summarise(pool, now_s)
+        state.summaries[pool.name] = (now_s, summary)
+    return summary
+
+
+def _list_offers(state, target, now_s):
+    """Yield one peer, the first that has news, for each other data centre."""
+    seen = set()
+    for name, account in state.away.accounts.items():
+        member = state.membership.members.get(name)
+        if member is None or member.is_leaving or member.data_centre in seen:
+            continue
+        group = state.remote_groups.get(member.data_centre, {}).get(target)
+        remote = _read_remote(account.link, member.data_centre, group, now_s)
+        if remote is not None:
+            seen.add(member.data_centre)
+            yield remote, Elsewhere(account=account, group=group)
+
+
+def _read_remote(link: Link, data_centre, group, now_s) -> RemoteGroup | None:
+    summary = link.heartbeat.pools.get(group) if link.heartbeat else None
+    if summary is None:
+        return None
+    # The peer itself may have heard of it one heartbeat earlier.
+    age_s = now_s - link.heartbeat_s + HEARTBEAT_INTERVAL_S
+    return RemoteGroup(
+        data_centre=data_centre,
+        summary=summary,
+        age_s=age_s,
+        delay_s=link.delay_s,
+    )
--- a/jujubenotch/capacity/peered.py
+++ b/jujubenotch/capacity/peered.py
@@ -4,6 +4,8 @@
 
 from jujubenotch.admission import Grant, WorkReport, WorkRequest
 from jujubenotch.capacity import client as client_module
+from jujubenotch.capacity.away import acquire_away, give_back_away
+from jujubenotch.capacity.elsewhere import choose_elsewhere, list_remote_groups
 from jujubenotch.capacity.groups import plan_groups
 from jujubenotch.capacity.peered_model import PeeredState
 from jujubenotch.capacity.refresh import refresh
@@ -54,7 +56,16 @@
         :param request: The request.
         :returns: The slot, or a refusal.
         """
-        return await client_module.acquire(self.state.client, request)
+        state = self.state
+        now_s = state.dependencies.read_clock_s()
+        chosen = choose_elsewhere(state, request, now_s)
+        if chosen is not None:
+            grant = await acquire_away(
+                state.away, chosen.account, chosen.group, request
+            )
+            if grant is not None:
+                return grant
+        return await client_module.acquire(state.client, request)
 
     def release(self, grant: Grant, report: WorkReport, now_s: float) -> None:
         """Give a slot back; a grant that was given back already is ignored.
@@ -63,7 +74,10 @@
         :param report: What was seen of the work.
         :param now_s: The present monotonic time, in seconds.
         """
-        client_module.give_back(self.state.client, grant, report, now_s)
+        if grant.grant_id in self.state.away.held:
+            give_back_away(self.state.away, grant, report)
+        else:
+            client_module.give_back(self.state.client, grant, report, now_s)
 
     def reconfigure(self, configuration: Configuration, now_s: float) -> None:
         """Put records in force.
@@ -73,6 +87,9 @@
         """
         state = self.state
         plans = plan_groups(configuration, state.dependencies.data_centre)
+        state.remote_groups = list_remote_groups(
+            configuration, state.dependencies.data_centre
+        )
         client_module.replan(state.client, plans, state.fallback_account, now_s)
         refresh(state, now_s)
 
--- a/jujubenotch/capacity/peered_model.py
+++ b/jujubenotch/capacity/peered_model.py
@@ -6,8 +6,9 @@
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 
-from jujubenotch.admission import LoadReport
 from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.agent import Agents
+from jujubenotch.capacity.away import Away
 from jujubenotch.capacity.client import Client
 from jujubenotch.capacity.home_model import HolderAnswers, Home
 from jujubenotch.membership import Membership
@@ -15,6 +16,7 @@
 from jujubenotch.platform import ListedInstance
 from jujubenotch.records import Configuration, Upstream
 from jujubenotch.settings import Seed
+from jujubenotch.work import LoadReport, PoolSummary
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -84,9 +86,14 @@
 
     :param home: The accounts that this instance is home of.
     :param fallback: Its own conservative share of every group.
+    :param agents: What is got here for requesters of other data centres.
+    :param away: What is got in other data centres for this instance.
+    :param remote_groups: For each other data centre, its groups by target.
     :param homes: The home of each group, as chosen last.
     :param live: The live instances that ``homes`` was chosen from.
     :param leaving_upstreams: Those that nothing new goes to.
+    :param summaries: For each pool kept here, its latest summary and when it
+        was made, in seconds.
     :param polling: The reads of upstreams' load in progress, by upstream.
     """
 
@@ -97,10 +104,14 @@
     fallback: Home
     home_account: Account
     fallback_account: Account
+    agents: Agents
+    away: Away
+    remote_groups: dict[str, dict[str, str]] = field(default_factory=dict)
     links: dict[str, PeerLink] = field(default_factory=dict)
     sessions: dict[str, RequesterSession] = field(default_factory=dict)
     homes: dict[str, str] = field(default_factory=dict)
     live: tuple[str, ...] = ()
     leaving_upstreams: frozenset[str] = frozenset()
     polling: dict[str, asyncio.Task] = field(default_factory=dict)
+    summaries: dict[str, tuple[float, PoolSummary]] = field(default_factory=dict)
     tasks: list[asyncio.Task] = field(default_factory=list)
--- a/jujubenotch/capacity/refresh.py
+++ b/jujubenotch/capacity/refresh.py
@@ -2,6 +2,7 @@
 
 from jujubenotch.admission import mark_leaving
 from jujubenotch.capacity.account import Account
+from jujubenotch.capacity.agent import drop_lost_requesters
 from jujubenotch.capacity.client import find_unanswered, move_group
 from jujubenotch.capacity.holders import drop_lost_holders
 from jujubenotch.capacity.home import close_group, open_group
@@ -26,6 +27,7 @@
     forget_members(state.membership, now_s)
     for home in (state.home, state.fallback):
         drop_lost_holders(home, now_s)
+    drop_lost_requesters(state.agents, now_s)
     _suspect_unanswering(state, now_s)
     _choose_homes(state, now_s)
     _open_groups(state, now_s)
--- a/jujubenotch/capacity/sessions.py
+++ b/jujubenotch/capacity/sessions.py
@@ -4,6 +4,15 @@
 from jujubenotch.capacity import holders
 from jujubenotch.capacity import home as home_accounts
 from jujubenotch.capacity.account import make_remote_account
+from jujubenotch.capacity.agent import (
+    attach_requester,
+    hold_for,
+    lose_requester,
+    release_for,
+    submit_for,
+    withdraw_for,
+)
+from jujubenotch.capacity.away import lose_peer, meet_peer, take_away_frame
 from jujubenotch.capacity.client import (
     take_grant,
     take_queued,
@@ -50,18 +59,25 @@
     )
 
 
-def read_heartbeat(state: PeeredState) -> Heartbeat:
-    """Return what requesters are told, with the pools kept here.
+def read_heartbeat(state: PeeredState, session: HomeSession) -> Heartbeat:
+    """Return what a requester is told, with the pools kept here.
+
+    One of another data centre has links to a few instances of this one only,
+    so it is told of the pools kept by the others too.
 
     :param state: The instance's state.
+    :param session: The requester's session.
     :returns: The heartbeat.
     """
     now_s = state.dependencies.read_clock_s()
-    pools = state.home.keeper.pools
+    kept = state.home.keeper.pools
+    pools = {name: summarise(pool, now_s) for name, pool in kept.items()}
+    if _is_elsewhere(state, session.hello):
+        pools = {**_list_pools_of_peers(state), **pools}
     return Heartbeat(
         revision=state.dependencies.read_configuration().revision,
         is_leaving=state.membership.is_leaving,
-        pools={name: summarise(pool, now_s) for name, pool in pools.items()},
+        pools=pools,
         leaving_upstreams=tuple(list_first_hand_leaving(state.membership, now_s)),
     )
 
@@ -87,7 +103,8 @@
         if peer.account is not None:
             open_frame(peer.link.outbox).heartbeat = read_short_heartbeat(state)
     for requester in state.sessions.values():
-        open_frame(requester.session.outbox).heartbeat = read_heartbeat(state)
+        session = requester.session
+        open_frame(session.outbox).heartbeat = read_heartbeat(state, session)
 
 
 def attach_link(state: PeeredState, link: Link, hello: Hello) -> None:
@@ -103,6 +120,9 @@
     peer.suspected_s = None
     peer.declined_until_s.clear()
     _record_hello(state, hello, now_s)
+    if _is_elsewhere(state, hello):
+        groups = state.remote_groups.get(hello.data_centre, {})
+        meet_peer(state.away, peer.account, sorted(set(groups.values())))
     refresh(state, now_s)
 
 
@@ -115,6 +135,7 @@
     peer = state.links.get(link.name)
     if peer is not None:
         peer.account = None
+    lose_peer(state.away, link.name)
     if link.name not in state.sessions:
         record_lost(state.membership, link.name)
     refresh(state, state.dependencies.read_clock_s())
@@ -133,9 +154,12 @@
     if peer.suspected_s is not None and link.echoed_s > peer.suspected_s:
         peer.suspected_s = None
     _take_heartbeat(state, link.name, frame.heartbeat, now_s, is_full=True)
+    age_s = now_s - frame.echoed_ms / MS_PER_S
+    if link.name in state.away.accounts:
+        take_away_frame(state.away, account, frame, age_s)
+        return
     for number in frame.queued:
         take_queued(state.client, number)
-    age_s = now_s - frame.echoed_ms / MS_PER_S
     for grant in frame.grants:
         take_grant(state.client, account, grant.number, grant.upstream, age_s)
     for entry in frame.refusals:
@@ -159,7 +183,10 @@
         return False
     answers = _make_answers(session)
     state.sessions[hello.name] = RequesterSession(session=session, answers=answers)
-    holders.attach_holder(state.home, hello.name, hello.incarnation, answers, now_s)
+    if _is_elsewhere(state, hello):
+        attach_requester(state.agents, hello.name, hello.incarnation, answers)
+    else:
+        holders.attach_holder(state.home, hello.name, hello.incarnation, answers, now_s)
     refresh(state, now_s)
     return True
 
@@ -176,7 +203,10 @@
         return
     now_s = state.dependencies.read_clock_s()
     del state.sessions[name]
-    holders.lose_holder(state.home, name, requester.answers, now_s)
+    if _is_elsewhere(state, session.hello):
+        lose_requester(state.agents, name, requester.answers, now_s)
+    else:
+        holders.lose_holder(state.home, name, requester.answers, now_s)
     peer = state.links.get(name)
     if peer is None or peer.account is None:
         record_lost(state.membership, name)
@@ -198,6 +228,9 @@
         return
     now_s = state.dependencies.read_clock_s()
     _take_heartbeat(state, name, frame.heartbeat, now_s, is_full=False)
+    if _is_elsewhere(state, session.hello):
+        _take_frame_from_elsewhere(state, name, frame)
+        return
     home = state.home
     for number in frame.withdrawn:
         home_accounts.withdraw(home, name, number, now_s)
@@ -213,6 +246,31 @@
         refresh(state, now_s)
 
 
+def _is_elsewhere(state, hello):
+    return hello.data_centre != state.dependencies.data_centre
+
+
+def _list_pools_of_peers(state):
+    pools = {}
+    for peer in state.links.values():
+        is_here = peer.link.name not in state.away.accounts
+        if is_here and peer.link.heartbeat is not None:
+            pools.update(peer.link.heartbeat.pools)
+    return pools
+
+
+def _take_frame_from_elsewhere(state, name, frame):
+    agents = state.agents
+    for number in frame.withdrawn:
+        withdraw_for(agents, name, number)
+    for entry in frame.releases:
+        release_for(agents, name, entry.number, entry.report)
+    for group, held in frame.attachments.items():
+        hold_for(agents, name, group, held)
+    for entry in frame.requests:
+        submit_for(agents, name, entry)
+
+
 def _record_hello(state, hello, now_s):
     return record_incarnation(
         state.membership,
--- a/jujubenotch/capacity/start.py
+++ b/jujubenotch/capacity/start.py
@@ -4,6 +4,8 @@
 
 from jujubenotch.capacity import client as client_module
 from jujubenotch.capacity.account import make_local_account
+from jujubenotch.capacity.agent import Agents
+from jujubenotch.capacity.away import Away
 from jujubenotch.capacity.client import Client
 from jujubenotch.capacity.holders import attach_holder
 from jujubenotch.capacity.home import make_home
@@ -68,10 +70,13 @@
     clock = dependencies.read_clock_s
     home = make_home(name=name, id_prefix=f"{prefix}/home", read_clock_s=clock)
     fallback = make_home(name="", id_prefix=f"{prefix}/own", read_clock_s=clock)
+    client = Client(id_prefix=prefix, read_clock_s=clock)
     state = PeeredState(
         dependencies=dependencies,
         membership=Membership(name=name, data_centre=dependencies.data_centre),
-        client=Client(id_prefix=prefix, read_clock_s=clock),
+        client=client,
+        agents=Agents(client=client),
+        away=Away(client=client),
         home=home,
         fallback=fallback,
         home_account=make_local_account(home, holder=name, name=name),
@@ -108,7 +113,7 @@
     dependencies = state.dependencies
     return ServiceContext(
         read_hello=lambda: read_hello(state),
-        read_heartbeat=lambda: read_heartbeat(state),
+        read_heartbeat=lambda session: read_heartbeat(state, session),
         read_clock_s=dependencies.read_clock_s,
         on_attached=lambda session: attach_session(state, session),
         on_frame=lambda session, frame: take_requester_frame(state, session, frame),
--- a/jujubenotch/peers/link.py
+++ b/jujubenotch/peers/link.py
@@ -51,7 +51,9 @@
     :param incarnation: The peer's, as it said last.
     :param echoed_s: This process's latest stamp that the peer has seen, in
         seconds of the own monotonic clock.
+    :param delay_s: One-way delay, as half of the session's first round trip.
     :param heartbeat: What the peer said last.
+    :param heartbeat_s: When that was, on this process's monotonic clock.
     :param channel: The open connection, for unary calls.
 
     >>> Link(name="b", host="10.0.0.2", port=7000).is_attached
@@ -65,7 +67,9 @@
     is_attached: bool = False
     incarnation: int = 0
     echoed_s: float = 0.0
+    delay_s: float = 0.0
     heartbeat: Heartbeat | None = None
+    heartbeat_s: float = 0.0
     channel: PeerChannel | None = None
 
 
@@ -216,6 +220,7 @@
             _attach(link, context, frame)
         if frame.heartbeat is not None:
             link.heartbeat = frame.heartbeat
+            link.heartbeat_s = context.read_clock_s()
         context.on_frame(link, frame)
 
 
@@ -223,6 +228,7 @@
     if frame.hello is None or frame.hello.name != link.name:
         raise MalformedFrameError(f"{link.name!r} did not say who it is")
     link.is_attached = True
+    link.delay_s = max(0.0, context.read_clock_s() - link.echoed_s) / 2
     link.incarnation = frame.hello.incarnation
     context.on_attached(link, frame.hello)
 
--- a/jujubenotch/peers/service.py
+++ b/jujubenotch/peers/service.py
@@ -54,7 +54,7 @@
     """What the peers' listener needs.
 
     :param read_hello: Returns who this instance is.
-    :param read_heartbeat: Returns what to tell peers.
+    :param read_heartbeat: Returns what to tell a requester.
     :param on_attached: Told of a new session; returns whether it is welcome.
     :param on_frame: Told of each frame, the first one included.
     :param on_lost: Told when a session has ended.
@@ -63,7 +63,7 @@
     """
 
     read_hello: Callable[[], Hello]
-    read_heartbeat: Callable[[], Heartbeat]
+    read_heartbeat: Callable[[HomeSession], Heartbeat]
     read_clock_s: Callable[[], float]
     on_attached: Callable[[HomeSession], bool]
     on_frame: Callable[[HomeSession, RequesterFrame], None]
@@ -217,6 +217,6 @@
     await run_sender(
         session.outbox,
         send=send,
-        read_heartbeat=context.read_heartbeat,
+        read_heartbeat=lambda: context.read_heartbeat(session),
         read_clock_s=context.read_clock_s,
     )
