--- /dev/null
+++ b/benchmarks/bounds.py
@@ -0,0 +1,140 @@
+"""Judges a deployment's runs against the bounds that its users ask for."""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+
+from benchmarks.measures import Measures
+from benchmarks.run import RunResult
+from jujubenotch.records import ServiceClass
+
+UPPER_ATTAINMENT = 0.99
+GOODPUT_RATIO = 0.95
+WASTED_RATIO = 0.02
+DIVERT_S = 3.0
+REFUSAL_S = 0.05
+MS_PER_S = 1000
+UPPER_TIERS = (0, 1)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Judgement:
+    """One bound and what a run gave.
+
+    :param met: ``None`` when the run gave nothing to judge.
+    """
+
+    run: str
+    bound: str
+    measured: str
+    met: bool | None
+
+
+def judge_runs(
+    results: Mapping[str, RunResult], classes: tuple[ServiceClass, ...]
+) -> list[Judgement]:
+    """Judge each run with home instances.
+
+    :param results: The runs of one deployment by their names.
+    :param classes: Its classes.
+    """
+    reference = next(
+        (each for each in results.values() if each.variant.is_reference), None
+    )
+    judgements = []
+    for name, result in results.items():
+        variant = result.variant
+        if variant.is_reference or variant.division != "home":
+            continue
+        judgements += _judge_attainment(name, result.measures)
+        judgements += _judge_waits(name, result, classes)
+        if reference is not None:
+            judgements.append(_judge_goodput(name, result, reference))
+        if variant.has_faults:
+            judgements.append(_judge_diversion(name, result))
+        else:
+            judgements.append(_judge_waste(name, result.measures))
+        judgements.append(_judge_refusals(name, result))
+        judgements.append(_judge_processes(name, result))
+    return judgements
+
+
+def _judge_attainment(name, measures: Measures):
+    for each in measures.classes:
+        if each.tier in UPPER_TIERS:
+            yield Judgement(
+                run=name,
+                bound=f"{each.name} (tier {each.tier}) in target at least 99%",
+                measured=f"{100 * each.attainment:.2f}% of {each.offered}",
+                met=each.attainment >= UPPER_ATTAINMENT,
+            )
+
+
+def _judge_waits(name, result, classes):
+    for each in classes:
+        longest_s = result.longest_wait_s.get(each.name, 0.0)
+        yield Judgement(
+            run=name,
+            bound=f"{each.name}'s oldest served within {each.max_wait_s:g} s",
+            measured=f"{longest_s:.2f} s without a first token",
+            met=longest_s <= each.max_wait_s,
+        )
+
+
+def _judge_goodput(name, result, reference):
+    ratio = result.useful_tokens / reference.useful_tokens
+    return Judgement(
+        run=name,
+        bound="useful tokens at least 95% of the reference's",
+        measured=f"{100 * ratio:.1f}% of {reference.useful_tokens}",
+        met=ratio >= GOODPUT_RATIO,
+    )
+
+
+def _judge_waste(name, measures):
+    return Judgement(
+        run=name,
+        bound="wasted work under 2% without crashes",
+        measured=f"{100 * measures.wasted_ratio:.1f}%",
+        met=measures.wasted_ratio < WASTED_RATIO,
+    )
+
+
+def _judge_diversion(name, result):
+    diversion = result.diversion
+    measured = (
+        f"{diversion.diverted} of {diversion.affected} moved, "
+        f"p95 {_format_s(diversion.p95_s)}, longest {_format_s(diversion.max_s)}, "
+        f"nothing sent there after {_format_s(diversion.last_sent_s)}"
+    )
+    met = None
+    if diversion.max_s is not None:
+        met = max(diversion.max_s, diversion.last_sent_s) < DIVERT_S
+    return Judgement(
+        run=name,
+        bound="work moves from a silent engine within 3 s",
+        measured=measured,
+        met=met,
+    )
+
+
+def _judge_refusals(name, result):
+    late_s = result.refusal_lateness_p95_s
+    return Judgement(
+        run=name,
+        bound="refusals at a deadline told within 50 ms of it (p95)",
+        measured="none" if late_s is None else f"{late_s * MS_PER_S:.1f} ms",
+        met=None if late_s is None else late_s <= REFUSAL_S,
+    )
+
+
+def _judge_processes(name, result):
+    return Judgement(
+        run=name,
+        bound="no process ended by itself (invariants are fatal)",
+        measured=str(result.ended or "none"),
+        met=not result.ended,
+    )
+
+
+def _format_s(value):
+    return "-" if value is None else f"{value:.2f} s"
--- a/benchmarks/callers.py
+++ b/benchmarks/callers.py
@@ -74,12 +74,15 @@
     *,
     entries: Sequence[str],
     key_of: Callable[[PlannedRequest], str],
+    delay_s: float = 0.0,
 ) -> list[RequestRecord]:
     """Send each request at its time, whatever became of those before it.
 
     :param plan: The requests, in order of time.
     :param entries: Base addresses that requests are spread over.
     :param key_of: Returns the caller's key for a request.
+    :param delay_s: One-way delay between callers and instances, in seconds:
+        each request leaves so much later, and each time is told so much longer.
     :returns: One record for each request, in order of the plan.
     """
     connector = aiohttp.TCPConnector(limit=0)
@@ -88,16 +91,17 @@
         start_s = time.monotonic()
         tasks = []
         for planned in plan:
-            await asyncio.sleep(start_s + planned.at_s - time.monotonic())
+            due_s = start_s + planned.at_s + delay_s
+            await asyncio.sleep(due_s - time.monotonic())
             url = entries[planned.entry % len(entries)]
-            sending = _send(session, url, planned, key_of(planned), start_s)
+            begin_s = start_s + planned.at_s - delay_s
+            sending = _send(session, url, planned, key_of(planned), begin_s)
             tasks.append(asyncio.ensure_future(sending))
         return await asyncio.gather(*tasks)
 
 
-async def _send(session, url, planned, key, start_s):
+async def _send(session, url, planned, key, begin_s):
     record = _make_record(planned)
-    begin_s = start_s + planned.at_s
     headers = {"Authorization": f"Bearer {key}"}
     bound_s = planned.service_class.deadline_s + GRACE_S
     try:
--- a/benchmarks/deployments.py
+++ b/benchmarks/deployments.py
@@ -1,6 +1,6 @@
 """The two deployments of today: their data centres, upstreams, teams, classes."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from benchmarks.workload import TeamShare
 from jujubenotch.records import ServiceClass
@@ -97,6 +97,23 @@
     )
 
 
+def make_reference(deployment: Deployment) -> Deployment:
+    """Put one instance before all upstreams of a deployment, in one data centre.
+
+    :param deployment: The deployment.
+    :returns: The same work and upstreams behind one queue.
+    """
+    place = deployment.data_centres[0]
+    return replace(
+        deployment,
+        name=f"{deployment.name}-reference",
+        data_centres=(place,),
+        instances=(place,),
+        engines=tuple(replace(e, data_centre=place) for e in deployment.engines),
+        services=tuple(replace(s, data_centre=place) for s in deployment.services),
+    )
+
+
 def make_demo() -> Deployment:
     """Return both users' work on one small fleet.
 
--- /dev/null
+++ b/benchmarks/experiment.py
@@ -0,0 +1,218 @@
+"""Measures the ways to divide capacity, under a burst and faults.
+
+Usage:
+    experiment [options]
+
+Options:
+    --settings=FILE     TOML with the options below, spelt with underscores.
+    --deployment=NAME   partnership or frigotehnica.
+    --runs=NAMES        Comma-separated; all by default.
+    --duration-s=S      How long requests are sent, 8 to 600.
+    --draft-load=X      Drafting in the burst, over the capacity.
+    --seed=N            Equal seeds send equal requests.
+    --output=DIR        Where logs, JSON and plots go.
+
+The runs are home and independent, each followed by -quiet (no faults, load
+reports 2 s old) or by the age of the load reports under faults (-0.5, -2, -10),
+and reference. In the middle half drafting comes at --draft-load. Under faults
+engine-1 slows to a third, engine-4 crashes and comes back, engine-2 falls
+silent and comes back.
+"""
+
+import asyncio
+import dataclasses
+import sys
+import tomllib
+from pathlib import Path
+from typing import Annotated, Literal
+
+import orjson
+import uvloop
+from docopt import docopt
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from benchmarks.bounds import Judgement, judge_runs
+from benchmarks.deployments import DEPLOYMENTS
+from benchmarks.report import format_table, format_tables, plot_attainment
+from benchmarks.run import (
+    RunResult,
+    Variant,
+    make_load,
+    run_variant,
+    shorten_deadlines,
+)
+
+QUIET_LAG_S = 2.0
+RUN_TIMEOUT_S = 900
+EXIT_WRONG_SETTINGS = 2
+JUDGEMENT_HEAD = ("run", "bound", "measured", "met")
+MACHINE_HEAD = ("run", "useful tokens", "cores used", "load before", "load after")
+VERDICTS = {True: "met", False: "NOT MET", None: "not judged"}
+
+
+def make_variants() -> dict[str, Variant]:
+    """Make all variants of the experiment.
+
+    :returns: The variants by name, in the order that they are run in.
+    """
+    reference = Variant(name="reference", is_reference=True)
+    variants = [reference]
+    for division in ("home", "independent"):
+        variants.append(
+            Variant(name=f"{division}-quiet", division=division, load_lag_s=QUIET_LAG_S)
+        )
+        for lag_s in (0.5, 2.0, 10.0):
+            variants.append(
+                Variant(
+                    name=f"{division}-{lag_s:g}",
+                    division=division,
+                    load_lag_s=lag_s,
+                    has_faults=True,
+                )
+            )
+    return {variant.name: variant for variant in variants}
+
+
+VARIANTS = make_variants()
+
+
+class ExperimentSettings(BaseModel):
+    """The options, from a file and the command line."""
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    deployment: Literal["partnership", "frigotehnica"] = "partnership"
+    runs: tuple[str, ...] = tuple(VARIANTS)
+    duration_s: Annotated[float, Field(ge=8, le=600)] = 24.0
+    draft_load: Annotated[float, Field(ge=0, le=10)] = 3.0
+    seed: int = 1
+    output: Path = Path("build/experiment")
+
+
+class UnknownRunError(Exception):
+    """A run is asked for that the experiment does not have."""
+
+
+def read_settings(arguments: dict[str, str | None]) -> ExperimentSettings:
+    """Read the settings; the command line goes before the file.
+
+    :param arguments: What docopt read.
+    :raises ValidationError: A value is wrong.
+    :raises UnknownRunError: There is no such run.
+    """
+    values = {}
+    if arguments["--settings"]:
+        values = tomllib.loads(Path(arguments["--settings"]).read_text())
+    for option, value in arguments.items():
+        if value is not None and option != "--settings":
+            values[option.lstrip("-").replace("-", "_")] = value
+    if isinstance(values.get("runs"), str):
+        values["runs"] = values["runs"].split(",")
+    settings = ExperimentSettings(**values)
+    unknown = set(settings.runs) - VARIANTS.keys()
+    if unknown:
+        raise UnknownRunError(f"no run {sorted(unknown)}; one of {list(VARIANTS)}")
+    return settings
+
+
+async def run(settings: ExperimentSettings) -> dict[str, RunResult]:
+    """Run the experiment, one run after another, and write its report.
+
+    :param settings: The settings.
+    :returns: The results by the run's name.
+    """
+    deployment = shorten_deadlines(DEPLOYMENTS[settings.deployment]())
+    load = make_load(settings.duration_s, settings.draft_load)
+    output = settings.output.resolve() / settings.deployment
+    results = {}
+    for name in settings.runs:
+        async with asyncio.timeout(RUN_TIMEOUT_S):
+            results[name] = await run_variant(
+                deployment,
+                VARIANTS[name],
+                load,
+                seed=settings.seed,
+                directory=_make_directory(output / name),
+            )
+        print(f"{name} is done", flush=True)
+        _write(output, results, judge_runs(results, deployment.classes))
+    print(describe(results, judge_runs(results, deployment.classes)))
+    return results
+
+
+def describe(results: dict[str, RunResult], judgements: list[Judgement]) -> str:
+    """Describe the results as tables.
+
+    :param results: The results by the run's name.
+    :param judgements: The bounds.
+    """
+    machine_rows = [
+        (
+            name,
+            result.useful_tokens,
+            f"{result.cpu_s / result.measures.elapsed_s:.1f}",
+            *(f"{load:.1f}" for load in result.load_average),
+        )
+        for name, result in results.items()
+    ]
+    judgement_rows = [
+        (each.run, each.bound, each.measured, VERDICTS[each.met]) for each in judgements
+    ]
+    return "\n".join(
+        [
+            format_tables({name: each.measures for name, each in results.items()}),
+            "",
+            format_table(MACHINE_HEAD, machine_rows),
+            "",
+            format_table(JUDGEMENT_HEAD, judgement_rows),
+        ]
+    )
+
+
+def _make_directory(path):
+    path.mkdir(parents=True, exist_ok=True)
+    for journal in path.glob("*.jsonl"):
+        journal.unlink()
+    return path
+
+
+def _write(output, results, judgements):
+    content = {
+        "runs": {name: _encode(result) for name, result in results.items()},
+        "bounds": [dataclasses.asdict(each) for each in judgements],
+    }
+    encoded = orjson.dumps(content, option=orjson.OPT_INDENT_2)
+    (output / "measures.json").write_bytes(encoded)
+    (output / "tables.txt").write_text(describe(results, judgements) + "\n")
+    for name, result in results.items():
+        records = [dataclasses.asdict(each) for each in result.records]
+        (output / name / "records.json").write_bytes(orjson.dumps(records))
+    measures = {name: result.measures for name, result in results.items()}
+    plot_attainment(output / "attainment.png", measures)
+
+
+def _encode(result):
+    return {
+        each.name: getattr(result, each.name)
+        for each in dataclasses.fields(result)
+        if each.name != "records"
+    }
+
+
+def main() -> int:
+    """Run the command.
+
+    :returns: The exit code: 2 for wrong settings.
+    """
+    try:
+        settings = read_settings(docopt(__doc__))
+    except (ValidationError, UnknownRunError, OSError, tomllib.TOMLDecodeError) as e:
+        print(e, file=sys.stderr)
+        return EXIT_WRONG_SETTINGS
+    uvloop.install()
+    asyncio.run(run(settings))
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/benchmarks/fleet.py
+++ b/benchmarks/fleet.py
@@ -94,6 +94,19 @@
             await asyncio.shield(stop_processes(processes))
 
 
+def list_ended(fleet: Fleet) -> dict[str, int]:
+    """List the processes that ended without being told to.
+
+    :param fleet: The fleet.
+    :returns: Their exit codes by name.
+    """
+    return {
+        name: program.process.returncode
+        for name, program in fleet.processes.running.items()
+        if program.process.returncode is not None
+    }
+
+
 async def start(fleet: Fleet, name: str) -> None:
     """Start a process that was stopped or killed, on its former ports.
 
