Run a fleet under drawn faults and check its journals (make soak)

The seed alone fixes the load and the faults; the check joins what callers were told, what upstreams received and what the platform committed by the digest of each request. Cuts of a data centre's peer links cut all connections into its instances, since one relay stands before each peers' listener: a cut between two data centres that leaves the links inside them is not drawn.

--- /dev/null
+++ b/benchmarks/control_rules.py
@@ -0,0 +1,205 @@
+"""The rules on leaving upstreams and on records for a randomised run."""
+
+from collections import Counter, defaultdict
+from itertools import pairwise
+
+from benchmarks.journals import (
+    RECEIVED,
+    Change,
+    FaultSpan,
+    InForce,
+    Journals,
+    is_struck,
+    select_spans,
+)
+from benchmarks.rules import Rule
+from benchmarks.schedule import INSTANCE_FAULTS, PROCESS_FAULTS, FaultKind
+
+LEAVING_KNOWN_S = 3.0
+LEAVING_PUBLISHED_S = 5.0
+# A load report is read each half second, and its answer may take as long.
+LOAD_REPORT_READ_S = 1.0
+IN_FORCE_S = 4.0
+START_S = 5.0
+ACCEPTED = "accepted"
+NOT_MADE = frozenset({"conflict", "invalid", "unchanged"})
+PLATFORM_PATH_FAULTS = (
+    FaultKind.CUT_FROM_PLATFORM,
+    FaultKind.CUT_FROM_PLATFORM_ONE_WAY,
+    FaultKind.SILENCE_PLATFORM,
+    FaultKind.PLATFORM_DOWN,
+    FaultKind.PLATFORM_SLOW,
+)
+PEER_FAULTS = (
+    FaultKind.CUT_PEERS,
+    FaultKind.CUT_PEERS_ONE_WAY,
+    FaultKind.SILENCE_PEERS,
+)
+
+
+def check_leaving(journals: Journals) -> list[str]:
+    """A leaving upstream receives nothing new after a few seconds.
+
+    It tells that it leaves in its load report, which instances read each half
+    second, so it is known a second later and at most 3 s may follow; at most 5
+    s from its publishing hold in any case. An instance that was paused, has
+    just started or was cut off in that time could not know.
+
+    :param journals: The journals.
+    """
+    received = defaultdict(list)
+    for ran in journals.ran:
+        if ran.event == RECEIVED:
+            received[ran.upstream].append(ran)
+    bound_s = min(LEAVING_KNOWN_S + LOAD_REPORT_READ_S, LEAVING_PUBLISHED_S)
+    broken = []
+    for span in _list_leavings(journals):
+        for ran in received[span.target]:
+            is_new = span.begin_s + bound_s < ran.time_s < span.settled_s
+            if is_new and not _was_unreachable(journals, ran):
+                broken.append(
+                    f"{ran.sender} sent {ran.digest[:8]} to {span.target} "
+                    f"{ran.time_s - span.begin_s:.1f} s after it told to be leaving"
+                )
+    return broken
+
+
+def check_in_force(journals: Journals) -> list[str]:
+    """Each accepted change is in force within 4 s, or of a cut's end.
+
+    An instance can be reached while it runs and either the platform or its
+    peers can be; a change is due 4 s after the last fault that kept it away.
+
+    :param journals: The journals.
+    """
+    by_instance = _group_in_force(journals)
+    broken = []
+    for change in _list_accepted(journals):
+        for instance, entries in by_instance.items():
+            due_s = _find_due_s(journals, instance, change.told_s)
+            if due_s > journals.stopped_s:
+                continue
+            if not _is_in_force(entries, change.revision, due_s):
+                broken.append(
+                    f"{change.change_id} (revision {change.revision}) was not in "
+                    f"force at {instance} {due_s - change.told_s:.1f} s after"
+                )
+    return broken
+
+
+def check_revisions(journals: Journals) -> list[str]:
+    """No process's revision ever falls.
+
+    :param journals: The journals.
+    """
+    broken = []
+    for instance, entries in _group_in_force(journals).items():
+        for before, after in pairwise(entries):
+            is_same = before.process == after.process
+            if is_same and after.revision < before.revision:
+                broken.append(
+                    f"{instance} fell from {before.revision} to {after.revision}"
+                )
+    return broken
+
+
+def check_changes(journals: Journals) -> list[str]:
+    """Each change is made once if accepted, and not at all if told so.
+
+    A change whose fate was not told may have been made once.
+
+    :param journals: The journals.
+    """
+    made = Counter(commit.change_id for commit in journals.commits)
+    revisions = {commit.change_id: commit.revision for commit in journals.commits}
+    broken = [
+        f"{change_id} was made {count} times"
+        for change_id, count in made.items()
+        if count > 1
+    ]
+    for change in journals.changes:
+        count = made[change.change_id]
+        if change.result == ACCEPTED and count == 0:
+            broken.append(f"{change.change_id} was accepted and not made")
+        elif (
+            change.result == ACCEPTED and revisions[change.change_id] != change.revision
+        ):
+            broken.append(f"{change.change_id} was made at another revision than told")
+        if change.result in NOT_MADE and count:
+            broken.append(f"{change.change_id} was told {change.result} and made")
+    return broken
+
+
+def _list_leavings(journals) -> list[FaultSpan]:
+    return [span for span in journals.faults if span.kind is FaultKind.UPSTREAM_LEAVES]
+
+
+def _was_unreachable(journals, ran):
+    place = journals.data_centres.get(ran.sender, "")
+    kinds = (*INSTANCE_FAULTS, *PEER_FAULTS)
+    spans = select_spans(journals.faults, kinds, [ran.sender, place])
+    return is_struck(spans, ran.time_s - LEAVING_KNOWN_S, ran.time_s, START_S)
+
+
+def _list_accepted(journals) -> list[Change]:
+    return [change for change in journals.changes if change.result == ACCEPTED]
+
+
+def _group_in_force(journals) -> dict[str, list[InForce]]:
+    groups = defaultdict(list)
+    for entry in journals.in_force:
+        groups[entry.instance].append(entry)
+    return groups
+
+
+def _find_due_s(journals, instance, told_s):
+    targets = [instance, journals.data_centres[instance], "platform"]
+    process = select_spans(journals.faults, PROCESS_FAULTS, [instance])
+    platform = select_spans(journals.faults, PLATFORM_PATH_FAULTS, targets)
+    peers = select_spans(journals.faults, PEER_FAULTS, targets)
+    due_s = told_s + IN_FORCE_S
+    is_moved = True
+    while is_moved:
+        begin_s = due_s - IN_FORCE_S
+        keeping = [each for each in process if _covers(each, begin_s, due_s)]
+        if any(_covers(each, begin_s, due_s) for each in platform):
+            keeping += [each for each in peers if _covers(each, begin_s, due_s)]
+        if any(_covers(each, begin_s, due_s) for each in peers):
+            keeping += [each for each in platform if _covers(each, begin_s, due_s)]
+        ends_s = [each.settled_s + IN_FORCE_S for each in keeping]
+        is_moved = any(end_s > due_s for end_s in ends_s)
+        due_s = max([due_s, *ends_s])
+    return due_s
+
+
+def _covers(span, begin_s, end_s):
+    return span.begin_s <= end_s and span.settled_s >= begin_s
+
+
+def _is_in_force(entries, revision, due_s):
+    before = [entry for entry in entries if entry.time_s <= due_s]
+    return bool(before) and before[-1].revision >= revision
+
+
+CONTROL_RULES = (
+    Rule(
+        name="a leaving upstream gets nothing new",
+        count=lambda journals: len(_list_leavings(journals)),
+        check=check_leaving,
+    ),
+    Rule(
+        name="each change is in force within 4 s",
+        count=lambda journals: len(_list_accepted(journals)),
+        check=check_in_force,
+    ),
+    Rule(
+        name="no revision fell",
+        count=lambda journals: len(journals.in_force),
+        check=check_revisions,
+    ),
+    Rule(
+        name="no change was made twice or wrongly told",
+        count=lambda journals: len(journals.changes),
+        check=check_changes,
+    ),
+)
--- /dev/null
+++ b/benchmarks/inject.py
@@ -0,0 +1,204 @@
+"""Carries out the drawn faults on a running fleet."""
+
+import asyncio
+import time
+from collections import defaultdict
+from collections.abc import Sequence
+from contextlib import suppress
+from dataclasses import dataclass, field
+
+import aiohttp
+
+from benchmarks import fleet as fleets
+from benchmarks.controls import change_route, publish, set_faults, silence_route
+from benchmarks.fleet import Fleet
+from benchmarks.journals import Change, FaultSpan
+from benchmarks.operators import race_operators
+from benchmarks.schedule import LIST_LAG_S, FaultEvent, FaultKind
+from standins.relay_core import RelayMode
+
+ROUTE_PREFIX_BY_KIND = {
+    FaultKind.CUT_PEERS: "peers",
+    FaultKind.CUT_PEERS_ONE_WAY: "peers",
+    FaultKind.SILENCE_PEERS: "peers",
+    FaultKind.CUT_FROM_PLATFORM: "platform",
+    FaultKind.CUT_FROM_PLATFORM_ONE_WAY: "platform",
+    FaultKind.SILENCE_PLATFORM: "platform",
+}
+CUTS = frozenset({FaultKind.CUT_PEERS, FaultKind.CUT_FROM_PLATFORM})
+SILENCES = frozenset({FaultKind.SILENCE_PEERS, FaultKind.SILENCE_PLATFORM})
+ONE_WAY_MODES = (RelayMode.HOLD_TO_TARGET, RelayMode.HOLD_FROM_TARGET)
+MAX_LOAD_LAG_S = 10.0
+MAX_SLOWDOWN = 5.0
+MAX_ANSWER_DELAY_S = 2.0
+MAX_STREAM_EVENTS = 20
+MAX_PLATFORM_DELAY_S = 1.0
+MAX_LOST_REPLIES_RATIO = 0.6
+FULL = 99
+
+
+@dataclass(kw_only=True)
+class Injection:
+    """What is in force at present, and what was done so far.
+
+    :param faults: Faults in force at a stand-in, by the event's number.
+    :param modes: Modes of a route, the last one in force.
+    """
+
+    fleet: Fleet
+    teams: Sequence[str]
+    faults: dict[str, dict[int, dict]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    modes: dict[str, dict[int, RelayMode]] = field(
+        default_factory=lambda: defaultdict(dict)
+    )
+    leaving: dict[int, str] = field(default_factory=dict)
+    spans: list[FaultSpan] = field(default_factory=list)
+    changes: list[Change] = field(default_factory=list)
+
+
+async def inject_faults(
+    injection: Injection, events: Sequence[FaultEvent], began_s: float
+) -> None:
+    """Carry out all faults, each at its time.
+
+    :param injection: Where it is noted.
+    :param events: The faults.
+    :param began_s: When the load began, on the wall clock.
+    """
+    async with asyncio.TaskGroup() as group:
+        for event in events:
+            group.create_task(_carry_out(injection, event, began_s))
+
+
+async def _carry_out(injection, event, began_s):
+    await asyncio.sleep(max(0.0, began_s + event.at_s - time.time()))
+    begin_s = time.time()
+    exit_code = await _choose(event)(injection, event)
+    injection.spans.append(
+        FaultSpan(
+            kind=event.kind,
+            target=event.target,
+            begin_s=begin_s,
+            settled_s=time.time(),
+            exit_code=exit_code,
+        )
+    )
+
+
+def _choose(event):
+    if event.kind in SILENCES:
+        return _silence
+    if event.kind in ROUTE_PREFIX_BY_KIND:
+        return _cut
+    return {
+        FaultKind.KILL_INSTANCE: _kill,
+        FaultKind.CRASH_UPSTREAM: _kill,
+        FaultKind.PAUSE_INSTANCE: _pause,
+        FaultKind.STOP_INSTANCE: _stop,
+        FaultKind.UPSTREAM_LEAVES: _leave,
+        FaultKind.OPERATORS_RACE: _race,
+    }.get(event.kind, _change_standin)
+
+
+async def _kill(injection, event):
+    await fleets.kill(injection.fleet, event.target)
+    await asyncio.sleep(event.duration_s)
+    await fleets.start(injection.fleet, event.target)
+    if event.target in injection.faults:
+        await _apply(injection, event.target)
+
+
+async def _pause(injection, event):
+    fleets.pause(injection.fleet, event.target)
+    await asyncio.sleep(event.duration_s)
+    fleets.resume(injection.fleet, event.target)
+
+
+async def _stop(injection, event):
+    exit_code = await fleets.stop(injection.fleet, event.target)
+    await fleets.start(injection.fleet, event.target)
+    return exit_code
+
+
+async def _cut(injection, event):
+    mode = RelayMode.CUT
+    if event.kind not in CUTS:
+        mode = ONE_WAY_MODES[event.value < 1 / 2]
+    routes = _find_routes(injection, event)
+    for route in routes:
+        injection.modes[route][event.number] = mode
+        await change_route(injection.fleet, route, mode=mode)
+    await asyncio.sleep(event.duration_s)
+    for route in routes:
+        del injection.modes[route][event.number]
+        left = list(injection.modes[route].values())
+        mode = left[-1] if left else RelayMode.FORWARD
+        await change_route(injection.fleet, route, mode=mode)
+
+
+async def _silence(injection, event):
+    for route in _find_routes(injection, event):
+        await silence_route(injection.fleet, route)
+
+
+def _find_routes(injection, event):
+    prefix = ROUTE_PREFIX_BY_KIND[event.kind]
+    return [
+        f"{prefix}-{place.name}"
+        for place in injection.fleet.layout.instances.values()
+        if event.target in (place.name, place.data_centre)
+    ]
+
+
+async def _leave(injection, event):
+    injection.leaving[event.number] = event.target
+    if event.value < 1 / 2:
+        await publish(injection.fleet, leaving=set(injection.leaving.values()))
+    await _change_standin(injection, event)
+    del injection.leaving[event.number]
+    await publish(injection.fleet, leaving=set(injection.leaving.values()))
+
+
+async def _race(injection, event):
+    team = injection.teams[event.number % len(injection.teams)]
+    injection.changes += await race_operators(injection.fleet, event, team)
+
+
+async def _change_standin(injection, event):
+    injection.faults[event.target][event.number] = _write_faults(event)
+    await _apply(injection, event.target)
+    await asyncio.sleep(event.duration_s)
+    del injection.faults[event.target][event.number]
+    await _apply(injection, event.target)
+
+
+async def _apply(injection, target):
+    merged = {}
+    for fields in injection.faults[target].values():
+        merged |= fields
+    # A crashed upstream takes its faults again when it has started.
+    with suppress(aiohttp.ClientError, TimeoutError):
+        await set_faults(injection.fleet, target, **merged)
+
+
+def _write_faults(event):
+    value = event.value
+    false_load = {"running": FULL if value < 1 / 2 else 0, "waiting": 0}
+    return {
+        FaultKind.PLATFORM_DOWN: {"is_down": True},
+        FaultKind.PLATFORM_SLOW: {"delay_s": value * MAX_PLATFORM_DELAY_S},
+        FaultKind.PLATFORM_LOSES_REPLIES: {
+            "lost_reply_ratio": value * MAX_LOST_REPLIES_RATIO
+        },
+        FaultKind.LIST_LAGS: {"list_lag_s": LIST_LAG_S},
+        FaultKind.SLOW_UPSTREAM: {"slowdown": 1 + value * (MAX_SLOWDOWN - 1)},
+        FaultKind.REFUSING_UPSTREAM: {"is_refusing": True},
+        FaultKind.LATE_ANSWERS: {"answer_delay_s": value * MAX_ANSWER_DELAY_S},
+        FaultKind.SHORT_STREAMS: {"end_after_events": int(value * MAX_STREAM_EVENTS)},
+        FaultKind.SILENCE_UPSTREAM: {"is_silent": True},
+        FaultKind.LATE_LOAD_REPORTS: {"load_lag_s": value * MAX_LOAD_LAG_S},
+        FaultKind.FALSE_LOAD_REPORTS: {"load_report": false_load},
+        FaultKind.UPSTREAM_LEAVES: {"is_leaving": True},
+    }[event.kind]
--- /dev/null
+++ b/benchmarks/operators.py
@@ -0,0 +1,100 @@
+"""Operators who change one record at the same time, at different instances."""
+
+import asyncio
+import time
+
+import aiohttp
+import tomli_w
+
+from benchmarks.fleet import Fleet
+from benchmarks.journals import Change
+from benchmarks.records import OPERATOR_KEY
+from benchmarks.schedule import FaultEvent
+
+SCHEMA_VERSIONS = (1, 2)
+OPERATORS = 3
+TRIES = 3
+TRY_TIMEOUT_S = 5.0
+PAUSE_S = 0.5
+MIN_WEIGHT = 1.0
+
+
+async def race_operators(fleet: Fleet, event: FaultEvent, team: str) -> list[Change]:
+    """Let three operators change a team's weight at once.
+
+    They edit from the same revision, in both schema versions, and one of them
+    repeats its change with the same id when it has no answer.
+
+    :param fleet: The fleet.
+    :param event: The drawn event; its target is the first one's instance.
+    :param team: The team that they change.
+    :returns: What each was told last.
+    """
+    names = list(fleet.layout.instances)
+    first = names.index(event.target)
+    revision = await _read_revision(fleet, names[first], team)
+    racing = [
+        _change(
+            fleet,
+            instance=names[(first + number) % len(names)],
+            change_id=f"race-{event.number}-{number}",
+            text=_write_team(team, SCHEMA_VERSIONS[number % 2], number + event.value),
+            expected={f"team/{team}": revision},
+        )
+        for number in range(OPERATORS)
+    ]
+    return list(await asyncio.gather(*racing))
+
+
+def _write_team(team, schema_version, weight):
+    document = {
+        "schema_version": schema_version,
+        "team": [{"name": team, "weight": round(MIN_WEIGHT + weight, 6)}],
+    }
+    return tomli_w.dumps(document)
+
+
+async def _read_revision(fleet, instance, team):
+    url = f"{fleet.layout.instances[instance].operators_url}/v1/records"
+    query = {"kind": "team", "name": team}
+    try:
+        async with _open(fleet, "GET", url, params=query) as answer:
+            return (await answer.json())["records"][0]["revision"]
+    except (aiohttp.ClientError, TimeoutError, OSError, KeyError):
+        return 1
+
+
+async def _change(fleet, *, instance, change_id, text, expected):
+    url = f"{fleet.layout.instances[instance].operators_url}/v1/records/apply"
+    document = {
+        "change_id": change_id,
+        "files": [{"name": "race.toml", "text": text}],
+        "expected_revisions": expected,
+    }
+    told = {}
+    for _ in range(TRIES):
+        try:
+            async with _open(fleet, "POST", url, json=document) as answer:
+                told = await answer.json()
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            told = {}
+        if told.get("result", "refused") != "refused":
+            break
+        await asyncio.sleep(PAUSE_S)
+    is_accepted = told.get("result") == "accepted"
+    return Change(
+        change_id=change_id,
+        instance=instance,
+        result=told.get("result", ""),
+        told_s=time.time(),
+        revision=told["revision"] if is_accepted else 0,
+        reason=told.get("reason", ""),
+    )
+
+
+def _open(fleet, method, url, **options):
+    headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
+    timeout = aiohttp.ClientTimeout(total=TRY_TIMEOUT_S)
+    return fleet.session.request(
+        method, url, headers=headers, timeout=timeout, **options
+    )
--- /dev/null
+++ b/benchmarks/schedule.py
@@ -0,0 +1,202 @@
+"""Draws the faults of a randomised run from its seed: what, where and when."""
+
+import random
+from collections.abc import Sequence
+from dataclasses import dataclass, replace
+from enum import StrEnum
+
+CALM_BEGIN_RATIO = 0.1
+CALM_END_RATIO = 0.1
+MEAN_INTERVAL_S = 1.5
+TOGETHER_RATIO = 0.3
+TWICE_RATIO = 0.2
+TWICE_PAUSE_S = 0.3
+LONGEST_RATIO = 0.25
+SHORTEST_S = 0.5
+LONGEST_PAUSE_S = 30.0
+LONGEST_S = 15.0
+LIST_LAG_S = 10.0
+SETTLE_AFTER_START_S = 3.0
+
+
+class FaultKind(StrEnum):
+    """What is done to a running fleet."""
+
+    KILL_INSTANCE = "kill-instance"
+    PAUSE_INSTANCE = "pause-instance"
+    STOP_INSTANCE = "stop-instance"
+    CUT_PEERS = "cut-peers"
+    CUT_PEERS_ONE_WAY = "cut-peers-one-way"
+    SILENCE_PEERS = "silence-peers"
+    CUT_FROM_PLATFORM = "cut-from-platform"
+    CUT_FROM_PLATFORM_ONE_WAY = "cut-from-platform-one-way"
+    SILENCE_PLATFORM = "silence-platform"
+    PLATFORM_DOWN = "platform-down"
+    PLATFORM_SLOW = "platform-slow"
+    PLATFORM_LOSES_REPLIES = "platform-loses-replies"
+    LIST_LAGS = "list-lags"
+    CRASH_UPSTREAM = "crash-upstream"
+    SLOW_UPSTREAM = "slow-upstream"
+    REFUSING_UPSTREAM = "refusing-upstream"
+    LATE_ANSWERS = "late-answers"
+    SHORT_STREAMS = "short-streams"
+    SILENCE_UPSTREAM = "silence-upstream"
+    LATE_LOAD_REPORTS = "late-load-reports"
+    FALSE_LOAD_REPORTS = "false-load-reports"
+    UPSTREAM_LEAVES = "upstream-leaves"
+    OPERATORS_RACE = "operators-race"
+
+
+PROCESS_FAULTS = frozenset(
+    {FaultKind.KILL_INSTANCE, FaultKind.PAUSE_INSTANCE, FaultKind.STOP_INSTANCE}
+)
+DATA_CENTRE_FAULTS = frozenset(
+    {
+        FaultKind.CUT_PEERS,
+        FaultKind.CUT_PEERS_ONE_WAY,
+        FaultKind.CUT_FROM_PLATFORM,
+        FaultKind.CUT_FROM_PLATFORM_ONE_WAY,
+    }
+)
+INSTANCE_FAULTS = PROCESS_FAULTS | {
+    FaultKind.SILENCE_PEERS,
+    FaultKind.SILENCE_PLATFORM,
+}
+PLATFORM_FAULTS = frozenset(
+    {
+        FaultKind.PLATFORM_DOWN,
+        FaultKind.PLATFORM_SLOW,
+        FaultKind.PLATFORM_LOSES_REPLIES,
+        FaultKind.LIST_LAGS,
+    }
+)
+ENGINE_FAULTS = frozenset({FaultKind.SHORT_STREAMS})
+# Without the platform no change can be accepted, so races don't last.
+MOMENTARY_FAULTS = frozenset(
+    {FaultKind.OPERATORS_RACE, FaultKind.SILENCE_PEERS, FaultKind.SILENCE_PLATFORM}
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Places:
+    """What faults can strike; names, in a fixed order.
+
+    :param instances: The data centre of each instance, by its name.
+    """
+
+    instances: dict[str, str]
+    engines: tuple[str, ...]
+    services: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True)
+class FaultEvent:
+    """One fault; times are in seconds from the start of the load.
+
+    :param target: An instance, a data centre, an upstream, or ``platform``.
+    :param value: Its strength, drawn between 0 and 1.
+    """
+
+    number: int
+    kind: FaultKind
+    target: str
+    at_s: float
+    duration_s: float
+    value: float
+
+    @property
+    def end_s(self) -> float:
+        """When it is taken back."""
+        return self.at_s + self.duration_s
+
+
+def plan_faults(
+    *,
+    seed: int,
+    duration_s: float,
+    places: Places,
+    kinds: Sequence[FaultKind] = tuple(FaultKind),
+) -> list[FaultEvent]:
+    """Plan the faults of a run.
+
+    The first and last tenth of the run are calm, each kind comes once before
+    any comes again, and no instance is struck by two faults of its process at
+    the same time.
+
+    :param seed: Equal seeds give equal plans.
+    :param duration_s: How long requests are sent.
+    :param places: What faults can strike.
+    :param kinds: The kinds to draw from.
+    :returns: The faults, in order of time.
+    """
+    generator = random.Random(f"faults {seed}")
+    begin_s = CALM_BEGIN_RATIO * duration_s
+    end_s = (1 - CALM_END_RATIO) * duration_s
+    planned = []
+    bag = []
+    at_s = begin_s + generator.expovariate(1 / MEAN_INTERVAL_S)
+    while at_s < end_s:
+        count = 2 if generator.random() < TOGETHER_RATIO else 1
+        for _ in range(count):
+            if not bag:
+                bag = generator.sample(list(kinds), len(kinds))
+            event = _draw_event(generator, bag.pop(), at_s, duration_s, places)
+            planned += _repeat(generator, event)
+        at_s += generator.expovariate(1 / MEAN_INTERVAL_S)
+    chosen = _drop_overlapping(sorted(planned, key=lambda event: event.at_s), end_s)
+    return [replace(event, number=number) for number, event in enumerate(chosen)]
+
+
+def _draw_event(generator, kind, at_s, duration_s, places):
+    longest_s = LONGEST_S
+    if kind is FaultKind.PAUSE_INSTANCE:
+        longest_s = LONGEST_PAUSE_S
+    longest_s = max(SHORTEST_S, min(longest_s, LONGEST_RATIO * duration_s))
+    lasts_s = generator.uniform(SHORTEST_S, longest_s)
+    if kind is FaultKind.PAUSE_INSTANCE:
+        lasts_s = max(1.0, lasts_s)
+    if kind in MOMENTARY_FAULTS:
+        lasts_s = 0.0
+    return FaultEvent(
+        number=0,
+        kind=kind,
+        target=_draw_target(generator, kind, places),
+        at_s=at_s,
+        duration_s=lasts_s,
+        value=generator.random(),
+    )
+
+
+def _draw_target(generator, kind, places):
+    if kind in DATA_CENTRE_FAULTS:
+        return generator.choice(sorted(set(places.instances.values())))
+    if kind in INSTANCE_FAULTS or kind is FaultKind.OPERATORS_RACE:
+        return generator.choice(list(places.instances))
+    if kind in PLATFORM_FAULTS:
+        return "platform"
+    if kind in ENGINE_FAULTS:
+        return generator.choice(places.engines)
+    return generator.choice(places.engines + places.services)
+
+
+def _repeat(generator, event):
+    yield event
+    if generator.random() < TWICE_RATIO:
+        yield replace(event, at_s=event.end_s + TWICE_PAUSE_S)
+
+
+def _drop_overlapping(events, end_s):
+    # A process can't be killed or stopped while it is not yet up again.
+    free_at_s = {}
+    for event in events:
+        if event.end_s > end_s:
+            event = replace(event, duration_s=max(0.0, end_s - event.at_s))
+        if event.at_s >= end_s:
+            continue
+        is_process = event.kind in PROCESS_FAULTS
+        is_process = is_process or event.kind is FaultKind.CRASH_UPSTREAM
+        if is_process:
+            if event.at_s < free_at_s.get(event.target, 0.0):
+                continue
+            free_at_s[event.target] = event.end_s + SETTLE_AFTER_START_S
+        yield event
--- /dev/null
+++ b/benchmarks/soak.py
@@ -0,0 +1,282 @@
+"""Runs a fleet under load and drawn faults, then checks what must always hold.
+
+Usage:
+    soak [options]
+
+Options:
+    --seed=N        Fixes the load and the faults [default: 1].
+    --duration-s=S  How long requests are sent, at most 3600 [default: 60].
+    --output=DIR    Journals and logs [default: build/soak].
+
+The exit code is 0 when every rule holds, 1 when one is broken, and 2 when the
+fleet could not be run. Journals and logs of a run that held are removed.
+"""
+
+import asyncio
+import shutil
+import signal
+import sys
+import time
+from collections.abc import Sequence
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import orjson
+import uvloop
+from docopt import docopt
+
+from benchmarks.callers import RequestRecord, send_load
+from benchmarks.control_rules import CONTROL_RULES
+from benchmarks.fleet import Fleet, FleetError, run_fleet
+from benchmarks.inject import Injection, inject_faults
+from benchmarks.journals import (
+    Journals,
+    Told,
+    read_commits,
+    read_logs,
+    read_ran,
+    select_spans,
+)
+from benchmarks.layout import PLATFORM, RELAYS
+from benchmarks.processes import ProcessError
+from benchmarks.records import application_key
+from benchmarks.rules import REQUEST_RULES
+from benchmarks.schedule import FaultEvent, FaultKind, plan_faults
+from benchmarks.soak_plan import (
+    make_deployment,
+    make_fleet_plan,
+    make_load,
+    make_places,
+)
+from benchmarks.workload import PlannedRequest
+from standins.answers import compute_call_digest, compute_request_digest
+from standins.journal import read_journal
+
+MAX_DURATION_S = 3600.0
+EXTRA_TIME_S = 120.0
+MAX_PROCESSES = 60
+MAX_SHOWN = 10
+EXIT_BROKEN = 1
+EXIT_FAILED = 2
+EXIT_INTERRUPTED = 130
+
+
+@dataclass(frozen=True, kw_only=True)
+class Verdict:
+    """What the check of one rule gave.
+
+    :param checked: How many things it was checked on.
+    """
+
+    rule: str
+    checked: int
+    broken: list[str]
+
+
+def check_journals(journals: Journals) -> list[Verdict]:
+    """Check all rules.
+
+    :param journals: The journals of a run.
+    """
+    return [
+        Verdict(
+            rule=rule.name, checked=rule.count(journals), broken=rule.check(journals)
+        )
+        for rule in (*REQUEST_RULES, *CONTROL_RULES)
+    ]
+
+
+def format_verdicts(verdicts: Sequence[Verdict]) -> str:
+    """Write the verdicts as a table, and the first of what broke each rule.
+
+    :param verdicts: The verdicts.
+    """
+    lines = [f"{'rule':<46} {'checked':>8} {'broken':>7}  verdict"]
+    for verdict in verdicts:
+        word = "BROKEN" if verdict.broken else "held"
+        if not verdict.checked and not verdict.broken:
+            word = "not tried"
+        lines.append(
+            f"{verdict.rule:<46} {verdict.checked:>8} {len(verdict.broken):>7}  {word}"
+        )
+    for verdict in verdicts:
+        lines += [f"{verdict.rule}: {line}" for line in verdict.broken[:MAX_SHOWN]]
+    return "\n".join(lines)
+
+
+async def run_soak(*, seed: int, duration_s: float, directory: Path) -> Journals:
+    """Run a fleet under load and faults.
+
+    :param seed: Fixes the load and the faults.
+    :param duration_s: How long requests are sent.
+    :param directory: Where journals and logs go.
+    """
+    deployment = make_deployment()
+    plan = make_load(deployment, seed, duration_s)
+    events = plan_faults(
+        seed=seed, duration_s=duration_s, places=make_places(deployment)
+    )
+    fleet_plan = make_fleet_plan(deployment, seed)
+    _log_events(directory, events)
+    async with (
+        asyncio.timeout(duration_s + EXTRA_TIME_S),
+        run_fleet(fleet_plan, directory) as fleet,
+    ):
+        if len(fleet.processes.running) > MAX_PROCESSES:
+            raise FleetError(f"more than {MAX_PROCESSES} processes")
+        injection = Injection(
+            fleet=fleet, teams=[team.name for team in deployment.teams]
+        )
+        began_s = time.time()
+        injecting = asyncio.create_task(inject_faults(injection, events, began_s))
+        records = await send_load(
+            plan, entries=fleet.entries, key_of=_find_application_key
+        )
+        await injecting
+        stopped_s = time.time()
+        ended = _list_ended(fleet)
+    journals = Journals(
+        data_centres=_list_places(fleet),
+        began_s=began_s,
+        stopped_s=stopped_s,
+        told=_join_told(fleet, plan, records, began_s),
+        faults=injection.spans,
+        changes=injection.changes,
+        ended=ended,
+    )
+    _read_files(fleet, journals)
+    _write_journals(directory, journals)
+    return journals
+
+
+def _log_events(directory, events: Sequence[FaultEvent]):
+    directory.mkdir(parents=True, exist_ok=True)
+    lines = [orjson.dumps(asdict(event)).decode() for event in events]
+    (directory / "faults.jsonl").write_text("\n".join(lines) + "\n")
+    print(f"{len(events)} faults drawn, see {directory / 'faults.jsonl'}", flush=True)
+
+
+def _find_application_key(planned):
+    return application_key(planned.team, planned.service_class.name)
+
+
+def _list_ended(fleet: Fleet) -> dict[str, int]:
+    return {
+        name: program.process.returncode
+        for name, program in fleet.processes.running.items()
+        if program.process.returncode is not None
+    }
+
+
+def _list_places(fleet):
+    deployment = fleet.layout.plan.deployment
+    places = {
+        place.name: place.data_centre for place in fleet.layout.instances.values()
+    }
+    for upstream in (*deployment.engines, *deployment.services):
+        places[upstream.name] = upstream.data_centre
+    return places
+
+
+def _join_told(fleet, plan, records, began_s):
+    names = list(fleet.layout.instances)
+    return [
+        _make_told(planned, record, names[planned.entry % len(names)], began_s)
+        for planned, record in zip(plan, records, strict=True)
+    ]
+
+
+def _make_told(planned: PlannedRequest, record: RequestRecord, instance, began_s):
+    if planned.body is None:
+        path = f"/submissions/{planned.number}"
+        content = planned.idempotency_key.encode()
+        digest = compute_call_digest("POST", path, content)
+    else:
+        digest = compute_request_digest(planned.body)
+    return Told(
+        number=planned.number,
+        digest=digest,
+        request_id=record.request_id,
+        instance=instance,
+        service_class=planned.service_class.name,
+        tier=planned.service_class.tier,
+        target=planned.target,
+        outcome=record.outcome,
+        reason=record.reason,
+        sent_s=began_s + planned.at_s,
+        ended_s=began_s + planned.at_s + record.total_s,
+        deadline_s=planned.service_class.deadline_s,
+        idempotency_key=planned.idempotency_key,
+        is_right=record.is_right,
+    )
+
+
+def _read_files(fleet, journals):
+    layout = fleet.layout
+    for upstream in set(journals.data_centres) - set(layout.instances):
+        path = layout.directory / f"{upstream}.jsonl"
+        journals.ran += read_ran(upstream, read_journal(path))
+    journals.ran.sort(key=lambda ran: ran.time_s)
+    journals.commits = read_commits(read_journal(layout.directory / "platform.jsonl"))
+    for instance in layout.instances:
+        kills = select_spans(journals.faults, [FaultKind.KILL_INSTANCE], [instance])
+        in_force, violations = read_logs(
+            instance,
+            layout.directory / f"{instance}.log",
+            [span.begin_s for span in kills],
+        )
+        journals.in_force += in_force
+        journals.violations += violations
+
+
+def _write_journals(directory, journals):
+    for name in ("told", "faults", "changes", "in_force"):
+        entries = getattr(journals, name)
+        lines = [orjson.dumps(asdict(entry)).decode() for entry in entries]
+        path = directory / f"checked-{name}.jsonl"
+        path.write_text("\n".join(lines) + "\n")
+
+
+async def _run_until_told(arguments) -> int:
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    seed = int(arguments["--seed"])
+    duration_s = min(MAX_DURATION_S, float(arguments["--duration-s"]))
+    directory = Path(arguments["--output"]).resolve() / f"seed-{seed}"
+    shutil.rmtree(directory, ignore_errors=True)
+    print(
+        f"seed {seed}, {duration_s:.0f} s, {1 + len(RELAYS)} processes of "
+        f"{PLATFORM} and relays beside the instances and upstreams",
+        flush=True,
+    )
+    journals = await run_soak(seed=seed, duration_s=duration_s, directory=directory)
+    verdicts = check_journals(journals)
+    print(format_verdicts(verdicts))
+    if any(verdict.broken for verdict in verdicts):
+        print(f"journals and logs: {directory}")
+        return EXIT_BROKEN
+    shutil.rmtree(directory)
+    return 0
+
+
+def main() -> int:
+    """Run the command.
+
+    :returns: The exit code.
+    """
+    arguments = docopt(__doc__)
+    uvloop.install()
+    try:
+        return asyncio.run(_run_until_told(arguments))
+    except asyncio.CancelledError:
+        print("interrupted; all processes are stopped", file=sys.stderr)
+        return EXIT_INTERRUPTED
+    except (FleetError, ProcessError, TimeoutError) as error:
+        print(f"the run failed: {error!r}", file=sys.stderr)
+        return EXIT_FAILED
+
+
+if __name__ == "__main__":
+    sys.exit(main())
