Send the class's time between tokens to the home

The home's pool limits an upstream's concurrency by the tightest target among its classes, but the peers' profile of a request left the target out, so that only the home's own requests had one.

--- a/jujubenotch/peers/decode.py
+++ b/jujubenotch/peers/decode.py
@@ -200,6 +200,7 @@
         service_class=profile.service_class,
         tier=profile.tier,
         max_wait_s=profile.max_wait_ms / MS_PER_S,
+        between_tokens_target_s=profile.between_tokens_target_us / US_PER_S,
         **fields,
     )
 
--- a/jujubenotch/peers/encode.py
+++ b/jujubenotch/peers/encode.py
@@ -135,8 +135,7 @@
     if report.first_token_s is not None:
         message.first_token_ms = _to_ms(report.first_token_s)
     if report.between_tokens_s is not None:
-        between_us = round(report.between_tokens_s * US_PER_S)
-        message.between_tokens_us = min(MAX_UINT32, max(0, between_us))
+        message.between_tokens_us = _to_us(report.between_tokens_s)
 
 
 def _write_request(message, sent, entry, now_s):
@@ -163,6 +162,7 @@
         request.service_class,
         request.tier,
         request.max_wait_s,
+        request.between_tokens_target_s,
     )
     profile_id, is_new = _intern(sent, key)
     if is_new:
@@ -176,6 +176,7 @@
             service_class=request.service_class,
             tier=request.tier,
             max_wait_ms=_to_ms(request.max_wait_s),
+            between_tokens_target_us=_to_us(request.between_tokens_target_s),
         )
     return profile_id
 
@@ -196,3 +197,7 @@
 
 def _to_ms(duration_s):
     return min(MAX_UINT32, max(0, round(duration_s * MS_PER_S)))
+
+
+def _to_us(duration_s):
+    return min(MAX_UINT32, max(0, round(duration_s * US_PER_S)))
