--- a/jujubenotch/records/model.py
+++ b/jujubenotch/records/model.py
@@ -37,8 +37,8 @@
     """A team that classes are bound to.
 
     :param weight: Share within a tier, relative to the other teams.
-    :param max_in_progress: Requests in progress at once over all upstreams of
-        a data centre; 0 is no limit.
+    :param max_in_progress: Requests in progress at once on each group of
+        upstreams that share targets, in each data centre; 0 is no limit.
     """
 
     name: str
