Don't probe a broken upstream with work that may not be repeated

A probe that falls silent leaves a non-idempotent request unknown for good. It is a probe now only when all upstreams of its target are ejected. The request tells whether it may be repeated, also to the home.

--- a/features/admission/probes.feature
+++ b/features/admission/probes.feature
@@ -61,3 +61,19 @@
       | id | tier | excluded |
       | a  | 0    | e1       |
     Then "a" is granted on "e1"
+
+  Scenario: A request that may not be repeated probes only when all are ejected
+    When 1 seconds pass
+    And requests arrive
+      | id    | tier | idempotent |
+      | draft | 3    | no         |
+    Then "draft" is granted on "e2"
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 4     |
+    And "e1" was ejected
+    When 1 seconds pass
+    And requests arrive
+      | id    | tier | idempotent |
+      | draft | 3    | no         |
+    Then "draft" is granted on "e1"
--- a/features/admission/steps/pool_steps.py
+++ b/features/admission/steps/pool_steps.py
@@ -45,6 +45,7 @@
         max_wait_s=float(row.get("max_wait_s", 30)),
         expected_tokens=int(row.get("tokens", 100)),
         prefix_key=row.get("prefix_key", ""),
+        is_idempotent=row.get("idempotent", "yes") == "yes",
         excluded_upstreams=frozenset(row.get("excluded", "").split()),
         between_tokens_target_s=float(row.get("between_tokens_target_s", 0)),
     )
--- a/features/peers/steps/peers_steps.py
+++ b/features/peers/steps/peers_steps.py
@@ -83,6 +83,7 @@
     first_token_by_s=st.integers(-9, 9).map(lambda s: NOW_S + s),
     prefix_key=st.text(max_size=3),
     between_tokens_target_s=times_s,
+    is_idempotent=st.booleans(),
     excluded_upstreams=st.frozensets(names, max_size=2),
 )
 reports = st.builds(
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -89,9 +89,15 @@
 
 
 def _may_be_probe(pool, request, account):
-    """Keep a request from an upstream that it failed on, unless all are ejected."""
+    """Tell whether a request may run on an upstream that may still be broken.
+
+    One that may not be repeated, or that failed there, only when all upstreams
+    of its target are ejected.
+    """
     is_excluded = account.name in request.excluded_upstreams
-    return not is_excluded or not pool.targets[request.target].slots
+    if request.is_idempotent and not is_excluded:
+        return True
+    return not pool.targets[request.target].slots
 
 
 def _grant_floor(pool, this_round):
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -338,6 +338,7 @@
         prefix_key=call.prefix_key,
         excluded_upstreams=progress.failed_upstreams,
         between_tokens_target_s=service_class.between_tokens_target_s,
+        is_idempotent=call.is_idempotent,
     )
 
 
--- a/jujubenotch/peers/decode.py
+++ b/jujubenotch/peers/decode.py
@@ -201,6 +201,7 @@
         tier=profile.tier,
         max_wait_s=profile.max_wait_ms / MS_PER_S,
         between_tokens_target_s=profile.between_tokens_target_us / US_PER_S,
+        is_idempotent=not profile.is_non_idempotent,
         **fields,
     )
 
--- a/jujubenotch/peers/encode.py
+++ b/jujubenotch/peers/encode.py
@@ -163,6 +163,7 @@
         request.tier,
         request.max_wait_s,
         request.between_tokens_target_s,
+        request.is_idempotent,
     )
     profile_id, is_new = _intern(sent, key)
     if is_new:
@@ -177,6 +178,7 @@
             tier=request.tier,
             max_wait_ms=_to_ms(request.max_wait_s),
             between_tokens_target_us=_to_us(request.between_tokens_target_s),
+            is_non_idempotent=not request.is_idempotent,
         )
     return profile_id
 
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -34,6 +34,7 @@
     :param excluded_upstreams: Upstreams that it failed on already.
     :param between_tokens_target_s: Its class's bound on the mean gap between
         tokens, in seconds; 0 is no bound.
+    :param is_idempotent: Whether it may be repeated.
     """
 
     request_id: str
@@ -51,6 +52,7 @@
     prefix_key: str = ""
     excluded_upstreams: frozenset[str] = frozenset()
     between_tokens_target_s: float = 0.0
+    is_idempotent: bool = True
 
 
 @dataclass(frozen=True, kw_only=True)
