Keep a link alive after a fault of its own, and don't blame a peer for an own stall

An exception while a frame was handled ended the link's task for good. And an instance that stood still for 0.3 s took its peers' unread answers for missing ones.

--- a/jujubenotch/capacity/keeper.py
+++ b/jujubenotch/capacity/keeper.py
@@ -190,7 +190,11 @@
 
 
 def _read_wait_s(keeper, now_s):
-    wakeups_s = [next_wakeup_s(pool, now_s) for pool in keeper.pools.values()]
+    try:
+        wakeups_s = [next_wakeup_s(pool, now_s) for pool in keeper.pools.values()]
+    except Exception:
+        logger.exception("wakeup-unknown")
+        return MAX_WAIT_S
     next_s = min(
         (wakeup_s for wakeup_s in wakeups_s if wakeup_s is not None), default=None
     )
--- a/jujubenotch/capacity/peered_model.py
+++ b/jujubenotch/capacity/peered_model.py
@@ -94,6 +94,8 @@
     :param leaving_upstreams: Those that nothing new goes to.
     :param summaries: For each pool kept here, its latest summary and when it
         was made, in seconds.
+    :param refreshed_s: When all was last brought in line, on this process's
+        monotonic clock.
     :param polling: The reads of upstreams' load in progress, by upstream.
     """
 
@@ -111,6 +113,7 @@
     sessions: dict[str, RequesterSession] = field(default_factory=dict)
     homes: dict[str, str] = field(default_factory=dict)
     live: tuple[str, ...] = ()
+    refreshed_s: float = 0.0
     leaving_upstreams: frozenset[str] = frozenset()
     polling: dict[str, asyncio.Task] = field(default_factory=dict)
     summaries: dict[str, tuple[float, PoolSummary]] = field(default_factory=dict)
--- a/jujubenotch/capacity/refresh.py
+++ b/jujubenotch/capacity/refresh.py
@@ -17,6 +17,8 @@
     list_live,
 )
 
+MAX_REFRESH_GAP_S = 0.15
+
 
 def refresh(state: PeeredState, now_s: float) -> None:
     """Bring everything in line; cheap when nothing has changed.
@@ -56,6 +58,11 @@
 
 
 def _suspect_unanswering(state, now_s):
+    is_late = now_s - state.refreshed_s > MAX_REFRESH_GAP_S
+    state.refreshed_s = now_s
+    if is_late:
+        # This process itself stood still, and the answers may wait unread.
+        return
     unanswered = find_unanswered(state.client, now_s)
     for peer in state.links.values():
         if peer.account in unanswered and peer.suspected_s is None:
--- a/jujubenotch/peers/link.py
+++ b/jujubenotch/peers/link.py
@@ -113,6 +113,11 @@
                 was_attached=link.is_attached,
                 cause=repr(group.exceptions[0]),
             )
+        except* Exception:
+            # A fault in the handling of one frame must not end the link for good.
+            logger.exception(
+                "peer-session-failed", extra={"fields": {"peer": link.name}}
+            )
         failures = 1 if link.is_attached else failures + 1
         _detach(link, context)
         await asyncio.sleep(choose_backoff_s(failures, random.random()))
