--- a/features/capacity/overflow.feature
+++ b/features/capacity/overflow.feature
@@ -31,3 +31,9 @@
     When "a" has filled its own data centre and 3 requests wait
     And "south" is cut off while "a" has gone there for 1 slot, which waits
     Then that request has no slot elsewhere within 3 s
+
+  Scenario: A request that waits too long elsewhere comes back
+    When "x" has filled its own data centre and 0 requests wait
+    And "a" waits in "south" for at most 0.3 s
+    Then that request has no slot elsewhere within 3 s
+    And nothing of "a" is left in "south"
--- a/features/capacity/steps/overflow_steps.py
+++ b/features/capacity/steps/overflow_steps.py
@@ -49,12 +49,12 @@
     return task
 
 
-def start_away(context, name):
+def start_away(context, name, wait_bound_s=30.0):
     state = context.bench.capacities[name].state
     account = next(iter(state.away.accounts.values()))
     request = make_request(target=TARGET)
     context.last = context.loop.create_task(
-        acquire_away(state.away, account, f"south/{TARGET}", request)
+        acquire_away(state.away, account, f"south/{TARGET}", request, wait_bound_s)
     )
     context.bench.requests.append((name, context.last))
     agents = context.bench.capacities[account.home].state.agents.by_name
@@ -159,6 +159,11 @@
         run(context, context.bench.capacities.pop(name).close())
 
 
+@when('"{name}" waits in "south" for at most {bound_s:g} s')
+def go_away_for(context, name, bound_s):
+    start_away(context, name, bound_s)
+
+
 @when("the waiting caller leaves")
 def leave(context):
     context.last.cancel()
--- a/jujubenotch/capacity/away.py
+++ b/jujubenotch/capacity/away.py
@@ -47,7 +47,11 @@
 
 
 async def acquire_away(
-    away: Away, account: Account, group: str, request: WorkRequest
+    away: Away,
+    account: Account,
+    group: str,
+    request: WorkRequest,
+    wait_bound_s: float,
 ) -> Grant | None:
     """Wait for a slot of another data centre; cancelling withdraws the request.
 
@@ -55,7 +59,9 @@
     :param account: A peer there.
     :param group: The group there.
     :param request: The request.
-    :returns: The slot; ``None`` when the peer has none or does not answer.
+    :param wait_bound_s: How long to wait there, in seconds.
+    :returns: The slot; ``None`` when the peer has none in time or does not
+        answer.
     """
     entry = AwayEntry(
         number=next(away.client.numbers),
@@ -72,7 +78,7 @@
     try:
         async with asyncio.timeout(ACK_TIMEOUT_S + 2 * account.link.delay_s):
             await entry.is_queued.wait()
-        async with asyncio.timeout(request.deadline_s - now_s):
+        async with asyncio.timeout(min(wait_bound_s, request.deadline_s - now_s)):
             return await asyncio.shield(entry.answer)
     except TimeoutError:
         _withdraw(away, entry)
--- a/jujubenotch/capacity/elsewhere.py
+++ b/jujubenotch/capacity/elsewhere.py
@@ -11,14 +11,20 @@
 from jujubenotch.work import PoolSummary, WorkRequest
 
 SUMMARY_VALID_S = 0.05
+MIN_WAIT_BOUND_S = 1.0
+WAIT_BOUND_RATIO = 2.0
 
 
 @dataclass(frozen=True, kw_only=True)
 class Elsewhere:
-    """A peer of another data centre and the group there to ask for."""
+    """A peer of another data centre and the group there to ask for.
+
+    :param wait_bound_s: How long to wait there before coming back.
+    """
 
     account: Account
     group: str
+    wait_bound_s: float
 
 
 def list_remote_groups(
@@ -47,7 +53,7 @@
     :param now_s: The present monotonic time, in seconds.
     :returns: The peer; ``None`` to wait in the own data centre.
     """
-    offers = list(_list_offers(state, request.target, now_s))
+    offers = list(_list_offers(state, request, now_s))
     local = _read_local(state, request.target, now_s) if offers else None
     if local is None:
         return None
@@ -79,18 +85,26 @@
     return summary
 
 
-def _list_offers(state, target, now_s):
+def _list_offers(state, request, now_s):
     """Yield one peer, the first that has news, for each other data centre."""
     seen = set()
     for name, account in state.away.accounts.items():
         member = state.membership.members.get(name)
         if member is None or member.is_leaving or member.data_centre in seen:
             continue
-        group = state.remote_groups.get(member.data_centre, {}).get(target)
+        group = state.remote_groups.get(member.data_centre, {}).get(request.target)
         remote = _read_remote(account.link, member.data_centre, group, now_s)
         if remote is not None:
             seen.add(member.data_centre)
-            yield remote, Elsewhere(account=account, group=group)
+            wait_s = remote.summary.wait_s[request.tier]
+            yield (
+                remote,
+                Elsewhere(
+                    account=account,
+                    group=group,
+                    wait_bound_s=MIN_WAIT_BOUND_S + WAIT_BOUND_RATIO * wait_s,
+                ),
+            )
 
 
 def _read_remote(link: Link, data_centre, group, now_s) -> RemoteGroup | None:
--- a/jujubenotch/capacity/peered.py
+++ b/jujubenotch/capacity/peered.py
@@ -61,7 +61,11 @@
         chosen = choose_elsewhere(state, request, now_s)
         if chosen is not None:
             grant = await acquire_away(
-                state.away, chosen.account, chosen.group, request
+                state.away,
+                chosen.account,
+                chosen.group,
+                request,
+                chosen.wait_bound_s,
             )
             if grant is not None:
                 return grant
