Estimate rates from what was seen of the window, not from all of it

Cause: after a start a rate that fades over 5 or 60 s was divided by the whole window, so that 4 s after a home instance began it was 55% of the true one, and the reserve for the upper tiers that much too small. Drafting that came then took their slots, and holds them for tens of seconds; every new home starts so. The first event now starts the clock, and the rest is divided by the part of the window that was seen, at least 3 s.

The admission features' exact counts stay; 8 requests in 4 s reserve for 13 drafts in place of 15, where 120 in 60 s reserve for 12.

--- a/features/admission/reserve.feature
+++ b/features/admission/reserve.feature
@@ -27,6 +27,14 @@
       | draft | 3    |
     Then "draft" is granted
 
+  Scenario: The reserve is nearly as large within seconds of a start
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 20    |
+    When 8 requests of tier 0 arrive at 2 a second and run for 2 seconds each
+    And 30 drafts arrive
+    Then exactly 13 drafts run
+
   Scenario: The reserve follows the urgent load
     Given a pool with upstreams
       | name | models | slots |
--- a/jujubenotch/estimates/core.py
+++ b/jujubenotch/estimates/core.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass
 
 CRC_VALUES = 2**32
+MIN_SEEN_S = 3.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -30,14 +31,18 @@
     """A rate of events over an exponentially fading window.
 
     :param window_s: The window's time constant, in seconds.
+    :param first_s: When the first event was, monotonic, in seconds; ``None``
+        before it.
 
     >>> rate = DecayingRate(window_s=10.0)
-    >>> count_event(rate, 5.0)
-    >>> read_rate(rate, 5.0)
-    0.1
+    >>> for time_s in range(4):
+    ...     count_event(rate, time_s)
+    >>> round(read_rate(rate, 4.0), 2)
+    0.75
     """
 
     window_s: float
+    first_s: float | None = None
     count: float = 0.0
     updated_s: float = 0.0
 
@@ -62,6 +67,8 @@
     :param rate: The rate; changed in place.
     :param now_s: The present monotonic time, in seconds.
     """
+    if rate.first_s is None:
+        rate.first_s = now_s
     rate.count = rate.count * _fade(rate, now_s) + 1.0
     rate.updated_s = now_s
 
@@ -69,13 +76,21 @@
 def read_rate(rate: DecayingRate, now_s: float) -> float:
     """Return the recent events a second.
 
+    The first event starts the clock and isn't counted. Until the window has
+    passed, the rest is divided by the part of the window that was seen, so that
+    the rate isn't too low after a start.
+
     :param rate: The rate.
     :param now_s: The present monotonic time, in seconds.
     :returns: Events a second.
     """
     if not rate.count:
         return 0.0
-    return rate.count * _fade(rate, now_s) / rate.window_s
+    age_s = now_s - rate.first_s
+    first = math.exp(-age_s / rate.window_s)
+    later = max(0.0, rate.count * _fade(rate, now_s) - first)
+    seen_ratio = 1.0 - math.exp(-max(MIN_SEEN_S, age_s) / rate.window_s)
+    return later / (rate.window_s * seen_ratio)
 
 
 def draw_fraction(text: str) -> float:
