Bound the callers' connections, heads and bodies in time and number

[callers] max_connections, header_timeout_s and body_timeout_s were read and not enforced: the library's timeouts begin anew with each byte and don't cover a body, so a byte a second held a connection for ever. Heads that two readers could take differently (a space before the colon, a bare line feed, a folded line, a length that is not of digits) are refused and the connection closed. Before: 'Content-Length : 5' and a bare line feed were taken.

--- /dev/null
+++ b/features/path/steps/bad_actor_steps.py
@@ -0,0 +1,155 @@
+import http.client
+import select
+import socket
+import threading
+import time
+
+from behave import given, then, when
+
+from features.path.records import KEY
+from features.path.steps.path_steps import (
+    CHAT_PATH,
+    make_body,
+    send,
+    start_path_daemon,
+)
+from features.programs import wait_until
+
+SMUGGLED = (
+    f"POST {CHAT_PATH} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {KEY}\r\n"
+    "Content-Length: 2\r\n\r\n{}"
+)
+BYTE_INTERVAL_S = 0.1
+ANSWER_TIMEOUT_S = 20
+
+
+def connect(context):
+    address = ("127.0.0.1", context.daemon.callers_port)
+    return socket.create_connection(address, timeout=ANSWER_TIMEOUT_S)
+
+
+@given(
+    "a daemon whose callers may take {head_s:d} s for a head and {body_s:d} s for a body"
+)
+def give_hasty_daemon(context, head_s, body_s):
+    bounds = {"header_timeout_s": float(head_s), "body_timeout_s": float(body_s)}
+    start_path_daemon(context, bounds)
+
+
+@given("a daemon that takes {count:d} connections")
+def give_bounded_daemon(context, count):
+    start_path_daemon(context, {"max_connections": count})
+
+
+@when("a request is sent in whose body another one stands, with each of these heads")
+def send_smuggling(context):
+    context.replies = {}
+    for row in context.table:
+        lines = row["head"].replace("<LF>", "\n").replace(" / ", "\r\n")
+        head = f"POST {CHAT_PATH} HTTP/1.1\r\nHost: a\r\nAuthorization: Bearer {KEY}"
+        with connect(context) as connection:
+            connection.sendall(f"{head}\r\n{lines}\r\n\r\n0\r\n\r\n{SMUGGLED}".encode())
+            context.replies[row["head"]] = receive_all(connection)
+
+
+def receive_all(connection):
+    received = b""
+    try:
+        while part := connection.recv(65536):
+            received += part
+    except ConnectionResetError:
+        pass
+    return received
+
+
+@then("each is answered once, with status 400, and its connection is closed")
+def check_refused(context):
+    for head, reply in context.replies.items():
+        assert reply.startswith(b"HTTP/1.1 400 "), (head, reply)
+        assert reply.count(b"HTTP/1.1") == 1, (head, reply)
+
+
+@when("{heads:d} callers send a head and {bodies:d} a body, a byte at a time")
+def send_slowly(context, heads, bodies):
+    context.slow = [connect(context) for _ in range(heads + bodies)]
+    for connection in context.slow:
+        context.add_cleanup(connection.close)
+    begin = f"POST {CHAT_PATH} HTTP/1.1\r\nHost: a\r\n".encode()
+    rest = f"Authorization: Bearer {KEY}\r\nContent-Length: 1000\r\n\r\n".encode()
+    for connection in context.slow:
+        connection.sendall(begin)
+    for connection in context.slow[heads:]:
+        connection.sendall(rest)
+    context.slow_since_s = time.monotonic()
+    context.slow_ended = threading.Event()
+    sender = threading.Thread(target=drip, args=(context.slow, context.slow_ended))
+    sender.start()
+    context.add_cleanup(sender.join)
+    context.add_cleanup(context.slow_ended.set)
+
+
+def drip(connections, ended):
+    while not ended.wait(BYTE_INTERVAL_S):
+        for connection in connections:
+            try:
+                connection.send(b"x")
+            except OSError:
+                continue
+
+
+@then("another caller is answered meanwhile")
+def check_other_caller(context):
+    send(context, body=make_body())
+    assert context.response.status == http.client.OK, context.body
+
+
+@then("each slow caller is told status 408 within {bound_s:d} s")
+def check_slow(context, bound_s):
+    for connection in context.slow:
+        left_s = context.slow_since_s + bound_s - time.monotonic()
+        connection.settimeout(max(0.1, left_s))
+        reply = connection.recv(65536)
+        assert reply.startswith(b"HTTP/1.1 408 "), reply
+    context.slow_ended.set()
+
+
+@when("{count:d} connections are opened and stay idle")
+def open_idle(context, count):
+    context.idle = getattr(context, "idle", [])
+    for _ in range(count):
+        connection = connect(context)
+        context.add_cleanup(connection.close)
+        context.idle.append(connection)
+
+
+@then("at least {count:d} connections are closed by the daemon")
+def check_closed(context, count):
+    wait_until(lambda: count_closed(context.idle) >= count)
+
+
+def count_closed(connections):
+    poll = select.poll()
+    for connection in connections:
+        poll.register(connection, select.POLLIN | select.POLLHUP)
+    return len(poll.poll(0))
+
+
+@when("the idle connections are closed")
+def close_idle(context):
+    for connection in context.idle:
+        connection.close()
+
+
+@when("a chat completion is asked for in another team's name")
+def name_other_team(context):
+    headers = {"X-Team": "clerks", "X-Jujubenotch-Team": "clerks"}
+    send(context, body=make_body(team="clerks", user="clerks"), headers=headers)
+
+
+@then("it runs for the team of its key")
+def check_team(context):
+    assert context.response.status == http.client.OK, context.body
+    wait_until(lambda: "request-ended" in context.daemon.log.read_text())
+    log = context.daemon.log.read_text()
+    assert "team=agents" in log, log
+    assert "team=clerks" not in log, log
--- a/features/path/steps/path_steps.py
+++ b/features/path/steps/path_steps.py
@@ -37,6 +37,10 @@
 
 @given("a daemon with its embedded platform")
 def give_daemon(context):
+    start_path_daemon(context, {})
+
+
+def start_path_daemon(context, callers):
     records = context.directory / "records.toml"
     records.write_text(
         tomli_w.dumps(make_record_document({"engine-1": context.engine.url}, {}))
@@ -45,7 +49,7 @@
         context,
         context.directory,
         {
-            "callers": {"max_body_bytes": MAX_BODY_BYTES},
+            "callers": {"max_body_bytes": MAX_BODY_BYTES} | callers,
             "platform": {"kind": "embedded", "records": [str(records)]},
         },
     )
--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -32,9 +32,18 @@
     wait_until_idle,
 )
 from jujubenotch.invariants import make_violations_fatal
-from jujubenotch.listeners import bind_socket, start_listener, stop_listener
+from jujubenotch.listeners import (
+    ConnectionBounds,
+    bind_socket,
+    start_listener,
+    stop_listener,
+)
 from jujubenotch.logs import configure_logging, log_event
-from jujubenotch.metrics import make_metrics, set_revision
+from jujubenotch.metrics import (
+    count_refused_connection,
+    make_metrics,
+    set_revision,
+)
 from jujubenotch.platform import connect_platform
 from jujubenotch.records import (
     ConfigurationReplica,
@@ -264,7 +273,10 @@
         f"callers-{instance.name}", dependencies, _read_caller_limits(settings)
     )
     tls = make_server_context(settings.callers.tls) if settings.callers.tls else None
-    instance.listeners.append(await start_listener(callers, callers_socket, tls))
+    bounds = _read_connection_bounds(instance)
+    instance.listeners.append(
+        await start_listener(callers, callers_socket, tls, bounds)
+    )
 
 
 def _log_start(instance):
@@ -314,6 +326,17 @@
     )
 
 
+def _read_connection_bounds(instance):
+    callers = instance.settings.callers
+    metrics = instance.observer.metrics
+    return ConnectionBounds(
+        max_connections=callers.max_connections,
+        header_timeout_s=callers.header_timeout_s,
+        body_timeout_s=callers.body_timeout_s,
+        count_refused=lambda: count_refused_connection(metrics, "callers"),
+    )
+
+
 def _read_caller_limits(settings):
     callers = settings.callers
     return CallerLimits(
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -3,6 +3,7 @@
 Errors: ``ListenerError``. Features: ``features/daemon``.
 """
 
+from jujubenotch.listeners.bounds import ConnectionBounds
 from jujubenotch.listeners.core import (
     Listener,
     ListenerError,
@@ -12,6 +13,7 @@
 )
 
 __all__ = [
+    "ConnectionBounds",
     "Listener",
     "ListenerError",
     "bind_socket",
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -3,10 +3,13 @@
 import socket
 import ssl
 from dataclasses import dataclass
+from functools import partial
 
 from sanic import Sanic
 from sanic.server.async_server import AsyncioServer
 
+from jujubenotch.listeners.bounds import BoundedProtocol, ConnectionBounds
+
 BACKLOG_CONNECTIONS = 1024
 
 
@@ -51,13 +54,17 @@
 
 
 async def start_listener(
-    app: Sanic, bound: socket.socket, tls: ssl.SSLContext | None = None
+    app: Sanic,
+    bound: socket.socket,
+    tls: ssl.SSLContext | None = None,
+    bounds: ConnectionBounds | None = None,
 ) -> Listener:
     """Serve an application on a bound socket, in the running loop.
 
     :param app: The application.
     :param bound: The socket.
     :param tls: The TLS context; ``None`` serves plain HTTP.
+    :param bounds: Bounds on its connections; ``None`` leaves the library's.
     :returns: The listener.
     """
     host, port = bound.getsockname()[:2]
@@ -70,6 +77,7 @@
         backlog=BACKLOG_CONNECTIONS,
         access_log=False,
         return_asyncio_server=True,
+        protocol=partial(BoundedProtocol, bounds=bounds) if bounds else None,
     )
     await server.startup()
     await server.start_serving()
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -56,6 +56,7 @@
     invariant_violations: Counter
     configuration_rejections: Counter
     authentication_failures: Counter
+    refused_connections: Counter
     first_token: Histogram
     between_tokens: Histogram
     queued: Gauge
@@ -98,6 +99,7 @@
         "invariant_violations": "Invariants found violated, by name",
         "configuration_rejections": "Changes of the records rejected, by reason",
         "authentication_failures": "Wrong or missing keys, by listener",
+        "refused_connections": "Connections over a listener's bound, by listener",
     }
     return {
         name: Counter(f"jujubenotch_{name}_total", document, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -75,6 +75,15 @@
     metrics.authentication_failures.inc({"listener": listener})
 
 
+def count_refused_connection(metrics: Metrics, listener: str) -> None:
+    """Count a connection that was closed since too many were open.
+
+    :param metrics: The metrics.
+    :param listener: ``callers``, ``operators`` or ``peers``.
+    """
+    metrics.refused_connections.inc({"listener": listener})
+
+
 def observe_first_token(metrics: Metrics, service_class: str, delay_s: float) -> None:
     """Observe a request's first token.
 
