Let a request that failed on every upstream probe one of them

Cause: a probe is sent only with a request that has not failed on the ejected upstream, so with one upstream in a target a retry waited until its deadline, though the upstream could be probed after a second; a request at the head of its lane kept all others from probing too. features/path/faults.feature:44 timed out on it at 30 s. Ruled out: the listener's bounds (it failed the same way without). Now such a request probes when no upstream in service is left that it has not failed on. Before: the new scenario and faults.feature:44 fail; after: both pass.

--- a/features/admission/probes.feature
+++ b/features/admission/probes.feature
@@ -42,3 +42,19 @@
     And "draft" is released
     And 8 requests of tier 0 are running
     Then every upstream runs 4 requests
+
+  Scenario: A request doesn't probe where it failed while another upstream is left
+    When 1 seconds pass
+    And 4 requests of tier 0 are running
+    And requests arrive
+      | id    | tier | excluded |
+      | draft | 3    | e1       |
+    Then "draft" is neither granted nor refused
+
+  Scenario: A request that failed on every upstream probes one of them
+    When 1 seconds pass
+    And 4 requests of tier 0 are running
+    And requests arrive
+      | id    | tier | excluded |
+      | draft | 3    | e1 e2    |
+    Then "draft" is granted on "e1"
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -83,11 +83,20 @@
     for tier in tiers:
         lanes = [pool.lanes[tier].get(name) for name in account.record.models]
         _, queued = _find_next([lane for lane in lanes if lane is not None])
-        if queued and account.name not in queued.request.excluded_upstreams:
+        if queued and _may_probe_with(pool, queued.request, account):
             return queued
     return None
 
 
+def _may_probe_with(pool, request, account):
+    excluded = request.excluded_upstreams
+    if account.name not in excluded:
+        return True
+    # What failed there goes elsewhere, but waits in vain if all others failed it.
+    others = pool.targets[request.target].accounts
+    return all(other.name in excluded for other in others if is_in_service(other))
+
+
 def _grant_floor(pool, this_round):
     for queued in find_floor_due(pool, this_round.now_s):
         tier_of_no_reserve = 0
