--- a/benchmarks/schedule.py
+++ b/benchmarks/schedule.py
@@ -7,7 +7,8 @@
 
 CALM_BEGIN_RATIO = 0.1
 CALM_END_RATIO = 0.1
-MEAN_INTERVAL_S = 1.5
+LONGEST_MEAN_INTERVAL_S = 1.5
+MEAN_INTERVAL_RATIO = 1 / 15
 TOGETHER_RATIO = 0.3
 TWICE_RATIO = 0.2
 TWICE_PAUSE_S = 0.3
@@ -132,9 +133,10 @@
     generator = random.Random(f"faults {seed}")
     begin_s = CALM_BEGIN_RATIO * duration_s
     end_s = (1 - CALM_END_RATIO) * duration_s
+    interval_s = min(LONGEST_MEAN_INTERVAL_S, MEAN_INTERVAL_RATIO * duration_s)
     planned = []
     bag = []
-    at_s = begin_s + generator.expovariate(1 / MEAN_INTERVAL_S)
+    at_s = begin_s + generator.expovariate(1 / interval_s)
     while at_s < end_s:
         count = 2 if generator.random() < TOGETHER_RATIO else 1
         for _ in range(count):
@@ -142,7 +144,7 @@
                 bag = generator.sample(list(kinds), len(kinds))
             event = _draw_event(generator, bag.pop(), at_s, duration_s, places)
             planned += _repeat(generator, event)
-        at_s += generator.expovariate(1 / MEAN_INTERVAL_S)
+        at_s += generator.expovariate(1 / interval_s)
     chosen = _drop_overlapping(sorted(planned, key=lambda event: event.at_s), end_s)
     return [replace(event, number=number) for number, event in enumerate(chosen)]
 
--- /dev/null
+++ b/features/soak/journal_makers.py
@@ -0,0 +1,101 @@
+"""Makes small journals by hand, in which all goes well."""
+
+from benchmarks.journals import (
+    Change,
+    Commit,
+    FaultSpan,
+    InForce,
+    Journals,
+    Ran,
+    Told,
+)
+from benchmarks.schedule import FaultKind
+
+INSTANCE = "a-1"
+SIBLING = "a-2"
+ENGINE = "engine-1"
+QUERY_AT_S = 100.0
+
+
+def make_told(number, sent_s, **fields):
+    values = {
+        "digest": f"digest-{number}",
+        "request_id": f"{INSTANCE}-f00-{number}",
+        "instance": INSTANCE,
+        "service_class": "query",
+        "tier": 0,
+        "target": "model",
+        "outcome": "completed",
+        "ended_s": sent_s + 1.0,
+        "deadline_s": 10.0,
+        "is_right": True,
+    }
+    return Told(number=number, sent_s=sent_s, **values | fields)
+
+
+def make_runs(told, upstream=ENGINE):
+    sender = told.instance
+    return [
+        Ran(
+            upstream=upstream,
+            event=event,
+            digest=told.digest,
+            time_s=told.sent_s + 0.5,
+            request_id=told.request_id,
+            sender=sender,
+            sender_process=f"{sender}-f00",
+            idempotency_key=told.idempotency_key,
+        )
+        for event in ("received", "started")
+    ]
+
+
+def make_fault(kind, target, begin_s, settled_s, exit_code=None):
+    return FaultSpan(
+        kind=kind,
+        target=target,
+        begin_s=begin_s,
+        settled_s=settled_s,
+        exit_code=exit_code,
+    )
+
+
+def add(journals, told, *, ran=True):
+    journals.told.append(told)
+    if ran:
+        journals.ran += make_runs(told)
+
+
+def make_journals():
+    """A run from 0 s to 200 s; a query each second, and one change."""
+    journals = Journals(
+        data_centres={INSTANCE: "a", SIBLING: "a", ENGINE: "a"},
+        began_s=0.0,
+        stopped_s=200.0,
+    )
+    for number in range(60):
+        add(journals, make_told(number, float(number)))
+    submission = make_told(
+        900, 61.0, idempotency_key="key-900", service_class="call", target="returns"
+    )
+    add(journals, submission)
+    journals.faults = [
+        make_fault(FaultKind.UPSTREAM_LEAVES, ENGINE, 150.0, 160.0),
+        make_fault(FaultKind.STOP_INSTANCE, INSTANCE, 170.0, 175.0, exit_code=0),
+    ]
+    journals.changes = [
+        Change(
+            change_id="c-1",
+            instance=INSTANCE,
+            result="accepted",
+            told_s=50.0,
+            revision=2,
+        )
+    ]
+    journals.commits = [Commit(change_id="c-1", revision=2, time_s=49.9)]
+    for name in (INSTANCE, SIBLING):
+        journals.in_force += [
+            InForce(instance=name, process=0, revision=1, time_s=0.0),
+            InForce(instance=name, process=0, revision=2, time_s=51.0),
+        ]
+    return journals
