--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -6,6 +6,7 @@
 Options:
     --seed=N        Fixes the load and the faults [default: 1].
     --duration-s=S  How long requests are sent, at most 3600 [default: 60].
+    --kinds=NAMES   Draw only these kinds of faults, comma-separated.
     --output=DIR    Journals and logs [default: build/soak].
 
 The exit code is 0 when every rule holds, 1 when one is broken, and 2 when the
@@ -104,17 +105,27 @@
     return "\n".join(lines)
 
 
-async def run_soak(*, seed: int, duration_s: float, directory: Path) -> Journals:
+async def run_soak(
+    *,
+    seed: int,
+    duration_s: float,
+    directory: Path,
+    kinds: Sequence[FaultKind] = tuple(FaultKind),
+) -> Journals:
     """Run a fleet under load and faults.
 
     :param seed: Fixes the load and the faults.
     :param duration_s: How long requests are sent.
     :param directory: Where journals and logs go.
+    :param kinds: The kinds of faults to draw from.
     """
     deployment = make_deployment()
     plan = make_load(deployment, seed, duration_s)
     events = plan_faults(
-        seed=seed, duration_s=duration_s, places=make_places(deployment)
+        seed=seed,
+        duration_s=duration_s,
+        places=make_places(deployment),
+        kinds=kinds,
     )
     fleet_plan = make_fleet_plan(deployment, seed)
     _log_events(directory, events)
@@ -251,7 +262,11 @@
         f"{PLATFORM} and relays beside the instances and upstreams",
         flush=True,
     )
-    journals = await run_soak(seed=seed, duration_s=duration_s, directory=directory)
+    names = arguments["--kinds"]
+    kinds = [FaultKind(name) for name in names.split(",")] if names else list(FaultKind)
+    journals = await run_soak(
+        seed=seed, duration_s=duration_s, directory=directory, kinds=kinds
+    )
     verdicts = check_journals(journals)
     print(format_verdicts(verdicts))
     if any(verdict.broken for verdict in verdicts):
