Take a fleet's ports outside the kernel's range for outgoing connections

Cause: two fleets that started at once took ports from the ephemeral range, and a relay's port was taken by an outgoing connection before it listened (a relay told 500 at its start). Before: seen once in four parallel starts.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import os
+import random
 import signal
 import socket
 import sys
@@ -11,6 +12,8 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 LOOPBACK = "127.0.0.1"
+FIRST_PORT = 10_000
+LAST_PORT = 32_000
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.02
 STOP_TIMEOUT_S = 15.0
@@ -55,16 +58,27 @@
 def take_free_ports(count: int) -> list[int]:
     """Find free ports on loopback.
 
+    They lie below the range that the kernel draws outgoing connections' ports
+    from, so that none is taken by one before it is listened on.
+
     :param count: How many.
     :returns: Ports that were free a moment ago, each a different one.
     """
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind((LOOPBACK, 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
+    ports = set()
+    while len(ports) < count:
+        port = random.randrange(FIRST_PORT, LAST_PORT)
+        if port not in ports and _is_free(port):
+            ports.add(port)
+    return list(ports)
+
+
+def _is_free(port):
+    with socket.socket() as probe:
+        try:
+            probe.bind((LOOPBACK, port))
+        except OSError:
+            return False
+    return True
 
 
 async def start_program(
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -288,7 +288,7 @@
     except asyncio.CancelledError:
         print("interrupted; all processes are stopped", file=sys.stderr)
         return EXIT_INTERRUPTED
-    except (FleetError, ProcessError, TimeoutError) as error:
+    except (FleetError, ProcessError, TimeoutError, BaseExceptionGroup) as error:
         print(f"the run failed: {error!r}", file=sys.stderr)
         return EXIT_FAILED
 
--- /dev/null
+++ b/features/listeners/steps/bounds_steps.py
@@ -0,0 +1,112 @@
+import asyncio
+import itertools
+
+from behave import given, then, when
+from sanic import Sanic, response
+
+from jujubenotch.listeners import (
+    ConnectionBounds,
+    bind_socket,
+    is_well_formed,
+    start_listener,
+    stop_listener,
+)
+
+NUMBERS = itertools.count()
+ANSWER_TIMEOUT_S = 10
+CONTROLS = {"<CRLF>": "\r\n", "<LF>": "\n", "<CR>": "\r", "<NUL>": "\0"}
+
+
+@given("a listener that takes {count:d} connections")
+def give_listener(context, count):
+    context.refused = []
+    context.opened = []
+    context.runner = asyncio.Runner()
+    context.add_cleanup(context.runner.close)
+    bounds = ConnectionBounds(
+        max_connections=count,
+        header_timeout_s=5.0,
+        body_timeout_s=5.0,
+        count_refused=lambda: context.refused.append(1),
+    )
+    starting = start_listener(make_app(), bind_socket("127.0.0.1", 0), None, bounds)
+    context.listener = context.runner.run(starting)
+    context.add_cleanup(stop, context)
+
+
+def make_app():
+    app = Sanic(f"bounded-{next(NUMBERS)}", configure_logging=False)
+
+    async def answer(request):
+        return response.text("here")
+
+    app.add_route(answer, "/")
+    return app
+
+
+def stop(context):
+    context.runner.run(stop_listener(context.listener))
+
+
+@when("{count:d} connections are opened")
+def open_connections(context, count):
+    async def open_all():
+        for _ in range(count):
+            opened = await asyncio.open_connection("127.0.0.1", context.listener.port)
+            context.opened.append(opened)
+            # Taken or refused before the next one is opened.
+            await asyncio.sleep(0.05)
+
+    context.runner.run(open_all())
+
+
+@then("the last one is closed and counted once")
+def check_closed(context):
+    assert not receive(context, context.opened[-1][0])
+    assert len(context.refused) == 1
+
+
+@then("the first one is answered")
+def check_answered(context):
+    ask(context, context.opened[0])
+
+
+@when("the first one is closed")
+def close_first(context):
+    async def close():
+        _, writer = context.opened[0]
+        writer.close()
+        await asyncio.sleep(0.1)
+
+    context.runner.run(close())
+
+
+@then("a new one is answered")
+def check_new(context):
+    open_connections(context, 1)
+    ask(context, context.opened[-1])
+
+
+def ask(context, opened):
+    reader, writer = opened
+    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    assert receive(context, reader).startswith(b"HTTP/1.1 200 ")
+
+
+def receive(context, reader):
+    async def read():
+        try:
+            async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                return await reader.read(4096)
+        except ConnectionResetError:
+            return b""
+
+    return context.runner.run(read())
+
+
+@then('the head line "{line}" is {verdict}')
+def check_head(context, line, verdict):
+    for name, control in CONTROLS.items():
+        line = line.replace(name, control)
+    head = f"POST / HTTP/1.1\r\nHost: a\r\n{line}".encode()
+    assert is_well_formed(head) == (verdict == "well formed")
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -1,9 +1,9 @@
 """Serves HTTP applications in the daemon's own loop.
 
-Errors: ``ListenerError``. Features: ``features/daemon``.
+Errors: ``ListenerError``. Features: ``features/listeners``.
 """
 
-from jujubenotch.listeners.bounds import ConnectionBounds
+from jujubenotch.listeners.bounds import ConnectionBounds, is_well_formed
 from jujubenotch.listeners.core import (
     Listener,
     ListenerError,
@@ -17,6 +17,7 @@
     "Listener",
     "ListenerError",
     "bind_socket",
+    "is_well_formed",
     "start_listener",
     "stop_listener",
 ]
