--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -83,18 +83,15 @@
     for tier in tiers:
         lanes = [pool.lanes[tier].get(name) for name in account.record.models]
         _, queued = _find_next([lane for lane in lanes if lane is not None])
-        if queued and _may_probe_with(pool, queued.request, account):
+        if queued and _may_be_probe(pool, queued.request, account):
             return queued
     return None
 
 
-def _may_probe_with(pool, request, account):
-    excluded = request.excluded_upstreams
-    if account.name not in excluded:
-        return True
-    # What failed there goes elsewhere, but waits in vain if all others failed it.
-    others = pool.targets[request.target].accounts
-    return all(other.name in excluded for other in others if is_in_service(other))
+def _may_be_probe(pool, request, account):
+    """Keep a request from an upstream that it failed on, unless all are ejected."""
+    is_excluded = account.name in request.excluded_upstreams
+    return not is_excluded or not pool.targets[request.target].slots
 
 
 def _grant_floor(pool, this_round):
