--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -34,9 +34,18 @@
     wait_until_idle,
 )
 from jujubenotch.invariants import make_violations_fatal
-from jujubenotch.listeners import bind_socket, start_listener, stop_listener
+from jujubenotch.listeners import (
+    ConnectionBounds,
+    bind_socket,
+    start_listener,
+    stop_listener,
+)
 from jujubenotch.logs import configure_logging, log_event
-from jujubenotch.metrics import make_metrics, set_revision
+from jujubenotch.metrics import (
+    count_refused_connection,
+    make_metrics,
+    set_revision,
+)
 from jujubenotch.operators import build_operator_app
 from jujubenotch.platform import connect_platform
 from jujubenotch.records import (
@@ -277,12 +286,15 @@
     operators = build_operator_app(
         f"operators-{instance.name}", make_operator_dependencies(instance)
     )
-    for app, bound, section in (
-        (callers, callers_socket, settings.callers),
-        (operators, operators_socket, settings.operators),
+    bounds = _read_connection_bounds(instance)
+    for app, bound, section, connection_bounds in (
+        (callers, callers_socket, settings.callers, bounds),
+        (operators, operators_socket, settings.operators, None),
     ):
         tls = make_server_context(section.tls) if section.tls else None
-        instance.listeners.append(await start_listener(app, bound, tls))
+        instance.listeners.append(
+            await start_listener(app, bound, tls, connection_bounds)
+        )
 
 
 def _log_start(instance):
@@ -333,6 +345,17 @@
     )
 
 
+def _read_connection_bounds(instance):
+    callers = instance.settings.callers
+    metrics = instance.observer.metrics
+    return ConnectionBounds(
+        max_connections=callers.max_connections,
+        header_timeout_s=callers.header_timeout_s,
+        body_timeout_s=callers.body_timeout_s,
+        count_refused=lambda: count_refused_connection(metrics, "callers"),
+    )
+
+
 def _read_caller_limits(settings):
     callers = settings.callers
     return CallerLimits(
