--- a/features/path/steps/bad_actor_steps.py
+++ b/features/path/steps/bad_actor_steps.py
@@ -6,13 +6,13 @@
 
 from behave import given, then, when
 
-from features.path.records import KEY
 from features.path.steps.path_steps import (
     CHAT_PATH,
     make_body,
     send,
     start_path_daemon,
 )
+from features.path_records import KEY
 from features.programs import wait_until
 
 SMUGGLED = (
