--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -23,7 +23,7 @@
 from jujubenotch.daemon.observer import CallObserver
 from jujubenotch.daemon.operations import make_operator_dependencies
 from jujubenotch.daemon.parts import Instance
-from jujubenotch.daemon.reread import reread_settings
+from jujubenotch.daemon.reread import run_rereads
 from jujubenotch.daemon.spread import ConfigurationSpread, see_revision
 from jujubenotch.dispatch import (
     Dispatcher,
@@ -83,24 +83,27 @@
     """
     configure_logging(format_name=settings.logs.format, level=settings.logs.level)
     make_violations_fatal(is_fatal=settings.invariants.fatal)
-    instance = await start_instance(settings, settings_path)
+    stopping = asyncio.Event()
+    hang_up = asyncio.Event()
+    # Before the listeners: who sees the instance listen may signal it.
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, instance.stopping.set)
-
-    def reread():
-        instance.tasks.append(loop.create_task(reread_settings(instance)))
-
-    loop.add_signal_handler(signal.SIGHUP, reread)
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, hang_up.set)
+    instance = await start_instance(settings, settings_path, stopping)
+    instance.tasks.append(asyncio.create_task(run_rereads(instance, hang_up)))
     await instance.stopping.wait()
     await stop_instance(instance)
 
 
-async def start_instance(settings: Settings, settings_path: str) -> Instance:
+async def start_instance(
+    settings: Settings, settings_path: str, stopping: asyncio.Event
+) -> Instance:
     """Start the parts of an instance.
 
     :param settings: The checked settings.
     :param settings_path: The file that they came from.
+    :param stopping: Set when the instance is to take nothing new.
     :returns: The running instance.
     :raises DaemonError: The records are wrong.
     :raises ListenerError: An address can't be listened on.
@@ -143,6 +146,7 @@
         ),
         operator_key_digests=settings.operators.key_sha256,
         started_s=time.monotonic(),
+        stopping=stopping,
     )
     instance.tasks.append(asyncio.create_task(run_polls(keeper)))
     instance.tasks.append(asyncio.create_task(run_sweeper(claims)))
@@ -288,8 +292,8 @@
     )
     bounds = _read_connection_bounds(instance)
     for app, bound, section, connection_bounds in (
-        (callers, callers_socket, settings.callers, bounds),
         (operators, operators_socket, settings.operators, None),
+        (callers, callers_socket, settings.callers, bounds),
     ):
         tls = make_server_context(section.tls) if section.tls else None
         instance.listeners.append(
@@ -298,7 +302,7 @@
 
 
 def _log_start(instance):
-    callers, operators = instance.listeners
+    operators, callers = instance.listeners
     log_event(
         logger,
         logging.INFO,
--- a/jujubenotch/daemon/parts.py
+++ b/jujubenotch/daemon/parts.py
@@ -25,7 +25,7 @@
     :param tasks: The tasks that run until the instance ends.
     :param stopping: Set when the instance takes nothing new.
 
-    >>> instance = await start_instance(settings, "a1.toml")
+    >>> instance = await start_instance(settings, "a1.toml", asyncio.Event())
     >>> instance.stopping.set()
     >>> await stop_instance(instance)
     """
@@ -41,10 +41,10 @@
     dispatcher: Dispatcher
     operator_key_digests: tuple[str, ...]
     started_s: float
+    stopping: asyncio.Event
     rereads: int = 0
     listeners: list[Listener] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
-    stopping: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def name(self) -> str:
--- a/jujubenotch/daemon/reread.py
+++ b/jujubenotch/daemon/reread.py
@@ -1,5 +1,6 @@
 """Reads again, on SIGHUP, what can change while the instance runs."""
 
+import asyncio
 import logging
 
 from jujubenotch.daemon.configuration import load_embedded_records
@@ -11,6 +12,18 @@
 logger = logging.getLogger(__name__)
 
 
+async def run_rereads(instance: Instance, hang_up: asyncio.Event) -> None:
+    """Read the settings again after each signal, until cancelled.
+
+    :param instance: The running instance.
+    :param hang_up: Set by the signal.
+    """
+    while True:
+        await hang_up.wait()
+        hang_up.clear()
+        await reread_settings(instance)
+
+
 async def reread_settings(instance: Instance) -> None:
     """Read the settings again: logs, operators' keys, embedded records.
 
