Show the tool against two running daemons; log a drain by what it is

The daemon logged that an upstream was taken back whenever a drain became a record, since that clears the instance's own memory of it. The operators' interface now logs the drain and whether it lasts; the daemon only what it remembers.

--- a/features/cli/steps/cli_steps.py
+++ b/features/cli/steps/cli_steps.py
@@ -1,5 +1,6 @@
 import asyncio
 import contextlib
+import hashlib
 import io
 import json
 import os
@@ -15,6 +16,7 @@
 
 from features.certificates import make_authority, make_certificate
 from features.operator_server import KEY, call, start_server
+from features.programs import start_daemon, start_program, wait_until
 from jujubenotch.cli import program
 from jujubenotch.records import build_configuration, list_records, parse_documents
 
@@ -26,6 +28,11 @@
 def start(context):
     context.server = start_server(context)
     context.address = context.server.address
+    write_files(context)
+
+
+@given("an operator's files")
+def write_files(context):
     context.key = KEY
     directory = tempfile.TemporaryDirectory()
     context.add_cleanup(directory.cleanup)
@@ -63,6 +70,38 @@
     context.printed = context.stdout + errors.getvalue()
 
 
+@given("two daemons that share the platform's stand-in")
+def start_daemons(context):
+    directory = tempfile.TemporaryDirectory()
+    context.add_cleanup(directory.cleanup)
+    platform = start_program(context, "standins.platform")
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    sections = {
+        "platform": {"kind": "http", "url": platform.url},
+        "operators": {"key_sha256": [digest]},
+    }
+    first = start_daemon(context, directory.name, sections, "a1")
+    seed = f"a1@north@127.0.0.1:{first.peers_port}"
+    sections["peers"] = {"seeds": [seed]}
+    second = start_daemon(context, directory.name, sections, "a2")
+    context.daemons = {"first": first, "second": second}
+
+
+@when('"{command}" is run at the {place}')
+def run_at(context, command, place):
+    context.address = context.daemons[place].operators_url
+    run(context, command)
+
+
+@then('"{command}" at the {place} prints "{text}" within {bound_s:d} s')
+def check_at(context, command, place, text, bound_s):
+    def is_printed():
+        run_at(context, command, place)
+        return text in context.printed
+
+    wait_until(is_printed, bound_s)
+
+
 @given("the files are applied")
 def apply_files(context):
     run(context, "apply new.toml old.toml")
--- a/jujubenotch/daemon/operations.py
+++ b/jujubenotch/daemon/operations.py
@@ -44,8 +44,8 @@
         instance.capacity.drain(upstream, is_drained=is_drained)
         log_event(
             logger,
-            logging.WARNING,
-            "upstream-drained" if is_drained else "upstream-undrained",
+            logging.INFO,
+            "drain-remembered" if is_drained else "drain-forgotten",
             upstream=upstream,
         )
 
--- a/jujubenotch/operators/drain.py
+++ b/jujubenotch/operators/drain.py
@@ -1,7 +1,9 @@
 """Drains upstreams, by a record where the platform answers."""
 
+import logging
 import uuid
 
+from jujubenotch.logs import log_event
 from jujubenotch.operators.apply import read_document
 from jujubenotch.operators.dependencies import OperatorDependencies
 from jujubenotch.operators.documents import DrainDocument, DrainRequest
@@ -21,6 +23,8 @@
     submit_change,
 )
 
+logger = logging.getLogger(__name__)
+
 
 async def drain_upstream(
     dependencies: OperatorDependencies, name: str, body: bytes
@@ -46,6 +50,13 @@
     # A lasting drain needs no memory, and one taken back must leave none.
     remembers = document.is_draining and refusal is not None
     await dependencies.drain(name, remembers)
+    log_event(
+        logger,
+        logging.WARNING,
+        "upstream-drained" if document.is_draining else "upstream-undrained",
+        upstream=name,
+        is_lasting=refusal is None,
+    )
     return DrainDocument(
         upstream=name,
         is_draining=document.is_draining,
