Let a slowdown of seconds not empty the queue of drafts

The predicted wait takes the slots of that moment, which the upper tiers fill while an engine is ejected.

A prediction now also takes the rate of starts over the last minute, and the shorter wait counts. Overflow to another data centre and the time to come back still follow the slots of the moment. The feature's queue was refused before.

The experiment ends its processes when it is told to stop.

--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -22,6 +22,7 @@
 
 import asyncio
 import dataclasses
+import signal
 import sys
 import tomllib
 from pathlib import Path
@@ -46,6 +47,7 @@
 QUIET_LAG_S = 2.0
 RUN_TIMEOUT_S = 900
 EXIT_WRONG_SETTINGS = 2
+EXIT_INTERRUPTED = 130
 JUDGEMENT_HEAD = ("run", "bound", "measured", "met")
 MACHINE_HEAD = ("run", "useful tokens", "cores used", "load before", "load after")
 VERDICTS = {True: "met", False: "NOT MET", None: "not judged"}
@@ -203,10 +205,18 @@
     }
 
 
+async def _run_until_told(settings):
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    await run(settings)
+
+
 def main() -> int:
     """Run the command.
 
-    :returns: The exit code: 2 for wrong settings.
+    :returns: The exit code: 2 for wrong settings, 130 when told to stop.
     """
     try:
         settings = read_settings(docopt(__doc__))
@@ -214,7 +224,11 @@
         print(e, file=sys.stderr)
         return EXIT_WRONG_SETTINGS
     uvloop.install()
-    asyncio.run(run(settings))
+    try:
+        asyncio.run(_run_until_told(settings))
+    except asyncio.CancelledError:
+        print("interrupted; all processes are stopped", file=sys.stderr)
+        return EXIT_INTERRUPTED
     return 0
 
 
--- a/features/admission/refusals.feature
+++ b/features/admission/refusals.feature
@@ -55,3 +55,16 @@
     When 10 requests of tier 0 wait
     Then the estimated wait of tier 0 is 11 to 13 seconds
     And the estimated wait of tier 3 is more than that of tier 0
+
+  Scenario: A slowdown of seconds doesn't empty a queue that moved well before
+    Given a pool with upstreams
+      | name | models | slots |
+      | e1   | m      | 8     |
+    When 120 requests of tier 2 arrive at 2 a second and run for 2 seconds each
+    And 8 requests of tier 0 are running
+    And requests arrive
+      | id     | tier | deadline_s | class | max_wait_s |
+      | draft1 | 2    | 20         | bulk  | 100        |
+      | draft2 | 2    | 20         | bulk  | 100        |
+    And 250 requests of tier 0 wait
+    Then "draft2" is not refused
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -15,6 +15,7 @@
     take_slot,
 )
 from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
+from jujubenotch.estimates import count_event
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.routing import (
     choose_upstream,
@@ -178,6 +179,8 @@
         request_id=request.request_id,
     )
     note_served(pool, queued, this_round.now_s)
+    demand = pool.targets[request.target].demands[request.tier]
+    count_event(demand.started, this_round.now_s)
     remove_request(pool, queued)
     pool.sequence += 1
     pool.grants_made += 1
--- a/jujubenotch/admission/waits.py
+++ b/jujubenotch/admission/waits.py
@@ -9,7 +9,7 @@
 
 from jujubenotch.admission.reserve import DEFAULT_HOLD_S, offered_slots, required_free
 from jujubenotch.admission.state import Pool, TargetAccount
-from jujubenotch.estimates import draw_fraction
+from jujubenotch.estimates import draw_fraction, read_rate
 from jujubenotch.work import TIERS, WorkRequest
 
 MIN_DRAIN_SLOTS = 0.1
@@ -88,6 +88,9 @@
         return False
     ahead = _count_ahead(pool, request, is_queued)
     wait_s = estimate_wait_s(pool, target, request.tier, now_s, ahead=ahead)
+    started_per_s = read_rate(demand.started, now_s)
+    if started_per_s > 0:
+        wait_s = min(wait_s, (ahead + 1) / started_per_s)
     if request.tier > 0:
         wait_s = min(wait_s, _promised_wait_s(pool, request, is_queued))
     left_s = request.deadline_s - now_s
