--- a/features/benchmarks/fleet.feature
+++ b/features/benchmarks/fleet.feature
@@ -5,7 +5,9 @@
     Then each instance answers a query rightly
     When its first instance is killed and started again
     Then each instance answers a query rightly
-    When an engine's route is cut
-    Then a query of its data centre is refused and not run
+    When the route of its data centre's only engine is cut
+    Then a query there is answered rightly by another data centre
+    When the routes of all engines are cut
+    Then a query there is refused and not run
     When the fleet is stopped
     Then none of its processes is left
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -84,11 +84,23 @@
     for tier in tiers:
         lanes = [pool.lanes[tier].get(name) for name in account.record.models]
         _, queued = _find_next([lane for lane in lanes if lane is not None])
-        if queued and account.name not in queued.request.excluded_upstreams:
+        if queued and _may_be_probe(pool, queued.request, account):
             return queued
     return None
 
 
+def _may_be_probe(pool, request, account):
+    """Tell whether a request may run on an upstream that may still be broken.
+
+    One that may not be repeated, or that failed there, only when all upstreams
+    of its target are ejected.
+    """
+    is_excluded = account.name in request.excluded_upstreams
+    if request.is_idempotent and not is_excluded:
+        return True
+    return not pool.targets[request.target].slots
+
+
 def _grant_floor(pool, this_round):
     for queued in find_floor_due(pool, this_round.now_s):
         tier_of_no_reserve = 0
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -1,8 +1,9 @@
 """Serves HTTP applications in the daemon's own loop.
 
-Errors: ``ListenerError``. Features: ``features/daemon``.
+Errors: ``ListenerError``. Features: ``features/listeners``.
 """
 
+from jujubenotch.listeners.bounds import ConnectionBounds, is_well_formed
 from jujubenotch.listeners.core import (
     Listener,
     ListenerError,
@@ -12,9 +13,11 @@
 )
 
 __all__ = [
+    "ConnectionBounds",
     "Listener",
     "ListenerError",
     "bind_socket",
+    "is_well_formed",
     "start_listener",
     "stop_listener",
 ]
