Let the stream of the planned stop's feature outlast the stop's other waits

With the wait for requests taken out of the daemon in a scratch copy the feature still passed: its stream of 59 tokens ended within the notice of 0.5 s. The engine is now ten times slower (some 3 s). Before: passes with the break; after: fails with it, passes without.

--- a/features/path/steps/path_steps.py
+++ b/features/path/steps/path_steps.py
@@ -18,6 +18,7 @@
 
 CHAT_PATH = "/v1/chat/completions"
 MAX_BODY_BYTES = 100_000
+LONG_STREAM_SLOWDOWN = 10.0
 
 
 @given("an engine")
@@ -239,10 +240,17 @@
     assert not children, children
 
 
+def slow_down(context, slowdown):
+    content = json.dumps({"slowdown": slowdown}).encode()
+    urllib.request.urlopen(f"{context.engine.url}/faults", data=content, timeout=20)
+
+
 @when("a long openai stream has begun")
 def begin_stream(context):
     context.request = make_body(stream=True, max_tokens=400)
     context.request["messages"][0]["content"] = "Draft the census narrative."
+    # It has to outlast all that a stopping daemon waits for beside requests.
+    slow_down(context, LONG_STREAM_SLOWDOWN)
     context.stream = iter(context.client.chat.completions.create(**context.request))
     context.received = next(context.stream).choices[0].delta.content or ""
 
