--- /dev/null
+++ b/benchmarks/progress.py
@@ -0,0 +1,122 @@
+"""The rule that each class progresses while it has work and an upstream is up."""
+
+from collections import defaultdict
+from dataclasses import dataclass
+
+from benchmarks.journals import STARTED, Journals, Told, is_struck, select_spans
+from benchmarks.schedule import PROCESS_FAULTS, FaultKind
+
+PROGRESS_WINDOW_S = 10.0
+HALF_WINDOW_S = PROGRESS_WINDOW_S / 2
+MIN_WINDOW_REQUESTS = 5
+SETTLE_S = 5.0
+DOWN_FAULTS = frozenset(
+    {
+        FaultKind.CRASH_UPSTREAM,
+        FaultKind.REFUSING_UPSTREAM,
+        FaultKind.SILENCE_UPSTREAM,
+        FaultKind.UPSTREAM_LEAVES,
+    }
+)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Window:
+    """A time in which a class had work and an upstream was up.
+
+    :param name: The class and the data centre.
+    :param requests: Those sent in it to instances that ran all through it.
+    """
+
+    name: str
+    begin_s: float
+    requests: list[Told]
+
+
+def check_progress(journals: Journals) -> list[str]:
+    """Each class progresses in each window with work and an upstream up.
+
+    A window counts for a class and a data centre when 5 requests to a model were
+    sent in its first half to instances that ran all through it, and one upstream
+    of the data centre was up all through it.
+
+    :param journals: The journals.
+    """
+    starts = defaultdict(list)
+    for ran in journals.ran:
+        if ran.event == STARTED:
+            starts[ran.digest].append(ran.time_s)
+    broken = []
+    for window in list_windows(journals):
+        times = [
+            time_s
+            for each in window.requests
+            for time_s in starts[each.digest]
+            if window.begin_s <= time_s <= window.begin_s + PROGRESS_WINDOW_S
+        ]
+        if not times:
+            broken.append(
+                f"{window.name} had no start in {PROGRESS_WINDOW_S:g} s from "
+                f"{window.begin_s - journals.began_s:.1f} s"
+            )
+    return broken
+
+
+def list_windows(journals: Journals) -> list[Window]:
+    """List the times that the rule is checked on.
+
+    :param journals: The journals.
+    """
+    last_s = max((told.sent_s for told in journals.told), default=journals.began_s)
+    served_by = _find_upstreams(journals)
+    windows = []
+    for (name, place), group in _group_by_class(journals).items():
+        begin_s = journals.began_s
+        while begin_s + PROGRESS_WINDOW_S <= last_s:
+            end_s = begin_s + PROGRESS_WINDOW_S
+            sent = [
+                each
+                for each in group
+                if begin_s <= each.sent_s < end_s
+                and not _is_struck_process(journals, each.instance, begin_s, end_s)
+            ]
+            early = [each for each in sent if each.sent_s < begin_s + HALF_WINDOW_S]
+            is_up = any(
+                not is_struck(
+                    select_spans(journals.faults, DOWN_FAULTS, [upstream]),
+                    begin_s - SETTLE_S,
+                    end_s,
+                    SETTLE_S,
+                )
+                for upstream in served_by[place]
+            )
+            if is_up and len(early) >= MIN_WINDOW_REQUESTS:
+                windows.append(
+                    Window(name=f"{name} in {place}", begin_s=begin_s, requests=sent)
+                )
+            begin_s += HALF_WINDOW_S
+    return windows
+
+
+def _group_by_class(journals):
+    groups = defaultdict(list)
+    for told in journals.told:
+        place = journals.data_centres[told.instance]
+        if told.idempotency_key:
+            continue
+        groups[told.service_class, place].append(told)
+    return groups
+
+
+def _find_upstreams(journals):
+    models = {each.digest for each in journals.told if not each.idempotency_key}
+    found = defaultdict(set)
+    for ran in journals.ran:
+        if ran.digest in models:
+            found[journals.data_centres[ran.upstream]].add(ran.upstream)
+    return found
+
+
+def _is_struck_process(journals, instance, begin_s, end_s):
+    spans = select_spans(journals.faults, PROCESS_FAULTS, [instance])
+    return is_struck(spans, begin_s, end_s, SETTLE_S)
--- a/benchmarks/rules.py
+++ b/benchmarks/rules.py
@@ -16,12 +16,11 @@
     is_struck,
     select_spans,
 )
+from benchmarks.progress import check_progress, list_windows
 from benchmarks.schedule import PROCESS_FAULTS, FaultKind
 from jujubenotch.outcomes import Outcome, RefusalReason
 
 ANSWER_BOUND_S = 3.0
-PROGRESS_WINDOW_S = 10.0
-MIN_WINDOW_REQUESTS = 5
 SETTLE_S = 5.0
 MIN_WAIT_S = 0.5
 # The floor may serve a lower tier within its bound: an eighth, and one.
@@ -160,41 +159,6 @@
     return broken
 
 
-def check_progress(journals: Journals) -> list[str]:
-    """Each class progresses in each window with work and an upstream up.
-
-    A window counts for a class when 5 requests were sent in its first half to
-    instances of one data centre that no fault struck in it, nor its upstreams.
-
-    :param journals: The journals.
-    """
-    starts = defaultdict(list)
-    for ran in journals.ran:
-        if ran.event == STARTED:
-            starts[ran.digest].append(ran.time_s)
-    broken = []
-    for (name, data_centre), group in _group_by_class(journals).items():
-        for begin_s in _list_windows(journals):
-            end_s = begin_s + PROGRESS_WINDOW_S
-            middle_s = begin_s + PROGRESS_WINDOW_S / 2
-            sent = [each for each in group if begin_s <= each.sent_s < middle_s]
-            if len(sent) < MIN_WINDOW_REQUESTS:
-                continue
-            if _is_troubled(journals, data_centre, begin_s, end_s):
-                continue
-            waiting = [each for each in group if each.sent_s <= end_s]
-            if not any(
-                begin_s <= time_s <= end_s
-                for each in waiting
-                for time_s in starts[each.digest]
-            ):
-                broken.append(
-                    f"{name} in {data_centre} had no start in {PROGRESS_WINDOW_S} s "
-                    f"from {begin_s - journals.began_s:.1f} s"
-                )
-    return broken
-
-
 def check_planned_stops(journals: Journals) -> list[str]:
     """No request in progress is cut by a planned stop, and each ends with 0.
 
@@ -254,35 +218,12 @@
     return is_struck(process + links, told.sent_s, told.ended_s, SETTLE_S)
 
 
-def _is_troubled(journals, data_centre, begin_s, end_s):
-    members = _list_members(journals, data_centre)
-    struck = {data_centre, "platform", *members}
-    spans = [each for each in journals.faults if each.target in struck]
-    return is_struck(spans, begin_s, end_s, SETTLE_S)
-
-
 def _list_members(journals, data_centre):
     return [
         name for name, place in journals.data_centres.items() if place == data_centre
     ]
 
 
-def _group_by_class(journals):
-    groups = defaultdict(list)
-    for told in journals.told:
-        place = journals.data_centres[told.instance]
-        groups[told.service_class, place].append(told)
-    return groups
-
-
-def _list_windows(journals):
-    begin_s = journals.began_s
-    last_s = max((told.sent_s for told in journals.told), default=begin_s)
-    while begin_s + PROGRESS_WINDOW_S <= last_s:
-        yield begin_s
-        begin_s += PROGRESS_WINDOW_S / 2
-
-
 def _describe(told: Told) -> str:
     return (
         f"request {told.number} ({told.service_class} at {told.instance}, "
@@ -333,7 +274,7 @@
     ),
     Rule(
         name="each class progresses",
-        count=lambda journals: len(_group_by_class(journals)),
+        count=lambda journals: len(list_windows(journals)),
         check=check_progress,
     ),
     Rule(
