Let a planned stop wait until each last answer is written out

Cause: a handler that has returned leaves its answer in the connection's buffer; the stop counted requests in the dispatcher only, and closed the loop with a large answer half sent to a slow caller. Ruled out: wait_closed(), which returns with connections open.

--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -71,6 +71,8 @@
 
 # Long enough for each peer to hear of the leaving and to ask another home.
 LEAVING_NOTICE_S = 0.5
+# For callers that read their last answer slowly or not at all.
+LAST_ANSWERS_TIMEOUT_S = 30.0
 
 
 async def run_instance(settings: Settings, settings_path: str) -> None:
@@ -166,8 +168,12 @@
     # Callers that the balancer still sends here are refused, not cut off.
     await asyncio.sleep(LEAVING_NOTICE_S)
     await _wait_for_requests(instance)
-    for listener in instance.listeners:
-        await stop_listener(listener)
+    await asyncio.gather(
+        *(
+            stop_listener(listener, LAST_ANSWERS_TIMEOUT_S)
+            for listener in instance.listeners
+        )
+    )
     await instance.claims.close()
     if instance.dispatcher.capacity is not instance.capacity:
         await instance.dispatcher.capacity.close()
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -1,5 +1,6 @@
 """One listening socket and the application behind it."""
 
+import asyncio
 import socket
 import ssl
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 from jujubenotch.listeners.bounds import BoundedProtocol, ConnectionBounds
 
 BACKLOG_CONNECTIONS = 1024
+CLOSE_POLL_S = 0.01
 
 
 class ListenerError(Exception):
@@ -84,14 +86,24 @@
     return Listener(app=app, server=server, host=host, port=port)
 
 
-async def stop_listener(listener: Listener) -> None:
-    """Take no new connection and close the idle ones.
+async def stop_listener(listener: Listener, timeout_s: float | None = None) -> int:
+    """Take no new connection, and close each as its last answer is written out.
 
-    Connections with a request in progress stay open; the caller of this
-    function waits for those requests first.
+    An answer that its handler has returned may still wait in the connection's
+    buffer, so the connections themselves tell when all is sent.
 
     :param listener: The listener.
+    :param timeout_s: How long to wait for them; ``None`` is no bound.
+    :returns: How many connections were still open at the bound.
     """
     listener.server.close()
-    for connection in list(listener.server.connections):
-        connection.close_if_idle()
+    connections = listener.server.connections
+    try:
+        async with asyncio.timeout(timeout_s):
+            while connections:
+                for connection in list(connections):
+                    connection.close_if_idle()
+                await asyncio.sleep(CLOSE_POLL_S)
+    except TimeoutError:
+        pass
+    return len(connections)
