Split the dispatcher and the instance into modules with one job each

Read as a newcomer: dispatch/dispatcher.py held types, decisions and answers in 400 lines, daemon/instance.py start, stop and bounds in 370. No behaviour changes; features/dispatch, features/claims and features/daemon pass.

--- /dev/null
+++ b/jujubenotch/daemon/start.py
@@ -0,0 +1,268 @@
+"""Starts the parts of an instance and puts them together."""
+
+import asyncio
+import itertools
+import logging
+import time
+
+from jujubenotch.callers import CallerDependencies, build_caller_app
+from jujubenotch.capacity import (
+    IndependentCapacity,
+    PeeredDependencies,
+    start_peered_capacity,
+)
+from jujubenotch.claims import CallClaims, make_claims, run_sweeper
+from jujubenotch.daemon.bounds import (
+    read_caller_limits,
+    read_connection_bounds,
+    read_connection_limits,
+)
+from jujubenotch.daemon.configuration import (
+    EMBEDDED_CHANGE_ID,
+    ConfigurationKeeper,
+    load_embedded_records,
+    poll_once,
+    run_polls,
+)
+from jujubenotch.daemon.observer import CallObserver
+from jujubenotch.daemon.operations import make_operator_dependencies
+from jujubenotch.daemon.parts import Instance
+from jujubenotch.daemon.spread import ConfigurationSpread, see_revision
+from jujubenotch.dispatch import (
+    Dispatcher,
+    RetryBudget,
+    RetryHistory,
+    may_retry,
+    record_success,
+)
+from jujubenotch.listeners import (
+    bind_socket,
+    start_listener,
+)
+from jujubenotch.logs import log_event
+from jujubenotch.metrics import (
+    make_metrics,
+    set_revision,
+)
+from jujubenotch.operators import build_operator_app
+from jujubenotch.platform import connect_platform
+from jujubenotch.records import (
+    ConfigurationReplica,
+    ConfigurationStore,
+    changes_since,
+)
+from jujubenotch.settings import (
+    Settings,
+    make_peer_contexts,
+    make_server_context,
+    parse_seed,
+)
+from jujubenotch.traces import encode_trace, make_traces, read_trace
+from jujubenotch.upstreams import (
+    open_connections,
+    read_load,
+)
+
+logger = logging.getLogger(__name__)
+
+
+async def start_instance(
+    settings: Settings, settings_path: str, stopping: asyncio.Event
+) -> Instance:
+    """Start the parts of an instance.
+
+    :param settings: The checked settings.
+    :param settings_path: The file that they came from.
+    :param stopping: Set when the instance is to take nothing new.
+    :returns: The running instance.
+    :raises DaemonError: The records are wrong.
+    :raises ListenerError: An address can't be listened on.
+    """
+    callers_socket, operators_socket, peers_socket = (
+        bind_socket(listener.host, listener.port)
+        for listener in (settings.callers, settings.operators, settings.peers)
+    )
+    incarnation = time.time_ns()
+    observer = CallObserver(metrics=make_metrics(), traces=make_traces())
+    keeper = await _start_configuration(settings, observer)
+    connections = open_connections(read_connection_limits(settings))
+    spread = ConfigurationSpread(keeper=keeper)
+    capacity = await start_peered_capacity(
+        _make_peered_dependencies(
+            settings, incarnation, peers_socket, keeper, connections, spread, observer
+        )
+    )
+    spread.fetch_changes = capacity.fetch_changes
+    divider = _choose_division(settings, capacity, connections, incarnation)
+    _follow_configuration(keeper, capacity, divider, observer)
+    claims = make_claims(platform=keeper.platform, instance=settings.instance.name)
+    call_claims = CallClaims(claims=claims)
+    instance = Instance(
+        settings=settings,
+        settings_path=settings_path,
+        incarnation=incarnation,
+        observer=observer,
+        keeper=keeper,
+        connections=connections,
+        capacity=capacity,
+        claims=call_claims,
+        dispatcher=Dispatcher(
+            capacity=divider,
+            connections=connections,
+            claims=call_claims,
+            observer=observer,
+            retry_budget=_make_retry_budget(keeper),
+            read_configuration=lambda: keeper.replica.configuration,
+        ),
+        operator_key_digests=settings.operators.key_sha256,
+        started_s=time.monotonic(),
+        stopping=stopping,
+    )
+    instance.tasks.append(asyncio.create_task(run_polls(keeper)))
+    instance.tasks.append(asyncio.create_task(run_sweeper(claims)))
+    await _start_listeners(instance, callers_socket, operators_socket)
+    _log_start(instance)
+    return instance
+
+
+async def _start_configuration(settings, observer):
+    platform = connect_platform(
+        kind=settings.platform.kind,
+        url=settings.platform.url,
+        timeout_s=settings.platform.timeout_s,
+    )
+    replica = ConfigurationReplica()
+    keeper = ConfigurationKeeper(
+        platform=platform,
+        replica=replica,
+        store=ConfigurationStore(platform=platform, replica=replica),
+    )
+    if settings.platform.records:
+        await load_embedded_records(
+            keeper, settings.platform.records, EMBEDDED_CHANGE_ID
+        )
+    await poll_once(keeper)
+    return keeper
+
+
+def _choose_division(settings, capacity, connections, incarnation):
+    if settings.capacity.division == "home":
+        return capacity
+    return IndependentCapacity(
+        name=settings.instance.name,
+        incarnation=incarnation,
+        data_centre=settings.instance.data_centre,
+        read_clock_s=time.monotonic,
+        read_load=lambda upstream: read_load(connections, upstream),
+    )
+
+
+def _follow_configuration(keeper, capacity, divider, observer):
+    def put_in_force(configuration):
+        now_s = time.monotonic()
+        capacity.reconfigure(configuration, now_s)
+        if divider is not capacity:
+            divider.reconfigure(configuration, now_s)
+        set_revision(observer.metrics, configuration.revision)
+        log_event(
+            logger,
+            logging.INFO,
+            "configuration-in-force",
+            revision=configuration.revision,
+        )
+
+    keeper.replica.on_change = put_in_force
+    put_in_force(keeper.replica.configuration)
+
+
+def _make_peered_dependencies(
+    settings, incarnation, bound, keeper, connections, spread, observer
+):
+    def read_own_trace(request_id):
+        trace = read_trace(observer.traces, request_id)
+        return encode_trace(trace) if trace else None
+
+    server_tls, client_tls = None, None
+    if settings.peers.tls is not None:
+        contexts = make_peer_contexts(settings.peers.tls)
+        server_tls, client_tls = contexts.server, contexts.client
+    return PeeredDependencies(
+        name=settings.instance.name,
+        data_centre=settings.instance.data_centre,
+        incarnation=incarnation,
+        advertised_host=settings.instance.advertised_host,
+        bound=bound,
+        read_configuration=lambda: keeper.replica.configuration,
+        read_clock_s=time.monotonic,
+        on_revision_seen=lambda revision, peer: see_revision(spread, revision, peer),
+        read_changes_since=lambda revision: changes_since(keeper.replica, revision),
+        read_trace=read_own_trace,
+        read_load=lambda upstream: read_load(connections, upstream),
+        list_instances=keeper.platform.list_instances,
+        seeds=tuple(parse_seed(text) for text in settings.peers.seeds),
+        server_tls=server_tls,
+        client_tls=client_tls,
+    )
+
+
+async def _start_listeners(instance, callers_socket, operators_socket):
+    settings = instance.settings
+    dependencies = CallerDependencies(
+        dispatcher=instance.dispatcher,
+        read_configuration=lambda: instance.keeper.replica.configuration,
+        make_request_id=_number_requests(instance),
+        is_stopping=instance.stopping.is_set,
+        count_refusal=instance.observer.count_early_refusal,
+    )
+    callers = build_caller_app(
+        f"callers-{instance.name}", dependencies, read_caller_limits(settings)
+    )
+    operators = build_operator_app(
+        f"operators-{instance.name}", make_operator_dependencies(instance)
+    )
+    bounds = read_connection_bounds(instance)
+    for app, bound, section, connection_bounds in (
+        (operators, operators_socket, settings.operators, None),
+        (callers, callers_socket, settings.callers, bounds),
+    ):
+        tls = make_server_context(section.tls) if section.tls else None
+        instance.listeners.append(
+            await start_listener(app, bound, tls, connection_bounds)
+        )
+
+
+def _log_start(instance):
+    operators, callers = instance.listeners
+    log_event(
+        logger,
+        logging.INFO,
+        "instance-started",
+        instance=instance.name,
+        data_centre=instance.settings.instance.data_centre,
+        incarnation=instance.incarnation,
+        callers_port=callers.port,
+        operators_port=operators.port,
+        revision=instance.keeper.replica.revision,
+    )
+
+
+def _make_retry_budget(keeper):
+    history = RetryHistory()
+
+    def may_retry_now(now_s):
+        return may_retry(history, keeper.replica.configuration.limits, now_s)
+
+    def record_success_now(now_s):
+        record_success(history, now_s)
+
+    return RetryBudget(may_retry=may_retry_now, record_success=record_success_now)
+
+
+def _number_requests(instance):
+    numbers = itertools.count(1)
+    prefix = f"{instance.name}-{instance.incarnation:x}"
+
+    def make_request_id():
+        return f"{prefix}-{next(numbers)}"
+
+    return make_request_id
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -4,19 +4,13 @@
 ``features/dispatch``.
 """
 
+from jujubenotch.dispatch.answers import STATUS_BY_REFUSAL
 from jujubenotch.dispatch.attempt import keep_end_to_end, read_clock_s
 from jujubenotch.dispatch.budget import RetryHistory, may_retry, record_success
 from jujubenotch.dispatch.call import Answer, Call, CallerGoneError, Sink
 from jujubenotch.dispatch.decide import AttemptEnd, GiveUp, Retry, decide_next
-from jujubenotch.dispatch.dispatcher import (
-    STATUS_BY_REFUSAL,
-    Claims,
-    Dispatcher,
-    Observer,
-    RetryBudget,
-    dispatch,
-    wait_until_idle,
-)
+from jujubenotch.dispatch.dispatcher import dispatch, wait_until_idle
+from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 
 __all__ = [
     "STATUS_BY_REFUSAL",
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -5,11 +5,14 @@
 import functools
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, field
-from typing import Protocol
+from dataclasses import dataclass
 
 from jujubenotch.admission import WorkReport, WorkRequest, WorkResult
-from jujubenotch.capacity import Capacity
+from jujubenotch.dispatch.answers import (
+    answer_give_up,
+    answer_refusal,
+    tell_failure,
+)
 from jujubenotch.dispatch.attempt import (
     Attempt,
     make_attempt,
@@ -22,88 +25,15 @@
     GiveUp,
     Retry,
     decide_next,
-    name_outcome,
     record_attempt,
 )
+from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
-from jujubenotch.outcomes import FailureReason, Outcome, Refusal, RefusalReason
-from jujubenotch.records import Configuration
-from jujubenotch.upstreams import UpstreamConnections
+from jujubenotch.outcomes import FailureReason, Outcome, Refusal
 
 logger = logging.getLogger(__name__)
 
-BAD_GATEWAY = 502
-GATEWAY_TIMEOUT = 504
-SERVICE_UNAVAILABLE = 503
-CONFLICT = 409
-TOO_MANY_REQUESTS = 429
-UNPROCESSABLE = 422
-UNREACHABLE_RETRY_AFTER_S = 1.0
-
-STATUS_BY_REFUSAL = {
-    RefusalReason.QUEUE_FULL: TOO_MANY_REQUESTS,
-    RefusalReason.TEAM_LIMIT: TOO_MANY_REQUESTS,
-    RefusalReason.DEADLINE_UNREACHABLE: TOO_MANY_REQUESTS,
-    RefusalReason.POWER_CAP: TOO_MANY_REQUESTS,
-    RefusalReason.CLAIM_HELD: CONFLICT,
-    RefusalReason.KEY_REUSED: UNPROCESSABLE,
-}
-
-
-class Claims(Protocol):
-    """At-most-once claims, as the dispatcher uses them."""
-
-    async def look_up(self, call: Call) -> Answer | None:
-        """Return the recorded answer, a refusal's answer, or ``None``."""
-
-    async def take(self, call: Call) -> Answer | None:
-        """Claim the call; ``None`` when it is this attempt's to send."""
-
-    def finish(self, call: Call, answer: Answer) -> None:
-        """Record the outcome of a claimed call; never blocks."""
-
-
-class Observer(Protocol):
-    """What is told of each step, for metrics and traces."""
-
-    def record(self, request_id: str, event: str, **fields) -> None:
-        """Add an event to the request's trace."""
-
-    def count_retry(self, reason: str) -> None:
-        """Count one retry."""
-
-    def count_end(self, call: Call, answer: Answer, report: WorkReport | None) -> None:
-        """Count the outcome of a call."""
-
-
-@dataclass(frozen=True, kw_only=True)
-class RetryBudget:
-    """The retry budget's two operations, with the present time in seconds."""
-
-    may_retry: Callable[[float], bool]
-    record_success: Callable[[float], None]
-
-
-@dataclass(kw_only=True)
-class Dispatcher:
-    """What running a call needs, and the calls in progress.
-
-    :param read_configuration: Returns the configuration in force.
-    :param in_progress: The tasks of the calls that run now.
-
-    >>> Dispatcher.__name__
-    'Dispatcher'
-    """
-
-    capacity: Capacity
-    connections: UpstreamConnections
-    claims: Claims
-    observer: Observer
-    retry_budget: RetryBudget
-    read_configuration: Callable[[], Configuration]
-    in_progress: set[asyncio.Task] = field(default_factory=set)
-
 
 async def dispatch(dispatcher: Dispatcher, call: Call, sink: Sink) -> Answer:
     """Run a call to its outcome.
@@ -169,13 +99,13 @@
         if answer is None:
             answer = await _run_attempts(dispatcher, call, progress, sink, reports)
     except CallerGoneError:
-        answer = _tell_failure(progress, FailureReason.CALLER_LEFT)
+        answer = tell_failure(progress, FailureReason.CALLER_LEFT)
     except asyncio.CancelledError:
-        answer = _tell_failure(progress, FailureReason.CALLER_LEFT)
+        answer = tell_failure(progress, FailureReason.CALLER_LEFT)
         raise
     finally:
         if answer is None:
-            answer = _tell_failure(progress, FailureReason.UPSTREAM_ERROR)
+            answer = tell_failure(progress, FailureReason.UPSTREAM_ERROR)
         _finish(dispatcher, call, progress, answer, reports)
     return answer
 
@@ -225,7 +155,7 @@
     while True:
         grant = await dispatcher.capacity.acquire(_write_work_request(call, progress))
         if isinstance(grant, Refusal):
-            return _answer_refusal(progress, grant)
+            return answer_refusal(progress, grant)
         dispatcher.observer.record(
             call.request_id, "granted", upstream=grant.upstream, home=grant.home
         )
@@ -323,7 +253,7 @@
     if isinstance(decision, Retry) and not dispatcher.retry_budget.may_retry(now_s):
         decision = decide(has_budget=False)
     if isinstance(decision, GiveUp):
-        return _answer_give_up(progress, attempt, decision)
+        return answer_give_up(progress, attempt, decision)
     dispatcher.observer.count_retry(decision.reason)
     dispatcher.observer.record(call.request_id, "retried", reason=decision.reason)
     log_event(
@@ -357,44 +287,3 @@
         between_tokens_target_s=service_class.between_tokens_target_s,
         is_idempotent=call.is_idempotent,
     )
-
-
-def _answer_refusal(progress, refusal):
-    outcome = name_outcome(progress)
-    return Answer(
-        outcome=outcome,
-        status=STATUS_BY_REFUSAL.get(refusal.reason, SERVICE_UNAVAILABLE),
-        reason=refusal.reason,
-        detail=refusal.detail,
-        retry_after_s=refusal.retry_after_s,
-        is_streamed=progress.is_started,
-    )
-
-
-def _answer_give_up(progress, attempt, decision):
-    if attempt.answer is not None and not progress.is_started:
-        attempt.answer.reason = decision.reason
-        attempt.answer.outcome = decision.outcome
-        return attempt.answer
-    is_not_run = decision.outcome is Outcome.NOT_RUN
-    status = SERVICE_UNAVAILABLE if is_not_run else BAD_GATEWAY
-    if decision.reason is FailureReason.DEADLINE_PASSED:
-        status = GATEWAY_TIMEOUT
-    return Answer(
-        outcome=decision.outcome,
-        status=status,
-        reason=decision.reason,
-        detail=f"the request ended as {decision.outcome}: {decision.reason}",
-        retry_after_s=UNREACHABLE_RETRY_AFTER_S if is_not_run else 0.0,
-        is_streamed=progress.is_started,
-    )
-
-
-def _tell_failure(progress, reason):
-    outcome = name_outcome(progress)
-    return Answer(
-        outcome=outcome,
-        status=BAD_GATEWAY,
-        reason=reason,
-        is_streamed=progress.is_started,
-    )
