--- a/benchmarks/experiment.py
+++ b/benchmarks/experiment.py
@@ -4,13 +4,14 @@
     experiment [options]
 
 Options:
-    --settings=FILE     TOML with the options below, spelt with underscores.
-    --deployment=NAME   partnership or frigotehnica.
-    --runs=NAMES        Comma-separated; all by default.
-    --duration-s=S      How long requests are sent, 8 to 600.
-    --draft-load=X      Drafting in the burst, over the capacity.
-    --seed=N            Equal seeds send equal requests.
-    --output=DIR        Where logs, JSON and plots go.
+    --settings=FILE       TOML with the options below, spelt with underscores.
+    --deployment=NAME     partnership or frigotehnica.
+    --runs=NAMES          Comma-separated; all by default.
+    --duration-s=S        How long requests are sent, 8 to 600.
+    --draft-load=X        Drafting in the burst, over the capacity.
+    --draft-deadline-s=S  The deadline of drafting, 30 to 120.
+    --seed=N              Equal seeds send equal requests.
+    --output=DIR          Where logs, JSON and plots go.
 
 The runs are home and independent, each followed by -quiet (no faults, load
 reports 2 s old) or by the age of the load reports under faults (-0.5, -2, -10),
@@ -21,6 +22,7 @@
 
 import asyncio
 import dataclasses
+import signal
 import sys
 import tomllib
 from pathlib import Path
@@ -45,6 +47,7 @@
 QUIET_LAG_S = 2.0
 RUN_TIMEOUT_S = 900
 EXIT_WRONG_SETTINGS = 2
+EXIT_INTERRUPTED = 130
 JUDGEMENT_HEAD = ("run", "bound", "measured", "met")
 MACHINE_HEAD = ("run", "useful tokens", "cores used", "load before", "load after")
 VERDICTS = {True: "met", False: "NOT MET", None: "not judged"}
@@ -85,6 +88,7 @@
     runs: tuple[str, ...] = tuple(VARIANTS)
     duration_s: Annotated[float, Field(ge=8, le=600)] = 24.0
     draft_load: Annotated[float, Field(ge=0, le=10)] = 3.0
+    draft_deadline_s: Annotated[float, Field(ge=30, le=120)] = 40.0
     seed: int = 1
     output: Path = Path("build/experiment")
 
@@ -121,7 +125,9 @@
     :param settings: The settings.
     :returns: The results by the run's name.
     """
-    deployment = shorten_deadlines(DEPLOYMENTS[settings.deployment]())
+    deployment = shorten_deadlines(
+        DEPLOYMENTS[settings.deployment](), settings.draft_deadline_s
+    )
     load = make_load(settings.duration_s, settings.draft_load)
     output = settings.output.resolve() / settings.deployment
     results = {}
@@ -199,10 +205,18 @@
     }
 
 
+async def _run_until_told(settings):
+    task = asyncio.current_task()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, task.cancel)
+    await run(settings)
+
+
 def main() -> int:
     """Run the command.
 
-    :returns: The exit code: 2 for wrong settings.
+    :returns: The exit code: 2 for wrong settings, 130 when told to stop.
     """
     try:
         settings = read_settings(docopt(__doc__))
@@ -210,7 +224,11 @@
         print(e, file=sys.stderr)
         return EXIT_WRONG_SETTINGS
     uvloop.install()
-    asyncio.run(run(settings))
+    try:
+        asyncio.run(_run_until_told(settings))
+    except asyncio.CancelledError:
+        print("interrupted; all processes are stopped", file=sys.stderr)
+        return EXIT_INTERRUPTED
     return 0
 
 
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -15,6 +15,7 @@
     take_slot,
 )
 from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
+from jujubenotch.estimates import count_event
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.routing import (
     choose_upstream,
@@ -89,9 +90,15 @@
 
 
 def _may_be_probe(pool, request, account):
-    """Keep a request from an upstream that it failed on, unless all are ejected."""
+    """Tell whether a request may run on an upstream that may still be broken.
+
+    One that may not be repeated, or that failed there, only when all upstreams
+    of its target are ejected.
+    """
     is_excluded = account.name in request.excluded_upstreams
-    return not is_excluded or not pool.targets[request.target].slots
+    if request.is_idempotent and not is_excluded:
+        return True
+    return not pool.targets[request.target].slots
 
 
 def _grant_floor(pool, this_round):
@@ -184,6 +191,8 @@
         request_id=request.request_id,
     )
     note_served(pool, queued, this_round.now_s)
+    demand = pool.targets[request.target].demands[request.tier]
+    count_event(demand.started, this_round.now_s)
     remove_request(pool, queued)
     pool.sequence += 1
     pool.grants_made += 1
--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -21,7 +21,9 @@
     run_polls,
 )
 from jujubenotch.daemon.observer import CallObserver
+from jujubenotch.daemon.operations import make_operator_dependencies
 from jujubenotch.daemon.parts import Instance
+from jujubenotch.daemon.reread import run_rereads
 from jujubenotch.daemon.spread import ConfigurationSpread, see_revision
 from jujubenotch.dispatch import (
     Dispatcher,
@@ -44,6 +46,7 @@
     make_metrics,
     set_revision,
 )
+from jujubenotch.operators import build_operator_app
 from jujubenotch.platform import connect_platform
 from jujubenotch.records import (
     ConfigurationReplica,
@@ -80,25 +83,35 @@
     """
     configure_logging(format_name=settings.logs.format, level=settings.logs.level)
     make_violations_fatal(is_fatal=settings.invariants.fatal)
-    instance = await start_instance(settings, settings_path)
+    stopping = asyncio.Event()
+    hang_up = asyncio.Event()
+    # Before the listeners: who sees the instance listen may signal it.
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
-        loop.add_signal_handler(number, instance.stopping.set)
+        loop.add_signal_handler(number, stopping.set)
+    loop.add_signal_handler(signal.SIGHUP, hang_up.set)
+    instance = await start_instance(settings, settings_path, stopping)
+    instance.tasks.append(asyncio.create_task(run_rereads(instance, hang_up)))
     await instance.stopping.wait()
     await stop_instance(instance)
 
 
-async def start_instance(settings: Settings, settings_path: str) -> Instance:
+async def start_instance(
+    settings: Settings, settings_path: str, stopping: asyncio.Event
+) -> Instance:
     """Start the parts of an instance.
 
     :param settings: The checked settings.
     :param settings_path: The file that they came from.
+    :param stopping: Set when the instance is to take nothing new.
     :returns: The running instance.
     :raises DaemonError: The records are wrong.
     :raises ListenerError: An address can't be listened on.
     """
-    callers_socket = bind_socket(settings.callers.host, settings.callers.port)
-    peers_socket = bind_socket(settings.peers.host, settings.peers.port)
+    callers_socket, operators_socket, peers_socket = (
+        bind_socket(listener.host, listener.port)
+        for listener in (settings.callers, settings.operators, settings.peers)
+    )
     incarnation = time.time_ns()
     observer = CallObserver(metrics=make_metrics(), traces=make_traces())
     keeper = await _start_configuration(settings, observer)
@@ -132,10 +145,12 @@
             read_configuration=lambda: keeper.replica.configuration,
         ),
         operator_key_digests=settings.operators.key_sha256,
+        started_s=time.monotonic(),
+        stopping=stopping,
     )
     instance.tasks.append(asyncio.create_task(run_polls(keeper)))
     instance.tasks.append(asyncio.create_task(run_sweeper(claims)))
-    await _start_listeners(instance, callers_socket)
+    await _start_listeners(instance, callers_socket, operators_socket)
     _log_start(instance)
     return instance
 
@@ -260,7 +275,7 @@
     )
 
 
-async def _start_listeners(instance, callers_socket):
+async def _start_listeners(instance, callers_socket, operators_socket):
     settings = instance.settings
     dependencies = CallerDependencies(
         dispatcher=instance.dispatcher,
@@ -272,15 +287,22 @@
     callers = build_caller_app(
         f"callers-{instance.name}", dependencies, _read_caller_limits(settings)
     )
-    tls = make_server_context(settings.callers.tls) if settings.callers.tls else None
-    bounds = _read_connection_bounds(instance)
-    instance.listeners.append(
-        await start_listener(callers, callers_socket, tls, bounds)
+    operators = build_operator_app(
+        f"operators-{instance.name}", make_operator_dependencies(instance)
     )
+    bounds = _read_connection_bounds(instance)
+    for app, bound, section, connection_bounds in (
+        (operators, operators_socket, settings.operators, None),
+        (callers, callers_socket, settings.callers, bounds),
+    ):
+        tls = make_server_context(section.tls) if section.tls else None
+        instance.listeners.append(
+            await start_listener(app, bound, tls, connection_bounds)
+        )
 
 
 def _log_start(instance):
-    callers = instance.listeners[0]
+    operators, callers = instance.listeners
     log_event(
         logger,
         logging.INFO,
@@ -289,6 +311,7 @@
         data_centre=instance.settings.instance.data_centre,
         incarnation=instance.incarnation,
         callers_port=callers.port,
+        operators_port=operators.port,
         revision=instance.keeper.replica.revision,
     )
 
