--- a/benchmarks/operators.py
+++ b/benchmarks/operators.py
@@ -2,47 +2,19 @@
 
 import asyncio
 import time
-from contextlib import asynccontextmanager
 
 import aiohttp
 import tomli_w
 
 from benchmarks.fleet import Fleet
 from benchmarks.journals import Change
-from benchmarks.processes import LOOPBACK
 from benchmarks.records import OPERATOR_KEY
 from benchmarks.schedule import FaultEvent
-from jujubenotch.platform import PlatformError, connect_platform
-from jujubenotch.records import (
-    Accepted,
-    ChangeRefusal,
-    ChangeRequest,
-    ConfigurationReplica,
-    ConfigurationStore,
-    Conflict,
-    InvalidRecords,
-    RecordKey,
-    RecordKind,
-    RecordsError,
-    Unchanged,
-    parse_documents,
-    poll,
-    read_record_revision,
-    submit_change,
-)
 
 SCHEMA_VERSIONS = (1, 2)
 OPERATORS = 3
 TRIES = 3
 TRY_TIMEOUT_S = 5.0
-STORE_TIMEOUT_S = 15.0
-RESULT_BY_TYPE = {
-    Accepted: "accepted",
-    Unchanged: "unchanged",
-    Conflict: "conflict",
-    InvalidRecords: "invalid",
-    ChangeRefusal: "refused",
-}
 PAUSE_S = 0.5
 MIN_WEIGHT = 1.0
 
@@ -88,8 +60,6 @@
     try:
         async with _open(fleet, "GET", url, params=query) as answer:
             return (await answer.json())["records"][0]["revision"]
-    except aiohttp.ClientConnectorError:
-        return await _read_revision_of_platform(fleet, instance, team)
     except (aiohttp.ClientError, TimeoutError, OSError, KeyError):
         return 1
 
@@ -99,8 +69,6 @@
     for _ in range(TRIES):
         try:
             told = await _ask(fleet, instance, change_id, text, expected)
-        except aiohttp.ClientConnectorError:
-            told = await _submit(fleet, instance, change_id, text, expected)
         except (aiohttp.ClientError, TimeoutError, OSError):
             told = {}
         if told.get("result", "refused") != "refused":
@@ -128,53 +96,6 @@
         return await answer.json()
 
 
-async def _submit(fleet, instance, change_id, text, expected):
-    """Change the records over the instance's way to the platform.
-
-    For an instance that serves no operators, with the code that it would use.
-    """
-    request = ChangeRequest(
-        change_id=change_id,
-        edit=parse_documents({"race.toml": text}),
-        expected_revisions={
-            RecordKey(kind=RecordKind.TEAM, name=key.partition("/")[2]): revision
-            for key, revision in expected.items()
-        },
-    )
-    try:
-        async with _open_store(fleet, instance) as store:
-            result = await submit_change(store, request)
-    except (PlatformError, RecordsError, TimeoutError):
-        return {}
-    return {
-        "result": RESULT_BY_TYPE[type(result)],
-        "revision": getattr(result, "revision", 0),
-        "reason": str(getattr(result, "reason", "")),
-    }
-
-
-async def _read_revision_of_platform(fleet, instance, team):
-    key = RecordKey(kind=RecordKind.TEAM, name=team)
-    try:
-        async with _open_store(fleet, instance) as store:
-            return read_record_revision(store.replica, key).revision
-    except (PlatformError, RecordsError, TimeoutError):
-        return 1
-
-
-@asynccontextmanager
-async def _open_store(fleet, instance):
-    url = f"http://{LOOPBACK}:{fleet.layout.routes[f'platform-{instance}'].port}"
-    platform = connect_platform(kind="http", url=url, timeout_s=TRY_TIMEOUT_S)
-    replica = ConfigurationReplica()
-    try:
-        async with asyncio.timeout(STORE_TIMEOUT_S):
-            await poll(replica, platform)
-            yield ConfigurationStore(platform=platform, replica=replica)
-    finally:
-        await platform.close()
-
-
 def _open(fleet, method, url, **options):
     headers = {"Authorization": f"Bearer {OPERATOR_KEY}"}
     timeout = aiohttp.ClientTimeout(total=TRY_TIMEOUT_S)
