--- a/features/daemon/steps/daemon_steps.py
+++ b/features/daemon/steps/daemon_steps.py
@@ -14,11 +14,11 @@
 import tomli_w
 from behave import given, then, when
 
+from benchmarks.processes import take_free_ports
 from features.certificates import make_authority, make_certificate
 from features.path_records import KEY, make_record_document
 from features.programs import (
     ROOT,
-    find_free_ports,
     start_daemon,
     start_program,
     wait_until,
@@ -65,7 +65,7 @@
 @given("settings with {fault}")
 def give_wrong_settings(context, fault):
     make_directory(context)
-    ports = find_free_ports(3)
+    ports = take_free_ports(3)
     document = {
         "instance": {"name": "a1", "data_centre": "north"},
         "callers": {"port": ports[0]},
@@ -252,7 +252,7 @@
 @given("a daemon whose platform does not answer")
 def give_daemon_without_platform(context):
     make_directory(context)
-    (context.platform_port,) = find_free_ports(1)
+    (context.platform_port,) = take_free_ports(1)
     url = f"http://127.0.0.1:{context.platform_port}"
     context.daemon = start_daemon(
         context, context.directory, {"platform": {"kind": "http", "url": url}}
--- a/features/programs.py
+++ b/features/programs.py
@@ -12,6 +12,8 @@
 
 import tomli_w
 
+from benchmarks.processes import take_free_ports
+
 ROOT = Path(__file__).resolve().parent.parent
 READY_LINE = re.compile(r"listening host=(\S+) port=(\d+)")
 STOP_TIMEOUT_S = 10
@@ -53,16 +55,6 @@
     process.stdout.close()
 
 
-def find_free_ports(count):
-    sockets = [socket.socket() for _ in range(count)]
-    for each in sockets:
-        each.bind(("127.0.0.1", 0))
-    ports = [each.getsockname()[1] for each in sockets]
-    for each in sockets:
-        each.close()
-    return ports
-
-
 @dataclass(frozen=True, kw_only=True)
 class Daemon:
     process: subprocess.Popen
@@ -85,7 +77,7 @@
 
     The sections given are merged over a minimal valid set.
     """
-    ports = find_free_ports(3)
+    ports = take_free_ports(3)
     settings = {
         "instance": {"name": name, "data_centre": "north"},
         "callers": {"port": ports[0]},
