--- a/benchmarks/demo.py
+++ b/benchmarks/demo.py
@@ -121,6 +121,7 @@
     plan = make_plan(deployment, duration_s, int(arguments["--seed"]))
     output = Path(arguments["--output"]).resolve()
     fleet_plan = FleetPlan(deployment=deployment, has_journals=True)
+    _remove_earlier_run(output)
     _announce(deployment, plan, duration_s)
     async with asyncio.timeout(RUN_TIMEOUT_S), run_fleet(fleet_plan, output) as fleet:
         records = await _send(fleet, plan)
@@ -136,6 +137,13 @@
     _plot(output, measures)
 
 
+def _remove_earlier_run(output):
+    # Journals are appended to; those of an earlier run would count twice.
+    for pattern in ("*.jsonl", "*.log"):
+        for path in output.glob(pattern):
+            path.unlink()
+
+
 async def _send(fleet, plan):
     def key_of(planned):
         return application_key(planned.team, planned.service_class.name)
