Don't start a draft that likely can't end before its deadline

Weighed: another order within a team (the order by deadline is asked for); judging by the mean time (a third of log-normal answers are longer). Chosen: the next request of the lowest tier that has work is refused as deadline-unreachable when mean plus 1.65 deviations of its tier's time, at most half of its own, passes its deadline. Ruled out: refuse_hopeless did it already; it judges the newest request, not the one that is next (the scenario fails without the change).

--- a/features/admission/refusals.feature
+++ b/features/admission/refusals.feature
@@ -68,3 +68,28 @@
       | draft2 | 2    | 20         | bulk  | 100        |
     And 250 requests of tier 0 wait
     Then "draft2" is not refused
+
+  Scenario Outline: Work that likely can't end before its deadline isn't started
+    When requests run in all slots
+    And requests arrive
+      | id | tier   | deadline_s |
+      | a  | <tier> | 10         |
+      | b  | <tier> | 60         |
+    And <wait> seconds later all slots become free
+    Then "a" is <verdict>
+    And "b" is not refused
+
+    Examples:
+      | tier | wait | verdict                             |
+      | 3    | 7    | granted                             |
+      | 3    | 8.5  | refused with "deadline-unreachable" |
+      | 0    | 8.5  | refused with "deadline-unreachable" |
+
+  Scenario: Nothing is held to be too late while less urgent work waits
+    When requests run in all slots
+    And requests arrive
+      | id    | tier | deadline_s |
+      | a     | 0    | 10         |
+      | draft | 3    | 60         |
+    And 8.5 seconds later all slots become free
+    Then "a" is granted
--- a/features/admission/steps/refusals_steps.py
+++ b/features/admission/steps/refusals_steps.py
@@ -65,3 +65,19 @@
 @then("the estimated wait of tier {tier:d} is more than that of tier {upper:d}")
 def check_wait_order(context, tier, upper):
     assert read_wait_s(context, tier) > read_wait_s(context, upper)
+
+
+@when("requests run in all slots")
+def fill_slots(context):
+    for number in range(context.pool.targets["m"].slots):
+        arrive(context, f"running{number}", 0)
+    settle(context)
+
+
+@when("{wait_s:g} seconds later all slots become free")
+def free_slots(context, wait_s):
+    settle(context)
+    context.now_s += wait_s
+    for held in list(context.pool.held.values()):
+        give_back(context, held.grant)
+    settle(context)
--- a/jujubenotch/admission/grants.py
+++ b/jujubenotch/admission/grants.py
@@ -4,6 +4,7 @@
 
 from jujubenotch.admission.floor import find_floor_due, note_served
 from jujubenotch.admission.queues import remove_request
+from jujubenotch.admission.refusals import refuse_late
 from jujubenotch.admission.reserve import leaves_power, leaves_reserve, required_free
 from jujubenotch.admission.shares import charge_start, estimate_tokens, peek_lane
 from jujubenotch.admission.slots import (
@@ -15,6 +16,7 @@
     take_slot,
 )
 from jujubenotch.admission.state import HeldSlot, Pool, QueuedRequest, UpstreamAccount
+from jujubenotch.admission.waits import is_too_late
 from jujubenotch.estimates import count_event
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.routing import (
@@ -121,7 +123,10 @@
         if account is None:
             open_lanes.remove(lane)
             continue
-        _start_request(pool, queued, account, this_round)
+        if is_too_late(pool, queued.request, this_round.now_s):
+            refuse_late(pool, queued, this_round.now_s)
+        else:
+            _start_request(pool, queued, account, this_round)
         if not lane.queued:
             open_lanes.remove(lane)
 
--- a/jujubenotch/admission/learning.py
+++ b/jujubenotch/admission/learning.py
@@ -37,7 +37,10 @@
 def _learn_hold(pool, held, report, now_s):
     target = pool.targets.get(held.target)
     if target is not None and report.result is WorkResult.COMPLETED:
-        update_mean(target.demands[held.tier].hold_s, max(0.0, now_s - held.started_s))
+        demand = target.demands[held.tier]
+        hold_s = max(0.0, now_s - held.started_s)
+        update_mean(demand.hold_s, hold_s)
+        update_mean(demand.hold_square, hold_s**2)
 
 
 def _follow_pace(account, held, report, now_s):
--- a/jujubenotch/admission/refusals.py
+++ b/jujubenotch/admission/refusals.py
@@ -101,6 +101,16 @@
         refuse_queued(pool, newest, refusal)
 
 
+def refuse_late(pool: Pool, queued: QueuedRequest, now_s: float) -> None:
+    """Refuse a queued request that likely can't end before its deadline.
+
+    :param pool: The pool.
+    :param queued: Its entry.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    refuse_queued(pool, queued, _refuse_unreachable(pool, queued.request, now_s))
+
+
 def _refuse_passed(pool, queued, now_s):
     request = queued.request
     team = pool.teams[request.team]
--- a/jujubenotch/admission/state.py
+++ b/jujubenotch/admission/state.py
@@ -159,6 +159,7 @@
     :param fast: Recent arrivals; follows the start of a burst.
     :param slow: Arrivals over a longer time; outlasts a lull.
     :param hold_s: Mean time that its requests hold a slot, in seconds.
+    :param hold_square: Mean square of that time, in seconds squared.
     :param started: Starts of its requests over a longer time.
     """
 
@@ -169,6 +170,7 @@
         default_factory=lambda: DecayingRate(window_s=SLOW_WINDOW_S)
     )
     hold_s: RunningMean = field(default_factory=_make_hold_mean)
+    hold_square: RunningMean = field(default_factory=_make_hold_mean)
     started: DecayingRate = field(
         default_factory=lambda: DecayingRate(window_s=SLOW_WINDOW_S)
     )
--- a/jujubenotch/admission/waits.py
+++ b/jujubenotch/admission/waits.py
@@ -8,13 +8,15 @@
 import math
 
 from jujubenotch.admission.reserve import DEFAULT_HOLD_S, offered_slots, required_free
-from jujubenotch.admission.state import Pool, TargetAccount
+from jujubenotch.admission.state import Pool, TargetAccount, TierDemand
 from jujubenotch.estimates import draw_fraction, read_rate
 from jujubenotch.work import TIERS, WorkRequest
 
 MIN_DRAIN_SLOTS = 0.1
 MIN_HOLD_S = 0.001
 MIN_HOLD_SAMPLES = 8
+# About 95 of 100 log-normal holding times are within so many deviations.
+LONG_HOLD_DEVIATIONS = 1.65
 MIN_RETRY_AFTER_S = 0.5
 MAX_RETRY_AFTER_S = 60.0
 RETRY_JITTER = 0.5
@@ -97,6 +99,43 @@
     return wait_s > max(left_s - demand.hold_s.value, left_s / 2)
 
 
+def is_too_late(pool: Pool, request: WorkRequest, now_s: float) -> bool:
+    """Tell whether a request likely can't end before its deadline any more.
+
+    What is started all the same is cut off at the deadline, and its slot is
+    wasted. Only the lowest tier that has work is judged, so that nothing is
+    refused while less urgent work goes on; half of a request's own time is the
+    most that it is taken to need.
+
+    :param pool: The pool.
+    :param request: The next request of its tier.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: Whether it is too late to start it.
+    """
+    target = pool.targets[request.target]
+    if any(pool.queued_by_tier[request.tier + 1 :]):
+        return False
+    if any(target.running_by_tier[request.tier + 1 :]):
+        return False
+    demand = target.demands[request.tier]
+    if demand.hold_s.samples < MIN_HOLD_SAMPLES:
+        return False
+    likely_s = demand.hold_s.value + LONG_HOLD_DEVIATIONS * read_deviation(demand)
+    most_s = (request.deadline_s - request.arrived_s) / 2
+    return now_s + min(likely_s, most_s) > request.deadline_s
+
+
+def read_deviation(demand: TierDemand) -> float:
+    """Return how much the times that requests hold a slot differ.
+
+    :param demand: The demand of a tier for a target.
+    :returns: Their standard deviation, in seconds.
+    """
+    if demand.hold_s.value is None:
+        return 0.0
+    return math.sqrt(max(0.0, demand.hold_square.value - demand.hold_s.value**2))
+
+
 def read_hold_s(target: TargetAccount, tier: int) -> float:
     """Return how long a request of a tier holds a slot, on average.
 
