Answer a keyed call at its deadline also while the platform hangs

Ruled out: the wait for another attempt's outcome, which ends at the deadline. A look-up stopped so is told as unknown; a claim stopped so as not-run, for its owner releases it in the background (the next call with its key is sent). Before: both new scenarios of features/claims fail; after: they pass.

--- a/features/claims/calls.feature
+++ b/features/claims/calls.feature
@@ -32,3 +32,16 @@
     When calls "r1" and "r2" with key "k1" are dispatched at "a" and "b" at once
     Then both answers are "completed" with "filed"
     And "filed" was sent once
+
+  Scenario Outline: A platform that hangs holds a call up to its deadline only
+    Given the platform hangs at <what>
+    When call "r1" with key "k1" and 1 s to its deadline is dispatched at "a"
+    Then its answer is "<outcome>" with <status> for "deadline-passed"
+    And it came at its deadline
+    When call "r2" with key "k1" is taken at "b"
+    Then it is to be sent
+
+    Examples:
+      | what    | outcome | status |
+      | a claim | not-run | 503    |
+      | a read  | unknown | 504    |
--- a/features/claims/faulty_platform.py
+++ b/features/claims/faulty_platform.py
@@ -20,7 +20,7 @@
 
     :param script: ``ok``, ``slow``, ``down``, ``lost-applied``, ``lost-dropped``,
         ``lost-late``, ``lost-soon`` or ``hang``.
-    :param read_script: ``ok`` or ``down``.
+    :param read_script: ``ok``, ``down`` or ``hang``.
     :param outages: Pairs of loop times between which nothing answers.
     """
 
@@ -59,8 +59,11 @@
     async def read(self, table, key):
         await asyncio.sleep(0.002)
         self.check_up()
-        if self.read_script and self.read_script.pop(0) == "down":
+        fault = self.read_script.pop(0) if self.read_script else "ok"
+        if fault == "down":
             raise PlatformUnavailableError
+        if fault == "hang":
+            await asyncio.sleep(HANG_S)
         return await super().read(table, key)
 
     async def put_object(self, name, content):
--- a/features/claims/steps/calls_steps.py
+++ b/features/claims/steps/calls_steps.py
@@ -29,12 +29,14 @@
 )
 
 
-def make_call(context, request_id, key, body=b"1 cow"):
+def make_call(context, request_id, key, body=b"1 cow", deadline_s=60.0):
     return Call(
         request_id=request_id,
         target="returns",
         team=Team(name="keepers"),
-        service_class=ServiceClass(name="gate", tier=0, first_token_target_s=1.2),
+        service_class=ServiceClass(
+            name="gate", tier=0, first_token_target_s=1.0, deadline_s=deadline_s
+        ),
         method="POST",
         path="/file",
         headers=(),
@@ -220,3 +222,31 @@
 @then('"filed" was sent once')
 def check_sent_once(context):
     assert len(context.sent) == 1, context.sent
+
+
+@given("the platform hangs at {what}")
+def hang(context, what):
+    if what == "a claim":
+        context.platform.script.append("hang")
+    else:
+        context.platform.read_script.append("hang")
+
+
+@when(
+    'call "{request_id:Quoted}" with key "{key:Quoted}" and {left_s:d} s to its '
+    'deadline is dispatched at "{name:Quoted}"'
+)
+def dispatch_hanging(context, request_id, key, left_s, name):
+    async def dispatch_and_close():
+        dispatcher = make_dispatcher(context, name, slots=1, upstreams={})
+        call = make_call(context, request_id, key, deadline_s=float(left_s))
+        context.answer = await dispatch(dispatcher, call, sink=mock.Mock())
+        context.late_s = context.loop.time() - call.deadline_s
+        await close(context.calls[name].claims)
+
+    context.loop.run_until_complete(dispatch_and_close())
+
+
+@then("it came at its deadline")
+def check_in_time(context):
+    assert 0 <= context.late_s < 0.1, context.late_s
--- a/jujubenotch/dispatch/answers.py
+++ b/jujubenotch/dispatch/answers.py
@@ -81,3 +81,33 @@
         reason=reason,
         is_streamed=progress.is_started,
     )
+
+
+def answer_late_look_up() -> Answer:
+    """Tell a caller that its key could not be looked up by its deadline.
+
+    :returns: The answer; an earlier request with the key may have run.
+    """
+    return Answer(
+        outcome=Outcome.UNKNOWN,
+        status=GATEWAY_TIMEOUT,
+        reason=FailureReason.DEADLINE_PASSED,
+        detail="nothing was sent now, but an earlier request with this key may have "
+        "run; repeat it with the same key",
+        retry_after_s=UNREACHABLE_RETRY_AFTER_S,
+    )
+
+
+def answer_late_claim() -> Answer:
+    """Tell a caller that its key could not be claimed by its deadline.
+
+    :returns: The answer; nothing was sent.
+    """
+    return Answer(
+        outcome=Outcome.NOT_RUN,
+        status=SERVICE_UNAVAILABLE,
+        reason=RefusalReason.DEADLINE_PASSED,
+        detail="the key was not claimed before the deadline; repeat it with the same "
+        "key",
+        retry_after_s=UNREACHABLE_RETRY_AFTER_S,
+    )
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -10,6 +10,8 @@
 from jujubenotch.admission import WorkReport, WorkRequest, WorkResult
 from jujubenotch.dispatch.answers import (
     answer_give_up,
+    answer_late_claim,
+    answer_late_look_up,
     answer_refusal,
     tell_failure,
 )
@@ -95,7 +97,7 @@
     _record_arrival(dispatcher, call)
     try:
         if call.idempotency_key:
-            answer = await dispatcher.claims.look_up(call)
+            answer = await _look_up(dispatcher, call)
         if answer is None:
             answer = await _run_attempts(dispatcher, call, progress, sink, reports)
     except CallerGoneError:
@@ -182,16 +184,28 @@
     progress.is_bound = False
     if answer.reason is FailureReason.CLAIM_HELD:
         # Another attempt was first; its outcome is awaited without a slot.
-        return await dispatcher.claims.look_up(call)
+        return await _look_up(dispatcher, call)
     return answer
 
 
+async def _look_up(dispatcher, call):
+    try:
+        async with asyncio.timeout_at(call.deadline_s):
+            return await dispatcher.claims.look_up(call)
+    except TimeoutError:
+        return answer_late_look_up()
+
+
 async def _take(dispatcher, call, grant):
     answer = None
     is_decided = False
     try:
-        answer = await dispatcher.claims.take(call)
+        async with asyncio.timeout_at(call.deadline_s):
+            answer = await dispatcher.claims.take(call)
         is_decided = True
+    except TimeoutError:
+        # Whoever claims releases what it is stopped at, so nothing is held.
+        answer = answer_late_claim()
     finally:
         if not is_decided or answer is not None:
             _give_back(dispatcher, grant, WorkResult.CANCELLED)
