End a link that is cancelled as its session fails; refuse while records are unknown

Cause: in Python 3.11 a task group whose child fails in the turn in which the group is cancelled raises the child's error alone; run_link caught it and went on, so a daemon that had logged instance-stopped never ended (found as a process left by a demo, still dialling its peer after 9 minutes). Ruled out: the claims' close and the listeners (its log had gone past both). Before: the new scenario of features/peers hangs; after: it passes.

--- a/features/daemon/daemon.feature
+++ b/features/daemon/daemon.feature
@@ -44,6 +44,7 @@
   Scenario: Without its platform a daemon starts, and serves once the platform answers
     Given a daemon whose platform does not answer
     Then it is not ready
+    And a new call is refused as "starting" with a time to come back
     When the platform answers
     Then it becomes ready
 
--- a/features/peers/peers.feature
+++ b/features/peers/peers.feature
@@ -37,3 +37,8 @@
     Given a listener that never answers
     When a peer connects
     Then its session has ended within 3 s
+
+  Scenario: A link that is cancelled as its session fails ends
+    Given a link whose session fails in the turn in which it is cancelled
+    When the link is cancelled
+    Then it has ended
--- a/features/peers/steps/peers_steps.py
+++ b/features/peers/steps/peers_steps.py
@@ -3,6 +3,7 @@
 import ipaddress
 import tempfile
 from pathlib import Path
+from unittest import mock
 
 from behave import given, then, when
 from cryptography import x509
@@ -24,6 +25,7 @@
     LinkContext,
     MalformedFrameError,
     Outbox,
+    PeerLostError,
     RequesterFrame,
     ServiceContext,
     SlotGrant,
@@ -406,3 +408,39 @@
 
     context.loop.run_until_complete(wait(lambda: context.link.channel is not None))
     context.loop.run_until_complete(wait(lambda: context.link.channel is None))
+
+
+@given("a link whose session fails in the turn in which it is cancelled")
+def give_failing_link(context):
+    async def fail_when_cancelled(link, link_context):
+        async def fail():
+            try:
+                await asyncio.sleep(60)
+            finally:
+                raise PeerLostError("the peer has gone")
+
+        async with asyncio.TaskGroup() as tasks:
+            tasks.create_task(fail())
+
+    context.run_session = fail_when_cancelled
+
+
+@when("the link is cancelled")
+def cancel_link(context):
+    async def cancel():
+        link = Link(name="b", host="127.0.0.1", port=1)
+        task = asyncio.create_task(run_link(link, mock.Mock()))
+        await asyncio.sleep(0.01)
+        task.cancel()
+        done, _ = await asyncio.wait({task}, timeout=3.0)
+        task.cancel()
+        return done
+
+    with mock.patch("jujubenotch.peers.link._run_session", context.run_session):
+        context.done = asyncio.run(cancel())
+
+
+@then("it has ended")
+def check_link_ended(context):
+    (task,) = context.done
+    assert task.cancelled()
--- a/jujubenotch/callers/app.py
+++ b/jujubenotch/callers/app.py
@@ -32,7 +32,7 @@
 
 SERVICE_METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE", "HEAD", "OPTIONS")
 NO_RESPONSE_TIMEOUT_S = 365 * 24 * 3600
-SHUTDOWN_RETRY_AFTER_S = 1.0
+ELSEWHERE_RETRY_AFTER_S = 1.0
 SERVICE_UNAVAILABLE = 503
 INTERNAL_SERVER_ERROR = 500
 _REASON_BY_STATUS = {
@@ -65,6 +65,8 @@
 
     :param make_request_id: Returns a new id, unique over all instances.
     :param is_stopping: Tells whether the instance takes nothing new.
+    :param is_known: Tells whether the instance knows the records yet; before
+        that it can't tell a right key from a wrong one.
     :param count_refusal: Counts a refusal before dispatch.
     """
 
@@ -72,6 +74,7 @@
     read_configuration: Callable[[], Configuration]
     make_request_id: Callable[[], str]
     is_stopping: Callable[[], bool]
+    is_known: Callable[[], bool]
     count_refusal: Callable[[RefusalReason], None]
 
 
@@ -159,6 +162,12 @@
             reason=RefusalReason.SHUTTING_DOWN,
             detail="this instance is shutting down; the balancer knows others",
         )
+    if not dependencies.is_known():
+        raise RefusedRequestError(
+            status=SERVICE_UNAVAILABLE,
+            reason=RefusalReason.STARTING,
+            detail="this instance does not know the records yet; come back",
+        )
 
 
 def _refuse(dependencies, error, request_id):
@@ -172,8 +181,8 @@
         reason=refusal.reason,
     )
     response = write_whole(refuse(refusal, error.status), request_id)
-    if refusal.reason is RefusalReason.SHUTTING_DOWN:
-        response.headers["Retry-After"] = str(int(SHUTDOWN_RETRY_AFTER_S))
+    if refusal.reason in (RefusalReason.SHUTTING_DOWN, RefusalReason.STARTING):
+        response.headers["Retry-After"] = str(int(ELSEWHERE_RETRY_AFTER_S))
         response.headers["Connection"] = "close"
     return response
 
@@ -181,6 +190,7 @@
 def _list_models(dependencies, request: Request) -> HTTPResponse:
     configuration = dependencies.read_configuration()
     try:
+        _check_running(dependencies)
         check_key(configuration, digest_key(request))
     except RefusedRequestError as error:
         return _refuse(dependencies, error, dependencies.make_request_id())
--- a/jujubenotch/daemon/start.py
+++ b/jujubenotch/daemon/start.py
@@ -212,6 +212,7 @@
         read_configuration=lambda: instance.keeper.replica.configuration,
         make_request_id=_number_requests(instance),
         is_stopping=instance.stopping.is_set,
+        is_known=lambda: instance.keeper.is_known,
         count_refusal=instance.observer.count_early_refusal,
     )
     callers = build_caller_app(
--- a/jujubenotch/daemon/stop.py
+++ b/jujubenotch/daemon/stop.py
@@ -15,6 +15,8 @@
 LEAVING_NOTICE_S = 0.5
 # For callers that read their last answer slowly or not at all.
 LAST_ANSWERS_TIMEOUT_S = 30.0
+# For outcomes that the platform does not take now.
+LAST_OUTCOMES_TIMEOUT_S = 30.0
 
 
 async def stop_instance(instance: Instance) -> None:
@@ -34,7 +36,7 @@
             for listener in instance.listeners
         )
     )
-    await instance.claims.close()
+    await _wait_for_outcomes(instance)
     if instance.dispatcher.capacity is not instance.capacity:
         await instance.dispatcher.capacity.close()
     await instance.capacity.close()
@@ -46,6 +48,15 @@
     log_event(logger, logging.INFO, "instance-stopped")
 
 
+async def _wait_for_outcomes(instance):
+    try:
+        async with asyncio.timeout(LAST_OUTCOMES_TIMEOUT_S):
+            await instance.claims.close()
+    except TimeoutError:
+        # Their claims stay held, so that no repeat is sent a second time.
+        log_event(logger, logging.ERROR, "outcomes-not-recorded")
+
+
 async def _wait_for_requests(instance):
     bound_s = instance.settings.shutdown.max_wait_s or None
     try:
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -33,6 +33,7 @@
     DEADLINE_PASSED = "deadline-passed"
     TEAM_LIMIT = "team-limit"
     POWER_CAP = "power-cap"
+    STARTING = "starting"
     SHUTTING_DOWN = "shutting-down"
     PLATFORM_UNAVAILABLE = "platform-unavailable"
     KEY_REUSED = "key-reused"
--- a/jujubenotch/peers/link.py
+++ b/jujubenotch/peers/link.py
@@ -120,6 +120,10 @@
             )
         failures = 1 if link.is_attached else failures + 1
         _detach(link, context)
+        # A task group whose child fails in the turn in which it is cancelled
+        # raises the child's error alone, and the cancellation would be lost.
+        if asyncio.current_task().cancelling():
+            raise asyncio.CancelledError
         await asyncio.sleep(choose_backoff_s(failures, random.random()))
 
 
