--- /dev/null
+++ b/benchmarks/forwarder.py
@@ -0,0 +1,66 @@
+"""A bare forwarder: sanic in, aiohttp out, no policy.
+
+Usage:
+    forwarder --upstream=URL --port=PORT
+"""
+
+import asyncio
+
+import aiohttp
+import uvloop
+from docopt import docopt
+from sanic import Sanic
+
+from jujubenotch.listeners import bind_socket, start_listener
+
+NO_TIMEOUT_S = 365 * 24 * 3600
+
+
+def build_app(upstream: str, session: aiohttp.ClientSession) -> Sanic:
+    """Build the forwarder.
+
+    :param upstream: The base address of the only upstream.
+    :param session: The connections to it.
+    :returns: The application.
+    """
+    app = Sanic("forwarder", configure_logging=False)
+    app.config.RESPONSE_TIMEOUT = NO_TIMEOUT_S
+
+    async def forward(request):
+        headers = {"Content-Type": "application/json"}
+        async with session.post(
+            upstream + request.path, data=request.body, headers=headers
+        ) as answer:
+            response = await request.respond(
+                status=answer.status, content_type=answer.content_type
+            )
+            async for chunk in answer.content.iter_any():
+                await response.send(chunk)
+            await response.eof()
+
+    app.add_route(forward, "/v1/chat/completions", methods=["POST"])
+    return app
+
+
+async def run(upstream: str, port: int) -> None:
+    """Serve until the process is ended.
+
+    :param upstream: The base address of the only upstream.
+    :param port: The port to listen on.
+    """
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        app = build_app(upstream, session)
+        await start_listener(app, bind_socket("127.0.0.1", port))
+        await asyncio.Event().wait()
+
+
+def main() -> None:
+    """Run the forwarder."""
+    options = docopt(__doc__)
+    uvloop.install()
+    asyncio.run(run(options["--upstream"], int(options["--port"])))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/benchmarks/speed.py
@@ -0,0 +1,326 @@
+"""Measures the router beside a bare forwarder of the same libraries.
+
+Both stand before the same source in one run, turn by turn.
+
+Usage:
+    speed [options]
+
+Options:
+    --rounds=N       Rounds of each measurement [default: 3].
+    --streams=N      Streams at once [default: 50].
+    --events=N       Events of a stream [default: 300].
+    --gap-ms=MS      Gap between two events [default: 10].
+    --requests=N     Small requests of a round [default: 4000].
+    --callers=N      Callers at once for small requests [default: 32].
+    --output=FILE    Where the JSON goes [default: build/speed.json].
+"""
+
+import asyncio
+import hashlib
+import os
+import statistics
+import tempfile
+import time
+from dataclasses import asdict, dataclass, field
+from pathlib import Path
+
+import orjson
+import uvloop
+from docopt import docopt
+
+from benchmarks.processes import (
+    LOOPBACK,
+    Processes,
+    start_program,
+    stop_processes,
+    take_free_ports,
+)
+from benchmarks.records import write_settings
+from benchmarks.report import format_table
+
+KEY = "speed-key"
+MICROSECONDS_PER_S = 1_000_000
+MS_PER_S = 1000
+LATENCY_REQUESTS = 500
+READ_BYTES = 262_144
+CLOCK_TICKS_PER_S = os.sysconf("SC_CLK_TCK")
+STREAM_END = b"0\r\n\r\n"
+RECORDS = """
+schema_version = 2
+[[class]]
+name = "gate"
+tier = 0
+first_token_target_s = 1.2
+[[team]]
+name = "agents"
+[[application]]
+name = "mart"
+team = "agents"
+key_sha256 = "{digest}"
+[[binding]]
+name = "agents-gate"
+team = "agents"
+class = "gate"
+[[upstream]]
+name = "source"
+kind = "model"
+data_centre = "north"
+url = "{url}"
+models = ["m"]
+slots = 10000
+resumes_streams = true
+"""
+
+
+@dataclass(kw_only=True)
+class Side:
+    """What was measured of the router or of the bare forwarder.
+
+    :param chunk_us: CPU for each forwarded chunk, in microseconds, by round.
+    :param requests_per_s: Small requests a second, by round.
+    :param median_ms: Median time of one small request, by round.
+    """
+
+    pid: int
+    port: int
+    chunk_us: list[float] = field(default_factory=list)
+    requests_per_s: list[float] = field(default_factory=list)
+    median_ms: list[float] = field(default_factory=list)
+
+
+def write_request(*, is_stream: bool) -> bytes:
+    """Write one request as bytes.
+
+    :param is_stream: Whether it asks for a stream.
+    :returns: The request.
+    """
+    body = orjson.dumps(
+        {
+            "model": "m",
+            "stream": is_stream,
+            "messages": [{"role": "user", "content": "May these heifers move?"}],
+        }
+    )
+    head = (
+        f"POST /v1/chat/completions HTTP/1.1\r\nHost: {LOOPBACK}\r\n"
+        f"Authorization: Bearer {KEY}\r\nContent-Type: application/json\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    )
+    return head.encode() + body
+
+
+def read_cpu_s(pid: int) -> float:
+    """Read the CPU that a process has used.
+
+    :param pid: The process.
+    :returns: User and system time, in seconds.
+    """
+    fields = Path(f"/proc/{pid}/stat").read_text().rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / CLOCK_TICKS_PER_S
+
+
+async def run_stream(port: int) -> int:
+    """Ask for one stream and read it to its end.
+
+    :param port: Where to ask.
+    :returns: How many events came.
+    """
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    writer.write(write_request(is_stream=True))
+    events = 0
+    tail = b""
+    while STREAM_END not in tail:
+        part = await reader.read(READ_BYTES)
+        if not part:
+            raise ConnectionError("a stream ended early")
+        events += part.count(b"data: {")
+        tail = (tail + part)[-64:]
+    writer.close()
+    return events
+
+
+async def run_requests(port: int, count: int) -> list[float]:
+    """Send small requests one after another on one connection.
+
+    :param port: Where to send them.
+    :param count: How many.
+    :returns: The time of each, in seconds.
+    """
+    reader, writer = await asyncio.open_connection(LOOPBACK, port)
+    request = write_request(is_stream=False)
+    times_s = []
+    for _ in range(count):
+        begin_s = time.perf_counter()
+        writer.write(request)
+        await read_answer(reader)
+        times_s.append(time.perf_counter() - begin_s)
+    writer.close()
+    return times_s
+
+
+async def read_answer(reader) -> None:
+    """Read one whole answer, chunked or not.
+
+    :param reader: The connection.
+    """
+    head = (await reader.readuntil(b"\r\n\r\n")).lower()
+    if b" 200 " not in head.split(b"\r\n", 1)[0]:
+        raise ConnectionError(head.decode())
+    start = head.find(b"content-length:")
+    if start < 0:
+        await reader.readuntil(STREAM_END)
+        return
+    length = int(head[start + len(b"content-length:") :].split(b"\r\n", 1)[0])
+    await reader.readexactly(length)
+
+
+async def measure_chunks(side: Side, streams: int) -> None:
+    """Measure the CPU for each chunk.
+
+    :param side: Whom to measure; gets the figure.
+    :param streams: Streams at once.
+    """
+    before_s = read_cpu_s(side.pid)
+    counts = await asyncio.gather(*(run_stream(side.port) for _ in range(streams)))
+    spent_s = read_cpu_s(side.pid) - before_s
+    side.chunk_us.append(spent_s * MICROSECONDS_PER_S / sum(counts))
+
+
+async def measure_requests(side: Side, requests: int, callers: int) -> None:
+    """Measure small requests a second, and the median time of one alone.
+
+    :param side: Whom to measure; gets the figures.
+    :param requests: How many requests.
+    :param callers: Callers at once.
+    """
+    begin_s = time.perf_counter()
+    each = requests // callers
+    await asyncio.gather(*(run_requests(side.port, each) for _ in range(callers)))
+    side.requests_per_s.append(each * callers / (time.perf_counter() - begin_s))
+    times_s = await run_requests(side.port, LATENCY_REQUESTS)
+    side.median_ms.append(statistics.median(times_s) * MS_PER_S)
+
+
+async def start_sides(processes: Processes, options: dict) -> dict[str, Side]:
+    """Start the source, the bare forwarder and the router.
+
+    :param processes: The processes of the run.
+    :param options: The command line.
+    :returns: The two sides by name.
+    """
+    ports = take_free_ports(5)
+    source = await start_program(
+        processes,
+        "source",
+        "benchmarks.speed_source",
+        (
+            f"--port={ports[0]}",
+            f"--events={options['--events']}",
+            f"--gap-ms={options['--gap-ms']}",
+        ),
+        ports[0],
+    )
+    forwarder = await start_program(
+        processes,
+        "forwarder",
+        "benchmarks.forwarder",
+        (f"--upstream={source.url}", f"--port={ports[1]}"),
+        ports[1],
+    )
+    digest = hashlib.sha256(KEY.encode()).hexdigest()
+    records = processes.directory / "records.toml"
+    records.write_text(RECORDS.format(digest=digest, url=source.url))
+    settings = processes.directory / "settings.toml"
+    write_settings(
+        settings,
+        {
+            "instance": {"name": "a1", "data_centre": "north"},
+            "callers": {"port": ports[2]},
+            "operators": {"port": ports[3]},
+            "peers": {"port": ports[4]},
+            "platform": {"kind": "embedded", "records": [str(records)]},
+            "logs": {"level": "WARNING"},
+        },
+    )
+    router = await start_program(
+        processes,
+        "router",
+        "jujubenotch.daemon.program",
+        (f"--settings={settings}",),
+        ports[2],
+    )
+    return {
+        "bare forwarder": Side(pid=forwarder.process.pid, port=ports[1]),
+        "jujubenotch": Side(pid=router.process.pid, port=ports[2]),
+    }
+
+
+async def run(options: dict) -> dict[str, Side]:
+    """Run all rounds.
+
+    :param options: The command line.
+    :returns: The two sides by name.
+    """
+    with tempfile.TemporaryDirectory() as directory:
+        processes = Processes(directory=Path(directory))
+        try:
+            sides = await start_sides(processes, options)
+            for side in sides.values():
+                await run_requests(side.port, LATENCY_REQUESTS)
+            for _ in range(int(options["--rounds"])):
+                for side in sides.values():
+                    await measure_chunks(side, int(options["--streams"]))
+                    await measure_requests(
+                        side, int(options["--requests"]), int(options["--callers"])
+                    )
+        finally:
+            await stop_processes(processes)
+    return sides
+
+
+def format_sides(sides: dict[str, Side]) -> str:
+    """Write both sides and their ratio as a table.
+
+    :param sides: The two sides by name.
+    :returns: The table.
+    """
+    rows = []
+    for title, name in (
+        ("CPU a chunk, µs", "chunk_us"),
+        ("small requests a second", "requests_per_s"),
+        ("median of one request, ms", "median_ms"),
+    ):
+        bare, router = (
+            statistics.median(getattr(side, name)) for side in sides.values()
+        )
+        spreads = [
+            f"{min(values):.2f}..{max(values):.2f}"
+            for values in (getattr(side, name) for side in sides.values())
+        ]
+        rows.append(
+            (
+                title,
+                f"{bare:.2f} ({spreads[0]})",
+                f"{router:.2f} ({spreads[1]})",
+                f"{router / bare:.2f}",
+                f"{router - bare:+.2f}",
+            )
+        )
+    header = ("measure", "bare forwarder", "jujubenotch", "ratio", "difference")
+    return format_table(header, rows)
+
+
+def main() -> None:
+    """Measure, print the table and write the JSON."""
+    options = docopt(__doc__)
+    uvloop.install()
+    sides = asyncio.run(run(options))
+    print(format_sides(sides))
+    output = Path(options["--output"])
+    output.parent.mkdir(parents=True, exist_ok=True)
+    document = {name: asdict(side) for name, side in sides.items()}
+    output.write_bytes(orjson.dumps(document, option=orjson.OPT_INDENT_2))
+
+
+if __name__ == "__main__":
+    main()
