--- a/jujubenotch/daemon/instance.py
+++ b/jujubenotch/daemon/instance.py
@@ -1,6 +1,7 @@
 """Runs one instance: from its start to the signal that stops it."""
 
 import asyncio
+import gc
 import signal
 
 from jujubenotch.daemon.reread import run_rereads
@@ -10,6 +11,8 @@
 from jujubenotch.logs import configure_logging
 from jujubenotch.settings import Settings
 
+COLLECT_AFTER_ALLOCATIONS = 20_000
+
 
 async def run_instance(settings: Settings, settings_path: str) -> None:
     """Run an instance until a signal tells it to stop.
@@ -30,5 +33,9 @@
     loop.add_signal_handler(signal.SIGHUP, hang_up.set)
     instance = await start_instance(settings, settings_path, stopping)
     instance.tasks.append(asyncio.create_task(run_rereads(instance, hang_up)))
+    # What stands after the start lives on: collections needn't look at it.
+    gc.collect()
+    gc.freeze()
+    gc.set_threshold(COLLECT_AFTER_ALLOCATIONS)
     await instance.stopping.wait()
     await stop_instance(instance)
