Move whole answers off an upstream on which a stream has fallen silent

Weighed: the streams' idle bound for whole answers (a long answer may rightly be silent); ending them when the home ejects the upstream (the holder hears of that only by its next grant). Chosen: a stream that falls silent ends the waits of idempotent calls that are as old, unless another stream of that upstream brought something lately.

--- a/features/claims/steps/calls_steps.py
+++ b/features/claims/steps/calls_steps.py
@@ -8,7 +8,14 @@
 from features.claims.virtual_loop import VirtualLoop
 from jujubenotch.admission import Grant
 from jujubenotch.claims import CallClaims, close, make_claims
-from jujubenotch.dispatch import Answer, Call, Dispatcher, RetryBudget, dispatch
+from jujubenotch.dispatch import (
+    Answer,
+    Call,
+    Dispatcher,
+    Exchanges,
+    RetryBudget,
+    dispatch,
+)
 from jujubenotch.dispatch.decide import AttemptEnd
 from jujubenotch.outcomes import Outcome
 from jujubenotch.records import (
@@ -73,6 +80,7 @@
             may_retry=lambda now_s: True, record_success=lambda now_s: None
         ),
         read_configuration=lambda: Configuration(upstreams=upstreams),
+        exchanges=Exchanges(idle_timeout_s=2.0),
     )
 
 
--- a/jujubenotch/daemon/start.py
+++ b/jujubenotch/daemon/start.py
@@ -30,6 +30,7 @@
 from jujubenotch.daemon.spread import ConfigurationSpread, see_revision
 from jujubenotch.dispatch import (
     Dispatcher,
+    Exchanges,
     RetryBudget,
     RetryHistory,
     may_retry,
@@ -113,6 +114,7 @@
             observer=observer,
             retry_budget=_make_retry_budget(keeper),
             read_configuration=lambda: keeper.replica.configuration,
+            exchanges=Exchanges(idle_timeout_s=settings.upstreams.idle_timeout_s),
         ),
         operator_key_digests=settings.operators.key_sha256,
         started_s=time.monotonic(),
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -11,6 +11,7 @@
 from jujubenotch.dispatch.decide import AttemptEnd, GiveUp, Retry, decide_next
 from jujubenotch.dispatch.dispatcher import dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
+from jujubenotch.dispatch.silence import Exchanges, watch_exchange
 
 __all__ = [
     "STATUS_BY_REFUSAL",
@@ -20,6 +21,7 @@
     "CallerGoneError",
     "Claims",
     "Dispatcher",
+    "Exchanges",
     "GiveUp",
     "Observer",
     "Retry",
@@ -36,4 +38,5 @@
     "record_success",
     "record_success",
     "wait_until_idle",
+    "watch_exchange",
 ]
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -30,6 +30,7 @@
     record_attempt,
 )
 from jujubenotch.dispatch.model import Dispatcher
+from jujubenotch.dispatch.silence import watch_exchange
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import FailureReason, Outcome, Refusal
@@ -240,9 +241,12 @@
 async def _attempt_in_time(dispatcher, upstream, call, progress, attempt, sink):
     try:
         async with asyncio.timeout_at(call.deadline_s):
-            await make_attempt(
+            work = make_attempt(
                 dispatcher.connections, upstream, call, progress, attempt, sink
             )
+            await watch_exchange(
+                dispatcher.exchanges, upstream.name, call, attempt, work
+            )
     except TimeoutError:
         attempt.end = AttemptEnd.DEADLINE
 
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -8,6 +8,7 @@
 from jujubenotch.admission import WorkReport
 from jujubenotch.capacity import Capacity
 from jujubenotch.dispatch.call import Answer, Call
+from jujubenotch.dispatch.silence import Exchanges
 from jujubenotch.records import Configuration
 from jujubenotch.upstreams import UpstreamConnections
 
@@ -51,6 +52,7 @@
     """What running a call needs, and the calls in progress.
 
     :param read_configuration: Returns the configuration in force.
+    :param exchanges: The exchanges with upstreams in progress.
     :param in_progress: The tasks of the calls that run now.
 
     >>> Dispatcher.__name__
@@ -63,4 +65,5 @@
     observer: Observer
     retry_budget: RetryBudget
     read_configuration: Callable[[], Configuration]
+    exchanges: Exchanges
     in_progress: set[asyncio.Task] = field(default_factory=set)
--- /dev/null
+++ b/jujubenotch/dispatch/silence.py
@@ -0,0 +1,95 @@
+"""Ends waits for whole answers of an upstream that has fallen silent.
+
+A whole answer may rightly take long without a byte. A stream may not, so a
+stream that falls silent tells of the whole answers that are awaited beside it.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from dataclasses import dataclass, field
+
+from jujubenotch.dispatch.attempt import Attempt, read_clock_s
+from jujubenotch.dispatch.call import Call
+from jujubenotch.dispatch.decide import AttemptEnd
+
+
+@dataclass(kw_only=True)
+class Exchanges:
+    """The exchanges in progress at one instance, by upstream.
+
+    :param idle_timeout_s: How long a stream may be silent, in seconds.
+    :param streams: The attempts that forward a stream, by identity.
+    :param waits: The bounds of the whole answers of idempotent calls, each with
+        when its call was sent, monotonic, in seconds.
+
+    >>> Exchanges(idle_timeout_s=2.0).waits
+    {}
+    """
+
+    idle_timeout_s: float
+    streams: dict[str, dict[int, Attempt]] = field(default_factory=dict)
+    waits: dict[str, dict[asyncio.Timeout, float]] = field(default_factory=dict)
+
+
+async def watch_exchange(
+    exchanges: Exchanges,
+    upstream: str,
+    call: Call,
+    attempt: Attempt,
+    work: Awaitable[None],
+) -> None:
+    """Run an exchange, so that a silence seen by one ends the others.
+
+    :param exchanges: The exchanges in progress.
+    :param upstream: The upstream's name.
+    :param call: The call.
+    :param attempt: The attempt; ended as silent when another exchange shows
+        that its upstream is.
+    :param work: The exchange itself, which sets the attempt's end.
+    """
+    if call.is_stream:
+        await _watch_stream(exchanges, upstream, attempt, work)
+    elif call.is_idempotent:
+        await _watch_wait(exchanges, upstream, attempt, work)
+    else:
+        await work
+
+
+def end_silent_waits(exchanges: Exchanges, upstream: str, now_s: float) -> None:
+    """End the waits of an upstream from which nothing comes any more.
+
+    :param exchanges: The exchanges in progress.
+    :param upstream: An upstream on which a stream has just fallen silent.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    idle_timeout_s = exchanges.idle_timeout_s
+    streams = exchanges.streams.get(upstream, {}).values()
+    # One connection may be lost while the upstream itself goes on.
+    if any(now_s - each.last_token_at_s < idle_timeout_s for each in streams):
+        return
+    for bound, sent_at_s in exchanges.waits.get(upstream, {}).items():
+        bound.reschedule(max(now_s, sent_at_s + idle_timeout_s))
+
+
+async def _watch_stream(exchanges, upstream, attempt, work):
+    streams = exchanges.streams.setdefault(upstream, {})
+    streams[id(attempt)] = attempt
+    try:
+        await work
+    finally:
+        del streams[id(attempt)]
+    if attempt.end is AttemptEnd.SILENT:
+        end_silent_waits(exchanges, upstream, read_clock_s())
+
+
+async def _watch_wait(exchanges, upstream, attempt, work):
+    waits = exchanges.waits.setdefault(upstream, {})
+    try:
+        async with asyncio.timeout(None) as bound:
+            waits[bound] = attempt.sent_at_s
+            try:
+                await work
+            finally:
+                del waits[bound]
+    except TimeoutError:
+        attempt.end = AttemptEnd.SILENT
--- a/jujubenotch/settings/model.py
+++ b/jujubenotch/settings/model.py
@@ -209,7 +209,7 @@
         1.0, description="seconds to open a connection, above 0"
     )
     idle_timeout_s: Timeout = Field(
-        2.5, description="seconds between two chunks of a stream, above 0"
+        2.0, description="seconds between two chunks of a stream, above 0"
     )
     answer_timeout_s: Timeout = Field(
         60.0, description="seconds without a byte of a whole answer, above 0"
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -27,7 +27,7 @@
     """
 
     connect_timeout_s: float = 1.0
-    idle_timeout_s: float = 2.5
+    idle_timeout_s: float = 2.0
     answer_timeout_s: float = 60.0
     keepalive_s: float = 15.0
     tcp_user_timeout_s: float = 5.0
