--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -1,7 +1,7 @@
 """One request to one upstream and its answer."""
 
-from collections.abc import AsyncIterator
-from contextlib import asynccontextmanager
+from collections.abc import AsyncIterator, Iterator
+from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 
 import aiohttp
@@ -114,27 +114,25 @@
     return b"".join(parts)
 
 
-class translated_errors:  # noqa: N801
-    """Turns the HTTP library's errors into those of this layer.
+@contextmanager
+def translated_errors() -> Iterator[None]:
+    """Turn the HTTP library's errors into those of this layer.
 
-    >>> with translated_errors():
-    ...     pass
+    :returns: A context.
+    :raises ConnectFailedError: Nothing was sent.
+    :raises SilentUpstreamError: No byte came within the idle timeout.
+    :raises ConnectionLostError: The connection ended early.
     """
-
-    def __enter__(self):
-        return self
-
-    def __exit__(self, kind, error, traceback):
-        if error is None:
-            return
-        if isinstance(error, (aiohttp.ClientConnectorError, aiohttp.InvalidURL)):
-            raise ConnectFailedError(str(error)) from error
-        if isinstance(error, aiohttp.ConnectionTimeoutError):
-            raise ConnectFailedError(str(error)) from error
-        if isinstance(error, TimeoutError) and isinstance(error, aiohttp.ClientError):
-            raise SilentUpstreamError(str(error)) from error
-        if isinstance(error, (aiohttp.ClientError, ConnectionError)):
-            raise ConnectionLostError(str(error)) from error
+    try:
+        yield
+    except (aiohttp.ClientConnectorError, aiohttp.InvalidURL) as error:
+        raise ConnectFailedError(str(error)) from error
+    except aiohttp.ConnectionTimeoutError as error:
+        raise ConnectFailedError(str(error)) from error
+    except aiohttp.ServerTimeoutError as error:
+        raise SilentUpstreamError(str(error)) from error
+    except (aiohttp.ClientError, ConnectionError) as error:
+        raise ConnectionLostError(str(error)) from error
 
 
 def _is_not_started(response):
