Bound both HTTP applications by one function; count the queue from what stands

Found on reading the whole change again. callers and operators set the same five limits line by line: listeners.set_request_limits serves both. The operators' status and each scrape of the metrics worked out every pool's estimated waits to read the queue's length; it is read where the pools keep it.

--- a/jujubenotch/callers/app.py
+++ b/jujubenotch/callers/app.py
@@ -24,6 +24,7 @@
 )
 from jujubenotch.callers.errors import RefusedRequestError
 from jujubenotch.dispatch import CallerGoneError, Dispatcher, dispatch
+from jujubenotch.listeners import set_request_limits
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Outcome, Refusal, RefusalReason
 from jujubenotch.records import Configuration
@@ -89,7 +90,9 @@
     :returns: An application to be served in the daemon's own loop.
     """
     app = Sanic(name, configure_logging=False)
-    _set_limits(app, limits)
+    # The deadline of the class bounds a request: the library's own timeout
+    # would cancel it and answer without an outcome.
+    set_request_limits(app, limits, NO_RESPONSE_TIMEOUT_S)
 
     async def serve_completion(request):
         return await _serve(dependencies, request, classify_completion)
@@ -126,17 +129,6 @@
     return app
 
 
-def _set_limits(app, limits):
-    app.config.REQUEST_MAX_SIZE = limits.max_body_bytes
-    app.config.REQUEST_MAX_HEADER_SIZE = limits.max_header_bytes
-    app.config.REQUEST_TIMEOUT = limits.body_timeout_s
-    app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_s
-    # The deadline of the class bounds a request: the library's own timeout
-    # would cancel it and answer without an outcome.
-    app.config.RESPONSE_TIMEOUT = NO_RESPONSE_TIMEOUT_S
-    app.config.MOTD = False
-
-
 async def _serve(dependencies, request, classify):
     arrival = Arrival(
         request_id=dependencies.make_request_id(),
--- a/jujubenotch/capacity/peered.py
+++ b/jujubenotch/capacity/peered.py
@@ -2,7 +2,7 @@
 
 import asyncio
 
-from jujubenotch.admission import Grant, WorkReport, WorkRequest, summarise
+from jujubenotch.admission import Grant, WorkReport, WorkRequest
 from jujubenotch.capacity import client as client_module
 from jujubenotch.capacity.away import acquire_away, give_back_away
 from jujubenotch.capacity.elsewhere import choose_elsewhere, list_remote_groups
@@ -133,15 +133,14 @@
         """
         return list_upstream_states(self.state)
 
-    def count_queued(self, now_s: float) -> tuple[int, ...]:
+    def count_queued(self) -> tuple[int, ...]:
         """Count what waits in the pools kept here, by tier.
 
-        :param now_s: The present monotonic time, in seconds.
         :returns: The number of requests for each tier.
         """
         keepers = (self.state.home.keeper, self.state.fallback.keeper)
         pools = [pool for keeper in keepers for pool in keeper.pools.values()]
-        queued = [summarise(pool, now_s).queued for pool in pools]
+        queued = [pool.queued_by_tier for pool in pools]
         return tuple(sum(counts) for counts in zip(*queued, strict=True)) or NONE_QUEUED
 
     def count_peers(self) -> int:
--- a/jujubenotch/daemon/operations.py
+++ b/jujubenotch/daemon/operations.py
@@ -78,7 +78,7 @@
     platform_age_s = None
     if keeper.platform_heard_s is not None:
         platform_age_s = now_s - keeper.platform_heard_s
-    queued = instance.capacity.count_queued(now_s)
+    queued = instance.capacity.count_queued()
     return StatusDocument(
         instance=instance.name,
         data_centre=instance.settings.instance.data_centre,
@@ -162,7 +162,7 @@
     :returns: The body and its content type.
     """
     metrics = instance.observer.metrics
-    queued = instance.capacity.count_queued(time.monotonic())
+    queued = instance.capacity.count_queued()
     for tier in range(TIERS):
         set_queued(metrics, tier, queued[tier])
     for state in instance.capacity.list_upstream_states():
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -7,7 +7,9 @@
 from jujubenotch.listeners.core import (
     Listener,
     ListenerError,
+    RequestLimits,
     bind_socket,
+    set_request_limits,
     start_listener,
     stop_listener,
 )
@@ -16,7 +18,9 @@
     "ConnectionBounds",
     "Listener",
     "ListenerError",
+    "RequestLimits",
     "bind_socket",
+    "set_request_limits",
     "is_well_formed",
     "start_listener",
     "stop_listener",
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -5,6 +5,7 @@
 import ssl
 from dataclasses import dataclass
 from functools import partial
+from typing import Protocol
 
 from sanic import Sanic
 from sanic.server.async_server import AsyncioServer
@@ -35,6 +36,32 @@
     port: int
 
 
+class RequestLimits(Protocol):
+    """Bounds on what may be sent to an application."""
+
+    max_body_bytes: int
+    max_header_bytes: int
+    body_timeout_s: float
+    idle_timeout_s: float
+
+
+def set_request_limits(
+    app: Sanic, limits: RequestLimits, response_timeout_s: float
+) -> None:
+    """Bound what an application takes, and how long it may take to answer.
+
+    :param app: The application.
+    :param limits: The bounds on a request and its connection.
+    :param response_timeout_s: For an answer, in seconds.
+    """
+    app.config.REQUEST_MAX_SIZE = limits.max_body_bytes
+    app.config.REQUEST_MAX_HEADER_SIZE = limits.max_header_bytes
+    app.config.REQUEST_TIMEOUT = limits.body_timeout_s
+    app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_s
+    app.config.RESPONSE_TIMEOUT = response_timeout_s
+    app.config.MOTD = False
+
+
 def bind_socket(host: str, port: int) -> socket.socket:
     """Bind a TCP address.
 
--- a/jujubenotch/operators/app.py
+++ b/jujubenotch/operators/app.py
@@ -8,6 +8,7 @@
 from sanic import HTTPResponse, Request, Sanic
 from sanic.exceptions import SanicException
 
+from jujubenotch.listeners import set_request_limits
 from jujubenotch.logs import log_event
 from jujubenotch.operators.apply import apply_records
 from jujubenotch.operators.authenticate import check_key
@@ -58,7 +59,7 @@
     """
     app = Sanic(name, configure_logging=False)
     limits = limits or OperatorLimits()
-    _set_limits(app, limits)
+    set_request_limits(app, limits, APPLY_TIMEOUT_S)
     _add_command_routes(app, dependencies, limits.max_body_bytes)
     _add_query_routes(app, dependencies)
     _add_open_routes(app, dependencies)
@@ -70,15 +71,6 @@
     return app
 
 
-def _set_limits(app, limits):
-    app.config.REQUEST_MAX_SIZE = limits.max_body_bytes
-    app.config.REQUEST_MAX_HEADER_SIZE = limits.max_header_bytes
-    app.config.REQUEST_TIMEOUT = limits.body_timeout_s
-    app.config.KEEP_ALIVE_TIMEOUT = limits.idle_timeout_s
-    app.config.RESPONSE_TIMEOUT = APPLY_TIMEOUT_S
-    app.config.MOTD = False
-
-
 def _add_command_routes(app, dependencies, max_body_bytes):
     # These handlers stream, so that a key is checked before a body is read.
     async def serve_apply(request):
