Tell an answer cut by a reset from a whole one, and pass on unframed answers unframed

Also: connections with unread bytes are not reused. Tests: features/upstreams/endings.feature failed first.

--- /dev/null
+++ b/features/upstreams/steps/endings_steps.py
@@ -0,0 +1,85 @@
+import asyncio
+
+from behave import given, then, when
+
+from features.scripted_upstream import ScriptedUpstream, serve_script
+from jujubenotch.upstreams import (
+    ConnectionLimits,
+    ConnectionLostError,
+    UpstreamRequest,
+    close_connections,
+    open_connections,
+    open_exchange,
+    read_whole,
+)
+
+WHOLE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
+
+
+@given("an upstream whose answer without a length ends by a {ending}")
+def script_unframed(context, ending):
+    context.upstream = ScriptedUpstream(
+        parts=(b"HTTP/1.1 200 OK\r\n\r\nfirst ", b"second"), ending=ending
+    )
+
+
+@given("an upstream whose answer is shorter than its length")
+def script_short(context):
+    context.upstream = ScriptedUpstream(
+        parts=(b"HTTP/1.1 200 OK\r\nContent-Length: 99\r\n\r\nfirst",)
+    )
+
+
+@given("an upstream that sends a second answer after each")
+def script_extra(context):
+    context.upstream = ScriptedUpstream(parts=(WHOLE, WHOLE), ending="keep")
+
+
+def write_request(url):
+    return UpstreamRequest(
+        method="GET", url=url + "/x", headers=(), body=b"", is_repeatable=True
+    )
+
+
+async def read_answer(connections, url):
+    async with open_exchange(connections, write_request(url)) as answer:
+        return await read_whole(answer, 1000)
+
+
+@when("the answer is read")
+def read(context):
+    async def run():
+        connections = open_connections(ConnectionLimits())
+        async with serve_script(context.upstream) as upstream:
+            try:
+                context.body = await read_answer(connections, upstream.url)
+            except ConnectionLostError:
+                context.body = None
+            await close_connections(connections)
+
+    asyncio.run(run())
+
+
+@when("two requests are sent one after the other")
+def read_twice(context):
+    async def run():
+        connections = open_connections(ConnectionLimits())
+        async with serve_script(context.upstream) as upstream:
+            context.bodies = [await read_answer(connections, upstream.url)]
+            await asyncio.sleep(0.1)
+            context.bodies.append(await read_answer(connections, upstream.url))
+            await close_connections(connections)
+
+    asyncio.run(run())
+
+
+@then("the answer is {verdict:w}")
+def check(context, verdict):
+    expected = b"first second" if verdict == "whole" else None
+    assert context.body == expected, context.body
+
+
+@then("the second request went on a new connection")
+def check_new(context):
+    assert context.bodies == [b"done", b"done"], context.bodies
+    assert len(set(context.upstream.connections)) == 2, context.upstream.connections
--- a/jujubenotch/callers/answers.py
+++ b/jujubenotch/callers/answers.py
@@ -34,11 +34,12 @@
         self.request_id = request_id
         self.response = None
 
-    async def start(self, status, headers):
+    async def start(self, status, headers, *, is_framed=True):
         """Send the head of the stream.
 
         :param status: The HTTP status.
         :param headers: The upstream's headers.
+        :param is_framed: Ignored: the stream's last event tells its end.
         :raises CallerGoneError: The caller has left.
         """
         kept = {
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -83,17 +83,22 @@
     request: Request
     response: HTTPResponse | None = None
 
-    async def start(self, status, headers):
-        """Send the head of the stream.
+    async def start(self, status, headers, *, is_framed=True):
+        """Send the head of an answer.
 
         :param status: The HTTP status.
         :param headers: The upstream's headers.
+        :param is_framed: Whether the answer can tell its own end.
         :raises CallerGoneError: The caller has left.
         """
         head = HTTPResponse(status=status, content_type=None)
         for name, value in headers:
             head.headers.add(name, value)
-        self.response = await self.request.respond(head)
+        if is_framed:
+            self.response = await self.request.respond(head)
+        else:
+            await self.request.stream.respond_unframed(head)
+            self.response = head
 
     async def send(self, events):
         """Send bytes of the stream.
@@ -172,6 +177,9 @@
 
 
 async def _write_answer(sink, answer):
+    if sink.response is None and not answer.is_framed:
+        await sink.start(answer.status, answer.headers, is_framed=False)
+        await sink.response.send(answer.body)
     if sink.response is None:
         return _write_whole(answer)
     if answer.outcome is Outcome.COMPLETED:
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -18,6 +18,7 @@
     UpstreamAnswer,
     UpstreamConnections,
     UpstreamRequest,
+    check_ending,
     open_exchange,
     read_last_id,
     read_whole,
@@ -207,6 +208,7 @@
         status=answer.status,
         headers=keep_end_to_end(answer.headers),
         body=body,
+        is_framed=answer.response.has_length,
     )
 
 
@@ -240,11 +242,16 @@
     progress = receiver.progress
     attempt = receiver.attempt
     if not progress.is_started:
-        await receiver.sink.start(answer.status, keep_end_to_end(answer.headers))
+        await receiver.sink.start(
+            answer.status,
+            keep_end_to_end(answer.headers),
+            is_framed=answer.response.has_length,
+        )
         progress.is_started = True
     buffer = EventBuffer(end_marker=receiver.protocol.end_marker)
     try:
         await _forward_events(receiver, answer, buffer)
+        check_ending(answer)
         await _forward_rest(receiver, buffer)
     finally:
         attempt.tokens = buffer.events
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -80,6 +80,8 @@
     :param reason: Why the request was refused or has no whole answer.
     :param retry_after_s: When to come back, in seconds; 0 where it makes no
         sense.
+    :param is_framed: Whether it tells its own end; one that doesn't ends with
+        its connection.
     :param is_streamed: The head and events were forwarded already, and
         ``body`` holds the last event only.
     """
@@ -91,6 +93,7 @@
     retry_after_s: float = 0.0
     headers: Headers = ()
     body: bytes = b""
+    is_framed: bool = True
     is_streamed: bool = False
 
 
@@ -101,9 +104,14 @@
 class Sink(Protocol):
     """Where the events of a stream go."""
 
-    async def start(self, status: int, headers: Headers) -> None:
+    async def start(
+        self, status: int, headers: Headers, *, is_framed: bool = True
+    ) -> None:
         """Send the head of the answer.
 
+        :param status: The HTTP status.
+        :param headers: The upstream's headers.
+        :param is_framed: Whether the answer can tell its own end.
         :raises CallerGoneError: The caller has left.
         """
 
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -72,9 +72,9 @@
 
 
 def _tolerate_leaving(sink):
-    async def start(status, headers):
+    async def start(status, headers, *, is_framed=True):
         with contextlib.suppress(CallerGoneError):
-            await sink.start(status, headers)
+            await sink.start(status, headers, is_framed=is_framed)
 
     async def send(events):
         with contextlib.suppress(CallerGoneError):
--- a/jujubenotch/listeners/bounds.py
+++ b/jujubenotch/listeners/bounds.py
@@ -9,8 +9,10 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from sanic import HTTPResponse
 from sanic.exceptions import BadRequest, SanicException
-from sanic.http import Http
+from sanic.headers import format_http1_response
+from sanic.http import Http, Stage
 from sanic.server.protocols.http_protocol import HttpProtocol
 
 REQUEST_TIMEOUT = 408
@@ -108,6 +110,30 @@
             bound_s = self.protocol.bounds.body_timeout_s
             raise _describe_slow("body", bound_s) from error
 
+    async def respond_unframed(self, response: HTTPResponse) -> None:
+        """Send the head of an answer that ends with its connection.
+
+        Who passes on a body of unknown length can't tell whether it is whole,
+        so the answer must not say that it is.
+
+        :param response: The answer; its body is sent by its ``send``.
+        """
+        self.keep_alive = False
+        self.response = response
+        response.stream = self
+        response.headers["connection"] = "close"
+        self.response_func = self._send_unframed
+        head = format_http1_response(response.status, response.processed_headers)
+        await self._send(head)
+        self.stage = Stage.RESPONSE
+
+    async def _send_unframed(self, data, end_stream):
+        if data:
+            await self._send(data)
+        if end_stream:
+            self.response_func = None
+            self.stage = Stage.IDLE
+
 
 class BoundedProtocol(HttpProtocol):
     """One connection of a listener with bounds.
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -25,6 +25,7 @@
 from jujubenotch.upstreams.exchange import (
     UpstreamAnswer,
     UpstreamRequest,
+    check_ending,
     open_exchange,
     read_whole,
     translated_errors,
@@ -43,6 +44,7 @@
     "UpstreamConnections",
     "UpstreamError",
     "UpstreamRequest",
+    "check_ending",
     "close_connections",
     "open_connections",
     "open_exchange",
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -5,6 +5,8 @@
 
 import aiohttp
 
+from jujubenotch.upstreams.response import CleanConnector, UpstreamResponse
+
 KEEPALIVE_PROBE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
 MS_PER_S = 1000
@@ -82,7 +84,7 @@
         return result
 
     arguments = {} if force_close else {"keepalive_timeout": limits.keepalive_s}
-    connector = aiohttp.TCPConnector(
+    connector = CleanConnector(
         limit=0,
         force_close=force_close,
         socket_factory=make_socket,
@@ -92,6 +94,7 @@
         connector=connector,
         timeout=_make_timeout(limits, limits.answer_timeout_s),
         auto_decompress=False,
+        response_class=UpstreamResponse,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     # The library would by itself send GET, PUT and DELETE once more when the
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -14,6 +14,7 @@
     ConnectionLostError,
     SilentUpstreamError,
 )
+from jujubenotch.upstreams.response import UpstreamResponse
 
 # The library would add these where the caller sent none.
 AUTOMATIC_HEADERS = ("Accept", "Accept-Encoding", "Content-Type", "User-Agent")
@@ -49,7 +50,7 @@
 
     status: int
     headers: tuple[tuple[str, str], ...]
-    response: aiohttp.ClientResponse
+    response: UpstreamResponse
 
     def find_header(self, name: str) -> str:
         """Return the value of a header; empty without one.
@@ -120,9 +121,20 @@
                     f"the answer has more than {max_size_bytes} bytes"
                 )
             parts.append(part)
+    check_ending(answer)
     return b"".join(parts)
 
 
+def check_ending(answer: UpstreamAnswer) -> None:
+    """Check that a body whose last byte was read has not been cut short.
+
+    :param answer: The answer.
+    :raises ConnectionLostError: Its connection was reset.
+    """
+    if not answer.response.has_length and answer.response.was_reset:
+        raise ConnectionLostError("the connection of a body without length was reset")
+
+
 @contextmanager
 def translated_errors() -> Iterator[None]:
     """Turn the HTTP library's errors into those of this layer.
