Prove the platform's rules against a stand-in store and scripted upstreams

features/platform runs the real program: keys taken away while the store is silent, spoiled and unframed answers, repeats and their budget, resumed streams, leaving upstreams, unreadable entries, planned stops, settings, log lines and metrics. Also: a change wait that follows the bound on a key's age, one line a retry.

--- /dev/null
+++ b/features/platform/list.feature
@@ -0,0 +1,24 @@
+Feature: Upstreams come and go by the platform's list
+
+  Scenario: A leaving upstream gets nothing new
+    Given a site whose upstream answers well
+    And another upstream that answers well
+    When the first upstream is leaving
+    And 0.3 s pass
+    And 6 callers read
+    Then each gets "done"
+    And the first upstream read 0 requests
+
+  Scenario: An entry that can't be read names no upstream
+    Given a site whose upstream answers well
+    When an entry without an address is listed
+    And an entry of an unknown state is listed
+    And an entry that isn't text is listed
+    And 6 callers read
+    Then each gets "done"
+
+  Scenario: Only the system tells an upstream what only the system may
+    Given a site whose upstream answers well
+    When a caller reads with headers that only the system may set
+    Then it gets "done"
+    And the upstream read none of them
--- /dev/null
+++ b/features/platform/site.py
@@ -0,0 +1,282 @@
+"""A small site: the store's stand-in, scripted upstreams and the real program."""
+
+import asyncio
+import contextlib
+import http.client
+import json
+import random
+import re
+import signal
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from aiohttp import web
+
+from features.scripted_upstream import ScriptedUpstream, serve_script
+from standins.store import StoreState, build_store_app, drop_row, write_row
+
+ROOT = Path(__file__).resolve().parents[2]
+HOST = "site.example"
+KEY = "a-key"
+START_TIMEOUT_S = 15.0
+CALL_TIMEOUT_S = 12.0
+REVOKE_MS = 2500
+ID_LINE = re.compile(rb"x-attempt-id: *(\S+)", re.IGNORECASE)
+
+SETTINGS = """node-name=edge-a-1
+zone=a
+listen.frontend={host}:8000
+listen.ready={host}:8001
+platform.address={host}:{store_port}
+bounds.fail-closed=true
+bounds.revoke-ms={revoke_ms}
+bounds.grace-s=4
+bounds.retry-ratio=0.2
+a-name-that-is-not-known=1
+"""
+
+
+def write_route(name, prefix, kind, **others):
+    return {
+        "name": name,
+        "host": HOST,
+        "prefix": prefix,
+        "route-type": kind,
+        "timeout-ms": 4000,
+        "target-latency-ms": 400,
+        "priority": 1,
+        "service": "plain",
+        "max-attempts": 2,
+        "anonymous": False,
+        **others,
+    }
+
+
+ROUTES = (
+    write_route("read", "/read/", "idempotent"),
+    write_route("send", "/send/", "non_idempotent"),
+    write_route("stream", "/stream/", "streaming"),
+    write_route("resume", "/resume/", "streaming", **{"stream-resume": True}),
+    write_route("short", "/short/", "idempotent", **{"timeout-ms": 400}),
+)
+
+
+@dataclass(kw_only=True)
+class Site:
+    """The parts of one site, and where its program can be called."""
+
+    directory: Path
+    host: str
+    loop: asyncio.AbstractEventLoop
+    state: StoreState
+    upstreams: dict[str, ScriptedUpstream] = field(default_factory=dict)
+    process: subprocess.Popen | None = None
+    store_port: int = 0
+    version: int = 1
+    ends: list = field(default_factory=list)
+
+
+@contextlib.contextmanager
+def open_site():
+    loop = asyncio.new_event_loop()
+    thread = threading.Thread(target=loop.run_forever, daemon=True)
+    thread.start()
+    # Each site has a loopback address of its own, so that ports never clash.
+    numbers = [str(random.randrange(1, 255)) for _ in range(3)]
+    with tempfile.TemporaryDirectory() as directory:
+        site = Site(
+            directory=Path(directory),
+            host=".".join(["127", *numbers]),
+            loop=loop,
+            state=StoreState(),
+        )
+        run(site, _start_store(site))
+        try:
+            yield site
+        finally:
+            _close(site)
+            loop.call_soon_threadsafe(loop.stop)
+            thread.join()
+
+
+def run(site, work):
+    return asyncio.run_coroutine_threadsafe(work, site.loop).result(CALL_TIMEOUT_S)
+
+
+def change(site, function, *arguments):
+    async def call():
+        return function(site.state, *arguments)
+
+    return run(site, call())
+
+
+def put_configuration(site, *, keys=(KEY,), routes=ROUTES):
+    document = {
+        "version": site.version,
+        "routes": list(routes),
+        "services": [{"name": "plain", "health-path": "/h", "max-conns": 100}],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 100000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [
+            {"name": "agents", "api-keys": list(keys)},
+            {"name": "other", "api-keys": ["another-key"]},
+        ],
+    }
+    site.version += 3
+    change(site, write_row, "op", "config", json.dumps(document).encode())
+
+
+def list_upstream(site, name, **others):
+    upstream = site.upstreams[name]
+    entry = {
+        "service": "plain",
+        "address": upstream.url.removeprefix("http://"),
+        "zone": "a",
+        "version": "v1",
+        "slots": 4,
+        "state": "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+        **others,
+    }
+    change(site, write_row, "servers", name, json.dumps(entry).encode())
+
+
+def unlist_upstream(site, name):
+    change(site, drop_row, "servers", name)
+
+
+def add_upstream(site, name, upstream):
+    stack = contextlib.AsyncExitStack()
+    site.upstreams[name] = upstream
+    run(site, stack.enter_async_context(serve_script(upstream, host=site.host)))
+    site.ends.append(stack)
+    list_upstream(site, name)
+
+
+def answer_well(head, body=b"done"):
+    found = ID_LINE.search(head)
+    request_id = found[1] if found else b"none"
+    return (
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+        b"Content-Length: %d\r\n\r\n%b" % (request_id, len(body), body),
+    )
+
+
+def start_program(site, *, settings=SETTINGS):
+    path = site.directory / "settings.conf"
+    path.write_text(
+        settings.format(host=site.host, store_port=site.store_port, revoke_ms=REVOKE_MS)
+    )
+    with (site.directory / "log").open("ab") as log:
+        site.process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "jujubenotch.platform.program",
+                f"--settings={path}",
+            ],
+            cwd=ROOT,
+            stdout=log,
+            stderr=subprocess.STDOUT,
+        )
+
+
+def wait_until_ready(site):
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while read_readiness(site) != 200:
+        assert time.monotonic() < end_s, read_log(site)
+        time.sleep(0.05)
+
+
+def read_readiness(site):
+    try:
+        return send(site, "/ready", port=8001).status
+    except OSError:
+        return 0
+
+
+def read_log(site):
+    return (site.directory / "log").read_text()
+
+
+def read_events(site, name):
+    lines = [line for line in read_log(site).splitlines() if line.startswith("{")]
+    return [each for each in map(json.loads, lines) if each["event"] == name]
+
+
+def stop_program(site, number=signal.SIGTERM):
+    site.process.send_signal(number)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Reply:
+    """What a caller got; ``is_whole`` is false for a body that was cut."""
+
+    status: int
+    headers: dict
+    body: bytes
+    is_whole: bool
+
+
+def send(site, path, *, port=8000, method="GET", key=KEY, body=None, **headers):
+    connection = http.client.HTTPConnection(site.host, port, timeout=CALL_TIMEOUT_S)
+    fields = {"Host": HOST, "X-Attempt-Id": f"{random.getrandbits(64):016x}"}
+    if key:
+        fields["Authorization"] = f"Bearer {key}"
+    fields |= {name.replace("_", "-"): value for name, value in headers.items()}
+    try:
+        connection.request(method, path, body=body, headers=fields)
+        response = connection.getresponse()
+        return _read_reply(response)
+    finally:
+        connection.close()
+
+
+def _read_reply(response):
+    is_whole = True
+    try:
+        body = response.read()
+    except http.client.IncompleteRead as error:
+        body, is_whole = error.partial, False
+    return Reply(
+        status=response.status,
+        headers={name.lower(): value for name, value in response.getheaders()},
+        body=body,
+        is_whole=is_whole,
+    )
+
+
+async def _start_store(site):
+    runner = web.AppRunner(build_store_app(site.state), shutdown_timeout=0.1)
+    await runner.setup()
+    listener = web.TCPSite(runner, site.host, 0)
+    await listener.start()
+    site.store_port = listener._server.sockets[0].getsockname()[1]
+    site.ends.append(runner)
+
+
+def _close(site):
+    if site.process is not None and site.process.poll() is None:
+        site.process.kill()
+        site.process.wait()
+    for end in reversed(site.ends):
+        work = end.aclose() if hasattr(end, "aclose") else end.cleanup()
+        run(site, work)
+    run(site, _cancel_tasks())
+
+
+async def _cancel_tasks():
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
--- /dev/null
+++ b/features/platform/steps/process_steps.py
@@ -0,0 +1,81 @@
+import http.client
+import signal
+import threading
+import time
+
+from behave import then, when
+
+from features.platform.site import (
+    HOST,
+    KEY,
+    read_events,
+    read_log,
+    read_readiness,
+    send,
+    stop_program,
+)
+
+END_TIMEOUT_S = 8.0
+
+
+@when("a caller streams while the program is stopped")
+def stream_through_stop(context):
+    context.replies = []
+
+    def stream():
+        context.replies.append(send(context.site, "/stream/x", method="POST", body=b""))
+
+    thread = threading.Thread(target=stream)
+    thread.start()
+    time.sleep(0.3)
+    stop_program(context.site)
+    time.sleep(0.1)
+    context.readiness = read_readiness(context.site)
+    thread.join()
+
+
+@when("the program is told to read its settings again")
+def hang_up(context):
+    stop_program(context.site, signal.SIGHUP)
+    time.sleep(0.3)
+
+
+@when("a caller leaves its stream")
+def leave(context):
+    connection = http.client.HTTPConnection(context.site.host, 8000)
+    headers = {"Host": HOST, "Authorization": f"Bearer {KEY}", "X-Attempt-Id": "id-9"}
+    connection.request("POST", "/stream/x", body=b"{}", headers=headers)
+    time.sleep(0.3)
+    connection.close()
+
+
+@then("the upstream's connection has ended")
+def check_left(context):
+    end_s = time.monotonic() + 0.4
+    while not context.site.upstreams["i-first"].left:
+        assert time.monotonic() < end_s, read_log(context.site)
+        time.sleep(0.02)
+
+
+@then("the instance was not ready after the stop")
+def check_unready(context):
+    assert context.readiness == 503
+
+
+@then("the program ended with {code:d}")
+def check_end(context, code):
+    found = context.site.process.wait(END_TIMEOUT_S)
+    assert found == code, (found, read_log(context.site))
+
+
+@then('the program ends with {code:d} and names "{name}"')
+def check_wrong(context, code, name):
+    found = context.site.process.wait(END_TIMEOUT_S)
+    text = read_log(context.site)
+    assert found == code, (found, text)
+    assert name in text and len(text.splitlines()) == 1, text
+
+
+@then('it logged "{event}"')
+def check_event(context, event):
+    assert read_events(context.site, event), read_log(context.site)
--- /dev/null
+++ b/features/platform/steps/site_steps.py
@@ -0,0 +1,263 @@
+import time
+
+from behave import given, then, when
+
+from features.platform.site import (
+    KEY,
+    SETTINGS,
+    add_upstream,
+    change,
+    list_upstream,
+    open_site,
+    put_configuration,
+    read_events,
+    read_log,
+    read_readiness,
+    send,
+    start_program,
+    wait_until_ready,
+)
+from features.platform.upstream_kinds import make_upstream
+from standins.store import drop_history, set_fault, write_row
+
+RESERVED_HEADERS = {
+    "X-Tenant": "other",
+    "X-Expect-Instance": "i-other",
+    "X-Cache-Retention": "r-1",
+    "X-Pin-Ms": "4000",
+    "X-Kv-Backup": "127.0.0.1:1",
+    "Kv-From": "127.0.0.1:1/h",
+    "X-Expect-Version": "9",
+}
+
+
+@given("a site whose upstream {kind}")
+def open_whole_site(context, kind):
+    context.site = context.stack.enter_context(open_site())
+    put_configuration(context.site)
+    add_upstream(context.site, "i-first", make_upstream(kind))
+    start_program(context.site)
+    wait_until_ready(context.site)
+
+
+@given("another upstream that {kind}")
+def add_another(context, kind):
+    add_upstream(context.site, "i-second", make_upstream(kind))
+    time.sleep(0.2)
+
+
+@given('a site whose settings have the line "{line}"')
+def open_wrong_site(context, line):
+    context.site = context.stack.enter_context(open_site())
+    start_program(context.site, settings=SETTINGS + line + "\n")
+
+
+@when("the store is {fault}")
+def put_fault(context, fault):
+    change(context.site, set_fault, "" if fault == "well" else fault)
+
+
+@when("the store's history is dropped")
+def drop(context):
+    change(context.site, drop_history)
+
+
+@when("the configuration without the key is written")
+def take_key(context):
+    put_configuration(context.site, keys=("some-other-key",))
+
+
+@when("{seconds:g} s pass")
+def wait(context, seconds):
+    time.sleep(seconds)
+
+
+@when("the first upstream is leaving")
+def leave(context):
+    list_upstream(context.site, "i-first", state="draining")
+
+
+@when("an entry without an address is listed")
+def list_incomplete(context):
+    change(context.site, write_row, "servers", "i-bad-1", b'{"service":"plain"}')
+
+
+@when("an entry of an unknown state is listed")
+def list_unknown(context):
+    list_upstream(context.site, "i-first")
+    site = context.site
+    site.upstreams["i-bad-2"] = site.upstreams["i-first"]
+    list_upstream(site, "i-bad-2", state="resting", address="127.0.0.1:1")
+
+
+@when("an entry that isn't text is listed")
+def list_bytes(context):
+    change(context.site, write_row, "servers", "i-bad-3", b"\xff\xfe\x00")
+    time.sleep(0.2)
+
+
+@when("a caller reads with its key")
+def read(context):
+    context.replies = [send(context.site, "/read/x?a=1")]
+
+
+@when('a caller reads with the key "{key}"')
+def read_with(context, key):
+    context.replies = [send(context.site, "/read/x", key=key, X_Attempt_Id="id-77")]
+
+
+@when("a caller reads with headers that only the system may set")
+def read_reserved(context):
+    context.replies = [send(context.site, "/read/x", **RESERVED_HEADERS)]
+
+
+@when("a caller sends")
+def send_one(context):
+    context.replies = [send(context.site, "/send/x", method="POST", body=b"b" * 500)]
+
+
+@when("{count:d} callers read")
+def read_many(context, count):
+    context.replies = [send(context.site, "/read/x") for _ in range(count)]
+
+
+@when("{count:d} callers send")
+def send_many(context, count):
+    context.replies = [
+        send(context.site, "/send/x", method="POST", body=b"{}") for _ in range(count)
+    ]
+
+
+@when("a caller streams")
+def stream(context):
+    context.replies = [send(context.site, "/stream/x", method="POST", body=b"{}")]
+
+
+@when("{count:d} callers resume streams")
+def resume(context, count):
+    context.replies = [
+        send(context.site, "/resume/x", method="POST", body=b"{}") for _ in range(count)
+    ]
+
+
+@when("a caller reads on the short route")
+def read_short(context):
+    started_s = time.monotonic()
+    context.replies = [send(context.site, "/short/x")]
+    context.waited_s = time.monotonic() - started_s
+
+
+@then('it gets "{body}"')
+def check_body(context, body):
+    reply = context.replies[0]
+    got = (reply.status, reply.body)
+    assert got == (200, body.encode()), (reply, read_log(context.site))
+
+
+@then('each gets "{body}"')
+def check_bodies(context, body):
+    got = {(reply.status, reply.body) for reply in context.replies}
+    assert got == {(200, body.encode())}, (got, read_log(context.site))
+
+
+@then("it gets the status {status:d}")
+def check_status(context, status):
+    reply = context.replies[0]
+    assert reply.status == status, (reply, read_log(context.site))
+
+
+@then("it is told when to come back")
+def check_retry_after(context):
+    assert float(context.replies[0].headers["retry-after"]) > 0
+
+
+@then("it waited less than {seconds:g} s")
+def check_wait(context, seconds):
+    assert context.waited_s < seconds, context.waited_s
+
+
+@then("it got the upstream's signature")
+def check_signature(context):
+    assert context.replies[0].headers["x-response-signature"] == "s.1"
+
+
+@then("the answer ended with its connection")
+def check_unframed(context):
+    headers = context.replies[0].headers
+    assert headers["connection"] == "close", headers
+    assert not headers.keys() & {"content-length", "transfer-encoding"}, headers
+
+
+@then("the answer is {verdict:w}")
+def check_whole(context, verdict):
+    assert context.replies[0].is_whole is (verdict == "whole"), context.replies[0]
+
+
+@then("it got {count:d} events")
+def check_events(context, count):
+    body = context.replies[0].body
+    assert body.count(b"data:") == count, (body, read_log(context.site))
+
+
+@then("each got {count:d} events in order")
+def check_order(context, count):
+    expected = b"".join(b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, count + 1))
+    for reply in context.replies:
+        assert reply.body == expected, (reply, read_log(context.site))
+        assert reply.is_whole
+
+
+@then('the upstream read the header "{header}"')
+def check_header(context, header):
+    head = context.site.upstreams["i-first"].requests[0].lower()
+    assert header.encode() in head, head
+
+
+@then('the upstream read no header "{name}"')
+def check_no_header(context, name):
+    head = context.site.upstreams["i-first"].requests[0].lower()
+    assert name.encode() not in head and KEY.encode() not in head, head
+
+
+@then("the upstream read none of them")
+def check_reserved(context):
+    head = context.site.upstreams["i-first"].requests[0].lower()
+    for name, value in RESERVED_HEADERS.items():
+        assert f"{name}: {value}\r\n".lower().encode() not in head, head
+
+
+@then("the {which:w} upstream read {count:d} requests")
+@then("the upstream read {count:d} request")
+def check_requests(context, count, which="first"):
+    assert len(context.site.upstreams[f"i-{which}"].requests) == count
+
+
+@then("the upstreams read {count:d} request together")
+@then("the upstreams read {count:d} requests together")
+def check_all_requests(context, count):
+    total = sum(len(each.requests) for each in context.site.upstreams.values())
+    assert total == count, total
+
+
+@then("the instance is not ready")
+def check_unready(context):
+    assert read_readiness(context.site) == 503
+
+
+@then('its "{event}" line tells the reason "{reason}" and the version')
+def check_line(context, event, reason):
+    time.sleep(0.1)
+    lines = [
+        line
+        for line in read_events(context.site, event)
+        if line["request_id"] == "id-77"
+    ]
+    assert [line["reason"] for line in lines] == [reason], read_log(context.site)
+    assert lines[0]["version"] == 1 and lines[0]["version_age_s"] < 3
+
+
+@then("the metrics count {count:d} completed request")
+def check_metrics(context, count):
+    body = send(context.site, "/metrics", port=9464).body.decode()
+    lines = [line for line in body.splitlines() if 'outcome="completed"' in line]
+    assert [line.rpartition(" ")[2] for line in lines] == [str(count)], body
--- /dev/null
+++ b/features/platform/upstream_kinds.py
@@ -0,0 +1,102 @@
+"""The ways in which the scripted upstreams of these features answer."""
+
+import re
+
+from features.platform.site import ID_LINE, answer_well
+from features.scripted_upstream import ScriptedUpstream
+
+LAST_EVENT = re.compile(rb"last-event-id: *(\d+)", re.IGNORECASE)
+STREAM_HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+    b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+)
+LAST_CHUNK = b"0\r\n\r\n"
+
+
+def read_id(head):
+    found = ID_LINE.search(head)
+    return found[1] if found else b"none"
+
+
+def write_status(head, status, extra=b"", body=b"no"):
+    return (
+        b"HTTP/1.1 %b\r\nX-Attempt-Id: %b\r\n%bContent-Length: %d\r\n\r\n%b"
+        % (status, read_id(head), extra, len(body), body),
+    )
+
+
+def write_stream(head, first, last, *, is_whole):
+    chunks = []
+    for number in range(first, last + 1):
+        event = b"id: %d\ndata: w%d\n\n" % (number, number)
+        chunks.append(b"%x\r\n%b\r\n" % (len(event), event))
+    end = (LAST_CHUNK,) if is_whole else ()
+    return (STREAM_HEAD % read_id(head), *chunks, *end)
+
+
+def stream_on(head):
+    after = LAST_EVENT.search(head)
+    return write_stream(head, int(after[1]) + 1 if after else 1, 4, is_whole=True)
+
+
+def answer_unsigned(head):
+    return tuple(
+        part.replace(b"X-Response-Signature: s.1\r\n", b"")
+        for part in answer_well(head)
+    )
+
+
+def answer_other_id(head):
+    return tuple(part.replace(read_id(head), b"other") for part in answer_well(head))
+
+
+def answer_cut(head):
+    return tuple(part[:-2] for part in answer_well(head))
+
+
+def answer_unframed(head):
+    return tuple(
+        part.replace(b"Content-Length: 4\r\n", b"") for part in answer_well(head)
+    )
+
+
+KINDS = {
+    "answers well": (answer_well, "keep"),
+    "leaves the signature out": (answer_unsigned, "keep"),
+    "answers with another request's id": (answer_other_id, "keep"),
+    "cuts its answer": (answer_cut, "close"),
+    "sends bytes that are no answer": (
+        lambda head: (b"\x00\x01\x02 what\r\n\r\n",),
+        "close",
+    ),
+    "answers 503 without a proof": (
+        lambda head: write_status(head, b"503 Busy"),
+        "keep",
+    ),
+    "answers without a length": (answer_unframed, "close"),
+    "fails": (
+        lambda head: write_status(head, b"500 Error", b"X-Response-Signature: s.1\r\n"),
+        "keep",
+    ),
+    "refuses": (
+        lambda head: write_status(head, b"503 Busy", b"X-Not-Executed: 1\r\n"),
+        "keep",
+    ),
+    "is another process": (lambda head: write_status(head, b"421 Misdirected"), "keep"),
+    "is silent": (lambda head: (), "silent"),
+    "streams on from the last event": (stream_on, "keep"),
+    "cuts its stream after 2 events": (
+        lambda head: write_stream(head, 1, 2, is_whole=False),
+        "reset",
+    ),
+    "streams 3 events": (lambda head: write_stream(head, 1, 3, is_whole=True), "keep"),
+    "streams 40 events": (
+        lambda head: write_stream(head, 1, 40, is_whole=True),
+        "keep",
+    ),
+}
+
+
+def make_upstream(kind):
+    answer, ending = KINDS[kind]
+    return ScriptedUpstream(answer=answer, ending=ending)
--- a/features/scripted_upstream.py
+++ b/features/scripted_upstream.py
@@ -1,59 +1,80 @@
-"""An upstream that answers each connection with scripted bytes, for features."""
+"""An upstream that answers each request with scripted bytes, for features."""
 
 import asyncio
+import re
 import socket
 import struct
+from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
 
 END_OF_HEAD = b"\r\n\r\n"
 # Closing a socket with this option set resets the connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
 
 @dataclass(kw_only=True)
 class ScriptedUpstream:
     """What it sends and how it ends, and the requests that it has read.
 
-    :param parts: Bytes to send for a request, each after a short pause.
-    :param ending: ``close``, ``reset``, ``keep`` or ``silent``.
+    ``parts`` are sent for each request, each after a short pause, unless
+    ``answer`` makes them from the request's head. ``ending`` is ``close``,
+    ``reset``, ``keep`` or ``silent``.
     """
 
     parts: tuple[bytes, ...] = ()
+    answer: Callable[[bytes], tuple[bytes, ...]] | None = None
     ending: str = "close"
     requests: list[bytes] = field(default_factory=list)
     connections: list[int] = field(default_factory=list)
+    left: int = 0
     url: str = ""
 
 
 @asynccontextmanager
-async def serve_script(upstream, pause_s=0.02):
+async def serve_script(upstream, host="127.0.0.1", pause_s=0.02):
+    tasks = set()
+
     async def serve(reader, writer):
+        tasks.add(asyncio.current_task())
         try:
-            while True:
-                head = await reader.readuntil(END_OF_HEAD)
-                upstream.requests.append(head)
-                upstream.connections.append(id(writer))
-                for part in upstream.parts:
-                    writer.write(part)
-                    await writer.drain()
-                    await asyncio.sleep(pause_s)
-                if upstream.ending == "silent":
-                    await reader.read()
-                if upstream.ending != "keep":
-                    break
-        except (asyncio.IncompleteReadError, ConnectionError):
+            await _serve_requests(upstream, reader, writer, pause_s)
+        except (asyncio.IncompleteReadError, asyncio.CancelledError, ConnectionError):
             pass
         finally:
             _end(writer, upstream.ending)
+            tasks.discard(asyncio.current_task())
 
-    server = await asyncio.start_server(serve, "127.0.0.1", 0)
-    host, port = server.sockets[0].getsockname()
+    server = await asyncio.start_server(serve, host, 0)
+    port = server.sockets[0].getsockname()[1]
     upstream.url = f"http://{host}:{port}"
     try:
         yield upstream
     finally:
         server.close()
+        for task in list(tasks):
+            task.cancel()
+
+
+async def _serve_requests(upstream, reader, writer, pause_s):
+    while True:
+        head = await reader.readuntil(END_OF_HEAD)
+        length = CONTENT_LENGTH.search(head)
+        if length:
+            await reader.readexactly(int(length[1]))
+        upstream.requests.append(head)
+        upstream.connections.append(id(writer))
+        parts = upstream.answer(head) if upstream.answer else upstream.parts
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+            await asyncio.sleep(pause_s)
+        if upstream.ending == "silent":
+            await reader.read()
+            upstream.left += 1
+        if upstream.ending != "keep":
+            return
 
 
 def _end(writer, ending):
--- a/jujubenotch/daemon/forward_observer.py
+++ b/jujubenotch/daemon/forward_observer.py
@@ -19,8 +19,9 @@
 
 logger = logging.getLogger(__name__)
 
-# An arrival tells nothing that the request's other lines don't.
-QUIET_EVENTS = frozenset({"arrived"})
+# An arrival tells nothing that the request's other lines don't, and dispatch
+# logs a retry itself.
+QUIET_EVENTS = frozenset({"arrived", "retried"})
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -35,6 +35,7 @@
     Knowledge,
     PlacedCapacity,
     Source,
+    choose_change_wait_s,
     follow_source,
     measure_age_s,
     read_suspended_clock_s,
@@ -162,6 +163,7 @@
         level=settings.log_level,
         output=open_bounded_output(STANDARD_OUTPUT),
     )
+    logging.getLogger("sanic").setLevel(logging.WARNING)
     uvloop.install()
     with asyncio.Runner() as runner:
         runner.run(_run(settings, reload_settings, make_parts))
@@ -313,12 +315,16 @@
 
 def _start_followers(instance, parts):
     state = instance.state
+    wait_s = choose_change_wait_s(instance.settings.max_key_age_s)
     for name, source, apply_update in (
         ("configuration", parts.configuration, apply_configuration),
         ("upstreams", parts.upstreams, apply_upstreams),
     ):
         work = follow_source(
-            name, source, lambda update, apply=apply_update: apply(state, update)
+            name,
+            source,
+            lambda update, apply=apply_update: apply(state, update),
+            wait_s,
         )
         task = asyncio.create_task(work, name=name)
         task.add_done_callback(_end_on_failure)
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -9,6 +9,7 @@
 from jujubenotch.forwarding.errors import HistoryLostError, SourceError
 from jujubenotch.forwarding.follow import (
     Update,
+    choose_change_wait_s,
     follow_source,
     read_suspended_clock_s,
 )
@@ -74,6 +75,7 @@
     "admit_request",
     "apply_items",
     "build_index",
+    "choose_change_wait_s",
     "choose_prefix_key",
     "choose_service",
     "choose_upstream",
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -14,9 +14,10 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_CHANGE_WAIT_S = 1.8
 # A wait proves nothing before it ends, so it is short beside the age that the
 # configuration may have.
-CHANGE_WAIT_S = 1.8
+CHANGE_WAIT_SHARE = 0.36
 ANSWER_TIMEOUT_S = 0.7
 FIRST_PAUSE_S = 0.1
 # Short beside the time in which an instance must be up to date again.
@@ -39,6 +40,18 @@
     is_back: bool
 
 
+def choose_change_wait_s(max_age_s: float) -> float:
+    """Choose how long a call may wait for changes.
+
+    :param max_age_s: How old what is known may become, in seconds; 0 is no
+        bound.
+    :returns: Seconds.
+    """
+    if not max_age_s:
+        return MAX_CHANGE_WAIT_S
+    return min(MAX_CHANGE_WAIT_S, CHANGE_WAIT_SHARE * max_age_s)
+
+
 def read_suspended_clock_s() -> float:
     """Read the clock that goes on while the machine is suspended.
 
@@ -51,7 +64,7 @@
     name: str,
     source: Source[Value],
     apply_update: Callable[[Update[Value]], None],
-    change_wait_s: float = CHANGE_WAIT_S,
+    change_wait_s: float = MAX_CHANGE_WAIT_S,
 ) -> None:
     """Follow a source until cancelled.
 
--- /dev/null
+++ b/standins/store.py
@@ -0,0 +1,184 @@
+"""A small store with change feeds, as the users' platform has one.
+
+It keeps rows in tables, answers reads and waits for changes, and has the faults
+that features need: out of service, silent, history dropped.
+"""
+
+import asyncio
+import base64
+import time
+from dataclasses import dataclass, field
+
+import orjson
+from aiohttp import web
+
+MS_PER_S = 1000
+SERVICE_UNAVAILABLE = 503
+GONE = 410
+
+
+@dataclass(kw_only=True)
+class StoredRow:
+    """A row, or the mark of a dropped one."""
+
+    table: str
+    key: str
+    value: bytes
+    revision: int
+    is_deleted: bool = False
+
+
+@dataclass(kw_only=True)
+class StoreState:
+    """The rows, and the faults in force.
+
+    :param revision: The newest version.
+    :param oldest_revision: Changes up to it are not known any more.
+    :param fault: Empty, ``unavailable`` or ``silent``.
+    :param calls: The paths that were called.
+
+    >>> state = StoreState()
+    >>> write_row(state, "op", "config", b"{}")
+    >>> state.revision
+    1
+    """
+
+    rows: dict[tuple[str, str], StoredRow] = field(default_factory=dict)
+    revision: int = 0
+    oldest_revision: int = 0
+    fault: str = ""
+    calls: list[str] = field(default_factory=list)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+def write_row(state: StoreState, table: str, key: str, value: bytes) -> None:
+    """Write a row.
+
+    :param state: The store; changed in place.
+    :param table: The table.
+    :param key: The row's key.
+    :param value: Its value.
+    """
+    _put(state, StoredRow(table=table, key=key, value=value, revision=0))
+
+
+def drop_row(state: StoreState, table: str, key: str) -> None:
+    """Drop a row.
+
+    :param state: The store; changed in place.
+    :param table: The table.
+    :param key: The row's key.
+    """
+    row = StoredRow(table=table, key=key, value=b"", revision=0, is_deleted=True)
+    _put(state, row)
+
+
+def drop_history(state: StoreState) -> None:
+    """Forget all changes so far.
+
+    :param state: The store; changed in place.
+    """
+    state.oldest_revision = state.revision + 1
+
+
+def set_fault(state: StoreState, fault: str) -> None:
+    """Put a fault in force.
+
+    :param state: The store; changed in place.
+    :param fault: Empty, ``unavailable`` or ``silent``.
+    """
+    state.fault = fault
+
+
+def build_store_app(state: StoreState) -> web.Application:
+    """Build the store's HTTP interface.
+
+    :param state: The store.
+    :returns: The application.
+    """
+
+    async def serve_get(request):
+        return await _serve(state, request, _read_rows)
+
+    async def serve_feed(request):
+        return await _serve(state, request, _read_feed)
+
+    app = web.Application()
+    app.router.add_get("/v1/rows-get", serve_get)
+    app.router.add_get("/v1/rows-feed", serve_feed)
+    return app
+
+
+def _put(state, row):
+    state.revision += 1
+    row.revision = state.revision
+    state.rows[row.table, row.key] = row
+    state.changed.set()
+    state.changed = asyncio.Event()
+
+
+async def _serve(state, request, read):
+    state.calls.append(request.path)
+    if state.fault == "silent":
+        await asyncio.Event().wait()
+    if state.fault == "unavailable":
+        return web.Response(status=SERVICE_UNAVAILABLE)
+    return await read(state, request.query)
+
+
+async def _read_rows(state, query):
+    first = query.get("from", "")
+    rows = [
+        row
+        for (table, key), row in sorted(state.rows.items())
+        if table == query["table"] and key >= first and not row.is_deleted
+    ]
+    return _answer(state, rows)
+
+
+async def _read_feed(state, query):
+    since = int(query["since-rev"])
+    if since < state.oldest_revision:
+        return web.Response(status=GONE)
+    rows = _find_changes(state, query["table"], since)
+    end_s = time.monotonic() + int(query.get("wait-ms", "0")) / MS_PER_S
+    while not rows and (left_s := end_s - time.monotonic()) > 0:
+        try:
+            async with asyncio.timeout(left_s):
+                await state.changed.wait()
+        except TimeoutError:
+            break
+        rows = _find_changes(state, query["table"], since)
+    if state.fault:
+        return web.Response(status=SERVICE_UNAVAILABLE)
+    return _answer(state, rows)
+
+
+def _find_changes(state, table, since):
+    rows = [
+        row
+        for (row_table, _), row in state.rows.items()
+        if row_table == table and row.revision > since
+    ]
+    return sorted(rows, key=lambda row: row.revision)
+
+
+def _answer(state, rows):
+    body = {
+        "rows": [_encode(row) for row in rows],
+        "schema-version": state.revision,
+        "now-ms": int(time.monotonic() * MS_PER_S),
+        "has-more": False,
+    }
+    return web.Response(body=orjson.dumps(body), content_type="application/json")
+
+
+def _encode(row):
+    if row.is_deleted:
+        return {"table": row.table, "key": row.key, "deleted": True}
+    return {
+        "table": row.table,
+        "key": row.key,
+        "value": base64.b64encode(row.value).decode(),
+        "schema-version": row.revision,
+    }
