--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -67,7 +67,7 @@
 # second; until then callers still come.
 STAY_OPEN_S = 2.6
 # Left of the grace period for the process itself to end.
-END_MARGIN_S = 0.4
+END_MARGIN_S = 1.0
 MAX_CALLER_CONNECTIONS = 3000
 # Repeats that each instance may make in the budget's window beyond its share.
 SPARE_RETRIES = 2
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -44,7 +44,12 @@
     ServiceShare,
     SiteConfiguration,
 )
-from jujubenotch.forwarding.placement import UpstreamWork, choose_upstream
+from jujubenotch.forwarding.placement import (
+    UpstreamWork,
+    choose_upstream,
+    split_by_length,
+)
+from jujubenotch.forwarding.priority import pair_priorities, rank_priorities
 from jujubenotch.forwarding.source import Item, Page, Source
 
 __all__ = [
@@ -84,6 +89,9 @@
     "follow_source",
     "forget_missing",
     "measure_age_s",
+    "pair_priorities",
+    "rank_priorities",
     "read_suspended_clock_s",
     "record_answer",
+    "split_by_length",
 ]
--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -6,6 +6,7 @@
 from jujubenotch.dispatch import Call
 from jujubenotch.forwarding.match import SiteIndex, choose_service, find_route
 from jujubenotch.forwarding.model import ArrivedRequest, RouteKind
+from jujubenotch.forwarding.priority import pair_priorities
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.records import ServiceClass, Team
 
@@ -61,7 +62,8 @@
     team = _find_team(index, route, arrived, knowledge)
     if isinstance(team, Refusal):
         return team
-    return _write_call(arrived, body, route, team, draw, now_s)
+    tier = index.ranks[pair_priorities(route, team)]
+    return _write_call(arrived, body, route, team, tier, draw, now_s)
 
 
 def _find_team(index, route, arrived, knowledge):
@@ -85,7 +87,7 @@
     return team
 
 
-def _write_call(arrived, body, route, team, draw, now_s):
+def _write_call(arrived, body, route, team, tier, draw, now_s):
     wait_s = math.inf if arrived.wait_s is None else arrived.wait_s
     is_stream = route.kind is RouteKind.STREAM
     is_resumable = is_stream and route.is_resumable
@@ -93,7 +95,7 @@
         request_id=arrived.request_id,
         target=choose_service(route, draw),
         team=Team(name=team.name) if team else NO_TEAM,
-        service_class=_write_class(route, team),
+        service_class=_write_class(route, tier),
         method=arrived.method,
         path=arrived.path,
         headers=arrived.headers,
@@ -126,13 +128,10 @@
     return arrived.prompt[min(1, len(arrived.prompt) - 1)].part_id
 
 
-def _write_class(route, team):
-    priority = route.priority
-    if team is not None and team.priority is not None:
-        priority = team.priority
+def _write_class(route, tier):
     return ServiceClass(
         name=route.name,
-        tier=priority,
+        tier=tier,
         first_token_target_s=route.target_s,
         between_tokens_target_s=route.pause_target_s,
         deadline_s=route.timeout_s,
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -6,7 +6,11 @@
 from dataclasses import dataclass
 
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
-from jujubenotch.forwarding.placement import UpstreamWork, choose_upstream
+from jujubenotch.forwarding.placement import (
+    UpstreamWork,
+    choose_upstream,
+    split_by_length,
+)
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
 from jujubenotch.work import Grant, WorkReport, WorkRequest
@@ -97,9 +101,11 @@
         works = [self._find_work(listed) for listed in usable]
         fresh = [work for work in works if work.name not in request.excluded_upstreams]
         well = [work for work in fresh if self._is_well(work, now_s)]
+        group = split_by_length([work.name for work in works], request.prompt_tokens)
+        apart = [work for work in well if work.name in group]
         # An ejected upstream is better than none, and a second try at the same
         # one is better than a refusal.
-        return well or fresh or works
+        return apart or well or fresh or works
 
     def _is_well(self, work, now_s):
         return not is_ejected(work.health, now_s) or may_probe(work.health, now_s)
--- a/jujubenotch/forwarding/match.py
+++ b/jujubenotch/forwarding/match.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field
 
 from jujubenotch.forwarding.model import HostRoute, KeyedTeam, SiteConfiguration
+from jujubenotch.forwarding.priority import rank_priorities
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -11,6 +12,7 @@
 
     :param routes: The routes of each host by prefix.
     :param teams: The team of each key.
+    :param ranks: The rank of each pair of priorities.
 
     >>> find_route(build_index(SiteConfiguration(version=1)), "a.example", "/x/")
     """
@@ -18,6 +20,7 @@
     configuration: SiteConfiguration
     routes: dict[str, dict[str, HostRoute]] = field(default_factory=dict)
     teams: dict[str, KeyedTeam] = field(default_factory=dict)
+    ranks: dict[tuple[int, int], int] = field(default_factory=dict)
 
     @property
     def needs_keys(self) -> bool:
@@ -31,7 +34,7 @@
     :param configuration: The configuration.
     :returns: Its index.
     """
-    index = SiteIndex(configuration=configuration)
+    index = SiteIndex(configuration=configuration, ranks=rank_priorities(configuration))
     for route in configuration.routes:
         index.routes.setdefault(route.host, {})[route.prefix] = route
     for team in configuration.teams:
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -1,6 +1,6 @@
 """Chooses the upstream of a request; no message passes between instances."""
 
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from jujubenotch.membership import choose_by_rendezvous
@@ -10,6 +10,12 @@
 # mean of its service.
 MAX_LOAD_RATIO = 1.25
 SPARE_REQUESTS = 1
+# A prompt this long keeps an engine busy for several steps, which delays the
+# tokens of all that run beside it.
+LONG_PROMPT_TOKENS = 4500
+# Part of a service's upstreams that long prompts stay off.
+SHORT_SHARE = 0.4
+SHORT_GROUP_KEY = "short-prompts"
 
 
 @dataclass(kw_only=True, slots=True)
@@ -26,6 +32,23 @@
     health: Health = field(default_factory=Health)
 
 
+def split_by_length(names: Collection[str], prompt_tokens: int) -> set[str]:
+    """Choose the upstreams of a request by the length of its prompt.
+
+    Task assignment by size: prompts that keep an engine busy for long run apart
+    from short ones, whose streams must not pause. All instances split alike.
+
+    :param names: The service's upstreams.
+    :param prompt_tokens: Tokens of the prompt; 0 for a request without one.
+    :returns: The names that it should go to.
+    """
+    if not prompt_tokens or len(names) < 2:
+        return set(names)
+    count = max(1, round(SHORT_SHARE * len(names)))
+    short = set(choose_by_rendezvous(SHORT_GROUP_KEY, names, count))
+    return set(names) - short if prompt_tokens >= LONG_PROMPT_TOKENS else short
+
+
 def choose_upstream(
     candidates: Sequence[UpstreamWork], prefix_key: str, draw: float
 ) -> UpstreamWork:
--- /dev/null
+++ b/jujubenotch/forwarding/priority.py
@@ -0,0 +1,45 @@
+"""Orders requests by the priorities of their team and their route."""
+
+from collections.abc import Iterable
+
+from jujubenotch.forwarding.model import HostRoute, KeyedTeam, SiteConfiguration
+
+# Upstreams know priorities from 0, the first, to 9.
+LEVELS = 10
+
+
+def rank_priorities(configuration: SiteConfiguration) -> dict[tuple[int, int], int]:
+    """Rank the pairs of priorities that requests can have.
+
+    The team's priority goes before the route's, which decides among requests
+    whose teams are equal.
+
+    :param configuration: The configuration in force.
+    :returns: The rank of each pair, from 0 for the most urgent to 9.
+    """
+    teams = (*configuration.teams, None)
+    pairs = sorted(
+        {
+            pair_priorities(route, team)
+            for route in configuration.routes
+            for team in teams
+        }
+    )
+    return dict(zip(pairs, _spread(len(pairs)), strict=True))
+
+
+def pair_priorities(route: HostRoute, team: KeyedTeam | None) -> tuple[int, int]:
+    """Return what a request is ordered by: first its team, then its route.
+
+    :param route: The request's route.
+    :param team: Its team; ``None`` without a key.
+    """
+    if team is None or team.priority is None:
+        return (route.priority, route.priority)
+    return (team.priority, route.priority)
+
+
+def _spread(count: int) -> Iterable[int]:
+    if count <= LEVELS:
+        return range(count)
+    return (number * LEVELS // count for number in range(count))
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -8,7 +8,6 @@
 # An upstream's answer with one of these would promise that the request has not
 # run, which only the header below proves.
 PROMISING_STATUSES = frozenset({408, 429, 503})
-MAX_PRIORITY = 9
 
 REQUEST_ID = "x-attempt-id"
 DEADLINE = "x-deadline-ms"
@@ -123,7 +122,7 @@
         *call.headers,
         ("X-Deadline-Ms", str(left_ms)),
         (EXPECTED_INSTANCE, upstream.name),
-        (PRIORITY, str(min(call.service_class.tier, MAX_PRIORITY))),
+        (PRIORITY, str(call.service_class.tier)),
     ]
     if call.team.name:
         headers.append((TENANT, call.team.name))
