Let the division of upstreams follow demand; listen before the libraries load

Cause 1 (late streams and lost reports in bursts): a fixed part of the upstreams for short prompts stood idle or was full. The boundary now follows the averaged requests in progress. Cause 2 (16 requests refused as starting after a restart): libraries load before the port listens, and first requests were refused.

--- a/features/claims/steps/calls_steps.py
+++ b/features/claims/steps/calls_steps.py
@@ -170,7 +170,9 @@
     'dispatched at "{one:Quoted}" and "{other:Quoted}" at once'
 )
 def dispatch_both(context, first, second, key, one, other):
-    async def send(connections, protocol, upstream, call, progress, attempt, sink):
+    async def send(
+        connections, protocol, upstream, call, progress, attempt, sink, record_load
+    ):
         context.sent.append(call.body)
         await asyncio.sleep(5.0)
         attempt.end = AttemptEnd.COMPLETED
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -4,7 +4,7 @@
 import logging
 import random
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from typing import Protocol
 
 import orjson
@@ -31,6 +31,10 @@
 SERVICE_UNAVAILABLE = 503
 INTERNAL_SERVER_ERROR = 500
 STOPPING_RETRY_AFTER_S = 0.1
+# Callers come back only within this share of the time that they have left.
+HONOURED_SHARE = 0.3
+# For an instance that has just started; its first news come within this time.
+MAX_FIRST_WAIT_S = 1.0
 _STATUS_BY_REFUSAL = {
     RefusalReason.AUTHENTICATION: UNAUTHORIZED,
     RefusalReason.UNKNOWN_SERVICE: NOT_FOUND,
@@ -59,6 +63,9 @@
     def read_knowledge(self) -> Knowledge:
         """Return what is known now."""
 
+    async def wait_until_known(self, wait_s: float) -> None:
+        """Wait until enough is known to serve, for so long at most."""
+
     def is_stopping(self) -> bool:
         """Tell whether answers end their connection."""
 
@@ -144,16 +151,34 @@
     arrived = decode_request(
         request.method, request.raw_url.decode("ascii"), list(request.headers.items())
     )
+    if forwarder.read_knowledge().index is None:
+        await forwarder.wait_until_known(_choose_first_wait_s(arrived))
     admitted = _admit(forwarder, arrived, request)
     if isinstance(admitted, Refusal):
         forwarder.record_refusal(arrived.request_id, admitted)
-        return _close_if_stopping(forwarder, request, _write_refusal(admitted))
+        refusal = _bound_retry_after(admitted, arrived.wait_s)
+        return _close_if_stopping(forwarder, request, _write_refusal(refusal))
     sink = ForwardSink(request=request)
     answer = await dispatch(forwarder.dispatcher, admitted, sink)
+    left_s = admitted.deadline_s - asyncio.get_running_loop().time()
+    answer.retry_after_s = min(answer.retry_after_s, max(0, left_s * HONOURED_SHARE))
     response = await _write_answer(sink, answer)
     return _close_if_stopping(forwarder, request, response)
 
 
+def _choose_first_wait_s(arrived):
+    wait_s = MAX_FIRST_WAIT_S if arrived.wait_s is None else arrived.wait_s
+    return min(MAX_FIRST_WAIT_S, wait_s * HONOURED_SHARE)
+
+
+def _bound_retry_after(refusal, left_s):
+    """Tell a caller no longer time than it is willing to wait."""
+    if left_s is None:
+        return refusal
+    retry_after_s = min(refusal.retry_after_s, left_s * HONOURED_SHARE)
+    return replace(refusal, retry_after_s=retry_after_s)
+
+
 def _admit(forwarder, arrived, request):
     if forwarder.is_closed():
         return Refusal(
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -1,5 +1,6 @@
 """What a forwarding instance knows, and how news changes it."""
 
+import asyncio
 import logging
 from dataclasses import dataclass, field
 
@@ -37,6 +38,7 @@
     :param upstreams: The listed upstreams as records, for dispatch.
     :param is_listed: Whether the list of upstreams was read once.
     :param callers_app: The callers' interface, whose limits follow.
+    :param known: Set once the configuration and the list were read.
 
     >>> ForwardState().index
     """
@@ -48,6 +50,7 @@
     is_listed: bool = False
     age_share: float = KEY_AGE_SHARE
     callers_app: Sanic | None = None
+    known: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
     def bounds(self) -> CallerBounds:
@@ -80,6 +83,7 @@
         received_s=update.received_s,
         store_s=update.page.answered_store_s,
     )
+    _note_known(state)
 
 
 def _put_in_force(state, configuration, update):
@@ -100,6 +104,21 @@
     )
 
 
+def follow_limits(state: ForwardState, callers_app: Sanic) -> None:
+    """Keep the limits of the callers' interface as the configuration has them.
+
+    :param state: What is known; changed in place.
+    :param callers_app: The interface.
+    """
+    state.callers_app = callers_app
+    _set_limits(state)
+
+
+def _note_known(state):
+    if state.index is not None and state.is_listed:
+        state.known.set()
+
+
 def _set_limits(state):
     app = state.callers_app
     if app is None:
@@ -125,6 +144,7 @@
     )
     forget_missing(state.listing, update.received_s)
     state.is_listed = True
+    _note_known(state)
     if update.page.items or before != set(state.listing.known):
         state.upstreams = _write_records(state.listing)
         _log_listing(state, update, before)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -1,10 +1,12 @@
 """Starts, runs and stops an instance that forwards by host and path."""
 
 import asyncio
+import contextlib
 import gc
 import logging
 import os
 import signal
+import socket
 import sys
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
@@ -18,6 +20,7 @@
     ForwardState,
     apply_configuration,
     apply_upstreams,
+    follow_limits,
     is_ready,
     read_upstreams,
 )
@@ -125,6 +128,15 @@
             max_age_s=max_age_s * self.state.age_share if max_age_s else float("inf"),
         )
 
+    async def wait_until_known(self, wait_s: float) -> None:
+        """Wait until enough is known to serve.
+
+        :param wait_s: How long at most, in seconds.
+        """
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(wait_s):
+                await self.state.known.wait()
+
     def is_stopping(self) -> bool:
         """Tell whether answers end their connection."""
         return self.stopping.is_set()
@@ -146,12 +158,14 @@
     settings: ForwarderSettings,
     reload_settings: Callable[[], ForwarderSettings],
     make_parts: Callable[[ForwarderSettings], ForwarderParts],
+    callers_socket: socket.socket,
 ) -> None:
     """Run an instance until a signal tells it to stop.
 
     :param settings: The checked settings.
     :param reload_settings: Reads the settings again.
     :param make_parts: Makes what the platform needs, in the running loop.
+    :param callers_socket: Bound to the callers' address, and listening.
     :raises ListenerError: An address can't be listened on.
     """
     # Before anything else: a signal without a handler would end the process.
@@ -166,10 +180,10 @@
     logging.getLogger("sanic").setLevel(logging.WARNING)
     uvloop.install()
     with asyncio.Runner() as runner:
-        runner.run(_run(settings, reload_settings, make_parts))
+        runner.run(_run(settings, reload_settings, make_parts, callers_socket))
 
 
-async def _run(settings, reload_settings, make_parts):
+async def _run(settings, reload_settings, make_parts, callers_socket):
     stopping = asyncio.Event()
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
@@ -179,8 +193,8 @@
     loop.add_signal_handler(
         signal.SIGHUP, lambda: _log_reload(settings, reload_settings)
     )
-    await _start_listeners(instance, parts)
     _start_followers(instance, parts)
+    await _start_listeners(instance, parts, callers_socket)
     log_event(
         logger,
         logging.INFO,
@@ -256,7 +270,7 @@
     log_event(logger, logging.INFO, "settings-reloaded", changed=changed)
 
 
-async def _start_listeners(instance, parts):
+async def _start_listeners(instance, parts, callers_socket):
     settings = instance.settings
     metrics = instance.observer.metrics
     bounds = ConnectionBounds(
@@ -268,9 +282,10 @@
     callers = build_forward_app(
         "callers", instance, parts.decode_request, _read_limits(instance.state.bounds)
     )
-    instance.state.callers_app = callers
-    bound = bind_socket(settings.callers.host, settings.callers.port)
-    instance.listeners.append(await start_listener(callers, bound, None, bounds))
+    follow_limits(instance.state, callers)
+    instance.listeners.append(
+        await start_listener(callers, callers_socket, None, bounds)
+    )
     for name, address, answer in (
         ("readiness", settings.readiness, _answer_readiness),
         ("metrics", settings.metrics, _answer_metrics),
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import re
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
@@ -25,7 +26,7 @@
     take_whole_events,
     translated_errors,
 )
-from jujubenotch.work import WorkReport
+from jujubenotch.work import LoadReport, WorkReport
 
 FIRST_ERROR_STATUS = 500
 USAGE_TAIL_BYTES = 1024
@@ -72,6 +73,7 @@
     progress: Progress,
     attempt: Attempt,
     sink: Sink,
+    record_load: Callable[[LoadReport], None],
 ) -> None:
     """Send a call to an upstream and forward what comes back.
 
@@ -82,11 +84,15 @@
     :param progress: Its progress; changed in place.
     :param attempt: The attempt; its end is set here.
     :param sink: Where the events of a stream go.
+    :param record_load: Takes in the load that the answer tells of.
     :raises CallerGoneError: The caller has left.
     """
     request = make_upstream_request(protocol, upstream, call, progress)
     try:
         async with open_exchange(connections, request) as answer:
+            load = protocol.read_load(answer)
+            if load is not None:
+                record_load(load)
             receiver = _Receiver(
                 connections=connections,
                 protocol=protocol,
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -249,6 +249,9 @@
                 progress,
                 attempt,
                 sink,
+                lambda load: dispatcher.capacity.record_load(
+                    upstream.name, load, read_clock_s()
+                ),
             )
             await watch_exchange(
                 dispatcher.exchanges, upstream.name, call, attempt, work
--- a/jujubenotch/dispatch/protocol.py
+++ b/jujubenotch/dispatch/protocol.py
@@ -7,6 +7,7 @@
 from jujubenotch.dispatch.call import Call, Headers, Progress
 from jujubenotch.records import Upstream
 from jujubenotch.upstreams import END_MARKER, UpstreamAnswer
+from jujubenotch.work import LoadReport
 
 NOT_STARTED_HEADER = "X-Not-Started"
 SERVICE_UNAVAILABLE = 503
@@ -32,12 +33,14 @@
     :param write_headers: Writes the headers of a call for an upstream at a
         monotonic time in seconds.
     :param classify_answer: Tells what an answer's head proves about a call.
+    :param read_load: Reads the load that an answer tells of, if it does.
     :param end_marker: The event that ends a whole stream; empty where the end
         of the body does.
     """
 
     write_headers: Callable[[Upstream, Call, Progress, float], Headers]
     classify_answer: Callable[[Call, UpstreamAnswer], AnswerKind]
+    read_load: Callable[[UpstreamAnswer], LoadReport | None] = lambda answer: None
     end_marker: bytes = b""
 
 
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -6,6 +6,7 @@
 
 from jujubenotch.forwarding.admit import Knowledge, admit_request, choose_prefix_key
 from jujubenotch.forwarding.capacity import PlacedCapacity
+from jujubenotch.forwarding.division import Division, choose_group, record_change
 from jujubenotch.forwarding.errors import HistoryLostError, SourceError
 from jujubenotch.forwarding.follow import (
     Update,
@@ -47,7 +48,6 @@
 from jujubenotch.forwarding.placement import (
     UpstreamWork,
     choose_upstream,
-    split_by_length,
 )
 from jujubenotch.forwarding.priority import pair_priorities, rank_priorities
 from jujubenotch.forwarding.source import Item, Page, Source
@@ -55,6 +55,7 @@
 __all__ = [
     "ArrivedRequest",
     "CallerBounds",
+    "Division",
     "EngineLimits",
     "Freshness",
     "HistoryLostError",
@@ -81,6 +82,7 @@
     "apply_items",
     "build_index",
     "choose_change_wait_s",
+    "choose_group",
     "choose_prefix_key",
     "choose_service",
     "choose_upstream",
@@ -93,5 +95,5 @@
     "rank_priorities",
     "read_suspended_clock_s",
     "record_answer",
-    "split_by_length",
+    "record_change",
 ]
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -5,15 +5,21 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from jujubenotch.forwarding.division import (
+    Division,
+    choose_group,
+    is_long_prompt,
+    record_change,
+)
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
 from jujubenotch.forwarding.placement import (
     UpstreamWork,
     choose_upstream,
-    split_by_length,
+    record_report,
 )
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
-from jujubenotch.work import Grant, WorkReport, WorkRequest
+from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
 
@@ -26,6 +32,7 @@
     """
 
     work: UpstreamWork
+    request: WorkRequest
     granted_s: float
     is_probe: bool
 
@@ -58,6 +65,7 @@
         self._read_listing_clock_s = read_listing_clock_s
         self._draw = draw
         self._works: dict[str, UpstreamWork] = {}
+        self._divisions: dict[str, Division] = {}
         self._given: dict[str, GivenSlot] = {}
         self._numbers = itertools.count(1)
 
@@ -75,7 +83,7 @@
                 retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
                 detail=f"no upstream of {request.target} is known; come back",
             )
-        work = choose_upstream(candidates, request.prefix_key, self._draw())
+        work = choose_upstream(candidates, request.prefix_key, self._draw(), now_s)
         return self._give(request, work, now_s)
 
     def release(self, grant: Grant, report: WorkReport, now_s: float) -> None:
@@ -87,6 +95,7 @@
         """
         given = self._given.pop(grant.grant_id)
         given.work.running -= 1
+        self._record_change(given.request, -1, now_s)
         record_result(
             given.work.health,
             report.result,
@@ -95,18 +104,43 @@
             is_probe=given.is_probe,
         )
 
+    def record_load(self, upstream: str, report: LoadReport, now_s: float) -> None:
+        """Take in what an upstream says of its load.
+
+        :param upstream: The upstream's name.
+        :param report: Its report.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        work = self._works.get(upstream)
+        if work is not None:
+            record_report(work, report, now_s)
+
     def _find_candidates(self, request, now_s):
         listing_s = self._read_listing_clock_s()
         usable = find_usable(self._listing, request.target, listing_s)
         works = [self._find_work(listed) for listed in usable]
         fresh = [work for work in works if work.name not in request.excluded_upstreams]
         well = [work for work in fresh if self._is_well(work, now_s)]
-        group = split_by_length([work.name for work in works], request.prompt_tokens)
+        group = self._choose_group(request, works, now_s)
         apart = [work for work in well if work.name in group]
         # An ejected upstream is better than none, and a second try at the same
         # one is better than a refusal.
         return apart or well or fresh or works
 
+    def _choose_group(self, request, works, now_s):
+        names = [work.name for work in works]
+        if not request.prompt_tokens:
+            return set(names)
+        return choose_group(
+            self._find_division(request),
+            names,
+            is_long=is_long_prompt(request.prompt_tokens),
+            now_s=now_s,
+        )
+
+    def _find_division(self, request):
+        return self._divisions.setdefault(request.target, Division())
+
     def _is_well(self, work, now_s):
         return not is_ejected(work.health, now_s) or may_probe(work.health, now_s)
 
@@ -128,10 +162,20 @@
             upstream=work.name,
         )
         self._given[grant.grant_id] = GivenSlot(
-            work=work, granted_s=now_s, is_probe=is_probe
+            work=work, request=request, granted_s=now_s, is_probe=is_probe
         )
+        self._record_change(request, 1, now_s)
         return grant
 
+    def _record_change(self, request, change, now_s):
+        if request.prompt_tokens:
+            record_change(
+                self._find_division(request),
+                change,
+                is_long=is_long_prompt(request.prompt_tokens),
+                now_s=now_s,
+            )
+
     def forget(self, names: list[str]) -> None:
         """Forget what is known of upstreams that are gone.
 
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -1,21 +1,20 @@
 """Chooses the upstream of a request; no message passes between instances."""
 
-from collections.abc import Collection, Sequence
+from collections.abc import Sequence
 from dataclasses import dataclass, field
 
 from jujubenotch.membership import choose_by_rendezvous
 from jujubenotch.routing import Health
+from jujubenotch.work import LoadReport
 
 # A prompt's upstream is passed over once it has this much more work than the
 # mean of its service.
 MAX_LOAD_RATIO = 1.25
 SPARE_REQUESTS = 1
-# A prompt this long keeps an engine busy for several steps, which delays the
-# tokens of all that run beside it.
-LONG_PROMPT_TOKENS = 4500
-# Part of a service's upstreams that long prompts stay off.
-SHORT_SHARE = 0.4
-SHORT_GROUP_KEY = "short-prompts"
+# Within this time half of the others' requests have ended or moved.
+REPORT_HALF_LIFE_S = 1.0
+# Loads that differ by less are equal: instances must not all choose the same.
+LOAD_TOLERANCE = 0.5
 
 
 @dataclass(kw_only=True, slots=True)
@@ -23,34 +22,53 @@
     """What this instance knows of one upstream's work.
 
     :param running: Requests that this instance has there.
+    :param reported: Requests of all instances there, running or waiting, as
+        the upstream told last.
+    :param running_at_report: Requests that this instance had there then.
+    :param reported_s: When it told so, monotonic, in seconds; ``None`` never.
     :param health: What recent results tell of it.
     """
 
     name: str
     slots: int
     running: int = 0
+    reported: int = 0
+    running_at_report: int = 0
+    reported_s: float | None = None
     health: Health = field(default_factory=Health)
 
 
-def split_by_length(names: Collection[str], prompt_tokens: int) -> set[str]:
-    """Choose the upstreams of a request by the length of its prompt.
+def record_report(work: UpstreamWork, report: LoadReport, now_s: float) -> None:
+    """Take in what an upstream tells of its load.
 
-    Task assignment by size: prompts that keep an engine busy for long run apart
-    from short ones, whose streams must not pause. All instances split alike.
+    :param work: What is known of it; changed in place.
+    :param report: What it tells.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    work.reported = report.running + report.waiting
+    work.running_at_report = work.running
+    work.reported_s = now_s
+
+
+def estimate_load(work: UpstreamWork, now_s: float) -> float:
+    """Estimate the requests of all instances at an upstream.
 
-    :param names: The service's upstreams.
-    :param prompt_tokens: Tokens of the prompt; 0 for a request without one.
-    :returns: The names that it should go to.
+    The others' part is what the last report holds beyond this instance's own
+    requests; it fades as the report grows old.
+
+    :param work: What is known of it.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: Requests.
     """
-    if not prompt_tokens or len(names) < 2:
-        return set(names)
-    count = max(1, round(SHORT_SHARE * len(names)))
-    short = set(choose_by_rendezvous(SHORT_GROUP_KEY, names, count))
-    return set(names) - short if prompt_tokens >= LONG_PROMPT_TOKENS else short
+    if work.reported_s is None:
+        return work.running
+    others = max(0, work.reported - work.running_at_report)
+    age_s = max(0.0, now_s - work.reported_s)
+    return work.running + others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
 
 def choose_upstream(
-    candidates: Sequence[UpstreamWork], prefix_key: str, draw: float
+    candidates: Sequence[UpstreamWork], prefix_key: str, draw: float, now_s: float
 ) -> UpstreamWork:
     """Choose the upstream of a request.
 
@@ -62,20 +80,17 @@
     :param prefix_key: Equal for requests with the same prompt prefix; empty
         when it has none.
     :param draw: A number from 0 up to 1, drawn for the request.
+    :param now_s: The present monotonic time, in seconds.
     :returns: The upstream.
     """
-    if not prefix_key:
-        return _choose_least_loaded(candidates, draw)
-    mean = sum(work.running for work in candidates) / len(candidates)
-    limit = MAX_LOAD_RATIO * mean + SPARE_REQUESTS
+    loads = {work.name: estimate_load(work, now_s) for work in candidates}
     by_name = {work.name: work for work in candidates}
-    for name in choose_by_rendezvous(prefix_key, by_name, len(by_name)):
-        if by_name[name].running <= limit:
-            return by_name[name]
-    return _choose_least_loaded(candidates, draw)
-
-
-def _choose_least_loaded(candidates, draw):
-    lowest = min(work.running for work in candidates)
-    equal = [work for work in candidates if work.running == lowest]
-    return equal[int(draw * len(equal))]
+    if prefix_key:
+        running = {work.name: work.running for work in candidates}
+        limit = MAX_LOAD_RATIO * sum(running.values()) / len(running) + SPARE_REQUESTS
+        for name in choose_by_rendezvous(prefix_key, loads, len(loads)):
+            if running[name] <= limit:
+                return by_name[name]
+    lowest = min(loads.values())
+    equal = [name for name, load in loads.items() if load <= lowest + LOAD_TOLERANCE]
+    return by_name[equal[int(draw * len(equal))]]
--- /dev/null
+++ b/jujubenotch/platform/parts.py
@@ -0,0 +1,26 @@
+"""Puts together what the forwarder needs of the platform."""
+
+from jujubenotch.daemon.forwarder import ForwarderParts
+from jujubenotch.platform.requests import PLATFORM_PROTOCOL, decode_request
+from jujubenotch.platform.store import (
+    make_configuration_source,
+    make_upstream_source,
+    open_store,
+)
+from jujubenotch.settings.forwarder import ForwarderSettings
+
+
+def make_parts(settings: ForwarderSettings) -> ForwarderParts:
+    """Make the sources and the protocol; needs a running event loop.
+
+    :param settings: The checked settings.
+    :returns: The parts.
+    """
+    client = open_store(settings.store.text)
+    return ForwarderParts(
+        configuration=make_configuration_source(client),
+        upstreams=make_upstream_source(client),
+        protocol=PLATFORM_PROTOCOL,
+        decode_request=decode_request,
+        close=client.session.close,
+    )
--- a/jujubenotch/platform/program.py
+++ b/jujubenotch/platform/program.py
@@ -24,17 +24,11 @@
 
 from docopt import docopt
 
-from jujubenotch.daemon.forwarder import ForwarderParts, run_forwarder
-from jujubenotch.listeners import ListenerError
 from jujubenotch.platform.errors import PlatformSettingsError
-from jujubenotch.platform.requests import PLATFORM_PROTOCOL, decode_request
 from jujubenotch.platform.settings import find_settings_file, load_platform_settings
-from jujubenotch.platform.store import (
-    make_configuration_source,
-    make_upstream_source,
-    open_store,
-)
+from jujubenotch.sockets import ListenerError, bind_socket
 
+BACKLOG_CONNECTIONS = 1024
 EXIT_OK = 0
 EXIT_WRONG_SETTINGS = 2
 EXIT_CANNOT_START = 3
@@ -53,7 +47,7 @@
         if options["--check"]:
             print("the settings are valid")
             return EXIT_OK
-        run_forwarder(settings, lambda: load_platform_settings(path), _make_parts)
+        _serve(settings, path)
     except PlatformSettingsError as error:
         print(error, file=sys.stderr)
         return EXIT_WRONG_SETTINGS
@@ -63,15 +57,15 @@
     return EXIT_OK
 
 
-def _make_parts(settings):
-    client = open_store(settings.store.text)
-    return ForwarderParts(
-        configuration=make_configuration_source(client),
-        upstreams=make_upstream_source(client),
-        protocol=PLATFORM_PROTOCOL,
-        decode_request=decode_request,
-        close=client.session.close,
-    )
+def _serve(settings, path):
+    # Callers can connect while the libraries load, which takes a good part of
+    # the time that a restart takes.
+    bound = bind_socket(settings.callers.host, settings.callers.port)
+    bound.listen(BACKLOG_CONNECTIONS)
+    from jujubenotch.daemon.forwarder import run_forwarder
+    from jujubenotch.platform.parts import make_parts
+
+    run_forwarder(settings, lambda: load_platform_settings(path), make_parts, bound)
 
 
 if __name__ == "__main__":
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -2,6 +2,7 @@
 
 from jujubenotch.dispatch import AnswerKind, UpstreamProtocol
 from jujubenotch.forwarding import ArrivedRequest, PromptPart
+from jujubenotch.work import LoadReport
 
 MS_PER_S = 1000
 MISDIRECTED = 421
@@ -22,6 +23,7 @@
 PRIORITY = "X-Request-Priority"
 SIGNATURE = "X-Response-Signature"
 NOT_EXECUTED = "X-Not-Executed"
+INSTANCE_LOAD = "X-Instance-Load"
 
 # What only the system may tell an upstream, and what concerns one connection.
 DROPPED_HEADERS = frozenset(
@@ -150,6 +152,17 @@
     return AnswerKind.OWN
 
 
+def _read_load(answer):
+    """Read the numbers of running and waiting requests and of slots."""
+    parts = answer.find_header(INSTANCE_LOAD).split(",")
+    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+        return None
+    running, waiting, slots = (int(part) for part in parts)
+    return LoadReport(running=running, waiting=waiting, slots=slots)
+
+
 PLATFORM_PROTOCOL = UpstreamProtocol(
-    write_headers=_write_headers, classify_answer=_classify_answer
+    write_headers=_write_headers,
+    classify_answer=_classify_answer,
+    read_load=_read_load,
 )
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -6,7 +6,7 @@
 from pydantic import ValidationError
 
 from jujubenotch.platform.errors import PlatformSettingsError
-from jujubenotch.settings import Address, ForwarderSettings
+from jujubenotch.settings.forwarder import Address, ForwarderSettings
 
 FILE_VARIABLE = "JUJUBENOTCH_NODE_FILE"
 DEFAULT_FILE = "/etc/jujubenotch/settings.conf"
--- a/jujubenotch/work/interface.py
+++ b/jujubenotch/work/interface.py
@@ -3,7 +3,7 @@
 from typing import Protocol
 
 from jujubenotch.outcomes import Refusal
-from jujubenotch.work.core import Grant, WorkReport, WorkRequest
+from jujubenotch.work.core import Grant, LoadReport, WorkReport, WorkRequest
 
 
 class Capacity(Protocol):
@@ -26,3 +26,11 @@
         :param report: What was seen of the work.
         :param now_s: The present monotonic time, in seconds.
         """
+
+    def record_load(self, upstream: str, report: LoadReport, now_s: float) -> None:
+        """Take in what an upstream says of its load.
+
+        :param upstream: The upstream's name.
+        :param report: Its report.
+        :param now_s: The present monotonic time, in seconds.
+        """
