Follow the list of upstreams by long waits; let the store's own numbering tell a silent one

The configuration's feed proves freshness and brings the store's newest revision; the list's needs no proof of age, so it waits 20 s, and is asked anew when that revision shows changes that it has not brought. Test failed first: features/platform/list.feature, news fall silent. Also: entries missing within 2.5 s of an outage of either source may come back.

--- a/features/platform/list.feature
+++ b/features/platform/list.feature
@@ -22,3 +22,14 @@
     When a caller reads with headers that only the system may set
     Then it gets "done"
     And the upstream read none of them
+
+  Scenario: A list whose news fall silent is asked anew
+    Given a site whose upstream answers well
+    And another upstream that answers well
+    When the news of the list fall silent
+    And the first upstream is leaving
+    And 2 s pass
+    And 6 callers read
+    Then each gets "done"
+    And the first upstream read 0 requests
+    And it logged "list-silent"
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -18,7 +18,7 @@
     wait_until_ready,
 )
 from features.platform.upstream_kinds import make_upstream
-from standins.store import drop_history, set_fault, write_row
+from standins.store import drop_history, set_fault, silence_waits, write_row
 
 RESERVED_HEADERS = {
     "X-Tenant": "other",
@@ -57,6 +57,11 @@
     change(context.site, set_fault, "" if fault == "well" else fault)
 
 
+@when("the news of the list fall silent")
+def silence(context):
+    change(context.site, silence_waits, "servers")
+
+
 @when("the store's history is dropped")
 def drop(context):
     change(context.site, drop_history)
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -8,6 +8,7 @@
 
 from jujubenotch.forwarding import (
     CallerBounds,
+    Following,
     Freshness,
     Knowledge,
     SiteIndex,
@@ -17,6 +18,7 @@
     build_index,
     forget_missing,
     record_answer,
+    was_lost_lately,
 )
 from jujubenotch.logs import log_event
 from jujubenotch.records import Configuration, Upstream, UpstreamKind
@@ -28,6 +30,8 @@
 KEY_AGE_SHARE = 0.8
 # Callers are sent elsewhere before keys can't be checked any more.
 READY_AGE_SHARE = 0.75
+# After the store was away, entries of live upstreams may be missing so long.
+LAPSE_S = 2.5
 
 
 @dataclass(kw_only=True)
@@ -38,6 +42,9 @@
     :param upstreams: The listed upstreams as records, for dispatch.
     :param is_listed: Whether the list of upstreams was read once.
     :param callers_app: The callers' interface, whose limits follow.
+    :param configuration: How far the configuration has been followed.
+    :param listed: How far the list of upstreams has been followed.
+    :param explained_revision: The newest change of the configuration itself.
     :param known: Set once the configuration and the list were read.
 
     >>> ForwardState().index
@@ -50,6 +57,11 @@
     is_listed: bool = False
     age_share: float = KEY_AGE_SHARE
     callers_app: Sanic | None = None
+    configuration: Following = field(
+        default_factory=lambda: Following(name="configuration")
+    )
+    listed: Following = field(default_factory=lambda: Following(name="upstreams"))
+    explained_revision: int = 0
     known: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -66,6 +78,9 @@
     :param state: What is known; changed in place.
     :param update: What the source brought.
     """
+    state.explained_revision = max(
+        state.explained_revision, update.page.changed_revision
+    )
     for item in update.page.items:
         if item.value is None:
             log_event(
@@ -86,6 +101,18 @@
     _note_known(state)
 
 
+def is_list_behind(state: ForwardState) -> bool:
+    """Tell whether the store has changes that neither source has brought.
+
+    The store numbers all its changes, so one that isn't the configuration's is
+    the list's: its news have fallen silent, or are on their way.
+
+    :param state: What is known.
+    """
+    newest = state.configuration.revision or 0
+    return newest > max(state.explained_revision, state.listed.revision or 0)
+
+
 def _put_in_force(state, configuration, update):
     old = state.index.configuration.version if state.index else -1
     if configuration.version <= old:
@@ -139,7 +166,8 @@
         state.listing,
         update.page.items,
         is_whole=update.is_whole,
-        is_back=update.is_back,
+        is_back=update.is_back
+        or was_lost_lately(state.configuration, LAPSE_S, update.received_s),
         now_s=update.received_s,
     )
     forget_missing(state.listing, update.received_s)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -21,6 +21,7 @@
     apply_configuration,
     apply_upstreams,
     follow_limits,
+    is_list_behind,
     is_ready,
     read_upstreams,
 )
@@ -39,6 +40,7 @@
     PlacedCapacity,
     Source,
     choose_change_wait_s,
+    end_wait,
     follow_source,
     measure_age_s,
     read_suspended_clock_s,
@@ -72,6 +74,8 @@
 # Left of the grace period for the process itself to end.
 END_MARGIN_S = 1.0
 MAX_CALLER_CONNECTIONS = 3000
+# News of one change reach both sources within this time.
+NEWS_WAY_S = 0.3
 # Repeats that each instance may make in the budget's window beyond its share.
 SPARE_RETRIES = 2
 UPSTREAM_LIMITS = ConnectionLimits(
@@ -330,22 +334,42 @@
 
 def _start_followers(instance, parts):
     state = instance.state
+
+    def apply_and_compare(update):
+        apply_configuration(state, update)
+        if is_list_behind(state):
+            loop.call_later(NEWS_WAY_S, _end_silent_wait, state)
+
+    loop = asyncio.get_running_loop()
     wait_s = choose_change_wait_s(instance.settings.max_key_age_s)
-    for name, source, apply_update in (
-        ("configuration", parts.configuration, apply_configuration),
-        ("upstreams", parts.upstreams, apply_upstreams),
-    ):
-        work = follow_source(
-            name,
-            source,
-            lambda update, apply=apply_update: apply(state, update),
-            wait_s,
-        )
-        task = asyncio.create_task(work, name=name)
+    followers = (
+        follow_source(
+            state.configuration, parts.configuration, apply_and_compare, wait_s
+        ),
+        follow_source(
+            state.listed,
+            parts.upstreams,
+            lambda update: apply_upstreams(state, update),
+        ),
+    )
+    for work in followers:
+        task = asyncio.create_task(work)
         task.add_done_callback(_end_on_failure)
         instance.tasks.append(task)
 
 
+def _end_silent_wait(state):
+    if is_list_behind(state):
+        log_event(
+            logger,
+            logging.WARNING,
+            "list-silent",
+            revision=state.listed.revision or 0,
+            newest=state.configuration.revision,
+        )
+        end_wait(state.listed)
+
+
 def _end_on_failure(task):
     """End the process when a follower fails: it would serve by old state."""
     if task.cancelled() or task.exception() is None:
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -9,10 +9,13 @@
 from jujubenotch.forwarding.division import Division, choose_group, record_change
 from jujubenotch.forwarding.errors import HistoryLostError, SourceError
 from jujubenotch.forwarding.follow import (
+    Following,
     Update,
     choose_change_wait_s,
+    end_wait,
     follow_source,
     read_suspended_clock_s,
+    was_lost_lately,
 )
 from jujubenotch.forwarding.freshness import (
     Freshness,
@@ -57,6 +60,7 @@
     "CallerBounds",
     "Division",
     "EngineLimits",
+    "Following",
     "Freshness",
     "HistoryLostError",
     "HostRoute",
@@ -86,6 +90,7 @@
     "choose_prefix_key",
     "choose_service",
     "choose_upstream",
+    "end_wait",
     "find_route",
     "find_usable",
     "follow_source",
@@ -96,4 +101,5 @@
     "read_suspended_clock_s",
     "record_answer",
     "record_change",
+    "was_lost_lately",
 ]
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -14,10 +14,10 @@
 
 logger = logging.getLogger(__name__)
 
-MAX_CHANGE_WAIT_S = 1.8
+MAX_CHANGE_WAIT_S = 20.0
 # A wait proves nothing before it ends, so it is short beside the age that the
 # configuration may have.
-CHANGE_WAIT_SHARE = 0.36
+CHANGE_WAIT_SHARE = 0.45
 ANSWER_TIMEOUT_S = 0.7
 FIRST_PAUSE_S = 0.1
 # Short beside the time in which an instance must be up to date again.
@@ -40,6 +40,29 @@
     is_back: bool
 
 
+@dataclass(kw_only=True)
+class Following:
+    """How far a source has been followed.
+
+    :param name: The source's name, for the log.
+    :param revision: Up to where its changes are known; ``None`` before the
+        first answer or after its history was lost.
+    :param failures: Calls in a row that brought no answer.
+    :param regained_s: When it last answered after failures, by the clock that
+        counts suspended time; ``None`` if it never failed.
+    :param bound: The bound on the call in progress.
+
+    >>> Following(name="configuration").failures
+    0
+    """
+
+    name: str
+    revision: int | None = None
+    failures: int = 0
+    regained_s: float | None = None
+    bound: asyncio.Timeout | None = None
+
+
 def choose_change_wait_s(max_age_s: float) -> float:
     """Choose how long a call may wait for changes.
 
@@ -60,57 +83,68 @@
     return time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
+def end_wait(following: Following) -> None:
+    """End a wait that has fallen silent, so that the source is asked anew.
+
+    :param following: A source whose changes are known to be missing.
+    """
+    if following.bound is not None and not following.bound.expired():
+        following.bound.reschedule(asyncio.get_running_loop().time())
+
+
+def was_lost_lately(following: Following, within_s: float, now_s: float) -> bool:
+    """Tell whether a source is lost, or was so a short time ago.
+
+    :param following: The source.
+    :param within_s: How short, in seconds.
+    :param now_s: The present time, by the clock that counts suspended time.
+    """
+    if following.failures:
+        return True
+    regained_s = following.regained_s
+    return regained_s is not None and now_s - regained_s < within_s
+
+
 async def follow_source(
-    name: str,
+    following: Following,
     source: Source[Value],
     apply_update: Callable[[Update[Value]], None],
     change_wait_s: float = MAX_CHANGE_WAIT_S,
 ) -> None:
     """Follow a source until cancelled.
 
-    :param name: The source's name, for the log.
+    :param following: How far it has been followed; changed in place.
     :param source: The source.
     :param apply_update: Takes in what came.
     :param change_wait_s: How long a call waits for changes, in seconds.
     """
-    revision = None
-    failures = 0
     while True:
         try:
-            update = await _read(source, revision, change_wait_s, failures > 0)
+            update = await _read(following, source, change_wait_s)
         except HistoryLostError:
-            log_event(logger, logging.WARNING, "source-history-lost", source=name)
-            revision = None
+            log_event(
+                logger, logging.WARNING, "source-history-lost", source=following.name
+            )
+            following.revision = None
             continue
         except (SourceError, TimeoutError) as error:
-            failures += 1
-            if failures == 1:
-                _log_lost(name, revision, error)
-            await asyncio.sleep(_choose_pause_s(failures))
+            _note_failure(following, error)
+            await asyncio.sleep(_choose_pause_s(following.failures))
             continue
-        if failures:
-            log_event(
-                logger,
-                logging.INFO,
-                "source-regained",
-                source=name,
-                failures=failures,
-                revision=update.page.revision,
-            )
-        failures = 0
-        revision = update.page.revision
+        _note_answer(following, update)
         apply_update(update)
 
 
-async def _read(source, revision, change_wait_s, is_back):
+async def _read(following, source, change_wait_s):
     sent_s = read_suspended_clock_s()
-    is_whole = revision is None
+    is_whole = following.revision is None
+    is_back = following.failures > 0
     wait_s = 0.0 if is_whole or is_back else change_wait_s
-    async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S):
+    async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S) as following.bound:
         if is_whole:
             page = await source.read_all()
         else:
-            page = await source.read_changes(revision, wait_s)
+            page = await source.read_changes(following.revision, wait_s)
     return Update(
         page=page,
         sent_s=sent_s,
@@ -120,13 +154,32 @@
     )
 
 
-def _log_lost(name, revision, error):
+def _note_answer(following, update):
+    following.revision = update.page.revision
+    if not following.failures:
+        return
+    log_event(
+        logger,
+        logging.INFO,
+        "source-regained",
+        source=following.name,
+        failures=following.failures,
+        revision=following.revision,
+    )
+    following.failures = 0
+    following.regained_s = update.received_s
+
+
+def _note_failure(following, error):
+    following.failures += 1
+    if following.failures > 1:
+        return
     log_event(
         logger,
         logging.WARNING,
         "source-lost",
-        source=name,
-        revision=revision or 0,
+        source=following.name,
+        revision=following.revision or 0,
         error=str(error) or type(error).__name__,
     )
 
--- a/jujubenotch/forwarding/source.py
+++ b/jujubenotch/forwarding/source.py
@@ -23,13 +23,15 @@
 class Page(Generic[Value]):
     """The items of a source, or those that have changed.
 
-    :param revision: Where the next changes begin.
+    :param revision: Where the next changes begin: the newest of the whole store.
+    :param changed_revision: The newest of the items; 0 without any.
     :param answered_store_s: The store's clock as it answered, in seconds.
     """
 
     items: tuple[Item[Value], ...]
     revision: int
     answered_store_s: float
+    changed_revision: int = 0
 
 
 class Source(Protocol[Value]):
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -37,6 +37,7 @@
     key: str
     value: str = ""
     deleted: bool = False
+    revision: int = Field(alias="schema-version", default=0)
 
 
 class RowsDocument(BaseModel):
@@ -129,6 +130,7 @@
             items=tuple(self._write_item(row) for row in rows if self.accepts(row.key)),
             revision=document.revision,
             answered_store_s=document.now_ms / MS_PER_S,
+            changed_revision=max((row.revision for row in rows), default=0),
         )
 
     def _write_item(self, row):
--- a/standins/store.py
+++ b/standins/store.py
@@ -35,6 +35,8 @@
     :param revision: The newest version.
     :param oldest_revision: Changes up to it are not known any more.
     :param fault: Empty, ``unavailable`` or ``silent``.
+    :param silent_waits: Waits for changes that hear nothing any more.
+    :param waits: The table of each wait in progress.
     :param calls: The paths that were called.
 
     >>> state = StoreState()
@@ -47,6 +49,8 @@
     revision: int = 0
     oldest_revision: int = 0
     fault: str = ""
+    silent_waits: set[int] = field(default_factory=set)
+    waits: dict[int, str] = field(default_factory=dict)
     calls: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -90,6 +94,17 @@
     state.fault = fault
 
 
+def silence_waits(state: StoreState, table: str) -> None:
+    """Let the waits in progress for a table's changes hear nothing any more.
+
+    :param state: The store; changed in place.
+    :param table: The table.
+    """
+    state.silent_waits |= {
+        number for number, waited in state.waits.items() if waited == table
+    }
+
+
 def build_store_app(state: StoreState) -> web.Application:
     """Build the store's HTTP interface.
 
@@ -140,6 +155,20 @@
     since = int(query["since-rev"])
     if since < state.oldest_revision:
         return web.Response(status=GONE)
+    number = len(state.calls)
+    state.waits[number] = query["table"]
+    try:
+        rows = await _wait_for_changes(state, query, since)
+    finally:
+        del state.waits[number]
+    if number in state.silent_waits:
+        await asyncio.Event().wait()
+    if state.fault:
+        return web.Response(status=SERVICE_UNAVAILABLE)
+    return _answer(state, rows)
+
+
+async def _wait_for_changes(state, query, since):
     rows = _find_changes(state, query["table"], since)
     end_s = time.monotonic() + int(query.get("wait-ms", "0")) / MS_PER_S
     while not rows and (left_s := end_s - time.monotonic()) > 0:
@@ -149,9 +178,7 @@
         except TimeoutError:
             break
         rows = _find_changes(state, query["table"], since)
-    if state.fault:
-        return web.Response(status=SERVICE_UNAVAILABLE)
-    return _answer(state, rows)
+    return rows
 
 
 def _find_changes(state, table, since):
