--- a/jujubenotch/daemon/forward_observer.py
+++ b/jujubenotch/daemon/forward_observer.py
@@ -61,11 +61,14 @@
         """
         if event in QUIET_EVENTS:
             return
+        belief = self.read_belief()
         log_event(
             logger,
             logging.INFO,
             f"request-{event}",
             request_id=request_id,
+            version=belief.version,
+            version_age_s=round(belief.age_s, 3),
             **{name: value for name, value in fields.items() if value != ""},
         )
 
