Bound the waiting log to its stated size; forget upstreams that are gone; more proofs

The bounded log's own feature found one line beyond 256 KiB. What is known of an upstream goes with its entry.

--- /dev/null
+++ b/features/forwarding/match.feature
@@ -0,0 +1,19 @@
+Feature: The longest prefix of the host decides
+
+  Scenario Outline: A path finds its route
+    Given routes for "/", "/a/" and "/a/b/" of "one.example" and "/" of "two.example"
+    Then "<host>" and "<path>" find "<route>"
+
+    Examples:
+      | host             | path    | route         |
+      | one.example      | /       | one.example/  |
+      | one.example      | /a      | one.example/  |
+      | one.example      | /a/     | one.example/a/ |
+      | One.Example:8080 | /a/b/c  | one.example/a/b/ |
+      | one.example      | /a/bc/d | one.example/a/ |
+      | two.example      | /a/b/c  | two.example/  |
+      | three.example    | /a/     | none          |
+
+  Scenario: Shares of a route follow their weights
+    Given a route with the shares "90" and "10"
+    Then of 1000 draws 900 go to the first service
--- /dev/null
+++ b/features/logs/steps/bounded_steps.py
@@ -0,0 +1,69 @@
+from behave import given, then, when
+
+from jujubenotch.logs import BoundedOutput
+
+
+def make(context, take):
+    context.now_s = 0.0
+    context.came = b""
+
+    def write_some(data):
+        count = take(len(data))
+        if not count:
+            raise BlockingIOError
+        context.came += bytes(data[:count])
+        return count
+
+    context.output = BoundedOutput(
+        write_some=write_some, read_clock_s=lambda: context.now_s
+    )
+
+
+@given("an output that takes everything")
+def make_open(context):
+    make(context, lambda size: size)
+
+
+@given("an output that takes nothing")
+def make_closed(context):
+    make(context, lambda size: 0)
+
+
+@given("an output that takes {count:d} bytes at a time")
+def make_slow(context, count):
+    make(context, lambda size: min(size, count))
+
+
+@when("{count:d} lines are written at once")
+def write(context, count, size=20):
+    for _ in range(count):
+        context.output.write("x" * size + "\n")
+        context.output.flush()
+
+
+@when("{count:d} lines of {size:d} bytes are written at once")
+def write_long(context, count, size):
+    write(context, count, size)
+
+
+@when("a line is written {seconds:g} s later")
+def write_later(context, seconds):
+    context.now_s += seconds
+    write(context, 1)
+
+
+@then("{count:d} lines came")
+def check(context, count):
+    assert context.came.count(b"\n") == count, context.came[-200:]
+
+
+@then("{count:d} lines came and the last but one tells that {dropped:d} were dropped")
+def check_dropped(context, count, dropped):
+    lines = context.came.decode().splitlines()
+    assert len(lines) == count + 1, len(lines)
+    assert f'"count":{dropped}' in lines[-2], lines[-2]
+
+
+@then("no more than {count:d} bytes wait")
+def check_waiting(context, count):
+    assert len(context.output._pending) <= count, len(context.output._pending)
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -155,11 +155,12 @@
     app.config.KEEP_ALIVE_TIMEOUT = state.bounds.idle_timeout_s
 
 
-def apply_upstreams(state: ForwardState, update: Update) -> None:
+def apply_upstreams(state: ForwardState, update: Update) -> set[str]:
     """Take in what the list of upstreams says.
 
     :param state: What is known; changed in place.
     :param update: What the source brought.
+    :returns: The names of upstreams that are gone.
     """
     before = set(state.listing.known)
     apply_items(
@@ -176,6 +177,7 @@
     if update.page.items or before != set(state.listing.known):
         state.upstreams = _write_records(state.listing)
         _log_listing(state, update, before)
+    return before - set(state.listing.known)
 
 
 def _log_listing(state, update, before):
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -342,6 +342,7 @@
             loop.call_later(NEWS_WAY_S, _end_silent_wait, state)
 
     loop = asyncio.get_running_loop()
+    capacity = instance.dispatcher.capacity
     wait_s = choose_change_wait_s(instance.settings.max_key_age_s)
     followers = (
         follow_source(
@@ -350,7 +351,7 @@
         follow_source(
             state.listed,
             parts.upstreams,
-            lambda update: apply_upstreams(state, update),
+            lambda update: capacity.forget(apply_upstreams(state, update)),
         ),
     )
     for work in followers:
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -2,7 +2,7 @@
 
 import itertools
 import random
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 
 from jujubenotch.forwarding.division import (
@@ -181,7 +181,7 @@
                 now_s=now_s,
             )
 
-    def forget(self, names: list[str]) -> None:
+    def forget(self, names: Iterable[str]) -> None:
         """Forget what is known of upstreams that are gone.
 
         :param names: Their names.
--- a/jujubenotch/logs/bounded.py
+++ b/jujubenotch/logs/bounded.py
@@ -36,7 +36,8 @@
         :param text: One line with its end.
         """
         self._refill()
-        if self._allowance < 1 or len(self._pending) > MAX_PENDING_BYTES:
+        is_full = len(self._pending) + len(text) > MAX_PENDING_BYTES
+        if self._allowance < 1 or is_full:
             self.dropped += 1
             return
         self._allowance -= 1
