--- /dev/null
+++ b/jujubenotch/daemon/forward_listeners.py
@@ -0,0 +1,83 @@
+"""The listeners of an instance that forwards by host and path."""
+
+import socket
+
+from sanic import HTTPResponse, Sanic
+
+from jujubenotch.callers import CallerLimits, build_forward_app
+from jujubenotch.daemon.forward_parts import ForwarderParts, ForwardingInstance
+from jujubenotch.daemon.forward_state import follow_limits, is_ready
+from jujubenotch.listeners import ConnectionBounds, bind_socket, start_listener
+from jujubenotch.metrics import count_refused_connection, render
+
+SERVICE_UNAVAILABLE = 503
+MAX_CALLER_CONNECTIONS = 3000
+
+
+async def start_listeners(
+    instance: ForwardingInstance,
+    parts: ForwarderParts,
+    callers_socket: socket.socket,
+) -> None:
+    """Serve callers, readiness and metrics.
+
+    :param instance: The instance; its listeners are added, the callers' first.
+    :param parts: What differs between platforms.
+    :param callers_socket: Bound to the callers' address, and listening.
+    :raises ListenerError: An address can't be listened on.
+    """
+    settings = instance.settings
+    metrics = instance.observer.metrics
+    bounds = ConnectionBounds(
+        max_connections=MAX_CALLER_CONNECTIONS,
+        header_timeout_s=instance.state.bounds.header_timeout_s,
+        body_timeout_s=instance.state.bounds.idle_timeout_s,
+        count_refused=lambda: count_refused_connection(metrics, "callers"),
+    )
+    callers = build_forward_app(
+        "callers", instance, parts.decode_request, _read_limits(instance.state.bounds)
+    )
+    follow_limits(instance.state, callers)
+    instance.listeners.append(
+        await start_listener(callers, callers_socket, None, bounds)
+    )
+    for name, address, answer in (
+        ("readiness", settings.readiness, _answer_readiness),
+        ("metrics", settings.metrics, _answer_metrics),
+    ):
+        if address is None:
+            continue
+        app = _build_status_app(name, instance, answer)
+        bound = bind_socket(address.host, address.port)
+        instance.listeners.append(await start_listener(app, bound))
+
+
+def _read_limits(bounds):
+    return CallerLimits(
+        max_body_bytes=bounds.max_body_bytes,
+        max_header_bytes=bounds.max_header_bytes,
+        body_timeout_s=bounds.header_timeout_s,
+        idle_timeout_s=bounds.idle_timeout_s,
+    )
+
+
+def _build_status_app(name, instance, answer):
+    app = Sanic(name, configure_logging=False)
+
+    async def serve(request, path=""):
+        return answer(instance)
+
+    app.add_route(serve, "/<path:path>", methods=["GET"], name=name)
+    return app
+
+
+def _answer_readiness(instance):
+    ready = not instance.is_stopping() and is_ready(
+        instance.state, instance.read_knowledge()
+    )
+    return HTTPResponse(b"", status=200 if ready else SERVICE_UNAVAILABLE)
+
+
+def _answer_metrics(instance):
+    body, content_type = render(instance.observer.metrics)
+    return HTTPResponse(body, content_type=content_type)
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -55,7 +55,6 @@
     listing: UpstreamListing = field(default_factory=UpstreamListing)
     upstreams: Configuration = field(default_factory=Configuration)
     is_listed: bool = False
-    age_share: float = KEY_AGE_SHARE
     callers_app: Sanic | None = None
     configuration: Following = field(
         default_factory=lambda: Following(name="configuration")
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -1,28 +1,24 @@
 """Starts, runs and stops an instance that forwards by host and path."""
 
 import asyncio
-import contextlib
 import gc
 import logging
 import os
 import signal
 import socket
 import sys
-from collections.abc import Awaitable, Callable
-from dataclasses import dataclass, field
+from collections.abc import Callable
 
 import uvloop
-from sanic import HTTPResponse, Sanic
 
-from jujubenotch.callers import CallerLimits, build_forward_app
+from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import Belief, ForwardObserver
+from jujubenotch.daemon.forward_parts import ForwarderParts, ForwardingInstance
 from jujubenotch.daemon.forward_state import (
     ForwardState,
     apply_configuration,
     apply_upstreams,
-    follow_limits,
     is_list_behind,
-    is_ready,
     read_upstreams,
 )
 from jujubenotch.dispatch import (
@@ -30,15 +26,11 @@
     Exchanges,
     RetryBudget,
     RetryHistory,
-    UpstreamProtocol,
     may_retry,
     record_success,
 )
 from jujubenotch.forwarding import (
-    ArrivedRequest,
-    Knowledge,
     PlacedCapacity,
-    Source,
     choose_change_wait_s,
     end_wait,
     follow_source,
@@ -46,14 +38,10 @@
     read_suspended_clock_s,
 )
 from jujubenotch.listeners import (
-    ConnectionBounds,
-    Listener,
-    bind_socket,
-    start_listener,
     stop_listener,
 )
 from jujubenotch.logs import configure_logging, log_event, open_bounded_output
-from jujubenotch.metrics import count_refused_connection, make_metrics, render
+from jujubenotch.metrics import make_metrics
 from jujubenotch.records import Limits
 from jujubenotch.settings import ForwarderSettings
 from jujubenotch.upstreams import (
@@ -66,14 +54,11 @@
 
 STANDARD_OUTPUT = 1
 COLLECT_AFTER_ALLOCATIONS = 20_000
-SERVICE_UNAVAILABLE = 503
-METRICS_PATH = "metrics"
 # The balancer takes an instance out after two unready answers, asked each
 # second; until then callers still come.
 STAY_OPEN_S = 2.6
 # Left of the grace period for the process itself to end.
 END_MARGIN_S = 1.0
-MAX_CALLER_CONNECTIONS = 3000
 # News of one change reach both sources within this time.
 NEWS_WAY_S = 0.3
 # Repeats that each instance may make in the budget's window beyond its share.
@@ -89,76 +74,6 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True)
-class ForwarderParts:
-    """What differs between the platforms that an instance runs on.
-
-    :param configuration: Where the configuration comes from.
-    :param upstreams: Where the list of upstreams comes from.
-    :param protocol: What upstreams speak.
-    :param decode_request: Decodes the head of a caller's request.
-    :param close: Ends the connections to the platform.
-    """
-
-    configuration: Source
-    upstreams: Source
-    protocol: UpstreamProtocol
-    decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
-    close: Callable[[], Awaitable[None]]
-
-
-@dataclass(kw_only=True)
-class ForwardingInstance:
-    """One running instance.
-
-    :param stopping: Set when the instance is to end.
-    :param closed: Whether nothing new is taken any more.
-    """
-
-    settings: ForwarderSettings
-    state: ForwardState
-    observer: ForwardObserver
-    dispatcher: Dispatcher
-    stopping: asyncio.Event
-    closed: bool = False
-    listeners: list[Listener] = field(default_factory=list)
-    tasks: list[asyncio.Task] = field(default_factory=list)
-
-    def read_knowledge(self) -> Knowledge:
-        """Return what is known now."""
-        max_age_s = self.settings.max_key_age_s
-        return Knowledge(
-            index=self.state.index,
-            age_s=measure_age_s(self.state.freshness, read_suspended_clock_s()),
-            max_age_s=max_age_s * self.state.age_share if max_age_s else float("inf"),
-        )
-
-    async def wait_until_known(self, wait_s: float) -> None:
-        """Wait until enough is known to serve.
-
-        :param wait_s: How long at most, in seconds.
-        """
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(wait_s):
-                await self.state.known.wait()
-
-    def is_stopping(self) -> bool:
-        """Tell whether answers end their connection."""
-        return self.stopping.is_set()
-
-    def is_closed(self) -> bool:
-        """Tell whether nothing new is taken any more."""
-        return self.closed
-
-    def record_refusal(self, request_id, refusal):
-        """Count and log a request that was refused before its dispatch.
-
-        :param request_id: The request.
-        :param refusal: Why.
-        """
-        self.observer.record_refusal(request_id, refusal)
-
-
 def run_forwarder(
     settings: ForwarderSettings,
     reload_settings: Callable[[], ForwarderSettings],
@@ -199,7 +114,7 @@
         signal.SIGHUP, lambda: _log_reload(settings, reload_settings)
     )
     _start_followers(instance, parts)
-    await _start_listeners(instance, parts, callers_socket)
+    await start_listeners(instance, parts, callers_socket)
     log_event(
         logger,
         logging.INFO,
@@ -275,64 +190,6 @@
     log_event(logger, logging.INFO, "settings-reloaded", changed=changed)
 
 
-async def _start_listeners(instance, parts, callers_socket):
-    settings = instance.settings
-    metrics = instance.observer.metrics
-    bounds = ConnectionBounds(
-        max_connections=MAX_CALLER_CONNECTIONS,
-        header_timeout_s=instance.state.bounds.header_timeout_s,
-        body_timeout_s=instance.state.bounds.idle_timeout_s,
-        count_refused=lambda: count_refused_connection(metrics, "callers"),
-    )
-    callers = build_forward_app(
-        "callers", instance, parts.decode_request, _read_limits(instance.state.bounds)
-    )
-    follow_limits(instance.state, callers)
-    instance.listeners.append(
-        await start_listener(callers, callers_socket, None, bounds)
-    )
-    for name, address, answer in (
-        ("readiness", settings.readiness, _answer_readiness),
-        ("metrics", settings.metrics, _answer_metrics),
-    ):
-        if address is None:
-            continue
-        app = _build_status_app(name, instance, answer)
-        bound = bind_socket(address.host, address.port)
-        instance.listeners.append(await start_listener(app, bound))
-
-
-def _read_limits(bounds):
-    return CallerLimits(
-        max_body_bytes=bounds.max_body_bytes,
-        max_header_bytes=bounds.max_header_bytes,
-        body_timeout_s=bounds.header_timeout_s,
-        idle_timeout_s=bounds.idle_timeout_s,
-    )
-
-
-def _build_status_app(name, instance, answer):
-    app = Sanic(name, configure_logging=False)
-
-    async def serve(request, path=""):
-        return answer(instance)
-
-    app.add_route(serve, "/<path:path>", methods=["GET"], name=name)
-    return app
-
-
-def _answer_readiness(instance):
-    ready = not instance.is_stopping() and is_ready(
-        instance.state, instance.read_knowledge()
-    )
-    return HTTPResponse(b"", status=200 if ready else SERVICE_UNAVAILABLE)
-
-
-def _answer_metrics(instance):
-    body, content_type = render(instance.observer.metrics)
-    return HTTPResponse(body, content_type=content_type)
-
-
 def _start_followers(instance, parts):
     state = instance.state
 
--- a/jujubenotch/platform/parts.py
+++ b/jujubenotch/platform/parts.py
@@ -1,6 +1,6 @@
 """Puts together what the forwarder needs of the platform."""
 
-from jujubenotch.daemon.forwarder import ForwarderParts
+from jujubenotch.daemon.forward_parts import ForwarderParts
 from jujubenotch.platform.requests import PLATFORM_PROTOCOL, decode_request
 from jujubenotch.platform.store import (
     make_configuration_source,
