--- a/features/platform/list.feature
+++ b/features/platform/list.feature
@@ -4,7 +4,7 @@
     Given a site whose upstream answers well
     And another upstream that answers well
     When the first upstream is leaving
-    And 0.3 s pass
+    And 1 s pass
     And 6 callers read
     Then each gets "done"
     And the first upstream read 0 requests
--- a/features/platform/site.py
+++ b/features/platform/site.py
@@ -198,6 +198,13 @@
         time.sleep(0.05)
 
 
+def wait_until_listed(site, name, event="upstream-listed"):
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while name not in {each["upstream"] for each in read_events(site, event)}:
+        assert time.monotonic() < end_s, read_log(site)
+        time.sleep(0.05)
+
+
 def read_readiness(site):
     try:
         return send(site, "/ready", port=8001).status
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -15,6 +15,7 @@
     read_readiness,
     send,
     start_program,
+    wait_until_listed,
     wait_until_ready,
 )
 from features.platform.upstream_kinds import make_upstream
@@ -43,7 +44,7 @@
 @given("another upstream that {kind}")
 def add_another(context, kind):
     add_upstream(context.site, "i-second", make_upstream(kind))
-    time.sleep(0.2)
+    wait_until_listed(context.site, "i-second")
 
 
 @given('a site whose settings have the line "{line}"')
@@ -98,7 +99,7 @@
 @when("an entry that isn't text is listed")
 def list_bytes(context):
     change(context.site, write_row, "servers", "i-bad-3", b"\xff\xfe\x00")
-    time.sleep(0.2)
+    wait_until_listed(context.site, "i-bad-3", event="upstream-unlisted")
 
 
 @when("a caller reads with its key")
