Let long prompts give way where one upstream is left

Pattern: load shedding by priority, only where short prompts have no upstream of their own. Test failed first: features/forwarding/yield.feature.

--- /dev/null
+++ b/features/forwarding/steps/yield_steps.py
@@ -0,0 +1,83 @@
+import asyncio
+
+from behave import given, then, when
+
+from jujubenotch.forwarding import (
+    Item,
+    ListedUpstream,
+    PlacedCapacity,
+    UpstreamListing,
+    apply_items,
+)
+from jujubenotch.outcomes import Refusal
+from jujubenotch.work import LoadReport, WorkRequest
+
+PROMPT_TOKENS = {"long": 12_000, "short": 800}
+
+
+def ask(context, kind):
+    request = WorkRequest(
+        request_id="r",
+        target="drafting",
+        team="agents",
+        team_weight=1.0,
+        team_limit=0,
+        service_class="c",
+        tier=0,
+        arrived_s=0.0,
+        first_token_by_s=1.0,
+        deadline_s=9.0,
+        max_wait_s=1.0,
+        expected_tokens=10,
+        prompt_tokens=PROMPT_TOKENS[kind],
+    )
+    return asyncio.run(context.capacity.acquire(request))
+
+
+@given(
+    "{count:d} upstream with {slots:d} slots that tells of {running:d} running and "
+    "{waiting:d} waiting requests"
+)
+def make(context, count, slots, running, waiting):
+    listing = UpstreamListing()
+    items = tuple(
+        Item(
+            key=f"i-{number}",
+            value=ListedUpstream(
+                name=f"i-{number}",
+                service="drafting",
+                address="127.0.0.1:1",
+                data_centre="north",
+                slots=slots,
+            ),
+        )
+        for number in range(count)
+    )
+    apply_items(listing, items, is_whole=True, is_back=False, now_s=0.0)
+    context.capacity = PlacedCapacity(
+        listing=listing,
+        read_clock_s=lambda: 1.0,
+        read_listing_clock_s=lambda: 1.0,
+        draw=lambda: 0.0,
+    )
+    for kind in PROMPT_TOKENS:
+        ask(context, kind)
+    report = LoadReport(running=running, waiting=waiting, slots=slots)
+    for item in items:
+        context.capacity.record_load(item.key, report, 1.0)
+
+
+@when("a {kind:w} request asks for a slot")
+def ask_one(context, kind):
+    context.result = ask(context, kind)
+
+
+@then('it is refused as "{reason}" and told to come back')
+def check_refused(context, reason):
+    assert isinstance(context.result, Refusal), context.result
+    assert context.result.reason == reason and context.result.retry_after_s > 0
+
+
+@then("it is granted")
+def check_granted(context):
+    assert not isinstance(context.result, Refusal), context.result
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -15,6 +15,7 @@
 from jujubenotch.forwarding.placement import (
     UpstreamWork,
     choose_upstream,
+    must_yield,
     record_report,
 )
 from jujubenotch.outcomes import Refusal, RefusalReason
@@ -22,6 +23,8 @@
 from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
+# Some of the requests in progress have ended by then.
+YIELD_RETRY_AFTER_S = 1.0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -76,7 +79,8 @@
         :returns: The grant, or a refusal when no upstream is known.
         """
         now_s = self._read_clock_s()
-        candidates = self._find_candidates(request, now_s)
+        works = self._list_works(request)
+        candidates = self._find_candidates(request, works, now_s)
         if not candidates:
             return Refusal(
                 reason=RefusalReason.NO_UPSTREAM,
@@ -89,6 +93,14 @@
             draw=self._draw(),
             now_s=now_s,
         )
+        is_shared = len(works) == 1
+        is_long = is_long_prompt(request.prompt_tokens)
+        if is_long and must_yield(work, is_shared=is_shared, now_s=now_s):
+            return Refusal(
+                reason=RefusalReason.QUEUE_FULL,
+                retry_after_s=YIELD_RETRY_AFTER_S,
+                detail=f"the one upstream of {request.target} is full; come back",
+            )
         return self._give(request, work, now_s)
 
     def release(self, grant: Grant, report: WorkReport, now_s: float) -> None:
@@ -120,10 +132,12 @@
         if work is not None:
             record_report(work, report, now_s)
 
-    def _find_candidates(self, request, now_s):
+    def _list_works(self, request):
         listing_s = self._read_listing_clock_s()
         usable = find_usable(self._listing, request.target, listing_s)
-        works = [self._find_work(listed) for listed in usable]
+        return [self._find_work(listed) for listed in usable]
+
+    def _find_candidates(self, request, works, now_s):
         fresh = [work for work in works if work.name not in request.excluded_upstreams]
         well = [work for work in fresh if self._is_well(work, now_s)]
         group = self._choose_group(request, works, now_s)
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -13,6 +13,8 @@
 SPARE_REQUESTS = 1
 # Within this time half of the others' requests have ended or moved.
 REPORT_HALF_LIFE_S = 1.0
+# Part of the slots of a shared upstream beyond which long prompts give way.
+SHARED_LIMIT = 0.3
 # Loads that differ by less are equal: instances must not all choose the same.
 LOAD_TOLERANCE = 0.5
 
@@ -67,6 +69,17 @@
     return work.running + others * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
 
+def must_yield(work: UpstreamWork, *, is_shared: bool, now_s: float) -> bool:
+    """Tell whether a long prompt must give way to short ones at an upstream.
+
+    :param work: The upstream chosen for the long prompt.
+    :param is_shared: Whether short prompts have no upstream of their own.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    is_full = estimate_load(work, now_s) >= SHARED_LIMIT * work.slots
+    return is_shared and is_full
+
+
 def choose_upstream(
     candidates: Sequence[UpstreamWork],
     prefix_key: str,
