--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -210,14 +210,6 @@
     )
 
 
-def read_upstreams(state: ForwardState) -> Configuration:
-    """Return the upstreams as records.
-
-    :param state: What is known.
-    """
-    return state.upstreams
-
-
 def is_ready(state: ForwardState, knowledge: Knowledge) -> bool:
     """Tell whether callers should be sent to this instance.
 
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -19,7 +19,6 @@
     apply_configuration,
     apply_upstreams,
     is_list_behind,
-    read_upstreams,
 )
 from jujubenotch.dispatch import (
     Dispatcher,
@@ -154,7 +153,7 @@
         connections=open_connections(UPSTREAM_LIMITS),
         observer=observer,
         retry_budget=_make_retry_budget(settings),
-        read_configuration=lambda: read_upstreams(state),
+        read_configuration=lambda: state.upstreams,
         exchanges=Exchanges(idle_timeout_s=UPSTREAM_LIMITS.idle_timeout_s),
         protocol=parts.protocol,
     )
--- a/jujubenotch/platform/documents.py
+++ b/jujubenotch/platform/documents.py
@@ -15,8 +15,8 @@
     ServiceShare,
     SiteConfiguration,
 )
+from jujubenotch.platform.units import MS_PER_S
 
-MS_PER_S = 1000
 ROUTE_KINDS = {
     "idempotent": RouteKind.IDEMPOTENT,
     "non_idempotent": RouteKind.NON_IDEMPOTENT,
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -2,9 +2,9 @@
 
 from jujubenotch.dispatch import AnswerKind, UpstreamProtocol
 from jujubenotch.forwarding import ArrivedRequest, PromptPart
+from jujubenotch.platform.units import MS_PER_S
 from jujubenotch.work import LoadReport
 
-MS_PER_S = 1000
 MISDIRECTED = 421
 # An upstream's answer with one of these would promise that the request has not
 # run, which only the header below proves.
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -6,12 +6,12 @@
 from pydantic import ValidationError
 
 from jujubenotch.platform.errors import PlatformSettingsError
+from jujubenotch.platform.units import MS_PER_S
 from jujubenotch.settings.forwarder import Address, ForwarderSettings
 
 FILE_VARIABLE = "JUJUBENOTCH_NODE_FILE"
 DEFAULT_FILE = "/etc/jujubenotch/settings.conf"
 METRICS_PORT = 9464
-MS_PER_S = 1000
 
 
 def find_settings_file() -> str:
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -17,10 +17,10 @@
     SourceError,
 )
 from jujubenotch.platform.documents import (
-    MS_PER_S,
     decode_configuration,
     decode_upstream,
 )
+from jujubenotch.platform.units import MS_PER_S
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
