Don't join a resumed stream that began anew

Cause: a stream that goes on at another upstream trusted that one to begin after Last-Event-ID. An upstream that begins anew doubled the events that the caller had (features/platform/repeats, with an upstream that streams from its first event always: events 1 and 2 came twice).

Now the first event of a resumed stream must have an id above the last one forwarded; otherwise the attempt ends as restarted, nothing of it is passed on, and the stream is tried elsewhere within its limits or ends visibly early.

Before: the new scenario failed with ids 1, 2, 1, 2, 3.

--- a/features/platform/repeats.feature
+++ b/features/platform/repeats.feature
@@ -43,6 +43,13 @@
     When 2 callers resume streams
     Then each got 4 events in order
 
+  Scenario: A stream that begins anew elsewhere is not joined to its first part
+    Given a site whose upstream cuts its stream after 2 events
+    And another upstream that streams 3 events
+    When 6 callers resume streams
+    Then no caller got an event twice
+    And the answer of some caller is cut
+
   Scenario: The caller's wait bounds the answer
     Given a site whose upstream is silent
     When a caller reads on the short route
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -1,3 +1,4 @@
+import re
 import time
 
 from behave import given, then, when
@@ -213,6 +214,18 @@
         assert reply.is_whole
 
 
+@then("no caller got an event twice")
+def check_events_once(context):
+    for reply in context.replies:
+        events = re.findall(rb"^id: (\d+)$", reply.body, re.MULTILINE)
+        assert len(events) == len(set(events)), (reply, read_log(context.site))
+
+
+@then("the answer of some caller is cut")
+def check_some_cut(context):
+    assert not all(reply.is_whole for reply in context.replies), context.replies
+
+
 @then('the upstream read the header "{header}"')
 def check_header(context, header):
     head = context.site.upstreams["i-first"].requests[0].lower()
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -7,7 +7,13 @@
 from jujubenotch.dispatch.answers import STATUS_BY_REFUSAL
 from jujubenotch.dispatch.attempt import keep_end_to_end, read_clock_s
 from jujubenotch.dispatch.budget import RetryHistory, may_retry, record_success
-from jujubenotch.dispatch.call import Answer, Call, CallerGoneError, Sink
+from jujubenotch.dispatch.call import (
+    Answer,
+    Call,
+    CallerGoneError,
+    Sink,
+    find_resume_point,
+)
 from jujubenotch.dispatch.decide import AttemptEnd, GiveUp, Retry, decide_next
 from jujubenotch.dispatch.dispatcher import dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
@@ -33,6 +39,7 @@
     "UpstreamProtocol",
     "decide_next",
     "dispatch",
+    "find_resume_point",
     "keep_end_to_end",
     "may_retry",
     "read_clock_s",
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
+from jujubenotch.dispatch.call import Answer, Call, Progress, Sink, find_resume_point
 from jujubenotch.dispatch.decide import WORK_RESULTS, AttemptEnd
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.outcomes import Outcome
@@ -23,6 +23,7 @@
     open_exchange,
     read_last_id,
     read_whole,
+    repeats_events,
     take_whole_events,
     translated_errors,
 )
@@ -47,6 +48,10 @@
 _COMPLETION_TOKENS = re.compile(rb'"completion_tokens": ?(\d+)')
 
 
+class StreamRestartedError(Exception):
+    """A stream that was to go on after an event began anew."""
+
+
 @dataclass(kw_only=True)
 class Attempt:
     """What one attempt has measured and what it came to.
@@ -108,6 +113,8 @@
         attempt.end = AttemptEnd.SILENT
     except ConnectionLostError:
         attempt.end = AttemptEnd.LOST
+    except StreamRestartedError:
+        attempt.end = AttemptEnd.RESTARTED
     except AnswerTooLargeError:
         attempt.end = AttemptEnd.UPSTREAM_ERROR
     if progress.is_started and attempt.end is AttemptEnd.LOST:
@@ -288,11 +295,16 @@
     read_time_s = asyncio.get_running_loop().time
     keeps_events = bool(receiver.call.idempotency_key)
     send = receiver.sink.send
+    resumed_after = find_resume_point(receiver.call, receiver.progress)
     with translated_errors():
         async for chunk in answer.response.content.iter_any():
             events = take_whole_events(buffer, chunk)
             if not events:
                 continue
+            if resumed_after and repeats_events(events, resumed_after):
+                buffer.last_events = b""
+                raise StreamRestartedError
+            resumed_after = ""
             attempt.last_token_at_s = read_time_s()
             if not attempt.first_token_at_s:
                 attempt.first_token_at_s = attempt.last_token_at_s
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -149,3 +149,13 @@
     runs: int = 0
     failed_upstreams: frozenset[str] = frozenset()
     recorded: list[bytes] = field(default_factory=list)
+
+
+def find_resume_point(call: Call, progress: Progress) -> str:
+    """Find the event after which a stream is to go on.
+
+    :param call: The call.
+    :param progress: Its progress.
+    :returns: The event's id; empty when the stream begins.
+    """
+    return progress.last_event_id or call.resumed_after
--- a/jujubenotch/dispatch/decide.py
+++ b/jujubenotch/dispatch/decide.py
@@ -19,6 +19,7 @@
     LOST = "lost"
     SILENT = "silent"
     TRUNCATED = "truncated"
+    RESTARTED = "restarted"
     DEADLINE = "deadline"
 
 
@@ -30,6 +31,7 @@
     AttemptEnd.LOST: RetryReason.CONNECTION_LOST,
     AttemptEnd.SILENT: RetryReason.SILENT,
     AttemptEnd.TRUNCATED: RetryReason.STREAM_TRUNCATED,
+    AttemptEnd.RESTARTED: RetryReason.STREAM_RESTARTED,
 }
 
 WORK_RESULTS = {
@@ -41,6 +43,7 @@
     AttemptEnd.LOST: WorkResult.LOST,
     AttemptEnd.SILENT: WorkResult.SILENT,
     AttemptEnd.TRUNCATED: WorkResult.LOST,
+    AttemptEnd.RESTARTED: WorkResult.ERROR,
     AttemptEnd.DEADLINE: WorkResult.CANCELLED,
 }
 
@@ -48,11 +51,16 @@
     {AttemptEnd.CONNECT_FAILED, AttemptEnd.REFUSED, AttemptEnd.MISDIRECTED}
 )
 
+_HAS_RUN = frozenset(
+    {AttemptEnd.UPSTREAM_ERROR, AttemptEnd.TRUNCATED, AttemptEnd.RESTARTED}
+)
+
 _FAILURE_REASONS = {
     AttemptEnd.UPSTREAM_ERROR: FailureReason.UPSTREAM_ERROR,
     AttemptEnd.LOST: FailureReason.CONNECTION_LOST,
     AttemptEnd.SILENT: FailureReason.SILENT,
     AttemptEnd.TRUNCATED: FailureReason.STREAM_TRUNCATED,
+    AttemptEnd.RESTARTED: FailureReason.STREAM_RESTARTED,
     AttemptEnd.DEADLINE: FailureReason.DEADLINE_PASSED,
 }
 
@@ -90,7 +98,7 @@
     if end not in _NOT_RUN:
         progress.may_have_run = True
         progress.runs += 1
-    if end in (AttemptEnd.UPSTREAM_ERROR, AttemptEnd.TRUNCATED):
+    if end in _HAS_RUN:
         progress.has_run = True
 
 
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -53,6 +53,7 @@
     CONNECTION_LOST = "connection-lost"
     SILENT = "silent"
     STREAM_TRUNCATED = "stream-truncated"
+    STREAM_RESTARTED = "stream-restarted"
 
 
 class FailureReason(StrEnum):
@@ -62,6 +63,7 @@
     CONNECTION_LOST = "connection-lost"
     SILENT = "silent"
     STREAM_TRUNCATED = "stream-truncated"
+    STREAM_RESTARTED = "stream-restarted"
     DEADLINE_PASSED = "deadline-passed"
     CALLER_LEFT = "caller-left"
     CLAIM_HELD = "claim-held"
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -1,6 +1,6 @@
 """Decodes callers' requests and speaks to upstreams, by the platform's headers."""
 
-from jujubenotch.dispatch import AnswerKind, UpstreamProtocol
+from jujubenotch.dispatch import AnswerKind, UpstreamProtocol, find_resume_point
 from jujubenotch.forwarding import ArrivedRequest, PromptPart
 from jujubenotch.platform.units import MS_PER_S
 from jujubenotch.work import LoadReport
@@ -128,7 +128,7 @@
     ]
     if call.team.name:
         headers.append((TENANT, call.team.name))
-    last_event_id = progress.last_event_id or call.resumed_after
+    last_event_id = find_resume_point(call, progress)
     if last_event_id:
         headers.append(("Last-Event-Id", last_event_id))
     return tuple(headers)
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -20,6 +20,7 @@
     END_MARKER,
     EventBuffer,
     read_last_id,
+    repeats_events,
     take_whole_events,
 )
 from jujubenotch.upstreams.exchange import (
@@ -51,6 +52,7 @@
     "read_last_id",
     "read_load",
     "read_whole",
+    "repeats_events",
     "take_whole_events",
     "translated_errors",
 ]
--- a/jujubenotch/upstreams/events.py
+++ b/jujubenotch/upstreams/events.py
@@ -64,6 +64,23 @@
     return identifiers[-1].decode("latin-1") if identifiers else ""
 
 
+def repeats_events(events: bytes, last_id: str) -> bool:
+    """Tell whether a stream that was to go on begins with events already sent.
+
+    :param events: The first whole events of the resumed stream.
+    :param last_id: The id of the last event that was sent; empty for none.
+    :returns: True when the first id isn't above the last one; ids that aren't
+        numbers are compared for equality only.
+    """
+    found = _ID_LINE.search(events)
+    if not last_id or found is None:
+        return False
+    first_id = found[1].decode("latin-1")
+    if first_id.isdecimal() and last_id.isdecimal():
+        return int(first_id) <= int(last_id)
+    return first_id == last_id
+
+
 def _split_partial(buffer, chunk):
     ends = [chunk.rfind(end) + len(end) for end in _EVENT_ENDS if end in chunk]
     position = max(ends, default=0)
