--- a/features/soak/rules.feature
+++ b/features/soak/rules.feature
@@ -21,6 +21,7 @@
       | two answers to one request                   | one final answer by the deadline         |
       | a query refused while drafts are sent        | no upper tier refused before a lower one |
       | a class without a start                      | each class progresses                    |
+      | a class that waits while a newer guest starts | each class progresses                    |
       | a request cut by a planned stop              | no planned stop cuts a request           |
       | a planned stop with code 70                  | no planned stop cuts a request           |
       | an instance that ended by an invariant       | no process ended by itself               |
@@ -46,4 +47,5 @@
       | work sent 5 s after by an instance just resumed    |
       | a change that waits for the end of a cut           |
       | a refused copy of a submission that ran            |
+      | a class that waits while an older guest starts     |
       | a restart with an older revision                   |
--- a/features/soak/steps/rules_steps.py
+++ b/features/soak/steps/rules_steps.py
@@ -102,6 +102,17 @@
         add(journals, told, ran=False)
 
 
+def starve_but_serve_guest(journals, sent_s):
+    """A request of another data centre runs here in the starved windows."""
+    starve_class(journals)
+    journals.data_centres["b-1"] = "b"
+    guest = make_told(
+        950, sent_s, instance="b-1", service_class="draft", tier=3, ended_s=37.0
+    )
+    journals.told.append(guest)
+    journals.ran += [replace(ran, time_s=36.0) for ran in make_runs(guest)]
+
+
 def cut_by_stop(journals):
     told = make_told(500, 171.0, outcome="no-answer", reason="ServerDisconnectedError")
     add(journals, told)
@@ -189,6 +200,12 @@
         journals, 2
     ),
     "a class without a start": starve_class,
+    "a class that waits while a newer guest starts": lambda journals: (
+        starve_but_serve_guest(journals, 36.0)
+    ),
+    "a class that waits while an older guest starts": lambda journals: (
+        starve_but_serve_guest(journals, 29.0)
+    ),
     "a request cut by a planned stop": cut_by_stop,
     "a planned stop with code 70": stop_with_code,
     "an instance that ended by an invariant": lambda journals: journals.ended.update(
