Ask the list anew also when the configuration changes after its silent news

An instance took all revisions up to the configuration's newest for explained, so it saw the list as up to date, and sent 3 requests to the leaving upstream later than 3 s after it had told of its leaving.

Now only as many revisions below a page are taken for explained as it has items; what may be the list's has the list asked anew. Two versions that come in one page cost one needless call.

Ruled out: the configuration's feed itself (it brought revisions 11 and 13 at once) and the wait of 0.6 s.

Before: the new scenario of features/platform/list failed (nothing logged list-silent, the upstream that left got requests). After: it passes.

--- a/features/platform/list.feature
+++ b/features/platform/list.feature
@@ -34,3 +34,16 @@
     Then each gets "done"
     And the first upstream read 0 requests
     And it logged "list-silent"
+
+  Scenario: A change of the configuration doesn't hide that the list's news are silent
+    Given a site whose upstream answers well
+    And another upstream that answers well
+    When 0.6 s pass
+    And the news of the list fall silent
+    And the first upstream is leaving
+    And the configuration is written again
+    And 2 s pass
+    And 6 callers read
+    Then each gets "done"
+    And the first upstream read 0 requests
+    And it logged "list-silent"
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -74,6 +74,11 @@
     put_configuration(context.site, keys=("some-other-key",))
 
 
+@when("the configuration is written again")
+def write_again(context):
+    put_configuration(context.site)
+
+
 @when("{seconds:g} s pass")
 def wait(context, seconds):
     time.sleep(seconds)
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -44,7 +44,7 @@
     :param callers_app: The callers' interface, whose limits follow.
     :param configuration: How far the configuration has been followed.
     :param listed: How far the list of upstreams has been followed.
-    :param explained_revision: The newest change of the configuration itself.
+    :param unexplained_revision: The newest change that may be the list's.
     :param known: Set once the configuration and the list were read.
 
     >>> ForwardState().index
@@ -60,7 +60,7 @@
         default_factory=lambda: Following(name="configuration")
     )
     listed: Following = field(default_factory=lambda: Following(name="upstreams"))
-    explained_revision: int = 0
+    unexplained_revision: int = 0
     known: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -77,8 +77,8 @@
     :param state: What is known; changed in place.
     :param update: What the source brought.
     """
-    state.explained_revision = max(
-        state.explained_revision, update.page.changed_revision
+    state.unexplained_revision = max(
+        state.unexplained_revision, find_unexplained_revision(update)
     )
     for item in update.page.items:
         if item.value is None:
@@ -100,16 +100,33 @@
     _note_known(state)
 
 
+def find_unexplained_revision(update: Update) -> int:
+    """Find the newest revision that may be another's than the configuration's.
+
+    The store numbers all its changes. Those up to a page that its own items
+    don't account for are the list's, or older versions of an item.
+
+    :param update: What the configuration's source brought.
+    :returns: The revision; 0 when the items account for all.
+    """
+    page = update.page
+    if page.revision > page.changed_revision:
+        return page.revision
+    first = page.revision - len(page.items)
+    if update.after_revision is not None and first <= update.after_revision:
+        return 0
+    return page.revision - 1
+
+
 def is_list_behind(state: ForwardState) -> bool:
     """Tell whether the store has changes that neither source has brought.
 
-    The store numbers all its changes, so one that isn't the configuration's is
-    the list's: its news have fallen silent, or are on their way.
+    Changes that the list's source hasn't brought have fallen silent, or are on
+    their way.
 
     :param state: What is known.
     """
-    newest = state.configuration.revision or 0
-    return newest > max(state.explained_revision, state.listed.revision or 0)
+    return state.unexplained_revision > (state.listed.revision or 0)
 
 
 def _put_in_force(state, configuration, update):
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -33,16 +33,22 @@
 class Update(Generic[Value]):
     """A page with the times of its call.
 
-    :param is_whole: Whether it holds all items, not only changes.
+    :param after_revision: Where its changes begin; ``None`` when it holds all
+        items.
     :param is_back: Whether the source had been lost before it.
     """
 
     page: Page[Value]
     sent_s: float
     received_s: float
-    is_whole: bool
+    after_revision: int | None
     is_back: bool
 
+    @property
+    def is_whole(self) -> bool:
+        """Whether it holds all items, not only changes."""
+        return self.after_revision is None
+
 
 @dataclass(kw_only=True)
 class Following:
@@ -148,19 +154,19 @@
 
 async def _read(following, source, change_wait_s):
     sent_s = read_suspended_clock_s()
-    is_whole = following.revision is None
+    after_revision = following.revision
     is_back = following.failures > 0
-    wait_s = 0.0 if is_whole or is_back else change_wait_s
+    wait_s = 0.0 if after_revision is None or is_back else change_wait_s
     async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S) as following.bound:
-        if is_whole:
+        if after_revision is None:
             page = await source.read_all()
         else:
-            page = await source.read_changes(following.revision, wait_s)
+            page = await source.read_changes(after_revision, wait_s)
     return Update(
         page=page,
         sent_s=sent_s,
         received_s=read_suspended_clock_s(),
-        is_whole=is_whole,
+        after_revision=after_revision,
         is_back=is_back,
     )
 
