--- a/Makefile
+++ b/Makefile
@@ -2,6 +2,7 @@
 BIN := .venv/bin
 SEED ?= 1
 DURATION_S ?= 60
+FLEET ?= own
 
 .PHONY: install test format demo soak proto
 
@@ -24,7 +25,7 @@
 	$(BIN)/python -m benchmarks.demo
 
 soak: install
-	$(BIN)/python -m benchmarks.soak --seed=$(SEED) --duration-s=$(DURATION_S)
+	$(BIN)/python -m benchmarks.soak --fleet=$(FLEET) --seed=$(SEED) --duration-s=$(DURATION_S)
 
 proto: install
 	PATH="$(CURDIR)/$(BIN):$$PATH" $(BIN)/python -m grpc_tools.protoc -I. --python_out=. --grpclib_python_out=. jujubenotch/peers/peers.proto
--- /dev/null
+++ b/benchmarks/site/documents.py
@@ -0,0 +1,144 @@
+"""Writes what the operators and the upstreams of a site tell the store."""
+
+import json
+from dataclasses import dataclass, field
+
+from benchmarks.site.model import RouteKind
+
+HOST = "site.example"
+SERVICES = ("plain", "model")
+REVOKE_S = 5.0
+GRACE_S = 8.0
+RETRY_RATIO = 0.2
+TIMEOUT_S = 4.0
+MS_PER_S = 1000
+SERVICE_BY_KIND = {
+    RouteKind.READ: "plain",
+    RouteKind.SEND: "plain",
+    RouteKind.STREAM: "model",
+    RouteKind.RESUME: "model",
+}
+WIRE_KINDS = {
+    RouteKind.READ: "idempotent",
+    RouteKind.SEND: "non_idempotent",
+    RouteKind.STREAM: "streaming",
+    RouteKind.RESUME: "streaming",
+}
+SETTINGS = """node-name={name}
+zone={zone}
+listen.frontend={host}:8000
+listen.ready={host}:8001
+platform.address={store_host}:{store_port}
+bounds.fail-closed=true
+bounds.revoke-ms={revoke_ms:.0f}
+bounds.grace-s={grace_s:g}
+bounds.retry-ratio={retry_ratio:g}
+"""
+
+
+@dataclass(kw_only=True)
+class Configuration:
+    """The operators' configuration, as it grows.
+
+    :param keys: The team of each key that is valid now.
+    :param extra_prefixes: Routes that were added to the first ones.
+
+    >>> Configuration(keys={"k": "agents"}).version
+    0
+    """
+
+    keys: dict[str, str]
+    version: int = 0
+    extra_prefixes: list[str] = field(default_factory=list)
+
+
+def write_configuration(configuration: Configuration) -> bytes:
+    """Write the next version.
+
+    :param configuration: The configuration; its version grows.
+    """
+    configuration.version += 3
+    routes = [_write_route(kind, f"/{kind}/") for kind in RouteKind]
+    routes += [
+        _write_route(RouteKind.READ, prefix) for prefix in configuration.extra_prefixes
+    ]
+    teams = sorted(set(configuration.keys.values()))
+    document = {
+        "version": configuration.version,
+        "routes": routes,
+        "services": [
+            {"name": name, "health-path": "/h", "max-conns": 200} for name in SERVICES
+        ],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 100000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": 15000,
+        },
+        "tenants": [
+            {
+                "name": team,
+                "api-keys": sorted(
+                    key for key, owner in configuration.keys.items() if owner == team
+                ),
+            }
+            for team in teams
+        ],
+    }
+    return json.dumps(document).encode()
+
+
+def write_entry(
+    *, service: str, address: str, zone: str, slots: int, is_leaving: bool
+) -> bytes:
+    """Write an upstream's entry in the list.
+
+    :param address: Its ``host:port``.
+    """
+    entry = {
+        "service": service,
+        "address": address,
+        "zone": zone,
+        "version": "v1",
+        "slots": slots,
+        "state": "draining" if is_leaving else "ready",
+        "cold-remaining-ms": 0,
+        "sequence": 1,
+    }
+    return json.dumps(entry).encode()
+
+
+def write_settings(
+    *, name: str, zone: str, host: str, store_host: str, store_port: int
+) -> str:
+    """Write the settings file of an instance.
+
+    :param host: What it listens on.
+    :param store_host: Where it reaches the store.
+    """
+    return SETTINGS.format(
+        name=name,
+        zone=zone,
+        host=host,
+        store_host=store_host,
+        store_port=store_port,
+        revoke_ms=REVOKE_S * MS_PER_S,
+        grace_s=GRACE_S,
+        retry_ratio=RETRY_RATIO,
+    )
+
+
+def _write_route(kind, prefix):
+    return {
+        "name": prefix.strip("/"),
+        "host": HOST,
+        "prefix": prefix,
+        "route-type": WIRE_KINDS[kind],
+        "timeout-ms": int(TIMEOUT_S * MS_PER_S),
+        "target-latency-ms": 400,
+        "priority": 1,
+        "service": SERVICE_BY_KIND[kind],
+        "max-attempts": 2,
+        "anonymous": False,
+        "stream-resume": kind is RouteKind.RESUME,
+    }
--- /dev/null
+++ b/benchmarks/site/upstreams.py
@@ -0,0 +1,288 @@
+"""Upstreams that run requests, journal them, and spoil answers when told to."""
+
+import asyncio
+import random
+import re
+import time
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from enum import StrEnum
+
+from benchmarks.site.model import Arrival
+
+END_OF_HEAD = b"\r\n\r\n"
+MAX_QUEUED = 24
+PLAIN_WORK_S = 0.03
+FIRST_EVENT_S = 0.05
+EVENT_GAP_S = 0.02
+SPOILED_RATIO = 0.3
+LATE_EXTRA_S = 0.05
+END_POLL_S = 0.1
+MS_PER_S = 1000
+_FIELD = re.compile(rb"^([^:\r\n]+):[ \t]*([^\r\n]*)\r$", re.MULTILINE)
+
+
+class Spoiling(StrEnum):
+    """How an upstream spoils a part of its answers."""
+
+    CUT = "cut"
+    UNSIGNED = "unsigned"
+    OTHER_ID = "other-id"
+    GARBAGE = "garbage"
+    ERROR = "error"
+    REFUSE = "refuse"
+    EXTRA = "extra"
+    MUTE = "mute"
+
+
+@dataclass(kw_only=True)
+class Upstream:
+    """One upstream process of the site, as others see it.
+
+    :param port: Where it listens, known once it is opened.
+    :param record: Takes in each request that was read.
+    :param slowdown: Factor on the time of its work.
+    """
+
+    name: str
+    service: str
+    host: str
+    slots: int
+    record: Callable[[Arrival], None]
+    port: int = 0
+    slowdown: float = 1.0
+    spoiling: Spoiling | None = None
+    is_leaving: bool = False
+    queued: int = 0
+    generator: random.Random = field(default_factory=random.Random)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+    writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    server: asyncio.Server | None = None
+    places: asyncio.Semaphore | None = None
+
+
+@dataclass(frozen=True, kw_only=True)
+class Head:
+    """The head of a request."""
+
+    path: str
+    fields: dict[str, str]
+
+    @property
+    def request_id(self) -> str:
+        """The id of the caller's attempt."""
+        return self.fields.get("x-attempt-id", "")
+
+
+async def open_upstream(upstream: Upstream) -> None:
+    """Listen, on its port if it has one.
+
+    :param upstream: The upstream.
+    """
+    upstream.places = asyncio.Semaphore(upstream.slots)
+
+    async def serve(reader, writer):
+        task = asyncio.current_task()
+        upstream.tasks.add(task)
+        upstream.writers.add(writer)
+        try:
+            await _serve(upstream, reader, writer)
+        except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
+            pass
+        finally:
+            upstream.tasks.discard(task)
+            upstream.writers.discard(writer)
+            writer.close()
+
+    upstream.server = await asyncio.start_server(
+        serve, upstream.host, upstream.port, reuse_address=True
+    )
+    upstream.port = upstream.server.sockets[0].getsockname()[1]
+
+
+async def close_upstream(upstream: Upstream) -> None:
+    """End it at once; its connections are reset.
+
+    :param upstream: The upstream.
+    """
+    upstream.server.close()
+    for writer in list(upstream.writers):
+        writer.transport.abort()
+    for task in list(upstream.tasks):
+        task.cancel()
+    await asyncio.sleep(0)
+
+
+def make_body(request_id: str, path: str) -> bytes:
+    """Make the body of the answer to a plain request.
+
+    :param request_id: The caller's id.
+    :param path: The request's path.
+    """
+    return f"{request_id} {path} ".encode() * 8
+
+
+def make_event(request_id: str, number: int) -> bytes:
+    """Make an event of a stream.
+
+    :param request_id: The caller's id.
+    :param number: The event's id.
+    """
+    return b"id: %d\ndata: %b-%d\n\n" % (number, request_id.encode(), number)
+
+
+def count_events(path: str) -> int:
+    """Tell how many events a stream has, by its path."""
+    return int(path.rpartition("/")[2])
+
+
+async def _serve(upstream, reader, writer):
+    while True:
+        head = _read_head(await reader.readuntil(END_OF_HEAD))
+        await reader.readexactly(int(head.fields.get("content-length", "0")))
+        answering = asyncio.create_task(_answer(upstream, head, writer))
+        try:
+            if not await _wait_while_open(reader, answering):
+                return
+        finally:
+            answering.cancel()
+        if upstream.is_leaving:
+            return
+
+
+async def _wait_while_open(reader, answering):
+    """Wait for an answer's end, or for that of the connection."""
+    while not answering.done():
+        if reader.at_eof():
+            return False
+        await asyncio.wait([answering], timeout=END_POLL_S)
+    return await answering
+
+
+def _read_head(block):
+    line = block.split(b"\r\n", 1)[0].decode("latin-1").split(" ")
+    fields = {
+        name.decode("latin-1").lower(): value.decode("latin-1")
+        for name, value in _FIELD.findall(block)
+    }
+    return Head(path=line[1], fields=fields)
+
+
+async def _answer(upstream, head, writer):
+    """Answer a request; tells whether the connection goes on."""
+    if head.fields.get("x-expect-instance", upstream.name) != upstream.name:
+        return await _refuse(upstream, head, writer, b"421 Misdirected Request")
+    spoiling = _draw_spoiling(upstream)
+    is_full = upstream.queued >= MAX_QUEUED
+    if is_full or spoiling is Spoiling.REFUSE:
+        return await _refuse(upstream, head, writer, b"503 Service Unavailable")
+    _record(upstream, head, is_run=True)
+    upstream.queued += 1
+    try:
+        async with upstream.places:
+            return await _run(upstream, head, writer, spoiling)
+    finally:
+        upstream.queued -= 1
+
+
+def _draw_spoiling(upstream):
+    if upstream.spoiling and upstream.generator.random() < SPOILED_RATIO:
+        return upstream.spoiling
+    return None
+
+
+async def _refuse(upstream, head, writer, status):
+    _record(upstream, head, is_run=False)
+    proof = b"X-Not-Executed: 1\r\n"
+    await _send(writer, _write_head(upstream, head, status, proof, length=0))
+    return True
+
+
+def _record(upstream, head, *, is_run):
+    arrival = Arrival(
+        request_id=head.request_id,
+        upstream=upstream.name,
+        service=upstream.service,
+        instance=head.fields.get("x-seen-by", ""),
+        at_s=time.monotonic(),
+        is_run=is_run,
+        team=head.fields.get("x-tenant", ""),
+        wait_s=float(head.fields.get("x-deadline-ms", "0")) / MS_PER_S,
+    )
+    upstream.record(arrival)
+
+
+async def _run(upstream, head, writer, spoiling):
+    if spoiling is Spoiling.MUTE:
+        await asyncio.Event().wait()
+    if spoiling is Spoiling.GARBAGE:
+        await _send(writer, b"\x00\x01 what\r\n\r\n")
+        return False
+    if upstream.service == "model":
+        return await _stream(upstream, head, writer, spoiling)
+    await asyncio.sleep(PLAIN_WORK_S * upstream.slowdown)
+    return await _send_plain(upstream, head, writer, spoiling)
+
+
+async def _send_plain(upstream, head, writer, spoiling):
+    if spoiling is Spoiling.ERROR:
+        status = b"500 Internal Server Error"
+        await _send(writer, _write_head(upstream, head, status, b"", length=0))
+        return True
+    body = make_body(head.request_id, head.path)
+    answer = _write_head(upstream, head, b"200 OK", b"", length=len(body))
+    answer = _spoil_head(answer, head, spoiling) + body
+    if spoiling is Spoiling.CUT:
+        await _send(writer, answer[: -len(body) // 2])
+        return False
+    await _send(writer, answer)
+    if spoiling is Spoiling.EXTRA:
+        await asyncio.sleep(LATE_EXTRA_S)
+        await _send(writer, answer)
+    return True
+
+
+async def _stream(upstream, head, writer, spoiling):
+    last = count_events(head.path)
+    first = int(head.fields.get("last-event-id", "0")) + 1
+    stop = (first + last) // 2 if spoiling is Spoiling.CUT else last
+    extra = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    await asyncio.sleep(FIRST_EVENT_S * upstream.slowdown)
+    start = _write_head(upstream, head, b"200 OK", extra, length=None)
+    await _send(writer, _spoil_head(start, head, spoiling))
+    for number in range(first, stop + 1):
+        event = make_event(head.request_id, number)
+        await _send(writer, b"%x\r\n%b\r\n" % (len(event), event))
+        await asyncio.sleep(EVENT_GAP_S * upstream.slowdown)
+    if stop < last:
+        # A stream may break off in the middle of an event.
+        await _send(writer, b"40\r\nid: %d\nda" % (stop + 1))
+        return False
+    await _send(writer, b"0\r\n\r\n")
+    return True
+
+
+def _write_head(upstream, head, status, extra, *, length):
+    if length is not None:
+        extra += b"Content-Length: %d\r\n" % length
+    if upstream.is_leaving:
+        extra += b"Connection: close\r\n"
+    return (
+        b"HTTP/1.1 %b\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.%b\r\n%b\r\n"
+        % (status, head.request_id.encode(), upstream.name.encode(), extra)
+    )
+
+
+def _spoil_head(answer, head, spoiling):
+    if spoiling is Spoiling.UNSIGNED:
+        return re.sub(rb"X-Response-Signature: [^\r]*\r\n", b"", answer)
+    if spoiling is Spoiling.OTHER_ID:
+        return answer.replace(head.request_id.encode(), b"0" * 16)
+    return answer
+
+
+async def _send(writer, data):
+    if writer.is_closing():
+        raise ConnectionResetError("the connection has ended")
+    writer.write(data)
+    await writer.drain()
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -6,6 +6,9 @@
 Options:
     --seed=N        Fixes the load and the faults [default: 1].
     --duration-s=S  How long requests are sent, at most 3600 [default: 60].
+    --fleet=NAME    What runs: own, the daemon and its peers, or site, the
+                    platform's program [default: own].
+    --instances=N   How many instances a site has [default: 6].
     --kinds=NAMES   Draw only these kinds of faults, comma-separated.
     --output=DIR    Journals and logs [default: build/soak].
 
@@ -38,11 +41,14 @@
     read_ran,
     select_spans,
 )
-from benchmarks.layout import PLATFORM, RELAYS
 from benchmarks.processes import ProcessError
 from benchmarks.records import application_key
-from benchmarks.rules import REQUEST_RULES
+from benchmarks.rules import REQUEST_RULES, Rule
 from benchmarks.schedule import FaultEvent, FaultKind, plan_faults
+from benchmarks.site.fleet import SiteError
+from benchmarks.site.model import SiteFault, SiteJournal
+from benchmarks.site.rules import SITE_RULES, SiteRule
+from benchmarks.site.run import run_site_soak
 from benchmarks.soak_plan import (
     make_deployment,
     make_fleet_plan,
@@ -56,10 +62,12 @@
 MAX_DURATION_S = 3600.0
 EXTRA_TIME_S = 120.0
 MAX_PROCESSES = 60
+MAX_SITE_INSTANCES = 150
 MAX_SHOWN = 10
 EXIT_BROKEN = 1
 EXIT_FAILED = 2
 EXIT_INTERRUPTED = 130
+RUN_ERRORS = (FleetError, ProcessError, SiteError, TimeoutError, BaseExceptionGroup)
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -74,16 +82,20 @@
     broken: list[str]
 
 
-def check_journals(journals: Journals) -> list[Verdict]:
+def check_journals(
+    journals: Journals | SiteJournal,
+    rules: Sequence[Rule | SiteRule] = (*REQUEST_RULES, *CONTROL_RULES),
+) -> list[Verdict]:
     """Check all rules.
 
     :param journals: The journals of a run.
+    :param rules: The rules of the kind of fleet that ran.
     """
     return [
         Verdict(
             rule=rule.name, checked=rule.count(journals), broken=rule.check(journals)
         )
-        for rule in (*REQUEST_RULES, *CONTROL_RULES)
+        for rule in rules
     ]
 
 
@@ -248,6 +260,30 @@
         path.write_text("\n".join(lines) + "\n")
 
 
+async def _run_and_check_own(arguments, seed, duration_s, directory):
+    kinds = _read_kinds(arguments, FaultKind)
+    journals = await run_soak(
+        seed=seed, duration_s=duration_s, directory=directory, kinds=kinds
+    )
+    return check_journals(journals)
+
+
+async def _run_and_check_site(arguments, seed, duration_s, directory):
+    journal = await run_site_soak(
+        seed=seed,
+        duration_s=duration_s,
+        directory=directory,
+        instances=min(MAX_SITE_INSTANCES, int(arguments["--instances"])),
+        kinds=_read_kinds(arguments, SiteFault),
+    )
+    return check_journals(journal, SITE_RULES)
+
+
+def _read_kinds(arguments, kinds):
+    names = arguments["--kinds"]
+    return [kinds(name) for name in names.split(",")] if names else list(kinds)
+
+
 async def _run_until_told(arguments) -> int:
     task = asyncio.current_task()
     loop = asyncio.get_running_loop()
@@ -255,19 +291,12 @@
         loop.add_signal_handler(number, task.cancel)
     seed = int(arguments["--seed"])
     duration_s = min(MAX_DURATION_S, float(arguments["--duration-s"]))
-    directory = Path(arguments["--output"]).resolve() / f"seed-{seed}"
+    fleet = arguments["--fleet"]
+    directory = Path(arguments["--output"]).resolve() / f"{fleet}-seed-{seed}"
     shutil.rmtree(directory, ignore_errors=True)
-    print(
-        f"seed {seed}, {duration_s:.0f} s, {1 + len(RELAYS)} processes of "
-        f"{PLATFORM} and relays beside the instances and upstreams",
-        flush=True,
-    )
-    names = arguments["--kinds"]
-    kinds = [FaultKind(name) for name in names.split(",")] if names else list(FaultKind)
-    journals = await run_soak(
-        seed=seed, duration_s=duration_s, directory=directory, kinds=kinds
-    )
-    verdicts = check_journals(journals)
+    print(f"{fleet} fleet, seed {seed}, {duration_s:.0f} s", flush=True)
+    run = _run_and_check_site if fleet == "site" else _run_and_check_own
+    verdicts = await run(arguments, seed, duration_s, directory)
     print(format_verdicts(verdicts))
     if any(verdict.broken for verdict in verdicts):
         print(f"journals and logs: {directory}")
@@ -288,7 +317,13 @@
     except asyncio.CancelledError:
         print("interrupted; all processes are stopped", file=sys.stderr)
         return EXIT_INTERRUPTED
-    except (FleetError, ProcessError, TimeoutError, BaseExceptionGroup) as error:
+    except (
+        FleetError,
+        ProcessError,
+        SiteError,
+        TimeoutError,
+        BaseExceptionGroup,
+    ) as error:
         print(f"the run failed: {error!r}", file=sys.stderr)
         return EXIT_FAILED
 
--- /dev/null
+++ b/features/soak/steps/site_steps.py
@@ -0,0 +1,266 @@
+import asyncio
+import tempfile
+from dataclasses import replace
+from pathlib import Path
+
+from behave import given, then, when
+
+from benchmarks.site.faults import plan_site_faults
+from benchmarks.site.model import (
+    Arrival,
+    FaultSpan,
+    Leaving,
+    Revocation,
+    RouteChange,
+    RouteKind,
+    SiteFault,
+    SiteJournal,
+    Told,
+)
+from benchmarks.site.rules import SITE_RULES
+from benchmarks.site.run import run_site_soak
+from benchmarks.site.upstreams import make_body, make_event
+from benchmarks.soak import check_journals
+
+INSTANCE = "edge-1"
+UPSTREAM = "i-plain-0-0"
+EVENTS = 3
+NAMES = {"instances": ["edge-1", "edge-2"], "places": ["plain-0", "model-0"]}
+
+
+def add_request(journal, number, kind, *, runs=1, at_s=None, **fields):
+    sent_s = number / 2 if at_s is None else at_s
+    request_id = f"{number:016x}"
+    path = fields.pop("path", f"/{kind}/{EVENTS}")
+    is_stream = kind in (RouteKind.STREAM, RouteKind.RESUME)
+    events = range(1, EVENTS + 1) if is_stream else ()
+    body = b"".join(make_event(request_id, each) for each in events)
+    values = {
+        "key": "key-1",
+        "instance": INSTANCE,
+        "ended_s": sent_s + 0.2,
+        "deadline_s": sent_s + 3.0,
+        "status": 200,
+        "body": body or make_body(request_id, path),
+        "events": tuple(events),
+        "is_whole": True,
+        "is_signed": True,
+    }
+    told = Told(
+        request_id=request_id, kind=kind, path=path, sent_s=sent_s, **values | fields
+    )
+    journal.told.append(told)
+    for _ in range(runs):
+        journal.arrivals.append(make_arrival(told))
+    return told
+
+
+def make_arrival(told, **fields):
+    arrival = Arrival(
+        request_id=told.request_id,
+        upstream=UPSTREAM,
+        service="plain",
+        instance=told.instance,
+        at_s=told.sent_s + 0.1,
+        is_run=True,
+        team="agents",
+        wait_s=2.9,
+    )
+    return replace(arrival, **fields)
+
+
+def add_fault(journal, kind, begin_s, settled_s, exit_code=None):
+    span = FaultSpan(
+        kind=kind,
+        target=INSTANCE,
+        begin_s=begin_s,
+        settled_s=settled_s,
+        exit_code=exit_code,
+    )
+    journal.faults.append(span)
+
+
+def make_journal():
+    journal = SiteJournal(teams={"key-1": "agents", "key-2": "agents"}, calm_s=60.0)
+    for number in range(80):
+        add_request(journal, number, list(RouteKind)[number % len(RouteKind)])
+    for number in range(80, 100):
+        add_request(journal, number, RouteKind.READ, at_s=65.0 + number / 10)
+    return journal
+
+
+def run_again(kind, times):
+    def run(journal):
+        told = next(each for each in journal.told if each.kind is kind)
+        journal.arrivals += [make_arrival(told)] * times
+
+    return run
+
+
+def answer(kind, *, runs=1, **fields):
+    def add(journal):
+        add_request(journal, 500, kind, runs=runs, at_s=50.0, **fields)
+
+    return add
+
+
+def revoke_and_run(journal):
+    journal.revocations.append(Revocation(key="key-2", at_s=44.9))
+    add_request(journal, 500, RouteKind.SEND, at_s=50.0, key="key-2")
+
+
+def run_for_other_team(journal):
+    journal.arrivals[-1] = replace(journal.arrivals[-1], team="lawyers")
+
+
+def send_to_leaving(journal):
+    journal.leavings.append(Leaving(upstream="i-gone", at_s=46.9))
+    told = add_request(journal, 500, RouteKind.SEND, runs=0, at_s=50.0)
+    journal.arrivals.append(make_arrival(told, upstream="i-gone"))
+
+
+def send_to_leaving_while_cut(journal):
+    send_to_leaving(journal)
+    add_fault(journal, SiteFault.CUT_STORE, 44.0, 49.0)
+
+
+def change_route(*, is_added, status):
+    def change(journal):
+        journal.routes.append(RouteChange(prefix="/extra/", at_s=20.0, is_added=True))
+        if not is_added:
+            gone = RouteChange(prefix="/extra/", at_s=30.0, is_added=False)
+            journal.routes.append(gone)
+        at_s = (20.0 if is_added else 30.0) + 3.1
+        runs = 1 if status == 200 else 0
+        add_request(
+            journal,
+            500,
+            RouteKind.READ,
+            runs=runs,
+            at_s=at_s,
+            path="/extra/1",
+            status=status,
+        )
+
+    return change
+
+
+def repeat_often(journal):
+    journal.arrivals += [
+        make_arrival(told, at_s=10.0, is_run=False) for told in journal.told[:20] * 4
+    ]
+
+
+def fail_at_the_end(journal):
+    for number in range(600, 604):
+        add_request(journal, number, RouteKind.READ, at_s=80.0, status=500)
+
+
+def lose(journal, kind, *, runs=1):
+    add_request(
+        journal, 500, RouteKind.SEND, runs=runs, at_s=50.0, status=0, is_whole=False
+    )
+    add_fault(journal, kind, 49.0, 51.0, exit_code=0)
+
+
+EVENTS_BY_NAME = {
+    "a second run of a sent request": run_again(RouteKind.SEND, 1),
+    "a third run of a read request": run_again(RouteKind.READ, 2),
+    "a second run of a read request": run_again(RouteKind.READ, 1),
+    "a run of a refused request": answer(RouteKind.SEND, status=503),
+    "a success that nobody ran": answer(RouteKind.SEND, runs=0),
+    "a success without a signature": answer(RouteKind.SEND, is_signed=False),
+    "the body of another request": answer(RouteKind.SEND, body=b"other"),
+    "a stream with an event twice": answer(
+        RouteKind.STREAM, events=(1, 2, 2), is_whole=False
+    ),
+    "a stream with an event missing": answer(
+        RouteKind.STREAM, events=(1, 3), is_whole=False
+    ),
+    "a request without an answer": answer(RouteKind.SEND, status=0, is_whole=False),
+    "an answer 1 s after the deadline": answer(RouteKind.SEND, ended_s=54.0),
+    "a run 5.1 s after its key was taken away": revoke_and_run,
+    "a run for another team": run_for_other_team,
+    "a valid key denied": answer(RouteKind.SEND, runs=0, status=401),
+    "work sent 3.1 s after an upstream's leaving": send_to_leaving,
+    "work for a leaving upstream from one cut off": send_to_leaving_while_cut,
+    "a new route unknown after 3.1 s": change_route(is_added=True, status=404),
+    "a removed route served after 3.1 s": change_route(is_added=False, status=200),
+    "80 repeats of a few requests": repeat_often,
+    "an instance that ended by itself": lambda journal: journal.ended.update(
+        {INSTANCE: 1}
+    ),
+    "a planned stop with another code": lambda journal: add_fault(
+        journal, SiteFault.STOP_INSTANCE, 58.0, 59.0, exit_code=1
+    ),
+    "an upstream's failures at the end": fail_at_the_end,
+    "a request without an answer at a killed instance": lambda journal: lose(
+        journal, SiteFault.KILL_INSTANCE
+    ),
+    "a request that crossed a planned stop": lambda journal: lose(
+        journal, SiteFault.STOP_INSTANCE, runs=0
+    ),
+}
+
+
+@given("the journal of a site on which all went well")
+def make_good(context):
+    context.journal = make_journal()
+
+
+@when("the site has {event}")
+def add_event(context, event):
+    EVENTS_BY_NAME[event](context.journal)
+
+
+@when("the site's run of seed {seed:d} sends requests for {duration_s:d} s")
+def run(context, seed, duration_s):
+    with tempfile.TemporaryDirectory() as directory:
+        context.journal = asyncio.run(
+            run_site_soak(
+                seed=seed,
+                duration_s=float(duration_s),
+                directory=Path(directory),
+                instances=3,
+            )
+        )
+
+
+def find_broken(context):
+    verdicts = check_journals(context.journal, SITE_RULES)
+    return {each.rule: each.broken for each in verdicts if each.broken}
+
+
+@then("no rule of the site is broken")
+def check_none(context):
+    assert not find_broken(context), find_broken(context)
+
+
+@then('only the site\'s rule "{rule}" is broken')
+def check_only(context, rule):
+    assert set(find_broken(context)) == {rule}, find_broken(context)
+
+
+@then(
+    "the site's seed {first:d} draws the same faults twice, and seed {other:d} others"
+)
+def check_seeds(context, first, other):
+    draws = [
+        plan_site_faults(seed=seed, duration_s=40.0, **NAMES)
+        for seed in (first, first, other)
+    ]
+    assert draws[0] == draws[1] != draws[2]
+
+
+@then("in {duration_s:d} s each kind is drawn, and all end before the calm")
+def check_kinds(context, duration_s):
+    events = plan_site_faults(seed=1, duration_s=float(duration_s), **NAMES)
+    assert {event.kind for event in events} == set(SiteFault)
+    assert max(event.at_s + event.duration_s for event in events) < duration_s - 7
+
+
+@then("more than {requests:d} requests were served and {faults:d} faults carried out")
+def check_counts(context, requests, faults):
+    served = [told for told in context.journal.told if told.status == 200]
+    assert len(served) > requests, len(served)
+    assert len(context.journal.faults) >= faults, context.journal.faults
--- a/standins/relay_core.py
+++ b/standins/relay_core.py
@@ -180,6 +180,8 @@
         due_s, data = await in_transit.get()
         await asyncio.sleep(max(0.0, due_s - clock()))
         await _wait_until_passable(route, link, holding_modes)
+        if writer.is_closing():
+            return
         if not data:
             writer.write_eof()
             return
