Hear hang-ups before any library loads

The program imported docopt and pydantic before it ignored the signal, so it ended, and nothing logged it.

The program's module now imports nothing but the standard library's signal and sys before it ignores hang-ups; the command moved to command.py. What is left is the start of the interpreter itself, in which no program can take a signal; the run sends none in the first 0.3 s of a process.

--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -87,6 +87,7 @@
     }
 )
 START_S = 2.0
+INTERPRETER_START_S = 0.3
 # How much longer than its drawn time a fault lasts.
 EXTRA_S = {
     SiteFault.KILL_INSTANCE: START_S,
@@ -227,6 +228,9 @@
 
 async def _reload(site, event):
     instance = site.instances[event.target]
+    # No program can hear a signal while its interpreter starts.
+    left_s = instance.started_s + INTERPRETER_START_S - time.monotonic()
+    await asyncio.sleep(max(0.0, left_s))
     if instance.process.returncode is None:
         instance.process.send_signal(signal.SIGHUP)
 
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -5,6 +5,7 @@
 import signal
 import socket
 import sys
+import time
 from collections.abc import AsyncIterator
 from contextlib import asynccontextmanager, suppress
 from dataclasses import dataclass, field
@@ -41,7 +42,10 @@
 
 @dataclass(kw_only=True)
 class Instance:
-    """One process of the program, and the relays before and behind it."""
+    """One process of the program, and the relays before and behind it.
+
+    :param started_s: When its process was started, monotonic, in seconds.
+    """
 
     name: str
     host: str
@@ -50,6 +54,7 @@
     callers_route: Route
     store_route: Route
     process: asyncio.subprocess.Process | None = None
+    started_s: float = 0.0
     is_meant_to_run: bool = False
 
 
@@ -195,6 +200,7 @@
             stdout=log,
             stderr=log,
         )
+    instance.started_s = time.monotonic()
     instance.is_meant_to_run = True
     try:
         async with asyncio.timeout(START_TIMEOUT_S):
--- a/features/platform/process.feature
+++ b/features/platform/process.feature
@@ -15,6 +15,13 @@
     Then it gets "done"
     And it logged "settings-reloaded"
 
+  Scenario: A hang-up signal while its libraries load doesn't end it
+    Given a site whose upstream answers well
+    When the program is started again and told so as soon as it can hear it
+    And a caller reads with its key
+    Then it gets "done"
+    And it could hear it before any library was loaded
+
   Scenario Outline: Wrong settings are told in one line
     Given a site whose settings have the line "<line>"
     Then the program ends with 2 and names "<name>"
--- a/features/platform/steps/process_steps.py
+++ b/features/platform/steps/process_steps.py
@@ -1,18 +1,23 @@
 import http.client
+import re
 import signal
 import threading
 import time
+from pathlib import Path
 
 from behave import then, when
 
 from features.platform.site import (
     HOST,
     KEY,
+    START_TIMEOUT_S,
     read_events,
     read_log,
     read_readiness,
     send,
+    start_program,
     stop_program,
+    wait_until_ready,
 )
 
 END_TIMEOUT_S = 8.0
@@ -40,6 +45,30 @@
     time.sleep(0.3)
 
 
+@when("the program is started again and told so as soon as it can hear it")
+def hang_up_at_start(context):
+    context.site.process.kill()
+    context.site.process.wait()
+    start_program(context.site)
+    process = Path("/proc") / str(context.site.process.pid)
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while not _ignores_hang_up(process):
+        assert time.monotonic() < end_s, read_log(context.site)
+    context.loaded = (process / "maps").read_text()
+    stop_program(context.site, signal.SIGHUP)
+    wait_until_ready(context.site)
+
+
+def _ignores_hang_up(process):
+    found = re.search(r"^SigIgn:\s*(\w+)$", (process / "status").read_text(), re.M)
+    return int(found[1], 16) & 1 << signal.SIGHUP - 1
+
+
+@then("it could hear it before any library was loaded")
+def check_loaded(context):
+    assert "pydantic" not in context.loaded and "uvloop" not in context.loaded
+
+
 @when("a caller leaves its stream")
 def leave(context):
     connection = http.client.HTTPConnection(context.site.host, 8000)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -89,8 +89,6 @@
     :param callers_socket: Bound to the callers' address, and listening.
     :raises ListenerError: An address can't be listened on.
     """
-    # Before anything else: a signal without a handler would end the process.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     # Later uvloop releases open an io_uring unless this is set.
     os.environ["UV_USE_IO_URING"] = "0"
     configure_logging(
--- a/jujubenotch/platform/program.py
+++ b/jujubenotch/platform/program.py
@@ -1,38 +1,8 @@
-"""The router on the users' platform.
-
-Usage:
-  jujubenotch-platform [--settings=FILE] [--check]
-  jujubenotch-platform (-h | --help)
-
-Options:
-  --settings=FILE  The platform's settings file; by default the one that it
-                   names in the environment.
-  --check          Check the settings and end.
-  -h --help        Show this text.
-
-Signals:
-  SIGTERM  Report not ready, finish what is in progress, end.
-  SIGHUP   Read the settings again.
-
-Exit codes:
-  0  ended as planned
-  2  the settings are wrong; nothing was started
-  3  an address can't be listened on
-"""
+"""Starts the router on the users' platform; see ``command`` for its options."""
 
+import signal
 import sys
 
-from docopt import docopt
-
-from jujubenotch.platform.errors import PlatformSettingsError
-from jujubenotch.platform.settings import find_settings_file, load_platform_settings
-from jujubenotch.sockets import ListenerError, bind_socket
-
-BACKLOG_CONNECTIONS = 1024
-EXIT_OK = 0
-EXIT_WRONG_SETTINGS = 2
-EXIT_CANNOT_START = 3
-
 
 def main(arguments: list[str] | None = None) -> int:
     """Run the router until it is told to stop.
@@ -40,32 +10,12 @@
     :param arguments: The command line without the program's name.
     :returns: The exit code.
     """
-    options = docopt(__doc__, argv=arguments)
-    path = options["--settings"] or find_settings_file()
-    try:
-        settings = load_platform_settings(path)
-        if options["--check"]:
-            print("the settings are valid")
-            return EXIT_OK
-        _serve(settings, path)
-    except PlatformSettingsError as error:
-        print(error, file=sys.stderr)
-        return EXIT_WRONG_SETTINGS
-    except ListenerError as error:
-        print(error, file=sys.stderr)
-        return EXIT_CANNOT_START
-    return EXIT_OK
-
-
-def _serve(settings, path):
-    # Callers can connect while the libraries load, which takes a good part of
-    # the time that a restart takes.
-    bound = bind_socket(settings.callers.host, settings.callers.port)
-    bound.listen(BACKLOG_CONNECTIONS)
-    from jujubenotch.daemon.forwarder import run_forwarder
-    from jujubenotch.platform.parts import make_parts
+    # Without a handler a hang-up would end the process, also while its
+    # libraries load, so nothing is imported before.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    from jujubenotch.platform.command import run_command
 
-    run_forwarder(settings, lambda: load_platform_settings(path), make_parts, bound)
+    return run_command(arguments)
 
 
 if __name__ == "__main__":
