Take up settings that change while an instance runs

Cause: SIGHUP read the settings file again and only logged that it had changed; a file that changes without a signal was not seen. An instance whose store had moved stayed without it.

The store's address and the bounds now take effect at once after SIGHUP, and within 4 s without one: the file is read each 2 s and taken up when two readings agree, so that a file that is still being written can't drop a bound. Listeners and names wait for the next start and are named in the log.

On the way: ending a wait that was already over raised an error; waits are forgotten when they end now.

--- a/features/platform/process.feature
+++ b/features/platform/process.feature
@@ -10,11 +10,18 @@
 
   Scenario: A hang-up signal doesn't end it
     Given a site whose upstream answers well
-    When the program is told to read its settings again
+    When its settings ask for another time to stop and it is told so
     And a caller reads with its key
     Then it gets "done"
     And it logged "settings-reloaded"
 
+  Scenario: A settings file that can't be read changes nothing
+    Given a site whose upstream answers well
+    When its settings are spoiled and it is told so
+    And a caller reads with its key
+    Then it gets "done"
+    And it logged "settings-rejected"
+
   Scenario: A hang-up signal while its libraries load doesn't end it
     Given a site whose upstream answers well
     When the program is started again and told so as soon as it can hear it
@@ -22,6 +29,19 @@
     Then it gets "done"
     And it could hear it before any library was loaded
 
+  Scenario Outline: A settings file that changes <how> takes effect
+    Given a site whose settings name a store that isn't there
+    When its settings are corrected <how>
+    And <seconds> s pass
+    And a caller reads with its key
+    Then it gets "done"
+    And it logged "settings-reloaded"
+
+    Examples:
+      | how              | seconds |
+      | with a signal    | 1.5     |
+      | without a signal | 6       |
+
   Scenario Outline: Wrong settings are told in one line
     Given a site whose settings have the line "<line>"
     Then the program ends with 2 and names "<name>"
--- a/features/platform/site.py
+++ b/features/platform/site.py
@@ -172,11 +172,16 @@
     )
 
 
-def start_program(site, *, settings=SETTINGS):
+def write_settings(site, settings=SETTINGS):
     path = site.directory / "settings.conf"
     path.write_text(
         settings.format(host=site.host, store_port=site.store_port, revoke_ms=REVOKE_MS)
     )
+    return path
+
+
+def start_program(site, *, settings=SETTINGS):
+    path = write_settings(site, settings)
     with (site.directory / "log").open("ab") as log:
         site.process = subprocess.Popen(
             [
@@ -205,6 +210,13 @@
         time.sleep(0.05)
 
 
+def wait_until_logged(site, event):
+    end_s = time.monotonic() + START_TIMEOUT_S
+    while not read_events(site, event):
+        assert time.monotonic() < end_s, read_log(site)
+        time.sleep(0.05)
+
+
 def read_readiness(site):
     try:
         return send(site, "/ready", port=8001).status
--- a/features/platform/steps/process_steps.py
+++ b/features/platform/steps/process_steps.py
@@ -10,6 +10,7 @@
 from features.platform.site import (
     HOST,
     KEY,
+    SETTINGS,
     START_TIMEOUT_S,
     read_events,
     read_log,
@@ -18,6 +19,7 @@
     start_program,
     stop_program,
     wait_until_ready,
+    write_settings,
 )
 
 END_TIMEOUT_S = 8.0
@@ -39,8 +41,16 @@
     thread.join()
 
 
-@when("the program is told to read its settings again")
-def hang_up(context):
+@when("its settings ask for another time to stop and it is told so")
+def change_grace(context):
+    write_settings(context.site, SETTINGS.replace("grace-s=4", "grace-s=5"))
+    stop_program(context.site, signal.SIGHUP)
+    time.sleep(0.3)
+
+
+@when("its settings are spoiled and it is told so")
+def spoil_settings(context):
+    write_settings(context.site, "node-name=edge-a-1\n")
     stop_program(context.site, signal.SIGHUP)
     time.sleep(0.3)
 
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -1,4 +1,5 @@
 import re
+import signal
 import time
 
 from behave import given, then, when
@@ -16,8 +17,11 @@
     read_readiness,
     send,
     start_program,
+    stop_program,
     wait_until_listed,
+    wait_until_logged,
     wait_until_ready,
+    write_settings,
 )
 from features.platform.upstream_kinds import make_upstream
 from standins.store import drop_history, set_fault, silence_waits, write_row
@@ -54,6 +58,22 @@
     start_program(context.site, settings=SETTINGS + line + "\n")
 
 
+@given("a site whose settings name a store that isn't there")
+def open_lost_site(context):
+    context.site = context.stack.enter_context(open_site())
+    put_configuration(context.site)
+    add_upstream(context.site, "i-first", make_upstream("answers well"))
+    start_program(context.site, settings=SETTINGS.replace("{store_port}", "1"))
+    wait_until_logged(context.site, "instance-started")
+
+
+@when("its settings are corrected {how}")
+def correct(context, how):
+    write_settings(context.site)
+    if how == "with a signal":
+        stop_program(context.site, signal.SIGHUP)
+
+
 @when("the store is {fault}")
 def put_fault(context, fault):
     change(context.site, set_fault, "" if fault == "well" else fault)
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -16,7 +16,7 @@
     read_suspended_clock_s,
 )
 from jujubenotch.listeners import Listener
-from jujubenotch.settings import ForwarderSettings
+from jujubenotch.settings import Address, ForwarderSettings
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -27,6 +27,7 @@
     :param upstreams: Where the list of upstreams comes from.
     :param protocol: What upstreams speak.
     :param decode_request: Decodes the head of a caller's request.
+    :param move_store: Makes the sources read from a store at another address.
     :param close: Ends the connections to the platform.
     """
 
@@ -34,6 +35,7 @@
     upstreams: Source
     protocol: UpstreamProtocol
     decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
+    move_store: Callable[[Address], None]
     close: Callable[[], Awaitable[None]]
 
 
@@ -41,16 +43,23 @@
 class ForwardingInstance:
     """One running instance.
 
+    :param settings: The settings in force.
+    :param last_read: Those that were read last; some of them take effect at
+        the next start only.
+    :param rejected_settings: Why what was read last was rejected; empty when it
+        holds.
     :param stopping: Set when the instance is to end.
     :param closed: Whether nothing new is taken any more.
     """
 
     settings: ForwarderSettings
+    last_read: ForwarderSettings
     state: ForwardState
     observer: ForwardObserver
     dispatcher: Dispatcher
     stopping: asyncio.Event
     closed: bool = False
+    rejected_settings: str = ""
     listeners: list[Listener] = field(default_factory=list)
     tasks: list[asyncio.Task] = field(default_factory=list)
 
--- /dev/null
+++ b/jujubenotch/daemon/forward_settings.py
@@ -0,0 +1,101 @@
+"""Takes up settings that change while an instance runs."""
+
+import asyncio
+import logging
+from collections.abc import Callable
+
+from jujubenotch.daemon.forward_parts import ForwarderParts, ForwardingInstance
+from jujubenotch.forwarding import end_wait
+from jujubenotch.logs import log_event
+from jujubenotch.settings import ForwarderSettings
+
+logger = logging.getLogger(__name__)
+
+# The file may change without a signal.
+CHECK_INTERVAL_S = 2.0
+# What listens or names the instance stays until the next start.
+CHANGEABLE = frozenset({"store", "max_key_age_s", "grace_s", "retry_ratio"})
+
+
+async def watch_settings(
+    instance: ForwardingInstance,
+    parts: ForwarderParts,
+    reload_settings: Callable[[], ForwarderSettings],
+) -> None:
+    """Read the settings again from time to time, until cancelled.
+
+    A file may be read while it is being written, so what it holds is taken up
+    once two readings agree.
+
+    :param instance: The instance.
+    :param parts: What the platform needs.
+    :param reload_settings: Reads the settings.
+    """
+    before = instance.last_read
+    while True:
+        await asyncio.sleep(CHECK_INTERVAL_S)
+        settings = _read(instance, reload_settings)
+        if settings is not None and settings == before:
+            take_up_settings(instance, parts, settings)
+        before = settings
+
+
+def read_again(
+    instance: ForwardingInstance,
+    parts: ForwarderParts,
+    reload_settings: Callable[[], ForwarderSettings],
+) -> None:
+    """Read the settings again at once, as a signal asks.
+
+    :param instance: The instance.
+    :param parts: What the platform needs.
+    :param reload_settings: Reads the settings.
+    """
+    settings = _read(instance, reload_settings)
+    if settings is not None:
+        take_up_settings(instance, parts, settings)
+
+
+def _read(instance, reload_settings):
+    try:
+        settings = reload_settings()
+    except Exception as error:
+        reason = str(error)
+        if reason != instance.rejected_settings:
+            log_event(logger, logging.ERROR, "settings-rejected", error=reason)
+        instance.rejected_settings = reason
+        return None
+    instance.rejected_settings = ""
+    return settings
+
+
+def take_up_settings(
+    instance: ForwardingInstance, parts: ForwarderParts, settings: ForwarderSettings
+) -> None:
+    """Put in force what has changed and can change now.
+
+    :param instance: The instance; changed in place.
+    :param parts: What the platform needs.
+    :param settings: The settings as they stand in the file.
+    """
+    if settings == instance.last_read:
+        return
+    changed = {
+        name
+        for name in ForwarderSettings.model_fields
+        if getattr(instance.last_read, name) != getattr(settings, name)
+    }
+    instance.last_read = settings
+    taken = {name: getattr(settings, name) for name in changed & CHANGEABLE}
+    instance.settings = instance.settings.model_copy(update=taken)
+    log_event(
+        logger,
+        logging.INFO,
+        "settings-reloaded",
+        changed=sorted(taken),
+        at_next_start=sorted(changed - CHANGEABLE),
+    )
+    if "store" in taken:
+        parts.move_store(settings.store)
+        end_wait(instance.state.configuration)
+        end_wait(instance.state.listed)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -14,6 +14,7 @@
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import Belief, ForwardObserver
 from jujubenotch.daemon.forward_parts import ForwarderParts, ForwardingInstance
+from jujubenotch.daemon.forward_settings import read_again, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
     apply_configuration,
@@ -109,10 +110,9 @@
         loop.add_signal_handler(number, stopping.set)
     parts = make_parts(settings)
     instance = _build_instance(settings, parts, stopping)
-    loop.add_signal_handler(
-        signal.SIGHUP, lambda: _log_reload(settings, reload_settings)
-    )
+    loop.add_signal_handler(signal.SIGHUP, read_again, instance, parts, reload_settings)
     _start_followers(instance, parts)
+    _keep_running(instance, watch_settings(instance, parts, reload_settings))
     await start_listeners(instance, parts, callers_socket)
     log_event(
         logger,
@@ -150,45 +150,37 @@
         ),
         connections=open_connections(UPSTREAM_LIMITS),
         observer=observer,
-        retry_budget=_make_retry_budget(settings),
+        retry_budget=_make_retry_budget(lambda: instance.settings.retry_ratio),
         read_configuration=lambda: state.upstreams,
         exchanges=Exchanges(idle_timeout_s=UPSTREAM_LIMITS.idle_timeout_s),
         protocol=parts.protocol,
     )
-    return ForwardingInstance(
+    instance = ForwardingInstance(
         settings=settings,
+        last_read=settings,
         state=state,
         observer=observer,
         dispatcher=dispatcher,
         stopping=stopping,
     )
+    return instance
 
 
-def _make_retry_budget(settings):
-    limits = Limits(
-        retry_budget_ratio=settings.retry_ratio, retry_budget_min=SPARE_RETRIES
-    )
+def _make_retry_budget(read_ratio):
     histories = {}
 
+    def limits():
+        return Limits(retry_budget_ratio=read_ratio(), retry_budget_min=SPARE_RETRIES)
+
     def find(target):
         return histories.setdefault(target, RetryHistory())
 
     return RetryBudget(
-        may_retry=lambda target, now_s: may_retry(find(target), limits, now_s),
+        may_retry=lambda target, now_s: may_retry(find(target), limits(), now_s),
         record_success=lambda target, now_s: record_success(find(target), now_s),
     )
 
 
-def _log_reload(settings, reload_settings):
-    """Read the settings again; what they hold takes effect at the next start."""
-    try:
-        changed = reload_settings() != settings
-    except Exception as error:
-        log_event(logger, logging.ERROR, "settings-rejected", error=str(error))
-        return
-    log_event(logger, logging.INFO, "settings-reloaded", changed=changed)
-
-
 def _start_followers(instance, parts):
     state = instance.state
 
@@ -199,9 +191,9 @@
 
     loop = asyncio.get_running_loop()
     capacity = instance.dispatcher.capacity
-    max_age_s = instance.settings.max_key_age_s
 
     def choose_wait_s():
+        max_age_s = instance.settings.max_key_age_s
         return choose_change_wait_s(max_age_s, len(state.listing.known))
 
     followers = (
@@ -216,9 +208,13 @@
         ),
     )
     for work in followers:
-        task = asyncio.create_task(work)
-        task.add_done_callback(_end_on_failure)
-        instance.tasks.append(task)
+        _keep_running(instance, work)
+
+
+def _keep_running(instance, work):
+    task = asyncio.create_task(work)
+    task.add_done_callback(_end_on_failure)
+    instance.tasks.append(task)
 
 
 def _end_silent_wait(state):
@@ -234,10 +230,10 @@
 
 
 def _end_on_failure(task):
-    """End the process when a follower fails: it would serve by old state."""
+    """End the process when a lasting task fails: it would serve by old state."""
     if task.cancelled() or task.exception() is None:
         return
-    logger.critical("follower-failed", exc_info=task.exception())
+    logger.critical("task-failed", exc_info=task.exception())
     sys.exit(1)
 
 
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -60,7 +60,7 @@
     :param failures: Calls in a row that brought no answer.
     :param regained_s: When it last answered after failures, by the clock that
         counts suspended time; ``None`` if it never failed.
-    :param bound: The bound on the call in progress.
+    :param bound: The bound on the call in progress; ``None`` between calls.
 
     >>> Following(name="configuration").failures
     0
@@ -157,11 +157,14 @@
     after_revision = following.revision
     is_back = following.failures > 0
     wait_s = 0.0 if after_revision is None or is_back else change_wait_s
-    async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S) as following.bound:
-        if after_revision is None:
-            page = await source.read_all()
-        else:
-            page = await source.read_changes(after_revision, wait_s)
+    try:
+        async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S) as following.bound:
+            if after_revision is None:
+                page = await source.read_all()
+            else:
+                page = await source.read_changes(after_revision, wait_s)
+    finally:
+        following.bound = None
     return Update(
         page=page,
         sent_s=sent_s,
--- a/jujubenotch/platform/parts.py
+++ b/jujubenotch/platform/parts.py
@@ -16,11 +16,12 @@
     :param settings: The checked settings.
     :returns: The parts.
     """
-    client = open_store(settings.store.text)
+    client = open_store(settings.store)
     return ForwarderParts(
         configuration=make_configuration_source(client),
         upstreams=make_upstream_source(client),
         protocol=PLATFORM_PROTOCOL,
         decode_request=decode_request,
+        move_store=client.move,
         close=client.session.close,
     )
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -21,6 +21,7 @@
     decode_upstream,
 )
 from jujubenotch.platform.units import MS_PER_S
+from jujubenotch.settings.forwarder import Address
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
@@ -51,16 +52,23 @@
     has_more: bool = Field(alias="has-more", default=False)
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True)
 class StoreClient:
     """Calls to the store.
 
     :param session: Its connections.
-    :param url: ``http://host:port``.
+    :param address: Where it answers; may change while the process runs.
     """
 
     session: aiohttp.ClientSession
-    url: str
+    address: Address
+
+    def move(self, address: Address) -> None:
+        """Send the next calls to another address.
+
+        :param address: The store's new address.
+        """
+        self.address = address
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -111,7 +119,7 @@
         parameters = {"table": self.table, **parameters}
         try:
             async with self.client.session.get(
-                self.client.url + path, params=parameters
+                f"http://{self.client.address.text}{path}", params=parameters
             ) as answer:
                 content = await answer.read()
         except (aiohttp.ClientError, OSError) as error:
@@ -146,10 +154,10 @@
         return self.decode(row.key, content)
 
 
-def open_store(address: str) -> StoreClient:
+def open_store(address: Address) -> StoreClient:
     """Make a client; needs a running event loop.
 
-    :param address: The store's ``host:port``.
+    :param address: Where the store answers.
     :returns: The client; end it by closing its session.
     """
     session = aiohttp.ClientSession(
@@ -158,7 +166,7 @@
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         cookie_jar=aiohttp.DummyCookieJar(),
     )
-    return StoreClient(session=session, url=f"http://{address}")
+    return StoreClient(session=session, address=address)
 
 
 def make_configuration_source(client: StoreClient) -> TableSource:
