Take the event loop's own connection errors for a call without an answer

A call to the store that was cancelled while it connected left a descriptor that another transport used; the event loop raised RuntimeError at the next connection, which no layer took for a connection's error, so the follower failed and the process ended with 1.

The store's client now raises SourceError for it, and an exchange with an upstream ConnectionLostError (nothing proves that nothing was sent).

--- a/features/platform/list.feature
+++ b/features/platform/list.feature
@@ -47,3 +47,7 @@
     Then each gets "done"
     And the first upstream read 0 requests
     And it logged "list-silent"
+
+  Scenario: An error of the event loop counts as a call without an answer
+    Given a client of the store whose connections fail with "RuntimeError"
+    Then reading the list fails as a source that gave no answer
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -1,3 +1,5 @@
+import asyncio
+import builtins
 import re
 import signal
 import time
@@ -24,6 +26,9 @@
     write_settings,
 )
 from features.platform.upstream_kinds import make_upstream
+from jujubenotch.forwarding import SourceError
+from jujubenotch.platform.store import StoreClient, make_upstream_source
+from jujubenotch.settings import Address
 from standins.store import drop_history, set_fault, silence_waits, write_row
 
 RESERVED_HEADERS = {
@@ -179,6 +184,33 @@
     context.waited_s = time.monotonic() - started_s
 
 
+class FailingSession:
+    """An HTTP session whose calls raise an error."""
+
+    def __init__(self, error):
+        self.error = error
+
+    def get(self, url, params):
+        raise self.error
+
+
+@given('a client of the store whose connections fail with "{name}"')
+def make_failing_client(context, name):
+    error = getattr(builtins, name)("the descriptor is used by another connection")
+    address = Address(host="127.0.0.1", port=1)
+    client = StoreClient(session=FailingSession(error), address=address)
+    context.source = make_upstream_source(client)
+
+
+@then("reading the list fails as a source that gave no answer")
+def check_no_answer(context):
+    try:
+        asyncio.run(context.source.read_all())
+    except SourceError:
+        return
+    raise AssertionError("it did not fail")
+
+
 @then('it gets "{body}"')
 def check_body(context, body):
     reply = context.replies[0]
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -122,7 +122,9 @@
                 f"http://{self.client.address.text}{path}", params=parameters
             ) as answer:
                 content = await answer.read()
-        except (aiohttp.ClientError, OSError) as error:
+        # The event loop raises RuntimeError for a connection whose descriptor was
+        # closed by a cancelled call.
+        except (aiohttp.ClientError, OSError, RuntimeError) as error:
             raise SourceError(f"no answer from {path}: {error!r}") from error
         if answer.status == HISTORY_GONE:
             raise HistoryLostError(f"{path} has lost the history of {self.table}")
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -152,7 +152,9 @@
         raise ConnectFailedError(str(error)) from error
     except aiohttp.ServerTimeoutError as error:
         raise SilentUpstreamError(str(error)) from error
-    except (aiohttp.ClientError, ConnectionError) as error:
+    # The event loop raises RuntimeError for a connection whose descriptor was
+    # closed by a cancelled call; nothing proves that it had not sent anything.
+    except (aiohttp.ClientError, ConnectionError, RuntimeError) as error:
         raise ConnectionLostError(str(error)) from error
 
 
