Ask a store more seldom that is lost, forgets, or has many upstreams

At sites of 30 upstreams or more, changes of the list now come together for 1.2 s (0.4 s elsewhere; a leaving upstream must be known within 3 s). While a source can't be read, the list is asked with pauses up to 2 s and read at once when the configuration is back.

--- a/features/forwarding/steps/follow_steps.py
+++ b/features/forwarding/steps/follow_steps.py
@@ -4,9 +4,12 @@
 
 from jujubenotch.forwarding import (
     Following,
+    HistoryLostError,
     Item,
     Page,
+    SourceError,
     choose_change_wait_s,
+    choose_list_settle_s,
     follow_source,
 )
 
@@ -63,7 +66,7 @@
                 Following(name="list"),
                 context.source,
                 lambda update: context.taken.update(i.key for i in update.page.items),
-                settle_s=settle_s,
+                choose_settle_s=lambda: settle_s,
             )
         )
         for _ in range(context.count):
@@ -89,3 +92,75 @@
 @then("all changes were taken in")
 def check_taken(context):
     assert len(context.taken) == context.count, context.taken
+
+
+class LostSource(ChangingSource):
+    """A source that can't be read until it is back."""
+
+    is_back = False
+
+    async def read_all(self):
+        if not self.is_back:
+            self.calls += 1
+            raise SourceError("it can't be read")
+        return await super().read_all()
+
+
+class ForgetfulSource(ChangingSource):
+    """A source that knows no changes."""
+
+    async def read_changes(self, after_revision, wait_s):
+        self.calls += 1
+        raise HistoryLostError("no changes are known")
+
+
+@given("a source whose history is lost at each call for changes")
+def make_forgetful(context):
+    context.source = ForgetfulSource()
+
+
+@given("a source that can't be read")
+def make_lost(context):
+    context.source = LostSource()
+
+
+@when("it is followed for {seconds:g} s with pauses of at most {pause_s:g} s")
+def follow_lost(context, seconds, pause_s):
+    context.loop = asyncio.new_event_loop()
+    context.add_cleanup(end_following, context)
+    context.following = Following(name="list")
+
+    async def run():
+        work = follow_source(
+            context.following,
+            context.source,
+            lambda update: None,
+            max_pause_s=pause_s,
+        )
+        context.task = asyncio.create_task(work)
+        await asyncio.sleep(seconds)
+
+    context.loop.run_until_complete(run())
+
+
+def end_following(context):
+    context.task.cancel()
+    context.loop.run_until_complete(asyncio.wait([context.task]))
+    context.loop.close()
+
+
+@when("it can be read again and another source is back")
+def bring_back(context):
+    context.source.is_back = True
+    context.following.retry.set()
+
+
+@then("it is followed again within {seconds:g} s")
+def check_followed(context, seconds):
+    context.loop.run_until_complete(asyncio.sleep(seconds))
+    assert context.following.revision is not None
+
+
+@then("a site of {upstreams:d} upstreams lets changes come together for {settle_s:g} s")
+def check_settle(context, upstreams, settle_s):
+    assert choose_list_settle_s(upstreams) == settle_s
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -32,6 +32,7 @@
 from jujubenotch.forwarding import (
     PlacedCapacity,
     choose_change_wait_s,
+    choose_list_settle_s,
     end_wait,
     follow_source,
     measure_age_s,
@@ -59,8 +60,9 @@
 STAY_OPEN_S = 2.6
 # Left of the grace period for the process itself to end.
 END_MARGIN_S = 1.0
-# Many upstreams start together; their entries need not come one by one.
-LIST_SETTLE_S = 0.4
+# While the configuration can't be read either, one call in vain is enough: the
+# list is read at once when the configuration's source is back.
+LIST_MAX_PAUSE_S = 2.0
 # News of one change reach both sources within this time.
 NEWS_WAY_S = 0.6
 # Repeats that each instance may make in the budget's window beyond its share.
@@ -186,6 +188,8 @@
 
     def apply_and_compare(update):
         apply_configuration(state, update)
+        if update.is_back:
+            state.listed.retry.set()
         if is_list_behind(state):
             loop.call_later(NEWS_WAY_S, _end_silent_wait, state)
 
@@ -204,7 +208,8 @@
             state.listed,
             parts.upstreams,
             lambda update: capacity.forget(apply_upstreams(state, update)),
-            settle_s=LIST_SETTLE_S,
+            choose_settle_s=lambda: choose_list_settle_s(len(state.listing.known)),
+            max_pause_s=LIST_MAX_PAUSE_S,
         ),
     )
     for work in followers:
@@ -218,7 +223,7 @@
 
 
 def _end_silent_wait(state):
-    if is_list_behind(state):
+    if is_list_behind(state) and state.listed.bound is not None:
         log_event(
             logger,
             logging.WARNING,
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -1,11 +1,12 @@
 """Follows a source: one task that reads all of it, then its changes."""
 
 import asyncio
+import contextlib
 import logging
 import random
 import time
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Generic
 
 from jujubenotch.forwarding.errors import HistoryLostError, SourceError
@@ -22,11 +23,15 @@
 # refused a second sooner when the store is lost.
 LARGE_SITE_WAIT_SHARE = 0.45
 LARGE_SITE_UPSTREAMS = 30
+# Many upstreams start together; their entries need not come one by one.
+SETTLE_S = 0.4
+LARGE_SITE_SETTLE_S = 1.2
 ANSWER_TIMEOUT_S = 0.7
 FIRST_PAUSE_S = 0.1
 # Short beside the time in which an instance must be up to date again.
 MAX_PAUSE_S = 0.5
 PAUSE_SPREAD = 0.3
+MAX_DOUBLINGS = 10
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -58,9 +63,11 @@
     :param revision: Up to where its changes are known; ``None`` before the
         first answer or after its history was lost.
     :param failures: Calls in a row that brought no answer.
+    :param losses: How often its history was lost since changes came last.
     :param regained_s: When it last answered after failures, by the clock that
         counts suspended time; ``None`` if it never failed.
     :param bound: The bound on the call in progress; ``None`` between calls.
+    :param retry: Set to end the pause after a failure.
 
     >>> Following(name="configuration").failures
     0
@@ -69,8 +76,10 @@
     name: str
     revision: int | None = None
     failures: int = 0
+    losses: int = 0
     regained_s: float | None = None
     bound: asyncio.Timeout | None = None
+    retry: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 def choose_change_wait_s(max_age_s: float, upstreams: int) -> float:
@@ -88,6 +97,16 @@
     return min(MAX_CHANGE_WAIT_S, share * max_age_s)
 
 
+def choose_list_settle_s(upstreams: int) -> float:
+    """Choose how long changes of the list may come together before the next call.
+
+    :param upstreams: How many upstreams are listed, as the site's size.
+    :returns: Seconds; short beside the time in which a leaving upstream must be
+        known.
+    """
+    return LARGE_SITE_SETTLE_S if upstreams >= LARGE_SITE_UPSTREAMS else SETTLE_S
+
+
 def read_suspended_clock_s() -> float:
     """Read the clock that goes on while the machine is suspended.
 
@@ -123,7 +142,8 @@
     source: Source[Value],
     apply_update: Callable[[Update[Value]], None],
     choose_wait_s: Callable[[], float] = lambda: MAX_CHANGE_WAIT_S,
-    settle_s: float = 0.0,
+    choose_settle_s: Callable[[], float] = lambda: 0.0,
+    max_pause_s: float = MAX_PAUSE_S,
 ) -> None:
     """Follow a source until cancelled.
 
@@ -131,7 +151,9 @@
     :param source: The source.
     :param apply_update: Takes in what came.
     :param choose_wait_s: Tells how long a call waits for changes, in seconds.
-    :param settle_s: How long to let changes come together after one, in seconds.
+    :param choose_settle_s: Tells how long to let changes come together after
+        one, in seconds.
+    :param max_pause_s: The longest pause between two calls that fail, in seconds.
     """
     while True:
         try:
@@ -141,15 +163,20 @@
                 logger, logging.WARNING, "source-history-lost", source=following.name
             )
             following.revision = None
+            following.losses += 1
+            # Once may be asked anew at once; a store that always says so is not
+            # to be asked without a pause.
+            if following.losses > 1:
+                await _pause(following, following.losses - 1, max_pause_s)
             continue
         except (SourceError, TimeoutError) as error:
             _note_failure(following, error)
-            await asyncio.sleep(_choose_pause_s(following.failures))
+            await _pause(following, following.failures, max_pause_s)
             continue
         _note_answer(following, update)
         apply_update(update)
-        if settle_s and update.page.items:
-            await asyncio.sleep(settle_s)
+        if update.page.items:
+            await asyncio.sleep(choose_settle_s())
 
 
 async def _read(following, source, change_wait_s):
@@ -176,6 +203,8 @@
 
 def _note_answer(following, update):
     following.revision = update.page.revision
+    if not update.is_whole:
+        following.losses = 0
     if not following.failures:
         return
     log_event(
@@ -204,6 +233,10 @@
     )
 
 
-def _choose_pause_s(failures):
-    pause_s = min(MAX_PAUSE_S, FIRST_PAUSE_S * 2 ** (failures - 1))
-    return pause_s * random.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+async def _pause(following, failures, max_pause_s):
+    pause_s = min(max_pause_s, FIRST_PAUSE_S * 2 ** min(failures - 1, MAX_DOUBLINGS))
+    pause_s *= random.uniform(1 - PAUSE_SPREAD, 1 + PAUSE_SPREAD)
+    following.retry.clear()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(pause_s):
+            await following.retry.wait()
