Divide upstreams by the loads that they tell of

The boundary between long and short prompts followed an instance's own requests, of which one of many sees hardly any, so it stood still at its prior.

Now it follows the loads that the upstreams of both parts tell of with their answers, which hold all instances' work; without such reports the instance's own requests. It leaves the short ones a quarter and the long ones three tenths, as a queue grows faster than its demand. A long prompt is refused at once, with a time to come back, where 1.25 times the slots run or wait.

The features of the division feed the loads that upstreams tell instead of own requests; each keeps its bound, and one for a long queue is new.

--- a/features/forwarding/division.feature
+++ b/features/forwarding/division.feature
@@ -26,3 +26,7 @@
     Given 9 upstreams and 3 long and 5 short requests for 10 s
     And another instance with 5 long and 5 short requests for 10 s
     Then one's upstreams for short prompts hold the other's
+
+  Scenario: A long queue doesn't take the last upstreams of short prompts
+    Given 20 upstreams and 900 long and 10 short requests for 10 s
+    Then 5 upstreams are kept for short prompts
--- a/features/forwarding/yield.feature
+++ b/features/forwarding/yield.feature
@@ -1,4 +1,4 @@
-Feature: Long prompts give way where one upstream is left (load shedding by priority)
+Feature: Long prompts give way where too many wait (load shedding by priority)
 
   Scenario: A long prompt is refused while the one upstream is full
     Given 1 upstream with 48 slots that tells of 40 running and 15 waiting requests
@@ -19,3 +19,13 @@
     Given 2 upstream with 48 slots that tells of 40 running and 15 waiting requests
     When a long request asks for a slot
     Then it is granted
+
+  Scenario: A long prompt is refused where it would leave before its turn
+    Given 2 upstream with 16 slots that tells of 16 running and 5 waiting requests
+    When a long request asks for a slot
+    Then it is refused as "queue-full" and told to come back
+
+  Scenario: A short prompt is served beside such a queue
+    Given 2 upstream with 16 slots that tells of 16 running and 5 waiting requests
+    When a short request asks for a slot
+    Then it is granted
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -6,7 +6,7 @@
 
 from jujubenotch.forwarding.admit import Knowledge, admit_request, choose_prefix_key
 from jujubenotch.forwarding.capacity import PlacedCapacity
-from jujubenotch.forwarding.division import Division, choose_group, record_change
+from jujubenotch.forwarding.division import Division, choose_group, record_group_load
 from jujubenotch.forwarding.errors import HistoryLostError, SourceError
 from jujubenotch.forwarding.follow import (
     Following,
@@ -102,6 +102,6 @@
     "rank_priorities",
     "read_suspended_clock_s",
     "record_answer",
-    "record_change",
+    "record_group_load",
     "was_lost_lately",
 ]
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -9,7 +9,7 @@
     Division,
     choose_group,
     is_long_prompt,
-    record_change,
+    record_group_load,
 )
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
 from jujubenotch.forwarding.placement import (
@@ -99,7 +99,7 @@
             return Refusal(
                 reason=RefusalReason.QUEUE_FULL,
                 retry_after_s=YIELD_RETRY_AFTER_S,
-                detail=f"the one upstream of {request.target} is full; come back",
+                detail=f"too many requests wait for {request.target}; come back",
             )
         return self._give(request, work, now_s)
 
@@ -112,7 +112,6 @@
         """
         given = self._given.pop(grant.grant_id)
         given.work.running -= 1
-        self._record_change(given.request, -1, now_s)
         record_result(
             given.work.health,
             report.result,
@@ -129,8 +128,11 @@
         :param now_s: The present monotonic time, in seconds.
         """
         work = self._works.get(upstream)
-        if work is not None:
-            record_report(work, report, now_s)
+        if work is None:
+            return
+        record_report(work, report, now_s)
+        for division in self._divisions.values():
+            record_group_load(division, upstream, work.reported, now_s)
 
     def _list_works(self, request):
         listing_s = self._read_listing_clock_s()
@@ -183,18 +185,12 @@
         self._given[grant.grant_id] = GivenSlot(
             work=work, request=request, granted_s=now_s, is_probe=is_probe
         )
-        self._record_change(request, 1, now_s)
+        if work.reported_s is None and request.prompt_tokens:
+            # Without reports this instance's own requests tell the loads apart.
+            division = self._find_division(request)
+            record_group_load(division, work.name, work.running, now_s)
         return grant
 
-    def _record_change(self, request, change, now_s):
-        if request.prompt_tokens:
-            record_change(
-                self._find_division(request),
-                change,
-                is_long=is_long_prompt(request.prompt_tokens),
-                now_s=now_s,
-            )
-
     def forget(self, names: Iterable[str]) -> None:
         """Forget what is known of upstreams that are gone.
 
--- a/jujubenotch/forwarding/division.py
+++ b/jujubenotch/forwarding/division.py
@@ -2,8 +2,9 @@
 
 Task assignment by size: prompts that keep an engine busy for several steps run
 apart from short ones, whose streams must not pause. The boundary follows the
-demand of both, so that neither waits while upstreams of the other stand free.
-Instances rank the upstreams alike, so their boundaries differ by the one or two
+loads that the upstreams of both parts tell of, which hold the work of all
+instances, so that neither waits while upstreams of the other stand free.
+Instances rank the upstreams alike, so their boundaries differ by the few
 upstreams in the middle at most.
 """
 
@@ -15,36 +16,47 @@
 
 # A prompt this long is read in more than one step of an engine.
 LONG_PROMPT_TOKENS = 4500
-# Short requests that one long one counts for.
+# Short requests that a long one counts for.
 LONG_WEIGHT = 2.5
-# What a division is made by without requests: two short parts of five.
-PRIOR_SHORT = 6.0
-PRIOR_LONG = 3.6
+# Requests per upstream that are assumed before any load is known, and how many
+# reports that assumption counts for: the loads at which two of five parts are
+# for short prompts.
+PRIOR_SHORT_LOAD = 2.5
+PRIOR_LONG_LOAD = 1.0
+PRIOR_REPORTS = 2.0
+FIRST_SHORT_SHARE = 0.4
+# A queue grows much faster than the demand behind it, so it moves the boundary
+# only so far.
+MIN_SHORT_SHARE = 0.25
+MAX_SHORT_SHARE = 0.7
 # Long enough to be steady, short beside a burst.
-AVERAGE_OVER_S = 1.5
+AVERAGE_OVER_S = 2.0
 # Moves of the boundary cost prompts read again, so small ones are not made.
 MIN_MOVE = 1.2
+MIN_MOVE_SHARE = 0.06
 RANKING_KEY = "short-prompts"
 
 
 @dataclass(kw_only=True, slots=True)
-class Demand:
-    """Requests in progress, averaged over the last seconds.
+class GroupLoad:
+    """The loads that a part's upstreams told of, averaged over the last seconds.
 
-    :param running: Requests in progress now.
-    :param average: Their average.
-    :param updated_s: When the average was taken, monotonic, in seconds.
+    :param total: Their sum, in requests, each fading with its age.
+    :param reports: How many there were, fading alike.
+    :param updated_s: When they faded last, monotonic, in seconds.
     """
 
-    running: int = 0
-    average: float = 0.0
+    total: float = 0.0
+    reports: float = 0.0
     updated_s: float = 0.0
 
 
 @dataclass(kw_only=True, slots=True)
 class Division:
-    """The demand of a service's long and short prompts, and its boundary.
+    """The loads of a service's two parts, and the boundary between them.
 
+    :param names: The service's upstreams at the last choice.
+    :param short_names: Those for short prompts.
     :param short_count: Upstreams for short prompts; 0 before the first choice.
 
     >>> division = Division()
@@ -52,8 +64,10 @@
     ['b']
     """
 
-    long: Demand = field(default_factory=Demand)
-    short: Demand = field(default_factory=Demand)
+    long: GroupLoad = field(default_factory=GroupLoad)
+    short: GroupLoad = field(default_factory=GroupLoad)
+    names: frozenset[str] = frozenset()
+    short_names: frozenset[str] = frozenset()
     short_count: int = 0
 
 
@@ -65,19 +79,22 @@
     return prompt_tokens >= LONG_PROMPT_TOKENS
 
 
-def record_change(
-    division: Division, change: int, *, is_long: bool, now_s: float
+def record_group_load(
+    division: Division, name: str, requests: int, now_s: float
 ) -> None:
-    """Note that a request began or ended.
+    """Note the load of an upstream of the service.
 
     :param division: The division; changed in place.
-    :param change: 1 for a beginning, -1 for an end.
-    :param is_long: Whether its prompt is long.
+    :param name: The upstream's name; one that isn't divided is passed over.
+    :param requests: Requests running or waiting there.
     :param now_s: The present monotonic time, in seconds.
     """
-    demand = division.long if is_long else division.short
-    _take_average(demand, now_s)
-    demand.running += change
+    if name not in division.names:
+        return
+    group = division.short if name in division.short_names else division.long
+    _fade(group, now_s)
+    group.total += requests
+    group.reports += 1.0
 
 
 def choose_group(
@@ -95,24 +112,37 @@
         return set(names)
     _move_boundary(division, len(names), now_s)
     short = set(choose_by_rendezvous(RANKING_KEY, names, division.short_count))
+    division.names = frozenset(names)
+    division.short_names = frozenset(short)
     return set(names) - short if is_long else short
 
 
 def _move_boundary(division, count, now_s):
-    _take_average(division.long, now_s)
-    _take_average(division.short, now_s)
-    short = division.short.average + PRIOR_SHORT
-    long = LONG_WEIGHT * (division.long.average + PRIOR_LONG)
-    wanted = count * short / (short + long)
     lowest, highest = 1, count - 1
-    is_inside = lowest <= division.short_count <= highest
-    if is_inside and abs(wanted - division.short_count) < MIN_MOVE:
-        return
-    division.short_count = max(lowest, min(highest, round(wanted)))
+    if not lowest <= division.short_count <= highest:
+        division.short_count = _round_within(FIRST_SHORT_SHARE * count, count)
+    short_load = _average(division.short, PRIOR_SHORT_LOAD, now_s)
+    long_load = _average(division.long, PRIOR_LONG_LOAD, now_s)
+    short = short_load * division.short_count
+    long = LONG_WEIGHT * long_load * (count - division.short_count)
+    share = max(MIN_SHORT_SHARE, min(MAX_SHORT_SHARE, short / (short + long)))
+    move = abs(share * count - division.short_count)
+    if move >= max(MIN_MOVE, MIN_MOVE_SHARE * count):
+        division.short_count = _round_within(share * count, count)
+
+
+def _round_within(wanted, count):
+    return max(1, min(count - 1, round(wanted)))
+
+
+def _average(group, prior, now_s):
+    _fade(group, now_s)
+    total = group.total + PRIOR_REPORTS * prior
+    return total / (group.reports + PRIOR_REPORTS)
 
 
-def _take_average(demand, now_s):
-    passed_s = max(0.0, now_s - demand.updated_s)
-    kept = math.exp(-passed_s / AVERAGE_OVER_S)
-    demand.average = demand.average * kept + demand.running * (1.0 - kept)
-    demand.updated_s = now_s
+def _fade(group, now_s):
+    kept = math.exp(-max(0.0, now_s - group.updated_s) / AVERAGE_OVER_S)
+    group.total *= kept
+    group.reports *= kept
+    group.updated_s = now_s
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -15,6 +15,9 @@
 REPORT_HALF_LIFE_S = 1.0
 # Part of the slots of a shared upstream beyond which long prompts give way.
 SHARED_LIMIT = 0.3
+# The same where long prompts have upstreams of their own: so many wait there
+# that a caller would leave before its turn.
+OWN_LIMIT = 1.25
 # Loads that differ by less are equal: instances must not all choose the same.
 LOAD_TOLERANCE = 0.5
 
@@ -70,14 +73,14 @@
 
 
 def must_yield(work: UpstreamWork, *, is_shared: bool, now_s: float) -> bool:
-    """Tell whether a long prompt must give way to short ones at an upstream.
+    """Tell whether a long prompt must give way at an upstream.
 
     :param work: The upstream chosen for the long prompt.
     :param is_shared: Whether short prompts have no upstream of their own.
     :param now_s: The present monotonic time, in seconds.
     """
-    is_full = estimate_load(work, now_s) >= SHARED_LIMIT * work.slots
-    return is_shared and is_full
+    limit = SHARED_LIMIT if is_shared else OWN_LIMIT
+    return estimate_load(work, now_s) >= limit * work.slots
 
 
 def choose_upstream(
