Give a large configuration the time that its link needs

A whole answer of the store had to come within 0.7 s; the configuration is larger than what a link of 5 Mbit/s brings in that time, so an instance that read it without a wait (after an outage or at its start) gave up each time just before its end, for good.

The bound of 0.7 s is now one on silence: each part of an answer that comes extends it. What an answer proves stays what the store's clock said in it.

Before: the new scenario of features/platform/process (answers that take 2 s to come) was not ready within 15 s; after: it passes.

--- a/features/forwarding/steps/follow_steps.py
+++ b/features/forwarding/steps/follow_steps.py
@@ -22,11 +22,11 @@
         self.revision = 1
         self.changed = asyncio.Event()
 
-    async def read_all(self):
+    async def read_all(self, note_progress):
         self.calls += 1
         return Page(items=(), revision=self.revision, answered_store_s=0.0)
 
-    async def read_changes(self, after_revision, wait_s):
+    async def read_changes(self, after_revision, wait_s, note_progress):
         self.calls += 1
         while self.revision <= after_revision:
             await self.changed.wait()
@@ -99,17 +99,17 @@
 
     is_back = False
 
-    async def read_all(self):
+    async def read_all(self, note_progress):
         if not self.is_back:
             self.calls += 1
             raise SourceError("it can't be read")
-        return await super().read_all()
+        return await super().read_all(note_progress)
 
 
 class ForgetfulSource(ChangingSource):
     """A source that knows no changes."""
 
-    async def read_changes(self, after_revision, wait_s):
+    async def read_changes(self, after_revision, wait_s, note_progress):
         self.calls += 1
         raise HistoryLostError("no changes are known")
 
--- a/features/platform/process.feature
+++ b/features/platform/process.feature
@@ -29,6 +29,11 @@
     Then it gets "done"
     And it could hear it before any library was loaded
 
+  Scenario: A large configuration may take its time on a slow link
+    Given a site whose store's answers take 2 s to come
+    When a caller reads with its key
+    Then it gets "done"
+
   Scenario Outline: A settings file that changes <how> takes effect
     Given a site whose settings name a store that isn't there
     When its settings are corrected <how>
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -72,6 +72,17 @@
     wait_until_logged(context.site, "instance-started")
 
 
+@given("a site whose store's answers take {seconds:g} s to come")
+def open_slow_site(context, seconds):
+    context.site = context.stack.enter_context(open_site())
+    context.site.state.transfer_s = seconds
+    put_configuration(context.site)
+    add_upstream(context.site, "i-first", make_upstream("answers well"))
+    start_program(context.site, settings=SETTINGS.replace("{revoke_ms}", "30000"))
+    wait_until_ready(context.site)
+    wait_until_listed(context.site, "i-first")
+
+
 @when("its settings are corrected {how}")
 def correct(context, how):
     write_settings(context.site)
@@ -205,7 +216,7 @@
 @then("reading the list fails as a source that gave no answer")
 def check_no_answer(context):
     try:
-        asyncio.run(context.source.read_all())
+        asyncio.run(context.source.read_all(lambda: None))
     except SourceError:
         return
     raise AssertionError("it did not fail")
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import functools
 import logging
 import random
 import time
@@ -26,6 +27,7 @@
 # Many upstreams start together; their entries need not come one by one.
 SETTLE_S = 0.4
 LARGE_SITE_SETTLE_S = 1.2
+# Without a sign of an answer, or between two parts of one.
 ANSWER_TIMEOUT_S = 0.7
 FIRST_PAUSE_S = 0.1
 # Short beside the time in which an instance must be up to date again.
@@ -184,12 +186,13 @@
     after_revision = following.revision
     is_back = following.failures > 0
     wait_s = 0.0 if after_revision is None or is_back else change_wait_s
+    note_progress = functools.partial(_extend_bound, following)
     try:
         async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S) as following.bound:
             if after_revision is None:
-                page = await source.read_all()
+                page = await source.read_all(note_progress)
             else:
-                page = await source.read_changes(after_revision, wait_s)
+                page = await source.read_changes(after_revision, wait_s, note_progress)
     finally:
         following.bound = None
     return Update(
@@ -201,6 +204,16 @@
     )
 
 
+def _extend_bound(following):
+    """Give an answer that is coming more time: it may be large, its link slow."""
+    bound = following.bound
+    if bound is None or bound.expired():
+        return
+    end_s = asyncio.get_running_loop().time() + ANSWER_TIMEOUT_S
+    if end_s > bound.when():
+        bound.reschedule(end_s)
+
+
 def _note_answer(following, update):
     following.revision = update.page.revision
     if not update.is_whole:
--- a/jujubenotch/forwarding/source.py
+++ b/jujubenotch/forwarding/source.py
@@ -1,5 +1,6 @@
 """Sources of typed state that an instance follows."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 from typing import Generic, Protocol, TypeVar
 
@@ -37,13 +38,16 @@
 class Source(Protocol[Value]):
     """Reads items and waits for their changes.
 
-    Both methods raise :class:`SourceError` when no answer came.
+    Both methods raise :class:`SourceError` when no answer came, and call
+    ``note_progress`` for each part of an answer that comes.
     """
 
-    async def read_all(self) -> Page[Value]:
+    async def read_all(self, note_progress: Callable[[], None]) -> Page[Value]:
         """Read all items."""
 
-    async def read_changes(self, after_revision: int, wait_s: float) -> Page[Value]:
+    async def read_changes(
+        self, after_revision: int, wait_s: float, note_progress: Callable[[], None]
+    ) -> Page[Value]:
         """Wait for changes after a revision, for at most ``wait_s`` seconds.
 
         :raises HistoryLostError: The changes aren't known any more.
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -85,26 +85,30 @@
     decode: Callable[[str, bytes], Any]
     accepts: Callable[[str], bool]
 
-    async def read_all(self) -> Page:
+    async def read_all(self, note_progress: Callable[[], None]) -> Page:
         """Read all rows.
 
+        :param note_progress: Called for each part of an answer that comes.
         :raises SourceError: No answer came.
         """
-        page = await self._call("/v1/rows-get", {})
+        page = await self._call("/v1/rows-get", {}, note_progress)
         items = list(page.rows)
         rest = page
         while rest.has_more and rest.rows:
             # The smallest key above the last one read.
             after = rest.rows[-1].key + "\0"
-            rest = await self._call("/v1/rows-get", {"from": after})
+            rest = await self._call("/v1/rows-get", {"from": after}, note_progress)
             items.extend(rest.rows)
         return self._write_page(page, items)
 
-    async def read_changes(self, after_revision: int, wait_s: float) -> Page:
+    async def read_changes(
+        self, after_revision: int, wait_s: float, note_progress: Callable[[], None]
+    ) -> Page:
         """Wait for changes after a revision.
 
         :param after_revision: The revision.
         :param wait_s: How long to wait at most, in seconds.
+        :param note_progress: Called for each part of an answer that comes.
         :raises HistoryLostError: The changes aren't known any more.
         :raises SourceError: No answer came.
         """
@@ -112,16 +116,19 @@
             "since-rev": str(after_revision),
             "wait-ms": str(int(wait_s * MS_PER_S)),
         }
-        page = await self._call("/v1/rows-feed", parameters)
+        page = await self._call("/v1/rows-feed", parameters, note_progress)
         return self._write_page(page, page.rows)
 
-    async def _call(self, path, parameters):
+    async def _call(self, path, parameters, note_progress):
         parameters = {"table": self.table, **parameters}
         try:
             async with self.client.session.get(
                 f"http://{self.client.address.text}{path}", params=parameters
             ) as answer:
-                content = await answer.read()
+                content = bytearray()
+                async for part in answer.content.iter_any():
+                    content += part
+                    note_progress()
         # The event loop raises RuntimeError for a connection whose descriptor was
         # closed by a cancelled call.
         except (aiohttp.ClientError, OSError, RuntimeError) as error:
