--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -227,7 +227,15 @@
 
 
 async def _reload(site, event):
+    """Change the settings file, with a signal or without one."""
     instance = site.instances[event.target]
+    text = instance.settings_path.read_text()
+    old, new = f"grace-s={GRACE_S:g}", f"grace-s={GRACE_S + 1:g}"
+    if old not in text:
+        old, new = new, old
+    instance.settings_path.write_text(text.replace(old, new))
+    if event.value < 1 / 2:
+        return
     # No program can hear a signal while its interpreter starts.
     left_s = instance.started_s + INTERPRETER_START_S - time.monotonic()
     await asyncio.sleep(max(0.0, left_s))
