--- a/benchmarks/site/callers.py
+++ b/benchmarks/site/callers.py
@@ -24,6 +24,8 @@
 SHORTEST_WAIT_S = 1.5
 LONGEST_WAIT_S = 4.0
 MAX_EVENTS = 30
+# Of the read requests, on routes that come and go.
+EXTRA_PREFIX_RATIO = 0.25
 _ID_LINE = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
 
 
@@ -63,7 +65,8 @@
 class Callers:
     """The callers of a site.
 
-    :param keys: The keys that they use at present.
+    :param keys: The keys that they use, taken away or not.
+    :param prefixes: Routes that were ever added; they go on asking for them.
     """
 
     entrances: list[Entrance]
@@ -115,31 +118,15 @@
 
 
 async def _call(callers):
-    generator = callers.generator
-    kind = generator.choice(KINDS)
-    path = f"/{kind}/{generator.randint(1, MAX_EVENTS)}"
-    if kind is RouteKind.READ and callers.prefixes and generator.random() < 1 / 4:
-        path = generator.choice(callers.prefixes) + "1"
-    wait_s = generator.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S)
-    key = generator.choice(callers.keys)
-    request_id = f"{generator.getrandbits(64):016x}"
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             channel = await _take_channel(callers)
     except (OSError, TimeoutError):
         # Nothing was sent; a caller would look for another instance.
         return
-    now_s = time.monotonic()
-    told = Told(
-        request_id=request_id,
-        kind=kind,
-        path=path,
-        key=key,
-        instance=channel.entrance.instance,
-        sent_s=now_s,
-        deadline_s=now_s + wait_s,
-    )
+    told = _draw_request(callers, channel.entrance.instance)
     callers.journal.told.append(told)
+    wait_s = told.deadline_s - told.sent_s
     goes_on = False
     try:
         async with asyncio.timeout(wait_s + EXTRA_WAIT_S):
@@ -153,6 +140,25 @@
     _put_back(callers, channel, goes_on=goes_on)
 
 
+def _draw_request(callers, instance):
+    generator = callers.generator
+    kind = generator.choice(KINDS)
+    path = f"/{kind}/{generator.randint(1, MAX_EVENTS)}"
+    asks_extra = callers.prefixes and generator.random() < EXTRA_PREFIX_RATIO
+    if kind is RouteKind.READ and asks_extra:
+        path = generator.choice(callers.prefixes) + "1"
+    now_s = time.monotonic()
+    return Told(
+        request_id=f"{generator.getrandbits(64):016x}",
+        kind=kind,
+        path=path,
+        key=generator.choice(callers.keys),
+        instance=instance,
+        sent_s=now_s,
+        deadline_s=now_s + generator.uniform(SHORTEST_WAIT_S, LONGEST_WAIT_S),
+    )
+
+
 async def _take_channel(callers):
     now_s = time.monotonic()
     callers.generator.shuffle(callers.idle)
--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -377,16 +377,18 @@
 
 async def _change_routes(site, event):
     prefix = f"/extra-{site.generator.getrandbits(32):08x}/"
-    for is_added in (True, False):
-        prefixes = site.configuration.extra_prefixes
-        (prefixes.append if is_added else prefixes.remove)(prefix)
-        publish_configuration(site)
-        change = RouteChange(prefix=prefix, at_s=time.monotonic(), is_added=is_added)
-        site.journal.routes.append(change)
-        if is_added:
-            site.callers.prefixes.append(prefix)
-            await asyncio.sleep(event.duration_s)
-    # Callers go on asking for it, so that the check sees it answered with 404.
+    site.configuration.extra_prefixes.append(prefix)
+    _publish_route(site, prefix, is_added=True)
+    site.callers.prefixes.append(prefix)
+    await asyncio.sleep(event.duration_s)
+    site.configuration.extra_prefixes.remove(prefix)
+    _publish_route(site, prefix, is_added=False)
+
+
+def _publish_route(site, prefix, *, is_added):
+    publish_configuration(site)
+    change = RouteChange(prefix=prefix, at_s=time.monotonic(), is_added=is_added)
+    site.journal.routes.append(change)
 
 
 _ACTIONS = {
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -100,25 +100,7 @@
     :param zones: How many data centres they are spread over.
     :raises SiteError: A program did not start.
     """
-    directory.mkdir(parents=True, exist_ok=True)
-    generator = random.Random(f"site {seed}")
-    journal = SiteJournal()
-    keys = {
-        f"key-{team}-{number}": team
-        for team in TEAMS
-        for number in range(KEYS_PER_TEAM)
-    }
-    journal.teams.update(keys)
-    site = Site(
-        directory=directory,
-        generator=generator,
-        journal=journal,
-        store=StoreState(),
-        configuration=Configuration(keys=keys),
-        callers=Callers(
-            entrances=[], journal=journal, keys=list(keys), generator=generator
-        ),
-    )
+    site = _make_site(seed, directory)
     runner = web.AppRunner(build_store_app(site.store), shutdown_timeout=0.1)
     try:
         store_port = await _open_store(runner)
@@ -254,6 +236,28 @@
     }
 
 
+def _make_site(seed, directory):
+    directory.mkdir(parents=True, exist_ok=True)
+    generator = random.Random(f"site {seed}")
+    journal = SiteJournal()
+    keys = {
+        f"key-{team}-{number}": team
+        for team in TEAMS
+        for number in range(KEYS_PER_TEAM)
+    }
+    journal.teams.update(keys)
+    return Site(
+        directory=directory,
+        generator=generator,
+        journal=journal,
+        store=StoreState(),
+        configuration=Configuration(keys=keys),
+        callers=Callers(
+            entrances=[], journal=journal, keys=list(keys), generator=generator
+        ),
+    )
+
+
 async def _open_store(runner):
     await runner.setup()
     listener = web.TCPSite(runner, LOOPBACK, 0)
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -89,7 +89,6 @@
     :param is_signed: Whether it bears an upstream's signature.
     :param events: The ids of the events that came, as sent.
     :param error: Why the connection ended early, if it did.
-    :param read_after_s: When its instance had certainly been sent all of it.
     """
 
     request_id: str
