--- a/benchmarks/rules.py
+++ b/benchmarks/rules.py
@@ -6,6 +6,7 @@
 from collections import Counter, defaultdict
 from collections.abc import Callable
 from dataclasses import dataclass
+from typing import Generic, TypeVar
 
 from benchmarks.journals import (
     RECEIVED,
@@ -20,6 +21,8 @@
 from benchmarks.schedule import PROCESS_FAULTS, FaultKind
 from jujubenotch.outcomes import Outcome, RefusalReason
 
+Journal = TypeVar("Journal")
+
 ANSWER_BOUND_S = 3.0
 SETTLE_S = 5.0
 MIN_WAIT_S = 0.5
@@ -45,16 +48,16 @@
 
 
 @dataclass(frozen=True, kw_only=True)
-class Rule:
-    """A rule and what it looks at.
+class Rule(Generic[Journal]):
+    """A rule on the journals of one kind of run.
 
     :param count: Counts what it was checked on.
     :param check: Returns a line for each thing that breaks it.
     """
 
     name: str
-    count: Callable[[Journals], int]
-    check: Callable[[Journals], list[str]]
+    count: Callable[[Journal], int]
+    check: Callable[[Journal], list[str]]
 
 
 def check_at_most_once(journals: Journals) -> list[str]:
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -16,6 +16,7 @@
 from benchmarks.processes import LOOPBACK, ROOT
 from benchmarks.site.callers import Callers, Entrance
 from benchmarks.site.documents import (
+    SERVICES,
     Configuration,
     write_configuration,
     write_entry,
@@ -266,7 +267,7 @@
 
 
 async def _open_places(site, places, zones):
-    for service in ("plain", "model"):
+    for service in SERVICES:
         for number in range(places):
             host = LOOPBACK
             route = Route(target_host=host, target_port=0, host=host)
--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -5,8 +5,8 @@
 
 from collections import Counter, defaultdict
 from collections.abc import Callable
-from dataclasses import dataclass
 
+from benchmarks.rules import Rule
 from benchmarks.site.documents import RETRY_RATIO, REVOKE_S, SERVICE_BY_KIND
 from benchmarks.site.model import (
     REPEATABLE,
@@ -21,7 +21,6 @@
 MAX_RUNS = 2
 NO_RUN_STATUSES = frozenset({408, 421, 429, 503})
 OK = 200
-UPSTREAM_FAILED = 500
 NOT_FOUND = 404
 UNAUTHORIZED = 401
 ANSWER_BOUND_S = 0.5
@@ -55,15 +54,6 @@
 )
 
 
-@dataclass(frozen=True, kw_only=True)
-class SiteRule:
-    """A rule and how often it was tried."""
-
-    name: str
-    count: Callable[[SiteJournal], int]
-    check: Callable[[SiteJournal], list[str]]
-
-
 def check_runs(journal: SiteJournal) -> list[str]:
     """No request runs more often than its kind allows."""
     runs = _count_runs(journal)
@@ -300,66 +290,66 @@
 
 
 SITE_RULES = (
-    SiteRule(
+    Rule(
         name="no request ran too often",
         count=lambda journal: len(journal.told),
         check=check_runs,
     ),
-    SiteRule(
+    Rule(
         name="nothing told as not run was run",
         count=lambda journal: sum(
             told.status in NO_RUN_STATUSES for told in journal.told
         ),
         check=check_refusals,
     ),
-    SiteRule(
+    Rule(
         name="each success is the upstream's own whole answer",
         count=lambda journal: sum(told.status == OK for told in journal.told),
         check=check_answers,
     ),
-    SiteRule(
+    Rule(
         name="the events of a stream come once and in order",
         count=_count_told(*STREAMS),
         check=check_streams,
     ),
-    SiteRule(
+    Rule(
         name="one final answer by the deadline",
         count=lambda journal: len(journal.told),
         check=check_final_answers,
     ),
-    SiteRule(
+    Rule(
         name="a key that was taken away lets nothing run",
         count=lambda journal: len(journal.revocations),
         check=check_keys,
     ),
-    SiteRule(
+    Rule(
         name="nothing allowed is denied",
         count=lambda journal: len(journal.told),
         check=check_denials,
     ),
-    SiteRule(
+    Rule(
         name="a leaving upstream gets nothing new",
         count=lambda journal: len(journal.leavings),
         check=check_leaving,
     ),
-    SiteRule(
+    Rule(
         name="changed routes are in force in time",
         count=lambda journal: len(journal.routes),
         check=check_routes,
     ),
-    SiteRule(
+    Rule(
         name="repeats stay within the shared budget",
         count=lambda journal: len(journal.arrivals),
         check=check_budget,
     ),
-    SiteRule(
+    Rule(
         name="no instance ended by itself",
         count=lambda journal: sum(
             span.kind is SiteFault.STOP_INSTANCE for span in journal.faults
         ),
         check=check_ends,
     ),
-    SiteRule(
+    Rule(
         name="nearly all is served after the last fault",
         count=lambda journal: len(_list_recovered(journal)),
         check=check_recovery,
--- a/benchmarks/soak.py
+++ b/benchmarks/soak.py
@@ -47,7 +47,7 @@
 from benchmarks.schedule import FaultEvent, FaultKind, plan_faults
 from benchmarks.site.fleet import SiteError
 from benchmarks.site.model import SiteFault, SiteJournal
-from benchmarks.site.rules import SITE_RULES, SiteRule
+from benchmarks.site.rules import SITE_RULES
 from benchmarks.site.run import run_site_soak
 from benchmarks.soak_plan import (
     make_deployment,
@@ -84,7 +84,7 @@
 
 def check_journals(
     journals: Journals | SiteJournal,
-    rules: Sequence[Rule | SiteRule] = (*REQUEST_RULES, *CONTROL_RULES),
+    rules: Sequence[Rule] = (*REQUEST_RULES, *CONTROL_RULES),
 ) -> list[Verdict]:
     """Check all rules.
 
