Read the store again when it was restored from a copy

Cause: nothing read the header Store-Era. After a restore, revisions go back and are given out again, so a change feed that waits after an old revision misses changes of the new era, and a whole list of the copy reinstates upstreams that had left or were leaving.

On a new era each source is read whole again while what is known stays in use. Configurations don't go back: their version is the operator's own and is written again. An upstream that was leaving keeps leaving, one that wasn't known is used after 5 s, by when the store has removed the entry of a dead one, or at once when its entry is written again, and a missing one stays usable for the time of a store's outage. The store's clock is measured anew. A page of an earlier era, and a list whose parts are of two eras, are rejected.

The keys' way was weighed against following the copy: a key that was withdrawn would work again until the operator has written the configuration once more.

--- a/features/forwarding/freshness.feature
+++ b/features/forwarding/freshness.feature
@@ -28,6 +28,12 @@
     And an answer sent at 210 s arrives at 210.01 s with the store's time 0.5 s
     Then the age at 211 s is at most 1.02 s
 
+  Scenario: After the store was restored its clock is measured anew
+    Given the store's clock is 100 s behind
+    When an answer sent at 200 s arrives at 200.01 s with the store's time 100.005 s
+    And an answer of the next era sent at 210 s arrives at 212 s with the store's time 111 s
+    Then the age at 212 s is at least 1.9 s
+
   Scenario: With random round trips the age is never underestimated
     Given the store's clock is 100 s behind
     Then for random answers the age is never less than the true age
--- a/features/forwarding/steps/freshness_steps.py
+++ b/features/forwarding/steps/freshness_steps.py
@@ -24,6 +24,20 @@
     )
 
 
+@when(
+    "an answer of the next era sent at {sent_s:g} s arrives at {received_s:g} s with "
+    "the store's time {store_s:g} s"
+)
+def record_answer_of_next_era(context, sent_s, received_s, store_s):
+    record_store_response(
+        context.freshness,
+        sent_s=sent_s,
+        received_s=received_s,
+        store_s=store_s,
+        era=context.freshness.era + 1,
+    )
+
+
 @then("the age at {now_s:g} s is at least {age_s:g} s")
 def check_at_least(context, now_s, age_s):
     assert measure_age_s(context.freshness, now_s) >= age_s - 1e-9
--- a/features/forwarding/steps/listing_steps.py
+++ b/features/forwarding/steps/listing_steps.py
@@ -9,11 +9,13 @@
 )
 
 SERVICE = "drafting"
+COPIED_REVISION = 5
 
 
-def make_item(name, *, is_leaving=False):
+def make_item(name, *, is_leaving=False, revision=1):
     return Item(
         key=name,
+        revision=revision,
         value=ListedUpstream(
             name=name,
             service=SERVICE,
@@ -25,13 +27,13 @@
     )
 
 
-def apply_entries(context, *items, is_snapshot=False, follows_outage=False, now_s=0.0):
+def apply_entries(context, *items, is_snapshot=False, follows_outage=False, **others):
     apply_items(
         context.listing,
         items,
         is_snapshot=is_snapshot,
         follows_outage=follows_outage,
-        now_s=now_s,
+        **{"now_s": 0.0, **others},
     )
 
 
@@ -77,6 +79,25 @@
     apply_entries(context, *items, is_snapshot=True, now_s=now_s)
 
 
+@when('the store is restored at {now_s:g} s from a copy that lists "{names}"')
+def restore_store_from_copy(context, now_s, names):
+    items = [make_item(name) for name in names.split(",")]
+    apply_entries(
+        context,
+        *items,
+        is_snapshot=True,
+        follows_outage=True,
+        now_s=now_s,
+        copied_revision=COPIED_REVISION,
+    )
+
+
+@when('the entry of "{name}" is written at {now_s:g} s after the restore')
+def write_after_restore(context, name, now_s):
+    item = make_item(name, revision=COPIED_REVISION + 1)
+    apply_entries(context, item, now_s=now_s)
+
+
 @then('"{names}" is usable at {now_s:g} s')
 def check_usable(context, names, now_s):
     usable = find_usable(context.listing, SERVICE, now_s)
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -29,7 +29,14 @@
 from jujubenotch.forwarding import SourceError
 from jujubenotch.platform.store import StoreClient, make_upstream_source
 from jujubenotch.settings import Address
-from standins.store import drop_history, set_fault, silence_long_polls, write_row
+from standins.store import (
+    copy_store,
+    drop_history,
+    restore_store,
+    set_fault,
+    silence_long_polls,
+    write_row,
+)
 
 RESERVED_HEADERS = {
     "X-Tenant": "other",
@@ -105,6 +112,16 @@
     call_store(context.site, drop_history)
 
 
+@when("a copy of the store is made")
+def copy_store_rows(context):
+    context.copy = call_store(context.site, copy_store)
+
+
+@when("the copy of the store is restored")
+def restore_store_rows(context):
+    call_store(context.site, restore_store, context.copy)
+
+
 @when("a configuration without the key is written")
 def revoke_key(context):
     put_configuration(context.site, keys=("some-other-key",))
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -86,6 +86,8 @@
     :param state: The instance's state; changed in place.
     :param update: The update from the configuration's source.
     """
+    if update.starts_era:
+        state.unattributed_revision = 0
     state.unattributed_revision = max(
         state.unattributed_revision, find_unattributed_revision(update)
     )
@@ -105,6 +107,7 @@
         sent_s=update.sent_s,
         received_s=update.received_s,
         store_s=update.page.store_time_s,
+        era=update.page.era,
     )
     _set_loaded_when_complete(state)
 
@@ -132,10 +135,15 @@
     """Return whether the store may have changes that neither source has delivered.
 
     Changes of the list of upstreams may still be in transit, or the list's source
-    has stopped delivering them without an error.
+    has stopped delivering them without an error. The list is behind too while it
+    has been read only from an earlier era of the store.
 
     :param state: The instance's state.
     """
+    list_era = state.listing_progress.era
+    configuration_era = state.configuration_progress.era
+    if None not in (list_era, configuration_era) and list_era != configuration_era:
+        return list_era < configuration_era
     return state.unattributed_revision > (state.listing_progress.revision or 0)
 
 
@@ -194,10 +202,12 @@
         update.page.items,
         is_snapshot=update.is_snapshot,
         follows_outage=update.follows_outage
+        or update.starts_era
         or was_recently_unavailable(
             state.configuration_progress, MISSING_ENTRY_GRACE_S, update.received_s
         ),
         now_s=update.received_s,
+        copied_revision=update.page.revision if update.starts_era else None,
     )
     drop_expired(state.listing, update.received_s)
     state.has_read_listing = True
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -11,7 +11,11 @@
 )
 from jujubenotch.forwarding.capacity import DirectCapacity
 from jujubenotch.forwarding.division import Division, choose_group, record_group_load
-from jujubenotch.forwarding.errors import HistoryLostError, SourceError
+from jujubenotch.forwarding.errors import (
+    EraChangedError,
+    HistoryLostError,
+    SourceError,
+)
 from jujubenotch.forwarding.follow import (
     FollowProgress,
     SourceUpdate,
@@ -67,6 +71,7 @@
     "DirectCapacity",
     "Division",
     "EngineLimits",
+    "EraChangedError",
     "FollowProgress",
     "Freshness",
     "HistoryLostError",
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -10,7 +10,11 @@
 from dataclasses import dataclass, field
 from typing import Generic
 
-from jujubenotch.forwarding.errors import HistoryLostError, SourceError
+from jujubenotch.forwarding.errors import (
+    EraChangedError,
+    HistoryLostError,
+    SourceError,
+)
 from jujubenotch.forwarding.source import Page, Source, Value
 from jujubenotch.logs import log_event
 
@@ -47,6 +51,8 @@
     :param after_revision: The revision after which the page's changes begin;
         ``None`` when the page holds all items.
     :param follows_outage: Whether the calls just before this one failed.
+    :param starts_era: Whether the page is the first one since the store was
+        restored from a copy.
     """
 
     page: Page[Value]
@@ -54,6 +60,7 @@
     received_s: float
     after_revision: int | None
     follows_outage: bool
+    starts_era: bool = False
 
     @property
     def is_snapshot(self) -> bool:
@@ -68,6 +75,7 @@
     :param name: The source's name, for the log.
     :param revision: The revision up to which all changes have been read;
         ``None`` before the first answer and after the history was lost.
+    :param era: The era of the store in the last page; ``None`` before it.
     :param failures: Consecutive calls that got no answer.
     :param history_losses: How often the history was lost since changes were last
         read.
@@ -82,6 +90,7 @@
 
     name: str
     revision: int | None = None
+    era: int | None = None
     failures: int = 0
     history_losses: int = 0
     recovered_s: float | None = None
@@ -181,6 +190,9 @@
             if progress.history_losses > 1:
                 await _pause(progress, progress.history_losses - 1, max_pause_s)
             continue
+        except EraChangedError:
+            progress.revision = None
+            continue
         except (SourceError, TimeoutError) as error:
             _note_failure(progress, error)
             await _pause(progress, progress.failures, max_pause_s)
@@ -205,13 +217,37 @@
                 page = await source.read_changes(after_revision, wait_s, note_progress)
     finally:
         progress.call_timeout = None
+    _check_era(progress, page, after_revision)
     return SourceUpdate(
         page=page,
         sent_s=sent_s,
         received_s=read_boot_clock_s(),
         after_revision=after_revision,
         follows_outage=follows_outage,
+        starts_era=progress.era is not None and page.era != progress.era,
+    )
+
+
+def _check_era(progress, page, after_revision):
+    if progress.era is None or page.era == progress.era:
+        return
+    if page.era < progress.era:
+        raise SourceError(
+            f"the store answered with era {page.era} after era {progress.era}"
+        )
+    if after_revision is None:
+        return
+    log_event(
+        logger,
+        logging.WARNING,
+        "source-era-changed",
+        source=progress.name,
+        before=progress.era,
+        era=page.era,
+        revision=after_revision,
+        restored_revision=page.revision,
     )
+    raise EraChangedError(f"the store changed from era {progress.era} to {page.era}")
 
 
 def _extend_timeout(progress):
@@ -229,6 +265,7 @@
 
 def _note_answer(progress, update):
     progress.revision = update.page.revision
+    progress.era = update.page.era
     if not update.is_snapshot:
         progress.history_losses = 0
     if not progress.failures:
--- a/jujubenotch/forwarding/freshness.py
+++ b/jujubenotch/forwarding/freshness.py
@@ -17,6 +17,7 @@
     :param confirmed_s: The latest time at which the configuration is known to have
         been up to date, by this instance's clock, in seconds; ``None`` before
         the first answer.
+    :param era: The era of the store in its last answer.
 
     >>> freshness = Freshness()
     >>> record_store_response(freshness, sent_s=10.0, received_s=10.1, store_s=3.0)
@@ -27,10 +28,16 @@
     offset_s: float | None = None
     store_s: float = 0.0
     confirmed_s: float | None = None
+    era: int = 0
 
 
 def record_store_response(
-    freshness: Freshness, *, sent_s: float, received_s: float, store_s: float
+    freshness: Freshness,
+    *,
+    sent_s: float,
+    received_s: float,
+    store_s: float,
+    era: int = 0,
 ) -> None:
     """Record a response of the store, which contains all changes up to its time.
 
@@ -39,13 +46,15 @@
     :param received_s: When the response arrived, by this instance's clock, in
         seconds.
     :param store_s: The store's clock when it answered, in seconds.
+    :param era: The era of the store; its clock may differ from the last era's.
     """
     lowest_offset_s = sent_s - store_s
-    has_restarted = store_s < freshness.store_s
+    has_restarted = store_s < freshness.store_s or era != freshness.era
     if freshness.offset_s is None or has_restarted:
         freshness.offset_s = lowest_offset_s
     freshness.offset_s = max(freshness.offset_s, lowest_offset_s)
     freshness.store_s = store_s
+    freshness.era = era
     # If the store's clock runs fast, the sum can lie after the arrival of the
     # response, which contains no later changes.
     confirmed_s = min(received_s, store_s + freshness.offset_s)
--- a/jujubenotch/forwarding/listing.py
+++ b/jujubenotch/forwarding/listing.py
@@ -9,6 +9,9 @@
 # 2 s. A leaving upstream must get no request later than 2 s after its entry was
 # removed.
 MISSING_GRACE_S = 1.8
+# A store that was restored from a copy may list upstreams that had already left.
+# It removes their entries after three missed heartbeats, which is sooner than this.
+COPIED_ENTRY_DELAY_S = 5.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -17,21 +20,27 @@
 
     :param usable_until_s: Until when the upstream stays usable without an
         entry, in seconds; ``None`` while it is listed.
+    :param usable_from_s: From when the upstream is usable, in seconds.
     """
 
     listed: ListedUpstream
     usable_until_s: float | None = None
+    usable_from_s: float = 0.0
 
 
 @dataclass(kw_only=True)
 class UpstreamListing:
     """The known upstreams, by name.
 
+    :param copied_revision: Entries up to this revision come from the copy from
+        which the store was restored; -1 in the first era that this instance saw.
+
     >>> find_usable(UpstreamListing(), "drafting", now_s=0.0)
     []
     """
 
     upstreams: dict[str, KnownUpstream] = field(default_factory=dict)
+    copied_revision: int = -1
 
 
 def apply_items(
@@ -41,19 +50,28 @@
     is_snapshot: bool,
     follows_outage: bool,
     now_s: float,
+    copied_revision: int | None = None,
 ) -> None:
     """Apply entries that were read from the platform's list.
 
+    After the store was restored from a copy, an entry of the copy can't reinstate
+    an upstream: one that was leaving keeps leaving, and one that wasn't known is
+    used only after the store has had time to remove the entry of a dead upstream.
+
     :param listing: The known upstreams; changed in place.
     :param items: All entries, or only those that have changed.
     :param is_snapshot: Whether the items are the whole list.
     :param follows_outage: Whether the list was unavailable until just before, so that
         the entry of a running upstream may be missing.
     :param now_s: The present time, in seconds.
+    :param copied_revision: The store's revision when it was first read after it was
+        restored from a copy; ``None`` when the items are of the same era as before.
     """
+    if copied_revision is not None:
+        listing.copied_revision = copied_revision
     for item in items:
         if item.value is not None:
-            listing.upstreams[item.key] = KnownUpstream(listed=item.value)
+            _add(listing, item, now_s)
         elif item.is_removed:
             _remove(listing, item.key, follows_outage=follows_outage, now_s=now_s)
         else:
@@ -101,9 +119,27 @@
 def _is_usable(known, service, now_s):
     if known.listed.service != service or known.listed.is_leaving:
         return False
+    if now_s < known.usable_from_s:
+        return False
     return known.usable_until_s is None or now_s < known.usable_until_s
 
 
+def _add(listing, item, now_s):
+    known = listing.upstreams.get(item.key)
+    is_copied = item.revision <= listing.copied_revision
+    if not is_copied:
+        listing.upstreams[item.key] = KnownUpstream(listed=item.value)
+    elif known is None:
+        listing.upstreams[item.key] = KnownUpstream(
+            listed=item.value, usable_from_s=now_s + COPIED_ENTRY_DELAY_S
+        )
+    elif known.listed.started_ms != item.value.started_ms:
+        listing.upstreams[item.key] = KnownUpstream(listed=item.value)
+    elif not known.listed.is_leaving:
+        known.listed = item.value
+        known.usable_until_s = None
+
+
 def _remove(listing, name, *, follows_outage, now_s):
     known = listing.upstreams.get(name)
     if known is None or known.usable_until_s is not None:
--- a/jujubenotch/forwarding/source.py
+++ b/jujubenotch/forwarding/source.py
@@ -14,11 +14,14 @@
     :param value: The decoded value; ``None`` when the item was removed or can't
         be decoded.
     :param is_removed: Whether the item was removed.
+    :param revision: The revision of the store at which the item was written; 0
+        for a removed item.
     """
 
     key: str
     value: Value | None
     is_removed: bool = False
+    revision: int = 0
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -30,12 +33,15 @@
     :param changed_revision: The newest revision of the items; 0 when the page
         has no items.
     :param store_time_s: The store's clock when it answered, in seconds.
+    :param era: Counts how often the store was restored from a copy. Revisions of
+        different eras can't be compared.
     """
 
     items: tuple[Item[Value], ...]
     revision: int
     store_time_s: float
     changed_revision: int = 0
+    era: int = 0
 
 
 class Source(Protocol[Value]):
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -11,6 +11,7 @@
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
 from jujubenotch.forwarding import (
+    EraChangedError,
     HistoryLostError,
     Item,
     Page,
@@ -28,6 +29,7 @@
 UPSTREAM_TABLE = "servers"
 OK = 200
 HISTORY_GONE = 410
+ERA_HEADER = "Store-Era"
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 15.0
 
@@ -49,6 +51,7 @@
     """A response that lists rows.
 
     ``now_ms`` is the time on the store's own monotonic clock, in milliseconds.
+    ``era`` is not part of the response's body but of its head.
     """
 
     model_config = ConfigDict(populate_by_name=True)
@@ -57,6 +60,7 @@
     revision: int = Field(alias="schema-version")
     now_ms: float = Field(alias="now-ms")
     has_more: bool = Field(alias="has-more", default=False)
+    era: int = 0
 
 
 @dataclass(kw_only=True)
@@ -108,6 +112,11 @@
             # This is the smallest key that sorts after the last one read.
             after = rest.rows[-1].key + "\0"
             rest = await self._call("/v1/rows-get", {"from": after}, note_progress)
+            if rest.era != page.era:
+                raise EraChangedError(
+                    f"/v1/rows-get: the store changed from era {page.era} to "
+                    f"{rest.era} between two parts of table {self.table}"
+                )
             items.extend(rest.rows)
         return self._make_page(page, items)
 
@@ -155,11 +164,13 @@
                 f"instead of {OK}"
             )
         try:
-            return RowsDocument.model_validate(orjson.loads(content))
+            document = RowsDocument.model_validate(orjson.loads(content))
+            document.era = int(answer.headers.get(ERA_HEADER, 0))
         except (ValidationError, ValueError) as error:
             raise SourceError(
                 f"{path}: the store returned an invalid response for table {self.table}"
             ) from error
+        return document
 
     def _make_page(self, document, rows):
         return Page(
@@ -167,12 +178,13 @@
             revision=document.revision,
             store_time_s=document.now_ms / MS_PER_S,
             changed_revision=max((row.revision for row in rows), default=0),
+            era=document.era,
         )
 
     def _make_item(self, row):
         if row.deleted:
             return Item(key=row.key, value=None, is_removed=True)
-        return Item(key=row.key, value=self._decode_value(row))
+        return Item(key=row.key, value=self._decode_value(row), revision=row.revision)
 
     def _decode_value(self, row):
         try:
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,7 +1,8 @@
 """A stand-in for the store of the users' platform, which has change feeds.
 
 The store keeps rows in tables and serves reads and long polls for changes. Tests
-can make it unavailable, silent or slow, or drop its history of changes.
+can make it unavailable, silent or slow, drop its history of changes, or restore it
+from an earlier copy.
 """
 
 import asyncio
@@ -15,6 +16,7 @@
 MS_PER_S = 1000
 SERVICE_UNAVAILABLE = 503
 GONE = 410
+ERA_HEADER = "Store-Era"
 SLOW_RESPONSE_CHUNKS = 6
 
 
@@ -36,6 +38,7 @@
     :param revision: The revision of the newest change.
     :param oldest_readable_revision: The lowest revision from which a change feed can be
         read; a request with an older one gets status 410.
+    :param era: Counts how often the store was restored from a copy.
     :param fault: Empty, ``unavailable`` or ``silent``.
     :param transfer_s: Time that the body of a response takes to transfer.
     :param silent_long_polls: Numbers of the long polls that never get a response.
@@ -51,6 +54,7 @@
     rows: dict[tuple[str, str], StoredRow] = field(default_factory=dict)
     revision: int = 0
     oldest_readable_revision: int = 0
+    era: int = 0
     fault: str = ""
     transfer_s: float = 0.0
     silent_long_polls: set[int] = field(default_factory=set)
@@ -89,6 +93,37 @@
     state.oldest_readable_revision = state.revision + 1
 
 
+@dataclass(frozen=True, kw_only=True)
+class StoreCopy:
+    """The rows of the store at one revision."""
+
+    rows: dict[tuple[str, str], StoredRow]
+    revision: int
+
+
+def copy_store(state: StoreState) -> StoreCopy:
+    """Copy the rows.
+
+    :param state: The store.
+    :returns: The copy.
+    """
+    return StoreCopy(rows=dict(state.rows), revision=state.revision)
+
+
+def restore_store(state: StoreState, copy: StoreCopy) -> None:
+    """Restore the rows and the revision of a copy, and begin a new era.
+
+    Change feeds in progress end without a page.
+
+    :param state: The store; changed in place.
+    :param copy: The copy.
+    """
+    state.rows = dict(copy.rows)
+    state.revision = copy.revision
+    state.era += 1
+    _wake_feeds(state)
+
+
 def set_fault(state: StoreState, fault: str) -> None:
     """Activate a fault, or end it.
 
@@ -134,6 +169,10 @@
     state.revision += 1
     row.revision = state.revision
     state.rows[row.table, row.key] = row
+    _wake_feeds(state)
+
+
+def _wake_feeds(state):
     state.changed.set()
     state.changed = asyncio.Event()
 
@@ -145,6 +184,7 @@
     if state.fault == "unavailable":
         return web.Response(status=SERVICE_UNAVAILABLE)
     response = await read(state, request.query)
+    response.headers[ERA_HEADER] = str(state.era)
     if state.transfer_s:
         return await _send_slowly(request, response, state.transfer_s)
     return response
@@ -175,8 +215,9 @@
 
 async def _read_feed(state, query):
     since_revision = int(query["since-rev"])
-    if since_revision < state.oldest_readable_revision:
+    if not state.oldest_readable_revision <= since_revision <= state.revision:
         return web.Response(status=GONE)
+    era = state.era
     poll_number = len(state.request_paths)
     state.long_polls[poll_number] = query["table"]
     try:
@@ -185,7 +226,7 @@
         del state.long_polls[poll_number]
     if poll_number in state.silent_long_polls:
         await asyncio.Event().wait()
-    if state.fault:
+    if state.fault or state.era != era:
         return web.Response(status=SERVICE_UNAVAILABLE)
     return _make_response(state, rows)
 
@@ -193,7 +234,12 @@
 async def _wait_for_changes(state, query, since_revision):
     rows = _find_changes(state, query["table"], since_revision)
     deadline_s = time.monotonic() + int(query.get("wait-ms", "0")) / MS_PER_S
-    while not rows and (remaining_s := deadline_s - time.monotonic()) > 0:
+    era = state.era
+    while (
+        not rows
+        and state.era == era
+        and (remaining_s := deadline_s - time.monotonic()) > 0
+    ):
         try:
             async with asyncio.timeout(remaining_s):
                 await state.changed.wait()
