Let one instance of a data centre read the store for its neighbours

Cause: each instance followed both tables by itself.

Where config-ms and drain-ms allow 3 s, the instances of a data centre find each other through a table of the store, and the reader among them sends each page that it reads to the others by UDP. The role is soft state: who is not told in time reads for itself and goes on as the reader. Pages carry the store's era, revisions and time; gaps are filled by one call. Small sites, whose bounds of 2 s are shorter than a takeover, stay as they were. A configuration page that brings nothing new no longer interrupts the list's feed.

In its own features 40 instances call the store 30 times in 3 s, and a killed, refused or cut-off reader is replaced within the bound.

--- a/benchmarks/site/documents.py
+++ b/benchmarks/site/documents.py
@@ -33,6 +33,9 @@
 bounds.revoke-ms={revoke_ms:.0f}
 bounds.grace-s={grace_s:g}
 bounds.retry-ratio={retry_ratio:g}
+bounds.config-ms=3000
+bounds.drain-ms=3000
+port-range=8100,8115
 """
 
 
--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -34,7 +34,7 @@
     set_mode,
     silence_relayed_connections,
 )
-from standins.store import drop_history, set_fault
+from standins.store import copy_store, drop_history, restore_store, set_fault
 
 FAULT_FREE_BEGIN_S = 2.0
 FAULT_FREE_BEGIN_RATIO = 0.1
@@ -51,6 +51,10 @@
 DRAIN_S = 4.0
 REUSE_AFTER_S = 2.0
 MAX_DELAY_S = 0.3
+# How long the store is away before it comes back from a copy, and how long it then
+# takes until the operators and the upstreams have written their rows again.
+RESTORE_OUTAGE_S = 0.5
+REWRITE_S = 1.0
 MAX_SLOWDOWN = 8.0
 ONE_WAY_MODES = (RelayMode.HOLD_TO_TARGET, RelayMode.HOLD_FROM_TARGET)
 INSTANCE_KINDS = frozenset(
@@ -71,6 +75,7 @@
         SiteFault.STORE_UNAVAILABLE,
         SiteFault.STORE_SILENT,
         SiteFault.DROP_HISTORY,
+        SiteFault.RESTORE_STORE,
         SiteFault.REVOKE_KEY,
         SiteFault.CHANGE_ROUTES,
     }
@@ -94,6 +99,7 @@
     SiteFault.STOP_INSTANCE: GRACE_S + START_S,
     SiteFault.CRASH_UPSTREAM: LIST_EXPIRY_S,
     SiteFault.DRAIN_UPSTREAM: DRAIN_S,
+    SiteFault.RESTORE_STORE: LIST_EXPIRY_S + RESTORE_OUTAGE_S,
     SiteFault.REUSE_ADDRESS: 2 * DRAIN_S + REUSE_AFTER_S,
 }
 
@@ -317,6 +323,29 @@
     drop_history(site.store)
 
 
+async def _restore_store(site, event):
+    """Restore the store from a copy that is as old as the fault's duration."""
+    copy = copy_store(site.store)
+    await asyncio.sleep(event.duration_s)
+    set_fault(site.store, "unavailable")
+    await asyncio.sleep(RESTORE_OUTAGE_S)
+    restore_store(site.store, copy)
+    set_fault(site.store, "")
+    await asyncio.sleep(REWRITE_S)
+    publish_configuration(site)
+    running = {
+        endpoint.upstream.name: endpoint
+        for endpoint in site.upstream_endpoints.values()
+        if endpoint.upstream.server.is_serving()
+    }
+    for endpoint in running.values():
+        publish_upstream(site, endpoint)
+    await asyncio.sleep(LIST_EXPIRY_S - REWRITE_S)
+    for name in {key for table, _, key in copy.rows if table == "servers"}:
+        if name not in running:
+            unpublish_upstream(site, name)
+
+
 async def _crash_upstream(site, event):
     endpoint = site.upstream_endpoints[event.target]
     await close_upstream(endpoint.upstream)
@@ -421,6 +450,7 @@
     SiteFault.STORE_UNAVAILABLE: _make_store_fault("unavailable"),
     SiteFault.STORE_SILENT: _make_store_fault("silent"),
     SiteFault.DROP_HISTORY: _drop_history,
+    SiteFault.RESTORE_STORE: _restore_store,
     SiteFault.RESET_CALLERS: _reset_callers,
     SiteFault.CUT_UPSTREAM: _make_mode_change(
         _find_upstream_route, lambda value: RelayMode.CUT
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -31,6 +31,7 @@
     STORE_UNAVAILABLE = "store-unavailable"
     STORE_SILENT = "store-silent"
     DROP_HISTORY = "drop-history"
+    RESTORE_STORE = "restore-store"
     RESET_CALLERS = "reset-callers"
     CUT_UPSTREAM = "cut-upstream"
     CUT_UPSTREAM_ONE_WAY = "cut-upstream-one-way"
--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -47,7 +47,12 @@
     }
 )
 STORE_FAULTS = frozenset(
-    {SiteFault.STORE_UNAVAILABLE, SiteFault.STORE_SILENT, SiteFault.DROP_HISTORY}
+    {
+        SiteFault.STORE_UNAVAILABLE,
+        SiteFault.STORE_SILENT,
+        SiteFault.DROP_HISTORY,
+        SiteFault.RESTORE_STORE,
+    }
 )
 ENDING_FAULTS = frozenset(
     {SiteFault.KILL_INSTANCE, SiteFault.PAUSE_INSTANCE, SiteFault.RESET_CALLERS}
--- a/features/forwarding/steps/follow_steps.py
+++ b/features/forwarding/steps/follow_steps.py
@@ -10,6 +10,7 @@
     SourceError,
     choose_change_wait_s,
     choose_list_delay_s,
+    double_pause_s,
     follow_source,
 )
 
@@ -133,7 +134,7 @@
             context.follow_progress,
             context.source,
             lambda update: None,
-            max_pause_s=pause_s,
+            choose_pause_s=lambda failures: double_pause_s(failures, pause_s),
         )
         context.task = asyncio.create_task(work)
         await asyncio.sleep(seconds)
--- /dev/null
+++ b/features/neighbours/fleet.py
@@ -0,0 +1,303 @@
+"""Instances of one data centre in one event loop, with a store in memory.
+
+Messages of the instances are delivered by the event loop; any of them may be lost.
+"""
+
+import asyncio
+import random
+import time
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+
+from jujubenotch.daemon.forward_observer import ForwardObserver
+from jujubenotch.daemon.forward_relay import (
+    Relay,
+    add_followed_source,
+    choose_pause_s,
+    choose_wait_s,
+    make_relay,
+    receive_news,
+    report_outage,
+    share_page,
+    wait_for_turn,
+)
+from jujubenotch.daemon.forward_state import (
+    ForwardState,
+    apply_configuration,
+    apply_upstreams,
+)
+from jujubenotch.forwarding import (
+    HistoryLostError,
+    Item,
+    ListedUpstream,
+    Page,
+    SiteConfiguration,
+    SourceError,
+    follow_source,
+    measure_age_s,
+    read_boot_clock_s,
+)
+from jujubenotch.metrics import make_metrics
+from jujubenotch.neighbours import (
+    NewsKind,
+    decode_news,
+    join_datagram,
+    split_news,
+)
+from jujubenotch.neighbours.codec import Reassembly
+from jujubenotch.settings import Address, ForwarderSettings
+
+MAX_KEY_AGE_S = 2.0
+STORE_CLOCK_OFFSET_S = 1234.5
+CONFIGURATION = "configuration"
+UPSTREAMS = "upstreams"
+
+
+@dataclass(kw_only=True)
+class MemoryStore:
+    """The rows of both tables, as ``{table: {key: (revision, content)}}``."""
+
+    rows: dict = field(default_factory=lambda: {CONFIGURATION: {}, UPSTREAMS: {}})
+    revision: int = 0
+    era: int = 1
+    calls: int = 0
+    is_down: bool = False
+    turned_away: set = field(default_factory=set)
+    changed: asyncio.Event = field(default_factory=asyncio.Event)
+
+    def write(self, table, key, content):
+        self.revision += 1
+        self.rows[table][key] = (self.revision, content)
+        self._wake()
+
+    def copy(self):
+        return {table: dict(rows) for table, rows in self.rows.items()}, self.revision
+
+    def restore(self, copy):
+        rows, self.revision = copy
+        self.rows = {table: dict(entries) for table, entries in rows.items()}
+        self.era += 1
+        self._wake()
+
+    def _wake(self):
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+
+@dataclass(kw_only=True)
+class MemorySource:
+    """One table of the store, as one instance sees it."""
+
+    store: MemoryStore
+    table: str
+    caller: str
+
+    async def read_all(self, note_progress):
+        await self._call()
+        return self._make_page(0)
+
+    async def read_changes(self, after_revision, wait_s, note_progress):
+        await self._call()
+        era = self.store.era
+        if after_revision > self.store.revision:
+            raise HistoryLostError("the store has no such revision")
+        end_s = time.monotonic() + wait_s
+        while (
+            not self._find(after_revision) and (left_s := end_s - time.monotonic()) > 0
+        ):
+            try:
+                async with asyncio.timeout(left_s):
+                    await self.store.changed.wait()
+            except TimeoutError:
+                break
+            if self.store.era != era:
+                raise SourceError("the store was restored")
+        return self._make_page(after_revision)
+
+    def make_item(self, key, content, revision):
+        value = decode(self.table, key, content)
+        return Item(key=key, value=value, revision=revision, content=content)
+
+    async def _call(self):
+        self.store.calls += 1
+        await asyncio.sleep(0.001)
+        if self.store.is_down or self.caller in self.store.turned_away:
+            raise SourceError("the store does not answer")
+
+    def _find(self, after_revision):
+        rows = self.store.rows[self.table]
+        return [
+            (key, revision, content)
+            for key, (revision, content) in rows.items()
+            if revision > after_revision
+        ]
+
+    def _make_page(self, after_revision):
+        found = self._find(after_revision)
+        return Page(
+            items=tuple(
+                self.make_item(key, content, revision)
+                for key, revision, content in found
+            ),
+            revision=self.store.revision,
+            store_time_s=read_boot_clock_s() - STORE_CLOCK_OFFSET_S,
+            changed_revision=max((revision for _, revision, _ in found), default=0),
+            era=self.store.era,
+        )
+
+
+def decode(table, key, content):
+    if table == CONFIGURATION:
+        return SiteConfiguration(version=int(content.split()[0]))
+    return ListedUpstream(
+        name=key,
+        service="drafting",
+        address="127.0.0.1:1",
+        data_centre="north",
+        slots=4,
+        is_leaving=content == b"leaving",
+    )
+
+
+@dataclass(kw_only=True)
+class Member:
+    """One instance; ``tasks`` are its followers."""
+
+    name: str
+    relay: Relay
+    state: ForwardState
+    tasks: list = field(default_factory=list)
+
+    @property
+    def age_s(self):
+        return measure_age_s(self.state.freshness, read_boot_clock_s())
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    """The instances; a share of their messages is lost."""
+
+    store: MemoryStore
+    members: dict[str, Member] = field(default_factory=dict)
+    loss_share: float = 0.0
+    cut_off: set = field(default_factory=set)
+    draws: random.Random = field(default_factory=lambda: random.Random(7))
+
+    def deliver(self, sender, receiver, news):
+        if {sender, receiver} & self.cut_off or receiver not in self.members:
+            return
+        if self.draws.random() < self.loss_share:
+            return
+        receive_news(self.members[receiver].relay, sender, news)
+
+
+@dataclass(kw_only=True)
+class FleetEndpoint:
+    """Encodes each message, and delivers it by the event loop."""
+
+    fleet: Fleet
+    own_address: str
+    next_id: int = 0
+
+    def send(self, news, addresses):
+        datagrams = split_news(news, self.next_id)
+        if datagrams is None:
+            return False
+        self.next_id += 1
+        reassembly = Reassembly()
+        for datagram in datagrams:
+            content = join_datagram(reassembly, self.own_address, datagram, 0.0)
+        for address in addresses:
+            asyncio.get_running_loop().call_soon(
+                self.fleet.deliver, self.own_address, address, decode_news(content)
+            )
+        return True
+
+
+def start_member(fleet, number):
+    address = Address(host=f"10.0.0.{number}", port=7000)
+    settings = ForwarderSettings(
+        name=f"instance-{number}",
+        data_centre="north",
+        callers=address,
+        readiness=address,
+        store=address,
+        neighbours=address,
+        max_key_age_s=MAX_KEY_AGE_S,
+        max_change_delay_s=4.0,
+    )
+    state = ForwardState()
+    observer = ForwardObserver(
+        metrics=make_metrics(), read_configuration_status=lambda: None
+    )
+    instance = SimpleNamespace(settings=settings, state=state, observer=observer)
+    relay = make_relay(instance)
+    relay.endpoint = FleetEndpoint(fleet=fleet, own_address=address.text)
+    relay.is_registering = False
+    relay.neighbours.is_registered = True
+    member = Member(name=address.text, relay=relay, state=state)
+    _follow(fleet, member)
+    for other in fleet.members.values():
+        other.relay.neighbours.add(address.text)
+        relay.neighbours.add(other.name)
+    fleet.members[address.text] = member
+    return member
+
+
+def _follow(fleet, member):
+    for kind, table, progress, apply in (
+        (
+            NewsKind.CONFIGURATION,
+            CONFIGURATION,
+            member.state.configuration_progress,
+            apply_configuration,
+        ),
+        (
+            NewsKind.UPSTREAMS,
+            UPSTREAMS,
+            member.state.listing_progress,
+            apply_upstreams,
+        ),
+    ):
+        source = MemorySource(store=fleet.store, table=table, caller=member.name)
+        add_followed_source(
+            member.relay,
+            kind,
+            source,
+            progress,
+            lambda update, apply=apply: apply(member.state, update),
+        )
+        member.tasks.append(asyncio.create_task(_run(member, kind)))
+
+
+async def _run(member, kind):
+    relay = member.relay
+    followed = relay.followed[kind]
+
+    def apply(update):
+        followed.apply(update)
+        share_page(relay, kind, update)
+
+    await follow_source(
+        followed.progress,
+        followed.source,
+        apply,
+        lambda: choose_wait_s(relay, kind),
+        choose_pause_s=lambda failures: choose_pause_s(
+            relay, failures, time.monotonic()
+        ),
+        wait_for_turn=lambda: wait_for_turn(relay, kind),
+        report_failure=lambda: report_outage(relay),
+    )
+
+
+def stop_member(fleet, name):
+    member = fleet.members.pop(name)
+    for task in member.tasks:
+        task.cancel()
+
+
+def find_readers(fleet):
+    return [
+        name for name, member in fleet.members.items() if member.relay.role.is_reader
+    ]
--- /dev/null
+++ b/features/neighbours/relay.feature
@@ -0,0 +1,95 @@
+Feature: One instance of a data centre reads the store for its neighbours
+
+  Each instance of a large site that follows the store by itself costs the store one
+  call for each instance, table and wait, although all of them read the same pages.
+
+  Scenario: A fleet at rest calls the store as often as one instance
+    Given 40 instances that have read the store
+    When 3 s pass
+    Then the store was called at most 30 times in that time
+    And exactly 1 instance is the reader
+    And no configuration is older than 1.2 s
+
+  Scenario: A change reaches all instances by one call
+    Given 40 instances that have read the store
+    When 2 s pass
+    And the configuration 2 is written
+    And the upstream "a" is leaving
+    And 0.3 s pass
+    Then all instances have the configuration 2
+    And no instance uses the upstream "a"
+    And the store was called at most 10 times in that time
+
+  Scenario: A configuration that is too large for a message is read from the store
+    Given 20 instances that have read the store
+    When 2 s pass
+    And the configuration 2 of 200000 bytes is written
+    And 0.8 s pass
+    Then all instances have the configuration 2
+
+  Scenario: Another instance takes over when the reader is gone
+    Given 20 instances that have read the store
+    When 2 s pass
+    And the reader is killed
+    And the upstream "a" is leaving
+    And 1.2 s pass
+    Then no instance uses the upstream "a"
+    And no configuration is older than 1.2 s
+
+  Scenario: Another instance takes over when the store turns the reader away
+    Given 20 instances that have read the store
+    When 2 s pass
+    And the store turns the reader away
+    And the configuration 2 is written
+    And 1.5 s pass
+    Then all instances have the configuration 2
+    And no configuration is older than 1.2 s
+    And exactly 1 instance is the reader
+
+  Scenario: An instance that is cut off from its neighbours reads the store itself
+    Given 10 instances that have read the store
+    When 2 s pass
+    And one instance is cut off from its neighbours
+    And the configuration 2 is written
+    And 1.2 s pass
+    Then all instances have the configuration 2
+    And no configuration is older than 1.2 s
+
+  Scenario: Lost messages are made up for
+    Given 20 instances that have read the store
+    And 30 of 100 messages are lost
+    When 2 s pass
+    And the configuration 2 is written
+    And the upstream "a" is leaving
+    And 1.5 s pass
+    Then all instances have the configuration 2
+    And no instance uses the upstream "a"
+
+  Scenario: During an outage of the store most instances call it rarely
+    Given 40 instances that have read the store
+    When 2 s pass
+    And the store is down
+    And 6 s pass
+    Then the store was called at most 260 times in that time
+
+  Scenario: The end of an outage is noticed by all at once
+    Given 40 instances that have read the store
+    When 2 s pass
+    And the store is down
+    And 6 s pass
+    And the store is back
+    And 1 s pass
+    Then no configuration is older than 1.2 s
+
+  Scenario: All instances read the store again after it was restored from a copy
+    Given 20 instances that have read the store
+    When 2 s pass
+    And a copy of the rows is made
+    And the configuration 2 is written
+    And 0.3 s pass
+    And the copy of the rows is restored
+    And the upstream "a" is leaving
+    And 2 s pass
+    Then all instances have the configuration 2
+    And no instance uses the upstream "a"
+    And all instances know the new era
--- a/features/platform/list.feature
+++ b/features/platform/list.feature
@@ -48,6 +48,13 @@
     And the first upstream received 0 requests
     And the program logged "upstream-list-stalled"
 
+  Scenario: A change of the configuration does not interrupt the list's change feed
+    Given a site whose upstream answers correctly
+    When 1.5 s pass
+    And the configuration is written again
+    And 2 s pass
+    Then the program did not log "upstream-list-stalled"
+
   Scenario: An error of the event loop counts as a failed call to the store
     Given a client of the store whose connections fail with "RuntimeError"
     Then reading the list fails with a source error
--- a/features/platform/steps/process_steps.py
+++ b/features/platform/steps/process_steps.py
@@ -118,3 +118,8 @@
 @then('the program logged "{event}"')
 def check_event(context, event):
     assert read_events(context.site, event), read_log(context.site)
+
+
+@then('the program did not log "{event}"')
+def check_no_event(context, event):
+    assert not read_events(context.site, event), read_log(context.site)
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -16,6 +16,7 @@
     read_boot_clock_s,
 )
 from jujubenotch.listeners import Listener
+from jujubenotch.neighbours import Registry
 from jujubenotch.settings import Address, ForwarderSettings
 
 
@@ -25,6 +26,7 @@
 
     :param configuration: The source of the configuration.
     :param upstreams: The source of the list of upstreams.
+    :param registry: Makes the instances of a data centre known to each other.
     :param protocol: The protocol of the upstreams.
     :param decode_request: Decodes the method, target and headers of a caller's
         request.
@@ -34,6 +36,7 @@
 
     configuration: Source
     upstreams: Source
+    registry: Registry
     protocol: UpstreamProtocol
     decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
     set_store_address: Callable[[Address], None]
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -17,6 +17,7 @@
     apply_items,
     build_index,
     drop_expired,
+    record_relayed_page,
     record_store_response,
     was_recently_unavailable,
 )
@@ -102,14 +103,27 @@
             )
             continue
         _put_in_force(state, item.value, update)
+    _record_freshness(state.freshness, update)
+    _set_loaded_when_complete(state)
+
+
+def _record_freshness(freshness, update):
+    page = update.page
+    if update.is_relayed:
+        record_relayed_page(
+            freshness,
+            received_s=update.received_s,
+            store_s=page.store_time_s,
+            era=page.era,
+        )
+        return
     record_store_response(
-        state.freshness,
+        freshness,
         sent_s=update.sent_s,
         received_s=update.received_s,
-        store_s=update.page.store_time_s,
-        era=update.page.era,
+        store_s=page.store_time_s,
+        era=page.era,
     )
-    _set_loaded_when_complete(state)
 
 
 def find_unattributed_revision(update: SourceUpdate) -> int:
@@ -123,6 +137,8 @@
     :returns: The revision; 0 when the items account for all revisions.
     """
     page = update.page
+    if update.after_revision is not None and page.revision <= update.after_revision:
+        return 0
     if page.revision > page.changed_revision:
         return page.revision
     first = page.revision - len(page.items)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -14,6 +14,16 @@
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
+from jujubenotch.daemon.forward_relay import (
+    add_followed_source,
+    choose_pause_s,
+    choose_wait_s,
+    make_relay,
+    report_outage,
+    run_relay,
+    share_page,
+    wait_for_turn,
+)
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
@@ -31,8 +41,8 @@
 )
 from jujubenotch.forwarding import (
     DirectCapacity,
-    choose_change_wait_s,
     choose_list_delay_s,
+    double_pause_s,
     follow_source,
     interrupt_call,
     measure_age_s,
@@ -43,6 +53,7 @@
 )
 from jujubenotch.logs import configure_logging, log_event, open_bounded_output
 from jujubenotch.metrics import make_metrics
+from jujubenotch.neighbours import NewsKind
 from jujubenotch.records import Limits
 from jujubenotch.settings import ForwarderSettings
 from jujubenotch.upstreams import (
@@ -204,7 +215,10 @@
 
 
 def _start_followers(instance, components):
+    relay = make_relay(instance)
     state = instance.state
+    capacity = instance.dispatcher.capacity
+    loop = asyncio.get_running_loop()
 
     def apply_and_compare(update):
         apply_configuration(state, update)
@@ -213,32 +227,56 @@
         if is_list_behind(state):
             loop.call_later(CHANGE_DELIVERY_S, _end_stalled_list_call, state)
 
-    loop = asyncio.get_running_loop()
-    capacity = instance.dispatcher.capacity
-
-    def choose_wait_s():
-        max_age_s = instance.settings.max_key_age_s
-        return choose_change_wait_s(max_age_s, len(state.listing.upstreams))
-
+    configuration = add_followed_source(
+        relay,
+        NewsKind.CONFIGURATION,
+        components.configuration,
+        state.configuration_progress,
+        apply_and_compare,
+    )
+    upstreams = add_followed_source(
+        relay,
+        NewsKind.UPSTREAMS,
+        components.upstreams,
+        state.listing_progress,
+        lambda update: capacity.forget(apply_upstreams(state, update)),
+    )
     followers = (
         follow_source(
-            state.configuration_progress,
-            components.configuration,
-            apply_and_compare,
-            choose_wait_s,
+            configuration.progress,
+            configuration.source,
+            _apply_and_share(relay, NewsKind.CONFIGURATION),
+            lambda: choose_wait_s(relay, NewsKind.CONFIGURATION),
+            choose_pause_s=lambda failures: choose_pause_s(
+                relay, failures, loop.time()
+            ),
+            wait_for_turn=lambda: wait_for_turn(relay, NewsKind.CONFIGURATION),
+            report_failure=lambda: report_outage(relay),
         ),
         follow_source(
-            state.listing_progress,
-            components.upstreams,
-            lambda update: capacity.forget(apply_upstreams(state, update)),
-            choose_delay_s=lambda: choose_list_delay_s(len(state.listing.upstreams)),
-            max_pause_s=LIST_MAX_PAUSE_S,
+            upstreams.progress,
+            upstreams.source,
+            _apply_and_share(relay, NewsKind.UPSTREAMS),
+            lambda: choose_wait_s(relay, NewsKind.UPSTREAMS),
+            choose_delay_s=lambda: choose_list_delay_s(
+                0 if relay.is_active else len(state.listing.upstreams)
+            ),
+            choose_pause_s=lambda failures: double_pause_s(failures, LIST_MAX_PAUSE_S),
+            wait_for_turn=lambda: wait_for_turn(relay, NewsKind.UPSTREAMS),
         ),
     )
-    for coroutine in followers:
+    for coroutine in (*followers, run_relay(relay, components)):
         _start_background_task(instance, coroutine)
 
 
+def _apply_and_share(relay, kind):
+    def apply(update):
+        relay.followed[kind].apply(update)
+        share_page(relay, kind, update)
+
+    return apply
+
+
 def _start_background_task(instance, coroutine):
     task = asyncio.create_task(coroutine)
     task.add_done_callback(_exit_on_failure)
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -21,14 +21,17 @@
     SourceUpdate,
     choose_change_wait_s,
     choose_list_delay_s,
+    double_pause_s,
     follow_source,
     interrupt_call,
     read_boot_clock_s,
+    record_update,
     was_recently_unavailable,
 )
 from jujubenotch.forwarding.freshness import (
     Freshness,
     measure_age_s,
+    record_relayed_page,
     record_store_response,
 )
 from jujubenotch.forwarding.listing import (
@@ -101,6 +104,7 @@
     "choose_prefix_key",
     "choose_service",
     "choose_upstream",
+    "double_pause_s",
     "drop_expired",
     "find_route",
     "find_usable",
@@ -111,6 +115,8 @@
     "rank_priorities",
     "read_boot_clock_s",
     "record_group_load",
+    "record_relayed_page",
     "record_store_response",
+    "record_update",
     "was_recently_unavailable",
 ]
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -6,7 +6,7 @@
 import logging
 import random
 import time
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Generic
 
@@ -53,6 +53,8 @@
     :param follows_outage: Whether the calls just before this one failed.
     :param starts_era: Whether the page is the first one since the store was
         restored from a copy.
+    :param is_relayed: Whether another instance read the page; ``sent_s`` is then
+        the time of its arrival.
     """
 
     page: Page[Value]
@@ -61,6 +63,7 @@
     after_revision: int | None
     follows_outage: bool
     starts_era: bool = False
+    is_relayed: bool = False
 
     @property
     def is_snapshot(self) -> bool:
@@ -157,13 +160,19 @@
     return recovered_s is not None and now_s - recovered_s < within_s
 
 
+async def _start_at_once():
+    """Let the next call start without a delay."""
+
+
 async def follow_source(
     progress: FollowProgress,
     source: Source[Value],
     apply_update: Callable[[SourceUpdate[Value]], None],
     choose_wait_s: Callable[[], float] = lambda: MAX_CHANGE_WAIT_S,
     choose_delay_s: Callable[[], float] = lambda: 0.0,
-    max_pause_s: float = MAX_PAUSE_S,
+    choose_pause_s: Callable[[int], float] = lambda failures: double_pause_s(failures),
+    wait_for_turn: Callable[[], Awaitable[None]] = _start_at_once,
+    report_failure: Callable[[], None] = lambda: None,
 ) -> None:
     """Follow a source until the task is cancelled.
 
@@ -173,10 +182,13 @@
     :param choose_wait_s: Returns how long a call waits for changes, in seconds.
     :param choose_delay_s: Returns the delay between a page with items and the
         next call, in seconds, so that one call reads several changes.
-    :param max_pause_s: The longest pause after a failed call, in seconds, without
-        the random variation.
+    :param choose_pause_s: Returns the pause after a number of consecutive failed
+        calls, in seconds, without the random variation.
+    :param wait_for_turn: Returns when this instance has to call the store.
+    :param report_failure: Called after each failed call.
     """
     while True:
+        await wait_for_turn()
         try:
             update = await _read_update(progress, source, choose_wait_s())
         except HistoryLostError:
@@ -188,16 +200,20 @@
             # After the first loss the next call follows immediately. A store that
             # answers every call like this must not be called without a pause.
             if progress.history_losses > 1:
-                await _pause(progress, progress.history_losses - 1, max_pause_s)
+                losses = progress.history_losses
+                await _pause(progress, choose_pause_s(losses - 1))
             continue
         except EraChangedError:
             progress.revision = None
             continue
         except (SourceError, TimeoutError) as error:
             _note_failure(progress, error)
-            await _pause(progress, progress.failures, max_pause_s)
+            report_failure()
+            await _pause(progress, choose_pause_s(progress.failures))
+            continue
+        if _is_outdated(progress, update):
             continue
-        _note_answer(progress, update)
+        record_update(progress, update)
         apply_update(update)
         if update.page.items:
             await asyncio.sleep(choose_delay_s())
@@ -263,7 +279,19 @@
         timeout.reschedule(end_s)
 
 
-def _note_answer(progress, update):
+def _is_outdated(progress, update):
+    """Return whether a relayed page arrived during the call that was newer."""
+    if progress.revision is None or update.page.era != progress.era:
+        return False
+    return update.page.revision < progress.revision
+
+
+def record_update(progress: FollowProgress, update: SourceUpdate) -> None:
+    """Record that a page was read, by this instance or by another one.
+
+    :param progress: The progress; changed in place.
+    :param update: The page.
+    """
     progress.revision = update.page.revision
     progress.era = update.page.era
     if not update.is_snapshot:
@@ -296,8 +324,18 @@
     )
 
 
-async def _pause(progress, failures, max_pause_s):
-    pause_s = min(max_pause_s, FIRST_PAUSE_S * 2 ** min(failures - 1, MAX_DOUBLINGS))
+def double_pause_s(failures: int, max_pause_s: float = MAX_PAUSE_S) -> float:
+    """Return a pause that doubles with each failure.
+
+    :param failures: The number of consecutive failures; at least 1.
+    :param max_pause_s: The longest pause, in seconds.
+    :returns: The pause in seconds.
+    """
+    doublings = min(failures - 1, MAX_DOUBLINGS)
+    return min(max_pause_s, FIRST_PAUSE_S * 2**doublings)
+
+
+async def _pause(progress, pause_s):
     pause_s *= random.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER)
     progress.retry_requested.clear()
     with contextlib.suppress(TimeoutError):
--- a/jujubenotch/forwarding/freshness.py
+++ b/jujubenotch/forwarding/freshness.py
@@ -6,6 +6,9 @@
 
 from dataclasses import dataclass
 
+# The largest difference in speed between this instance's clock and the store's.
+MAX_CLOCK_DRIFT = 200e-6
+
 
 @dataclass(kw_only=True)
 class Freshness:
@@ -17,6 +20,8 @@
     :param confirmed_s: The latest time at which the configuration is known to have
         been up to date, by this instance's clock, in seconds; ``None`` before
         the first answer.
+    :param offset_since_s: When the offset was last confirmed, by this instance's
+        clock, in seconds.
     :param era: The era of the store in its last answer.
 
     >>> freshness = Freshness()
@@ -26,6 +31,7 @@
     """
 
     offset_s: float | None = None
+    offset_since_s: float = 0.0
     store_s: float = 0.0
     confirmed_s: float | None = None
     era: int = 0
@@ -52,12 +58,43 @@
     has_restarted = store_s < freshness.store_s or era != freshness.era
     if freshness.offset_s is None or has_restarted:
         freshness.offset_s = lowest_offset_s
-    freshness.offset_s = max(freshness.offset_s, lowest_offset_s)
-    freshness.store_s = store_s
+        freshness.offset_since_s = received_s
+    known_offset_s = _find_offset_s(freshness, received_s)
+    freshness.offset_s = max(known_offset_s, lowest_offset_s)
+    freshness.offset_since_s = received_s
     freshness.era = era
+    _confirm(freshness, received_s, store_s)
+
+
+def record_relayed_page(
+    freshness: Freshness, *, received_s: float, store_s: float, era: int
+) -> None:
+    """Record a page that another instance read and that arrived from there.
+
+    :param freshness: The configuration's freshness; changed in place.
+    :param received_s: When the page arrived, by this instance's clock, in seconds.
+    :param store_s: The store's clock when it answered the other instance, in seconds.
+    :param era: The era of the store; the page is ignored unless this instance has
+        had an answer of the same era, as it can't place the store's time otherwise.
+    """
+    if freshness.offset_s is None or era != freshness.era:
+        return
+    if store_s > freshness.store_s:
+        _confirm(freshness, received_s, store_s)
+
+
+def _find_offset_s(freshness, now_s):
+    """Return a lower bound on the present offset; the clocks may drift apart."""
+    passed_s = max(0.0, now_s - freshness.offset_since_s)
+    return freshness.offset_s - MAX_CLOCK_DRIFT * passed_s
+
+
+def _confirm(freshness, received_s, store_s):
+    freshness.store_s = store_s
+    offset_s = _find_offset_s(freshness, received_s)
     # If the store's clock runs fast, the sum can lie after the arrival of the
     # response, which contains no later changes.
-    confirmed_s = min(received_s, store_s + freshness.offset_s)
+    confirmed_s = min(received_s, store_s + offset_s)
     if freshness.confirmed_s is None or confirmed_s > freshness.confirmed_s:
         freshness.confirmed_s = confirmed_s
 
--- a/jujubenotch/forwarding/source.py
+++ b/jujubenotch/forwarding/source.py
@@ -16,12 +16,14 @@
     :param is_removed: Whether the item was removed.
     :param revision: The revision of the store at which the item was written; 0
         for a removed item.
+    :param content: The value as the store holds it.
     """
 
     key: str
     value: Value | None
     is_removed: bool = False
     revision: int = 0
+    content: bytes = b""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -51,6 +53,9 @@
     response. They call ``note_progress`` for each part of a response that arrives.
     """
 
+    def make_item(self, key: str, content: bytes, revision: int) -> Item[Value]:
+        """Decode an item that another instance has read."""
+
     async def read_all(self, note_progress: Callable[[], None]) -> Page[Value]:
         """Read all items."""
 
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -57,6 +57,7 @@
     configuration_rejections: Counter
     authentication_failures: Counter
     refused_connections: Counter
+    neighbour_messages: Counter
     first_token: Histogram
     between_tokens: Histogram
     queued: Gauge
@@ -100,6 +101,7 @@
         "configuration_rejections": "Changes of the records rejected, by reason",
         "authentication_failures": "Wrong or missing keys, by listener",
         "refused_connections": "Connections over a listener's bound, by listener",
+        "neighbour_messages": "Messages of neighbour instances, by kind and result",
     }
     return {
         name: Counter(f"jujubenotch_{name}_total", help_text, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -152,3 +152,13 @@
     :param requests: The number of requests.
     """
     metrics.requests_in_progress.set({}, requests)
+
+
+def count_neighbour_message(metrics: Metrics, kind: str, result: str) -> None:
+    """Count a message of the instances of a data centre to each other.
+
+    :param metrics: The metrics.
+    :param kind: What the message is about.
+    :param result: ``sent``, ``received`` or ``missed``.
+    """
+    metrics.neighbour_messages.inc({"kind": str(kind), "result": result})
--- /dev/null
+++ b/jujubenotch/neighbours/codec.py
@@ -0,0 +1,171 @@
+"""Encodes messages to neighbours as datagrams, and joins the datagrams again."""
+
+import base64
+import struct
+import zlib
+from dataclasses import asdict, dataclass, field
+from typing import Annotated
+
+import orjson
+from pydantic import BaseModel, ConfigDict, Field, ValidationError
+
+from jujubenotch.neighbours.model import News, NewsItem, NewsKind
+
+# The magic bytes change with the format.
+MAGIC = b"J1"
+HEADER = struct.Struct("!2sQBB")
+# Fits into one packet of a network with an MTU of 1,280 bytes.
+MAX_PART_BYTES = 1100
+# A reader sends each message to all neighbours, so the size is limited by what its
+# link can send in a fraction of a second.
+MAX_PARTS = 6
+MAX_NEWS_BYTES = 1 << 20
+PART_LIFETIME_S = 2.0
+MAX_PARTIAL_MESSAGES = 64
+
+Number = Annotated[int, Field(ge=0)]
+
+
+class NewsError(Exception):
+    """A datagram is not a valid part of a message."""
+
+
+class _ItemDocument(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    key: str
+    content: str = ""
+    is_removed: bool = False
+    revision: Number = 0
+
+
+class _NewsDocument(BaseModel):
+    """A message; fields that a later release adds are ignored."""
+
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    kind: str
+    era: Number = 0
+    after_revision: Number = 0
+    revision: Number = 0
+    changed_revision: Number = 0
+    store_time_s: float = 0.0
+    list_revision: Number = 0
+    follows_outage: bool = False
+    is_complete: bool = True
+    items: list[_ItemDocument] = []
+
+
+@dataclass(kw_only=True)
+class _PartialMessage:
+    received_s: float
+    parts: dict[int, bytes] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class Reassembly:
+    """The messages of which only some datagrams have arrived."""
+
+    messages: dict[tuple[str, int], _PartialMessage] = field(default_factory=dict)
+
+
+def split_news(news: News, message_id: int) -> list[bytes] | None:
+    """Encode a message as datagrams.
+
+    :param news: The message.
+    :param message_id: A number below 2**64 that this sender has not used recently.
+    :returns: The datagrams; ``None`` when the message is too large.
+    """
+    document = asdict(news)
+    for item in document["items"]:
+        item["content"] = base64.b64encode(item["content"]).decode()
+    content = zlib.compress(orjson.dumps(document))
+    starts = range(0, len(content), MAX_PART_BYTES)
+    if len(starts) > MAX_PARTS:
+        return None
+    return [
+        HEADER.pack(MAGIC, message_id, number, len(starts))
+        + content[start : start + MAX_PART_BYTES]
+        for number, start in enumerate(starts)
+    ]
+
+
+def join_datagram(
+    reassembly: Reassembly, sender: str, datagram: bytes, now_s: float
+) -> bytes | None:
+    """Add a datagram to its message.
+
+    :param reassembly: The incomplete messages; changed in place.
+    :param sender: The address of the sender.
+    :param datagram: The datagram.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The content of the message when it is complete, else ``None``.
+    :raises NewsError: The datagram has no valid header.
+    """
+    message_id, number, count = _read_header(datagram)
+    part = datagram[HEADER.size :]
+    if count == 1:
+        return part
+    _drop_old(reassembly, now_s)
+    key = (sender, message_id)
+    partial = reassembly.messages.setdefault(key, _PartialMessage(received_s=now_s))
+    partial.parts[number] = part
+    if len(partial.parts) < count:
+        return None
+    del reassembly.messages[key]
+    return b"".join(partial.parts[number] for number in sorted(partial.parts))
+
+
+def decode_news(content: bytes) -> News:
+    """Decode the content of a message.
+
+    :param content: The joined datagrams.
+    :returns: The message.
+    :raises NewsError: The content is not a message of a known kind.
+    """
+    try:
+        document = _NewsDocument.model_validate(orjson.loads(_decompress(content)))
+        return News(
+            **document.model_dump(exclude={"kind", "items"}),
+            kind=NewsKind(document.kind),
+            items=tuple(_decode_item(item) for item in document.items),
+        )
+    except (ValidationError, ValueError, zlib.error) as error:
+        raise NewsError(f"the message is invalid: {error}") from error
+
+
+def _read_header(datagram):
+    if len(datagram) < HEADER.size:
+        raise NewsError(f"a datagram of {len(datagram)} bytes has no header")
+    magic, message_id, number, count = HEADER.unpack_from(datagram)
+    if magic != MAGIC:
+        raise NewsError(f"a datagram begins with {magic!r} instead of {MAGIC!r}")
+    if not number < count <= MAX_PARTS:
+        raise NewsError(f"a datagram is part {number} of {count}")
+    return message_id, number, count
+
+
+def _drop_old(reassembly, now_s):
+    messages = reassembly.messages
+    for key, partial in list(messages.items()):
+        if now_s - partial.received_s > PART_LIFETIME_S:
+            del messages[key]
+    while len(messages) >= MAX_PARTIAL_MESSAGES:
+        del messages[next(iter(messages))]
+
+
+def _decompress(content):
+    decompressor = zlib.decompressobj()
+    text = decompressor.decompress(content, MAX_NEWS_BYTES)
+    if not decompressor.eof:
+        raise ValueError(f"it is cut off or larger than {MAX_NEWS_BYTES} bytes")
+    return text
+
+
+def _decode_item(document):
+    return NewsItem(
+        key=document.key,
+        content=base64.b64decode(document.content, validate=True),
+        is_removed=document.is_removed,
+        revision=document.revision,
+    )
--- /dev/null
+++ b/jujubenotch/neighbours/model.py
@@ -0,0 +1,98 @@
+"""Data model of the messages between the instances of one data centre."""
+
+from dataclasses import dataclass, field
+from enum import StrEnum
+from typing import Protocol
+
+# Bounds the datagrams that one page causes, whatever the registry contains.
+MAX_NEIGHBOURS = 512
+
+
+class NewsKind(StrEnum):
+    """What a message is about."""
+
+    HELLO = "hello"
+    CONFIGURATION = "configuration"
+    UPSTREAMS = "upstreams"
+    OUTAGE = "outage"
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class NewsItem:
+    """One item of a page, with its value as the store holds it."""
+
+    key: str
+    content: bytes = b""
+    is_removed: bool = False
+    revision: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class News:
+    """A message of an instance to its neighbours.
+
+    The fields after ``kind`` describe a page that the sender read; a greeting and
+    the report of an outage have none.
+
+    :param era: The era of the store.
+    :param after_revision: The revision after which the page's changes begin.
+    :param revision: The newest revision of the store in the page.
+    :param changed_revision: The newest revision of the items.
+    :param store_time_s: The store's clock when it answered, in seconds.
+    :param list_revision: The revision up to which the sender knows the list of
+        upstreams.
+    :param follows_outage: Whether the sender's calls before this page failed.
+    :param is_complete: Whether ``items`` holds all changes; a page that is too large
+        for a message is announced without its items.
+    """
+
+    kind: NewsKind
+    era: int = 0
+    after_revision: int = 0
+    revision: int = 0
+    changed_revision: int = 0
+    store_time_s: float = 0.0
+    list_revision: int = 0
+    follows_outage: bool = False
+    is_complete: bool = True
+    items: tuple[NewsItem, ...] = ()
+
+
+@dataclass(kw_only=True)
+class Neighbours:
+    """The other instances of the data centre, by the address of their endpoint.
+
+    :param own_address: The address of this instance's endpoint.
+    :param is_registered: Whether the others can find this instance.
+
+    >>> Neighbours(own_address="127.0.0.1:1").addresses
+    set()
+    """
+
+    own_address: str
+    addresses: set[str] = field(default_factory=set)
+    is_registered: bool = False
+
+    def add(self, address: str) -> None:
+        """Add a neighbour, unless it is this instance or there are too many.
+
+        :param address: The address of its endpoint.
+        """
+        if address != self.own_address and len(self.addresses) < MAX_NEIGHBOURS:
+            self.addresses.add(address)
+
+
+class Registry(Protocol):
+    """Makes the instances of a data centre known to each other."""
+
+    async def list_instances(self, data_centre: str) -> set[str]:
+        """Return the addresses of all registered endpoints of a data centre.
+
+        :raises SourceError: The store did not return a valid response.
+        """
+
+    async def add_instance(self, data_centre: str, address: str) -> None:
+        """Register an endpoint.
+
+        :raises SourceError: The store did not confirm the registration.
+        """
--- /dev/null
+++ b/jujubenotch/platform/registry.py
@@ -0,0 +1,73 @@
+"""Registers the instances of a data centre in the platform's store."""
+
+from dataclasses import dataclass
+
+import aiohttp
+import orjson
+
+from jujubenotch.forwarding import SourceError
+from jujubenotch.platform.store import OK, RowsDocument, StoreClient
+
+INSTANCE_TABLE = "instances"
+CALL_TIMEOUT_S = 2.0
+# The row's key is all that is read; a row can't be empty.
+ROW_VALUE = "e30="
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreRegistry:
+    """The rows of the running instances: one part for each data centre.
+
+    :param client: The client of the store.
+    """
+
+    client: StoreClient
+
+    async def list_instances(self, data_centre: str) -> set[str]:
+        """Return the addresses of all registered endpoints of a data centre.
+
+        :param data_centre: The data centre.
+        :returns: The addresses as ``host:port``.
+        :raises SourceError: The store did not return a valid response.
+        """
+        parameters = {"table": INSTANCE_TABLE, "part": data_centre}
+        content = await self._call("GET", "/v1/rows-get", params=parameters)
+        try:
+            document = RowsDocument.model_validate(orjson.loads(content))
+        except ValueError as error:
+            raise SourceError(f"the list of instances is invalid: {error}") from error
+        return {row.key for row in document.rows if _is_address(row.key)}
+
+    async def add_instance(self, data_centre: str, address: str) -> None:
+        """Register an endpoint.
+
+        :param data_centre: The data centre.
+        :param address: The address as ``host:port``.
+        :raises SourceError: The store did not confirm the registration.
+        """
+        row = {"table": INSTANCE_TABLE, "part": data_centre, "key": address}
+        body = {
+            "expected-rev": [],
+            "writes": [{**row, "value": ROW_VALUE}],
+            "remove": [],
+        }
+        await self._call("POST", "/v1/rows-tx", json=body)
+
+    async def _call(self, method, path, **arguments):
+        url = f"http://{self.client.address.text}{path}"
+        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+        try:
+            async with self.client.session.request(
+                method, url, timeout=timeout, **arguments
+            ) as answer:
+                content = await answer.read()
+        except (aiohttp.ClientError, OSError, RuntimeError, TimeoutError) as error:
+            raise SourceError(f"the store did not answer {path}: {error!r}") from error
+        if answer.status != OK:
+            raise SourceError(f"{path}: the store answered with status {answer.status}")
+        return content
+
+
+def _is_address(text):
+    host, _, port = text.rpartition(":")
+    return bool(host) and port.isdigit()
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -12,6 +12,7 @@
 FILE_VARIABLE = "JUJUBENOTCH_NODE_FILE"
 DEFAULT_FILE = "/etc/jujubenotch/settings.conf"
 METRICS_PORT = 9464
+DEFAULT_CHANGE_DELAY_MS = 2000.0
 
 
 def find_settings_file() -> str:
@@ -70,10 +71,20 @@
         store=_read_address(fields, "platform.address"),
         max_key_age_s=_read_key_age_s(fields),
         grace_s=_read_number(fields, "bounds.grace-s", 8.0),
+        neighbours=_read_neighbour_address(fields, callers.host),
+        max_change_delay_s=min(
+            _read_number(fields, f"bounds.{name}", DEFAULT_CHANGE_DELAY_MS) / MS_PER_S
+            for name in ("config-ms", "drain-ms")
+        ),
         retry_ratio=_read_number(fields, "bounds.retry-ratio", 0.1),
     )
 
 
+def _read_neighbour_address(fields, host):
+    first_port = fields.get("port-range", "").partition(",")[0]
+    return Address(host=host, port=int(first_port)) if first_port.isdigit() else None
+
+
 def _read_key_age_s(fields):
     if fields.get("bounds.fail-closed") != "true":
         return 0.0
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -184,14 +184,22 @@
     def _make_item(self, row):
         if row.deleted:
             return Item(key=row.key, value=None, is_removed=True)
-        return Item(key=row.key, value=self._decode_value(row), revision=row.revision)
-
-    def _decode_value(self, row):
         try:
             content = base64.b64decode(row.value, validate=True)
         except binascii.Error:
-            return None
-        return self.decode(row.key, content)
+            return Item(key=row.key, value=None, revision=row.revision)
+        return self.make_item(row.key, content, row.revision)
+
+    def make_item(self, key: str, content: bytes, revision: int) -> Item:
+        """Decode a row's value.
+
+        :param key: The row's key.
+        :param content: The row's value.
+        :param revision: The revision at which the row was written.
+        :returns: The item; its value is ``None`` when the row's value is invalid.
+        """
+        value = self.decode(key, content)
+        return Item(key=key, value=value, revision=revision, content=content)
 
 
 def open_store(address: Address) -> StoreClient:
--- a/jujubenotch/settings/forwarder.py
+++ b/jujubenotch/settings/forwarder.py
@@ -34,6 +34,10 @@
         accepts requests.
     :param metrics: The address of the metrics listener; ``None`` disables it.
     :param store: The address of the platform's store.
+    :param neighbours: The address for datagrams of the other instances in the data
+        centre; ``None`` when this instance reads the store for itself.
+    :param max_change_delay_s: The time within which a change of the configuration
+        or of the list of upstreams must be in force, in seconds.
     :param max_key_age_s: The longest time that an API key may still be accepted
         after its removal, in seconds; 0 means no limit.
     :param grace_s: The longest time that a graceful shutdown may take, in seconds.
@@ -50,6 +54,8 @@
     readiness: Address
     metrics: Address | None = None
     store: Address
+    neighbours: Address | None = None
+    max_change_delay_s: PositiveFloat = 2.0
     max_key_age_s: float = Field(default=0.0, ge=0)
     grace_s: PositiveFloat = 8.0
     retry_ratio: float = Field(default=0.1, ge=0)
--- a/standins/store.py
+++ b/standins/store.py
@@ -28,6 +28,7 @@
     key: str
     value: bytes
     revision: int
+    part: str = ""
     is_deleted: bool = False
 
 
@@ -51,7 +52,7 @@
     1
     """
 
-    rows: dict[tuple[str, str], StoredRow] = field(default_factory=dict)
+    rows: dict[tuple[str, str, str], StoredRow] = field(default_factory=dict)
     revision: int = 0
     oldest_readable_revision: int = 0
     era: int = 0
@@ -97,7 +98,7 @@
 class StoreCopy:
     """The rows of the store at one revision."""
 
-    rows: dict[tuple[str, str], StoredRow]
+    rows: dict[tuple[str, str, str], StoredRow]
     revision: int
 
 
@@ -159,16 +160,20 @@
     async def serve_feed(request):
         return await _handle_request(state, request, _read_feed)
 
+    async def serve_transaction(request):
+        return await _handle_request(state, request, _run_transaction)
+
     app = web.Application()
     app.router.add_get("/v1/rows-get", serve_get)
     app.router.add_get("/v1/rows-feed", serve_feed)
+    app.router.add_post("/v1/rows-tx", serve_transaction)
     return app
 
 
 def _store_row(state, row):
     state.revision += 1
     row.revision = state.revision
-    state.rows[row.table, row.key] = row
+    state.rows[row.table, row.part, row.key] = row
     _wake_feeds(state)
 
 
@@ -183,7 +188,7 @@
         await asyncio.Event().wait()
     if state.fault == "unavailable":
         return web.Response(status=SERVICE_UNAVAILABLE)
-    response = await read(state, request.query)
+    response = await read(state, request)
     response.headers[ERA_HEADER] = str(state.era)
     if state.transfer_s:
         return await _send_slowly(request, response, state.transfer_s)
@@ -203,17 +208,30 @@
     return stream_response
 
 
-async def _read_rows(state, query):
+async def _run_transaction(state, request):
+    """Write the rows of a transaction that has no conditions."""
+    document = orjson.loads(await request.read())
+    for write in document["writes"]:
+        value = base64.b64decode(write["value"])
+        _store_row(state, StoredRow(**{**write, "value": value, "revision": 0}))
+    return _make_response(state, [])
+
+
+async def _read_rows(state, request):
+    query = request.query
     first_key = query.get("from", "")
     rows = [
         row
-        for (table, key), row in sorted(state.rows.items())
-        if table == query["table"] and key >= first_key and not row.is_deleted
+        for (table, part, key), row in sorted(state.rows.items())
+        if (table, part) == (query["table"], query.get("part", ""))
+        and key >= first_key
+        and not row.is_deleted
     ]
     return _make_response(state, rows)
 
 
-async def _read_feed(state, query):
+async def _read_feed(state, request):
+    query = request.query
     since_revision = int(query["since-rev"])
     if not state.oldest_readable_revision <= since_revision <= state.revision:
         return web.Response(status=GONE)
@@ -252,7 +270,7 @@
 def _find_changes(state, table, since_revision):
     rows = [
         row
-        for (row_table, _), row in state.rows.items()
+        for (row_table, _, _), row in state.rows.items()
         if row_table == table and row.revision > since_revision
     ]
     return sorted(rows, key=lambda row: row.revision)
