Limit the long prompts that wait for their first token

Cause: engines admit a long prompt at once and read it beside the others, so free slots told nothing of the queue of reading.

Short prompts keep as many upstreams as they fill to half. Nothing is fitted to a site: places, target and rate come from the deployment.

--- a/features/forwarding/division.feature
+++ b/features/forwarding/division.feature
@@ -30,3 +30,7 @@
   Scenario: A long queue of long prompts leaves upstreams for short prompts
     Given 20 upstreams and 900 long and 10 short requests for 10 s
     Then 5 upstreams are reserved for short prompts
+
+  Scenario: A queue of long prompts doesn't take the slots that short prompts need
+    Given 9 upstreams and 900 long and 120 short requests for 10 s
+    Then at least 5 upstreams are reserved for short prompts
--- a/features/forwarding/steps/division_steps.py
+++ b/features/forwarding/steps/division_steps.py
@@ -5,6 +5,7 @@
 from jujubenotch.forwarding import Division, choose_group, record_group_load
 
 STEP_S = 0.5
+SLOTS = 48
 
 
 @dataclass(kw_only=True)
@@ -35,7 +36,11 @@
 
 def find_group(simulation, *, is_long):
     return choose_group(
-        simulation.division, simulation.names, is_long=is_long, now_s=simulation.now_s
+        simulation.division,
+        simulation.names,
+        slots=SLOTS,
+        is_long=is_long,
+        now_s=simulation.now_s,
     )
 
 
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -167,12 +167,14 @@
         ),
     )
     loop = asyncio.get_running_loop()
+    capacity = DirectCapacity(
+        listing=state.listing,
+        read_clock_s=loop.time,
+        read_listing_clock_s=read_boot_clock_s,
+    )
     dispatcher = Dispatcher(
-        capacity=DirectCapacity(
-            listing=state.listing,
-            read_clock_s=loop.time,
-            read_listing_clock_s=read_boot_clock_s,
-        ),
+        capacity=capacity,
+        record_response_start=capacity.record_response_start,
         connections=open_connections(UPSTREAM_LIMITS),
         observer=observer,
         retry_budget=_make_retry_budget(lambda: instance.settings.retry_ratio),
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -82,7 +82,7 @@
     progress: Progress,
     attempt: Attempt,
     sink: Sink,
-    record_load: Callable[[LoadReport], None],
+    record_head: Callable[[LoadReport | None], None],
 ) -> None:
     """Send a call to an upstream and forward the response.
 
@@ -93,15 +93,14 @@
     :param progress: The call's progress; changed in place.
     :param attempt: The attempt; its end and measurements are set here.
     :param sink: Receives the events of a stream.
-    :param record_load: Called with the load that the response reports, if any.
+    :param record_head: Called when the head of the response arrives, with the load
+        that it reports, if any.
     :raises CallerDisconnectedError: The caller has disconnected.
     """
     request = make_upstream_request(protocol, upstream, call, progress)
     try:
         async with open_exchange(connections, request) as answer:
-            load = protocol.read_load(answer)
-            if load is not None:
-                record_load(load)
+            record_head(protocol.read_load(answer))
             receiver = _Receiver(
                 connections=connections,
                 protocol=protocol,
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -239,7 +239,7 @@
             attempt.end = AttemptResult.CONNECT_FAILED
         else:
             await _run_attempt_until_deadline(
-                dispatcher, upstream, call, progress, attempt, sink
+                dispatcher, grant, upstream, call, progress, attempt, sink
             )
     except BaseException:
         # The caller disconnected or the call was cancelled while the attempt
@@ -255,7 +255,7 @@
 
 
 async def _run_attempt_until_deadline(
-    dispatcher, upstream, call, progress, attempt, sink
+    dispatcher, grant, upstream, call, progress, attempt, sink
 ):
     try:
         async with asyncio.timeout_at(call.deadline_s):
@@ -267,9 +267,7 @@
                 progress,
                 attempt,
                 sink,
-                lambda load: dispatcher.capacity.record_load(
-                    upstream.name, load, read_clock_s()
-                ),
+                lambda load: _record_head(dispatcher, grant, load),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -278,6 +276,13 @@
         attempt.end = AttemptResult.DEADLINE
 
 
+def _record_head(dispatcher, grant, load):
+    now_s = read_clock_s()
+    dispatcher.record_response_start(grant, now_s)
+    if load is not None:
+        dispatcher.capacity.record_load(grant.upstream, load, now_s)
+
+
 def _decide(dispatcher, call, progress, grant, attempt):
     end = attempt.end
     dispatcher.observer.record(
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -10,7 +10,7 @@
 from jujubenotch.dispatch.silence import ExchangeRegistry
 from jujubenotch.records import Configuration
 from jujubenotch.upstreams import UpstreamConnections
-from jujubenotch.work import SlotProvider, WorkReport
+from jujubenotch.work import Grant, SlotProvider, WorkReport
 
 
 class Claims(Protocol):
@@ -69,6 +69,8 @@
     :param protocol: The protocol of the upstreams.
     :param claims: Makes sure that a call with an idempotency key runs at most
         once; ``None`` when no call has a key.
+    :param record_response_start: Called when the response to a granted request
+        begins, with the present monotonic time in seconds.
     :param in_progress: The tasks of the calls that have not ended.
 
     >>> Dispatcher.__name__
@@ -83,4 +85,5 @@
     exchange_registry: ExchangeRegistry
     protocol: UpstreamProtocol = OPENAI_PROTOCOL
     claims: Claims | None = None
+    record_response_start: Callable[[Grant, float], None] = lambda grant, now_s: None
     in_progress: set[asyncio.Task] = field(default_factory=set)
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -18,6 +18,13 @@
     must_shed_long_prompt,
     record_report,
 )
+from jujubenotch.forwarding.prefill import (
+    PrefillLimit,
+    abandon_prefill,
+    finish_prefill,
+    is_prefill_full,
+    start_prefill,
+)
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
 from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest
@@ -27,17 +34,20 @@
 SHED_RETRY_AFTER_S = 1.0
 
 
-@dataclass(frozen=True, kw_only=True, slots=True)
+@dataclass(kw_only=True, slots=True)
 class OutstandingGrant:
     """A grant that has not been released yet.
 
     :param granted_s: When the grant was given, monotonic, in seconds.
+    :param prefill: The limit that counts the request until its first token; ``None``
+        for a request that isn't counted.
     """
 
     state: UpstreamState
     request: WorkRequest
     granted_s: float
     is_probe: bool
+    prefill: PrefillLimit | None = None
 
 
 class DirectCapacity:
@@ -70,6 +80,7 @@
         self._draw = draw
         self._states: dict[str, UpstreamState] = {}
         self._divisions: dict[str, Division] = {}
+        self._prefill_limits: dict[str, PrefillLimit] = {}
         self._outstanding: dict[str, OutstandingGrant] = {}
         self._grant_numbers = itertools.count(1)
 
@@ -97,7 +108,10 @@
         )
         is_shared = len(states) == 1
         is_long = is_long_prompt(request.prompt_tokens)
-        if is_long and must_shed_long_prompt(state, is_shared=is_shared, now_s=now_s):
+        if is_long and (
+            must_shed_long_prompt(state, is_shared=is_shared, now_s=now_s)
+            or is_prefill_full(self._find_prefill_limit(request))
+        ):
             return Refusal(
                 reason=RefusalReason.QUEUE_FULL,
                 retry_after_s=SHED_RETRY_AFTER_S,
@@ -114,6 +128,8 @@
         """
         outstanding = self._outstanding.pop(grant.grant_id)
         outstanding.state.running -= 1
+        if outstanding.prefill is not None:
+            abandon_prefill(outstanding.prefill)
         record_result(
             outstanding.state.health,
             report.result,
@@ -122,6 +138,24 @@
             is_probe=outstanding.is_probe,
         )
 
+    def record_response_start(self, grant: Grant, now_s: float) -> None:
+        """Record that the response to a granted request has begun.
+
+        :param grant: The grant.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        outstanding = self._outstanding[grant.grant_id]
+        if outstanding.prefill is None:
+            return
+        request = outstanding.request
+        finish_prefill(
+            outstanding.prefill,
+            sent_s=outstanding.granted_s,
+            target_s=request.first_token_by_s - request.arrived_s,
+            now_s=now_s,
+        )
+        outstanding.prefill = None
+
     def record_load(self, upstream: str, report: LoadReport, now_s: float) -> None:
         """Record an upstream's load report.
 
@@ -159,6 +193,7 @@
         return choose_group(
             self._find_division(request),
             names,
+            slots=sum(state.slots for state in states) / max(1, len(states)),
             is_long=is_long_prompt(request.prompt_tokens),
             now_s=now_s,
         )
@@ -166,6 +201,9 @@
     def _find_division(self, request):
         return self._divisions.setdefault(request.target, Division())
 
+    def _find_prefill_limit(self, request):
+        return self._prefill_limits.setdefault(request.target, PrefillLimit())
+
     def _is_available(self, state, now_s):
         return not is_ejected(state.health, now_s) or may_probe(state.health, now_s)
 
@@ -186,8 +224,16 @@
             request_id=request.request_id,
             upstream=state.name,
         )
+        prefill = None
+        if is_long_prompt(request.prompt_tokens):
+            prefill = self._find_prefill_limit(request)
+            start_prefill(prefill)
         self._outstanding[grant.grant_id] = OutstandingGrant(
-            state=state, request=request, granted_s=now_s, is_probe=is_probe
+            state=state,
+            request=request,
+            granted_s=now_s,
+            is_probe=is_probe,
+            prefill=prefill,
         )
         if state.reported_s is None and request.prompt_tokens:
             # Until the upstream has reported its load, this instance's own
--- a/jujubenotch/forwarding/division.py
+++ b/jujubenotch/forwarding/division.py
@@ -31,6 +31,9 @@
 # how far a queue can move the boundary.
 MIN_SHORT_SHARE = 0.25
 MAX_SHORT_SHARE = 0.7
+# Short prompts get at least as many upstreams as keep this share of the slots of each
+# in use, so that a burst of long prompts can't take the slots of more urgent ones.
+MAX_SHORT_FILL = 0.5
 # Long enough for a steady average, and short compared with a burst.
 AVERAGING_TIME_S = 2.0
 # After a move, prompts that are cached on one upstream are processed again on
@@ -104,26 +107,32 @@
 
 
 def choose_group(
-    division: Division, names: Collection[str], *, is_long: bool, now_s: float
+    division: Division,
+    names: Collection[str],
+    *,
+    slots: float,
+    is_long: bool,
+    now_s: float,
 ) -> set[str]:
     """Return the upstreams for long prompts or those for short prompts.
 
     :param division: The division; changed in place, its boundary may move.
     :param names: The names of the service's upstreams.
+    :param slots: The mean number of slots of an upstream.
     :param is_long: Whether to return the upstreams for long prompts.
     :param now_s: The present monotonic time, in seconds.
     :returns: The upstreams' names; all names when there are fewer than two.
     """
     if len(names) < 2:
         return set(names)
-    _move_boundary(division, len(names), now_s)
+    _move_boundary(division, len(names), slots, now_s)
     short = set(choose_by_rendezvous(RANKING_KEY, names, division.short_count))
     division.names = frozenset(names)
     division.short_names = frozenset(short)
     return set(names) - short if is_long else short
 
 
-def _move_boundary(division, count, now_s):
+def _move_boundary(division, count, slots, now_s):
     lowest, highest = 1, count - 1
     if not lowest <= division.short_count <= highest:
         division.short_count = _round_within(INITIAL_SHORT_SHARE * count, count)
@@ -131,7 +140,9 @@
     long_load = _average(division.long, PRIOR_LONG_LOAD, now_s)
     short = short_load * division.short_count
     long = LONG_WEIGHT * long_load * (count - division.short_count)
-    share = max(MIN_SHORT_SHARE, min(MAX_SHORT_SHARE, short / (short + long)))
+    needed = short / (MAX_SHORT_FILL * slots * count)
+    share = max(MIN_SHORT_SHARE, needed, short / (short + long))
+    share = min(MAX_SHORT_SHARE, share)
     move = abs(share * count - division.short_count)
     if move >= max(MIN_MOVE_UPSTREAMS, MIN_MOVE_SHARE * count):
         division.short_count = _round_within(share * count, count)
