Serve urgent short prompts on all upstreams while their own are full

While no upstream for short prompts has a free slot, short prompts go to the least loaded of all upstreams, where their rank puts them first, and long ones are refused with a time to come back.

The scenario that granted a long prompt at a load above the slots let both upstreams report it, so the short prompts' upstream was full as well, where a long prompt must now yield; it reports the load for the long prompts' upstream only and checks the same bound there.

--- a/features/forwarding/steps/yield_steps.py
+++ b/features/forwarding/steps/yield_steps.py
@@ -60,13 +60,23 @@
         read_listing_clock_s=lambda: 1.0,
         draw=lambda: 0.0,
     )
-    for kind in PROMPT_TOKENS:
-        acquire_slot(context, kind)
+    context.upstreams = {
+        kind: acquire_slot(context, kind).upstream for kind in PROMPT_TOKENS
+    }
     report = LoadReport(running=running, waiting=waiting, slots=slots)
     for item in items:
         context.capacity.record_load(item.key, report, 1.0)
 
 
+@given(
+    "the upstream for {kind:w} prompts reports {running:d} running and {waiting:d} "
+    "waiting requests"
+)
+def report_load(context, kind, running, waiting):
+    report = LoadReport(running=running, waiting=waiting, slots=48)
+    context.capacity.record_load(context.upstreams[kind], report, 1.0)
+
+
 @when("a {kind:w} request is made")
 def make_request(context, kind):
     context.result = acquire_slot(context, kind)
@@ -81,3 +91,8 @@
 @then("the request is granted")
 def check_granted(context):
     assert not isinstance(context.result, Refusal), context.result
+
+
+@then("the request is granted on the upstream for {kind:w} prompts")
+def check_granted_on(context, kind):
+    assert context.result.upstream == context.upstreams[kind], context.result
--- a/features/forwarding/yield.feature
+++ b/features/forwarding/yield.feature
@@ -16,7 +16,8 @@
     Then the request is granted
 
   Scenario: With two upstreams the upstream for long prompts accepts a higher load
-    Given 2 upstream with 48 slots that reports 40 running and 15 waiting requests
+    Given 2 upstream with 48 slots that reports 40 running and 0 waiting requests
+    And the upstream for long prompts reports 40 running and 15 waiting requests
     When a long request is made
     Then the request is granted
 
@@ -29,3 +30,23 @@
     Given 2 upstream with 16 slots that reports 16 running and 5 waiting requests
     When a short request is made
     Then the request is granted
+
+  Rule: Urgent short prompts that find no free slot go before long prompts
+
+    Scenario: A short prompt uses a slot of the other upstreams while its own are full
+      Given 2 upstream with 48 slots that reports 10 running and 0 waiting requests
+      And the upstream for short prompts reports 48 running and 20 waiting requests
+      When a short request is made
+      Then the request is granted on the upstream for long prompts
+
+    Scenario: A short prompt stays on its own upstreams while one has a free slot
+      Given 2 upstream with 48 slots that reports 10 running and 0 waiting requests
+      And the upstream for short prompts reports 46 running and 0 waiting requests
+      When a short request is made
+      Then the request is granted on the upstream for short prompts
+
+    Scenario: A long prompt is refused while short prompts wait for a slot
+      Given 2 upstream with 48 slots that reports 10 running and 0 waiting requests
+      And the upstream for short prompts reports 48 running and 20 waiting requests
+      When a long request is made
+      Then the request is refused as "queue-full" with a time to retry
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -14,6 +14,7 @@
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
 from jujubenotch.forwarding.placement import (
     UpstreamState,
+    are_slots_taken,
     choose_upstream,
     must_shed_long_prompt,
     record_report,
@@ -93,7 +94,13 @@
         """
         now_s = self._read_clock_s()
         states = self._list_states(request)
-        candidates = self._find_candidates(request, states, now_s)
+        short_states = self._find_short_states(request, states, now_s)
+        is_short_full = are_slots_taken(short_states, now_s)
+        is_long = is_long_prompt(request.prompt_tokens)
+        # More urgent prompts that find no slot on their own upstreams use those for
+        # long prompts.
+        uses_all = is_short_full and not is_long
+        candidates = self._find_candidates(request, states, now_s, uses_all=uses_all)
         if not candidates:
             return Refusal(
                 reason=RefusalReason.NO_UPSTREAM,
@@ -102,14 +109,14 @@
             )
         state = choose_upstream(
             candidates,
-            request.prefix_key,
+            "" if uses_all else request.prefix_key,
             draw=self._draw(),
             now_s=now_s,
         )
         is_shared = len(states) == 1
-        is_long = is_long_prompt(request.prompt_tokens)
         if is_long and (
-            must_shed_long_prompt(state, is_shared=is_shared, now_s=now_s)
+            is_short_full
+            or must_shed_long_prompt(state, is_shared=is_shared, now_s=now_s)
             or is_prefill_full(self._find_prefill_limit(request))
         ):
             return Refusal(
@@ -175,18 +182,28 @@
         usable = find_usable(self._listing, request.target, listing_s)
         return [self._find_state(listed) for listed in usable]
 
-    def _find_candidates(self, request, states, now_s):
+    def _find_short_states(self, request, states, now_s):
+        """Return the states of the upstreams that only short prompts use."""
+        if not request.prompt_tokens or len(states) < 2:
+            return []
+        names = self._choose_group(request, states, now_s, is_long=False)
+        return [state for state in states if state.name in names]
+
+    def _find_candidates(self, request, states, now_s, *, uses_all):
         untried = [
             state for state in states if state.name not in request.excluded_upstreams
         ]
         available = [state for state in untried if self._is_available(state, now_s)]
-        group = self._choose_group(request, states, now_s)
+        if uses_all:
+            return available or untried or states
+        is_long = is_long_prompt(request.prompt_tokens)
+        group = self._choose_group(request, states, now_s, is_long=is_long)
         in_group = [state for state in available if state.name in group]
         # An ejected upstream is better than none, and a second attempt at the
         # same upstream is better than a refusal.
         return in_group or available or untried or states
 
-    def _choose_group(self, request, states, now_s):
+    def _choose_group(self, request, states, now_s, *, is_long):
         names = [state.name for state in states]
         if not request.prompt_tokens:
             return set(names)
@@ -194,7 +211,7 @@
             self._find_division(request),
             names,
             slots=sum(state.slots for state in states) / max(1, len(states)),
-            is_long=is_long_prompt(request.prompt_tokens),
+            is_long=is_long,
             now_s=now_s,
         )
 
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -91,6 +91,18 @@
     return estimate_load(state, now_s) >= limit * state.slots
 
 
+def are_slots_taken(states: Sequence[UpstreamState], now_s: float) -> bool:
+    """Return whether no upstream has a free slot.
+
+    :param states: The states of the upstreams.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: False when there are no upstreams.
+    """
+    return bool(states) and all(
+        estimate_load(state, now_s) >= state.slots for state in states
+    )
+
+
 def choose_upstream(
     candidates: Sequence[UpstreamState],
     prefix_key: str,
