Ignore entries of earlier processes in a restored copy

Found by drawn histories of the list against a model of the store (features/forwarding/restores), on its first runs: - An entry of the copy replaced the process that was listed by an earlier one of the same name. - An upstream that was known only from a copy was used although a second restore within 5 s, or one that no longer listed it, had come. Each has a scenario of its own in features/forwarding/listing that fails without its mend, as the drawn histories are others after each change of their source.

--- a/features/forwarding/listing.feature
+++ b/features/forwarding/listing.feature
@@ -66,3 +66,22 @@
       And the store is restored at 10 s from a copy that lists "a,b"
       And the whole list is "a,b" at 11 s
       Then "b" is usable at 12 s
+
+    Scenario: An entry of an earlier process with the same name is ignored
+      When the entry of "a" is removed at 8 s
+      And a new process "a" is listed at 9 s
+      And the store is restored at 10 s from a copy that lists "a,b"
+      Then the process of "a" that is usable at 10 s is the new one
+
+    Scenario: An upstream known only from a copy gets no grace time after the next restore
+      When the entry of "a" is removed at 9 s
+      And the store is restored at 10 s from a copy that lists "a,b"
+      And the store is restored at 16 s from a copy that lists "b"
+      Then "b" is usable at 16 s
+
+    Scenario: A second restore begins the delay of an upstream known only from a copy anew
+      When the entry of "a" is removed at 9 s
+      And the store is restored at 10 s from a copy that lists "a,b"
+      And the store is restored at 13 s from a copy that lists "a,b"
+      Then "b" is usable at 17.9 s
+      And "a,b" is usable at 18 s
--- a/features/forwarding/steps/listing_steps.py
+++ b/features/forwarding/steps/listing_steps.py
@@ -12,7 +12,7 @@
 COPIED_REVISION = 5
 
 
-def make_item(name, *, is_leaving=False, revision=1):
+def make_item(name, *, is_leaving=False, revision=1, started_ms=1):
     return Item(
         key=name,
         revision=revision,
@@ -23,6 +23,7 @@
             data_centre="north",
             slots=4,
             is_leaving=is_leaving,
+            started_ms=started_ms,
         ),
     )
 
@@ -102,3 +103,14 @@
 def check_usable(context, names, now_s):
     usable = find_usable(context.listing, SERVICE, now_s)
     assert [each.name for each in usable] == names.split(","), usable
+
+
+@when('a new process "{name}" is listed at {now_s:g} s')
+def list_new_process(context, name, now_s):
+    apply_entries(context, make_item(name, started_ms=2), now_s=now_s)
+
+
+@then('the process of "{name}" that is usable at {now_s:g} s is the new one')
+def check_new_process(context, name, now_s):
+    usable = find_usable(context.listing, SERVICE, now_s)
+    assert {each.started_ms for each in usable if each.name == name} == {2}, usable
--- a/jujubenotch/forwarding/listing.py
+++ b/jujubenotch/forwarding/listing.py
@@ -20,7 +20,8 @@
 
     :param usable_until_s: Until when the upstream stays usable without an
         entry, in seconds; ``None`` while it is listed.
-    :param usable_from_s: From when the upstream is usable, in seconds.
+    :param usable_from_s: From when the upstream is usable, in seconds; 0 unless it is
+        known only from a copy from which the store was restored.
     """
 
     listed: ListedUpstream
@@ -68,7 +69,7 @@
         restored from a copy; ``None`` when the items are of the same era as before.
     """
     if copied_revision is not None:
-        listing.copied_revision = copied_revision
+        _start_era(listing, copied_revision, now_s)
     for item in items:
         if item.value is not None:
             _add(listing, item, now_s)
@@ -124,6 +125,13 @@
     return known.usable_until_s is None or now_s < known.usable_until_s
 
 
+def _start_era(listing, copied_revision, now_s):
+    listing.copied_revision = copied_revision
+    for known in listing.upstreams.values():
+        if known.usable_from_s:
+            known.usable_from_s = now_s + COPIED_ENTRY_DELAY_S
+
+
 def _add(listing, item, now_s):
     known = listing.upstreams.get(item.key)
     is_copied = item.revision <= listing.copied_revision
@@ -133,8 +141,11 @@
         listing.upstreams[item.key] = KnownUpstream(
             listed=item.value, usable_from_s=now_s + COPIED_ENTRY_DELAY_S
         )
-    elif known.listed.started_ms != item.value.started_ms:
+    elif known.listed.started_ms < item.value.started_ms:
         listing.upstreams[item.key] = KnownUpstream(listed=item.value)
+    elif known.listed.started_ms > item.value.started_ms:
+        # The entry is that of an earlier process with the same name.
+        return
     elif not known.listed.is_leaving:
         known.listed = item.value
         known.usable_until_s = None
