--- /dev/null
+++ b/features/neighbours/steps/codec_steps.py
@@ -0,0 +1,124 @@
+import random
+
+from behave import given, then, when
+from hypothesis import given as given_examples
+from hypothesis import settings
+from hypothesis import strategies as st
+
+from jujubenotch.neighbours import (
+    News,
+    NewsError,
+    NewsItem,
+    NewsKind,
+    Reassembly,
+    decode_news,
+    join_datagram,
+    split_news,
+)
+
+SENDER = "10.0.0.1:7000"
+NUMBERS = st.integers(min_value=0, max_value=2**40)
+ITEMS = st.builds(
+    NewsItem,
+    key=st.text(max_size=20),
+    content=st.binary(max_size=600),
+    is_removed=st.booleans(),
+    revision=NUMBERS,
+)
+NEWS = st.builds(
+    News,
+    kind=st.sampled_from(NewsKind),
+    era=NUMBERS,
+    after_revision=NUMBERS,
+    revision=NUMBERS,
+    changed_revision=NUMBERS,
+    store_time_s=st.floats(min_value=0, max_value=1e9),
+    list_revision=NUMBERS,
+    follows_outage=st.booleans(),
+    is_complete=st.booleans(),
+    items=st.lists(ITEMS, max_size=6).map(tuple),
+)
+
+
+def make_large_news(size):
+    content = random.Random(5).randbytes(size)
+    item = NewsItem(key="a", content=content, revision=1)
+    return News(kind=NewsKind.UPSTREAMS, items=(item,))
+
+
+def join(datagrams, reassembly=None, now_s=0.0):
+    reassembly = reassembly or Reassembly()
+    joined = [join_datagram(reassembly, SENDER, each, now_s) for each in datagrams]
+    return [content for content in joined if content is not None]
+
+
+@then("random messages are decoded as they were encoded")
+def check_round_trip(context):
+    @settings(derandomize=True, database=None, max_examples=200, deadline=None)
+    @given_examples(NEWS, st.randoms(use_true_random=False))
+    def check_one(news, draws):
+        datagrams = split_news(news, 7)
+        if datagrams is None:
+            return
+        draws.shuffle(datagrams)
+        (content,) = join(datagrams)
+        assert decode_news(content) == news
+
+    check_one()
+
+
+@given("a message with an item of {size:d} random bytes")
+def make_message(context, size):
+    context.news = make_large_news(size)
+
+
+@then("it can't be sent")
+def check_not_sent(context):
+    assert split_news(context.news, 1) is None
+
+
+@then("random bytes, and valid datagrams with changed bytes, never cause another error")
+def check_damaged(context):
+    @settings(derandomize=True, database=None, max_examples=400, deadline=None)
+    @given_examples(
+        NEWS, st.binary(max_size=80), st.integers(0, 2000), st.integers(0, 255)
+    )
+    def check_one(news, noise, position, value):
+        (first, *_) = split_news(news, 7) or [b""]
+        damaged = bytearray(first)
+        if damaged:
+            damaged[position % len(damaged)] ^= value
+        for datagram in (noise, bytes(damaged), first[: len(first) // 2]):
+            try:
+                for content in join([datagram]):
+                    decode_news(content)
+            except NewsError:
+                continue
+
+    check_one()
+
+
+@given("a message of which one datagram is missing")
+def send_incomplete(context):
+    context.reassembly = Reassembly()
+    context.datagrams = split_news(make_large_news(3000), 1)
+    assert len(context.datagrams) > 1
+    assert not join(context.datagrams[1:], context.reassembly)
+
+
+@when("the missing datagram arrives {seconds:g} s later")
+def send_rest(context, seconds):
+    context.joined = join(context.datagrams[:1], context.reassembly, now_s=seconds)
+
+
+@then("no message is complete")
+def check_none_complete(context):
+    assert context.joined == [], context.joined
+
+
+@then("at most {count:d} incomplete messages are kept after {sent:d} of them")
+def check_bounded(context, count, sent):
+    for number in range(sent):
+        (first, *_) = split_news(make_large_news(3000), number)
+        join([first], context.reassembly, now_s=5.0)
+    assert len(context.reassembly.messages) <= count
--- /dev/null
+++ b/features/platform/registry.feature
@@ -0,0 +1,13 @@
+Feature: The instances of a data centre find each other in the platform's store
+
+  Scenario: The list of a data centre holds its registered instances and no others
+    Given a site without a program
+    When the instances "10.0.0.1:7000,10.0.0.2:7000" of the data centre "north" register
+    And the instances "10.0.0.3:7000" of the data centre "south" register
+    And the instances "10.0.0.1:7000" of the data centre "north" register
+    Then the registered instances of "north" are "10.0.0.1:7000,10.0.0.2:7000"
+
+  Scenario: A store that doesn't answer is told as an error of the source
+    Given a site without a program
+    When the store is unavailable
+    Then registering fails with a source error
