Log what the choice of an upstream and the refusal of a long prompt were based on

request-granted told the upstream only. It now tells the estimated load, the lowest one, the age of the report, the candidates and the rank for the prompt's shared part; long-prompt-refused tells the waiting prompts, their limit and the loads. The product's own grants have no such fields, so its traces stay as they are.

--- a/features/forwarding/steps/yield_steps.py
+++ b/features/forwarding/steps/yield_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+from unittest import mock
 
 from behave import given, then, when
 
@@ -79,7 +80,12 @@
 
 @when("a {kind:w} request is made")
 def make_request(context, kind):
-    context.result = acquire_slot(context, kind)
+    with mock.patch("jujubenotch.forwarding.capacity.log_event") as log_event:
+        context.result = acquire_slot(context, kind)
+    context.log_lines = {
+        call.args[2]: {f"{name}={value}" for name, value in call.kwargs.items()}
+        for call in log_event.call_args_list
+    }
 
 
 @then('the request is refused as "{reason}" with a time to retry')
@@ -96,3 +102,8 @@
 @then("the request is granted on the upstream for {kind:w} prompts")
 def check_granted_on(context, kind):
     assert context.result.upstream == context.upstreams[kind], context.result
+
+
+@then('the line "{event}" tells "{field}"')
+def check_line(context, event, field):
+    assert field in context.log_lines[event], context.log_lines
--- a/features/forwarding/yield.feature
+++ b/features/forwarding/yield.feature
@@ -50,3 +50,9 @@
       And the upstream for short prompts reports 48 running and 20 waiting requests
       When a long request is made
       Then the request is refused as "queue-full" with a time to retry
+
+    Scenario: The log tells why a long prompt was refused
+      Given 2 upstream with 48 slots that reports 10 running and 0 waiting requests
+      And the upstream for short prompts reports 48 running and 20 waiting requests
+      When a long request is made
+      Then the line "long-prompt-refused" tells "is_short_full=True"
--- a/features/platform/list.feature
+++ b/features/platform/list.feature
@@ -9,6 +9,12 @@
     Then each caller gets "done"
     And the first upstream received 0 requests
 
+  Scenario: The log tells what the choice of an upstream was based on
+    Given a site whose upstream answers correctly
+    And another upstream that answers correctly
+    When 3 callers send idempotent requests
+    Then each "request-granted" line of the program has "load,lowest_load,candidates"
+
   Scenario: An invalid list entry is ignored
     Given a site whose upstream answers correctly
     When an entry without an address is listed
--- a/features/platform/steps/process_steps.py
+++ b/features/platform/steps/process_steps.py
@@ -120,6 +120,14 @@
     assert read_events(context.site, event), read_log(context.site)
 
 
+@then('each "{event}" line of the program has "{names}"')
+def check_event_fields(context, event, names):
+    events = read_events(context.site, event)
+    assert events, read_log(context.site)
+    for each in events:
+        assert set(names.split(",")) <= each.keys(), each
+
+
 @then('the program did not log "{event}"')
 def check_no_event(context, event):
     assert not read_events(context.site, event), read_log(context.site)
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -39,7 +39,7 @@
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import FailureReason, Outcome, Refusal
-from jujubenotch.work import WorkReport, WorkRequest, WorkResult
+from jujubenotch.work import WorkReport, WorkRequest, WorkResult, describe_basis
 
 logger = logging.getLogger(__name__)
 
@@ -167,7 +167,11 @@
         if isinstance(grant, Refusal):
             return make_refusal_answer(progress, grant)
         dispatcher.observer.record(
-            call.request_id, "granted", upstream=grant.upstream, home=grant.coordinator
+            call.request_id,
+            "granted",
+            upstream=grant.upstream,
+            home=grant.coordinator,
+            **describe_basis(grant.basis),
         )
         progress.must_finish = call.outlives_caller
         if call.idempotency_key and not progress.is_claimed:
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -1,6 +1,7 @@
 """Assigns upstreams to requests, using only the state of this instance."""
 
 import itertools
+import logging
 import random
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass
@@ -26,9 +27,18 @@
     is_prefill_full,
     start_prefill,
 )
+from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
-from jujubenotch.work import Grant, LoadReport, WorkReport, WorkRequest
+from jujubenotch.work import (
+    Grant,
+    LoadReport,
+    WorkReport,
+    WorkRequest,
+    describe_basis,
+)
+
+logger = logging.getLogger(__name__)
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
 # After this time some of the requests in progress have usually ended.
@@ -107,24 +117,26 @@
                 retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
                 detail=f"no upstream of {request.target} is known; come back",
             )
-        state = choose_upstream(
+        choice = choose_upstream(
             candidates,
             "" if uses_all else request.prefix_key,
             draw=self._draw(),
             now_s=now_s,
         )
         is_shared = len(states) == 1
+        prefill = self._find_prefill_limit(request)
         if is_long and (
             is_short_full
-            or must_shed_long_prompt(state, is_shared=is_shared, now_s=now_s)
-            or is_prefill_full(self._find_prefill_limit(request))
+            or must_shed_long_prompt(choice.state, is_shared=is_shared, now_s=now_s)
+            or is_prefill_full(prefill)
         ):
+            _log_refusal(request, choice, prefill, is_short_full=is_short_full)
             return Refusal(
                 reason=RefusalReason.QUEUE_FULL,
                 retry_after_s=SHED_RETRY_AFTER_S,
                 detail=f"too many requests wait for {request.target}; come back",
             )
-        return self._create_grant(request, state, now_s)
+        return self._create_grant(request, choice, now_s)
 
     def release(self, grant: Grant, report: WorkReport, now_s: float) -> None:
         """Release a grant after its request has ended.
@@ -231,7 +243,8 @@
             self._states[listed.name] = state
         return state
 
-    def _create_grant(self, request, state, now_s):
+    def _create_grant(self, request, choice, now_s):
+        state = choice.state
         is_probe = may_probe(state.health, now_s)
         if is_probe:
             start_probe(state.health, now_s)
@@ -240,6 +253,7 @@
             grant_id=str(next(self._grant_numbers)),
             request_id=request.request_id,
             upstream=state.name,
+            basis=choice.basis,
         )
         prefill = None
         if is_long_prompt(request.prompt_tokens):
@@ -266,3 +280,19 @@
         """
         for name in names:
             self._states.pop(name, None)
+
+
+def _log_refusal(request, choice, prefill, *, is_short_full):
+    log_event(
+        logger,
+        logging.INFO,
+        "long-prompt-refused",
+        request_id=request.request_id,
+        upstream=choice.state.name,
+        slots=choice.state.slots,
+        waiting=prefill.waiting,
+        limit=None if prefill.limit is None else round(prefill.limit, 2),
+        mean_wait_share=round(prefill.mean.value or 0.0, 2),
+        is_short_full=is_short_full,
+        **describe_basis(choice.basis),
+    )
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -5,7 +5,7 @@
 
 from jujubenotch.membership import choose_by_rendezvous
 from jujubenotch.routing import Health
-from jujubenotch.work import LoadReport
+from jujubenotch.work import ChoiceBasis, LoadReport
 
 # An upstream in the ranking of a prefix is skipped when it runs more of this
 # instance's requests than this multiple of the mean plus the spare requests.
@@ -78,6 +78,14 @@
     return state.running + other_requests * 0.5 ** (age_s / REPORT_HALF_LIFE_S)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Choice:
+    """The upstream chosen for a request, and what the choice was based on."""
+
+    state: UpstreamState
+    basis: ChoiceBasis
+
+
 def must_shed_long_prompt(
     state: UpstreamState, *, is_shared: bool, now_s: float
 ) -> bool:
@@ -109,7 +117,7 @@
     *,
     draw: float,
     now_s: float,
-) -> UpstreamState:
+) -> Choice:
     """Choose the upstream of a request.
 
     All instances rank the upstreams of a prefix in the same order, so they send
@@ -121,18 +129,32 @@
         empty when the request has no prefix.
     :param draw: A random number in [0, 1), drawn for this request.
     :param now_s: The present monotonic time, in seconds.
-    :returns: The state of the chosen upstream.
+    :returns: The choice.
     """
     loads = {state.name: estimate_load(state, now_s) for state in candidates}
     by_name = {state.name: state for state in candidates}
     if prefix_key:
         running = {state.name: state.running for state in candidates}
         limit = MAX_LOAD_RATIO * sum(running.values()) / len(running) + SPARE_REQUESTS
-        for name in choose_by_rendezvous(prefix_key, loads, len(loads)):
+        ranking = choose_by_rendezvous(prefix_key, loads, len(loads))
+        for rank, name in enumerate(ranking):
             if running[name] <= limit:
-                return by_name[name]
+                return _make_choice(by_name[name], loads, rank, now_s)
     lowest = min(loads.values())
     least_loaded = [
         name for name, load in loads.items() if load <= lowest + LOAD_TOLERANCE
     ]
-    return by_name[least_loaded[int(draw * len(least_loaded))]]
+    name = least_loaded[int(draw * len(least_loaded))]
+    return _make_choice(by_name[name], loads, None, now_s)
+
+
+def _make_choice(state, loads, prefix_rank, now_s):
+    report_age_s = None if state.reported_s is None else now_s - state.reported_s
+    basis = ChoiceBasis(
+        load=loads[state.name],
+        lowest_load=min(loads.values()),
+        report_age_s=report_age_s,
+        candidates=len(loads),
+        prefix_rank=prefix_rank,
+    )
+    return Choice(state=state, basis=basis)
--- a/jujubenotch/work/__init__.py
+++ b/jujubenotch/work/__init__.py
@@ -5,17 +5,20 @@
 
 from jujubenotch.work.core import (
     TIERS,
+    ChoiceBasis,
     Grant,
     LoadReport,
     PoolSummary,
     WorkReport,
     WorkRequest,
     WorkResult,
+    describe_basis,
 )
 from jujubenotch.work.interface import SlotProvider
 
 __all__ = [
     "TIERS",
+    "ChoiceBasis",
     "Grant",
     "LoadReport",
     "PoolSummary",
@@ -23,4 +26,5 @@
     "WorkReport",
     "WorkRequest",
     "WorkResult",
+    "describe_basis",
 ]
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -1,6 +1,6 @@
 """Messages between the code that requests slots and the code that grants them."""
 
-from dataclasses import dataclass
+from dataclasses import asdict, dataclass
 from enum import StrEnum
 
 TIERS = 4
@@ -65,6 +65,26 @@
     prompt_tokens: int = 0
 
 
+@dataclass(frozen=True, kw_only=True)
+class ChoiceBasis:
+    """What the choice of an upstream was based on, for the log.
+
+    :param load: The estimated number of requests of all instances on the upstream.
+    :param lowest_load: The lowest such number among the candidates.
+    :param report_age_s: Age of the upstream's last load report, in seconds; ``None``
+        when it has reported none.
+    :param candidates: The number of upstreams to choose from.
+    :param prefix_rank: The upstream's rank for the prompt's prefix, from 0 for the one
+        that is expected to have it cached; ``None`` when only the load counted.
+    """
+
+    load: float
+    lowest_load: float
+    report_age_s: float | None
+    candidates: int
+    prefix_rank: int | None
+
+
 @dataclass(frozen=True, kw_only=True)
 class Grant:
     """One slot on one upstream, granted to one request.
@@ -73,12 +93,15 @@
     :param coordinator: The instance that keeps the slot allocation of the upstream's
         group; empty when an instance granted the slot from its own conservative
         share.
+    :param basis: What the choice of the upstream was based on; ``None`` when the
+        coordinator chose it.
     """
 
     grant_id: str
     request_id: str
     upstream: str
     coordinator: str = ""
+    basis: ChoiceBasis | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -130,3 +153,18 @@
     in_progress: tuple[int, ...]
     free_slots: int
     wait_s: tuple[float, ...]
+
+
+def describe_basis(basis: ChoiceBasis | None) -> dict[str, float | int]:
+    """Convert the basis of a choice to the fields of a log line.
+
+    :param basis: The basis; ``None`` gives no fields.
+    :returns: The fields that have a value, rounded.
+    """
+    if basis is None:
+        return {}
+    return {
+        name: round(value, 2)
+        for name, value in asdict(basis).items()
+        if value is not None
+    }
