Reserve the ports that a run draws until the run ends

Cause: a port was drawn, checked and let go, so another run on the machine could draw it before the program listened on it ('Address already in use', requests that reached another run's engine). A byte of one lock file stands for each port; the lock lasts as long as the process.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -1,11 +1,14 @@
 """Starts the project's programs on loopback, and ends the processes it started."""
 
 import asyncio
+import fcntl
+import functools
 import os
 import random
 import signal
 import socket
 import sys
+import tempfile
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from pathlib import Path
@@ -14,11 +17,16 @@
 LOOPBACK = "127.0.0.1"
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
+# Shared by all runs on the machine.
+RESERVATIONS_PATH = Path(tempfile.gettempdir()) / "jujubenotch-ports.lock"
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.02
 STOP_TIMEOUT_S = 15.0
 
 
+_reserved_ports: set[int] = set()
+
+
 class ProcessError(Exception):
     """A program did not start."""
 
@@ -57,20 +65,40 @@
 
 
 def find_free_ports(count: int) -> list[int]:
-    """Find free ports on loopback.
+    """Find free ports on loopback and reserve them until this process ends.
 
     The ports lie below the range that the kernel uses for outgoing connections, so
-    that no outgoing connection occupies one before a program listens on it.
+    that no outgoing connection occupies one before a program listens on it. Other
+    runs on the machine do not draw a reserved port, also while no program listens
+    on it.
 
     :param count: The number of ports.
     :returns: Distinct ports that were free when they were checked.
     """
-    ports = set()
+    ports = []
     while len(ports) < count:
         port = random.randrange(FIRST_PORT, LAST_PORT)
-        if port not in ports and _is_free(port):
-            ports.add(port)
-    return list(ports)
+        if _reserve(port) and _is_free(port):
+            ports.append(port)
+    return ports
+
+
+def _reserve(port):
+    """Lock the byte that stands for the port; the lock ends with this process."""
+    if port in _reserved_ports:
+        return False
+    try:
+        fcntl.lockf(_open_reservations(), fcntl.LOCK_EX | fcntl.LOCK_NB, 1, port)
+    except OSError:
+        return False
+    _reserved_ports.add(port)
+    return True
+
+
+@functools.cache
+def _open_reservations():
+    # Closing the file would drop all locks of this process, so it stays open.
+    return RESERVATIONS_PATH.open("ab")
 
 
 def _is_free(port):
