Fail when too few ports are free, and reword comments

find_free_ports searched forever when the ports of its range were reserved or in use; it tries each once and raises ProcessError. The scenario failed first (no end within 20 s). The comments of the reader's role, the limits and the restored store are reworded; one docstring was wrong: the relay's socket is opened before the instance registers.

--- a/benchmarks/processes.py
+++ b/benchmarks/processes.py
@@ -17,7 +17,7 @@
 LOOPBACK = "127.0.0.1"
 FIRST_PORT = 10_000
 LAST_PORT = 32_000
-# Shared by all runs on the machine.
+# All runs on the machine lock bytes of this file.
 RESERVATIONS_PATH = Path(tempfile.gettempdir()) / "jujubenotch-ports.lock"
 READY_TIMEOUT_S = 20.0
 READY_POLL_S = 0.02
@@ -74,12 +74,19 @@
 
     :param count: The number of ports.
     :returns: Distinct ports that were free when they were checked.
+    :raises ProcessError: There are not that many free ports.
     """
     ports = []
-    while len(ports) < count:
-        port = random.randrange(FIRST_PORT, LAST_PORT)
+    for port in random.sample(range(FIRST_PORT, LAST_PORT), LAST_PORT - FIRST_PORT):
+        if len(ports) == count:
+            break
         if _reserve(port) and _is_free(port):
             ports.append(port)
+    if len(ports) < count:
+        raise ProcessError(
+            f"only {len(ports)} of {count} ports are free from {FIRST_PORT} "
+            f"to {LAST_PORT - 1}"
+        )
     return ports
 
 
@@ -97,7 +104,8 @@
 
 @functools.cache
 def _open_reservations():
-    # Closing the file would drop all locks of this process, so it stays open.
+    # The kernel drops all locks of this process on the file when the process closes
+    # any descriptor of it, so one descriptor is opened and never closed.
     return RESERVATIONS_PATH.open("ab")
 
 
--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -51,8 +51,8 @@
 DRAIN_S = 4.0
 REUSE_AFTER_S = 2.0
 MAX_DELAY_S = 0.3
-# How long the store is away before it comes back from a copy, and how long it then
-# takes until the operators and the upstreams have written their rows again.
+# The store is unavailable for the first time and then restored. After the second time
+# the operators and the upstreams write their rows again.
 RESTORE_OUTAGE_S = 0.5
 REWRITE_S = 1.0
 MAX_SLOWDOWN = 8.0
--- a/features/benchmarks/steps/ports_steps.py
+++ b/features/benchmarks/steps/ports_steps.py
@@ -14,6 +14,7 @@
 sys.stdin.read()
 """
 FIRST_PORT = 9_000
+DRAW_TIMEOUT_S = 20.0
 
 
 @given("another run that has drawn {count:d} of {ports:d} ports")
@@ -42,3 +43,17 @@
 @then("no port was drawn by both")
 def check_distinct(context):
     assert not context.ports & context.other_ports
+
+
+@then("drawing {count:d} of the same {ports:d} ports fails")
+def check_drawing_fails(context, count, ports):
+    limits = (str(FIRST_PORT), str(FIRST_PORT + ports), str(count))
+    finished = subprocess.run(
+        [sys.executable, "-c", DRAW, *limits],
+        cwd=processes.ROOT,
+        stdin=subprocess.DEVNULL,
+        capture_output=True,
+        text=True,
+        timeout=DRAW_TIMEOUT_S,
+    )
+    assert "ProcessError" in finished.stderr, finished
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -26,8 +26,8 @@
 
 logger = logging.getLogger(__name__)
 
-# Datagrams may overtake each other, and the neighbours that miss the same message
-# should not call the store at the same moment.
+# The delay before a call for a missed page, which may still arrive, as datagrams are
+# not ordered. It is random because several neighbours may miss the same page.
 MIN_CATCH_UP_DELAY_S = 0.05
 CATCH_UP_SPREAD_S = 0.3
 
--- a/jujubenotch/daemon/forward_registration.py
+++ b/jujubenotch/daemon/forward_registration.py
@@ -80,8 +80,8 @@
     era = relay.instance.state.listing_progress.era
     data_centre = relay.instance.settings.data_centre
     own_address = relay.neighbours.own_address
-    # Of two instances that register at the same time, the one that is written
-    # second finds the other in the list and greets it.
+    # The instance writes its own row before it reads the list. Of two instances that
+    # register at the same time, at least one therefore finds the other and greets it.
     await registry.add_instance(data_centre, own_address)
     for address in await registry.list_instances(data_centre):
         relay.neighbours.add(address)
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -61,7 +61,7 @@
 
     :param is_registering: Whether this instance is about to register for the first
         time; it then need not follow the sources yet.
-    :param endpoint: The open socket; ``None`` until this instance is registered.
+    :param endpoint: The socket for messages; ``None`` before it is opened.
     :param registered_era: The era of the store in which this instance registered;
         ``None`` before.
     """
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -107,8 +107,8 @@
         short_states = self._find_short_states(request, states, now_s)
         is_short_full = are_slots_taken(short_states, now_s)
         is_long = is_long_prompt(request.prompt_tokens)
-        # More urgent prompts that find no slot on their own upstreams use those for
-        # long prompts.
+        # Short prompts are more urgent. While the upstreams reserved for them are full,
+        # they may use the upstreams for long prompts as well.
         uses_all = is_short_full and not is_long
         candidates = self._find_candidates(request, states, now_s, uses_all=uses_all)
         if not candidates:
--- a/jujubenotch/forwarding/division.py
+++ b/jujubenotch/forwarding/division.py
@@ -31,8 +31,8 @@
 # how far a queue can move the boundary.
 MIN_SHORT_SHARE = 0.25
 MAX_SHORT_SHARE = 0.7
-# Short prompts get at least as many upstreams as keep this share of the slots of each
-# in use, so that a burst of long prompts can't take the slots of more urgent ones.
+# Short prompts get enough upstreams that they fill at most this share of the slots, so
+# that a burst of long prompts can't take the slots of more urgent ones.
 MAX_SHORT_FILL = 0.5
 # Long enough for a steady average, and short compared with a burst.
 AVERAGING_TIME_S = 2.0
--- a/jujubenotch/forwarding/listing.py
+++ b/jujubenotch/forwarding/listing.py
@@ -9,8 +9,8 @@
 # 2 s. A leaving upstream must get no request later than 2 s after its entry was
 # removed.
 MISSING_GRACE_S = 1.8
-# A store that was restored from a copy may list upstreams that had already left.
-# It removes their entries after three missed heartbeats, which is sooner than this.
+# A store that was restored from a copy may list upstreams that no longer run. It
+# removes such an entry after three missed heartbeats; this delay is longer.
 COPIED_ENTRY_DELAY_S = 5.0
 
 
--- a/jujubenotch/forwarding/prefill.py
+++ b/jujubenotch/forwarding/prefill.py
@@ -92,8 +92,8 @@
     """
     prefill.waiting -= 1
     count_event(prefill.rate, now_s)
-    # The wait of a prompt that was sent under an earlier limit tells nothing about
-    # the present one.
+    # The prompt was sent before the limit was last set, so its wait is no evidence of
+    # whether the present limit is right.
     if target_s <= 0 or sent_s < prefill.set_s:
         return
     update_mean(prefill.mean, (now_s - sent_s) / target_s)
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -11,13 +11,13 @@
 
 from jujubenotch.neighbours.model import Message, MessageItem, MessageKind
 
-# The magic bytes change with the format.
+# Identifies the format; a release that changes the format changes these bytes.
 MAGIC = b"J1"
 HEADER = struct.Struct("!2sQBB")
 # Fits into one packet of a network with an MTU of 1,280 bytes.
 MAX_PART_BYTES = 1100
-# A reader sends each message to all neighbours, so the size is limited by what its
-# link can send in a fraction of a second.
+# A reader sends each message to all neighbours. A larger message would occupy its
+# link for a large part of a second.
 MAX_PARTS = 6
 MAX_MESSAGE_BYTES = 1 << 20
 PART_LIFETIME_S = 2.0
--- a/jujubenotch/neighbours/role.py
+++ b/jujubenotch/neighbours/role.py
@@ -4,15 +4,16 @@
 
 from jujubenotch.neighbours.model import Message, MessageKind
 
-# Shares of the largest age that the configuration may have. A reader confirms it
-# sooner, and another instance takes over before it would report that it isn't ready.
+# An instance becomes the reader when its configuration reaches an age between these
+# shares of the largest allowed age. The reader confirms the configuration more often,
+# and the instance would report itself as not ready only at a higher age.
 MIN_TAKEOVER_SHARE = 0.34
 TAKEOVER_SPREAD_SHARE = 0.1
-# Applies where the configuration may have any age.
+# Used in place of the largest allowed age on sites that don't limit the age.
 DEFAULT_MAX_AGE_S = 5.0
-# A reader whose calls fail says so at least this often.
+# A reader whose calls fail reports the outage more often than this.
 OUTAGE_REPORT_LIFETIME_S = 2.0
-# The reader's role passes on within this time after a reader has failed.
+# Within this time after a reader has failed, another instance reads the store.
 MAX_TAKEOVER_S = 3.0
 
 
