Split the followers of the store and the waits of their calls into modules of their own

No decision changes. A neighbour's report that the store fails, which lengthens this instance's pauses, now has a log line (store-outage-reported), as it changes a belief.

--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -20,6 +20,7 @@
     Message,
     MessageItem,
     MessageKind,
+    is_outage_reported,
     is_usable_page,
     must_step_down,
 )
@@ -50,7 +51,7 @@
     """
     relay.followed[kind].must_catch_up = False
     if kind is MessageKind.CONFIGURATION and update.follows_outage:
-        relay.followed[MessageKind.UPSTREAMS].turn.set()
+        relay.followed[MessageKind.UPSTREAMS].recheck.set()
     if not relay.is_active or not relay.role.is_reader or update.is_snapshot:
         return
     message = _make_page_message(relay, kind, update)
@@ -119,8 +120,12 @@
 
 
 def _record_outage(relay, sender):
-    if sender < relay.neighbours.own_address:
-        relay.role.outage_reported_s = asyncio.get_running_loop().time()
+    if sender >= relay.neighbours.own_address:
+        return
+    now_s = asyncio.get_running_loop().time()
+    if not is_outage_reported(relay.role, now_s):
+        log_event(logger, logging.INFO, "store-outage-reported", sender=sender)
+    relay.role.outage_reported_s = now_s
 
 
 def _step_down_if_needed(relay, sender, message, progress):
@@ -161,7 +166,7 @@
 def _end_pauses(relay):
     for followed in relay.followed.values():
         followed.progress.retry_requested.set()
-        followed.turn.set()
+        followed.recheck.set()
 
 
 def _make_item(source, item):
@@ -212,4 +217,4 @@
         relay.instance.observer.metrics, followed.progress.name, "missed"
     )
     followed.must_catch_up = True
-    followed.turn.set()
+    followed.recheck.set()
--- a/jujubenotch/daemon/forward_registration.py
+++ b/jujubenotch/daemon/forward_registration.py
@@ -59,7 +59,7 @@
 def _end_registering(relay):
     relay.is_registering = False
     for followed in relay.followed.values():
-        followed.turn.set()
+        followed.recheck.set()
 
 
 async def _register_until_confirmed(relay, registry):
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -45,14 +45,14 @@
     :param apply: Applies a page to the instance's state.
     :param must_catch_up: Whether this instance has missed changes of the source and
         has to call the store.
-    :param turn: Set when this instance may have to call the store.
+    :param recheck: Set when this instance may have to call the store.
     """
 
     source: Source
     progress: FollowProgress
     apply: Callable[[SourceUpdate], None]
     must_catch_up: bool = False
-    turn: asyncio.Event = field(default_factory=asyncio.Event)
+    recheck: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 @dataclass(kw_only=True)
@@ -131,10 +131,10 @@
     """
     followed = relay.followed[kind]
     while (delay_s := _find_call_delay_s(relay, kind)) > 0:
-        followed.turn.clear()
+        followed.recheck.clear()
         with contextlib.suppress(TimeoutError):
             async with asyncio.timeout(None if math.isinf(delay_s) else delay_s):
-                await followed.turn.wait()
+                await followed.recheck.wait()
 
 
 def _find_call_delay_s(relay, kind):
@@ -170,7 +170,7 @@
     relay.role.is_reader = True
     log_event(logger, logging.INFO, "reader-role-taken", age_s=round(age_s, 3))
     for followed in relay.followed.values():
-        followed.turn.set()
+        followed.recheck.set()
 
 
 def choose_wait_s(relay: Relay, kind: MessageKind) -> float:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -11,24 +11,13 @@
 
 import uvloop
 
+from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_listeners import start_listeners
-from jujubenotch.daemon.forward_messages import report_outage, share_page
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
-from jujubenotch.daemon.forward_registration import run_relay
-from jujubenotch.daemon.forward_relay import (
-    add_followed_source,
-    choose_pause_s,
-    choose_wait_s,
-    make_relay,
-    wait_until_due,
-)
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
-    apply_configuration,
-    apply_upstreams,
-    is_list_behind,
 )
 from jujubenotch.dispatch import (
     Dispatcher,
@@ -40,10 +29,6 @@
 )
 from jujubenotch.forwarding import (
     DirectCapacity,
-    choose_list_delay_s,
-    double_pause_s,
-    follow_source,
-    interrupt_call,
     measure_age_s,
     read_boot_clock_s,
 )
@@ -52,7 +37,6 @@
 )
 from jujubenotch.logs import configure_logging, log_event, open_bounded_output
 from jujubenotch.metrics import make_metrics
-from jujubenotch.neighbours import MessageKind
 from jujubenotch.records import Limits
 from jujubenotch.settings import ForwarderSettings
 from jujubenotch.upstreams import (
@@ -70,13 +54,6 @@
 LISTENER_CLOSE_DELAY_S = 2.6
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 1.0
-# Both sources are read from one store. During an outage of the store, the calls
-# for the configuration detect its return and the list is then read at once, so the
-# calls for the list can be rare.
-LIST_MAX_PAUSE_S = 2.0
-# When one source has reported a revision, the other source delivers the changes up
-# to that revision within this time.
-CHANGE_DELIVERY_S = 0.6
 # Retries that each instance may make per budget window in addition to those that
 # the retry ratio allows.
 MIN_RETRIES_PER_WINDOW = 2
@@ -132,7 +109,8 @@
     loop.add_signal_handler(
         signal.SIGHUP, reload_now, instance, components, reload_settings
     )
-    _start_followers(instance, components)
+    for coroutine in make_followers(instance, components):
+        _start_background_task(instance, coroutine)
     _start_background_task(
         instance, watch_settings(instance, components, reload_settings)
     )
@@ -215,87 +193,12 @@
     )
 
 
-def _start_followers(instance, components):
-    relay = make_relay(instance)
-    state = instance.state
-    capacity = instance.dispatcher.capacity
-    loop = asyncio.get_running_loop()
-
-    def apply_and_compare(update):
-        apply_configuration(state, update)
-        if update.follows_outage:
-            state.listing_progress.retry_requested.set()
-        if is_list_behind(state):
-            loop.call_later(CHANGE_DELIVERY_S, _end_stalled_list_call, state)
-
-    configuration = add_followed_source(
-        relay,
-        MessageKind.CONFIGURATION,
-        components.configuration,
-        state.configuration_progress,
-        apply_and_compare,
-    )
-    upstreams = add_followed_source(
-        relay,
-        MessageKind.UPSTREAMS,
-        components.upstreams,
-        state.listing_progress,
-        lambda update: capacity.forget(apply_upstreams(state, update)),
-    )
-    followers = (
-        follow_source(
-            configuration.progress,
-            configuration.source,
-            _apply_and_share(relay, MessageKind.CONFIGURATION),
-            lambda: choose_wait_s(relay, MessageKind.CONFIGURATION),
-            choose_pause_s=lambda failures: choose_pause_s(
-                relay, failures, loop.time()
-            ),
-            wait_until_due=lambda: wait_until_due(relay, MessageKind.CONFIGURATION),
-            report_failure=lambda: report_outage(relay),
-        ),
-        follow_source(
-            upstreams.progress,
-            upstreams.source,
-            _apply_and_share(relay, MessageKind.UPSTREAMS),
-            lambda: choose_wait_s(relay, MessageKind.UPSTREAMS),
-            choose_delay_s=lambda: choose_list_delay_s(
-                0 if relay.is_active else len(state.listing.upstreams)
-            ),
-            choose_pause_s=lambda failures: double_pause_s(failures, LIST_MAX_PAUSE_S),
-            wait_until_due=lambda: wait_until_due(relay, MessageKind.UPSTREAMS),
-        ),
-    )
-    for coroutine in (*followers, run_relay(relay, components)):
-        _start_background_task(instance, coroutine)
-
-
-def _apply_and_share(relay, kind):
-    def apply(update):
-        relay.followed[kind].apply(update)
-        share_page(relay, kind, update)
-
-    return apply
-
-
 def _start_background_task(instance, coroutine):
     task = asyncio.create_task(coroutine)
     task.add_done_callback(_exit_on_failure)
     instance.tasks.append(task)
 
 
-def _end_stalled_list_call(state):
-    if is_list_behind(state) and state.listing_progress.call_timeout is not None:
-        log_event(
-            logger,
-            logging.WARNING,
-            "upstream-list-stalled",
-            revision=state.listing_progress.revision or 0,
-            newest=state.configuration_progress.revision,
-        )
-        interrupt_call(state.listing_progress)
-
-
 def _exit_on_failure(task):
     """End the process when a background task fails; it would serve stale state."""
     if task.cancelled() or task.exception() is None:
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -36,10 +36,11 @@
 )
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.silence import watch_exchange
+from jujubenotch.dispatch.work_request import make_work_request
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import FailureReason, Outcome, Refusal
-from jujubenotch.work import WorkReport, WorkRequest, WorkResult, describe_basis
+from jujubenotch.work import WorkReport, WorkResult, describe_basis
 
 logger = logging.getLogger(__name__)
 
@@ -163,7 +164,7 @@
 
 async def _run_attempts(dispatcher, call, progress, sink, reports):
     while True:
-        grant = await dispatcher.capacity.acquire(_make_work_request(call, progress))
+        grant = await dispatcher.capacity.acquire(make_work_request(call, progress))
         if isinstance(grant, Refusal):
             return make_refusal_answer(progress, grant)
         dispatcher.observer.record(
@@ -325,26 +326,3 @@
 
 def _has_budget(dispatcher, call, now_s):
     return dispatcher.retry_budget.may_retry(call.target, now_s)
-
-
-def _make_work_request(call, progress):
-    service_class = call.service_class
-    return WorkRequest(
-        request_id=call.request_id,
-        target=call.target,
-        team=call.team.name,
-        team_weight=call.team.weight,
-        team_limit=call.team.max_in_progress,
-        service_class=service_class.name,
-        tier=service_class.tier,
-        arrived_s=call.arrived_s,
-        first_token_by_s=call.arrived_s + service_class.first_token_target_s,
-        deadline_s=call.deadline_s,
-        max_wait_s=service_class.max_wait_s,
-        expected_tokens=call.expected_tokens,
-        prefix_key=call.prefix_key,
-        prompt_tokens=call.prompt_tokens,
-        excluded_upstreams=progress.failed_upstreams,
-        between_tokens_target_s=service_class.between_tokens_target_s,
-        is_idempotent=call.is_idempotent,
-    )
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -19,9 +19,6 @@
 from jujubenotch.forwarding.follow import (
     FollowProgress,
     SourceUpdate,
-    choose_change_wait_s,
-    choose_list_delay_s,
-    double_pause_s,
     follow_source,
     interrupt_call,
     read_boot_clock_s,
@@ -34,6 +31,11 @@
     record_relayed_page,
     record_store_response,
 )
+from jujubenotch.forwarding.intervals import (
+    choose_change_wait_s,
+    choose_list_delay_s,
+    double_pause_s,
+)
 from jujubenotch.forwarding.listing import (
     KnownUpstream,
     UpstreamListing,
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -15,30 +15,15 @@
     HistoryLostError,
     SourceError,
 )
+from jujubenotch.forwarding.intervals import MAX_CHANGE_WAIT_S, double_pause_s
 from jujubenotch.forwarding.source import Page, Source, Value
 from jujubenotch.logs import log_event
 
 logger = logging.getLogger(__name__)
 
-MAX_CHANGE_WAIT_S = 20.0
-# The configuration is known to be up to date only when a wait ends, so the wait
-# is short compared with the largest age that the configuration may have.
-CHANGE_WAIT_SHARE = 0.24
-# At a large site the load of all instances' calls on the store matters more. The
-# price is that keys are refused about a second earlier after the store is lost.
-LARGE_SITE_WAIT_SHARE = 0.45
-LARGE_SITE_UPSTREAMS = 30
-# Many upstreams start at the same time. After a delay, one call reads the entries
-# of several of them.
-SETTLE_S = 0.4
-LARGE_SITE_SETTLE_S = 1.2
 # The longest time until the first part of an answer, and between two parts.
 ANSWER_TIMEOUT_S = 0.7
-FIRST_PAUSE_S = 0.1
-# Short compared with the time within which an instance must be up to date again.
-MAX_PAUSE_S = 0.5
 PAUSE_JITTER = 0.3
-MAX_DOUBLINGS = 10
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -101,31 +86,6 @@
     retry_requested: asyncio.Event = field(default_factory=asyncio.Event)
 
 
-def choose_change_wait_s(max_age_s: float, upstreams: int) -> float:
-    """Choose how long a call may wait for changes.
-
-    :param max_age_s: The largest age that the configuration may have, in
-        seconds; 0 sets no limit.
-    :param upstreams: The number of listed upstreams, as the site's size.
-    :returns: The wait in seconds.
-    """
-    if not max_age_s:
-        return MAX_CHANGE_WAIT_S
-    is_large = upstreams >= LARGE_SITE_UPSTREAMS
-    share = LARGE_SITE_WAIT_SHARE if is_large else CHANGE_WAIT_SHARE
-    return min(MAX_CHANGE_WAIT_S, share * max_age_s)
-
-
-def choose_list_delay_s(upstreams: int) -> float:
-    """Choose the delay after changes of the list, so that one call reads several.
-
-    :param upstreams: The number of listed upstreams, as the site's size.
-    :returns: The delay in seconds; short compared with the time within which an
-        instance must know that an upstream is leaving.
-    """
-    return LARGE_SITE_SETTLE_S if upstreams >= LARGE_SITE_UPSTREAMS else SETTLE_S
-
-
 def read_boot_clock_s() -> float:
     """Read the clock that keeps running while the machine is suspended.
 
@@ -170,7 +130,7 @@
     apply_update: Callable[[SourceUpdate[Value]], None],
     choose_wait_s: Callable[[], float] = lambda: MAX_CHANGE_WAIT_S,
     choose_delay_s: Callable[[], float] = lambda: 0.0,
-    choose_pause_s: Callable[[int], float] = lambda failures: double_pause_s(failures),
+    choose_pause_s: Callable[[int], float] = double_pause_s,
     wait_until_due: Callable[[], Awaitable[None]] = _start_at_once,
     report_failure: Callable[[], None] = lambda: None,
 ) -> None:
@@ -324,17 +284,6 @@
     )
 
 
-def double_pause_s(failures: int, max_pause_s: float = MAX_PAUSE_S) -> float:
-    """Return a pause that doubles with each failure.
-
-    :param failures: The number of consecutive failures; at least 1.
-    :param max_pause_s: The longest pause, in seconds.
-    :returns: The pause in seconds.
-    """
-    doublings = min(failures - 1, MAX_DOUBLINGS)
-    return min(max_pause_s, FIRST_PAUSE_S * 2**doublings)
-
-
 async def _pause(progress, pause_s):
     pause_s *= random.uniform(1 - PAUSE_JITTER, 1 + PAUSE_JITTER)
     progress.retry_requested.clear()
