Show that urgent prompts wait on a full upstream for the sake of its cache (TIER)

What callers would see: urgent requests of a prefix that many share wait while other upstreams have free slots.

--- a/features/forwarding/steps/yield_steps.py
+++ b/features/forwarding/steps/yield_steps.py
@@ -16,7 +16,7 @@
 PROMPT_TOKENS = {"long": 12_000, "short": 800}
 
 
-def acquire_slot(context, kind):
+def acquire_slot(context, kind, prefix_key=""):
     request = WorkRequest(
         request_id="r",
         target="drafting",
@@ -31,6 +31,7 @@
         max_wait_s=1.0,
         expected_tokens=10,
         prompt_tokens=PROMPT_TOKENS[kind],
+        prefix_key=prefix_key,
     )
     return asyncio.run(context.capacity.acquire(request))
 
