Don't place prompts on nearly full upstreams for the sake of their cache (TIER)

What callers saw: in a burst of questions with a common prefix, urgent prompts waited on a full upstream while others of their service had free slots.

Cause: the ranking of a prefix compared this instance's own requests only, never the load that the upstream reports.

Why it works: a report of 0.1 to 0.3 s of age misses a few requests of the others, so the last tenth of the slots is left to them.

--- a/features/forwarding/hot_prefix.feature
+++ b/features/forwarding/hot_prefix.feature
@@ -12,12 +12,18 @@
     When a short request with that prefix is made
     Then the request is granted on another upstream
 
-  Scenario: A prefix keeps its upstream while that has a free slot
+  Scenario: A prefix keeps its upstream while a tenth of its slots is free
     Given 5 upstream with 48 slots that reports 10 running and 0 waiting requests
-    And the first upstream of a prefix reports 46 running and 0 waiting requests
+    And the first upstream of a prefix reports 43 running and 0 waiting requests
     When a short request with that prefix is made
     Then the request is granted on the first upstream of the prefix
 
+  Scenario: A prefix leaves the last slots to requests that are not reported yet
+    Given 5 upstream with 48 slots that reports 10 running and 0 waiting requests
+    And the first upstream of a prefix reports 44 running and 0 waiting requests
+    When a short request with that prefix is made
+    Then the request is granted on another upstream
+
   Scenario: The least loaded upstream is used when all are full
     Given 5 upstream with 48 slots that reports 60 running and 0 waiting requests
     And the first upstream of a prefix reports 80 running and 12 waiting requests
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -20,6 +20,9 @@
 # The same ratio for an upstream that serves only long prompts. At this ratio the
 # queue is so long that callers would give up before their requests start.
 DEDICATED_LOAD_LIMIT = 1.25
+# From this ratio of requests to slots on, an upstream isn't chosen for its cache. The
+# other instances send requests that its last report doesn't contain.
+FULL_SHARE = 0.9
 # Loads within this many requests of the lowest count as equal, so that the
 # instances don't all choose the same upstream.
 LOAD_TOLERANCE = 0.5
@@ -124,7 +127,8 @@
 
     All instances rank the upstreams of a prefix in the same order, so they send
     requests with the same prefix to the same upstream unless its load is too
-    high. Requests without a prefix go to one of the least loaded upstreams.
+    high: waiting for a slot takes longer than processing the prefix again. Requests
+    without a prefix go to one of the least loaded upstreams.
 
     :param candidates: The states of the upstreams to choose from; at least one.
     :param prefix_key: The same for all requests with the same prompt prefix;
@@ -140,7 +144,8 @@
         limit = MAX_LOAD_RATIO * sum(running.values()) / len(running) + SPARE_REQUESTS
         ranking = choose_by_rendezvous(prefix_key, loads, len(loads))
         for rank, name in enumerate(ranking):
-            if running[name] <= limit:
+            is_full = loads[name] >= FULL_SHARE * by_name[name].slots
+            if running[name] <= limit and not is_full:
                 return _make_choice(by_name[name], loads, rank, now_s)
     lowest = min(loads.values())
     least_loaded = [
