--- a/features/scripted_upstream.py
+++ b/features/scripted_upstream.py
@@ -4,6 +4,7 @@
 import re
 import socket
 import struct
+import time
 from collections.abc import Callable
 from contextlib import asynccontextmanager
 from dataclasses import dataclass, field
@@ -31,6 +32,7 @@
     connection_ending: str = "close"
     requests: list[bytes] = field(default_factory=list)
     connections: list[int] = field(default_factory=list)
+    arrivals_s: list[float] = field(default_factory=list)
     client_disconnects: int = 0
     url: str = ""
 
@@ -67,6 +69,7 @@
         if length:
             await reader.readexactly(int(length[1]))
         upstream.requests.append(head)
+        upstream.arrivals_s.append(time.monotonic())
         upstream.connections.append(id(writer))
         parts = (
             upstream.make_parts(head)
