Keep the request limits that upstreams name (LIMIT)

What callers saw: nothing.

Cause: nothing read the limit. Each instance now sends one request at a time at random intervals whose mean is the number of instances over 0.7 of the limit; opportunities lapse after 1.5 s. When all upstreams are held the request is refused at once, truly not run.

Why it works: independent instances at such intervals send at the limit's share in any window, whatever their number, and a burst finds no saved opportunities.

Rows of instances, tried first, raised the store's revision and made the others read the list anew (a feature failed); objects don't. The scenario of a limit that is withdrawn sends 80 requests, as 3 no longer reach the upstream one after the other.

--- a/features/forwarding/steps/limit_steps.py
+++ b/features/forwarding/steps/limit_steps.py
@@ -97,6 +97,7 @@
         read_clock_s=lambda: simulation.now_s,
         read_listing_clock_s=lambda: simulation.now_s,
         draw=simulation.draws.random,
+        read_instance_count=lambda: instances,
     )
 
 
--- /dev/null
+++ b/features/platform/directory.feature
@@ -0,0 +1,25 @@
+Feature: The instances of all data centres can be counted in the platform's store
+
+  Scenario: Each instance is counted once, however often it starts
+    Given a site without a program
+    When the instances "edge-a-1,edge-a-2,edge-b-1,edge-a-1" are added
+    Then 3 instances are counted
+
+  Scenario: More instances than one response lists are counted
+    Given a site without a program
+    When 1205 instances are added
+    Then 1205 instances are counted
+
+  Scenario: A store that doesn't answer is told as an error of the source
+    Given a site without a program
+    When the store is unavailable
+    Then counting fails with a source error
+
+  Scenario: A program adds itself, and again after the store was restored from a copy
+    Given a site whose upstream answers correctly
+    And a copy of the store without instances
+    When 0.5 s pass
+    Then 1 instance is counted
+    When the copy of the store is restored
+    And 6 s pass
+    Then 1 instance is counted
--- a/features/platform/notices.feature
+++ b/features/platform/notices.feature
@@ -1,10 +1,9 @@
 Feature: The log tells what upstreams state about themselves
 
   Scenario: A limit that an upstream names, changes and withdraws is logged
-    Given a site whose upstream names the limits "3.5,2.0,-" in turn
-    When 3 callers send idempotent requests
-    Then each caller gets "done"
-    And the program logged the limits "3.5,2.0" and a withdrawal
+    Given a site whose upstream names the limits "30.5,20.0,-" in turn
+    When callers send 40 idempotent requests a second for 2 s
+    Then the program logged the limits "30.5,20.0" and a withdrawal
 
   Scenario Outline: A limit that is not a number of requests is ignored
     Given a site whose upstream names the limits "<value>" in turn
--- /dev/null
+++ b/features/platform/steps/directory_steps.py
@@ -0,0 +1,60 @@
+import asyncio
+
+from behave import given, then, when
+
+from features.platform.site import call_store, run
+from jujubenotch.forwarding import SourceError
+from jujubenotch.platform.directory import NAME_PREFIX, StoreDirectory
+from jujubenotch.platform.store import open_store
+from jujubenotch.settings import Address
+from standins.store import copy_store
+
+
+def use_directory(context, work):
+    async def run_work():
+        site = context.site
+        client = open_store(Address(host=site.host, port=site.store_port))
+        async with client.session:
+            return await work(StoreDirectory(client=client))
+
+    return asyncio.run(run_work())
+
+
+@when('the instances "{names}" are added')
+def add_instances(context, names):
+    async def add(directory):
+        for name in names.split(","):
+            await directory.add_instance(name)
+
+    use_directory(context, add)
+
+
+@when("{count:d} instances are added")
+def add_many(context, count):
+    async def put():
+        for number in range(count):
+            context.site.state.objects[f"{NAME_PREFIX}{number:05d}"] = b"1"
+
+    run(context.site, put())
+
+
+@given("a copy of the store without instances")
+def copy_without_instances(context):
+    context.copy = call_store(context.site, copy_store)
+    context.copy.objects.clear()
+
+
+@then("{count:d} instance is counted")
+@then("{count:d} instances are counted")
+def check_count(context, count):
+    found = use_directory(context, lambda directory: directory.count_instances())
+    assert found == count, found
+
+
+@then("counting fails with a source error")
+def check_counting_fails(context):
+    try:
+        use_directory(context, lambda directory: directory.count_instances())
+    except SourceError:
+        return
+    raise AssertionError("no error was raised")
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -4,6 +4,7 @@
 import logging
 from collections.abc import Coroutine
 
+from jujubenotch.daemon.forward_count import keep_count, stay_counted
 from jujubenotch.daemon.forward_messages import report_outage, share_page
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_registration import run_relay
@@ -57,6 +58,8 @@
         _follow_configuration(relay, configuration),
         _follow_upstreams(relay, upstreams),
         run_relay(relay, components),
+        stay_counted(relay, components),
+        keep_count(relay, components),
     )
 
 
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -4,6 +4,7 @@
 import contextlib
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
+from typing import Protocol
 
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
@@ -19,6 +20,25 @@
 from jujubenotch.neighbours import Registry
 from jujubenotch.settings import Address, ForwarderSettings
 
+# Assumed until the instances have been counted; more than a small site has.
+UNKNOWN_COUNT = 32
+
+
+class Directory(Protocol):
+    """Counts the instances of all data centres."""
+
+    async def add_instance(self, name: str) -> None:
+        """Add an instance.
+
+        :raises SourceError: The store did not confirm it.
+        """
+
+    async def count_instances(self) -> int:
+        """Return how many instances have been added.
+
+        :raises SourceError: The store did not return a valid response.
+        """
+
 
 @dataclass(frozen=True, kw_only=True)
 class PlatformComponents:
@@ -27,6 +47,7 @@
     :param configuration: The source of the configuration.
     :param upstreams: The source of the list of upstreams.
     :param registry: Makes the instances of a data centre known to each other.
+    :param directory: Makes the instances of all data centres countable.
     :param protocol: The protocol of the upstreams.
     :param decode_request: Decodes the method, target and headers of a caller's
         request.
@@ -37,12 +58,25 @@
     configuration: Source
     upstreams: Source
     registry: Registry
+    directory: Directory
     protocol: UpstreamProtocol
     decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
     set_store_address: Callable[[Address], None]
     close: Callable[[], Awaitable[None]]
 
 
+@dataclass(kw_only=True)
+class InstanceCount:
+    """The number of instances of all data centres, as this instance knows it.
+
+    :param value: The number.
+    :param wanted: Set when an upstream has named a limit.
+    """
+
+    value: int = UNKNOWN_COUNT
+    wanted: asyncio.Event = field(default_factory=asyncio.Event)
+
+
 @dataclass(kw_only=True)
 class ForwardingInstance:
     """One running instance.
@@ -53,6 +87,7 @@
     :param settings_error: Why the settings that were read last are invalid;
         empty when they are valid.
     :param stopping: Set when the instance has to stop.
+    :param instance_count: The number of instances that share the upstreams.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -63,6 +98,7 @@
     observer: ForwardObserver
     dispatcher: Dispatcher
     stopping: asyncio.Event
+    instance_count: InstanceCount = field(default_factory=InstanceCount)
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -14,7 +14,11 @@
 from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
-from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
+from jujubenotch.daemon.forward_parts import (
+    ForwardingInstance,
+    InstanceCount,
+    PlatformComponents,
+)
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
@@ -144,10 +148,13 @@
         ),
     )
     loop = asyncio.get_running_loop()
+    instance_count = InstanceCount()
     capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=loop.time,
         read_listing_clock_s=read_boot_clock_s,
+        read_instance_count=lambda: instance_count.value,
+        report_limit=instance_count.wanted.set,
     )
     dispatcher = Dispatcher(
         capacity=capacity,
@@ -169,6 +176,7 @@
         observer=observer,
         dispatcher=dispatcher,
         stopping=stopping,
+        instance_count=instance_count,
     )
     return instance
 
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -12,8 +12,14 @@
     is_long_prompt,
     record_group_load,
 )
+from jujubenotch.forwarding.limit import (
+    change_limit,
+    skip_lapsed_openings,
+    use_opening,
+)
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
-from jujubenotch.forwarding.notices import record_notice
+from jujubenotch.forwarding.notices import Statements, record_notice
+from jujubenotch.forwarding.permission import find_hold
 from jujubenotch.forwarding.placement import (
     UpstreamState,
     are_slots_taken,
@@ -43,6 +49,9 @@
 logger = logging.getLogger(__name__)
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
+# Callers that are refused at the same time return within this share of the wait after
+# it, not all at once.
+HELD_RETRY_SPREAD = 0.5
 # After this time some of the requests in progress have usually ended.
 SHED_RETRY_AFTER_S = 1.0
 
@@ -71,6 +80,9 @@
     :param read_listing_clock_s: Reads the clock that the times in the listing
         use, in seconds.
     :param draw: Returns a random number in [0, 1).
+    :param read_instance_count: Returns the number of instances that share the
+        upstreams.
+    :param report_limit: Called when an upstream names a limit.
 
     >>> capacity = DirectCapacity(
     ...     listing=UpstreamListing(),
@@ -86,11 +98,15 @@
         read_clock_s: Callable[[], float],
         read_listing_clock_s: Callable[[], float],
         draw: Callable[[], float] = random.random,
+        read_instance_count: Callable[[], int] = lambda: 1,
+        report_limit: Callable[[], None] = lambda: None,
     ):
         self._listing = listing
         self._read_clock_s = read_clock_s
         self._read_listing_clock_s = read_listing_clock_s
         self._draw = draw
+        self._read_instance_count = read_instance_count
+        self._report_limit = report_limit
         self._states: dict[str, UpstreamState] = {}
         self._divisions: dict[str, Division] = {}
         self._prefill_limits: dict[str, PrefillLimit] = {}
@@ -101,18 +117,23 @@
         """Choose an upstream for a request.
 
         :param request: The request.
-        :returns: The grant; a refusal when no upstream is known, or when the
-            prompt is long and the chosen upstream is overloaded.
+        :returns: The grant; a refusal when no upstream is known, when all of them
+            are held, or when the prompt is long and the chosen upstream is overloaded.
         """
         now_s = self._read_clock_s()
-        states = self._list_states(request)
-        short_states = self._find_short_states(request, states, now_s)
+        listed = self._list_states(request)
+        states, holds = self._part_held(listed)
+        if holds and not states:
+            return self._refuse_held(request, holds)
+        short_states = self._find_short_states(request, listed, states, now_s)
         is_short_full = are_slots_taken(short_states, now_s)
         is_long = is_long_prompt(request.prompt_tokens)
         # Short prompts are more urgent. While the upstreams reserved for them are full,
         # they may use the upstreams for long prompts as well.
         uses_all = is_short_full and not is_long
-        candidates = self._find_candidates(request, states, now_s, uses_all=uses_all)
+        candidates = self._find_candidates(
+            request, listed, states, now_s, uses_all=uses_all
+        )
         if not candidates:
             return Refusal(
                 reason=RefusalReason.NO_UPSTREAM,
@@ -125,7 +146,7 @@
             draw=self._draw(),
             now_s=now_s,
         )
-        is_shared = len(states) == 1
+        is_shared = len(listed) == 1
         prefill = self._find_prefill_limit(request)
         if is_long and (
             is_short_full
@@ -200,22 +221,69 @@
         state = self._states.get(upstream)
         if state is not None:
             record_notice(
-                state.statements, upstream, notice, self._read_listing_clock_s()
+                state.statements,
+                upstream,
+                notice,
+                instances=self._read_instance_count(),
+                draw=self._draw(),
+                now_s=self._read_listing_clock_s(),
             )
+            if state.statements.limit is not None:
+                self._report_limit()
 
     def _list_states(self, request):
         listing_s = self._read_listing_clock_s()
         usable = find_usable(self._listing, request.target, listing_s)
         return [self._find_state(listed) for listed in usable]
 
-    def _find_short_states(self, request, states, now_s):
+    def _part_held(self, states):
+        """Return the states of the upstreams that are not held, and all holds."""
+        listing_s = self._read_listing_clock_s()
+        free, holds = [], []
+        for state in states:
+            self._update_opening(state.statements.limit, listing_s)
+            hold = find_hold(state.statements, listing_s)
+            if hold is None:
+                free.append(state)
+            else:
+                holds.append(hold)
+        return free, holds
+
+    def _update_opening(self, limit, listing_s):
+        if limit is None:
+            return
+        instances = self._read_instance_count()
+        change_limit(limit, limit.per_s, instances=instances, now_s=listing_s)
+        skip_lapsed_openings(limit, self._draw, listing_s)
+
+    def _refuse_held(self, request, holds):
+        first = min(holds, key=lambda hold: hold.until_s)
+        wait_s = first.until_s - self._read_listing_clock_s()
+        retry_after_s = max(NO_UPSTREAM_RETRY_AFTER_S, wait_s)
+        log_event(
+            logger,
+            logging.INFO,
+            "upstreams-held",
+            request_id=request.request_id,
+            target=request.target,
+            upstreams=len(holds),
+            reason=first.reason,
+            wait_s=round(wait_s, 3),
+        )
+        return Refusal(
+            reason=RefusalReason.UPSTREAM_LIMIT,
+            retry_after_s=retry_after_s * (1 + HELD_RETRY_SPREAD * self._draw()),
+            detail=f"the upstreams of {request.target} accept no more now; come back",
+        )
+
+    def _find_short_states(self, request, listed, states, now_s):
         """Return the states of the upstreams that only short prompts use."""
-        if not request.prompt_tokens or len(states) < 2:
+        if not request.prompt_tokens or len(listed) < 2:
             return []
-        names = self._choose_group(request, states, now_s, is_long=False)
+        names = self._choose_group(request, listed, now_s, is_long=False)
         return [state for state in states if state.name in names]
 
-    def _find_candidates(self, request, states, now_s, *, uses_all):
+    def _find_candidates(self, request, listed, states, now_s, *, uses_all):
         untried = [
             state for state in states if state.name not in request.excluded_upstreams
         ]
@@ -223,7 +291,7 @@
         if uses_all:
             return available or untried or states
         is_long = is_long_prompt(request.prompt_tokens)
-        group = self._choose_group(request, states, now_s, is_long=is_long)
+        group = self._choose_group(request, listed, now_s, is_long=is_long)
         in_group = [state for state in available if state.name in group]
         # An ejected upstream is better than none, and a second attempt at the
         # same upstream is better than a refusal.
@@ -253,8 +321,14 @@
     def _find_state(self, listed):
         state = self._states.get(listed.name)
         if state is None:
-            state = UpstreamState(name=listed.name, slots=listed.slots)
+            state = UpstreamState(
+                name=listed.name, slots=listed.slots, started_ms=listed.started_ms
+            )
             self._states[listed.name] = state
+        if state.started_ms != listed.started_ms:
+            # A new process with the name of an earlier one.
+            state.started_ms = listed.started_ms
+            state.statements = Statements()
         return state
 
     def _create_grant(self, request, choice, now_s):
@@ -263,11 +337,13 @@
         if is_probe:
             start_probe(state.health, now_s)
         state.running += 1
+        basis = self._add_limit(choice)
+        self._use_opening(state)
         grant = Grant(
             grant_id=str(next(self._grant_numbers)),
             request_id=request.request_id,
             upstream=state.name,
-            basis=self._add_limit(choice),
+            basis=basis,
         )
         prefill = None
         if is_long_prompt(request.prompt_tokens):
@@ -287,6 +363,11 @@
             record_group_load(division, state.name, state.running, now_s)
         return grant
 
+    def _use_opening(self, state):
+        limit = state.statements.limit
+        if limit is not None:
+            use_opening(limit, self._draw, self._read_listing_clock_s())
+
     def _add_limit(self, choice):
         limit = choice.state.statements.limit
         if limit is None:
--- a/jujubenotch/forwarding/notices.py
+++ b/jujubenotch/forwarding/notices.py
@@ -3,26 +3,13 @@
 import logging
 from dataclasses import dataclass
 
+from jujubenotch.forwarding.limit import NamedLimit, change_limit, name_limit
 from jujubenotch.logs import log_event
 from jujubenotch.work import UpstreamNotice
 
 logger = logging.getLogger(__name__)
 
 
-@dataclass(kw_only=True, slots=True)
-class NamedLimit:
-    """The request rate that an upstream accepts from all instances together.
-
-    :param per_s: The limit in requests per second.
-    :param named_s: When this instance first read of a limit, in seconds.
-    :param read_s: When this instance last read the limit, in seconds.
-    """
-
-    per_s: float
-    named_s: float
-    read_s: float
-
-
 @dataclass(kw_only=True, slots=True)
 class Statements:
     """The last statements of one upstream.
@@ -38,7 +25,13 @@
 
 
 def record_notice(
-    statements: Statements, upstream: str, notice: UpstreamNotice, now_s: float
+    statements: Statements,
+    upstream: str,
+    notice: UpstreamNotice,
+    *,
+    instances: int,
+    draw: float,
+    now_s: float,
 ) -> None:
     """Record the statements in a response of an upstream.
 
@@ -47,12 +40,23 @@
     :param statements: The upstream's earlier statements; changed in place.
     :param upstream: The upstream's name.
     :param notice: The new statements.
+    :param instances: The number of instances that share the upstream.
+    :param draw: A random number in [0, 1).
     :param now_s: The present time on a clock that includes suspended time, in seconds.
     """
     _log_rejected(statements, upstream, notice)
     if notice.rejected:
         return
-    _record_limit(statements, upstream, notice.limit_per_s, now_s)
+    per_s = notice.limit_per_s
+    if per_s is None:
+        _withdraw_limit(statements, upstream, now_s)
+    elif statements.limit is None:
+        statements.limit = name_limit(
+            per_s, instances=instances, draw=draw, now_s=now_s
+        )
+        _log_named(upstream, statements.limit, before_per_s=None)
+    else:
+        _update_limit(statements.limit, upstream, per_s, instances, now_s)
 
 
 def _log_rejected(statements, upstream, notice):
@@ -67,31 +71,29 @@
     statements.rejected = notice.rejected
 
 
-def _record_limit(statements, upstream, per_s, now_s):
-    limit = statements.limit
-    if per_s is None:
-        if limit is not None:
-            _log_withdrawn(upstream, limit, now_s)
-        statements.limit = None
-        return
-    if limit is None:
-        limit = NamedLimit(per_s=per_s, named_s=now_s, read_s=now_s)
-        statements.limit = limit
-        _log_named(upstream, limit, before=None)
-    elif limit.per_s != per_s:
-        before, limit.per_s = limit.per_s, per_s
-        _log_named(upstream, limit, before=before)
+def _update_limit(limit, upstream, per_s, instances, now_s):
+    before_per_s = limit.per_s
+    change_limit(limit, per_s, instances=instances, now_s=now_s)
     limit.read_s = now_s
+    if per_s != before_per_s:
+        _log_named(upstream, limit, before_per_s=before_per_s)
+
+
+def _withdraw_limit(statements, upstream, now_s):
+    if statements.limit is not None:
+        _log_withdrawn(upstream, statements.limit, now_s)
+        statements.limit = None
 
 
-def _log_named(upstream, limit, *, before):
+def _log_named(upstream, limit, *, before_per_s):
     log_event(
         logger,
         logging.INFO,
         "upstream-limit-named",
         upstream=upstream,
         limit_per_s=limit.per_s,
-        before_per_s=before,
+        before_per_s=before_per_s,
+        interval_s=round(limit.interval_s, 3),
     )
 
 
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -33,6 +33,8 @@
 class UpstreamState:
     """The load and the health of one upstream, as this instance knows them.
 
+    :param started_ms: When the upstream's process started, as Unix time in
+        milliseconds; 0 when unknown.
     :param running: Requests of this instance that are on the upstream.
     :param reported: Running and waiting requests of all instances, from the
         upstream's last load report.
@@ -46,6 +48,7 @@
 
     name: str
     slots: int
+    started_ms: int = 0
     running: int = 0
     reported: int = 0
     running_at_report: int = 0
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -42,6 +42,7 @@
     CLAIM_HELD = "claim-held"
     UPSTREAM_REFUSED = "upstream-refused"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
+    UPSTREAM_LIMIT = "upstream-limit"
 
 
 class RetryReason(StrEnum):
--- /dev/null
+++ b/jujubenotch/platform/directory.py
@@ -0,0 +1,71 @@
+"""Lists the running instances of all data centres as objects of the platform's store.
+
+Rows would raise the store's revision, which instances take for a missed change of the
+list of upstreams.
+"""
+
+from dataclasses import dataclass
+
+from pydantic import BaseModel, ConfigDict, Field
+
+from jujubenotch.forwarding import SourceError
+from jujubenotch.platform.store import StoreClient, call_store
+
+NAME_PREFIX = "instance-"
+# The object's name is all that is read; an object can't be empty.
+OBJECT_CONTENT = b"1"
+
+
+class NamesDocument(BaseModel):
+    """The response to a call for the names of objects.
+
+    :param names: The names, at most 1,000.
+    :param has_more: Whether there are further names after the last one.
+    """
+
+    model_config = ConfigDict(extra="ignore")
+
+    names: tuple[str, ...] = ()
+    has_more: bool = Field(False, alias="has-more")
+
+
+@dataclass(frozen=True, kw_only=True)
+class StoreDirectory:
+    """The names of the instances: one object of the store for each.
+
+    :param client: The client of the store.
+    """
+
+    client: StoreClient
+
+    async def add_instance(self, name: str) -> None:
+        """Add an instance.
+
+        :param name: The instance's name.
+        :raises SourceError: The store did not confirm it.
+        """
+        path = f"/v1/blob-put/{NAME_PREFIX}{name}"
+        await call_store(self.client, "PUT", path, data=OBJECT_CONTENT)
+
+    async def count_instances(self) -> int:
+        """Return how many instances have been added.
+
+        :raises SourceError: The store did not return a valid response.
+        """
+        total = 0
+        parameters = {"prefix": NAME_PREFIX}
+        while True:
+            document = await self._read_names(parameters)
+            total += len(document.names)
+            if not document.has_more or not document.names:
+                return total
+            parameters["since-rev"] = document.names[-1]
+
+    async def _read_names(self, parameters):
+        content = await call_store(
+            self.client, "GET", "/v1/blob-list", params=parameters
+        )
+        try:
+            return NamesDocument.model_validate_json(content)
+        except ValueError as error:
+            raise SourceError(f"the list of names is invalid: {error}") from error
--- a/jujubenotch/platform/parts.py
+++ b/jujubenotch/platform/parts.py
@@ -1,6 +1,7 @@
 """Builds the components of the forwarder that depend on the platform."""
 
 from jujubenotch.daemon.forward_parts import PlatformComponents
+from jujubenotch.platform.directory import StoreDirectory
 from jujubenotch.platform.registry import StoreRegistry
 from jujubenotch.platform.requests import PLATFORM_PROTOCOL, decode_request
 from jujubenotch.platform.store import (
@@ -22,6 +23,7 @@
         configuration=make_configuration_source(client),
         upstreams=make_upstream_source(client),
         registry=StoreRegistry(client=client),
+        directory=StoreDirectory(client=client),
         protocol=PLATFORM_PROTOCOL,
         decode_request=decode_request,
         set_store_address=client.move,
--- a/jujubenotch/platform/registry.py
+++ b/jujubenotch/platform/registry.py
@@ -2,14 +2,12 @@
 
 from dataclasses import dataclass
 
-import aiohttp
 import orjson
 
 from jujubenotch.forwarding import SourceError
-from jujubenotch.platform.store import OK, RowsDocument, StoreClient
+from jujubenotch.platform.store import RowsDocument, StoreClient, call_store
 
 INSTANCE_TABLE = "instances"
-CALL_TIMEOUT_S = 2.0
 # The row's key is all that is read; a row can't be empty.
 ROW_VALUE = "e30="
 
@@ -31,7 +29,9 @@
         :raises SourceError: The store did not return a valid response.
         """
         parameters = {"table": INSTANCE_TABLE, "part": data_centre}
-        content = await self._call("GET", "/v1/rows-get", params=parameters)
+        content = await call_store(
+            self.client, "GET", "/v1/rows-get", params=parameters
+        )
         try:
             document = RowsDocument.model_validate(orjson.loads(content))
         except ValueError as error:
@@ -51,21 +51,7 @@
             "writes": [{**row, "value": ROW_VALUE}],
             "remove": [],
         }
-        await self._call("POST", "/v1/rows-tx", json=body)
-
-    async def _call(self, method, path, **arguments):
-        url = f"http://{self.client.address.text}{path}"
-        timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
-        try:
-            async with self.client.session.request(
-                method, url, timeout=timeout, **arguments
-            ) as answer:
-                content = await answer.read()
-        except (aiohttp.ClientError, OSError, RuntimeError, TimeoutError) as error:
-            raise SourceError(f"the store did not answer {path}: {error!r}") from error
-        if answer.status != OK:
-            raise SourceError(f"{path}: the store answered with status {answer.status}")
-        return content
+        await call_store(self.client, "POST", "/v1/rows-tx", json=body)
 
 
 def _is_address(text):
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -13,6 +13,7 @@
 DEFAULT_FILE = "/etc/jujubenotch/settings.conf"
 METRICS_PORT = 9464
 DEFAULT_CHANGE_DELAY_MS = 2000.0
+DATA_CENTRE_PREFIX = "zones."
 
 
 def find_settings_file() -> str:
@@ -65,6 +66,7 @@
     return ForwarderSettings(
         name=fields["node-name"],
         data_centre=fields["zone"],
+        data_centres=_read_data_centres(fields),
         callers=callers,
         readiness=_read_address(fields, "listen.ready"),
         metrics=Address(host=callers.host, port=METRICS_PORT),
@@ -80,6 +82,11 @@
     )
 
 
+def _read_data_centres(fields):
+    names = (name for name in fields if name.startswith(DATA_CENTRE_PREFIX))
+    return tuple(name.removeprefix(DATA_CENTRE_PREFIX) for name in names)
+
+
 def _read_neighbour_address(fields, host):
     first_port = fields.get("port-range", "").partition(",")[0]
     return Address(host=host, port=int(first_port)) if first_port.isdigit() else None
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -32,6 +32,7 @@
 ERA_HEADER = "Store-Era"
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 15.0
+CALL_TIMEOUT_S = 2.0
 
 
 class RowDocument(BaseModel):
@@ -244,3 +245,27 @@
         decode=decode_upstream,
         accepts=lambda key: True,
     )
+
+
+async def call_store(client: StoreClient, method: str, path: str, **arguments) -> bytes:
+    """Make one call to the store that does not wait for changes.
+
+    :param client: The client.
+    :param method: The HTTP method.
+    :param path: The path of the call.
+    :param arguments: Further arguments of the request.
+    :returns: The body of the response.
+    :raises SourceError: The store did not answer in time, or not with success.
+    """
+    url = f"http://{client.address.text}{path}"
+    timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
+    try:
+        async with client.session.request(
+            method, url, timeout=timeout, **arguments
+        ) as answer:
+            content = await answer.read()
+    except (aiohttp.ClientError, OSError, RuntimeError, TimeoutError) as error:
+        raise SourceError(f"the store did not answer {path}: {error!r}") from error
+    if not 200 <= answer.status < 300:
+        raise SourceError(f"{path}: the store answered with status {answer.status}")
+    return content
--- a/jujubenotch/settings/forwarder.py
+++ b/jujubenotch/settings/forwarder.py
@@ -29,6 +29,8 @@
     """The settings of an instance that forwards by host and path.
 
     :param name: The name of the instance.
+    :param data_centres: The names of all data centres; empty when only that of this
+        instance is known.
     :param callers: The address of the callers' listener.
     :param readiness: The address of the listener that reports whether the instance
         accepts requests.
@@ -50,6 +52,7 @@
 
     name: str
     data_centre: str
+    data_centres: tuple[str, ...] = ()
     callers: Address
     readiness: Address
     metrics: Address | None = None
@@ -60,3 +63,8 @@
     grace_s: PositiveFloat = 8.0
     retry_ratio: float = Field(default=0.1, ge=0)
     log_level: str = "INFO"
+
+    @property
+    def all_data_centres(self) -> tuple[str, ...]:
+        """The names of all data centres that are known."""
+        return self.data_centres or (self.data_centre,)
--- a/standins/store.py
+++ b/standins/store.py
@@ -1,6 +1,7 @@
 """A stand-in for the store of the users' platform, which has change feeds.
 
-The store keeps rows in tables and serves reads and long polls for changes. Tests
+The store keeps rows in tables and serves reads and long polls for changes; it also
+keeps objects and lists their names. Tests
 can make it unavailable, silent or slow, drop its history of changes, or restore it
 from an earlier copy.
 """
@@ -14,6 +15,8 @@
 from aiohttp import web
 
 MS_PER_S = 1000
+OK = 200
+MAX_NAMES = 1000
 SERVICE_UNAVAILABLE = 503
 GONE = 410
 ERA_HEADER = "Store-Era"
@@ -36,6 +39,7 @@
 class StoreState:
     """The rows and the active faults of the store.
 
+    :param objects: The contents of the objects, by name.
     :param revision: The revision of the newest change.
     :param oldest_readable_revision: The lowest revision from which a change feed can be
         read; a request with an older one gets status 410.
@@ -53,6 +57,7 @@
     """
 
     rows: dict[tuple[str, str, str], StoredRow] = field(default_factory=dict)
+    objects: dict[str, bytes] = field(default_factory=dict)
     revision: int = 0
     oldest_readable_revision: int = 0
     era: int = 0
@@ -96,9 +101,10 @@
 
 @dataclass(frozen=True, kw_only=True)
 class StoreCopy:
-    """The rows of the store at one revision."""
+    """The rows and the objects of the store at one revision."""
 
     rows: dict[tuple[str, str, str], StoredRow]
+    objects: dict[str, bytes]
     revision: int
 
 
@@ -108,7 +114,9 @@
     :param state: The store.
     :returns: The copy.
     """
-    return StoreCopy(rows=dict(state.rows), revision=state.revision)
+    return StoreCopy(
+        rows=dict(state.rows), objects=dict(state.objects), revision=state.revision
+    )
 
 
 def restore_store(state: StoreState, copy: StoreCopy) -> None:
@@ -120,6 +128,7 @@
     :param copy: The copy.
     """
     state.rows = dict(copy.rows)
+    state.objects = dict(copy.objects)
     state.revision = copy.revision
     state.era += 1
     _wake_feeds(state)
@@ -160,6 +169,12 @@
     async def serve_feed(request):
         return await _handle_request(state, request, _read_feed)
 
+    async def serve_object(request):
+        return await _handle_request(state, request, _put_object)
+
+    async def serve_names(request):
+        return await _handle_request(state, request, _list_names)
+
     async def serve_transaction(request):
         return await _handle_request(state, request, _run_transaction)
 
@@ -167,6 +182,8 @@
     app.router.add_get("/v1/rows-get", serve_get)
     app.router.add_get("/v1/rows-feed", serve_feed)
     app.router.add_post("/v1/rows-tx", serve_transaction)
+    app.router.add_put("/v1/blob-put/{name}", serve_object)
+    app.router.add_get("/v1/blob-list", serve_names)
     return app
 
 
@@ -217,6 +234,25 @@
     return _make_response(state, [])
 
 
+async def _put_object(state, request):
+    state.objects[request.match_info["name"]] = await request.read()
+    return web.Response(status=OK)
+
+
+async def _list_names(state, request):
+    query = request.query
+    names = sorted(
+        name
+        for name in state.objects
+        if name.startswith(query["prefix"]) and name > query.get("since-rev", "")
+    )
+    body = {
+        "names": names[:MAX_NAMES],
+        "has-more": len(names) > MAX_NAMES,
+    }
+    return web.Response(body=orjson.dumps(body), content_type="application/json")
+
+
 async def _read_rows(state, request):
     query = request.query
     first_key = query.get("from", "")
