Send nothing more to upstreams that say that they are leaving (DRAIN)

The word holds for the process: it outlives the entry in the list, as a restored copy may name the upstream again; a later start under the same name ends it. When all upstreams of a service leave, requests are refused at once with a time to come back.

--- a/features/platform/steps/names_steps.py
+++ b/features/platform/steps/names_steps.py
@@ -25,6 +25,7 @@
     "readyz",
     "revoke-ms",
     "server-limit",
+    "server-leaving",
 )
 
 
--- a/features/platform/steps/notices_steps.py
+++ b/features/platform/steps/notices_steps.py
@@ -15,12 +15,13 @@
 )
 from features.scripted_upstream import ScriptedUpstream
 
-STATUS_LINE = b"HTTP/1.1 200 OK\r\n"
+END_OF_LINE = b"\r\n"
 NO_LIMIT = "-"
 
 
 def add_header(parts, header):
-    return (parts[0].replace(STATUS_LINE, STATUS_LINE + header), *parts[1:])
+    status_line, _, rest = parts[0].partition(END_OF_LINE)
+    return (status_line + END_OF_LINE + header + rest, *parts[1:])
 
 
 def make_limiting_upstream(values):
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -3,6 +3,7 @@
 import itertools
 import logging
 import random
+from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
@@ -19,7 +20,7 @@
 )
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
 from jujubenotch.forwarding.notices import Statements, record_notice
-from jujubenotch.forwarding.permission import find_hold
+from jujubenotch.forwarding.permission import HoldReason, find_hold
 from jujubenotch.forwarding.placement import (
     UpstreamState,
     are_slots_taken,
@@ -49,6 +50,8 @@
 logger = logging.getLogger(__name__)
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
+# Upstreams that were leaving when they left the list.
+MAX_RETAINED = 1000
 # Callers that are refused at the same time return within this share of the wait after
 # it, not all at once.
 HELD_RETRY_SPREAD = 0.5
@@ -111,6 +114,7 @@
         self._divisions: dict[str, Division] = {}
         self._prefill_limits: dict[str, PrefillLimit] = {}
         self._outstanding: dict[str, OutstandingGrant] = {}
+        self._retained: deque[str] = deque()
         self._grant_numbers = itertools.count(1)
 
     async def acquire(self, request: WorkRequest) -> Grant | Refusal:
@@ -259,7 +263,10 @@
     def _refuse_held(self, request, holds):
         first = min(holds, key=lambda hold: hold.until_s)
         wait_s = first.until_s - self._read_listing_clock_s()
-        retry_after_s = max(NO_UPSTREAM_RETRY_AFTER_S, wait_s)
+        is_leaving = first.reason is HoldReason.LEAVING
+        retry_after_s = NO_UPSTREAM_RETRY_AFTER_S
+        if not is_leaving:
+            retry_after_s = max(retry_after_s, wait_s)
         log_event(
             logger,
             logging.INFO,
@@ -268,10 +275,12 @@
             target=request.target,
             upstreams=len(holds),
             reason=first.reason,
-            wait_s=round(wait_s, 3),
+            wait_s=round(retry_after_s, 3),
         )
         return Refusal(
-            reason=RefusalReason.UPSTREAM_LIMIT,
+            reason=RefusalReason.NO_UPSTREAM
+            if is_leaving
+            else RefusalReason.UPSTREAM_LIMIT,
             retry_after_s=retry_after_s * (1 + HELD_RETRY_SPREAD * self._draw()),
             detail=f"the upstreams of {request.target} accept no more now; come back",
         )
@@ -325,10 +334,11 @@
                 name=listed.name, slots=listed.slots, started_ms=listed.started_ms
             )
             self._states[listed.name] = state
-        if state.started_ms != listed.started_ms:
-            # A new process with the name of an earlier one.
+        if listed.started_ms > state.started_ms:
+            if state.started_ms:
+                # A new process with the name of an earlier one.
+                state.statements = Statements()
             state.started_ms = listed.started_ms
-            state.statements = Statements()
         return state
 
     def _create_grant(self, request, choice, now_s):
@@ -381,7 +391,17 @@
         :param names: The upstreams' names.
         """
         for name in names:
-            self._states.pop(name, None)
+            state = self._states.get(name)
+            if state is not None and state.statements.left_s is not None:
+                self._retain(name)
+            else:
+                self._states.pop(name, None)
+
+    def _retain(self, name):
+        """Keep the state of a leaving upstream; an outdated list may name it again."""
+        self._retained.append(name)
+        if len(self._retained) > MAX_RETAINED:
+            self._states.pop(self._retained.popleft(), None)
 
 
 def _log_refusal(request, choice, prefill, *, is_short_full):
--- a/jujubenotch/forwarding/notices.py
+++ b/jujubenotch/forwarding/notices.py
@@ -5,7 +5,7 @@
 
 from jujubenotch.forwarding.limit import NamedLimit, change_limit, name_limit
 from jujubenotch.logs import log_event
-from jujubenotch.work import UpstreamNotice
+from jujubenotch.work import Unreadable, UpstreamNotice
 
 logger = logging.getLogger(__name__)
 
@@ -15,13 +15,16 @@
     """The last statements of one upstream.
 
     :param limit: Its limit; ``None`` while it names none.
-    :param rejected: The part of its last response that could not be interpreted.
+    :param left_s: When this instance first read that it is leaving, in seconds;
+        ``None`` before. A process that is leaving doesn't come back.
+    :param unreadable: What could not be interpreted in its last response.
 
     >>> Statements().limit
     """
 
     limit: NamedLimit | None = None
-    rejected: str = ""
+    left_s: float | None = None
+    unreadable: str = ""
 
 
 def record_notice(
@@ -44,10 +47,13 @@
     :param draw: A random number in [0, 1).
     :param now_s: The present time on a clock that includes suspended time, in seconds.
     """
-    _log_rejected(statements, upstream, notice)
-    if notice.rejected:
-        return
+    _log_unreadable(statements, upstream, notice.unreadable)
+    if notice.is_leaving is True and statements.left_s is None:
+        statements.left_s = now_s
+        log_event(logger, logging.INFO, "upstream-leaving", upstream=upstream)
     per_s = notice.limit_per_s
+    if isinstance(per_s, Unreadable):
+        return
     if per_s is None:
         _withdraw_limit(statements, upstream, now_s)
     elif statements.limit is None:
@@ -59,16 +65,16 @@
         _update_limit(statements.limit, upstream, per_s, instances, now_s)
 
 
-def _log_rejected(statements, upstream, notice):
-    if notice.rejected and notice.rejected != statements.rejected:
+def _log_unreadable(statements, upstream, unreadable):
+    if unreadable and unreadable != statements.unreadable:
         log_event(
             logger,
             logging.WARNING,
             "upstream-notice-rejected",
             upstream=upstream,
-            value=notice.rejected,
+            value=unreadable,
         )
-    statements.rejected = notice.rejected
+    statements.unreadable = unreadable
 
 
 def _update_limit(limit, upstream, per_s, instances, now_s):
--- a/jujubenotch/forwarding/permission.py
+++ b/jujubenotch/forwarding/permission.py
@@ -1,5 +1,6 @@
 """Decides whether an upstream may get one more request from this instance."""
 
+import math
 from dataclasses import dataclass
 from enum import StrEnum
 
@@ -9,6 +10,7 @@
 class HoldReason(StrEnum):
     """Why an upstream may get no request now."""
 
+    LEAVING = "leaving"
     LIMIT = "limit"
 
 
@@ -16,7 +18,7 @@
 class Hold:
     """An upstream gets no request of this instance for some time.
 
-    :param until_s: From when it may get one, in seconds.
+    :param until_s: From when it may get one, in seconds; infinite when never.
     """
 
     reason: HoldReason
@@ -32,6 +34,8 @@
     :param now_s: The present time on a clock that includes suspended time, in seconds.
     :returns: The hold; ``None`` when the upstream may get a request.
     """
+    if statements.left_s is not None:
+        return Hold(reason=HoldReason.LEAVING, until_s=math.inf)
     limit = statements.limit
     if limit is not None and now_s < limit.opens_s:
         return Hold(reason=HoldReason.LIMIT, until_s=limit.opens_s)
--- a/jujubenotch/platform/notices.py
+++ b/jujubenotch/platform/notices.py
@@ -1,14 +1,17 @@
 """Decodes what an upstream states about itself in the head of a response."""
 
 from jujubenotch.upstreams import UpstreamAnswer
-from jujubenotch.work import UpstreamNotice
+from jujubenotch.work import Unreadable, UpstreamNotice
 
 MISDIRECTED_STATUS = 421
 # The requests per second that the upstream accepts from all instances together.
 REQUEST_LIMIT = "Server-Limit"
+# The upstream is about to go out of service.
+LEAVING = "Server-Leaving"
+LEAVING_VALUE = "1"
 # A higher limit can't be told from none.
 MAX_LIMIT_PER_S = 1e6
-MAX_REJECTED_LENGTH = 80
+MAX_TEXT_LENGTH = 80
 
 
 def read_notice(answer: UpstreamAnswer) -> UpstreamNotice | None:
@@ -20,18 +23,30 @@
     """
     if answer.status == MISDIRECTED_STATUS:
         return None
-    text = answer.find_header(REQUEST_LIMIT)
-    limit_per_s = _read_amount(text, MAX_LIMIT_PER_S)
-    rejected = ""
-    if text and limit_per_s is None:
-        rejected = f"{REQUEST_LIMIT}: {text}"[:MAX_REJECTED_LENGTH]
-    return UpstreamNotice(limit_per_s=limit_per_s, rejected=rejected)
+    return UpstreamNotice(
+        limit_per_s=_read_amount(answer, REQUEST_LIMIT, MAX_LIMIT_PER_S),
+        is_leaving=_read_leaving(answer),
+    )
 
 
-def _read_amount(text, largest):
-    """Return a decimal number from 0 to the largest one, or ``None``."""
+def _read_leaving(answer):
+    text = answer.find_header(LEAVING).strip()
+    if text and text != LEAVING_VALUE:
+        return _make_unreadable(LEAVING, text)
+    return bool(text)
+
+
+def _read_amount(answer, name, largest):
+    """Return a decimal number from 0 to the largest one, or ``None`` without one."""
+    text = answer.find_header(name)
+    if not text:
+        return None
     try:
         number = float(text)
     except ValueError:
-        return None
-    return number if 0 <= number <= largest else None
+        return _make_unreadable(name, text)
+    return number if 0 <= number <= largest else _make_unreadable(name, text)
+
+
+def _make_unreadable(name, text):
+    return Unreadable(text=f"{name}: {text}"[:MAX_TEXT_LENGTH])
--- a/jujubenotch/work/__init__.py
+++ b/jujubenotch/work/__init__.py
@@ -15,7 +15,7 @@
     describe_basis,
 )
 from jujubenotch.work.interface import SlotProvider
-from jujubenotch.work.notice import UpstreamNotice
+from jujubenotch.work.notice import Unreadable, UpstreamNotice
 
 __all__ = [
     "TIERS",
@@ -24,6 +24,7 @@
     "LoadReport",
     "PoolSummary",
     "SlotProvider",
+    "Unreadable",
     "UpstreamNotice",
     "WorkReport",
     "WorkRequest",
--- a/jujubenotch/work/notice.py
+++ b/jujubenotch/work/notice.py
@@ -3,18 +3,34 @@
 from dataclasses import dataclass
 
 
+@dataclass(frozen=True, kw_only=True)
+class Unreadable:
+    """A statement that can't be interpreted.
+
+    :param text: Its name and value, shortened.
+    """
+
+    text: str
+
+
 @dataclass(frozen=True, kw_only=True)
 class UpstreamNotice:
-    """The statements in one response; each response replaces those of earlier ones.
+    """The statements in one response.
 
     :param limit_per_s: The number of requests per second that the upstream accepts
         from all instances together; ``None`` when it states no limit.
-    :param rejected: The names and values that can't be interpreted, shortened; they
-        are ignored.
+    :param is_leaving: Whether the upstream is about to go out of service.
 
-    >>> UpstreamNotice(limit_per_s=3.5).rejected
-    ''
+    >>> UpstreamNotice(limit_per_s=3.5).is_leaving
+    False
     """
 
-    limit_per_s: float | None = None
-    rejected: str = ""
+    limit_per_s: float | Unreadable | None = None
+    is_leaving: bool | Unreadable = False
+
+    @property
+    def unreadable(self) -> str:
+        """The statements that can't be interpreted; empty when there are none."""
+        statements = (self.limit_per_s, self.is_leaving)
+        texts = [each.text for each in statements if isinstance(each, Unreadable)]
+        return "; ".join(texts)
