--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -13,14 +13,10 @@
     is_long_prompt,
     record_group_load,
 )
-from jujubenotch.forwarding.limit import (
-    change_limit,
-    skip_lapsed_openings,
-    use_opening,
-)
+from jujubenotch.forwarding.held import find_availability, refuse_held
+from jujubenotch.forwarding.limit import use_opening
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
 from jujubenotch.forwarding.notices import Statements, record_notice
-from jujubenotch.forwarding.permission import HoldReason, find_hold
 from jujubenotch.forwarding.placement import (
     UpstreamState,
     are_slots_taken,
@@ -52,9 +48,6 @@
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
 # Upstreams that were leaving when they left the list.
 MAX_RETAINED = 1000
-# Callers that are refused at the same time return within this share of the wait after
-# it, not all at once.
-HELD_RETRY_SPREAD = 0.5
 # After this time some of the requests in progress have usually ended.
 SHED_RETRY_AFTER_S = 1.0
 
@@ -126,9 +119,22 @@
         """
         now_s = self._read_clock_s()
         listed = self._list_states(request)
-        states, holds = self._part_held(listed)
-        if holds and not states:
-            return self._refuse_held(request, holds)
+        listing_s = self._read_listing_clock_s()
+        availability = find_availability(
+            listed,
+            instances=self._read_instance_count(),
+            draw=self._draw,
+            now_s=listing_s,
+        )
+        states = availability.usable
+        if availability.holds and not states:
+            return refuse_held(
+                request,
+                availability.holds,
+                draw=self._draw(),
+                left_s=request.deadline_s - now_s,
+                now_s=listing_s,
+            )
         short_states = self._find_short_states(request, listed, states, now_s)
         is_short_full = are_slots_taken(short_states, now_s)
         is_long = is_long_prompt(request.prompt_tokens)
@@ -240,51 +246,6 @@
         usable = find_usable(self._listing, request.target, listing_s)
         return [self._find_state(listed) for listed in usable]
 
-    def _part_held(self, states):
-        """Return the states of the upstreams that are not held, and all holds."""
-        listing_s = self._read_listing_clock_s()
-        free, holds = [], []
-        for state in states:
-            self._update_opening(state.statements.limit, listing_s)
-            hold = find_hold(state.statements, listing_s)
-            if hold is None:
-                free.append(state)
-            else:
-                holds.append(hold)
-        return free, holds
-
-    def _update_opening(self, limit, listing_s):
-        if limit is None:
-            return
-        instances = self._read_instance_count()
-        change_limit(limit, limit.per_s, instances=instances, now_s=listing_s)
-        skip_lapsed_openings(limit, self._draw, listing_s)
-
-    def _refuse_held(self, request, holds):
-        first = min(holds, key=lambda hold: hold.until_s)
-        wait_s = first.until_s - self._read_listing_clock_s()
-        is_leaving = first.reason is HoldReason.LEAVING
-        retry_after_s = NO_UPSTREAM_RETRY_AFTER_S
-        if not is_leaving:
-            retry_after_s = max(retry_after_s, wait_s)
-        log_event(
-            logger,
-            logging.INFO,
-            "upstreams-held",
-            request_id=request.request_id,
-            target=request.target,
-            upstreams=len(holds),
-            reason=first.reason,
-            wait_s=round(retry_after_s, 3),
-        )
-        return Refusal(
-            reason=RefusalReason.NO_UPSTREAM
-            if is_leaving
-            else RefusalReason.UPSTREAM_LIMIT,
-            retry_after_s=retry_after_s * (1 + HELD_RETRY_SPREAD * self._draw()),
-            detail=f"the upstreams of {request.target} accept no more now; come back",
-        )
-
     def _find_short_states(self, request, listed, states, now_s):
         """Return the states of the upstreams that only short prompts use."""
         if not request.prompt_tokens or len(listed) < 2:
--- a/jujubenotch/forwarding/notices.py
+++ b/jujubenotch/forwarding/notices.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 
 from jujubenotch.forwarding.limit import NamedLimit, change_limit, name_limit
+from jujubenotch.forwarding.wait import NamedWait
 from jujubenotch.logs import log_event
 from jujubenotch.work import Unreadable, UpstreamNotice
 
@@ -17,6 +18,7 @@
     :param limit: Its limit; ``None`` while it names none.
     :param left_s: When this instance first read that it is leaving, in seconds;
         ``None`` before. A process that is leaving doesn't come back.
+    :param wait: The time for which it wants no requests; ``None`` when it named none.
     :param unreadable: What could not be interpreted in its last response.
 
     >>> Statements().limit
@@ -24,6 +26,7 @@
 
     limit: NamedLimit | None = None
     left_s: float | None = None
+    wait: NamedWait | None = None
     unreadable: str = ""
 
 
@@ -51,6 +54,8 @@
     if notice.is_leaving is True and statements.left_s is None:
         statements.left_s = now_s
         log_event(logger, logging.INFO, "upstream-leaving", upstream=upstream)
+    if isinstance(notice.wait_s, float):
+        _record_wait(statements, upstream, notice.wait_s, now_s)
     per_s = notice.limit_per_s
     if isinstance(per_s, Unreadable):
         return
@@ -77,6 +82,20 @@
     statements.unreadable = unreadable
 
 
+def _record_wait(statements, upstream, wait_s, now_s):
+    until_s = now_s + wait_s
+    if statements.wait is not None and until_s <= statements.wait.until_s:
+        return
+    statements.wait = NamedWait(named_s=now_s, until_s=until_s)
+    log_event(
+        logger,
+        logging.INFO,
+        "upstream-wait-named",
+        upstream=upstream,
+        wait_s=round(wait_s, 3),
+    )
+
+
 def _update_limit(limit, upstream, per_s, instances, now_s):
     before_per_s = limit.per_s
     change_limit(limit, per_s, instances=instances, now_s=now_s)
--- a/jujubenotch/forwarding/permission.py
+++ b/jujubenotch/forwarding/permission.py
@@ -12,6 +12,7 @@
 
     LEAVING = "leaving"
     LIMIT = "limit"
+    WAIT = "wait"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -36,7 +37,9 @@
     """
     if statements.left_s is not None:
         return Hold(reason=HoldReason.LEAVING, until_s=math.inf)
-    limit = statements.limit
+    wait, limit = statements.wait, statements.limit
+    if wait is not None and now_s < wait.until_s:
+        return Hold(reason=HoldReason.WAIT, until_s=wait.until_s)
     if limit is not None and now_s < limit.opens_s:
         return Hold(reason=HoldReason.LIMIT, until_s=limit.opens_s)
     return None
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -43,6 +43,7 @@
     UPSTREAM_REFUSED = "upstream-refused"
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_LIMIT = "upstream-limit"
+    UPSTREAM_WAIT = "upstream-wait"
 
 
 class RetryReason(StrEnum):
--- a/jujubenotch/platform/notices.py
+++ b/jujubenotch/platform/notices.py
@@ -9,8 +9,13 @@
 # The upstream is about to go out of service.
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
+# In a response that turns a request away: how many seconds to send nothing.
+WAIT = "Retry-After"
+TURNED_AWAY_STATUS = 503
 # A higher limit can't be told from none.
 MAX_LIMIT_PER_S = 1e6
+# An upstream that names a longer time would be lost for the sake of one response.
+MAX_WAIT_S = 300.0
 MAX_TEXT_LENGTH = 80
 
 
@@ -26,6 +31,7 @@
     return UpstreamNotice(
         limit_per_s=_read_amount(answer, REQUEST_LIMIT, MAX_LIMIT_PER_S),
         is_leaving=_read_leaving(answer),
+        wait_s=_read_wait_s(answer),
     )
 
 
@@ -36,6 +42,12 @@
     return bool(text)
 
 
+def _read_wait_s(answer):
+    if answer.status != TURNED_AWAY_STATUS:
+        return None
+    return _read_amount(answer, WAIT, MAX_WAIT_S)
+
+
 def _read_amount(answer, name, largest):
     """Return a decimal number from 0 to the largest one, or ``None`` without one."""
     text = answer.find_header(name)
--- a/jujubenotch/work/notice.py
+++ b/jujubenotch/work/notice.py
@@ -20,6 +20,8 @@
     :param limit_per_s: The number of requests per second that the upstream accepts
         from all instances together; ``None`` when it states no limit.
     :param is_leaving: Whether the upstream is about to go out of service.
+    :param wait_s: How long the upstream wants no request of this instance, in seconds;
+        ``None`` when it states no time.
 
     >>> UpstreamNotice(limit_per_s=3.5).is_leaving
     False
@@ -27,10 +29,11 @@
 
     limit_per_s: float | Unreadable | None = None
     is_leaving: bool | Unreadable = False
+    wait_s: float | Unreadable | None = None
 
     @property
     def unreadable(self) -> str:
         """The statements that can't be interpreted; empty when there are none."""
-        statements = (self.limit_per_s, self.is_leaving)
+        statements = (self.limit_per_s, self.is_leaving, self.wait_s)
         texts = [each.text for each in statements if isinstance(each, Unreadable)]
         return "; ".join(texts)
