Draw statements of upstreams as faults of the randomised run, and check their rules

Three kinds of faults (say-leaving, name-limit, turn-away) and three rules: an upstream that says it leaves, wants nothing for a time or names a limit gets no more than that from the instances that were told; restarts and faults of the connections excuse. The store that goes back was drawn already (restore-store).

--- a/benchmarks/site/documents.py
+++ b/benchmarks/site/documents.py
@@ -36,6 +36,7 @@
 bounds.config-ms=3000
 bounds.drain-ms=3000
 port-range=8100,8115
+{data_centres}
 """
 
 
@@ -113,10 +114,11 @@
 
 
 def write_settings(
-    *, name: str, zone: str, host: str, store_host: str, store_port: int
+    *, name: str, zone: str, zones: int, host: str, store_host: str, store_port: int
 ) -> str:
     """Build the content of an instance's settings file.
 
+    :param zones: The number of data centres.
     :param host: The address that the instance listens on.
     :param store_host: The address at which the instance reaches the store.
     :param store_port: The port at which the instance reaches the store.
@@ -130,6 +132,9 @@
         revoke_ms=REVOCATION_BOUND_S * MS_PER_S,
         grace_s=GRACE_S,
         retry_ratio=RETRY_RATIO,
+        data_centres="\n".join(
+            f"zones.zone-{number}=region" for number in range(zones)
+        ),
     )
 
 
--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -56,6 +56,14 @@
 RESTORE_OUTAGE_S = 0.5
 REWRITE_S = 1.0
 MAX_SLOWDOWN = 8.0
+# An upstream says that it is leaving for so long before the list does.
+SAID_LEAVING_S = 3.0
+# A named limit has to be kept from 3 s on.
+NAMED_LIMIT_S = 8.0
+MIN_LIMIT_PER_S = 0.5
+MAX_LIMIT_PER_S = 5.0
+MIN_TURN_AWAY_S = 0.8
+MAX_TURN_AWAY_S = 3.0
 ONE_WAY_MODES = (RelayMode.HOLD_TO_TARGET, RelayMode.HOLD_FROM_TARGET)
 INSTANCE_KINDS = frozenset(
     {
@@ -89,6 +97,8 @@
         SiteFault.CRASH_UPSTREAM,
         SiteFault.DRAIN_UPSTREAM,
         SiteFault.REUSE_ADDRESS,
+        SiteFault.SAY_LEAVING,
+        SiteFault.NAME_LIMIT,
     }
 )
 START_S = 2.0
@@ -101,6 +111,8 @@
     SiteFault.DRAIN_UPSTREAM: DRAIN_S,
     SiteFault.RESTORE_STORE: LIST_EXPIRY_S + RESTORE_OUTAGE_S,
     SiteFault.REUSE_ADDRESS: 2 * DRAIN_S + REUSE_AFTER_S,
+    SiteFault.SAY_LEAVING: SAID_LEAVING_S + DRAIN_S,
+    SiteFault.NAME_LIMIT: NAMED_LIMIT_S,
 }
 
 
@@ -128,7 +140,8 @@
 ) -> list[SiteEvent]:
     """Plan the faults of a run.
 
-    Each kind is drawn once before any kind is drawn again.
+    Each kind is drawn once before any kind is drawn again; one that doesn't fit at its
+    time is drawn again later.
 
     :param seed: Equal seeds give equal plans.
     :param duration_s: How long requests are sent.
@@ -147,17 +160,23 @@
         for _ in range(count):
             if not remaining_kinds:
                 remaining_kinds = generator.sample(list(kinds), len(kinds))
+            kind = remaining_kinds.pop()
             event = _draw_event(
                 generator,
-                remaining_kinds.pop(),
+                kind,
                 at_s,
                 max_fault_s,
                 instances,
                 endpoints,
             )
-            for each in _repeat(generator, event):
-                if _find_end_s(each) <= end_s and _is_free(each, free_at_s):
-                    events.append(each)
+            accepted = [
+                each
+                for each in _repeat(generator, event)
+                if _find_end_s(each) <= end_s and _is_free(each, free_at_s)
+            ]
+            events += accepted
+            if not accepted:
+                remaining_kinds.insert(0, kind)
     return sorted(events, key=lambda event: event.at_s)
 
 
@@ -407,6 +426,32 @@
     upstream.slowdown = 1.0
 
 
+async def _say_leaving(site, event):
+    """Let an upstream leave that says so before the list does."""
+    endpoint = site.upstream_endpoints[event.target]
+    endpoint.upstream.says_leaving = True
+    await asyncio.sleep(event.duration_s + SAID_LEAVING_S)
+    await _drain_and_close(site, endpoint)
+    await replace_upstream(site, endpoint, service=endpoint.upstream.service)
+
+
+async def _name_limit(site, event):
+    upstream = site.upstream_endpoints[event.target].upstream
+    upstream.episode += 1
+    limit_range = MAX_LIMIT_PER_S - MIN_LIMIT_PER_S
+    upstream.limit_per_s = round(MIN_LIMIT_PER_S + event.value * limit_range, 2)
+    await asyncio.sleep(event.duration_s + NAMED_LIMIT_S)
+    upstream.limit_per_s = None
+
+
+async def _turn_away(site, event):
+    upstream = site.upstream_endpoints[event.target].upstream
+    time_range = MAX_TURN_AWAY_S - MIN_TURN_AWAY_S
+    upstream.turn_away_s = round(MIN_TURN_AWAY_S + event.value * time_range, 2)
+    await asyncio.sleep(event.duration_s)
+    upstream.turn_away_s = None
+
+
 async def _revoke_key(site, event):
     keys = site.configuration.keys
     index = int(event.value * len(keys))
@@ -465,6 +510,9 @@
     SiteFault.REUSE_ADDRESS: _reuse_address,
     SiteFault.SPOIL_ANSWERS: _spoil_answers,
     SiteFault.SLOW_UPSTREAM: _slow_upstream,
+    SiteFault.SAY_LEAVING: _say_leaving,
+    SiteFault.NAME_LIMIT: _name_limit,
+    SiteFault.TURN_AWAY: _turn_away,
     SiteFault.REVOKE_KEY: _revoke_key,
     SiteFault.CHANGE_ROUTES: _change_routes,
 }
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -305,6 +305,7 @@
         port=port,
         slots=SLOTS,
         record=site.journal.arrivals.append,
+        record_statement=site.journal.statements.append,
         generator=random.Random(site.generator.getrandbits(32)),
     )
 
@@ -316,11 +317,11 @@
     for number in range(instances):
         host = f"{network}.{number + 1}"
         zone = f"zone-{number % zones}"
-        await _add_instance(site, f"edge-{number + 1}", zone, host, store_port)
+        await _add_instance(site, f"edge-{number + 1}", zone, zones, host, store_port)
     await asyncio.gather(*(start_instance(site, name) for name in site.instances))
 
 
-async def _add_instance(site, name, zone, host, store_port):
+async def _add_instance(site, name, zone, zones, host, store_port):
     callers_route = Route(target_host=host, target_port=CALLERS_PORT)
     store_route = Route(target_host=LOOPBACK, target_port=store_port)
     await open_route(callers_route)
@@ -336,6 +337,7 @@
     settings = write_settings(
         name=name,
         zone=zone,
+        zones=zones,
         host=host,
         store_host=store_route.host,
         store_port=store_route.port,
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -42,6 +42,9 @@
     REUSE_ADDRESS = "reuse-address"
     SPOIL_ANSWERS = "spoil-answers"
     SLOW_UPSTREAM = "slow-upstream"
+    SAY_LEAVING = "say-leaving"
+    NAME_LIMIT = "name-limit"
+    TURN_AWAY = "turn-away"
     REVOKE_KEY = "revoke-key"
     CHANGE_ROUTES = "change-routes"
 
@@ -127,6 +130,24 @@
     at_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class Statement:
+    """What an upstream stated about itself in a response to an instance.
+
+    :param kind: The fault during which the upstream states it.
+    :param value: The limit in requests per second, or the time to wait in seconds.
+    :param episode: The number of the fault at its endpoint; limits of two faults are
+        not the same.
+    """
+
+    upstream: str
+    instance: str
+    kind: SiteFault
+    value: float
+    episode: int
+    at_s: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class RouteChange:
     """The addition or removal of a route; its time is that of the store's answer."""
@@ -160,4 +181,5 @@
     revocations: list[Revocation] = field(default_factory=list)
     leavings: list[Leaving] = field(default_factory=list)
     routes: list[RouteChange] = field(default_factory=list)
+    statements: list[Statement] = field(default_factory=list)
     ended: dict[str, int] = field(default_factory=dict)
--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -16,6 +16,11 @@
     SiteFault,
     SiteJournal,
 )
+from benchmarks.site.statement_rules import (
+    check_limits,
+    check_said_leaving,
+    check_waits,
+)
 from benchmarks.site.upstreams import count_events, make_body, make_event
 
 MAX_RUNS = 2
@@ -388,6 +393,21 @@
         count=lambda journal: len(journal.leavings),
         check=check_leaving,
     ),
+    Rule(
+        name="an upstream that says it leaves gets nothing",
+        count=lambda journal: len(journal.statements),
+        check=check_said_leaving,
+    ),
+    Rule(
+        name="an upstream gets little while it wants nothing",
+        count=lambda journal: len(journal.statements),
+        check=check_waits,
+    ),
+    Rule(
+        name="an upstream that names a limit gets no more",
+        count=lambda journal: len(journal.statements),
+        check=check_limits,
+    ),
     Rule(
         name="changed routes are in force in time",
         count=lambda journal: len(journal.routes),
--- a/benchmarks/site/run.py
+++ b/benchmarks/site/run.py
@@ -19,6 +19,15 @@
 REQUESTS_PER_S = 60.0
 TIMEOUT_MARGIN_S = 60.0
 SETTLE_S = 1.0
+JOURNAL_FIELDS = (
+    "told",
+    "arrivals",
+    "faults",
+    "revocations",
+    "leavings",
+    "routes",
+    "statements",
+)
 
 
 async def run_site_soak(
@@ -76,7 +85,7 @@
 
 
 def _write_journal(directory, journal):
-    for name in ("told", "arrivals", "faults", "revocations", "leavings", "routes"):
+    for name in JOURNAL_FIELDS:
         lines = [
             orjson.dumps(asdict(entry), default=_decode).decode()
             for entry in getattr(journal, name)
--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from benchmarks.site.model import Arrival
+from benchmarks.site.model import Arrival, SiteFault, Statement
 
 END_OF_HEAD = b"\r\n\r\n"
 MAX_QUEUED = 24
@@ -41,9 +41,14 @@
 
     :param slots: The number of requests that the upstream runs concurrently.
     :param record: Called with each request that the upstream has received.
+    :param record_statement: Called with each statement that the upstream sends.
     :param port: The port to listen on; 0 for a free one, which is set on opening.
     :param slowdown: The factor by which work takes longer than normal.
     :param spoiling: How some of the answers are spoiled; ``None`` for none.
+    :param says_leaving: Whether all responses say that the upstream is leaving.
+    :param limit_per_s: The limit that all responses name; ``None`` for none.
+    :param turn_away_s: Some requests are turned away for so long; ``None`` for none.
+    :param episode: The number of times that it has begun to make statements.
     :param queued: The number of requests that wait or run.
     :param slot_semaphore: Limits the running requests to the slots.
     """
@@ -53,10 +58,15 @@
     host: str
     slots: int
     record: Callable[[Arrival], None]
+    record_statement: Callable[[Statement], None]
     port: int = 0
     slowdown: float = 1.0
     spoiling: Spoiling | None = None
     is_leaving: bool = False
+    says_leaving: bool = False
+    limit_per_s: float | None = None
+    turn_away_s: float | None = None
+    episode: int = 0
     queued: int = 0
     generator: random.Random = field(default_factory=random.Random)
     tasks: set[asyncio.Task] = field(default_factory=set)
@@ -183,6 +193,8 @@
     if head.fields.get("x-expect-instance", upstream.name) != upstream.name:
         return await _refuse(upstream, head, writer, b"421 Misdirected Request")
     spoiling = _draw_spoiling(upstream)
+    if upstream.turn_away_s is not None and _draws_spoiled(upstream):
+        return await _turn_away(upstream, head, writer)
     is_full = upstream.queued >= MAX_QUEUED
     if is_full or spoiling is Spoiling.REFUSE:
         return await _refuse(upstream, head, writer, b"503 Service Unavailable")
@@ -195,15 +207,26 @@
         upstream.queued -= 1
 
 
+def _draws_spoiled(upstream):
+    return upstream.generator.random() < SPOILED_RATIO
+
+
 def _draw_spoiling(upstream):
-    if upstream.spoiling and upstream.generator.random() < SPOILED_RATIO:
+    if upstream.spoiling and _draws_spoiled(upstream):
         return upstream.spoiling
     return None
 
 
-async def _refuse(upstream, head, writer, status):
+async def _turn_away(upstream, head, writer):
+    wait_s = upstream.turn_away_s
+    _state(upstream, head, SiteFault.TURN_AWAY, wait_s)
+    extra = b"Retry-After: %.2f\r\n" % wait_s
+    return await _refuse(upstream, head, writer, b"503 Service Unavailable", extra)
+
+
+async def _refuse(upstream, head, writer, status, extra=b""):
     _record(upstream, head, is_run=False)
-    proof = b"X-Not-Executed: 1\r\n"
+    proof = b"X-Not-Executed: 1\r\n" + extra
     await _send(writer, _write_head(upstream, head, status, proof, length=0))
     return True
 
@@ -277,12 +300,30 @@
         extra += b"Content-Length: %d\r\n" % length
     if upstream.is_leaving:
         extra += b"Connection: close\r\n"
+    if upstream.says_leaving:
+        _state(upstream, head, SiteFault.SAY_LEAVING, 1.0)
+        extra += b"Server-Leaving: 1\r\n"
+    if upstream.limit_per_s is not None:
+        _state(upstream, head, SiteFault.NAME_LIMIT, upstream.limit_per_s)
+        extra += b"Server-Limit: %.2f\r\n" % upstream.limit_per_s
     return (
         b"HTTP/1.1 %b\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.%b\r\n%b\r\n"
         % (status, head.request_id.encode(), upstream.name.encode(), extra)
     )
 
 
+def _state(upstream, head, kind, value):
+    statement = Statement(
+        upstream=upstream.name,
+        instance=head.fields.get("x-seen-by", ""),
+        kind=kind,
+        value=value,
+        episode=upstream.episode,
+        at_s=time.monotonic(),
+    )
+    upstream.record_statement(statement)
+
+
 def _spoil_head(answer, head, spoiling):
     if spoiling is Spoiling.UNSIGNED:
         return re.sub(rb"X-Response-Signature: [^\r]*\r\n", b"", answer)
--- a/features/forwarding/steps/limit_steps.py
+++ b/features/forwarding/steps/limit_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from features.request_limit import ReceivedRequests, find_largest_excess
+from benchmarks.site.request_limit import ReceivedRequests, find_largest_excess
 from jujubenotch.forwarding import (
     DirectCapacity,
     Item,
--- a/features/platform/steps/limit_steps.py
+++ b/features/platform/steps/limit_steps.py
@@ -4,8 +4,8 @@
 
 from behave import then, when
 
+from benchmarks.site.request_limit import ReceivedRequests, find_largest_excess
 from features.platform.site import Reply, read_log, send
-from features.request_limit import ReceivedRequests, find_largest_excess
 
 CALLERS = 16
 
--- a/features/soak/site.feature
+++ b/features/soak/site.feature
@@ -30,6 +30,9 @@
       | 80 retries of a few requests                          | repeats stay within the shared budget           |
       | an instance that ended unexpectedly                   | no instance ended by itself                     |
       | a planned stop with another code                      | no instance ended by itself                     |
+      | a request 3.1 s after its upstream said that it leaves | an upstream that says it leaves gets nothing    |
+      | 3 requests while an upstream wants none               | an upstream gets little while it wants nothing  |
+      | 40 requests at a limit of 2 a second                  | an upstream that names a limit gets no more     |
       | an upstream's failures at the end                     | nearly all is served after the last fault       |
 
   Scenario Outline: An event that a fault or an exception of a rule explains breaks no rule
@@ -43,6 +46,10 @@
       | a second run of a read request                           |
       | a request to a leaving upstream from an instance cut off |
       | a request that crossed a planned stop                    |
+      | a request after a restart of the instance that was told  |
+      | a request after a response that a cut may have lost      |
+      | 3 requests just after an upstream wanted none            |
+      | 40 requests at a limit that other instances were told    |
 
   Scenario: Equal seeds draw equal faults, and different seeds draw different faults
     Then the site's seed 7 draws the same faults twice, and seed 8 draws different faults
--- a/features/soak/steps/site_steps.py
+++ b/features/soak/steps/site_steps.py
@@ -16,6 +16,7 @@
     RouteKind,
     SiteFault,
     SiteJournal,
+    Statement,
 )
 from benchmarks.site.rules import SITE_RULES
 from benchmarks.site.run import run_site_soak
@@ -164,7 +165,85 @@
     add_fault(journal, kind, 49.0, 51.0, exit_code=0)
 
 
+def state(journal, kind, value, at_s, instance=INSTANCE):
+    statement = Statement(
+        upstream=UPSTREAM,
+        instance=instance,
+        kind=kind,
+        value=value,
+        episode=1,
+        at_s=at_s,
+    )
+    journal.statements.append(statement)
+
+
+def send_after_statement(kind, value, times_s, *, instance=INSTANCE, fault=None):
+    """Let an upstream state something at 40 s, and get requests after that."""
+
+    def add(journal):
+        state(journal, kind, value, 40.0, instance)
+        if kind is SiteFault.NAME_LIMIT:
+            state(journal, kind, value, 48.0, instance)
+        if fault is not None:
+            journal.faults.append(fault)
+        for number, after_s in enumerate(times_s):
+            add_request(journal, 500 + number, RouteKind.READ, at_s=39.9 + after_s)
+
+    return add
+
+
+def make_span(kind, target, begin_s, settled_s):
+    return FaultSpan(kind=kind, target=target, begin_s=begin_s, settled_s=settled_s)
+
+
+def keep_only(journal, *, until_s):
+    """Drop the usual requests before a time, which would reach the upstream too."""
+    journal.told = [each for each in journal.told if each.sent_s > until_s]
+    journal.arrivals = [each for each in journal.arrivals if each.at_s > until_s]
+
+
+def alone(event):
+    def add(journal):
+        keep_only(journal, until_s=60.0)
+        event(journal)
+
+    return add
+
+
+MANY_TIMES_S = [4.0 + number / 10 for number in range(40)]
+
 EVENTS_BY_NAME = {
+    "a request 3.1 s after its upstream said that it leaves": alone(
+        send_after_statement(SiteFault.SAY_LEAVING, 1.0, [3.1])
+    ),
+    "a request after a restart of the instance that was told": alone(
+        send_after_statement(
+            SiteFault.SAY_LEAVING,
+            1.0,
+            [3.1],
+            fault=make_span(SiteFault.KILL_INSTANCE, INSTANCE, 41.0, 42.0),
+        )
+    ),
+    "a request after a response that a cut may have lost": alone(
+        send_after_statement(
+            SiteFault.SAY_LEAVING,
+            1.0,
+            [3.1],
+            fault=make_span(SiteFault.CUT_UPSTREAM, "plain-0", 40.5, 41.0),
+        )
+    ),
+    "3 requests while an upstream wants none": alone(
+        send_after_statement(SiteFault.TURN_AWAY, 2.0, [0.6, 0.9, 1.9])
+    ),
+    "3 requests just after an upstream wanted none": alone(
+        send_after_statement(SiteFault.TURN_AWAY, 2.0, [2.1, 2.2, 2.3])
+    ),
+    "40 requests at a limit of 2 a second": alone(
+        send_after_statement(SiteFault.NAME_LIMIT, 2.0, MANY_TIMES_S)
+    ),
+    "40 requests at a limit that other instances were told": alone(
+        send_after_statement(SiteFault.NAME_LIMIT, 2.0, MANY_TIMES_S, instance="edge-2")
+    ),
     "a second run of a sent request": run_again(RouteKind.SEND, 1),
     "a third run of a read request": run_again(RouteKind.READ, 2),
     "a second run of a read request": run_again(RouteKind.READ, 1),
--- a/jujubenotch/forwarding/held.py
+++ b/jujubenotch/forwarding/held.py
@@ -1,4 +1,4 @@
-"""Sets aside the upstreams that may get no request now, and refuses for want of others."""
+"""Sets aside upstreams that may get no request now, and refuses for want of others."""
 
 import logging
 from collections.abc import Callable, Sequence
