--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -16,7 +16,7 @@
 from jujubenotch.forwarding.held import find_availability, refuse_held
 from jujubenotch.forwarding.limit import use_opening
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
-from jujubenotch.forwarding.notices import Statements, record_notice
+from jujubenotch.forwarding.notices import Statements, has_stated, record_notice
 from jujubenotch.forwarding.placement import (
     UpstreamState,
     are_slots_taken,
@@ -46,7 +46,7 @@
 logger = logging.getLogger(__name__)
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
-# Upstreams that were leaving when they left the list.
+# Upstreams that left the list and had stated something about themselves.
 MAX_RETAINED = 1000
 # After this time some of the requests in progress have usually ended.
 SHED_RETRY_AFTER_S = 1.0
@@ -353,13 +353,13 @@
         """
         for name in names:
             state = self._states.get(name)
-            if state is not None and state.statements.left_s is not None:
+            if state is not None and has_stated(state.statements):
                 self._retain(name)
             else:
                 self._states.pop(name, None)
 
     def _retain(self, name):
-        """Keep the state of a leaving upstream; an outdated list may name it again."""
+        """Keep what an upstream has stated; the list may name its process again."""
         self._retained.append(name)
         if len(self._retained) > MAX_RETAINED:
             self._states.pop(self._retained.popleft(), None)
--- a/jujubenotch/forwarding/notices.py
+++ b/jujubenotch/forwarding/notices.py
@@ -30,6 +30,15 @@
     unreadable: str = ""
 
 
+def has_stated(statements: Statements) -> bool:
+    """Return whether an upstream has stated anything that may still hold.
+
+    :param statements: What it has stated.
+    """
+    stated = (statements.left_s, statements.limit, statements.wait)
+    return any(each is not None for each in stated)
+
+
 def record_notice(
     statements: Statements,
     upstream: str,
