Keep the state of an unlisted upstream while it may still respond

The model's histories found it once responses of unlisted processes were drawn too: one that left the list while a request was in progress, then said in the response that it was leaving, was used again when the list named it anew (failed before). Its state now stays until it has responded. States move to a module of their own.

--- a/features/forwarding/steps/statements_steps.py
+++ b/features/forwarding/steps/statements_steps.py
@@ -179,10 +179,7 @@
         self.suspended_s += seconds
 
     def play_unlist(self, name):
-        # The response of a process without an entry changes nothing.
-        if name not in self.listed or any(
-            grant.upstream == name for grant, _ in self.outstanding
-        ):
+        if name not in self.listed:
             return
         self.listed.discard(name)
         self.apply(Item(key=name, value=None, is_removed=True))
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -3,7 +3,6 @@
 import itertools
 import logging
 import random
-from collections import deque
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, replace
 
@@ -16,7 +15,7 @@
 from jujubenotch.forwarding.held import find_availability, refuse_held
 from jujubenotch.forwarding.limit import use_opening
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
-from jujubenotch.forwarding.notices import Statements, has_stated, record_notice
+from jujubenotch.forwarding.notices import record_notice
 from jujubenotch.forwarding.placement import (
     UpstreamState,
     are_slots_taken,
@@ -31,6 +30,7 @@
     is_prefill_full,
     start_prefill,
 )
+from jujubenotch.forwarding.states import UpstreamStates
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
@@ -46,8 +46,6 @@
 logger = logging.getLogger(__name__)
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
-# Upstreams that left the list and had stated something about themselves.
-MAX_RETAINED = 1000
 # After this time some of the requests in progress have usually ended.
 SHED_RETRY_AFTER_S = 1.0
 
@@ -103,11 +101,10 @@
         self._draw = draw
         self._read_instance_count = read_instance_count
         self._report_limit = report_limit
-        self._states: dict[str, UpstreamState] = {}
+        self._states = UpstreamStates()
         self._divisions: dict[str, Division] = {}
         self._prefill_limits: dict[str, PrefillLimit] = {}
         self._outstanding: dict[str, OutstandingGrant] = {}
-        self._retained: deque[str] = deque()
         self._grant_numbers = itertools.count(1)
 
     async def acquire(self, request: WorkRequest) -> Grant | Refusal:
@@ -215,7 +212,7 @@
         :param report: The load report.
         :param now_s: The present monotonic time, in seconds.
         """
-        state = self._states.get(upstream)
+        state = self._states.find(upstream)
         if state is None:
             return
         record_report(state, report, now_s)
@@ -228,7 +225,7 @@
         :param upstream: The upstream's name; an unknown one is ignored.
         :param notice: The statements in the head of a response.
         """
-        state = self._states.get(upstream)
+        state = self._states.find(upstream)
         if state is not None:
             record_notice(
                 state.statements,
@@ -244,7 +241,7 @@
     def _list_states(self, request):
         listing_s = self._read_listing_clock_s()
         usable = find_usable(self._listing, request.target, listing_s)
-        return [self._find_state(listed) for listed in usable]
+        return [self._states.add(listed) for listed in usable]
 
     def _find_short_states(self, request, listed, states, now_s):
         """Return the states of the upstreams that only short prompts use."""
@@ -288,20 +285,6 @@
     def _is_available(self, state, now_s):
         return not is_ejected(state.health, now_s) or may_probe(state.health, now_s)
 
-    def _find_state(self, listed):
-        state = self._states.get(listed.name)
-        if state is None:
-            state = UpstreamState(
-                name=listed.name, slots=listed.slots, started_ms=listed.started_ms
-            )
-            self._states[listed.name] = state
-        if listed.started_ms > state.started_ms:
-            if state.started_ms:
-                # A new process with the name of an earlier one.
-                state.statements = Statements()
-            state.started_ms = listed.started_ms
-        return state
-
     def _create_grant(self, request, choice, now_s):
         state = choice.state
         is_probe = may_probe(state.health, now_s)
@@ -347,22 +330,11 @@
         return replace(choice.basis, limit_per_s=limit.per_s, limit_age_s=age_s)
 
     def forget(self, names: Iterable[str]) -> None:
-        """Discard the state of upstreams that no longer exist.
+        """Discard the state of upstreams that are no longer listed.
 
         :param names: The upstreams' names.
         """
-        for name in names:
-            state = self._states.get(name)
-            if state is not None and has_stated(state.statements):
-                self._retain(name)
-            else:
-                self._states.pop(name, None)
-
-    def _retain(self, name):
-        """Keep what an upstream has stated; the list may name its process again."""
-        self._retained.append(name)
-        if len(self._retained) > MAX_RETAINED:
-            self._states.pop(self._retained.popleft(), None)
+        self._states.forget(names)
 
 
 def _log_refusal(request, choice, prefill, *, is_short_full):
