Ignore the load in the response of another process

A 421 is answered by a process that has taken over the address, mostly of another service; its load was recorded for the expected upstream (feature failed before).

--- a/features/platform/steps/notices_steps.py
+++ b/features/platform/steps/notices_steps.py
@@ -13,6 +13,7 @@
     start_program,
     wait_until_ready,
 )
+from features.platform.upstream_kinds import write_status
 from features.scripted_upstream import ScriptedUpstream
 
 END_OF_LINE = b"\r\n"
@@ -57,6 +58,32 @@
     assert len(read_events(context.site, "upstream-limit-withdrawn")) == 1
 
 
+@given("a site whose upstream is another process that names a limit and reports a load")
+def open_site_of_other_process(context):
+    context.site = context.stack.enter_context(open_site())
+    put_configuration(context.site)
+    headers = b"Server-Limit: 2\r\nX-Instance-Load: 0,0,4\r\n"
+    upstream = ScriptedUpstream(
+        make_parts=lambda head: write_status(head, b"421 Misdirected", headers),
+        connection_ending="keep",
+    )
+    add_upstream(context.site, "i-first", upstream)
+    start_program(context.site)
+    wait_until_ready(context.site)
+
+
+@then("the program logged no limit, and no load of the first upstream")
+def check_no_statement(context):
+    time.sleep(0.1)
+    assert not read_events(context.site, "upstream-limit-named")
+    lines = [
+        line
+        for line in read_events(context.site, "request-granted")
+        if line["upstream"] == "i-first"
+    ]
+    assert lines and not any("report_age_s" in line for line in lines), lines
+
+
 @then('the program logged "{event}" once')
 def check_logged_once(context, event):
     time.sleep(0.1)
--- a/jujubenotch/forwarding/states.py
+++ b/jujubenotch/forwarding/states.py
@@ -1,4 +1,4 @@
-"""Keeps the state of each upstream while it is listed, and its statements for longer."""
+"""Keeps the state of each upstream, and what it has stated beyond its listing."""
 
 from collections import deque
 from collections.abc import Iterable
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -154,7 +154,12 @@
 
 
 def _read_load(answer):
-    """Read the numbers of running requests, waiting requests and slots."""
+    """Read the numbers of running requests, waiting requests and slots.
+
+    The response of another process than the expected one tells nothing of its load.
+    """
+    if answer.status == MISDIRECTED_STATUS:
+        return None
     parts = answer.find_header(INSTANCE_LOAD).split(",")
     if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
         return None
