--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import logging
-import random
 
 from jujubenotch.daemon.forward_parts import Directory, PlatformComponents
+from jujubenotch.daemon.forward_registration import (
+    repeat_until_confirmed,
+    wait_for_new_era,
+)
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.forwarding import SourceError
 from jujubenotch.logs import log_event
@@ -12,10 +15,6 @@
 logger = logging.getLogger(__name__)
 
 COUNT_INTERVAL_S = 10.0
-FIRST_PAUSE_S = 0.5
-MAX_PAUSE_S = 10.0
-# How often the era of the store is compared with that of the registration.
-ERA_CHECK_INTERVAL_S = 5.0
 
 
 async def stay_counted(relay: Relay, components: PlatformComponents) -> None:
@@ -33,21 +32,11 @@
     await state.loaded.wait()
     while True:
         era = state.listing_progress.era
-        await _add_until_confirmed(components.directory, settings.name)
-        while state.listing_progress.era == era:
-            await asyncio.sleep(ERA_CHECK_INTERVAL_S)
-
-
-async def _add_until_confirmed(directory, name):
-    pause_s = FIRST_PAUSE_S
-    while True:
-        try:
-            await directory.add_instance(name)
-            return
-        except SourceError as error:
-            log_event(logger, logging.WARNING, "instance-not-listed", error=str(error))
-        await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
-        pause_s = min(MAX_PAUSE_S, 2 * pause_s)
+        await repeat_until_confirmed(
+            lambda: components.directory.add_instance(settings.name),
+            "instance-not-listed",
+        )
+        await wait_for_new_era(state, era)
 
 
 async def keep_count(relay: Relay, components: PlatformComponents) -> None:
--- a/jujubenotch/daemon/forward_registration.py
+++ b/jujubenotch/daemon/forward_registration.py
@@ -3,10 +3,12 @@
 import asyncio
 import logging
 import random
+from collections.abc import Awaitable, Callable
 
 from jujubenotch.daemon.forward_messages import receive_message
 from jujubenotch.daemon.forward_parts import PlatformComponents
 from jujubenotch.daemon.forward_relay import Relay
+from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.forwarding import SourceError
 from jujubenotch.logs import log_event
 from jujubenotch.neighbours import Message, MessageKind, open_endpoint
@@ -51,9 +53,10 @@
 
 async def _stay_registered(relay, registry):
     while True:
-        await _register_until_confirmed(relay, registry)
-        while relay.registered_era == relay.instance.state.listing_progress.era:
-            await asyncio.sleep(ERA_CHECK_INTERVAL_S)
+        await repeat_until_confirmed(
+            lambda: _register_first(relay, registry), "registration-failed"
+        )
+        await wait_for_new_era(relay.instance.state, relay.registered_era)
 
 
 def _end_registering(relay):
@@ -62,20 +65,43 @@
         followed.recheck.set()
 
 
-async def _register_until_confirmed(relay, registry):
+async def _register_first(relay, registry):
+    """Register once; from then on this instance follows the sources in any case."""
+    try:
+        await _register(relay, registry)
+    finally:
+        _end_registering(relay)
+
+
+async def repeat_until_confirmed(
+    call: Callable[[], Awaitable[None]], event: str
+) -> None:
+    """Repeat a call to the store, with pauses, until it succeeds.
+
+    :param call: Makes the call; raises ``SourceError`` when it fails.
+    :param event: The name of the log line for each failure.
+    """
     pause_s = FIRST_REGISTRATION_PAUSE_S
     while True:
         try:
-            await _register(relay, registry)
+            await call()
             return
         except SourceError as error:
-            log_event(logger, logging.WARNING, "registration-failed", error=str(error))
-        finally:
-            _end_registering(relay)
+            log_event(logger, logging.WARNING, event, error=str(error))
         await asyncio.sleep(pause_s * random.uniform(0.5, 1.0))
         pause_s = min(MAX_REGISTRATION_PAUSE_S, 2 * pause_s)
 
 
+async def wait_for_new_era(state: ForwardState, era: int | None) -> None:
+    """Wait until the store was restored from a copy.
+
+    :param state: The instance's state.
+    :param era: The era in which this instance has registered.
+    """
+    while state.listing_progress.era == era:
+        await asyncio.sleep(ERA_CHECK_INTERVAL_S)
+
+
 async def _register(relay, registry):
     era = relay.instance.state.listing_progress.era
     data_centre = relay.instance.settings.data_centre
