--- a/features/forwarding/overload.feature
+++ b/features/forwarding/overload.feature
@@ -40,3 +40,10 @@
     When long prompts arrive at 2 times what the engines can read for 8 s
     Then at least 60 of 100 served prompts are in time
     And at least 80 of 100 of what the engines can read is served
+
+  # Guards against urgent requests that are refused for their length while less urgent ones
+  # of twice their size begin.
+  Scenario: Urgent prompts are not refused for their length while less urgent ones begin
+    Given 7 instances before 9 engines that read 60 tokens a ms
+    When long prompts arrive at 2 times what the engines can read for 8 s, a fifth of them urgent
+    Then at most 1 in 12 of the urgent prompts is refused
--- a/features/forwarding/steps/overload_steps.py
+++ b/features/forwarding/steps/overload_steps.py
@@ -42,6 +42,8 @@
     late: int = 0
     refused: int = 0
     arrived: int = 0
+    urgent_arrived: int = 0
+    urgent_refused: int = 0
 
     def at(self, when_s, action):
         heapq.heappush(self.events, (when_s, next(self.numbers), action))
@@ -82,7 +84,7 @@
     return simulation
 
 
-def send_prompt(simulation):
+def send_prompt(simulation, is_urgent=False):
     now_s = simulation.now_s
     capacity = simulation.draws.choice(simulation.capacities)
     request = WorkRequest(
@@ -92,7 +94,7 @@
         team_weight=1.0,
         team_limit=0,
         service_class="c",
-        tier=1,
+        tier=0 if is_urgent else 1,
         arrived_s=now_s,
         first_token_by_s=now_s + TARGET_S,
         deadline_s=now_s + DEADLINE_S,
@@ -102,9 +104,11 @@
         prefix_key="",
     )
     simulation.arrived += 1
+    simulation.urgent_arrived += is_urgent
     grant = asyncio.run(capacity.acquire(request))
     if isinstance(grant, Refusal):
         simulation.refused += 1
+        simulation.urgent_refused += is_urgent
         return
     begin_s = max(now_s, simulation.busy_until_s.get(grant.upstream, 0.0))
     read_s = begin_s + PROMPT_TOKENS / simulation.tokens_per_s
@@ -148,7 +152,7 @@
 @when(
     "long prompts arrive at {ratio:g} times what the engines can read for {seconds:g} s"
 )
-def send_prompts(context, ratio, seconds):
+def send_prompts(context, ratio, seconds, urgent_share=0.0):
     simulation = context.simulation
     simulation.in_time = simulation.late = 0
     simulation.refused = simulation.arrived = 0
@@ -159,10 +163,30 @@
     start_s = simulation.now_s
     at_s = start_s
     while (at_s := at_s + simulation.draws.expovariate(rate_per_s)) < start_s + seconds:
-        simulation.at(at_s, lambda: send_prompt(simulation))
+        # The draw is left out without urgent prompts, which keeps the other loads.
+        is_urgent = urgent_share > 0 and simulation.draws.random() < urgent_share
+        simulation.at(
+            at_s, lambda is_urgent=is_urgent: send_prompt(simulation, is_urgent)
+        )
     simulation.run_until(start_s + seconds)
 
 
+@when(
+    "long prompts arrive at {ratio:g} times what the engines can read for {seconds:g} s, "
+    "a fifth of them urgent"
+)
+def send_mixed_prompts(context, ratio, seconds):
+    send_prompts(context, ratio, seconds, urgent_share=0.2)
+
+
+@then("at most 1 in 12 of the urgent prompts is refused")
+def check_urgent(context):
+    simulation = context.simulation
+    assert simulation.urgent_refused <= simulation.urgent_arrived / 12, (
+        f"{simulation.urgent_refused} of {simulation.urgent_arrived} refused"
+    )
+
+
 @then("at least {count:d} of 100 served prompts are in time")
 def check_in_time(context, count):
     simulation = context.simulation
