--- a/features/platform/wait.feature
+++ b/features/platform/wait.feature
@@ -13,8 +13,8 @@
   Scenario: The load comes back in steps when the time has ended
     Given a site whose first 1 requests at the upstream get 503 with "Retry-After: 1.5"
     And another upstream that answers correctly
-    When callers send 60 idempotent requests a second for 5 s
-    Then the first upstream received fewer requests from 1.5 to 2 s after its first 503 than from 4 to 4.5 s
+    When callers send 60 idempotent requests a second for 6 s
+    Then the first upstream received fewer requests from 1.5 to 2.5 s after its first 503 than from 4.5 to 5.5 s
 
   Scenario: All upstreams wait
     Given a site whose first 50 requests at the upstream get 503 with "Retry-After: 1.5"
