--- /dev/null
+++ b/features/platform/broken_off.feature
@@ -0,0 +1,14 @@
+Feature: A response that breaks off is logged with what its prompt shares with others
+
+  # Guards against logs that can't tell which prompts were in progress when an upstream
+  # ended, and against prompts' contents in logs.
+  Scenario: The log has digests of the shared parts
+    Given a site whose upstream cuts its stream after 2 events
+    When a caller requests a stream with the prompt parts "aa11,bb22,cc33"
+    Then the program logged "response-broken-off" with the digests of "aa11,bb22"
+    And the log contains none of the parts "aa11,bb22,cc33"
+
+  Scenario: The log tells whether the response had begun
+    Given a site whose upstream cuts its stream after 2 events
+    When a caller requests a stream with the prompt parts "aa11,bb22,cc33"
+    Then the program logged "response-broken-off" with the time since the response began
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -64,6 +64,9 @@
         0 before it.
     :param last_token_at_s: The monotonic time of the latest event, in seconds;
         0 before the first one.
+    :param head_at_s: The monotonic time at which the head of the response arrived,
+        in seconds; 0 before it.
+    :param is_broken_off: Whether the connection ended before the response did.
     """
 
     sent_at_s: float
@@ -72,6 +75,8 @@
     tokens: int = 0
     first_token_at_s: float = 0.0
     last_token_at_s: float = 0.0
+    head_at_s: float = 0.0
+    is_broken_off: bool = False
 
 
 async def run_attempt(
@@ -99,6 +104,7 @@
     request = make_upstream_request(protocol, upstream, call, progress)
     try:
         async with open_exchange(connections, request) as answer:
+            attempt.head_at_s = read_clock_s()
             record_head(answer)
             receiver = _Receiver(
                 connections=connections,
@@ -115,6 +121,7 @@
         attempt.end = AttemptResult.SILENT
     except ConnectionLostError:
         attempt.end = AttemptResult.LOST
+        attempt.is_broken_off = True
     except StreamRestartedError:
         attempt.end = AttemptResult.RESTARTED
     except AnswerTooLargeError:
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -26,6 +26,8 @@
     :param prefix_key: A key that is equal for requests with the same prompt
         prefix.
     :param prompt_tokens: The length of the prompt, in tokens; 0 when unknown.
+    :param shared_parts: The identifiers of the prompt parts that other prompts may
+        contain as well.
     :param max_runs: The maximum number of attempts in which an upstream may have
         run the request. A value below ``MAX_ATTEMPTS`` leaves further attempts
         for upstreams that did not start it.
@@ -56,6 +58,7 @@
     expected_tokens: int = 1
     prefix_key: str = ""
     prompt_tokens: int = 0
+    shared_parts: tuple[str, ...] = ()
     max_runs: int = MAX_ATTEMPTS
     caller_deadline_s: float = math.inf
     can_resume_elsewhere: bool = False
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from jujubenotch.crashes import digest_part
 from jujubenotch.dispatch.answers import (
     make_claim_timeout_answer,
     make_failure_answer,
@@ -44,6 +45,8 @@
 
 logger = logging.getLogger(__name__)
 
+MAX_LOGGED_PARTS = 8
+
 
 async def dispatch(dispatcher: Dispatcher, call: Call, sink: Sink) -> Answer:
     """Run a call to its outcome.
@@ -297,6 +300,8 @@
     dispatcher.observer.record(
         call.request_id, "attempt-ended", reason=end, upstream=grant.upstream
     )
+    if attempt.is_broken_off:
+        _log_broken_off(call, grant, attempt)
     if end is AttemptResult.COMPLETED:
         return attempt.answer
     record_attempt(progress, end)
@@ -328,5 +333,21 @@
     return None
 
 
+def _log_broken_off(call, grant, attempt):
+    now_s = read_clock_s()
+    begun_s = now_s - attempt.head_at_s if attempt.head_at_s else None
+    log_event(
+        logger,
+        logging.WARNING,
+        "response-broken-off",
+        request_id=call.request_id,
+        upstream=grant.upstream,
+        sent_s=round(now_s - attempt.sent_at_s, 3),
+        begun_s=None if begun_s is None else round(begun_s, 3),
+        streamed_s=round(attempt.last_token_at_s - attempt.first_token_at_s, 3),
+        parts=[digest_part(part) for part in call.shared_parts[:MAX_LOGGED_PARTS]],
+    )
+
+
 def _has_budget(dispatcher, call, now_s):
     return dispatcher.retry_budget.may_retry(call.target, now_s)
--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -16,6 +16,8 @@
 # Callers abandon a stream after a pause of 2 s, so another upstream must be
 # tried earlier than that.
 MIN_STREAM_SILENCE_S = 1.2
+# More parts than a prompt has in practice; bounds the work for one request.
+MAX_SHARED_PARTS = 64
 ANONYMOUS_TEAM = Team(name="")
 
 
@@ -113,6 +115,7 @@
         expected_tokens=max(1, arrived.expected_tokens or arrived.answer_tokens),
         prefix_key=choose_prefix_key(arrived),
         prompt_tokens=arrived.prompt_tokens,
+        shared_parts=find_shared_parts(arrived),
         max_runs=route.max_attempts,
         caller_deadline_s=now_s + wait_s,
         can_resume_elsewhere=is_resumable,
@@ -154,6 +157,16 @@
     return arrived.prompt[min(1, len(arrived.prompt) - 1)].part_id
 
 
+def find_shared_parts(arrived: ArrivedRequest) -> tuple[str, ...]:
+    """Return the identifiers of the prompt parts that other prompts may contain.
+
+    The last part belongs to the request or its session alone.
+
+    :param arrived: The request.
+    """
+    return tuple(part.part_id for part in arrived.prompt[:-1][:MAX_SHARED_PARTS])
+
+
 def _build_service_class(route, tier):
     return ServiceClass(
         name=route.name,
