--- /dev/null
+++ b/features/crashes/evidence.feature
@@ -0,0 +1,72 @@
+Feature: What counts as evidence against a part of a prompt, and for how long
+
+  Scenario: Three crashes of different processes block a part
+    Given the reports of 3 crashes with the suspects "g"
+    Then a request with "g,a" is blocked
+    And a request with "a" is sent
+
+  Scenario: Two crashes block nothing
+    Given the reports of 2 crashes with the suspects "g"
+    Then a request with "g" is sent
+
+  # Guards against a report that counts once for each instance or copy of a message.
+  Scenario: One crash that is reported often counts once
+    Given the reports of 1 crash with the suspects "g" by 9 instances, each twice
+    Then a request with "g" is sent
+
+  # Guards against the loss of several connections at once, whose cause is the network.
+  Scenario: Processes that end at the same instant count once
+    Given the reports of 5 crashes within 0.05 s with the suspects "g"
+    Then a request with "g" is sent
+
+  Scenario: A response that ends well acquits its parts of the crashes known before
+    Given the reports of 3 crashes with the suspects "g,s"
+    When a response with "s" that began after them ends well
+    Then a request with "s" is sent
+    And a request with "g" is blocked
+
+  # Guards against a part that turns bad: a response that began earlier proves nothing.
+  Scenario: A response that began before the crashes acquits nothing
+    Given the reports of 3 crashes with the suspects "g"
+    When a response with "g" that began before them ends well
+    Then a request with "g" is blocked
+
+  # Guards against blocks of a sound part that has always come with the bad one so far.
+  Scenario: Parts that explain the same three crashes are blocked together only
+    Given the reports of 3 crashes with the suspects "g,s"
+    Then a request with "g,s,x" is blocked
+    And a request with "s,x" is sent
+
+  Scenario: One more crash tells them apart
+    Given the reports of 3 crashes with the suspects "g,s"
+    And the report of another crash with the suspects "g,t"
+    Then a request with "g,t" is blocked
+    And a request with "s,t" is sent
+
+  Scenario: A block ends with its evidence
+    Given the reports of 3 crashes with the suspects "g"
+    When 601 s pass
+    Then a request with "g" is sent
+
+  # Guards against a table that grows with the distinct parts that callers send.
+  Scenario: What an instance publishes is bounded
+    Given an instance that saw 200 crashes with 300 suspects each
+    Then what it publishes fits into 32768 bytes and can be read
+
+  Scenario Outline: Reports that can't be read are ignored
+    Given the reports of 3 crashes with the suspects "g"
+    When another instance publishes <content>
+    Then a request with "g" is blocked
+
+    Examples: content
+      | content                         |
+      | nothing                         |
+      | no JSON                         |
+      | a list                          |
+      | more crashes than are allowed   |
+      | suspects that are no texts      |
+
+  # Guards against decisions that take a noticeable part of a request's time.
+  Scenario: A decision takes microseconds
+    Given an instance that saw 200 crashes with 300 suspects each
+    Then deciding on a request takes less than 100 microseconds
--- /dev/null
+++ b/features/crashes/steps/evidence_steps.py
@@ -0,0 +1,163 @@
+import time
+
+import orjson
+from behave import given, then, when
+
+from jujubenotch.crashes import (
+    CrashReport,
+    Evidence,
+    InstanceReports,
+    apply_reports,
+    decode_reports,
+    encode_reports,
+    find_block,
+    record_break,
+    record_sound_response,
+    take_own_reports,
+)
+
+START_UNIX_S = 1_800_000_000.0
+REPORTED_S = 100.0
+SPACING_S = 1.0
+DECISIONS = 2000
+
+
+def report(name, crashes, spacing_s=SPACING_S):
+    return InstanceReports(
+        crashes=tuple(
+            CrashReport(
+                process=f"engine-{number}@1",
+                reported_unix_s=START_UNIX_S + number * spacing_s,
+                suspects=suspects,
+            )
+            for number, suspects in crashes
+        )
+    )
+
+
+def prepare(context, reports, copies=1):
+    context.evidence = Evidence()
+    context.now_s = REPORTED_S
+    context.now_unix_s = START_UNIX_S + 10
+    for name, each in reports.items():
+        for _ in range(copies):
+            apply_reports(context.evidence, name, each)
+    decide(context, ())
+
+
+def decide(context, suspects):
+    return find_block(
+        context.evidence,
+        suspects,
+        now_s=context.now_s,
+        now_unix_s=context.now_unix_s,
+    )
+
+
+def make_crashes(count, suspects, first=0):
+    return [(first + number, suspects) for number in range(count)]
+
+
+@given('the reports of {count:d} crashes with the suspects "{suspects}"')
+def report_crashes(context, count, suspects):
+    crashes = make_crashes(count, tuple(suspects.split(",")))
+    prepare(context, {"a": report("a", crashes)})
+
+
+@given(
+    'the reports of {count:d} crash with the suspects "{suspects}" by {instances:d} '
+    "instances, each twice"
+)
+def report_often(context, count, suspects, instances):
+    crashes = make_crashes(count, tuple(suspects.split(",")))
+    names = [f"instance-{number}" for number in range(instances)]
+    prepare(context, {name: report(name, crashes) for name in names}, copies=2)
+
+
+@given(
+    'the reports of {count:d} crashes within {span:g} s with the suspects "{suspects}"'
+)
+def report_at_once(context, count, span, suspects):
+    crashes = make_crashes(count, tuple(suspects.split(",")))
+    prepare(context, {"a": report("a", crashes, spacing_s=span / count)})
+
+
+@given('the report of another crash with the suspects "{suspects}"')
+def report_another(context, suspects):
+    crashes = make_crashes(1, tuple(suspects.split(",")), first=7)
+    apply_reports(context.evidence, "b", report("b", crashes))
+
+
+@given("an instance that saw {crashes:d} crashes with {suspects:d} suspects each")
+def report_many(context, crashes, suspects):
+    prepare(context, {})
+    for number in range(crashes):
+        names = [f"{number:08x}{suspect:08x}" for suspect in range(suspects)]
+        record_break(
+            context.evidence, f"engine-{number}@1700000000000", names, START_UNIX_S
+        )
+
+
+@when('a response with "{suspects}" that began {when} them ends well')
+def end_well(context, suspects, when):
+    record_sound_response(
+        context.evidence,
+        suspects.split(","),
+        begun_s=REPORTED_S + (1 if when == "after" else -1),
+        now_s=REPORTED_S + 2,
+        now_unix_s=context.now_unix_s,
+    )
+
+
+@when("{seconds:d} s pass")
+def pass_time(context, seconds):
+    context.now_s += seconds
+    context.now_unix_s += seconds
+    context.evidence.is_stale = True
+
+
+CONTENTS = {
+    "nothing": b"",
+    "no JSON": b"\xff{",
+    "a list": b"[1, 2]",
+    "more crashes than are allowed": encode_reports(
+        report("b", make_crashes(500, ("g",)))
+    ),
+    "suspects that are no texts": orjson.dumps(
+        {"crashes": [{"process": "x", "reported_unix_s": 1, "suspects": [[1]]}]}
+    ),
+}
+
+
+@when("another instance publishes {content}")
+def publish(context, content):
+    reports = decode_reports(CONTENTS[content])
+    assert reports is None, reports
+    apply_reports(context.evidence, "b", reports)
+
+
+@then('a request with "{suspects}" is blocked')
+def check_blocked(context, suspects):
+    assert decide(context, suspects.split(",")), context.evidence
+
+
+@then('a request with "{suspects}" is sent')
+def check_sent(context, suspects):
+    assert decide(context, suspects.split(",")) is None, context.evidence.blocks
+
+
+@then("what it publishes fits into {size:d} bytes and can be read")
+def check_size(context, size):
+    content = encode_reports(take_own_reports(context.evidence))
+    assert len(content) <= size, len(content)
+    assert decode_reports(content) is not None
+
+
+@then("deciding on a request takes less than {limit:d} microseconds")
+def check_cost(context, limit):
+    decide(context, ())
+    started_s = time.perf_counter()
+    for _ in range(DECISIONS):
+        decide(context, ("a", "b", "c"))
+    took_us = (time.perf_counter() - started_s) / DECISIONS * 1e6
+    assert took_us < limit, took_us
--- /dev/null
+++ b/features/crashes/steps/histories_steps.py
@@ -0,0 +1,112 @@
+from behave import given, then, when
+
+from features.crashes.fleet import Plan, run_history
+
+CONTACT_S = 3.0
+TURN_S = 4.0
+FAULTS = {
+    "kills_s": (3.0, 4.0, 4.5, 5.2, 6.1, 7.0),
+    "cuts_s": (3.3, 5.0, 6.5),
+}
+WHATS = {
+    "one part is bad": {"bad_topics": {"bad-0": 2.0}},
+    "two parts are bad at once": {"bad_topics": {"bad-0": 2.0, "bad-1": 2.2}},
+    "a bad part always comes with a sound one": {
+        "bad_topics": {"bad-0": 2.0},
+        "companions": {"bad-0": "first-0"},
+    },
+    "a part turns bad after many good responses": {"bad_topics": {"bad-0": TURN_S}},
+    "upstreams are killed and instances are cut off": {
+        "bad_topics": {"bad-0": 2.0},
+        **FAULTS,
+    },
+    "messages are lost and instances restart": {
+        "bad_topics": {"bad-0": 2.0},
+        "loss_share": 0.2,
+        "restarts_s": (3.0, 4.0, 6.0),
+    },
+    "no part is bad, upstreams are killed and instances are cut off": {
+        "bad_topics": {},
+        **FAULTS,
+    },
+}
+
+
+@given(
+    "histories of {instances:d} instances and {upstreams:d} upstreams in which {what}"
+)
+def plan_histories(context, instances, upstreams, what):
+    scale = upstreams / 9
+    context.plan = Plan(
+        instances=instances,
+        upstreams=upstreams,
+        sound_per_s=80.0 * scale,
+        bad_per_s=4.0 * scale,
+        **WHATS[what],
+    )
+
+
+@when("the histories of {count:d} seeds are played")
+def play_histories(context, count):
+    context.fleets = {
+        seed: run_history(context.plan, seed) for seed in range(1, count + 1)
+    }
+
+
+@then(
+    "at most {count:d} requests with a bad part were sent later than {delay:d} s after "
+    "its fifth crash"
+)
+def check_blocked(context, count, delay):
+    for seed, fleet in context.fleets.items():
+        for part, crashes_s in fleet.crashes_s.items():
+            if len(crashes_s) < 5:
+                continue
+            late = [
+                each
+                for each in fleet.outcomes
+                if part in each.parts
+                and each.is_sent
+                and each.at_s > crashes_s[4] + delay
+            ]
+            assert len(late) <= count, (seed, part, len(late), crashes_s)
+
+
+@then(
+    "from {delay:d} s after the crashes on at least {share:d} in 10 sound requests of "
+    "each first part were sent"
+)
+def check_sound(context, delay, share):
+    for seed, fleet in context.fleets.items():
+        last_s = max(
+            (times[min(4, len(times) - 1)] for times in fleet.crashes_s.values()),
+            default=0.0,
+        )
+        shares = find_sent_shares(fleet, last_s + delay)
+        assert all(10 * each >= share for each in shares.values()), (
+            seed,
+            shares,
+            [each.evidence.blocks for each in fleet.instances[:2]],
+        )
+
+
+def find_sent_shares(fleet, after_s):
+    counts = {}
+    for each in fleet.outcomes:
+        if each.is_bad or each.at_s <= after_s:
+            continue
+        sent, total = counts.get(each.parts[0], (0, 0))
+        counts[each.parts[0]] = (sent + each.is_sent, total + 1)
+    return {first: sent / total for first, (sent, total) in counts.items()}
+
+
+@then("at least {share:d} in 100 requests were sent")
+def check_all_sent(context, share):
+    for seed, fleet in context.fleets.items():
+        sent = sum(each.is_sent for each in fleet.outcomes)
+        assert 100 * sent >= share * len(fleet.outcomes), (
+            seed,
+            sent,
+            len(fleet.outcomes),
+            [each.evidence.blocks for each in fleet.instances[:2]],
+        )
--- a/features/neighbours/fleet.py
+++ b/features/neighbours/fleet.py
@@ -9,6 +9,9 @@
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 
+from jujubenotch.crashes import decode_reports
+from jujubenotch.daemon.forward_crashes import CrashWatch, apply_crash_page
+from jujubenotch.daemon.forward_followers import add_configuration
 from jujubenotch.daemon.forward_messages import (
     receive_message,
     report_outage,
@@ -25,7 +28,6 @@
 )
 from jujubenotch.daemon.forward_state import (
     ForwardState,
-    apply_configuration,
     apply_upstreams,
 )
 from jujubenotch.forwarding import (
@@ -53,13 +55,16 @@
 STORE_CLOCK_OFFSET_S = 1234.5
 CONFIGURATION = "configuration"
 UPSTREAMS = "upstreams"
+CRASHES = "crashes"
 
 
 @dataclass(kw_only=True)
 class MemoryStore:
-    """The rows of both tables, as ``{table: {key: (revision, content)}}``."""
+    """The rows of the tables, as ``{table: {key: (revision, content)}}``."""
 
-    rows: dict = field(default_factory=lambda: {CONFIGURATION: {}, UPSTREAMS: {}})
+    rows: dict = field(
+        default_factory=lambda: {CONFIGURATION: {}, UPSTREAMS: {}, CRASHES: {}}
+    )
     revision: int = 0
     era: int = 1
     calls: int = 0
@@ -151,6 +156,8 @@
 def decode(table, key, content):
     if table == CONFIGURATION:
         return SiteConfiguration(version=int(content.split()[0]))
+    if table == CRASHES:
+        return decode_reports(content)
     return ListedUpstream(
         name=key,
         service="drafting",
@@ -168,6 +175,7 @@
     name: str
     relay: Relay
     state: ForwardState
+    crash_watch: CrashWatch
     tasks: list = field(default_factory=list)
 
     @property
@@ -238,7 +246,12 @@
     relay.endpoint = FleetEndpoint(fleet=fleet, own_address=address.text)
     relay.is_registering = False
     relay.neighbours.is_registered = True
-    member = Member(name=address.text, relay=relay, state=state)
+    member = Member(
+        name=address.text,
+        relay=relay,
+        state=state,
+        crash_watch=CrashWatch(name=settings.name, state=state),
+    )
     _follow(fleet, member)
     for other in fleet.members.values():
         other.relay.neighbours.add(address.text)
@@ -248,29 +261,30 @@
 
 
 def _follow(fleet, member):
+    source = MemorySource(store=fleet.store, table=CONFIGURATION, caller=member.name)
+    add_configuration(member.relay, member.state, source)
+    _start(member, MessageKind.CONFIGURATION)
     for kind, table, progress, apply in (
-        (
-            MessageKind.CONFIGURATION,
-            CONFIGURATION,
-            member.state.configuration_progress,
-            apply_configuration,
-        ),
         (
             MessageKind.UPSTREAMS,
             UPSTREAMS,
             member.state.listing_progress,
-            apply_upstreams,
+            lambda update: apply_upstreams(member.state, update),
+        ),
+        (
+            MessageKind.CRASHES,
+            CRASHES,
+            member.state.crash_progress,
+            lambda update: apply_crash_page(member.crash_watch, update),
         ),
     ):
         source = MemorySource(store=fleet.store, table=table, caller=member.name)
-        add_followed_source(
-            member.relay,
-            kind,
-            source,
-            progress,
-            lambda update, apply=apply: apply(member.state, update),
-        )
-        member.tasks.append(asyncio.create_task(_run(member, kind)))
+        add_followed_source(member.relay, kind, source, progress, apply)
+        _start(member, kind)
+
+
+def _start(member, kind):
+    member.tasks.append(asyncio.create_task(_run(member, kind)))
 
 
 async def _run(member, kind):
--- a/jujubenotch/crashes/__init__.py
+++ b/jujubenotch/crashes/__init__.py
@@ -1,8 +1,45 @@
-"""Finds what requests that crash upstreams have in common.
+"""Finds what requests that crash upstreams have in common, and blocks them.
 
 Errors: none. Features: ``features/crashes``.
 """
 
+from jujubenotch.crashes.blame import choose_blocks
+from jujubenotch.crashes.codec import decode_reports, encode_reports
 from jujubenotch.crashes.digest import digest_part
+from jujubenotch.crashes.evidence import (
+    Evidence,
+    adopt_reports,
+    apply_reports,
+    find_block,
+    make_own_reports,
+    record_break,
+    record_sound_response,
+    refresh,
+    take_own_reports,
+)
+from jujubenotch.crashes.model import (
+    Acquittal,
+    Block,
+    CrashReport,
+    InstanceReports,
+)
 
-__all__ = ["digest_part"]
+__all__ = [
+    "Acquittal",
+    "Block",
+    "CrashReport",
+    "Evidence",
+    "InstanceReports",
+    "adopt_reports",
+    "apply_reports",
+    "choose_blocks",
+    "decode_reports",
+    "digest_part",
+    "encode_reports",
+    "find_block",
+    "make_own_reports",
+    "record_break",
+    "record_sound_response",
+    "refresh",
+    "take_own_reports",
+]
--- /dev/null
+++ b/jujubenotch/crashes/evidence.py
@@ -0,0 +1,320 @@
+"""Collects the evidence of all instances about requests that crash upstreams.
+
+The evidence is a set of crashes by process and suspect and a set of acquittals, so that
+reports that come late, twice or in another order lead to the same blocks.
+"""
+
+import logging
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass, field
+
+from jujubenotch.crashes.blame import MIN_CRASHES, choose_blocks
+from jujubenotch.crashes.model import (
+    Acquittal,
+    Block,
+    CrashReport,
+    InstanceReports,
+)
+from jujubenotch.logs import log_event
+
+logger = logging.getLogger(__name__)
+
+LIFETIME_S = 600.0
+MAX_CRASHES = 12
+MAX_SUSPECTS_PER_CRASH = 48
+MAX_ACQUITTALS = 256
+# Acquittals of suspects with fewer crashes decide nothing yet and are not shared.
+MIN_SHARED_CRASHES = 2
+
+
+@dataclass(kw_only=True)
+class OwnCrash:
+    """A break that this instance saw at one process.
+
+    :param reported_unix_s: The time of the first break as Unix time, in seconds.
+    :param suspects: The suspects, in the order in which they were seen.
+    """
+
+    reported_unix_s: float
+    suspects: dict[str, None] = field(default_factory=dict)
+
+
+@dataclass(kw_only=True)
+class Evidence:
+    """The evidence known to an instance.
+
+    :param own_crashes: What this instance saw, by process.
+    :param own_acquittals: The pairs of process and suspect that it acquitted.
+    :param others: The reports of the other instances, by name.
+    :param accusers: For each suspect the processes that crashed on it, without those
+        from which it was acquitted, with the Unix time of each crash in seconds.
+    :param learned_s: When this instance learned of each pair of process and suspect,
+        monotonic, in seconds.
+    :param blocks: The blocks in force.
+    :param published: The own acquittals that the other instances know.
+    :param is_unpublished: Whether the other instances don't know all own reports.
+    :param is_stale: Whether reports have changed since ``blocks`` was decided.
+
+    >>> Evidence().blocks
+    []
+    """
+
+    own_crashes: dict[str, OwnCrash] = field(default_factory=dict)
+    own_acquittals: dict[tuple[str, str], None] = field(default_factory=dict)
+    others: dict[str, InstanceReports] = field(default_factory=dict)
+    accusers: dict[str, dict[str, float]] = field(default_factory=dict)
+    learned_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    blocks: list[Block] = field(default_factory=list)
+    published: frozenset[tuple[str, str]] = frozenset()
+    is_unpublished: bool = False
+    is_stale: bool = False
+
+
+def find_block(
+    evidence: Evidence,
+    suspects: Iterable[str],
+    *,
+    now_s: float,
+    now_unix_s: float,
+) -> Block | None:
+    """Return the block that a request meets.
+
+    :param evidence: The evidence; what has expired or changed is taken into account.
+    :param suspects: The digests of what the request has in common with others.
+    :param now_s: The present monotonic time, in seconds.
+    :param now_unix_s: The present Unix time, in seconds.
+    """
+    if evidence.is_stale:
+        refresh(evidence, now_s=now_s, now_unix_s=now_unix_s)
+    if not evidence.blocks:
+        return None
+    contained = frozenset(suspects)
+    for block in evidence.blocks:
+        if block.suspects <= contained:
+            return block
+    return None
+
+
+def record_break(
+    evidence: Evidence,
+    process: str,
+    suspects: Sequence[str],
+    now_unix_s: float,
+) -> None:
+    """Record that a process ended soon after a response of it had begun.
+
+    :param evidence: The evidence; changed in place.
+    :param process: The process of the upstream.
+    :param suspects: The digests of what the request has in common with others.
+    :param now_unix_s: The present Unix time, in seconds.
+    """
+    if not suspects:
+        return
+    crash = evidence.own_crashes.get(process)
+    if crash is None:
+        crash = OwnCrash(reported_unix_s=now_unix_s)
+        evidence.own_crashes[process] = crash
+        _drop_oldest(evidence.own_crashes, MAX_CRASHES)
+    for suspect in suspects:
+        if len(crash.suspects) < MAX_SUSPECTS_PER_CRASH:
+            crash.suspects[suspect] = None
+    evidence.is_unpublished = True
+    evidence.is_stale = True
+
+
+def record_sound_response(
+    evidence: Evidence,
+    suspects: Iterable[str],
+    *,
+    begun_s: float,
+    now_s: float,
+    now_unix_s: float,
+) -> None:
+    """Record that a response ended well, or went on for long enough.
+
+    It acquits its suspects of the crashes that were known when it began.
+
+    :param evidence: The evidence; changed in place.
+    :param suspects: The digests of what the request has in common with others.
+    :param begun_s: The monotonic time at which the response began, in seconds.
+    :param now_s: The present monotonic time, in seconds.
+    :param now_unix_s: The present Unix time, in seconds.
+    """
+    if evidence.is_stale:
+        refresh(evidence, now_s=now_s, now_unix_s=now_unix_s)
+    if not evidence.accusers:
+        return
+    acquitted = [
+        (process, suspect)
+        for suspect in suspects
+        for process in evidence.accusers.get(suspect, ())
+        if evidence.learned_s[process, suspect] < begun_s
+    ]
+    if not acquitted:
+        return
+    for pair in acquitted:
+        evidence.own_acquittals[pair] = None
+    _drop_oldest(evidence.own_acquittals, MAX_ACQUITTALS)
+    evidence.is_stale = True
+
+
+def apply_reports(
+    evidence: Evidence, instance: str, reports: InstanceReports | None
+) -> None:
+    """Replace the reports of another instance.
+
+    :param evidence: The evidence; changed in place.
+    :param instance: The name of the instance.
+    :param reports: Its reports; ``None`` when they were removed or can't be read.
+    """
+    if reports is None:
+        evidence.others.pop(instance, None)
+    else:
+        evidence.others[instance] = reports
+    evidence.is_stale = True
+
+
+def adopt_reports(evidence: Evidence, reports: InstanceReports) -> None:
+    """Take over the reports that this instance published before it started again.
+
+    :param evidence: The evidence; changed in place.
+    :param reports: The reports of the earlier process.
+    """
+    for report in reports.crashes:
+        evidence.own_crashes.setdefault(
+            report.process,
+            OwnCrash(
+                reported_unix_s=report.reported_unix_s,
+                suspects=dict.fromkeys(report.suspects),
+            ),
+        )
+    for each in reports.acquittals:
+        evidence.own_acquittals[each.process, each.suspect] = None
+    _drop_oldest(evidence.own_crashes, MAX_CRASHES)
+    _drop_oldest(evidence.own_acquittals, MAX_ACQUITTALS)
+    evidence.is_stale = True
+
+
+def take_own_reports(evidence: Evidence) -> InstanceReports:
+    """Return what this instance publishes, and record that it is published.
+
+    :param evidence: The evidence; changed in place.
+    """
+    evidence.is_unpublished = False
+    evidence.published = frozenset(evidence.own_acquittals)
+    return make_own_reports(evidence)
+
+
+def make_own_reports(evidence: Evidence) -> InstanceReports:
+    """Return what this instance contributes to the evidence.
+
+    :param evidence: The evidence.
+    """
+    crashes = tuple(
+        CrashReport(
+            process=process,
+            reported_unix_s=crash.reported_unix_s,
+            suspects=tuple(crash.suspects),
+        )
+        for process, crash in evidence.own_crashes.items()
+    )
+    acquittals = tuple(
+        Acquittal(process=process, suspect=suspect)
+        for process, suspect in evidence.own_acquittals
+    )
+    return InstanceReports(crashes=crashes, acquittals=acquittals)
+
+
+def refresh(evidence: Evidence, *, now_s: float, now_unix_s: float) -> None:
+    """Drop evidence that has expired and decide again which suspects are blocked.
+
+    :param evidence: The evidence; changed in place.
+    :param now_s: The present monotonic time, in seconds.
+    :param now_unix_s: The present Unix time, in seconds.
+    """
+    evidence.is_stale = False
+    _drop_expired(evidence, now_unix_s)
+    acquitted = _collect_acquittals(evidence)
+    accusers = _collect_accusers(evidence, now_unix_s)
+    _note_new_acquittals(evidence, accusers)
+    evidence.learned_s = {
+        (process, suspect): evidence.learned_s.get((process, suspect), now_s)
+        for suspect, times in accusers.items()
+        for process in times
+    }
+    for process, suspect in acquitted:
+        accusers.get(suspect, {}).pop(process, None)
+    evidence.accusers = {suspect: times for suspect, times in accusers.items() if times}
+    blocks = choose_blocks(evidence.accusers, {suspect for _, suspect in acquitted})
+    _log_changes(evidence.blocks, blocks, evidence, now_unix_s)
+    evidence.blocks = blocks
+
+
+def _drop_expired(evidence, now_unix_s):
+    for process, crash in list(evidence.own_crashes.items()):
+        if now_unix_s - crash.reported_unix_s > LIFETIME_S:
+            del evidence.own_crashes[process]
+            evidence.is_unpublished = True
+
+
+def _note_new_acquittals(evidence, accusers):
+    if any(
+        pair not in evidence.published
+        and len(accusers.get(pair[1], ())) >= MIN_SHARED_CRASHES
+        for pair in evidence.own_acquittals
+    ):
+        evidence.is_unpublished = True
+
+
+def _collect_acquittals(evidence):
+    acquitted = set(evidence.own_acquittals)
+    for reports in evidence.others.values():
+        acquitted.update((each.process, each.suspect) for each in reports.acquittals)
+    return acquitted
+
+
+def _collect_accusers(evidence, now_unix_s):
+    accusers = {}
+    own = make_own_reports(evidence)
+    for reports in (own, *evidence.others.values()):
+        for crash in reports.crashes:
+            if now_unix_s - crash.reported_unix_s > LIFETIME_S:
+                continue
+            for suspect in crash.suspects:
+                times = accusers.setdefault(suspect, {})
+                at_s = times.get(crash.process, crash.reported_unix_s)
+                times[crash.process] = min(at_s, crash.reported_unix_s)
+    return accusers
+
+
+def _drop_oldest(entries, most):
+    while len(entries) > most:
+        del entries[next(iter(entries))]
+
+
+def _log_changes(before, after, evidence, now_unix_s):
+    known = {block.suspects for block in before}
+    kept = {block.suspects for block in after}
+    for block in after:
+        if block.suspects not in known:
+            _log_block("suspects-blocked", block, now_unix_s)
+    for block in before:
+        if block.suspects not in kept:
+            crashes = [len(evidence.accusers.get(each, ())) for each in block.suspects]
+            _log_block(
+                "suspects-released", block, now_unix_s, crashes_left=max(crashes)
+            )
+
+
+def _log_block(event, block, now_unix_s, **fields):
+    log_event(
+        logger,
+        logging.WARNING,
+        event,
+        suspects=sorted(block.suspects),
+        crashes=len(block.processes),
+        needed=MIN_CRASHES,
+        processes=sorted(block.processes),
+        newest_age_s=round(now_unix_s - block.newest_unix_s, 3),
+        **fields,
+    )
--- /dev/null
+++ b/jujubenotch/crashes/model.py
@@ -0,0 +1,52 @@
+"""Data model of the evidence about requests that crash upstreams."""
+
+from dataclasses import dataclass
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class CrashReport:
+    """What one instance saw of the end of one upstream process.
+
+    :param process: The process; a restarted upstream is another one.
+    :param reported_unix_s: When the instance saw it, as Unix time in seconds.
+    :param suspects: The digests of what the requests had in common with others, for
+        the requests whose responses the process had just begun.
+    """
+
+    process: str
+    reported_unix_s: float
+    suspects: tuple[str, ...]
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Acquittal:
+    """A request with the suspect ended well after the crash was known.
+
+    :param process: The process that crashed.
+    :param suspect: The digest that the crash's reports contain.
+    """
+
+    process: str
+    suspect: str
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class InstanceReports:
+    """All that one instance contributes to the evidence."""
+
+    crashes: tuple[CrashReport, ...] = ()
+    acquittals: tuple[Acquittal, ...] = ()
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Block:
+    """Requests that contain all of the suspects are not sent.
+
+    :param suspects: The digests.
+    :param processes: The processes that crashed on them.
+    :param newest_unix_s: When the last of these crashes was reported, in seconds.
+    """
+
+    suspects: frozenset[str]
+    processes: frozenset[str]
+    newest_unix_s: float
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -5,8 +5,10 @@
 from collections.abc import Coroutine
 
 from jujubenotch.daemon.forward_count import keep_count, stay_counted
+from jujubenotch.daemon.forward_crashes import apply_crash_page
 from jujubenotch.daemon.forward_messages import report_outage, share_page
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
+from jujubenotch.daemon.forward_publishing import publish_reports
 from jujubenotch.daemon.forward_registration import run_relay
 from jujubenotch.daemon.forward_relay import (
     FollowedSource,
@@ -17,12 +19,14 @@
     make_relay,
     wait_until_due,
 )
+from jujubenotch.daemon.forward_revisions import is_source_behind, record_revisions
 from jujubenotch.daemon.forward_state import (
+    ForwardState,
     apply_configuration,
     apply_upstreams,
-    is_list_behind,
 )
 from jujubenotch.forwarding import (
+    Source,
     choose_list_delay_s,
     double_pause_s,
     follow_source,
@@ -37,9 +41,15 @@
 # for the configuration detect its return and the list is then read at once, so the
 # calls for the list can be rare.
 LIST_MAX_PAUSE_S = 2.0
+# Reports of several instances about one crash arrive within this time.
+CRASH_PAGE_DELAY_S = 0.05
 # When one source has reported a revision, the other source delivers the changes up
 # to that revision within this time.
 CHANGE_DELIVERY_S = 0.6
+STALLED_EVENTS = {
+    "upstreams": "upstream-list-stalled",
+    "crash-reports": "crash-reports-stalled",
+}
 
 
 def make_followers(
@@ -52,26 +62,43 @@
     :returns: Coroutines that run until they are cancelled.
     """
     relay = make_relay(instance)
-    configuration = _add_configuration(relay, instance.state, components.configuration)
+    configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
+    crashes = _add_crashes(relay, instance, components.crashes)
     return (
         _follow_configuration(relay, configuration),
         _follow_upstreams(relay, upstreams),
+        _follow_crashes(relay, crashes),
+        publish_reports(
+            instance.crash_watch,
+            components.crash_reports,
+            lambda: instance.instance_count.value,
+        ),
         run_relay(relay, components),
         stay_counted(relay, components),
         keep_count(relay, components),
     )
 
 
-def _add_configuration(relay, state, source):
+def add_configuration(
+    relay: Relay, state: ForwardState, source: Source
+) -> FollowedSource:
+    """Follow the configuration, whose pages tell whether other sources are behind.
+
+    :param relay: The relay; changed in place.
+    :param state: The instance's state.
+    :param source: The source of the configuration.
+    :returns: The followed source.
+    """
     loop = asyncio.get_running_loop()
 
     def apply_and_compare(update):
         apply_configuration(state, update)
-        if update.follows_outage:
-            state.listing_progress.retry_requested.set()
-        if is_list_behind(state):
-            loop.call_later(CHANGE_DELIVERY_S, _end_stalled_list_call, state)
+        for progress in (state.listing_progress, state.crash_progress):
+            if update.follows_outage:
+                progress.retry_requested.set()
+            if _is_behind(state, progress):
+                loop.call_later(CHANGE_DELIVERY_S, _end_stalled_call, state, progress)
 
     return add_followed_source(
         relay,
@@ -94,6 +121,18 @@
     )
 
 
+def _add_crashes(relay, instance, source):
+    state = instance.state
+
+    def apply(update):
+        record_revisions(state.revisions, update)
+        apply_crash_page(instance.crash_watch, update)
+
+    return add_followed_source(
+        relay, MessageKind.CRASHES, source, state.crash_progress, apply
+    )
+
+
 def _follow_configuration(relay: Relay, followed: FollowedSource) -> Coroutine:
     kind = MessageKind.CONFIGURATION
     loop = asyncio.get_running_loop()
@@ -124,6 +163,19 @@
     )
 
 
+def _follow_crashes(relay: Relay, followed: FollowedSource) -> Coroutine:
+    kind = MessageKind.CRASHES
+    return follow_source(
+        followed.progress,
+        followed.source,
+        _apply_and_share(relay, kind),
+        lambda: choose_wait_s(relay, kind),
+        choose_delay_s=lambda: CRASH_PAGE_DELAY_S,
+        choose_pause_s=lambda failures: double_pause_s(failures, LIST_MAX_PAUSE_S),
+        wait_until_due=lambda: wait_until_due(relay, kind),
+    )
+
+
 def _apply_and_share(relay, kind):
     def apply(update):
         relay.followed[kind].apply(update)
@@ -132,13 +184,17 @@
     return apply
 
 
-def _end_stalled_list_call(state):
-    if is_list_behind(state) and state.listing_progress.call_timeout is not None:
+def _is_behind(state, progress):
+    return is_source_behind(state.revisions, progress, state.configuration_progress)
+
+
+def _end_stalled_call(state, progress):
+    if _is_behind(state, progress) and progress.call_timeout is not None:
         log_event(
             logger,
             logging.WARNING,
-            "upstream-list-stalled",
-            revision=state.listing_progress.revision or 0,
+            STALLED_EVENTS[progress.name],
+            revision=progress.revision or 0,
             newest=state.configuration_progress.revision,
         )
-        interrupt_call(state.listing_progress)
+        interrupt_call(progress)
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -51,7 +51,8 @@
     """
     relay.followed[kind].must_catch_up = False
     if kind is MessageKind.CONFIGURATION and update.follows_outage:
-        relay.followed[MessageKind.UPSTREAMS].recheck.set()
+        for followed in relay.followed.values():
+            followed.recheck.set()
     if not relay.is_active or not relay.role.is_reader or update.is_snapshot:
         return
     message = _make_page_message(relay, kind, update)
@@ -68,8 +69,6 @@
 
 def _make_page_message(relay, kind, update):
     page = update.page
-    list_progress = relay.followed[MessageKind.UPSTREAMS].progress
-    is_same_era = list_progress.era == page.era
     return Message(
         kind=kind,
         era=page.era,
@@ -77,7 +76,8 @@
         revision=page.revision,
         changed_revision=page.changed_revision,
         store_time_s=page.store_time_s,
-        list_revision=(list_progress.revision or 0) if is_same_era else 0,
+        list_revision=_find_known_revision(relay, MessageKind.UPSTREAMS, page.era),
+        crash_revision=_find_known_revision(relay, MessageKind.CRASHES, page.era),
         follows_outage=update.follows_outage,
         items=tuple(
             MessageItem(
@@ -91,6 +91,11 @@
     )
 
 
+def _find_known_revision(relay, kind, era):
+    progress = relay.followed[kind].progress
+    return (progress.revision or 0) if progress.era == era else 0
+
+
 def receive_message(relay: Relay, sender: str, message: Message) -> None:
     """Apply a neighbour's message.
 
@@ -116,7 +121,7 @@
         _apply_page(relay, followed, message)
     else:
         _schedule_catch_up(relay, followed, message.era, message.revision)
-    _compare_lists(relay, message)
+    _compare_revisions(relay, message)
 
 
 def _record_outage(relay, sender):
@@ -175,11 +180,16 @@
     return source.make_item(item.key, item.content, item.revision)
 
 
-def _compare_lists(relay, message):
-    """Catch up with the list if the sender knows changes that this instance missed."""
-    followed = relay.followed[MessageKind.UPSTREAMS]
-    if not is_known(followed.progress, message.era, message.list_revision):
-        _schedule_catch_up(relay, followed, message.era, message.list_revision)
+def _compare_revisions(relay, message):
+    """Catch up with sources of which the sender knows changes that are missing."""
+    revisions = {
+        MessageKind.UPSTREAMS: message.list_revision,
+        MessageKind.CRASHES: message.crash_revision,
+    }
+    for kind, revision in revisions.items():
+        followed = relay.followed[kind]
+        if not is_known(followed.progress, message.era, revision):
+            _schedule_catch_up(relay, followed, message.era, revision)
 
 
 def is_known(progress: FollowProgress, era: int, revision: int) -> bool:
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -6,6 +6,8 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from jujubenotch.crashes import InstanceReports
+from jujubenotch.daemon.forward_crashes import CrashWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.dispatch import Dispatcher, UpstreamProtocol
@@ -40,12 +42,24 @@
         """
 
 
+class CrashReportStore(Protocol):
+    """Where the instances publish their reports of crashed upstreams."""
+
+    async def write(self, instance: str, reports: InstanceReports) -> None:
+        """Replace the reports of an instance.
+
+        :raises SourceError: The store did not confirm the change.
+        """
+
+
 @dataclass(frozen=True, kw_only=True)
 class PlatformComponents:
     """The components that are specific to the platform on which an instance runs.
 
     :param configuration: The source of the configuration.
     :param upstreams: The source of the list of upstreams.
+    :param crashes: The source of the instances' reports of crashed upstreams.
+    :param crash_reports: Where this instance publishes its own reports.
     :param registry: Makes the instances of a data centre known to each other.
     :param directory: Makes the instances of all data centres countable.
     :param protocol: The protocol of the upstreams.
@@ -57,6 +71,8 @@
 
     configuration: Source
     upstreams: Source
+    crashes: Source
+    crash_reports: CrashReportStore
     registry: Registry
     directory: Directory
     protocol: UpstreamProtocol
@@ -87,6 +103,7 @@
     :param settings_error: Why the settings that were read last are invalid;
         empty when they are valid.
     :param stopping: Set when the instance has to stop.
+    :param crash_watch: Watches for requests that crash upstreams.
     :param instance_count: The number of instances that share the upstreams.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
@@ -98,6 +115,7 @@
     observer: ForwardObserver
     dispatcher: Dispatcher
     stopping: asyncio.Event
+    crash_watch: CrashWatch
     instance_count: InstanceCount = field(default_factory=InstanceCount)
     refuses_requests: bool = False
     settings_error: str = ""
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -139,7 +139,7 @@
 
 def _find_call_delay_s(relay, kind):
     followed = relay.followed[kind]
-    if kind is MessageKind.UPSTREAMS and _is_configuration_lost(relay):
+    if kind is not MessageKind.CONFIGURATION and _is_configuration_lost(relay):
         return math.inf
     if relay.is_reading or followed.must_catch_up or followed.progress.revision is None:
         return 0.0
@@ -156,7 +156,7 @@
 def _is_configuration_lost(relay):
     """Return whether the store fails to answer the calls for the configuration.
 
-    They notice its return, so the calls for the list can wait.
+    They notice its return, so the calls for the other sources can wait.
     """
     progress = relay.followed[MessageKind.CONFIGURATION].progress
     return relay.is_active and progress.failures > 0
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -6,6 +6,11 @@
 
 from sanic import Sanic
 
+from jujubenotch.daemon.forward_revisions import (
+    Revisions,
+    record_configuration_revision,
+    record_revisions,
+)
 from jujubenotch.forwarding import (
     CallerBounds,
     ConfigurationView,
@@ -51,8 +56,8 @@
         with each configuration.
     :param configuration_progress: The progress in following the configuration.
     :param listing_progress: The progress in following the list of upstreams.
-    :param unattributed_revision: The newest revision of the store that may belong
-        to a change of the list of upstreams.
+    :param crash_progress: The progress in following the reports of crashed upstreams.
+    :param revisions: The revisions of the store that the sources have told.
     :param loaded: Set once the configuration and the list have been read.
 
     >>> ForwardState().index
@@ -70,7 +75,10 @@
     listing_progress: FollowProgress = field(
         default_factory=lambda: FollowProgress(name="upstreams")
     )
-    unattributed_revision: int = 0
+    crash_progress: FollowProgress = field(
+        default_factory=lambda: FollowProgress(name="crash-reports")
+    )
+    revisions: Revisions = field(default_factory=Revisions)
     loaded: asyncio.Event = field(default_factory=asyncio.Event)
 
     @property
@@ -87,11 +95,7 @@
     :param state: The instance's state; changed in place.
     :param update: The update from the configuration's source.
     """
-    if update.starts_era:
-        state.unattributed_revision = 0
-    state.unattributed_revision = max(
-        state.unattributed_revision, find_unattributed_revision(update)
-    )
+    record_configuration_revision(state.revisions, update)
     for item in update.page.items:
         if item.value is None:
             log_event(
@@ -126,43 +130,6 @@
     )
 
 
-def find_unattributed_revision(update: SourceUpdate) -> int:
-    """Find the newest revision that may not belong to the configuration.
-
-    The store numbers all changes, those of the configuration and those of the
-    list of upstreams, with a single counter. A revision that the page's items
-    don't account for is a change of the list, or an earlier version of an item.
-
-    :param update: The update from the configuration's source.
-    :returns: The revision; 0 when the items account for all revisions.
-    """
-    page = update.page
-    if update.after_revision is not None and page.revision <= update.after_revision:
-        return 0
-    if page.revision > page.changed_revision:
-        return page.revision
-    first = page.revision - len(page.items)
-    if update.after_revision is not None and first <= update.after_revision:
-        return 0
-    return page.revision - 1
-
-
-def is_list_behind(state: ForwardState) -> bool:
-    """Return whether the store may have changes that neither source has delivered.
-
-    Changes of the list of upstreams may still be in transit, or the list's source
-    has stopped delivering them without an error. The list is behind too while it
-    has been read only from an earlier era of the store.
-
-    :param state: The instance's state.
-    """
-    list_era = state.listing_progress.era
-    configuration_era = state.configuration_progress.era
-    if None not in (list_era, configuration_era) and list_era != configuration_era:
-        return list_era < configuration_era
-    return state.unattributed_revision > (state.listing_progress.revision or 0)
-
-
 def _put_in_force(state, configuration, update):
     old_version = state.index.configuration.version if state.index else -1
     if configuration.version <= old_version:
@@ -213,6 +180,7 @@
     :returns: The names of the upstreams that were removed.
     """
     previous_names = set(state.listing.upstreams)
+    record_revisions(state.revisions, update)
     apply_items(
         state.listing,
         update.page.items,
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -11,6 +11,12 @@
 
 import uvloop
 
+from jujubenotch.daemon.forward_crashes import (
+    CrashWatch,
+    identify_process,
+    record_attempt,
+    refuse_blocked,
+)
 from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
@@ -149,6 +155,7 @@
     )
     loop = asyncio.get_running_loop()
     instance_count = InstanceCount()
+    crash_watch = CrashWatch(name=settings.name, state=state)
     capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=loop.time,
@@ -168,6 +175,9 @@
             idle_timeout_s=UPSTREAM_LIMITS.idle_timeout_s
         ),
         protocol=components.protocol,
+        identify_process=lambda upstream: identify_process(crash_watch, upstream),
+        find_block=lambda call: refuse_blocked(crash_watch, call),
+        record_attempt=lambda call, attempt: record_attempt(crash_watch, call, attempt),
     )
     instance = ForwardingInstance(
         settings=settings,
@@ -176,6 +186,7 @@
         observer=observer,
         dispatcher=dispatcher,
         stopping=stopping,
+        crash_watch=crash_watch,
         instance_count=instance_count,
     )
     return instance
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -5,7 +5,11 @@
 """
 
 from jujubenotch.dispatch.answers import STATUS_BY_REFUSAL
-from jujubenotch.dispatch.attempt import read_clock_s, remove_hop_by_hop_headers
+from jujubenotch.dispatch.attempt import (
+    Attempt,
+    read_clock_s,
+    remove_hop_by_hop_headers,
+)
 from jujubenotch.dispatch.budget import RetryHistory, may_retry, record_success
 from jujubenotch.dispatch.call import (
     Answer,
@@ -24,6 +28,7 @@
     "STATUS_BY_REFUSAL",
     "Answer",
     "AnswerKind",
+    "Attempt",
     "AttemptResult",
     "Call",
     "CallerDisconnectedError",
--- a/jujubenotch/dispatch/answers.py
+++ b/jujubenotch/dispatch/answers.py
@@ -41,6 +41,24 @@
     )
 
 
+def make_block_answer(progress: Progress, refusal: Refusal) -> Answer:
+    """Make the response of a call that must not be sent to any upstream.
+
+    Unlike the response of other refusals it doesn't ask the caller to come back.
+
+    :param progress: The call's progress; an earlier attempt may have run.
+    :param refusal: The reason.
+    :returns: The response.
+    """
+    return Answer(
+        outcome=determine_outcome(progress),
+        status=BAD_GATEWAY,
+        reason=refusal.reason,
+        detail=refusal.detail,
+        is_streamed=progress.is_stream_started,
+    )
+
+
 def make_give_up_answer(
     progress: Progress, attempt: Attempt, decision: GiveUp
 ) -> Answer:
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -66,6 +66,7 @@
         0 before the first one.
     :param head_at_s: The monotonic time at which the head of the response arrived,
         in seconds; 0 before it.
+    :param process: The process that the request was sent to; empty when unknown.
     :param is_broken_off: Whether the connection ended before the response did.
     """
 
@@ -76,6 +77,7 @@
     first_token_at_s: float = 0.0
     last_token_at_s: float = 0.0
     head_at_s: float = 0.0
+    process: str = ""
     is_broken_off: bool = False
 
 
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -9,6 +9,7 @@
 
 from jujubenotch.crashes import digest_part
 from jujubenotch.dispatch.answers import (
+    make_block_answer,
     make_claim_timeout_answer,
     make_failure_answer,
     make_give_up_answer,
@@ -167,6 +168,9 @@
 
 async def _run_attempts(dispatcher, call, progress, sink, reports):
     while True:
+        block = dispatcher.find_block(call)
+        if block is not None:
+            return make_block_answer(progress, block)
         grant = await dispatcher.capacity.acquire(make_work_request(call, progress))
         if isinstance(grant, Refusal):
             return make_refusal_answer(progress, grant)
@@ -239,7 +243,9 @@
 
 
 async def _run_attempt_on_slot(dispatcher, call, progress, grant, sink):
-    attempt = Attempt(sent_at_s=read_clock_s())
+    attempt = Attempt(
+        sent_at_s=read_clock_s(), process=dispatcher.identify_process(grant.upstream)
+    )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
     progress.attempts += 1
     try:
@@ -259,6 +265,7 @@
             _release_slot(dispatcher, grant, WorkResult.CANCELLED)
         else:
             dispatcher.capacity.release(grant, report_attempt(attempt), read_clock_s())
+            dispatcher.record_attempt(call, attempt)
     return attempt
 
 
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -5,9 +5,11 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
+from jujubenotch.dispatch.attempt import Attempt
 from jujubenotch.dispatch.call import Answer, Call
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry
+from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Configuration
 from jujubenotch.upstreams import UpstreamConnections
 from jujubenotch.work import Grant, SlotProvider, UpstreamNotice, WorkReport
@@ -73,6 +75,12 @@
         begins, with the present monotonic time in seconds.
     :param record_notice: Called with the upstream's name and what it states about
         itself in the head of a response.
+    :param identify_process: Returns a name for the process that an upstream's name
+        stands for at present.
+    :param find_block: Returns a refusal for a call that may not be sent to any
+        upstream, although upstreams are available.
+    :param record_attempt: Called with the call and its attempt when the attempt has
+        ended.
     :param in_progress: The tasks of the calls that have not ended.
 
     >>> Dispatcher.__name__
@@ -89,4 +97,7 @@
     claims: Claims | None = None
     record_response_start: Callable[[Grant, float], None] = lambda grant, now_s: None
     record_notice: Callable[[str, UpstreamNotice], None] = lambda upstream, notice: None
+    identify_process: Callable[[str], str] = lambda upstream: upstream
+    find_block: Callable[[Call], Refusal | None] = lambda call: None
+    record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
     in_progress: set[asyncio.Task] = field(default_factory=set)
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -70,6 +70,8 @@
     :param recovered_s: When the source last answered after failures, by the clock
         that counts suspended time, in seconds; ``None`` if it never has.
     :param call_timeout: The time-out of the call in progress; ``None`` between calls.
+    :param is_interrupted: Whether the last call was ended because it did not bring
+        changes that the store has; the next one does not wait for changes.
     :param retry_requested: Set to end the pause after a failure.
 
     >>> FollowProgress(name="configuration").failures
@@ -83,6 +85,7 @@
     history_losses: int = 0
     recovered_s: float | None = None
     call_timeout: asyncio.Timeout | None = None
+    is_interrupted: bool = False
     retry_requested: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -101,6 +104,7 @@
         progress did not bring.
     """
     if progress.call_timeout is not None and not progress.call_timeout.expired():
+        progress.is_interrupted = True
         progress.call_timeout.reschedule(asyncio.get_running_loop().time())
 
 
@@ -167,6 +171,8 @@
             progress.revision = None
             continue
         except (SourceError, TimeoutError) as error:
+            if progress.is_interrupted:
+                continue
             _note_failure(progress, error)
             report_failure()
             await _pause(progress, choose_pause_s(progress.failures))
@@ -183,7 +189,9 @@
     sent_s = read_boot_clock_s()
     after_revision = progress.revision
     follows_outage = progress.failures > 0
-    wait_s = 0.0 if after_revision is None or follows_outage else change_wait_s
+    must_not_wait = after_revision is None or follows_outage or progress.is_interrupted
+    wait_s = 0.0 if must_not_wait else change_wait_s
+    progress.is_interrupted = False
     note_progress = functools.partial(_extend_timeout, progress)
     try:
         async with asyncio.timeout(wait_s + ANSWER_TIMEOUT_S) as progress.call_timeout:
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -51,6 +51,7 @@
     changed_revision: Number = 0
     store_time_s: float = 0.0
     list_revision: Number = 0
+    crash_revision: Number = 0
     follows_outage: bool = False
     is_complete: bool = True
     items: list[_ItemDocument] = []
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -14,6 +14,7 @@
     HELLO = "hello"
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
+    CRASHES = "crashes"
     OUTAGE = "outage"
 
 
@@ -41,6 +42,8 @@
     :param store_time_s: The store's clock when it answered, in seconds.
     :param list_revision: The revision up to which the sender knows the list of
         upstreams.
+    :param crash_revision: The revision up to which the sender knows the reports of
+        crashed upstreams.
     :param follows_outage: Whether the sender's calls before this page failed.
     :param is_complete: Whether ``items`` holds all changes; a page that is too large
         for a message is announced without its items.
@@ -53,6 +56,7 @@
     changed_revision: int = 0
     store_time_s: float = 0.0
     list_revision: int = 0
+    crash_revision: int = 0
     follows_outage: bool = False
     is_complete: bool = True
     items: tuple[MessageItem, ...] = ()
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -44,6 +44,7 @@
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_LIMIT = "upstream-limit"
     UPSTREAM_WAIT = "upstream-wait"
+    CRASHES_UPSTREAMS = "crashes-upstreams"
 
 
 class RetryReason(StrEnum):
--- a/jujubenotch/platform/parts.py
+++ b/jujubenotch/platform/parts.py
@@ -1,6 +1,7 @@
 """Builds the components of the forwarder that depend on the platform."""
 
 from jujubenotch.daemon.forward_parts import PlatformComponents
+from jujubenotch.platform.crash_reports import StoreCrashReports, make_crash_source
 from jujubenotch.platform.directory import StoreDirectory
 from jujubenotch.platform.registry import StoreRegistry
 from jujubenotch.platform.requests import PLATFORM_PROTOCOL, decode_request
@@ -22,6 +23,8 @@
     return PlatformComponents(
         configuration=make_configuration_source(client),
         upstreams=make_upstream_source(client),
+        crashes=make_crash_source(client),
+        crash_reports=StoreCrashReports(client=client),
         registry=StoreRegistry(client=client),
         directory=StoreDirectory(client=client),
         protocol=PLATFORM_PROTOCOL,
--- a/jujubenotch/platform/registry.py
+++ b/jujubenotch/platform/registry.py
@@ -5,11 +5,12 @@
 import orjson
 
 from jujubenotch.forwarding import SourceError
+from jujubenotch.platform.rows import write_row
 from jujubenotch.platform.store import RowsDocument, StoreClient, call_store
 
 INSTANCE_TABLE = "instances"
 # The row's key is all that is read; a row can't be empty.
-ROW_VALUE = "e30="
+ROW_CONTENT = b"{}"
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -45,13 +46,9 @@
         :param address: The address as ``host:port``.
         :raises SourceError: The store did not confirm the registration.
         """
-        row = {"table": INSTANCE_TABLE, "part": data_centre, "key": address}
-        body = {
-            "expected-rev": [],
-            "writes": [{**row, "value": ROW_VALUE}],
-            "remove": [],
-        }
-        await call_store(self.client, "POST", "/v1/rows-tx", json=body)
+        await write_row(
+            self.client, INSTANCE_TABLE, address, ROW_CONTENT, part=data_centre
+        )
 
 
 def _is_address(text):
