--- a/features/platform/steps/broken_off_steps.py
+++ b/features/platform/steps/broken_off_steps.py
@@ -41,3 +41,19 @@
 def check_no_contents(context, parts):
     log = read_log(context.site)
     assert not any(part in log for part in parts.split(",")), log
+
+
+@when('a caller sends the bodies "{bodies}" in turn')
+def send_bodies(context, bodies):
+    for body in bodies.split(","):
+        send(context.site, "/send/x", method="POST", body=body.encode())
+
+
+@then('the digests of the requests in the "response-broken-off" lines are "{numbers}"')
+def check_request_digests(context, numbers):
+    wait_until_logged(context.site, "response-broken-off")
+    digests = [
+        line["request"] for line in read_events(context.site, "response-broken-off")
+    ]
+    order = list(dict.fromkeys(digests))
+    assert [str(order.index(each) + 1) for each in digests] == numbers.split(",")
--- a/jujubenotch/crashes/__init__.py
+++ b/jujubenotch/crashes/__init__.py
@@ -5,7 +5,7 @@
 
 from jujubenotch.crashes.blame import choose_blocks
 from jujubenotch.crashes.codec import decode_reports, encode_reports
-from jujubenotch.crashes.digest import digest_part
+from jujubenotch.crashes.digest import digest_part, digest_request
 from jujubenotch.crashes.evidence import (
     Evidence,
     adopt_reports,
@@ -35,6 +35,7 @@
     "choose_blocks",
     "decode_reports",
     "digest_part",
+    "digest_request",
     "encode_reports",
     "find_block",
     "make_own_reports",
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -7,7 +7,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from jujubenotch.crashes import digest_part
+from jujubenotch.crashes import digest_part, digest_request
 from jujubenotch.dispatch.answers import (
     make_block_answer,
     make_claim_timeout_answer,
@@ -352,9 +352,20 @@
         sent_s=round(now_s - attempt.sent_at_s, 3),
         begun_s=None if begun_s is None else round(begun_s, 3),
         streamed_s=round(attempt.last_token_at_s - attempt.first_token_at_s, 3),
+        request=digest_call(call),
         parts=[digest_part(part) for part in call.shared_parts[:MAX_LOGGED_PARTS]],
     )
 
 
+def digest_call(call: Call) -> str:
+    """Return the digest of what a call asks for, which is the same in its repeats.
+
+    :param call: The call.
+    """
+    return digest_request(
+        team=call.team.name, method=call.method, path=call.path, body=call.body
+    )
+
+
 def _has_budget(dispatcher, call, now_s):
     return dispatcher.retry_budget.may_retry(call.target, now_s)
