--- a/features/platform/crashing.py
+++ b/features/platform/crashing.py
@@ -12,7 +12,12 @@
 from collections.abc import Callable
 from dataclasses import dataclass, field
 
-from features.platform.site import list_upstream, run, unlist_upstream
+from features.platform.site import (
+    answer_correctly,
+    list_upstream,
+    run,
+    unlist_upstream,
+)
 from features.platform.upstream_kinds import LAST_CHUNK, STREAM_HEAD, read_id
 from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD
 
@@ -37,11 +42,13 @@
     """The upstreams of one service of a test site.
 
     ``is_bad`` tells from the head and the body of a request whether it ends the
-    process that begins to respond to it.
+    process that begins to run it. The responses are streams or, if not ``is_stream``,
+    whole answers that begin at their end.
     """
 
     site: object
     is_bad: Callable[[bytes, bytes], bool]
+    is_stream: bool = True
     arrivals: list[Arrival] = field(default_factory=list)
     crashes_s: list[float] = field(default_factory=list)
     numbers: itertools.count = field(default_factory=itertools.count)
@@ -57,8 +64,8 @@
     is_down: bool = False
 
 
-def start_upstreams(site, count, is_bad):
-    upstreams = CrashingUpstreams(site=site, is_bad=is_bad)
+def start_upstreams(site, count, is_bad, *, is_stream=True):
+    upstreams = CrashingUpstreams(site=site, is_bad=is_bad, is_stream=is_stream)
     for _ in range(count):
         process = run(site, _start_process(upstreams))
         _list(upstreams, process)
@@ -101,11 +108,16 @@
 
 
 async def _respond(upstreams, process, writer, head, is_bad):
-    writer.write(STREAM_HEAD % read_id(head))
+    if upstreams.is_stream:
+        writer.write(STREAM_HEAD % read_id(head))
     if is_bad:
         await asyncio.sleep(CRASH_DELAY_S)
         await _crash(upstreams, process)
         return
+    if not upstreams.is_stream:
+        await asyncio.sleep(EVENTS * EVENT_PAUSE_S)
+        writer.write(b"".join(answer_correctly(head)))
+        return
     for number in range(1, EVENTS + 1):
         await asyncio.sleep(EVENT_PAUSE_S)
         if process.is_down:
--- a/features/platform/steps/crashing_prompt_steps.py
+++ b/features/platform/steps/crashing_prompt_steps.py
@@ -57,10 +57,14 @@
     'a site of 2 instances and {count:d} upstreams that crash on the prompt part "{part}"'
 )
 def open_crashing_site(context, count, part):
+    context.bad_part = part
+    open_fleet(context, count, has_part(part))
+
+
+def open_fleet(context, count, is_bad, *, is_stream=True):
     site = context.stack.enter_context(open_site())
     put_configuration(site)
-    context.bad_part = part
-    context.upstreams = start_upstreams(site, count, has_part(part))
+    context.upstreams = start_upstreams(site, count, is_bad, is_stream=is_stream)
     second = add_instance(site)
     context.stack.callback(stop_instance, second)
     context.instances = [site, second]
