--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -70,3 +70,22 @@
   Scenario: A decision takes microseconds
     Given an instance that saw 200 crashes with 300 suspects each
     Then deciding on a request takes less than 100 microseconds
+
+  # Guards against blocks of a part for the sake of one request that comes again and again.
+  Scenario: A repeated request is blamed before its parts
+    Given the reports of 4 crashes with the suspects "r1,g"
+    Then a request with "r1,g" is blocked
+    And a request with "r2,g" is sent
+
+  Scenario: A part whose requests differ is blamed before each of them
+    Given the reports of 3 crashes with the suspects "r1,g"
+    And the report of another crash with the suspects "r2,g"
+    Then a request with "r3,g" is blocked
+    And a request with "r1,h" is sent
+
+  # Guards against blocks of a request that is repeated often and ends well.
+  Scenario: A suspect that was acquitted once is blamed after one that never was
+    Given the reports of 3 crashes with the suspects "r1,g"
+    When a response with "r1" that began after them ends well
+    And the reports of 3 more crashes with the suspects "r1,g" come
+    Then a request with "r2,g" is blocked
--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -88,6 +88,12 @@
     apply_reports(context.evidence, "b", report("b", crashes))
 
 
+@when('the reports of {count:d} more crashes with the suspects "{suspects}" come')
+def report_more(context, count, suspects):
+    crashes = make_crashes(count, tuple(suspects.split(",")), first=20)
+    apply_reports(context.evidence, "b", report("b", crashes))
+
+
 @given("an instance that saw {crashes:d} crashes with {suspects:d} suspects each")
 def report_many(context, crashes, suspects):
     prepare(context, {})
--- a/jujubenotch/crashes/blame.py
+++ b/jujubenotch/crashes/blame.py
@@ -7,6 +7,7 @@
 
 from collections.abc import Collection, Mapping
 
+from jujubenotch.crashes.digest import is_request_digest
 from jujubenotch.crashes.model import Block
 
 # Of one crash or two there are other explanations, such as upstreams that are killed.
@@ -37,7 +38,7 @@
     remaining = {suspect: dict(times) for suspect, times in accusers.items()}
     while remaining:
         weights = {
-            suspect: (len({causes[process] for process in times}), len(times))
+            suspect: _weigh(suspect, times, causes, acquitted)
             for suspect, times in remaining.items()
         }
         most = max(weights.values())
@@ -45,12 +46,20 @@
             break
         leaders = [suspect for suspect, weight in weights.items() if weight == most]
         for group in _group_by_processes(leaders, remaining):
-            blocks += _block_group(group, remaining, acquitted, most[0])
+            blocks += _block_group(group, remaining, most[0])
         explained = {process for suspect in leaders for process in remaining[suspect]}
         remaining = _remove_processes(remaining, explained)
     return blocks
 
 
+def _weigh(suspect, times, causes, acquitted):
+    """Return what ranks suspects: crashes first; a request is narrower than a part."""
+    is_request = is_request_digest(suspect)
+    # One request isn't at several upstreams at the same time, as parts may be.
+    count = len(times) if is_request else len({causes[name] for name in times})
+    return count, len(times), suspect not in acquitted, is_request
+
+
 def find_causes(accusers: Mapping[str, CrashTimes]) -> dict[str, int]:
     """Number the causes of the crashes; those at nearly the same time have one.
 
@@ -78,12 +87,11 @@
     return groups.values()
 
 
-def _block_group(group, accusers, acquitted, crashes):
-    preferred = [suspect for suspect in group if suspect not in acquitted] or group
+def _block_group(group, accusers, crashes):
     times = accusers[group[0]]
-    combinations = [frozenset(preferred)]
+    combinations = [frozenset(group)]
     if crashes >= MIN_CRASHES_EACH:
-        combinations = [frozenset({suspect}) for suspect in preferred]
+        combinations = [frozenset({suspect}) for suspect in group]
     return [
         Block(
             suspects=suspects,
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -20,8 +20,8 @@
 logger = logging.getLogger(__name__)
 
 LIFETIME_S = 600.0
-MAX_CRASHES = 12
-MAX_SUSPECTS_PER_CRASH = 48
+MAX_CRASHES = 10
+MAX_SUSPECTS_PER_CRASH = 72
 MAX_ACQUITTALS = 256
 # Acquittals of suspects with fewer crashes decide nothing yet and are not shared.
 MIN_SHARED_CRASHES = 2
--- a/jujubenotch/crashes/model.py
+++ b/jujubenotch/crashes/model.py
@@ -9,8 +9,8 @@
 
     :param process: The process; a restarted upstream is another one.
     :param reported_unix_s: When the instance saw it, as Unix time in seconds.
-    :param suspects: The digests of what the requests had in common with others, for
-        the requests whose responses the process had just begun.
+    :param suspects: The digests of the requests that the process was running, and of
+        the prompt parts of those whose responses it had just begun.
     """
 
     process: str
--- a/jujubenotch/daemon/forward_crashes.py
+++ b/jujubenotch/daemon/forward_crashes.py
@@ -18,7 +18,13 @@
     take_own_reports,
 )
 from jujubenotch.daemon.forward_state import ForwardState
-from jujubenotch.dispatch import Attempt, AttemptResult, Call, read_clock_s
+from jujubenotch.dispatch import (
+    Attempt,
+    AttemptResult,
+    Call,
+    digest_call,
+    read_clock_s,
+)
 from jujubenotch.forwarding import SourceUpdate
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Refusal, RefusalReason
@@ -64,7 +70,15 @@
 
 
 def find_suspects(call: Call) -> list[str]:
-    """Return the digests of what a request has in common with others.
+    """Return the digests of a request and of what it has in common with others.
+
+    :param call: The request.
+    """
+    return [digest_call(call), *find_part_suspects(call)]
+
+
+def find_part_suspects(call: Call) -> list[str]:
+    """Return the digests of the prompt parts that other requests may contain.
 
     :param call: The request.
     """
@@ -111,10 +125,23 @@
     :param call: The request.
     :param attempt: The attempt, which has ended.
     """
+    if attempt.end is None:
+        return
+    evidence = watch.evidence
+    may_acquit = bool(evidence.accusers) or evidence.is_stale
+    if not attempt.is_broken_off and not may_acquit:
+        return
     if is_sound(attempt):
-        _record_sound(watch, call, attempt)
+        _record_sound(watch, find_part_suspects(call), attempt.head_at_s)
+        _record_sound(watch, [digest_call(call)], attempt.sent_at_s)
+    elif attempt.answer is not None:
+        # An error response tells nothing of the parts, which the upstream may not have
+        # read, but this request did not crash it.
+        _record_sound(watch, [digest_call(call)], attempt.sent_at_s)
     elif attempt.is_broken_off and attempt.head_at_s:
-        _record_break(watch, call, attempt)
+        _record_break(watch, find_suspects(call), attempt.process)
+    elif attempt.is_broken_off:
+        _record_break(watch, [digest_call(call)], attempt.process)
 
 
 def is_sound(attempt: Attempt) -> bool:
@@ -127,28 +154,23 @@
     return attempt.last_token_at_s - attempt.first_token_at_s >= MIN_SOUND_S
 
 
-def _record_sound(watch, call, attempt):
+def _record_sound(watch, suspects, begun_s):
     evidence = watch.evidence
-    if not call.shared_parts or not (evidence.accusers or evidence.is_stale):
-        return
     record_sound_response(
         evidence,
-        find_suspects(call),
-        begun_s=attempt.head_at_s,
+        suspects,
+        begun_s=begun_s,
         now_s=read_clock_s(),
         now_unix_s=time.time(),
     )
     _note_change(watch)
 
 
-def _record_break(watch, call, attempt):
-    suspects = find_suspects(call)
-    if not suspects:
-        return
-    is_new = attempt.process not in watch.pending
-    watch.pending.setdefault(attempt.process, {}).update(dict.fromkeys(suspects))
+def _record_break(watch, suspects, process):
+    is_new = process not in watch.pending
+    watch.pending.setdefault(process, {}).update(dict.fromkeys(suspects))
     if is_new:
-        task = asyncio.create_task(_confirm_end(watch, attempt.process))
+        task = asyncio.create_task(_confirm_end(watch, process))
         watch.tasks.add(task)
         task.add_done_callback(watch.tasks.discard)
 
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -19,7 +19,7 @@
     find_resume_point,
 )
 from jujubenotch.dispatch.decide import AttemptResult, GiveUp, Retry, decide_next
-from jujubenotch.dispatch.dispatcher import dispatch, wait_until_idle
+from jujubenotch.dispatch.dispatcher import digest_call, dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry, watch_exchange
@@ -43,6 +43,7 @@
     "Sink",
     "UpstreamProtocol",
     "decide_next",
+    "digest_call",
     "dispatch",
     "find_resume_point",
     "may_retry",
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -363,7 +363,11 @@
     :param call: The call.
     """
     return digest_request(
-        team=call.team.name, method=call.method, path=call.path, body=call.body
+        team=call.team.name,
+        method=call.method,
+        path=call.path,
+        parts=call.shared_parts,
+        body=call.body,
     )
 
 
