End responses and events that have no end

An upstream in trouble may send bytes until its connection is closed. A body could grow to 64 MiB, an event of a stream without a bound, each copied again for each read: with 49 and 51 MB sent until the deadline of 4 s.

--- /dev/null
+++ b/features/platform/steps/endless_steps.py
@@ -0,0 +1,161 @@
+import itertools
+import socket
+import time
+from pathlib import Path
+
+from behave import given, then, when
+
+from features.platform.site import (
+    CALL_TIMEOUT_S,
+    HOST,
+    KEY,
+    add_upstream,
+    open_site,
+    put_configuration,
+    read_log,
+    send,
+    start_program,
+    wait_until_ready,
+)
+from features.platform.upstream_kinds import read_id, write_stream
+from features.scripted_upstream import ScriptedUpstream
+
+BYTES_PER_MIB = 1 << 20
+PART = b"x" * 262144
+HEAD = (
+    b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+    b"Content-Type: %b\r\n"
+)
+UNFRAMED_STREAM = HEAD % (b"%b", b"text/event-stream") + b"\r\n"
+SOME_LINES = b"".join(b"X-Line-%d: y\r\n" % number for number in range(2000))
+ENDLESS = {
+    "a head": (b"HTTP/1.1 200 OK\r\n", SOME_LINES),
+    "an informational head": (b"", b"HTTP/1.1 102 Processing\r\n\r\n" * 1000),
+    "a header line": (b"HTTP/1.1 200 OK\r\nX-Line: ", PART),
+    "a body": (HEAD % (b"%b", b"text/plain") + b"\r\n", PART),
+    "a chunked body": (
+        HEAD % (b"%b", b"text/plain") + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"40000\r\n" + PART + b"\r\n",
+    ),
+    "a chunk's size": (
+        HEAD % (b"%b", b"text/plain") + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"0" * len(PART),
+    ),
+    "an event": (UNFRAMED_STREAM + b"id: 1\ndata: ", PART),
+    "an event in a chunked stream": (
+        HEAD % (b"%b", b"text/event-stream") + b"Transfer-Encoding: chunked\r\n\r\n",
+        b"40000\r\n" + PART + b"\r\n",
+    ),
+}
+
+
+def open_site_of(context, make_parts, ending="close"):
+    context.site = context.stack.enter_context(open_site())
+    put_configuration(context.site)
+    upstream = ScriptedUpstream(make_parts=make_parts, connection_ending=ending)
+    add_upstream(context.site, "i-first", upstream)
+    start_program(context.site)
+    wait_until_ready(context.site)
+    context.memory_bytes = read_memory_bytes(context.site)
+
+
+def read_memory_bytes(site):
+    text = Path(f"/proc/{site.process.pid}/status").read_text()
+    line = next(line for line in text.splitlines() if line.startswith("VmHWM:"))
+    return int(line.split()[1]) * 1024
+
+
+@given("a site whose upstream sends {what} without end")
+def open_endless_site(context, what):
+    start, part = ENDLESS[what]
+    context.sent_bytes = 0
+
+    def make_parts(head):
+        yield start.replace(b"%b", read_id(head))
+        for _ in itertools.count():
+            yield part
+            # The generator goes on once the part has been written.
+            context.sent_bytes += len(part)
+
+    open_site_of(context, make_parts)
+
+
+@given("a site whose upstream streams {count:d} events without a length and ends {how}")
+def open_unframed_site(context, count, how):
+    events = b"".join(b"id: %d\ndata: w%d\n\n" % (n, n) for n in range(1, count + 1))
+    rest = (b"id: %d\ndata: w" % (count + 1),) if how.startswith("inside") else ()
+
+    def make_parts(head):
+        return (UNFRAMED_STREAM % read_id(head), events, *rest)
+
+    open_site_of(context, make_parts, "reset" if how == "by a reset" else "close")
+
+
+@given("a site whose upstream ends a chunked stream inside its third event")
+def open_chunked_site(context):
+    def make_parts(head):
+        *parts, end = write_stream(head, 1, 2, is_whole=True)
+        return (*parts, b"9\r\nid: 3\nda\r\n", end)
+
+    open_site_of(context, make_parts, "keep")
+
+
+@when("a caller requests a stream that is not delivered")
+def request_endless_stream(context):
+    started_s = time.monotonic()
+    try:
+        context.replies = [send(context.site, "/stream/x", method="POST", body=b"{}")]
+    except OSError:
+        context.replies = []
+    context.waited_s = time.monotonic() - started_s
+
+
+@when("a caller requests a stream and reads to the end of the connection")
+def read_to_end(context):
+    address = (context.site.host, 8000)
+    with socket.create_connection(address, timeout=CALL_TIMEOUT_S) as connection:
+        connection.sendall(
+            f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n"
+            f"Authorization: Bearer {KEY}\r\nContent-Length: 2\r\n\r\n{{}}".encode()
+        )
+        context.received = b""
+        context.was_reset = False
+        try:
+            while part := connection.recv(65536):
+                context.received += part
+        except ConnectionResetError:
+            context.was_reset = True
+
+
+@then("the upstream's connection is closed")
+def check_closed(context):
+    time.sleep(0.3)
+    before = context.sent_bytes
+    time.sleep(0.3)
+    assert context.sent_bytes == before, "the connection is still open"
+
+
+@then("the upstream sent at most {size:d} MiB before its connection was closed")
+def check_sent(context, size):
+    check_closed(context)
+    assert context.sent_bytes <= size * BYTES_PER_MIB, context.sent_bytes
+
+
+@then("the instance needs at most {size:d} MiB more memory than before")
+def check_memory(context, size):
+    more_bytes = read_memory_bytes(context.site) - context.memory_bytes
+    assert more_bytes <= size * BYTES_PER_MIB, more_bytes
+
+
+@then("the connection ended {verdict}")
+def check_end(context, verdict):
+    assert context.was_reset is (verdict == "by a reset"), (
+        context.received,
+        read_log(context.site),
+    )
+
+
+@then("the caller received the {count:d} events")
+def check_received(context, count):
+    expected = [b"data: w%d\n\n" % number for number in range(1, count + 1)]
+    assert all(each in context.received for each in expected), context.received
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -178,7 +178,9 @@
 
 @when("a caller sends a non-idempotent request")
 def send_non_idempotent(context):
+    started_s = time.monotonic()
     context.replies = [send(context.site, "/send/x", method="POST", body=b"b" * 500)]
+    context.waited_s = time.monotonic() - started_s
 
 
 @when("{count:d} callers send idempotent requests")
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -76,6 +76,8 @@
     # The network may recover from an interruption before the caller's deadline,
     # and that deadline bounds each request.
     tcp_user_timeout_s=10.0,
+    # Some such bodies at a time fit into the memory of an instance.
+    max_answer_bytes=16 * 1024 * 1024,
 )
 
 
--- a/jujubenotch/upstreams/events.py
+++ b/jujubenotch/upstreams/events.py
@@ -6,7 +6,11 @@
 import re
 from dataclasses import dataclass
 
+from jujubenotch.upstreams.errors import AnswerTooLargeError
+
 END_MARKER = b"data: [DONE]"
+# A stream whose next event is larger may be bytes without an end.
+MAX_EVENT_BYTES = 1024 * 1024
 _EVENT_ENDS = (b"\n\n", b"\r\n\r\n")
 _ID_LINE = re.compile(rb"^id: ?([^\r\n]+)", re.MULTILINE)
 
@@ -40,6 +44,7 @@
     :param buffer: The stream's buffer; changed in place.
     :param chunk: The bytes received.
     :returns: Complete events, to be forwarded unchanged; may be empty.
+    :raises AnswerTooLargeError: The next event is larger than ``MAX_EVENT_BYTES``.
     """
     if buffer.partial:
         chunk = buffer.partial + chunk
@@ -85,6 +90,11 @@
     ends = [chunk.rfind(end) + len(end) for end in _EVENT_ENDS if end in chunk]
     position = max(ends, default=0)
     buffer.partial = chunk[position:]
+    if len(buffer.partial) > MAX_EVENT_BYTES:
+        raise AnswerTooLargeError(
+            f"event too large: {len(buffer.partial)} bytes received without its end, "
+            f"at most {MAX_EVENT_BYTES} allowed; the stream is ended"
+        )
     return chunk[:position]
 
 
