Take a stream that ends inside an event for broken off

A response may have neither a length nor chunks and end with its connection. A stream like that, or a chunked one, that ended inside an event was passed on as complete, and a reset of its upstream's connection reached the caller as a regular end: nothing told it from a whole stream, nothing was resumed. Such a stream is truncated now and may be resumed; a caller's connection that has no framing is reset. features/platform/ stream_endings.feature failed in 4 of 5 scenarios before.

--- /dev/null
+++ b/features/platform/stream_endings.feature
@@ -0,0 +1,31 @@
+Feature: Streams that end inside an event are broken off, with and without a length
+
+  # Guards against streams that look complete to the caller although their upstream broke
+  # off: a response that has neither a length nor chunks ends with its connection.
+  Scenario Outline: A stream without a length ends with its connection
+    Given a site whose upstream streams 2 events without a length and ends <how>
+    When a caller requests a stream and reads to the end of the connection
+    Then the connection ended <verdict>
+    And the caller received the 2 events
+
+    Examples:
+      | how                    | verdict     |
+      | by closing             | regularly   |
+      | inside the third event | by a reset  |
+
+  Scenario: A reset after whole events is passed on as a reset
+    Given a site whose upstream streams 2 events without a length and ends by a reset
+    When a caller requests a stream and reads to the end of the connection
+    Then the connection ended by a reset
+
+  # Guards against the end of a chunked stream that is taken for whole.
+  Scenario: A chunked stream that ends inside an event is cut
+    Given a site whose upstream ends a chunked stream inside its third event
+    When a caller requests a stream
+    Then the response is cut
+
+  Scenario: A resumable stream without a length is resumed after its last whole event
+    Given a site whose upstream streams 2 events without a length and ends inside the third event
+    And another upstream that resumes after the last event
+    When 8 callers request resumable streams
+    Then each caller got 4 events in order
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -20,7 +20,7 @@
     ConfigurationView,
     admit_request,
 )
-from jujubenotch.listeners import set_request_limits
+from jujubenotch.listeners import reset_connection, set_request_limits
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Outcome, Refusal, RefusalReason
 
@@ -90,6 +90,7 @@
 
     :param request: The caller's request.
     :param response: The response whose head has been sent; ``None`` before that.
+    :param is_framed: Whether that response marks the end of its body.
 
     >>> ForwardSink(request=None).response is None
     True
@@ -97,6 +98,7 @@
 
     request: Request
     response: HTTPResponse | None = None
+    is_framed: bool = True
 
     async def start(self, status, headers, *, is_framed=True):
         """Send the head of a response.
@@ -107,6 +109,7 @@
             the body ends when the connection is closed.
         :raises CallerDisconnectedError: The caller has closed its connection.
         """
+        self.is_framed = is_framed
         head = HTTPResponse(status=status, content_type=None)
         for name, value in headers:
             head.headers.add(name, value)
@@ -221,10 +224,14 @@
         return _build_response(answer)
     if answer.outcome is Outcome.COMPLETED:
         await sink.response.eof()
-    else:
+    elif sink.is_framed:
         # Closing the transport omits the final chunk, so the caller can tell that
         # the stream is incomplete. The bytes already written are still delivered.
         sink.request.transport.close()
+    else:
+        # A body that isn't framed ends with its connection, so only a reset tells the
+        # caller that the stream is incomplete.
+        reset_connection(sink.request.transport)
     return None
 
 
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -276,12 +276,14 @@
     try:
         await _forward_events(receiver, answer, buffer)
         check_not_truncated(answer)
-        await _forward_rest(receiver, buffer)
+        if _is_complete(buffer, answer):
+            await _forward_rest(receiver, buffer)
     finally:
         attempt.tokens = buffer.events
         progress.last_event_id = read_last_id(buffer) or progress.last_event_id
-    if not _is_complete(buffer):
+    if not _is_complete(buffer, answer):
         attempt.end = AttemptResult.TRUNCATED
+        attempt.is_broken_off = True
         return
     attempt.end = AttemptResult.COMPLETED
     attempt.answer = Answer(
@@ -289,14 +291,18 @@
     )
 
 
-def _is_complete(buffer):
+def _is_complete(buffer, answer):
     if not buffer.end_marker:
-        return True
+        is_inside_event = bool(buffer.partial.strip())
+        # Without a length, a connection that ends before the first event can't be told
+        # from an upstream that ended.
+        is_empty = not answer.response.is_framed and not buffer.events
+        return not is_inside_event and not is_empty
     return buffer.is_ended or buffer.partial.strip() == buffer.end_marker
 
 
 async def _forward_rest(receiver, buffer):
-    """Forward the bytes after the last complete event of a complete body."""
+    """Forward the blank lines after the last event of a complete body."""
     if buffer.partial and not buffer.end_marker:
         await receiver.sink.send(buffer.partial)
 
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -11,6 +11,7 @@
     start_listener,
     stop_listener,
 )
+from jujubenotch.listeners.reset import reset_connection
 from jujubenotch.sockets import ListenerError, bind_socket
 
 __all__ = [
@@ -20,6 +21,7 @@
     "RequestLimits",
     "bind_socket",
     "is_well_formed",
+    "reset_connection",
     "set_request_limits",
     "start_listener",
     "stop_listener",
