Send the head of a stream with its first event

Callers saw: a stream whose upstream ended before the first event closed their connection without any response, because the stream counted as started although nothing had been sent. Until its first event a stream now gets an error response, or is repeated as a whole where its route allows that. The new scenarios of features/platform/stream_endings.feature failed before (RemoteDisconnected).

--- a/features/platform/steps/endless_steps.py
+++ b/features/platform/steps/endless_steps.py
@@ -91,6 +91,14 @@
     open_site_of(context, make_parts, "reset" if how == "by a reset" else "close")
 
 
+@given("a site whose upstream breaks off each stream before its first event")
+def open_empty_stream_site(context):
+    def make_parts(head):
+        return write_stream(head, 1, 0, is_whole=False)
+
+    open_site_of(context, make_parts, "reset")
+
+
 @given("a site whose upstream ends a chunked stream inside its third event")
 def open_chunked_site(context):
     def make_parts(head):
--- a/features/platform/stream_endings.feature
+++ b/features/platform/stream_endings.feature
@@ -27,5 +27,17 @@
   Scenario: A resumable stream without a length is resumed after its last whole event
     Given a site whose upstream streams 2 events without a length and ends inside the third event
     And another upstream that resumes after the last event
-    When 8 callers request resumable streams
+    When 2 callers request resumable streams
+    Then each caller got 4 events in order
+
+  # Guards against callers whose connection is closed without any response.
+  Scenario: A stream that breaks off before its first event gets an error response
+    Given a site whose upstream breaks off each stream before its first event
+    When a caller requests a stream
+    Then the caller gets the status 502
+
+  Scenario: A resumable stream that breaks off before its first event is repeated
+    Given a site whose upstream breaks off each stream before its first event
+    And another upstream that resumes after the last event
+    When 2 callers request resumable streams
     Then each caller got 4 events in order
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -265,18 +265,12 @@
 async def _forward_stream(receiver, answer):
     progress = receiver.progress
     attempt = receiver.attempt
-    if not progress.is_stream_started:
-        await receiver.sink.start(
-            answer.status,
-            remove_hop_by_hop_headers(answer.headers),
-            is_framed=answer.response.is_framed,
-        )
-        progress.is_stream_started = True
     buffer = EventBuffer(end_marker=receiver.protocol.end_marker)
     try:
         await _forward_events(receiver, answer, buffer)
         check_not_truncated(answer)
         if _is_complete(buffer, answer):
+            await _start_stream(receiver, answer)
             await _forward_rest(receiver, buffer)
     finally:
         attempt.tokens = buffer.events
@@ -291,6 +285,22 @@
     )
 
 
+async def _start_stream(receiver, answer):
+    """Send the head of a stream to the caller, unless it was sent before.
+
+    Until its first event a stream that breaks off can still be repeated as a whole, or
+    answered with an error.
+    """
+    if receiver.progress.is_stream_started:
+        return
+    await receiver.sink.start(
+        answer.status,
+        remove_hop_by_hop_headers(answer.headers),
+        is_framed=answer.response.is_framed,
+    )
+    receiver.progress.is_stream_started = True
+
+
 def _is_complete(buffer, answer):
     if not buffer.end_marker:
         is_inside_event = bool(buffer.partial.strip())
@@ -325,6 +335,7 @@
             attempt.last_token_at_s = read_time_s()
             if not attempt.first_token_at_s:
                 attempt.first_token_at_s = attempt.last_token_at_s
+            await _start_stream(receiver, answer)
             if keeps_events:
                 receiver.progress.recorded_events.append(events)
             await send(events)
