Notice the end of an upstream behind a proxy

A proxy in front of an upstream that has ended accepts the connection by which an instance confirms a crash, and closes it; the crash was then not reported. The connection has to stay open for 0.1 s now.

--- a/jujubenotch/daemon/forward_crashes.py
+++ b/jujubenotch/daemon/forward_crashes.py
@@ -35,6 +35,8 @@
 MIN_SOUND_S = 0.5
 # An upstream that accepts no connection within this time has ended.
 CONNECT_TIMEOUT_S = 0.5
+# A proxy in front of an upstream that has ended accepts connections and closes them.
+KEPT_OPEN_S = 0.1
 
 
 @dataclass(kw_only=True)
@@ -176,12 +178,12 @@
 
 
 async def _confirm_end(watch, process):
-    """Report a crash unless the process still accepts connections.
+    """Report a crash unless the process still keeps connections open.
 
     A running upstream may break off single responses, and so may the network.
     """
     upstream = watch.state.upstreams.upstreams.get(process.rpartition("@")[0])
-    is_running = upstream is not None and await _accepts_connections(upstream.url)
+    is_running = upstream is not None and await _keeps_connections(upstream.url)
     suspects = list(watch.pending.pop(process))
     log_event(
         logger,
@@ -197,15 +199,25 @@
     _note_change(watch)
 
 
-async def _accepts_connections(url):
+async def _keeps_connections(url):
     address = urlsplit(url)
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            _, writer = await asyncio.open_connection(address.hostname, address.port)
+            reader, writer = await asyncio.open_connection(
+                address.hostname, address.port
+            )
     except (OSError, TimeoutError):
         return False
-    writer.close()
-    return True
+    try:
+        async with asyncio.timeout(KEPT_OPEN_S):
+            await reader.read(1)
+    except TimeoutError:
+        return True
+    except OSError:
+        return False
+    finally:
+        writer.close()
+    return False
 
 
 def apply_crash_page(watch: CrashWatch, update: SourceUpdate) -> None:
