--- a/benchmarks/site/callers.py
+++ b/benchmarks/site/callers.py
@@ -8,7 +8,13 @@
 from dataclasses import dataclass, field
 
 from benchmarks.site.documents import HOST
-from benchmarks.site.model import STREAMING_KINDS, CallerRequest, RouteKind, SiteJournal
+from benchmarks.site.model import (
+    STREAMING_KINDS,
+    CallerRequest,
+    RouteKind,
+    SiteFault,
+    SiteJournal,
+)
 
 MS_PER_S = 1000
 CONNECT_TIMEOUT_S = 1.0
@@ -24,6 +30,9 @@
 MIN_WAIT_S = 1.5
 MAX_WAIT_S = 4.0
 MAX_EVENTS = 30
+TOPICS = 12
+# The share of the requests that may have a content that crashes upstreams.
+BAD_CONTENT_RATIO = 0.15
 # The share of read requests that go to routes which are added and removed in the run.
 EXTRA_PREFIX_RATIO = 0.25
 _ID_LINE = re.compile(rb"^id: ?(\d+)$", re.MULTILINE)
@@ -69,6 +78,7 @@
     """The callers of a site.
 
     :param keys: The keys that callers use, including revoked ones.
+    :param bad_content: The contents that crash upstreams and that callers send now.
     :param prefixes: The prefixes of all added routes; callers go on using them
         after their removal.
     :param idle: The open connections without a request.
@@ -78,6 +88,7 @@
     journal: SiteJournal
     keys: list[str]
     generator: random.Random
+    bad_content: dict[SiteFault, str] = field(default_factory=dict)
     prefixes: list[str] = field(default_factory=list)
     idle: list[Connection] = field(default_factory=list)
 
@@ -152,6 +163,13 @@
     uses_extra_route = callers.prefixes and generator.random() < EXTRA_PREFIX_RATIO
     if kind is RouteKind.READ and uses_extra_route:
         path = generator.choice(callers.prefixes) + "1"
+    prompt = ""
+    if kind in STREAMING_KINDS:
+        topic = _draw_content(callers, SiteFault.BAD_PART)
+        topic = topic or f"topic-{generator.randrange(TOPICS)}"
+        prompt = f"first:300,{topic}:200,own-{generator.getrandbits(32):x}:100"
+    elif kind is RouteKind.READ:
+        path = _draw_content(callers, SiteFault.BAD_REQUEST) or path
     now_s = time.monotonic()
     return CallerRequest(
         request_id=f"{generator.getrandbits(64):016x}",
@@ -161,9 +179,15 @@
         instance=instance,
         sent_s=now_s,
         deadline_s=now_s + generator.uniform(MIN_WAIT_S, MAX_WAIT_S),
+        prompt=prompt,
     )
 
 
+def _draw_content(callers, kind):
+    content = callers.bad_content.get(kind, "")
+    return content if callers.generator.random() < BAD_CONTENT_RATIO else ""
+
+
 async def _take_connection(callers):
     now_s = time.monotonic()
     callers.generator.shuffle(callers.idle)
@@ -195,8 +219,11 @@
         f"{method} {request.path} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"X-Attempt-Id: {request.request_id}\r\nX-Seen-By: {request.instance}\r\n"
         f"X-Deadline-Ms: {int(wait_s * MS_PER_S)}\r\n"
-        f"Authorization: Bearer {request.key}\r\nContent-Length: {len(body)}\r\n\r\n"
+        f"Authorization: Bearer {request.key}\r\nContent-Length: {len(body)}\r\n"
     )
+    if request.prompt:
+        head += f"X-Prompt-Prefix: {request.prompt}\r\nX-Token-Count: 600,200\r\n"
+    head += "\r\n"
     if connection.writer.is_closing():
         raise ConnectionResetError("ended before the request was sent")
     connection.writer.write(head.encode() + body)
--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -7,8 +7,10 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 
+from benchmarks.site.crashes import SENDING_S, send_bad_content
 from benchmarks.site.documents import GRACE_S
 from benchmarks.site.fleet import (
+    LIST_EXPIRY_S,
     Site,
     UpstreamEndpoint,
     kill_instance,
@@ -47,7 +49,6 @@
 MIN_FAULT_S = 0.5
 MAX_FAULT_S = 6.0
 MAX_FAULT_RATIO = 0.1
-LIST_EXPIRY_S = 3.6
 DRAIN_S = 4.0
 REUSE_AFTER_S = 2.0
 MAX_DELAY_S = 0.3
@@ -86,6 +87,8 @@
         SiteFault.RESTORE_STORE,
         SiteFault.REVOKE_KEY,
         SiteFault.CHANGE_ROUTES,
+        SiteFault.BAD_PART,
+        SiteFault.BAD_REQUEST,
     }
 )
 # A process has at most one of these faults at a time.
@@ -113,6 +116,8 @@
     SiteFault.REUSE_ADDRESS: 2 * DRAIN_S + REUSE_AFTER_S,
     SiteFault.SAY_LEAVING: SAID_LEAVING_S + DRAIN_S,
     SiteFault.NAME_LIMIT: NAMED_LIMIT_S,
+    SiteFault.BAD_PART: SENDING_S,
+    SiteFault.BAD_REQUEST: SENDING_S,
 }
 
 
@@ -513,6 +518,8 @@
     SiteFault.SAY_LEAVING: _say_leaving,
     SiteFault.NAME_LIMIT: _name_limit,
     SiteFault.TURN_AWAY: _turn_away,
+    SiteFault.BAD_PART: send_bad_content,
+    SiteFault.BAD_REQUEST: send_bad_content,
     SiteFault.REVOKE_KEY: _revoke_key,
     SiteFault.CHANGE_ROUTES: _change_routes,
 }
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -15,6 +15,7 @@
 
 from benchmarks.processes import LOOPBACK, ROOT
 from benchmarks.site.callers import Callers, InstanceEndpoint
+from benchmarks.site.crashes import make_crash
 from benchmarks.site.documents import (
     SERVICES,
     Configuration,
@@ -34,6 +35,10 @@
 POLL_S = 0.05
 SLOTS = 8
 KEYS_PER_TEAM = 3
+# The list has the entry of an upstream that has ended for this long.
+LIST_EXPIRY_S = 3.6
+# How long an upstream is away that ended because of a request.
+CRASH_PAUSE_S = 1.0
 TEAMS = ("agents", "lawyers")
 
 
@@ -88,6 +93,7 @@
     callers: Callers
     instances: dict[str, Instance] = field(default_factory=dict)
     upstream_endpoints: dict[str, UpstreamEndpoint] = field(default_factory=dict)
+    restarts: set[asyncio.Task] = field(default_factory=set)
 
 
 @asynccontextmanager
@@ -165,6 +171,11 @@
     :param service: The service of the new upstream.
     :param port: The port that the new upstream listens on; 0 for a free one.
     """
+    former = endpoint.upstream
+    if former.server.is_serving():
+        # Another fault has already replaced the upstream that was closed.
+        unpublish_upstream(site, former.name)
+        await close_upstream(former)
     endpoint.number += 1
     endpoint.upstream = _make_upstream(site, endpoint, service, port)
     await open_upstream(endpoint.upstream)
@@ -306,10 +317,32 @@
         slots=SLOTS,
         record=site.journal.arrivals.append,
         record_statement=site.journal.statements.append,
+        crash=lambda upstream, content: _crash(site, endpoint, upstream, content),
         generator=random.Random(site.generator.getrandbits(32)),
     )
 
 
+def _crash(site, endpoint, upstream, content):
+    """End an upstream because of a request, and start it again after a pause."""
+    if not upstream.server.is_serving():
+        return
+    site.journal.content_crashes.append(make_crash(upstream.name, content))
+    upstream.server.close()
+    task = asyncio.create_task(_restart(site, endpoint, upstream))
+    site.restarts.add(task)
+    task.add_done_callback(site.restarts.discard)
+
+
+async def _restart(site, endpoint, upstream):
+    await close_upstream(upstream)
+    asyncio.get_running_loop().call_later(
+        LIST_EXPIRY_S, unpublish_upstream, site, upstream.name
+    )
+    await asyncio.sleep(CRASH_PAUSE_S)
+    if endpoint.upstream is upstream:
+        await replace_upstream(site, endpoint, service=upstream.service)
+
+
 async def _open_instances(site, instances, zones, store_port):
     # Each site draws its own loopback addresses, so that sites that run at the same
     # time don't use the same ones.
@@ -365,6 +398,8 @@
 
 
 async def _close(site, runner):
+    for task in list(site.restarts):
+        task.cancel()
     for instance in site.instances.values():
         if instance.process is not None and instance.process.returncode is None:
             instance.is_meant_to_run = False
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -45,6 +45,8 @@
     SAY_LEAVING = "say-leaving"
     NAME_LIMIT = "name-limit"
     TURN_AWAY = "turn-away"
+    BAD_PART = "bad-part"
+    BAD_REQUEST = "bad-request"
     REVOKE_KEY = "revoke-key"
     CHANGE_ROUTES = "change-routes"
 
@@ -74,6 +76,7 @@
     :param team: The team in the request that the instance sent.
     :param wait_s: The time left until the deadline, as in the request that the
         instance sent.
+    :param bad_content: What of the request crashes upstreams; empty for nothing.
     """
 
     request_id: str
@@ -84,6 +87,17 @@
     is_run: bool
     team: str
     wait_s: float
+    bad_content: str = ""
+
+
+@dataclass(frozen=True, kw_only=True)
+class ContentCrash:
+    """The end of an upstream by the content of a request that it had begun to run."""
+
+    kind: SiteFault
+    content: str
+    upstream: str
+    at_s: float
 
 
 @dataclass(kw_only=True)
@@ -104,6 +118,7 @@
     instance: str
     sent_s: float
     deadline_s: float
+    prompt: str = ""
     ended_s: float = 0.0
     status: int = 0
     retry_after_s: float = 0.0
@@ -182,4 +197,5 @@
     leavings: list[Leaving] = field(default_factory=list)
     routes: list[RouteChange] = field(default_factory=list)
     statements: list[Statement] = field(default_factory=list)
+    content_crashes: list[ContentCrash] = field(default_factory=list)
     ended: dict[str, int] = field(default_factory=dict)
--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable
 
 from benchmarks.rules import Rule
+from benchmarks.site.crashes import check_bad_contents
 from benchmarks.site.documents import RETRY_RATIO, REVOCATION_BOUND_S, SERVICE_BY_KIND
 from benchmarks.site.model import (
     RETRYABLE_KINDS,
@@ -408,6 +409,11 @@
         count=lambda journal: len(journal.statements),
         check=check_limits,
     ),
+    Rule(
+        name="what crashes upstreams is no longer sent",
+        count=lambda journal: len(journal.content_crashes),
+        check=lambda journal: check_bad_contents(journal, _is_in_contact),
+    ),
     Rule(
         name="changed routes are in force in time",
         count=lambda journal: len(journal.routes),
--- a/benchmarks/site/run.py
+++ b/benchmarks/site/run.py
@@ -27,6 +27,7 @@
     "leavings",
     "routes",
     "statements",
+    "content_crashes",
 )
 
 
--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -18,6 +18,8 @@
 SPOILED_RATIO = 0.3
 LATE_EXTRA_S = 0.05
 END_POLL_S = 0.1
+BAD_MARK = "bad-"
+CRASH_DELAY_S = 0.03
 MS_PER_S = 1000
 _FIELD = re.compile(rb"^([^:\r\n]+):[ \t]*([^\r\n]*)\r$", re.MULTILINE)
 
@@ -42,6 +44,7 @@
     :param slots: The number of requests that the upstream runs concurrently.
     :param record: Called with each request that the upstream has received.
     :param record_statement: Called with each statement that the upstream sends.
+    :param crash: Called with the upstream and the content of a request that ends it.
     :param port: The port to listen on; 0 for a free one, which is set on opening.
     :param slowdown: The factor by which work takes longer than normal.
     :param spoiling: How some of the answers are spoiled; ``None`` for none.
@@ -59,6 +62,7 @@
     slots: int
     record: Callable[[Arrival], None]
     record_statement: Callable[[Statement], None]
+    crash: Callable[["Upstream", str], None] = lambda upstream, content: None
     port: int = 0
     slowdown: float = 1.0
     spoiling: Spoiling | None = None
@@ -87,6 +91,13 @@
         """The caller's id of the request."""
         return self.fields.get("x-attempt-id", "")
 
+    @property
+    def bad_content(self) -> str:
+        """The path, or the prompt part except the last, that crashes upstreams."""
+        parts = self.fields.get("x-prompt-prefix", "").split(",")[:-1]
+        contents = [part.partition(":")[0] for part in parts] + [self.path]
+        return next((each for each in contents if BAD_MARK in each), "")
+
 
 async def open_upstream(upstream: Upstream) -> None:
     """Start to listen, on the upstream's port if it is set.
@@ -241,6 +252,7 @@
         is_run=is_run,
         team=head.fields.get("x-tenant", ""),
         wait_s=float(head.fields.get("x-deadline-ms", "0")) / MS_PER_S,
+        bad_content=head.bad_content,
     )
     upstream.record(arrival)
 
@@ -254,6 +266,8 @@
     if upstream.service == "model":
         return await _stream(upstream, head, writer, spoiling)
     await asyncio.sleep(PLAIN_WORK_S * upstream.slowdown)
+    if head.bad_content:
+        return _crash(upstream, head)
     return await _send_plain(upstream, head, writer, spoiling)
 
 
@@ -283,6 +297,9 @@
     await asyncio.sleep(FIRST_EVENT_S * upstream.slowdown)
     start = _write_head(upstream, head, b"200 OK", extra, length=None)
     await _send(writer, _spoil_head(start, head, spoiling))
+    if head.bad_content:
+        await asyncio.sleep(CRASH_DELAY_S)
+        return _crash(upstream, head)
     for number in range(first, stop + 1):
         event = make_event(head.request_id, number)
         await _send(writer, b"%x\r\n%b\r\n" % (len(event), event))
@@ -295,6 +312,11 @@
     return True
 
 
+def _crash(upstream, head):
+    upstream.crash(upstream, head.bad_content)
+    return False
+
+
 def _write_head(upstream, head, status, extra, *, length):
     if length is not None:
         extra += b"Content-Length: %d\r\n" % length
