--- a/features/soak/site.feature
+++ b/features/soak/site.feature
@@ -33,6 +33,8 @@
       | a request 3.1 s after its upstream said that it leaves | an upstream that says it leaves gets nothing    |
       | 3 requests while an upstream wants none               | an upstream gets little while it wants nothing  |
       | 40 requests at a limit of 2 a second                  | an upstream that names a limit gets no more     |
+      | 4 requests with a part 3 s after its fifth crash      | what crashes upstreams is no longer sent        |
+      | 4 repeats of a request 3 s after its third crash      | what crashes upstreams is no longer sent        |
       | an upstream's failures at the end                     | nearly all is served after the last fault       |
 
   Scenario Outline: An event that a fault or an exception of a rule explains breaks no rule
@@ -50,6 +52,9 @@
       | a request after a response that a cut may have lost      |
       | 3 requests just after an upstream wanted none            |
       | 40 requests at a limit that other instances were told    |
+      | 4 requests with a part that crashed 4 upstreams          |
+      | 3 requests with a part 3 s after its fifth crash         |
+      | 4 such requests from an instance cut off from the store  |
 
   Scenario: Equal seeds draw equal faults, and different seeds draw different faults
     Then the site's seed 7 draws the same faults twice, and seed 8 draws different faults
--- a/features/soak/steps/site_steps.py
+++ b/features/soak/steps/site_steps.py
@@ -9,6 +9,7 @@
 from benchmarks.site.model import (
     Arrival,
     CallerRequest,
+    ContentCrash,
     FaultSpan,
     Leaving,
     Revocation,
@@ -210,9 +211,55 @@
     return add
 
 
+def send_bad(kind, content, crashes_s, arrivals_s, *, fault=None):
+    """Let a content crash upstreams, and arrive at others; times from 40 s on."""
+
+    def add(journal):
+        journal.content_crashes += [
+            ContentCrash(
+                kind=kind, content=content, upstream=f"i-{at_s}", at_s=40.0 + at_s
+            )
+            for at_s in crashes_s
+        ]
+        if fault is not None:
+            journal.faults.append(fault)
+        for number, at_s in enumerate(arrivals_s):
+            request = add_request(
+                journal,
+                500 + number,
+                RouteKind.READ,
+                runs=0,
+                at_s=40.0 + at_s,
+                status=502,
+            )
+            journal.arrivals.append(make_arrival(request, bad_content=content))
+
+    return add
+
+
 MANY_TIMES_S = [4.0 + number / 10 for number in range(40)]
 
+LATE_TIMES_S = [6.0, 6.1, 6.2, 6.3]
 EVENTS_BY_NAME = {
+    "4 requests with a part 3 s after its fifth crash": send_bad(
+        SiteFault.BAD_PART, "bad-1", [1.0, 1.1, 1.2, 1.3, 1.4], LATE_TIMES_S
+    ),
+    "4 repeats of a request 3 s after its third crash": send_bad(
+        SiteFault.BAD_REQUEST, "/read/bad-1", [1.0, 1.1, 1.2], LATE_TIMES_S
+    ),
+    "4 requests with a part that crashed 4 upstreams": send_bad(
+        SiteFault.BAD_PART, "bad-1", [1.0, 1.1, 1.2, 1.3], LATE_TIMES_S
+    ),
+    "3 requests with a part 3 s after its fifth crash": send_bad(
+        SiteFault.BAD_PART, "bad-1", [1.0, 1.1, 1.2, 1.3, 1.4], LATE_TIMES_S[:3]
+    ),
+    "4 such requests from an instance cut off from the store": send_bad(
+        SiteFault.BAD_PART,
+        "bad-1",
+        [1.0, 1.1, 1.2, 1.3, 1.4],
+        LATE_TIMES_S,
+        fault=make_span(SiteFault.CUT_STORE, INSTANCE, 42.0, 46.0),
+    ),
     "a request 3.1 s after its upstream said that it leaves": alone(
         send_after_statement(SiteFault.SAY_LEAVING, 1.0, [3.1])
     ),
