--- a/features/neighbours/relay.feature
+++ b/features/neighbours/relay.feature
@@ -98,3 +98,30 @@
     Then all instances have the configuration 2
     And no instance uses the upstream "a"
     And all instances know the new era
+
+  # Guards against instances that don't learn of the crashes that others saw.
+  Scenario Outline: All instances block a part when three crashes were reported
+    Given 20 instances that have read the store
+    And <lost> of 100 messages are lost
+    When 2 s pass
+    And 3 instances report one crash each with the suspect "g"
+    And <wait> s pass
+    Then all instances block requests with the suspect "g"
+
+    Examples:
+      | lost | wait |
+      | 0    | 0.5  |
+      | 30   | 1.5  |
+
+  Scenario Outline: Instances learn of crashes although <what>
+    Given 20 instances that have read the store
+    When 2 s pass
+    And <what>
+    And 3 instances report one crash each with the suspect "g"
+    And 1.5 s pass
+    Then all instances block requests with the suspect "g"
+
+    Examples:
+      | what                                         |
+      | the reader is killed                         |
+      | one instance is cut off from its neighbours  |
--- a/features/neighbours/steps/relay_steps.py
+++ b/features/neighbours/steps/relay_steps.py
@@ -1,9 +1,11 @@
 import asyncio
+import time
 
 from behave import given, then, when
 
 from features.neighbours.fleet import (
     CONFIGURATION,
+    CRASHES,
     UPSTREAMS,
     Fleet,
     MemoryStore,
@@ -11,6 +13,12 @@
     start_member,
     stop_member,
 )
+from jujubenotch.crashes import (
+    CrashReport,
+    InstanceReports,
+    encode_reports,
+    find_block,
+)
 from jujubenotch.forwarding import find_usable, read_boot_clock_s
 
 
@@ -85,6 +93,28 @@
     call(context, context.fleet.store.write, UPSTREAMS, name, b"leaving")
 
 
+@when('{count:d} instances report one crash each with the suspect "{suspect}"')
+def report_crashes(context, count, suspect):
+    now_unix_s = time.time()
+    for number in range(count):
+        report = CrashReport(
+            process=f"engine-{number}@1",
+            reported_unix_s=now_unix_s + number,
+            suspects=(suspect,),
+        )
+        content = encode_reports(InstanceReports(crashes=(report,)))
+        name = f"other-{number}"
+        call(context, context.fleet.store.write, CRASHES, name, content)
+
+
+@then('all instances block requests with the suspect "{suspect}"')
+def check_blocks(context, suspect):
+    now = {"now_s": time.monotonic(), "now_unix_s": time.time()}
+    for member in context.fleet.members.values():
+        evidence = member.crash_watch.evidence
+        assert find_block(evidence, [suspect], **now), (member.name, evidence)
+
+
 @when("the reader is killed")
 def kill_reader(context):
     (reader,) = find_readers(context.fleet)
