--- a/jujubenotch/crashes/__init__.py
+++ b/jujubenotch/crashes/__init__.py
@@ -14,7 +14,6 @@
     make_own_reports,
     record_break,
     record_sound_response,
-    refresh,
     take_own_reports,
 )
 from jujubenotch.crashes.model import (
@@ -41,6 +40,5 @@
     "make_own_reports",
     "record_break",
     "record_sound_response",
-    "refresh",
     "take_own_reports",
 ]
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -79,8 +79,8 @@
 ) -> Block | None:
     """Return the block that a request meets.
 
-    :param evidence: The evidence; what has expired or changed is taken into account.
-    :param suspects: The digests of what the request has in common with others.
+    :param evidence: The evidence; decided again if reports have changed.
+    :param suspects: The digests of the request and of its prompt parts.
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
     """
@@ -105,7 +105,8 @@
 
     :param evidence: The evidence; changed in place.
     :param process: The process of the upstream.
-    :param suspects: The digests of what the request has in common with others.
+    :param suspects: The digests of the requests that it was running, and of the prompt
+        parts of those whose responses it had just begun.
     :param now_unix_s: The present Unix time, in seconds.
     """
     if not suspects:
@@ -135,7 +136,7 @@
     It acquits its suspects of the crashes that were known when it began.
 
     :param evidence: The evidence; changed in place.
-    :param suspects: The digests of what the request has in common with others.
+    :param suspects: The digests of the request or of its prompt parts.
     :param begun_s: The monotonic time at which the response began, in seconds.
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
--- a/jujubenotch/daemon/forward_publishing.py
+++ b/jujubenotch/daemon/forward_publishing.py
@@ -4,6 +4,7 @@
 import contextlib
 import logging
 import random
+from collections.abc import Callable
 
 from jujubenotch.daemon.forward_crashes import CrashWatch, take_unpublished
 from jujubenotch.daemon.forward_parts import CrashReportStore
@@ -24,7 +25,9 @@
 
 
 async def publish_reports(
-    watch: CrashWatch, store: CrashReportStore, read_instance_count
+    watch: CrashWatch,
+    store: CrashReportStore,
+    read_instance_count: Callable[[], int],
 ) -> None:
     """Publish the reports of this instance whenever they have changed.
 
@@ -32,7 +35,8 @@
     :param store: Where the instances publish their reports.
     :param read_instance_count: Returns the number of instances.
     """
-    # A report that was published before this process started must not be overwritten.
+    # Reports that were published before this process started are in the store's row,
+    # which must not be overwritten before it has been read.
     await watch.is_loaded.wait()
     while True:
         await _wait_for_change(watch)
