--- a/features/platform/steps/crashing_prompt_steps.py
+++ b/features/platform/steps/crashing_prompt_steps.py
@@ -127,15 +127,18 @@
     "after the fifth crash"
 )
 def check_blocked(context, count, delay):
+    late = count_late(context, crashes=5, delay_s=delay)
+    assert late <= count, (late, len(context.upstreams.crashes_s))
+
+
+def count_late(context, *, crashes, delay_s):
+    """Count the bad requests that reached upstreams when they had to be known."""
     crashes_s = sorted(context.upstreams.crashes_s)
-    if len(crashes_s) < 5:
-        return
-    late = [
-        each
-        for each in context.upstreams.arrivals
-        if each.is_bad and each.at_s > crashes_s[4] + delay
-    ]
-    assert len(late) <= count, (len(late), len(crashes_s))
+    if len(crashes_s) < crashes:
+        return 0
+    bound_s = crashes_s[crashes - 1] + delay_s
+    arrivals = context.upstreams.arrivals
+    return sum(each.is_bad and each.at_s > bound_s for each in arrivals)
 
 
 @then("at most {count:d} upstreams crashed")
--- a/features/platform/steps/crashing_request_steps.py
+++ b/features/platform/steps/crashing_request_steps.py
@@ -8,6 +8,7 @@
     CALLERS,
     SentRequest,
     check_final_answers,
+    count_late,
     open_fleet,
 )
 
@@ -66,14 +67,10 @@
     "after the third crash"
 )
 def check_repeats(context, count, delay):
-    crashes_s = sorted(context.upstreams.crashes_s)
-    assert len(crashes_s) >= 3, crashes_s
-    late = [
-        each
-        for each in context.upstreams.arrivals
-        if each.is_bad and each.at_s > crashes_s[2] + delay
-    ]
-    assert len(late) <= count, (len(late), len(crashes_s))
+    crashes = len(context.upstreams.crashes_s)
+    assert crashes >= 3, crashes
+    late = count_late(context, crashes=3, delay_s=delay)
+    assert late <= count, (late, crashes)
 
 
 @then(
