End acquittals with their crashes, and log acquitted and expired evidence

Acquittals were bounded in number but not in time: a part that ended well once ranked behind others for the same crashes for as long as its instance ran, and the logs told neither why a suspect was let off nor when a report ended. An instance that has only acquittals publishes them again in a new era of the store, too. The three new scenarios of features/crashes/evidence.feature failed before.

--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -48,6 +48,23 @@
     When 601 s pass
     Then a request with "g" is sent
 
+  # Guards against acquittals that are kept, and decide, longer than their crashes.
+  Scenario: An acquittal ends with its crash
+    Given the reports of 3 crashes with the suspects "g,s"
+    When a response with "s" that began after them ends well
+    And 601 s pass
+    Then the instance publishes 0 acquittals
+
+  Scenario: An acquittal is logged with the crashes that it answers
+    Given the reports of 3 crashes with the suspects "g,s"
+    When a response with "s" that began after them ends well
+    Then the log line "suspects-acquitted" names 3 processes
+
+  Scenario: The end of a report is logged
+    Given an instance that saw 2 crashes with 3 suspects each
+    When 601 s pass
+    Then the log line "crash-reports-expired" names 2 processes
+
   # Guards against a table that grows with the distinct parts that callers send.
   Scenario: What an instance publishes is bounded
     Given an instance that saw 200 crashes with 300 suspects each
--- a/features/crashes/fleet.py
+++ b/features/crashes/fleet.py
@@ -18,6 +18,7 @@
     make_own_reports,
     record_break,
     record_sound_response,
+    refresh_if_stale,
     take_own_reports,
 )
 
@@ -259,8 +260,7 @@
     for instance in fleet.instances:
         if fleet.now_s - instance.published_s < interval_s:
             continue
-        if instance.evidence.is_stale:
-            find_block(instance.evidence, (), **_times(fleet, instance))
+        refresh_if_stale(instance.evidence, **_times(fleet, instance))
         if not instance.evidence.is_unpublished:
             continue
         instance.published_s = fleet.now_s
--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -1,4 +1,5 @@
 import time
+from unittest import mock
 
 import orjson
 from behave import given, then, when
@@ -35,7 +36,18 @@
     )
 
 
+def record_log_lines(context):
+    context.logged = []
+
+    def record(logger, level, event, **fields):
+        context.logged.append((event, fields))
+
+    patch = mock.patch("jujubenotch.crashes.evidence.log_event", record)
+    context.stack.enter_context(patch)
+
+
 def prepare(context, reports, copies=1):
+    record_log_lines(context)
     context.evidence = Evidence()
     context.now_s = REPORTED_S
     context.now_unix_s = START_UNIX_S + 10
@@ -152,6 +164,21 @@
     assert decide(context, suspects.split(",")) is None, context.evidence.blocks
 
 
+@then("the instance publishes {count:d} acquittals")
+def check_acquittals(context, count):
+    decide(context, ())
+    published = take_own_reports(context.evidence).acquittals
+    assert len(published) == count, published
+
+
+@then('the log line "{event}" names {count:d} processes')
+def check_log_line(context, event, count):
+    decide(context, ())
+    lines = [fields for name, fields in context.logged if name == event]
+    assert lines, context.logged
+    assert len({each for line in lines for each in line["processes"]}) == count, lines
+
+
 @then("what it publishes fits into {size:d} bytes and can be read")
 def check_size(context, size):
     content = encode_reports(take_own_reports(context.evidence))
--- a/jujubenotch/crashes/__init__.py
+++ b/jujubenotch/crashes/__init__.py
@@ -14,6 +14,7 @@
     make_own_reports,
     record_break,
     record_sound_response,
+    refresh_if_stale,
     take_own_reports,
 )
 from jujubenotch.crashes.model import (
@@ -40,5 +41,6 @@
     "make_own_reports",
     "record_break",
     "record_sound_response",
+    "refresh_if_stale",
     "take_own_reports",
 ]
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -84,8 +84,7 @@
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
     """
-    if evidence.is_stale:
-        refresh(evidence, now_s=now_s, now_unix_s=now_unix_s)
+    refresh_if_stale(evidence, now_s=now_s, now_unix_s=now_unix_s)
     if not evidence.blocks:
         return None
     contained = frozenset(suspects)
@@ -141,8 +140,7 @@
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
     """
-    if evidence.is_stale:
-        refresh(evidence, now_s=now_s, now_unix_s=now_unix_s)
+    refresh_if_stale(evidence, now_s=now_s, now_unix_s=now_unix_s)
     if not evidence.accusers:
         return
     acquitted = [
@@ -153,6 +151,7 @@
     ]
     if not acquitted:
         return
+    _log_acquitted(evidence, acquitted, now_unix_s)
     for pair in acquitted:
         evidence.own_acquittals[pair] = None
     _drop_oldest(evidence.own_acquittals, MAX_ACQUITTALS)
@@ -226,25 +225,30 @@
     return InstanceReports(crashes=crashes, acquittals=acquittals)
 
 
-def refresh(evidence: Evidence, *, now_s: float, now_unix_s: float) -> None:
+def refresh_if_stale(evidence: Evidence, *, now_s: float, now_unix_s: float) -> None:
     """Drop evidence that has expired and decide again which suspects are blocked.
 
+    Does nothing unless reports have changed since the last decision.
+
     :param evidence: The evidence; changed in place.
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
     """
+    if not evidence.is_stale:
+        return
     evidence.is_stale = False
     _drop_expired(evidence, now_unix_s)
-    acquitted = _collect_acquittals(evidence)
     accusers = _collect_accusers(evidence, now_unix_s)
+    _drop_outdated_acquittals(evidence, accusers)
     _note_new_acquittals(evidence, accusers)
+    acquitted = _collect_acquittals(evidence, accusers)
     evidence.learned_s = {
         (process, suspect): evidence.learned_s.get((process, suspect), now_s)
         for suspect, times in accusers.items()
         for process in times
     }
     for process, suspect in acquitted:
-        accusers.get(suspect, {}).pop(process, None)
+        del accusers[suspect][process]
     evidence.accusers = {suspect: times for suspect, times in accusers.items() if times}
     blocks = choose_blocks(evidence.accusers, {suspect for _, suspect in acquitted})
     _log_changes(evidence.blocks, blocks, evidence, now_unix_s)
@@ -252,10 +256,30 @@
 
 
 def _drop_expired(evidence, now_unix_s):
-    for process, crash in list(evidence.own_crashes.items()):
-        if now_unix_s - crash.reported_unix_s > LIFETIME_S:
-            del evidence.own_crashes[process]
-            evidence.is_unpublished = True
+    expired = {
+        process: now_unix_s - crash.reported_unix_s
+        for process, crash in evidence.own_crashes.items()
+        if now_unix_s - crash.reported_unix_s > LIFETIME_S
+    }
+    if not expired:
+        return
+    for process in expired:
+        del evidence.own_crashes[process]
+    evidence.is_unpublished = True
+    log_event(
+        logger,
+        logging.INFO,
+        "crash-reports-expired",
+        processes=sorted(expired),
+        newest_age_s=round(min(expired.values()), 3),
+    )
+
+
+def _drop_outdated_acquittals(evidence, accusers):
+    """Drop the acquittals of crashes that no report names any more."""
+    for process, suspect in list(evidence.own_acquittals):
+        if process not in accusers.get(suspect, ()):
+            del evidence.own_acquittals[process, suspect]
 
 
 def _note_new_acquittals(evidence, accusers):
@@ -267,11 +291,15 @@
         evidence.is_unpublished = True
 
 
-def _collect_acquittals(evidence):
+def _collect_acquittals(evidence, accusers):
     acquitted = set(evidence.own_acquittals)
     for reports in evidence.others.values():
         acquitted.update((each.process, each.suspect) for each in reports.acquittals)
-    return acquitted
+    return {
+        (process, suspect)
+        for process, suspect in acquitted
+        if process in accusers.get(suspect, ())
+    }
 
 
 def _collect_accusers(evidence, now_unix_s):
@@ -288,6 +316,20 @@
     return accusers
 
 
+def _log_acquitted(evidence, acquitted, now_unix_s):
+    newest_s = max(
+        evidence.accusers[suspect][process] for process, suspect in acquitted
+    )
+    log_event(
+        logger,
+        logging.INFO,
+        "suspects-acquitted",
+        suspects=sorted({suspect for _, suspect in acquitted}),
+        processes=sorted({process for process, _ in acquitted}),
+        newest_age_s=round(now_unix_s - newest_s, 3),
+    )
+
+
 def _drop_oldest(entries, most):
     while len(entries) > most:
         del entries[next(iter(entries))]
--- a/jujubenotch/daemon/forward_crashes.py
+++ b/jujubenotch/daemon/forward_crashes.py
@@ -15,6 +15,7 @@
     find_block,
     record_break,
     record_sound_response,
+    refresh_if_stale,
     take_own_reports,
 )
 from jujubenotch.daemon.forward_state import ForwardState
@@ -229,12 +230,12 @@
     evidence = watch.evidence
     for item in update.page.items:
         if item.key != watch.name:
-            # The rows of a restored copy may be older than what is known.
+            # A restored store may return older rows than those already applied.
             if not (update.starts_era and item.key in evidence.others):
                 apply_reports(evidence, item.key, item.value)
         elif update.is_snapshot and item.value is not None:
             adopt_reports(evidence, item.value)
-    if update.starts_era and evidence.own_crashes:
+    if update.starts_era and (evidence.own_crashes or evidence.own_acquittals):
         evidence.is_unpublished = True
     watch.is_loaded.set()
     _note_change(watch)
@@ -250,7 +251,7 @@
 
     :param watch: The state of the watch; its evidence is decided again.
     """
-    find_block(watch.evidence, (), now_s=read_clock_s(), now_unix_s=time.time())
+    refresh_if_stale(watch.evidence, now_s=read_clock_s(), now_unix_s=time.time())
     if not watch.evidence.is_unpublished:
         return None
     return take_own_reports(watch.evidence)
