--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -106,3 +106,32 @@
     When a response with "r1" that began after them ends well
     And the reports of 3 more crashes with the suspects "r1,g" come
     Then a request with "r2,g" is blocked
+
+  # Guards against blocks of a part that many sound requests contain, and that therefore
+  # is in progress at the crashes of two bad contents.
+  Scenario: A part that was sound shortly before isn't blamed for others' crashes
+    Given 3 crashes are reported with the suspects "r1" and the trusted part "f"
+    And 3 more crashes are reported with the suspects "g" and the trusted part "f"
+    Then a request with "r1,f" is blocked
+    And a request with "r2,g" is blocked
+    And a request with "r2,f" is sent
+
+  Scenario Outline: A part that was sound shortly before is blamed after five crashes
+    Given <count> crashes of different requests are reported with the trusted part "f"
+    Then a request with "r9,f" is <verdict>
+
+    Examples: numbers of crashes
+      | count | verdict |
+      | 4     | sent    |
+      | 5     | blocked |
+
+  Scenario: An instance reports which suspects it trusts
+    Given an instance that saw a good response with "f"
+    When a process ends while it runs "r1,f,g"
+    Then it publishes the trusted part "f" and the suspects "r1,g"
+
+  Scenario: Trust ends
+    Given an instance that saw a good response with "f"
+    When 301 s pass
+    And a process ends while it runs "r1,f,g"
+    Then it publishes no trusted part and the suspects "r1,f,g"
--- a/features/crashes/fleet.py
+++ b/features/crashes/fleet.py
@@ -41,7 +41,7 @@
     """What happens in one history; times are in seconds.
 
     ``bad_topics`` maps a prompt part to the time from which it crashes upstreams;
-    before it, prompts with the part are sound. ``companions`` always come with it.
+    before it, prompts with the part are sound if it ``turns_bad``, else not sent. ``companions`` always come with it.
     ``bad_requests`` does the same for requests that are repeated, by their digest.
     ``kills_s`` are the times at which an upstream is killed, ``cuts_s`` those at which
     an instance loses all its connections, ``restarts_s`` those at which an instance is
@@ -54,6 +54,7 @@
     bad_per_s: float
     bad_topics: dict[str, float]
     bad_requests: dict[str, float] = field(default_factory=dict)
+    turns_bad: bool = False
     companions: dict[str, str] = field(default_factory=dict)
     kills_s: tuple[float, ...] = ()
     cuts_s: tuple[float, ...] = ()
@@ -259,8 +260,8 @@
         if process in up and not is_cut:
             continue
         instance = fleet.instances[number]
-        now_unix_s = _times(fleet, instance)["now_unix_s"]
-        record_break(instance.evidence, process, suspects, now_unix_s)
+        times = _times(fleet, instance)
+        record_break(instance.evidence, process, suspects, **times)
 
 
 def _publish(fleet):
@@ -308,12 +309,16 @@
     for _ in range(_draw_count(fleet, plan.sound_per_s)):
         topic = f"topic-{min(int(fleet.draws.expovariate(0.08)), TOPICS - 1)}"
         _send(fleet, (_draw_first(fleet), topic, _draw_request(fleet)))
-    for part in plan.bad_topics:
+    for part, since_s in plan.bad_topics.items():
+        if fleet.now_s < since_s and not plan.turns_bad:
+            continue
         for _ in range(_draw_count(fleet, plan.bad_per_s)):
             companion = plan.companions.get(part)
             first = companion or _draw_first(fleet)
             _send(fleet, (first, part, _draw_request(fleet)))
-    for request in plan.bad_requests:
+    for request, since_s in plan.bad_requests.items():
+        if fleet.now_s < since_s:
+            continue
         for _ in range(_draw_count(fleet, plan.bad_per_s)):
             _send(fleet, ("first-0", "topic-0", request))
 
--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -23,13 +23,14 @@
 DECISIONS = 2000
 
 
-def report(name, crashes, spacing_s=SPACING_S):
+def report(name, crashes, spacing_s=SPACING_S, trusted=()):
     return InstanceReports(
         crashes=tuple(
             CrashReport(
                 process=f"engine-{number}@1",
                 reported_unix_s=START_UNIX_S + number * spacing_s,
                 suspects=suspects,
+                trusted=trusted,
             )
             for number, suspects in crashes
         )
@@ -94,6 +95,69 @@
     prepare(context, {"a": report("a", crashes, spacing_s=span / count)})
 
 
+@given(
+    '{count:d} crashes are reported with the suspects "{suspects}" and the trusted '
+    'part "{part}"'
+)
+def report_trusted(context, count, suspects, part):
+    crashes = make_crashes(count, tuple(suspects.split(",")))
+    prepare(context, {"a": report("a", crashes, trusted=(part,))})
+
+
+@given(
+    '{count:d} more crashes are reported with the suspects "{suspects}" and the trusted '
+    'part "{part}"'
+)
+def report_more_trusted(context, count, suspects, part):
+    crashes = make_crashes(count, tuple(suspects.split(",")), first=20)
+    apply_reports(context.evidence, "b", report("b", crashes, trusted=(part,)))
+
+
+@given(
+    '{count:d} crashes of different requests are reported with the trusted part "{part}"'
+)
+def report_trusted_in_turn(context, count, part):
+    crashes = [(number, (f"r{number}",)) for number in range(count)]
+    prepare(context, {"a": report("a", crashes, trusted=(part,))})
+
+
+@given('an instance that saw a good response with "{part}"')
+def see_good_response(context, part):
+    prepare(context, {})
+    record_sound_response(
+        context.evidence,
+        [part],
+        begun_s=context.now_s,
+        now_s=context.now_s,
+        now_unix_s=context.now_unix_s,
+    )
+
+
+@when('a process ends while it runs "{suspects}"')
+def end_process(context, suspects):
+    record_break(
+        context.evidence,
+        "engine-1@1",
+        suspects.split(","),
+        now_s=context.now_s,
+        now_unix_s=context.now_unix_s,
+    )
+
+
+@then('it publishes the trusted part "{part}" and the suspects "{suspects}"')
+def check_trusted(context, part, suspects):
+    (crash,) = take_own_reports(context.evidence).crashes
+    assert crash.trusted == (part,), crash
+    assert crash.suspects == tuple(suspects.split(",")), crash
+
+
+@then('it publishes no trusted part and the suspects "{suspects}"')
+def check_untrusted(context, suspects):
+    (crash,) = take_own_reports(context.evidence).crashes
+    assert not crash.trusted, crash
+    assert crash.suspects == tuple(suspects.split(",")), crash
+
+
 @given('the report of another crash with the suspects "{suspects}"')
 def report_another(context, suspects):
     crashes = make_crashes(1, tuple(suspects.split(",")), first=7)
@@ -112,7 +176,11 @@
     for number in range(crashes):
         names = [f"{number:08x}{suspect:08x}" for suspect in range(suspects)]
         record_break(
-            context.evidence, f"engine-{number}@1700000000000", names, START_UNIX_S
+            context.evidence,
+            f"engine-{number}@1700000000000",
+            names,
+            now_s=context.now_s,
+            now_unix_s=START_UNIX_S,
         )
 
 
--- a/jujubenotch/crashes/blame.py
+++ b/jujubenotch/crashes/blame.py
@@ -6,58 +6,99 @@
 """
 
 from collections.abc import Collection, Mapping
+from dataclasses import dataclass
 
 from jujubenotch.crashes.digest import is_request_digest
 from jujubenotch.crashes.model import Block
 
-# Of one crash or two there are other explanations, such as upstreams that are killed.
+# One or two crashes may have another cause, such as killed upstreams.
 MIN_CRASHES = 3
-# From this number on, each of the suspects that have the same crashes is blocked.
-# Below it, only requests that contain all of them are: the others tell them apart.
+# Parts that many sound requests contain are in progress at most crashes, so more are
+# needed to blame a suspect that was trusted, or acquitted of one of them.
+MIN_CRASHES_TRUSTED = 5
+MIN_CRASHES_ACQUITTED = 6
+# How much each crash counts when suspects are ranked. A sound part that two bad
+# contents share has the crashes of both and must not rank before them.
+TRUSTED_WEIGHT = 0.5
+ACQUITTED_WEIGHT = 0.4
+# With fewer crashes, only requests that contain all suspects of the same crashes are
+# blocked. Requests with some of them show which one is at fault.
 MIN_CRASHES_EACH = 4
-# Connections to several upstreams that break within this time may have one cause, such
-# as a link that is cut.
+# Crashes within this time count once: a failure of the network breaks the connections
+# to several upstreams at the same time.
 SAME_CAUSE_S = 0.1
 
 CrashTimes = Mapping[str, float]
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Standing:
+    """How strong the evidence against a suspect has to be.
+
+    :param min_crashes: The number of crashes from which on it may be blamed.
+    :param weight: How much each crash counts when suspects are ranked.
+    """
+
+    min_crashes: int
+    weight: float
+
+
 def choose_blocks(
-    accusers: Mapping[str, CrashTimes], acquitted: Collection[str]
+    accusers: Mapping[str, CrashTimes],
+    acquitted: Collection[str],
+    trusted: Collection[str] = (),
 ) -> list[Block]:
     """Choose the suspects whose requests are not sent.
 
     :param accusers: For each suspect the processes that crashed on it, with the time
         of each crash in seconds.
-    :param acquitted: Suspects of which a request has ended well since their first
-        crash; of several that explain the same crashes the others are preferred.
+    :param acquitted: Suspects of which a request has ended well since one of their
+        crashes.
+    :param trusted: Suspects of which responses had ended well shortly before a crash.
     :returns: The blocks, strongest evidence first.
     """
     blocks = []
     causes = find_causes(accusers)
+    standings = {
+        suspect: _find_standing(suspect, acquitted, trusted) for suspect in accusers
+    }
     remaining = {suspect: dict(times) for suspect, times in accusers.items()}
-    while remaining:
-        weights = {
-            suspect: _weigh(suspect, times, causes, acquitted)
-            for suspect, times in remaining.items()
-        }
-        most = max(weights.values())
-        if most[0] < MIN_CRASHES:
-            break
-        leaders = [suspect for suspect, weight in weights.items() if weight == most]
+    while ranks := {
+        suspect: _rank(suspect, times, standings[suspect])
+        for suspect, times in remaining.items()
+        if _count_causes(suspect, times, causes) >= standings[suspect].min_crashes
+    }:
+        best = max(ranks.values())
+        leaders = [suspect for suspect, rank in ranks.items() if rank == best]
         for group in _group_by_processes(leaders, remaining):
-            blocks += _block_group(group, remaining, most[0])
+            blocks += _block_group(group, remaining)
         explained = {process for suspect in leaders for process in remaining[suspect]}
         remaining = _remove_processes(remaining, explained)
     return blocks
 
 
-def _weigh(suspect, times, causes, acquitted):
-    """Return what ranks suspects: crashes first; a request is narrower than a part."""
-    is_request = is_request_digest(suspect)
-    # One request isn't at several upstreams at the same time, as parts may be.
-    count = len(times) if is_request else len({causes[name] for name in times})
-    return count, len(times), suspect not in acquitted, is_request
+def _find_standing(suspect, acquitted, trusted):
+    if suspect in acquitted:
+        return Standing(min_crashes=MIN_CRASHES_ACQUITTED, weight=ACQUITTED_WEIGHT)
+    if suspect in trusted:
+        return Standing(min_crashes=MIN_CRASHES_TRUSTED, weight=TRUSTED_WEIGHT)
+    return Standing(min_crashes=MIN_CRASHES, weight=1.0)
+
+
+def _rank(suspect, times, standing):
+    """Return the rank of a suspect.
+
+    Of a request and a part with equal evidence the request ranks first, as its block
+    concerns fewer requests.
+    """
+    return standing.weight * len(times), standing.weight, is_request_digest(suspect)
+
+
+def _count_causes(suspect, times, causes):
+    if is_request_digest(suspect):
+        # One request isn't at several upstreams at the same time, as parts may be.
+        return len(times)
+    return len({causes[process] for process in times})
 
 
 def find_causes(accusers: Mapping[str, CrashTimes]) -> dict[str, int]:
@@ -87,10 +128,10 @@
     return groups.values()
 
 
-def _block_group(group, accusers, crashes):
+def _block_group(group, accusers):
     times = accusers[group[0]]
     combinations = [frozenset(group)]
-    if crashes >= MIN_CRASHES_EACH:
+    if len(times) >= MIN_CRASHES_EACH:
         combinations = [frozenset({suspect}) for suspect in group]
     return [
         Block(
--- a/jujubenotch/crashes/codec.py
+++ b/jujubenotch/crashes/codec.py
@@ -37,7 +37,8 @@
         len(reports.crashes) <= MAX_CRASHES
         and len(reports.acquittals) <= MAX_ACQUITTALS
         and all(
-            len(each.suspects) <= MAX_SUSPECTS_PER_CRASH for each in reports.crashes
+            len(each.suspects) + len(each.trusted) <= MAX_SUSPECTS_PER_CRASH
+            for each in reports.crashes
         )
     )
     return reports if is_small else None
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, field
 
 from jujubenotch.crashes.blame import MIN_CRASHES, choose_blocks
+from jujubenotch.crashes.digest import is_request_digest
 from jujubenotch.crashes.model import (
     Acquittal,
     Block,
@@ -25,6 +26,9 @@
 MAX_ACQUITTALS = 256
 # Acquittals of suspects with fewer crashes decide nothing yet and are not shared.
 MIN_SHARED_CRASHES = 2
+# A part is trusted for this time after a good response.
+TRUST_S = 300.0
+MAX_SOUND_PARTS = 4096
 
 
 @dataclass(kw_only=True)
@@ -32,11 +36,12 @@
     """A break that this instance saw at one process.
 
     :param reported_unix_s: The time of the first break as Unix time, in seconds.
-    :param suspects: The suspects, in the order in which they were seen.
+    :param suspects: The suspects, in the order in which they were seen, each with
+        whether it was trusted.
     """
 
     reported_unix_s: float
-    suspects: dict[str, None] = field(default_factory=dict)
+    suspects: dict[str, bool] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True)
@@ -50,6 +55,8 @@
         from which it was acquitted, with the Unix time of each crash in seconds.
     :param learned_s: When this instance learned of each pair of process and suspect,
         monotonic, in seconds.
+    :param sound_s: When this instance last saw a good response with each prompt part,
+        monotonic, in seconds; the latest last.
     :param blocks: The blocks in force.
     :param published: The own acquittals that the other instances know.
     :param is_unpublished: Whether the other instances don't know all own reports.
@@ -64,6 +71,7 @@
     others: dict[str, InstanceReports] = field(default_factory=dict)
     accusers: dict[str, dict[str, float]] = field(default_factory=dict)
     learned_s: dict[tuple[str, str], float] = field(default_factory=dict)
+    sound_s: dict[str, float] = field(default_factory=dict)
     blocks: list[Block] = field(default_factory=list)
     published: frozenset[tuple[str, str]] = frozenset()
     is_unpublished: bool = False
@@ -98,6 +106,8 @@
     evidence: Evidence,
     process: str,
     suspects: Sequence[str],
+    *,
+    now_s: float,
     now_unix_s: float,
 ) -> None:
     """Record that a process ended soon after a response of it had begun.
@@ -106,6 +116,7 @@
     :param process: The process of the upstream.
     :param suspects: The digests of the requests that it was running, and of the prompt
         parts of those whose responses it had just begun.
+    :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
     """
     if not suspects:
@@ -117,14 +128,15 @@
         _drop_oldest(evidence.own_crashes, MAX_CRASHES)
     for suspect in suspects:
         if len(crash.suspects) < MAX_SUSPECTS_PER_CRASH:
-            crash.suspects[suspect] = None
+            seen_s = evidence.sound_s.get(suspect, float("-inf"))
+            crash.suspects.setdefault(suspect, now_s - seen_s <= TRUST_S)
     evidence.is_unpublished = True
     evidence.is_stale = True
 
 
 def record_sound_response(
     evidence: Evidence,
-    suspects: Iterable[str],
+    suspects: Sequence[str],
     *,
     begun_s: float,
     now_s: float,
@@ -140,6 +152,8 @@
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
     """
+    for suspect in suspects:
+        _remember_sound(evidence, suspect, now_s)
     refresh_if_stale(evidence, now_s=now_s, now_unix_s=now_unix_s)
     if not evidence.accusers:
         return
@@ -158,6 +172,14 @@
     evidence.is_stale = True
 
 
+def _remember_sound(evidence, suspect, now_s):
+    if is_request_digest(suspect):
+        return
+    evidence.sound_s.pop(suspect, None)
+    evidence.sound_s[suspect] = now_s
+    _drop_oldest(evidence.sound_s, MAX_SOUND_PARTS)
+
+
 def apply_reports(
     evidence: Evidence, instance: str, reports: InstanceReports | None
 ) -> None:
@@ -185,7 +207,8 @@
             report.process,
             OwnCrash(
                 reported_unix_s=report.reported_unix_s,
-                suspects=dict.fromkeys(report.suspects),
+                suspects=dict.fromkeys(report.suspects, False)
+                | dict.fromkeys(report.trusted, True),
             ),
         )
     for each in reports.acquittals:
@@ -214,7 +237,8 @@
         CrashReport(
             process=process,
             reported_unix_s=crash.reported_unix_s,
-            suspects=tuple(crash.suspects),
+            suspects=_select(crash.suspects, is_trusted=False),
+            trusted=_select(crash.suspects, is_trusted=True),
         )
         for process, crash in evidence.own_crashes.items()
     )
@@ -225,6 +249,10 @@
     return InstanceReports(crashes=crashes, acquittals=acquittals)
 
 
+def _select(suspects, *, is_trusted):
+    return tuple(name for name, trusted in suspects.items() if trusted is is_trusted)
+
+
 def refresh_if_stale(evidence: Evidence, *, now_s: float, now_unix_s: float) -> None:
     """Drop evidence that has expired and decide again which suspects are blocked.
 
@@ -250,7 +278,11 @@
     for process, suspect in acquitted:
         del accusers[suspect][process]
     evidence.accusers = {suspect: times for suspect, times in accusers.items() if times}
-    blocks = choose_blocks(evidence.accusers, {suspect for _, suspect in acquitted})
+    blocks = choose_blocks(
+        evidence.accusers,
+        {suspect for _, suspect in acquitted},
+        _collect_trusted(evidence),
+    )
     _log_changes(evidence.blocks, blocks, evidence, now_unix_s)
     evidence.blocks = blocks
 
@@ -309,13 +341,23 @@
         for crash in reports.crashes:
             if now_unix_s - crash.reported_unix_s > LIFETIME_S:
                 continue
-            for suspect in crash.suspects:
+            for suspect in (*crash.suspects, *crash.trusted):
                 times = accusers.setdefault(suspect, {})
                 at_s = times.get(crash.process, crash.reported_unix_s)
                 times[crash.process] = min(at_s, crash.reported_unix_s)
     return accusers
 
 
+def _collect_trusted(evidence):
+    own = make_own_reports(evidence)
+    return {
+        suspect
+        for reports in (own, *evidence.others.values())
+        for crash in reports.crashes
+        for suspect in crash.trusted
+    }
+
+
 def _log_acquitted(evidence, acquitted, now_unix_s):
     newest_s = max(
         evidence.accusers[suspect][process] for process, suspect in acquitted
--- a/jujubenotch/crashes/model.py
+++ b/jujubenotch/crashes/model.py
@@ -11,11 +11,14 @@
     :param reported_unix_s: When the instance saw it, as Unix time in seconds.
     :param suspects: The digests of the requests that the process was running, and of
         the prompt parts of those whose responses it had just begun.
+    :param trusted: Further such digests of parts, of which the instance had seen good
+        responses shortly before.
     """
 
     process: str
     reported_unix_s: float
     suspects: tuple[str, ...]
+    trusted: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/jujubenotch/daemon/forward_crashes.py
+++ b/jujubenotch/daemon/forward_crashes.py
@@ -130,17 +130,13 @@
     """
     if attempt.end is None:
         return
-    evidence = watch.evidence
-    may_acquit = bool(evidence.accusers) or evidence.is_stale
-    if not attempt.is_broken_off and not may_acquit:
-        return
     if is_sound(attempt):
         _record_sound(watch, find_part_suspects(call), attempt.head_at_s)
-        _record_sound(watch, [digest_call(call)], attempt.sent_at_s)
+        _acquit_request(watch, call, attempt)
     elif attempt.answer is not None:
         # An error response tells nothing of the parts, which the upstream may not have
         # read, but this request did not crash it.
-        _record_sound(watch, [digest_call(call)], attempt.sent_at_s)
+        _acquit_request(watch, call, attempt)
     elif attempt.is_broken_off and attempt.head_at_s:
         _record_break(watch, find_suspects(call), attempt.process)
     elif attempt.is_broken_off:
@@ -157,6 +153,12 @@
     return attempt.last_token_at_s - attempt.first_token_at_s >= MIN_SOUND_S
 
 
+def _acquit_request(watch, call, attempt):
+    # The digest of a body takes time and is needed only if something is accused.
+    if watch.evidence.accusers or watch.evidence.is_stale:
+        _record_sound(watch, [digest_call(call)], attempt.sent_at_s)
+
+
 def _record_sound(watch, suspects, begun_s):
     evidence = watch.evidence
     record_sound_response(
@@ -196,7 +198,13 @@
     )
     if is_running:
         return
-    record_break(watch.evidence, process, suspects, time.time())
+    record_break(
+        watch.evidence,
+        process,
+        suspects,
+        now_s=read_clock_s(),
+        now_unix_s=time.time(),
+    )
     _note_change(watch)
 
 
