--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -211,6 +211,7 @@
             "upstream-listed" if listed else "upstream-unlisted",
             upstream=item.key,
             service=listed.service if listed else "unknown",
+            software_version=listed.software_version if listed else "",
             is_leaving=listed.is_leaving if listed else True,
             is_new=item.key not in previous_names,
             revision=update.page.revision,
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -39,6 +39,8 @@
         disconnects, even though it is not idempotent.
     :param resume_after_event_id: The id of the event after which the caller asks to
         resume the stream; empty when the caller asks for the complete stream.
+    :param resumed_request_id: The id of the request that brought the first event of
+        that stream; empty when the caller names none.
     :param silence_timeout_s: How long an upstream may send nothing, in seconds;
         ``None`` uses the timeout of the connections.
     """
@@ -64,6 +66,7 @@
     can_resume_elsewhere: bool = False
     is_cancelled_on_disconnect: bool = False
     resume_after_event_id: str = ""
+    resumed_request_id: str = ""
     silence_timeout_s: float | None = None
 
     @property
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -28,6 +28,7 @@
     CallerDisconnectedError,
     Progress,
     Sink,
+    find_resume_point,
 )
 from jujubenotch.dispatch.decide import (
     AttemptResult,
@@ -179,6 +180,9 @@
             "granted",
             upstream=grant.upstream,
             home=grant.coordinator,
+            software_version=grant.software_version,
+            resumes=call.resumed_request_id,
+            after_event=find_resume_point(call, progress),
             **describe_basis(grant.basis),
         )
         progress.must_finish = call.outlives_caller
--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -122,6 +122,7 @@
         is_cancelled_on_disconnect=is_stream,
         silence_timeout_s=choose_silence_timeout_s(route),
         resume_after_event_id=arrived.last_event_id if is_resumable else "",
+        resumed_request_id=arrived.resumed_request_id if is_resumable else "",
     )
 
 
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -289,6 +289,7 @@
             request_id=request.request_id,
             upstream=state.name,
             basis=basis,
+            software_version=state.software_version,
         )
         prefill = None
         if is_long_prompt(request.prompt_tokens):
--- a/jujubenotch/forwarding/model.py
+++ b/jujubenotch/forwarding/model.py
@@ -131,6 +131,8 @@
         seconds.
     :param started_ms: When the upstream started, as Unix time in milliseconds;
         0 when unknown.
+    :param software_version: The version of the upstream's software; versions have no
+        order. Empty when unknown.
     """
 
     name: str
@@ -141,6 +143,7 @@
     is_leaving: bool = False
     warming_s: float = 0.0
     started_ms: int = 0
+    software_version: str = ""
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -167,6 +170,8 @@
         tokens; 0 when the request has no estimate.
     :param last_event_id: The event after which the caller resumes a stream;
         empty when the request resumes none.
+    :param resumed_request_id: The identifier of the request that brought the first
+        event of that stream; empty when the request names none.
     :param headers: The headers that are forwarded to the upstream.
     """
 
@@ -181,4 +186,5 @@
     answer_tokens: int = 0
     expected_tokens: int = 0
     last_event_id: str = ""
+    resumed_request_id: str = ""
     headers: tuple[tuple[str, str], ...] = ()
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -35,6 +35,7 @@
 
     :param started_ms: When the upstream's process started, as Unix time in
         milliseconds; 0 when unknown.
+    :param software_version: The version of the upstream's software; empty when unknown.
     :param running: Requests of this instance that are on the upstream.
     :param reported: Running and waiting requests of all instances, from the
         upstream's last load report.
@@ -49,6 +50,7 @@
     name: str
     slots: int
     started_ms: int = 0
+    software_version: str = ""
     running: int = 0
     reported: int = 0
     running_at_report: int = 0
--- a/jujubenotch/forwarding/states.py
+++ b/jujubenotch/forwarding/states.py
@@ -45,6 +45,7 @@
             if state.started_ms:
                 state.statements = Statements()
             state.started_ms = listed.started_ms
+        state.software_version = listed.software_version
         return state
 
     def forget(self, names: Iterable[str]) -> None:
--- a/jujubenotch/platform/documents.py
+++ b/jujubenotch/platform/documents.py
@@ -1,5 +1,6 @@
 """Validates the platform's documents and converts them to internal types."""
 
+import hashlib
 from typing import Annotated, Literal
 
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
@@ -23,6 +24,8 @@
     "streaming": RouteKind.STREAM,
 }
 
+MAX_VERSION_LENGTH = 64
+
 Text = Annotated[str, Field(min_length=1)]
 AddressText = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
 Count = Annotated[int, Field(ge=0)]
@@ -118,6 +121,7 @@
 
     ``cold_remaining_ms`` is the remaining time during which the upstream is slow
     after its start. ``born`` is the Unix time of its start in milliseconds.
+    ``version`` is the version of its software, in no order.
     """
 
     service: Text
@@ -127,6 +131,7 @@
     state: Literal["ready", "draining"]
     cold_remaining_ms: Duration = 0
     born: Count = 0
+    version: str = ""
 
 
 def decode_configuration(content: bytes) -> SiteConfiguration | None:
@@ -175,9 +180,18 @@
         is_leaving=document.state == "draining",
         warming_s=document.cold_remaining_ms / MS_PER_S,
         started_ms=document.born,
+        software_version=_shorten_version(document.version),
     )
 
 
+def _shorten_version(version):
+    """Replace a long version by its digest, so that messages can contain it."""
+    if len(version) <= MAX_VERSION_LENGTH:
+        return version
+    digest = hashlib.blake2b(version.encode(errors="surrogatepass"), digest_size=16)
+    return f"digest-{digest.hexdigest()}"
+
+
 def _convert_route(document):
     shares = [
         ServiceShare(service=share.service, weight=share.weight)
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -16,6 +16,7 @@
 TOKEN_COUNTS = "x-token-count"
 LENGTH_HINT = "x-length-hint"
 LAST_EVENT_ID = "last-event-id"
+RESUMED_REQUEST = "resumes"
 AUTHORIZATION = "authorization"
 KEY_SCHEME = "bearer "
 TENANT = "X-Tenant"
@@ -81,6 +82,7 @@
         answer_tokens=answer_tokens,
         expected_tokens=int(_read_number(found.get(LENGTH_HINT, "")) or 0),
         last_event_id=found.get(LAST_EVENT_ID, ""),
+        resumed_request_id=found.get(RESUMED_REQUEST, ""),
         headers=_keep_headers(headers, found.get("connection", "")),
     )
 
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -100,6 +100,8 @@
         share.
     :param basis: What the choice of the upstream was based on; ``None`` when the
         coordinator chose it.
+    :param software_version: The version of the upstream's software, as the platform
+        lists it; empty when unknown.
     """
 
     grant_id: str
@@ -107,6 +109,7 @@
     upstream: str
     coordinator: str = ""
     basis: ChoiceBasis | None = None
+    software_version: str = ""
 
 
 @dataclass(frozen=True, kw_only=True)
