--- /dev/null
+++ b/features/platform/steps/versions_steps.py
@@ -0,0 +1,199 @@
+import random
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from behave import given, then, when
+
+from features.platform.site import (
+    ROUTES,
+    SETTINGS,
+    open_site,
+    put_configuration,
+    read_log,
+    start_program,
+    unlist_upstream,
+    wait_until_ready,
+    write_route,
+)
+from features.platform.versions import (
+    ReadStream,
+    end_upstream,
+    read_stream,
+    start_upstream,
+)
+
+ONCE = write_route(
+    "once", "/once/", "streaming", **{"stream-resume": True, "max-attempts": 1}
+)
+NEIGHBOUR_PORTS = "port-range=7340,7355\n"
+CALLER_PAUSE_S = 0.05
+
+
+def add_instance(site, number):
+    """Return a view of the site whose program is one more instance."""
+    host = f"127.78.{random.randrange(1, 255)}.{random.randrange(1, 255)}"
+    directory = site.directory / f"instance-{number}"
+    directory.mkdir()
+    return replace(site, host=host, directory=directory, process=None, resources=[])
+
+
+def start_instance(view, number, store_host):
+    settings = SETTINGS.replace("{host}:{store_port}", f"{store_host}:{{store_port}}")
+    settings = settings.replace("edge-a-1", f"edge-a-{number}")
+    start_program(view, settings=settings + NEIGHBOUR_PORTS)
+
+
+def stop_instance(view):
+    if view.process is not None:
+        view.process.kill()
+        view.process.wait()
+
+
+@given('a site of {count:d} instances with the upstreams "{entries}"')
+def open_versioned_site(context, count, entries):
+    site = context.stack.enter_context(open_site())
+    put_configuration(site, routes=(*ROUTES, ONCE))
+    context.site = site
+    context.upstreams = {}
+    start_listed(context, entries)
+    others = [add_instance(site, number) for number in range(2, count + 1)]
+    context.instances = [site, *others]
+    for number, view in enumerate(context.instances, 1):
+        context.stack.callback(stop_instance, view)
+        start_instance(view, number, site.host)
+    for view in context.instances:
+        wait_until_ready(view)
+    # The first event of the list has reached all instances, and their greetings too.
+    time.sleep(1.0)
+
+
+def start_listed(context, entries):
+    for entry in entries.split(","):
+        name, _, version = entry.partition("=")
+        context.upstreams[name] = start_upstream(context.site, name, version, slots=48)
+
+
+def read_streams(context, count, path, *events):
+    """Read streams while events happen; each is a time in seconds and a function."""
+    context.path = path
+    context.streams = [ReadStream() for _ in range(count)]
+    start_s = time.monotonic()
+    with ThreadPoolExecutor(count) as executor:
+        for stream in context.streams:
+            executor.submit(read_stream, context.instances[0], stream, path)
+            time.sleep(0.2 / count)
+        for at_s, act in events:
+            time.sleep(max(0.0, start_s + at_s - time.monotonic()))
+            act()
+
+
+@when(
+    'callers read {count:d} streams of "{path}" and the upstream "{names}" ends after '
+    "{at_s:g} s"
+)
+@when(
+    'callers read {count:d} streams of "{path}" and the upstreams "{names}" end after '
+    "{at_s:g} s"
+)
+def read_while_upstreams_end(context, count, path, names, at_s):
+    def end():
+        for name in names.split(","):
+            end_upstream(context.site, context.upstreams[name])
+
+    read_streams(context, count, path, (at_s, end))
+
+
+@when(
+    'callers read {count:d} streams of "{path}" and the first instance is killed after '
+    "{at_s:g} s"
+)
+def read_while_instance_ends(context, count, path, at_s):
+    read_streams(context, count, path, (at_s, lambda: stop_instance(context.site)))
+
+
+@when(
+    'callers read {count:d} streams of "{path}", the upstreams "{entries}" come after '
+    "{come_s:g} s and the first instance is killed after {at_s:g} s"
+)
+def read_while_version_comes(context, count, path, entries, come_s, at_s):
+    read_streams(
+        context,
+        count,
+        path,
+        (come_s, lambda: start_listed(context, entries)),
+        (at_s, lambda: stop_instance(context.site)),
+    )
+
+
+@when(
+    'callers read {count:d} streams of "{path}" while "{name}" leaves the list and ends '
+    "after {at_s:g} s"
+)
+def read_while_upstream_leaves(context, count, path, name, at_s):
+    def leave():
+        unlist_upstream(context.site, name)
+        end_upstream(context.site, context.upstreams[name])
+
+    read_streams(context, count, path, (at_s, leave))
+
+
+@when("the callers take up their streams at the other instance")
+def take_up(context):
+    broken = [stream for stream in context.streams if not stream.is_whole]
+    context.broken = broken
+    time.sleep(CALLER_PAUSE_S)
+    start_s = time.monotonic()
+    with ThreadPoolExecutor(max(1, len(broken))) as executor:
+        for stream in broken:
+            executor.submit(read_stream, context.instances[-1], stream, context.path)
+    context.took_s = time.monotonic() - start_s
+
+
+@when("a caller takes up a stream that no instance knows")
+def take_up_unknown(context):
+    stream = ReadStream(first_id="00000000000000aa", events=[(3, "v1")])
+    context.streams = context.broken = [stream]
+    start_s = time.monotonic()
+    read_stream(context.instances[-1], stream, "/once/x")
+    context.took_s = time.monotonic() - start_s
+
+
+@then("no stream has events of two versions")
+def check_versions(context):
+    mixed = [each for each in context.streams if len(each.versions) > 1]
+    assert not mixed, (len(mixed), len(context.streams), mixed[0])
+
+
+@then("at least {count:d} streams are whole")
+def check_whole(context, count):
+    whole = [each for each in context.streams if each.is_whole]
+    assert len(whole) >= count, (
+        len(whole),
+        [each.statuses for each in context.streams],
+        read_log(context.instances[-1])[-3000:],
+    )
+
+
+@then("all streams are whole")
+def check_all_whole(context):
+    check_whole(context, len(context.streams))
+
+
+@then("it got the status {status:d} without Retry-After within {bound_s:g} s")
+@then(
+    "each broken stream got the status {status:d} without Retry-After within "
+    "{bound_s:g} s"
+)
+def check_refused(context, status, bound_s):
+    assert context.broken
+    assert context.took_s <= bound_s, context.took_s
+    for stream in context.broken:
+        assert stream.statuses[-1] == status, stream
+        assert stream.retry_after is None, stream
+
+
+@then("no upstream got its request")
+def check_not_sent(context):
+    arrivals = [each.arrivals for each in context.upstreams.values()]
+    assert not any(arrivals), arrivals
--- /dev/null
+++ b/features/platform/versions.feature
@@ -0,0 +1,55 @@
+Feature: A stream goes on only at the software version that began it
+
+  # Guards against a stream whose events come from upstreams of two software versions: the
+  # upstream that began it ends, and the rest is asked of the least loaded one.
+  Scenario: Upstreams end while they stream, and the instance asks others for the rest
+    Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v2,d=v2,e=v2"
+    When callers read 24 streams of "/resume/x" and the upstream "a" ends after 0.4 s
+    Then no stream has events of two versions
+    And at least 22 streams are whole
+
+  # Guards against a second instance that doesn't know at which version a stream began.
+  Scenario: Callers take their streams up at the other instance
+    Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v2,d=v2,e=v2"
+    When callers read 24 streams of "/once/x" and the upstreams "a,c" end after 0.4 s
+    And the callers take up their streams at the other instance
+    Then no stream has events of two versions
+    And at least 22 streams are whole
+
+  # Guards against knowledge that ends with the instance that had it.
+  Scenario: The instance that began the streams is killed
+    Given a site of 3 instances with the upstreams "a=v1,b=v1,c=v2,d=v2,e=v2"
+    When callers read 24 streams of "/once/x" and the first instance is killed after 0.6 s
+    And the callers take up their streams at the other instance
+    Then no stream has events of two versions
+    And at least 22 streams are whole
+
+  # Guards against streams that began before their instance knew of a second version.
+  Scenario: The second version comes while the streams run, and their instance is killed
+    Given a site of 3 instances with the upstreams "a=v1,b=v1"
+    When callers read 24 streams of "/once/x", the upstreams "c=v2,d=v2" come after 0.1 s and the first instance is killed after 0.8 s
+    And the callers take up their streams at the other instance
+    Then no stream has events of two versions
+    And at least 22 streams are whole
+
+  # Guards against a guess, and against a wait until the deadline, where nothing is known.
+  Scenario: Nobody knows where the stream began
+    Given a site of 2 instances with the upstreams "a=v1,b=v2"
+    When a caller takes up a stream that no instance knows
+    Then it got the status 503 without Retry-After within 1 s
+    And no upstream got its request
+
+  # Guards against a stream that waits, or goes on elsewhere, when its version has left.
+  Scenario: The last upstream of the version has left
+    Given a site of 2 instances with the upstreams "a=v1,b=v2"
+    When callers read 8 streams of "/once/x" while "a" leaves the list and ends after 0.4 s
+    And the callers take up their streams at the other instance
+    Then no stream has events of two versions
+    And each broken stream got the status 503 without Retry-After within 1 s
+
+  # Guards against refusals where all upstreams have one version: it is the stream's.
+  Scenario: One version serves, and the instance that began the streams is killed
+    Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v1"
+    When callers read 12 streams of "/once/x" and the first instance is killed after 0.4 s
+    And the callers take up their streams at the other instance
+    Then all streams are whole
