--- a/features/platform/steps/directory_steps.py
+++ b/features/platform/steps/directory_steps.py
@@ -24,7 +24,7 @@
 def add_instances(context, names):
     async def add(directory):
         for name in names.split(","):
-            await directory.add_instance(name)
+            await directory.add_instance(name, "127.0.0.1:7340")
 
     use_directory(context, add)
 
@@ -47,14 +47,14 @@
 @then("{count:d} instance is counted")
 @then("{count:d} instances are counted")
 def check_count(context, count):
-    found = use_directory(context, lambda directory: directory.count_instances())
-    assert found == count, found
+    found = use_directory(context, lambda directory: directory.list_instances())
+    assert len(found) == count, found
 
 
 @then("counting fails with a source error")
 def check_counting_fails(context):
     try:
-        use_directory(context, lambda directory: directory.count_instances())
+        use_directory(context, lambda directory: directory.list_instances())
     except SourceError:
         return
     raise AssertionError("no error was raised")
--- a/features/platform/steps/versions_steps.py
+++ b/features/platform/steps/versions_steps.py
@@ -28,6 +28,7 @@
 )
 NEIGHBOUR_PORTS = "port-range=7340,7355\n"
 CALLER_PAUSE_S = 0.05
+MAX_RETURNS = 3
 
 
 def add_instance(site, number):
@@ -138,6 +139,15 @@
     read_streams(context, count, path, (at_s, leave))
 
 
+def take_up_stream(site, stream, path):
+    """Read the rest of a stream; come back when, and only if, the answer says so."""
+    for _ in range(MAX_RETURNS):
+        read_stream(site, stream, path)
+        if stream.retry_after is None:
+            return
+        time.sleep(float(stream.retry_after))
+
+
 @when("the callers take up their streams at the other instance")
 def take_up(context):
     broken = [stream for stream in context.streams if not stream.is_whole]
@@ -146,7 +156,7 @@
     start_s = time.monotonic()
     with ThreadPoolExecutor(max(1, len(broken))) as executor:
         for stream in broken:
-            executor.submit(read_stream, context.instances[-1], stream, context.path)
+            executor.submit(take_up_stream, context.instances[-1], stream, context.path)
     context.took_s = time.monotonic() - start_s
 
 
--- a/features/platform/versions.feature
+++ b/features/platform/versions.feature
@@ -5,6 +5,7 @@
   Scenario: Upstreams end while they stream, and the instance asks others for the rest
     Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v2,d=v2,e=v2"
     When callers read 24 streams of "/resume/x" and the upstream "a" ends after 0.4 s
+    And the callers take up their streams at the other instance
     Then no stream has events of two versions
     And at least 22 streams are whole
 
--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -1,8 +1,9 @@
-"""Counts the instances that share the upstreams, while an upstream names a limit."""
+"""Counts and finds the other instances, while that is needed."""
 
 import asyncio
 import logging
 
+from jujubenotch.daemon.forward_messages import send_message
 from jujubenotch.daemon.forward_parts import Directory, PlatformComponents
 from jujubenotch.daemon.forward_registration import (
     repeat_until_confirmed,
@@ -11,6 +12,7 @@
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.forwarding import SourceError
 from jujubenotch.logs import log_event
+from jujubenotch.neighbours import Message, MessageKind
 
 logger = logging.getLogger(__name__)
 
@@ -33,7 +35,9 @@
     while True:
         era = state.listing_progress.era
         await repeat_until_confirmed(
-            lambda: components.directory.add_instance(settings.name),
+            lambda: components.directory.add_instance(
+                settings.name, relay.neighbours.own_address
+            ),
             "instance-not-listed",
         )
         await wait_for_new_era(state, era)
@@ -75,4 +79,50 @@
     if relay.is_active:
         data_centres = relay.instance.settings.all_data_centres
         return (len(relay.neighbours.addresses) + 1) * len(data_centres)
-    return max(1, await directory.count_instances())
+    return max(1, len(await directory.list_instances()))
+
+
+async def keep_addresses(relay: Relay, components: PlatformComponents) -> None:
+    """List the other instances when they have to be told something, and greet them.
+
+    Instances that share pages know their neighbours already.
+
+    :param relay: The relay; its neighbours are changed in place.
+    :param components: The components that are specific to the platform.
+    """
+    watch = relay.instance.stream_watch
+    while True:
+        await watch.addresses_wanted.wait()
+        if not relay.is_active:
+            await _add_listed(relay, components.directory)
+        watch.addresses_known.set()
+        await asyncio.sleep(COUNT_INTERVAL_S)
+        watch.addresses_wanted.clear()
+
+
+async def _add_listed(relay, directory):
+    neighbours = relay.neighbours
+    before = len(neighbours.addresses)
+    try:
+        listed = await directory.list_instances()
+    except SourceError as error:
+        log_event(
+            logger,
+            logging.WARNING,
+            "instances-not-listed",
+            neighbours=before,
+            error=str(error),
+        )
+        return
+    for address in listed:
+        if address:
+            neighbours.add(address)
+    if len(neighbours.addresses) != before:
+        log_event(
+            logger,
+            logging.INFO,
+            "instances-listed",
+            neighbours=len(neighbours.addresses),
+            before=before,
+        )
+        send_message(relay, Message(kind=MessageKind.HELLO), neighbours.addresses)
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -1,12 +1,17 @@
 """Follows the configuration and the list of upstreams, together with neighbours."""
 
 import asyncio
+import functools
 import logging
 from collections.abc import Coroutine
 
-from jujubenotch.daemon.forward_count import keep_count, stay_counted
+from jujubenotch.daemon.forward_count import keep_addresses, keep_count, stay_counted
 from jujubenotch.daemon.forward_crashes import apply_crash_page
-from jujubenotch.daemon.forward_messages import report_outage, share_page
+from jujubenotch.daemon.forward_messages import (
+    report_outage,
+    send_message,
+    share_page,
+)
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
 from jujubenotch.daemon.forward_registration import run_relay
@@ -25,6 +30,7 @@
     apply_configuration,
     apply_upstreams,
 )
+from jujubenotch.daemon.forward_streams import record_listing, send_origins
 from jujubenotch.forwarding import (
     Source,
     choose_list_delay_s,
@@ -62,6 +68,9 @@
     :returns: Coroutines that run until they are cancelled.
     """
     relay = make_relay(instance)
+    stream_watch = instance.stream_watch
+    stream_watch.neighbours = relay.neighbours
+    stream_watch.send = functools.partial(send_message, relay)
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
@@ -77,6 +86,8 @@
         run_relay(relay, components),
         stay_counted(relay, components),
         keep_count(relay, components),
+        keep_addresses(relay, components),
+        send_origins(stream_watch),
     )
 
 
@@ -112,12 +123,17 @@
 def _add_upstreams(relay, instance, source):
     state = instance.state
     capacity = instance.dispatcher.capacity
+
+    def apply(update):
+        capacity.forget(apply_upstreams(state, update))
+        record_listing(instance.stream_watch)
+
     return add_followed_source(
         relay,
         MessageKind.UPSTREAMS,
         source,
         state.listing_progress,
-        lambda update: capacity.forget(apply_upstreams(state, update)),
+        apply,
     )
 
 
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -3,9 +3,11 @@
 import asyncio
 import logging
 import random
+from collections.abc import Iterable
 from dataclasses import replace
 
 from jujubenotch.daemon.forward_relay import Relay
+from jujubenotch.daemon.forward_streams import receive_streams
 from jujubenotch.forwarding import (
     FollowProgress,
     Item,
@@ -61,7 +63,20 @@
 
 
 def _send(relay, message):
-    is_sent = relay.endpoint.send(message, relay.neighbours.addresses)
+    return send_message(relay, message, relay.neighbours.addresses)
+
+
+def send_message(relay: Relay, message: Message, addresses: Iterable[str]) -> bool:
+    """Send a message to other instances.
+
+    :param relay: The relay.
+    :param message: The message.
+    :param addresses: The addresses of their endpoints.
+    :returns: False when the message is too large or the endpoint isn't open.
+    """
+    if relay.endpoint is None:
+        return False
+    is_sent = relay.endpoint.send(message, addresses)
     if is_sent:
         count_neighbour_message(relay.instance.observer.metrics, message.kind, "sent")
     return is_sent
@@ -104,6 +119,8 @@
     :param message: The message.
     """
     relay.neighbours.add(sender)
+    if message.kind in (MessageKind.STREAMS, MessageKind.STREAM_QUERY):
+        receive_streams(relay.instance.stream_watch, sender, message)
     metrics = relay.instance.observer.metrics
     count_neighbour_message(metrics, message.kind, "received")
     if message.kind is MessageKind.OUTAGE:
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -10,6 +10,7 @@
 from jujubenotch.daemon.forward_crashes import CrashWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
+from jujubenotch.daemon.forward_streams import StreamWatch
 from jujubenotch.dispatch import Dispatcher, UpstreamProtocol
 from jujubenotch.forwarding import (
     ArrivedRequest,
@@ -27,16 +28,16 @@
 
 
 class Directory(Protocol):
-    """Counts the instances of all data centres."""
+    """Lists the instances of all data centres."""
 
-    async def add_instance(self, name: str) -> None:
-        """Add an instance.
+    async def add_instance(self, name: str, address: str) -> None:
+        """Add an instance, with the address of its endpoint; empty when it has none.
 
         :raises SourceError: The store did not confirm it.
         """
 
-    async def count_instances(self) -> int:
-        """Return how many instances have been added.
+    async def list_instances(self) -> tuple[str, ...]:
+        """Return the addresses of all instances that have been added.
 
         :raises SourceError: The store did not return a valid response.
         """
@@ -104,6 +105,7 @@
         empty when they are valid.
     :param stopping: Set when the instance has to stop.
     :param crash_watch: Watches for requests that crash upstreams.
+    :param stream_watch: Knows at which software version each stream began.
     :param instance_count: The number of instances that share the upstreams.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
@@ -116,6 +118,7 @@
     dispatcher: Dispatcher
     stopping: asyncio.Event
     crash_watch: CrashWatch
+    stream_watch: StreamWatch
     instance_count: InstanceCount = field(default_factory=InstanceCount)
     refuses_requests: bool = False
     settings_error: str = ""
--- a/jujubenotch/daemon/forward_registration.py
+++ b/jujubenotch/daemon/forward_registration.py
@@ -23,17 +23,18 @@
 
 
 async def run_relay(relay: Relay, components: PlatformComponents) -> None:
-    """Register this instance with its neighbours, and again in each new era.
+    """Open the endpoint, register with the neighbours, and again in each new era.
 
-    Does nothing where a change must be in force sooner than the reader's role
+    Does not register where a change must be in force sooner than the reader's role
     passes on from a failed instance.
 
     :param relay: The relay; changed in place.
     :param components: The components that are specific to the platform.
     """
-    if not relay.is_registering:
-        return
     address = relay.instance.settings.neighbours
+    if address is None:
+        return
+    is_registering = relay.is_registering
     await relay.instance.state.loaded.wait()
     try:
         relay.endpoint = await open_endpoint(
@@ -46,7 +47,9 @@
         _end_registering(relay)
         return
     try:
-        await _stay_registered(relay, components.registry)
+        if is_registering:
+            await _stay_registered(relay, components.registry)
+        await asyncio.Event().wait()
     finally:
         relay.endpoint.close()
 
--- /dev/null
+++ b/jujubenotch/daemon/forward_streams.py
@@ -0,0 +1,380 @@
+"""Tells other instances where streams began, and asks them when a stream is resumed.
+
+While a service has upstreams of one software version nothing is sent: each instance
+only remembers the streams that it began.
+"""
+
+import asyncio
+import contextlib
+import logging
+import time
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+
+from jujubenotch.daemon.forward_revisions import is_source_behind
+from jujubenotch.daemon.forward_state import ForwardState
+from jujubenotch.dispatch import Call
+from jujubenotch.forwarding import (
+    measure_age_s,
+    read_boot_clock_s,
+)
+from jujubenotch.logs import log_event
+from jujubenotch.neighbours import Message, MessageKind, Neighbours, StreamEntry
+from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.streams import (
+    OriginTable,
+    StreamOrigin,
+    VersionHistory,
+    choose_owners,
+    find_origin,
+    find_origins_of,
+    find_sole_version,
+    has_many_versions,
+    record_versions,
+    remember_origin,
+)
+
+logger = logging.getLogger(__name__)
+
+MS_PER_S = 1000
+# Origins are sent together; a caller needs longer to come back to another instance.
+FLUSH_DELAY_S = 0.05
+# About 3 KB compressed, three datagrams.
+MAX_ENTRIES = 100
+# Several round trips between two busy instances.
+ANSWER_TIMEOUT_S = 0.15
+# The instances are listed by the store.
+ADDRESSES_TIMEOUT_S = 0.3
+# Bounds the datagrams that one question causes at large sites.
+MAX_ASKED = 64
+# The list is known to be up to date for at least as long as an instance is said to be
+# in contact with the store.
+MAX_LIST_AGE_S = 3.0
+# Versions that have left matter for the longest stream and its caller's return.
+WINDOW_RATIO = 2.0
+MIN_WINDOW_S = 10.0
+MAX_WINDOW_S = 120.0
+
+
+@dataclass(kw_only=True)
+class Question:
+    """A question to other instances that waits for their answers.
+
+    :param pending: The number of instances that have not answered.
+    """
+
+    pending: int
+    is_answered: asyncio.Event = field(default_factory=asyncio.Event)
+
+
+@dataclass(kw_only=True)
+class StreamWatch:
+    """What an instance knows about the origins of streams.
+
+    :param state: The instance's state, which lists the upstreams.
+    :param neighbours: The other instances.
+    :param send: Sends a message to the endpoints of other instances.
+    :param unsent: The requests whose origins are to be sent to other instances.
+    :param must_send: Set when there are any.
+    :param addresses_wanted: Set when the other instances have to be listed.
+    :param addresses_known: Set once they were listed.
+    :param questions: The questions that wait for answers, by request.
+    :param split: The services that had upstreams of several versions lately.
+    """
+
+    state: ForwardState
+    neighbours: Neighbours = field(default_factory=lambda: Neighbours(own_address=""))
+    send: Callable[[Message, Iterable[str]], bool] = lambda message, addresses: False
+    origins: OriginTable = field(default_factory=OriginTable)
+    history: VersionHistory = field(default_factory=VersionHistory)
+    unsent: list[str] = field(default_factory=list)
+    must_send: asyncio.Event = field(default_factory=asyncio.Event)
+    addresses_wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    addresses_known: asyncio.Event = field(default_factory=asyncio.Event)
+    questions: dict[str, Question] = field(default_factory=dict)
+    split: set[str] = field(default_factory=set)
+
+
+def record_listing(watch: StreamWatch) -> None:
+    """Record the versions in the list of upstreams after an update.
+
+    When a second version of a service comes, the other instances are told the streams
+    that have begun before.
+
+    :param watch: The state of the watch; changed in place.
+    """
+    now_s = read_boot_clock_s()
+    upstreams = watch.state.listing.upstreams.values()
+    listed = [(each.listed.service, each.listed.software_version) for each in upstreams]
+    record_versions(watch.history, listed, now_s=now_s)
+    split = {service for service in watch.history.listed if _is_split(watch, service)}
+    for service in split - watch.split:
+        window_s = find_window_s(watch.state)
+        begun = find_origins_of(watch.origins, service, since_s=now_s - window_s)
+        _log_split(watch, service, len(begun), window_s)
+        _send_later(watch, begun)
+    watch.split = split
+
+
+def _log_split(watch, service, streams, window_s):
+    log_event(
+        logger,
+        logging.INFO,
+        "service-versions-many",
+        service=service,
+        versions=sorted(watch.history.listed.get(service, ())),
+        streams=streams,
+        window_s=window_s,
+    )
+
+
+def find_window_s(state: ForwardState) -> float:
+    """Find for how long a version that has left may still matter.
+
+    :param state: The instance's state, with the timeouts of the routes.
+    :returns: The time in seconds.
+    """
+    if state.index is None:
+        return MAX_WINDOW_S
+    routes = state.index.configuration.routes
+    longest_s = max((each.timeout_s for each in routes if each.is_resumable), default=0)
+    return min(MAX_WINDOW_S, max(MIN_WINDOW_S, WINDOW_RATIO * longest_s))
+
+
+def _is_split(watch, service):
+    return has_many_versions(
+        watch.history,
+        service,
+        window_s=find_window_s(watch.state),
+        now_s=read_boot_clock_s(),
+    )
+
+
+def record_stream_start(watch: StreamWatch, call: Call, origin: StreamOrigin) -> None:
+    """Remember where a stream began, before its caller gets the first event.
+
+    :param watch: The state of the watch; changed in place.
+    :param call: The call.
+    :param origin: Where its stream began.
+    """
+    if not call.can_resume_elsewhere:
+        return
+    request_id = call.resumed_request_id or call.request_id
+    is_new = remember_origin(
+        watch.origins, request_id, origin, now_s=read_boot_clock_s()
+    )
+    if is_new and origin.service in watch.split:
+        _send_later(watch, (request_id,))
+
+
+def _send_later(watch, request_ids):
+    watch.unsent.extend(request_ids)
+    if watch.unsent:
+        watch.addresses_wanted.set()
+        watch.must_send.set()
+
+
+async def send_origins(watch: StreamWatch) -> None:
+    """Send the origins of streams to other instances; runs until it is cancelled.
+
+    :param watch: The state of the watch; changed in place.
+    """
+    while True:
+        await watch.must_send.wait()
+        await _wait_for_addresses(watch)
+        await asyncio.sleep(FLUSH_DELAY_S)
+        watch.must_send.clear()
+        request_ids, watch.unsent = watch.unsent, []
+        by_owner = {}
+        for request_id in request_ids:
+            for owner in choose_owners(request_id, _list_instances(watch)):
+                by_owner.setdefault(owner, []).append(request_id)
+        by_owner.pop(watch.neighbours.own_address, None)
+        for owner, owned in by_owner.items():
+            for start in range(0, len(owned), MAX_ENTRIES):
+                _send_entries(watch, owned[start : start + MAX_ENTRIES], owner)
+
+
+def _list_instances(watch):
+    return {*watch.neighbours.addresses, watch.neighbours.own_address}
+
+
+async def _wait_for_addresses(watch):
+    watch.addresses_wanted.set()
+    with contextlib.suppress(TimeoutError):
+        async with asyncio.timeout(ADDRESSES_TIMEOUT_S):
+            await watch.addresses_known.wait()
+
+
+def _send_entries(watch, request_ids, address, unknown=()):
+    now_s = read_boot_clock_s()
+    known = {
+        each: find_origin(watch.origins, each, now_s=now_s) for each in request_ids
+    }
+    entries = tuple(
+        StreamEntry(
+            request_id=request_id,
+            service=found.origin.service,
+            software_version=found.origin.software_version,
+        )
+        for request_id, found in known.items()
+        if found is not None
+    )
+    message = Message(
+        kind=MessageKind.STREAMS, streams=entries, request_ids=tuple(unknown)
+    )
+    watch.send(message, (address,))
+
+
+def receive_streams(watch: StreamWatch, sender: str, message: Message) -> None:
+    """Take up the origins that another instance tells, or answer its question.
+
+    :param watch: The state of the watch; changed in place.
+    :param sender: The address of the other instance.
+    :param message: The message.
+    """
+    now_s = read_boot_clock_s()
+    if message.kind is MessageKind.STREAM_QUERY:
+        asked = message.request_ids[:MAX_ENTRIES]
+        unknown = [
+            each
+            for each in asked
+            if find_origin(watch.origins, each, now_s=now_s) is None
+        ]
+        _send_entries(watch, asked, sender, unknown)
+        return
+    for entry in message.streams:
+        origin = StreamOrigin(
+            service=entry.service, software_version=entry.software_version
+        )
+        remember_origin(watch.origins, entry.request_id, origin, now_s=now_s)
+        question = watch.questions.get(entry.request_id)
+        if question is not None:
+            question.is_answered.set()
+    for request_id in message.request_ids:
+        _count_unknown(watch.questions.get(request_id))
+
+
+def _count_unknown(question):
+    if question is None:
+        return
+    question.pending -= 1
+    if question.pending <= 0:
+        question.is_answered.set()
+
+
+async def find_stream_origin(
+    watch: StreamWatch, call: Call
+) -> StreamOrigin | Refusal | None:
+    """Find where the stream began that a call resumes.
+
+    This instance may have begun it, or was told; else the instances that are told of
+    the stream are asked, then all others. Where one version has served for long
+    enough, the stream began there.
+
+    :param watch: The state of the watch; changed in place.
+    :param call: The call.
+    :returns: The origin; a refusal when it is unknown, as a guess may join what two
+        versions wrote.
+    """
+    started_s = time.monotonic()
+    origin, source = await _search(watch, call)
+    log_event(
+        logger,
+        logging.INFO,
+        "stream-origin-found" if origin else "stream-origin-unknown",
+        request_id=call.request_id,
+        resumes=call.resumed_request_id,
+        source=source,
+        service=origin.service if origin else call.target,
+        software_version=origin.software_version if origin else "",
+        versions=sorted(watch.history.listed.get(call.target, ())),
+        list_age_s=round(_measure_list_age_s(watch), 3),
+        took_s=round(time.monotonic() - started_s, 4),
+    )
+    if origin is None or (call.services and origin.service not in call.services):
+        return Refusal(
+            reason=RefusalReason.STREAM_ORIGIN_UNKNOWN,
+            retry_after_s=0.0,
+            detail="the software version that began this stream is unknown, or its "
+            "service has changed; ask for the whole stream",
+        )
+    return origin
+
+
+async def _search(watch, call):
+    request_id = call.resumed_request_id
+    if request_id:
+        origin = _find_known(watch, request_id)
+        if origin is not None:
+            return origin, "own"
+        await _wait_for_addresses(watch)
+        owners = choose_owners(request_id, _list_instances(watch))
+        origin = await _ask(watch, request_id, owners)
+        if origin is not None:
+            return origin, "owner"
+    origin = _find_sole_origin(watch, call)
+    if origin is not None or not request_id:
+        return origin, "only-version"
+    others = sorted(watch.neighbours.addresses.difference(owners))[:MAX_ASKED]
+    return await _ask(watch, request_id, others), "others"
+
+
+def _find_known(watch, request_id):
+    known = find_origin(watch.origins, request_id, now_s=read_boot_clock_s())
+    return known.origin if known else None
+
+
+async def _ask(watch, request_id, addresses):
+    asked = [each for each in addresses if each != watch.neighbours.own_address]
+    if not asked:
+        return None
+    question = watch.questions.get(request_id)
+    if question is None:
+        question = watch.questions[request_id] = Question(pending=len(asked))
+    message = Message(kind=MessageKind.STREAM_QUERY, request_ids=(request_id,))
+    watch.send(message, asked)
+    try:
+        async with asyncio.timeout(ANSWER_TIMEOUT_S):
+            await question.is_answered.wait()
+    except TimeoutError:
+        logger.debug("not all of %d instances answered in time", len(asked))
+    finally:
+        watch.questions.pop(request_id, None)
+    return _find_known(watch, request_id)
+
+
+def _find_sole_origin(watch, call):
+    if len(call.services) > 1 or _measure_list_age_s(watch) > MAX_LIST_AGE_S:
+        return None
+    version = find_sole_version(
+        watch.history,
+        call.target,
+        window_s=find_window_s(watch.state),
+        now_s=read_boot_clock_s(),
+        newest_start_age_s=_measure_newest_start_age_s(watch, call.target),
+    )
+    if version is None:
+        return None
+    return StreamOrigin(service=call.target, software_version=version)
+
+
+def _measure_list_age_s(watch):
+    """Return for how long the list of upstreams may have been outdated."""
+    state = watch.state
+    if is_source_behind(
+        state.revisions, state.listing_progress, state.configuration_progress
+    ):
+        return float("inf")
+    return measure_age_s(state.freshness, read_boot_clock_s())
+
+
+def _measure_newest_start_age_s(watch, service):
+    started_ms = [
+        each.listed.started_ms
+        for each in watch.state.listing.upstreams.values()
+        if each.listed.service == service
+    ]
+    # An upstream of which no start is known may have started just now.
+    newest_ms = max(started_ms) if all(started_ms) and started_ms else float("inf")
+    return time.time() - newest_ms / MS_PER_S
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -29,6 +29,11 @@
 from jujubenotch.daemon.forward_state import (
     ForwardState,
 )
+from jujubenotch.daemon.forward_streams import (
+    StreamWatch,
+    find_stream_origin,
+    record_stream_start,
+)
 from jujubenotch.dispatch import (
     Dispatcher,
     ExchangeRegistry,
@@ -158,6 +163,7 @@
     loop = asyncio.get_running_loop()
     instance_count = InstanceCount()
     crash_watch = CrashWatch(name=settings.name, state=state)
+    stream_watch = StreamWatch(state=state)
     capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=loop.time,
@@ -179,6 +185,10 @@
         protocol=components.protocol,
         identify_process=lambda upstream: identify_process(crash_watch, upstream),
         find_block=lambda call: refuse_blocked(crash_watch, call),
+        find_stream_origin=lambda call: find_stream_origin(stream_watch, call),
+        record_stream_start=lambda call, origin: record_stream_start(
+            stream_watch, call, origin
+        ),
         record_attempt=lambda call, attempt: record_attempt(crash_watch, call, attempt),
     )
     instance = ForwardingInstance(
@@ -189,6 +199,7 @@
         dispatcher=dispatcher,
         stopping=stopping,
         crash_watch=crash_watch,
+        stream_watch=stream_watch,
         instance_count=instance_count,
     )
     return instance
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -10,6 +10,7 @@
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.outcomes import Outcome
 from jujubenotch.records import Upstream
+from jujubenotch.streams import StreamOrigin
 from jujubenotch.upstreams import (
     AnswerTooLargeError,
     ConnectFailedError,
@@ -66,6 +67,7 @@
         0 before the first one.
     :param head_at_s: The monotonic time at which the head of the response arrived,
         in seconds; 0 before it.
+    :param origin: Where a stream that begins with this attempt has its origin.
     :param process: The process that the request was sent to; empty when unknown.
     :param is_broken_off: Whether the connection ended before the response did.
     """
@@ -77,6 +79,7 @@
     first_token_at_s: float = 0.0
     last_token_at_s: float = 0.0
     head_at_s: float = 0.0
+    origin: StreamOrigin | None = None
     process: str = ""
     is_broken_off: bool = False
 
@@ -90,6 +93,7 @@
     attempt: Attempt,
     sink: Sink,
     record_head: Callable[[UpstreamAnswer], None],
+    record_stream_start: Callable[[], None],
 ) -> None:
     """Send a call to an upstream and forward the response.
 
@@ -101,6 +105,7 @@
     :param attempt: The attempt; its end and measurements are set here.
     :param sink: Receives the events of a stream.
     :param record_head: Called when the head of the response arrives.
+    :param record_stream_start: Called before the head of a stream is forwarded.
     :raises CallerDisconnectedError: The caller has disconnected.
     """
     request = make_upstream_request(protocol, upstream, call, progress)
@@ -115,6 +120,7 @@
                 progress=progress,
                 attempt=attempt,
                 sink=sink,
+                record_stream_start=record_stream_start,
             )
             await _receive(receiver, answer)
     except ConnectFailedError:
@@ -195,6 +201,7 @@
     progress: Progress
     attempt: Attempt
     sink: Sink
+    record_stream_start: Callable[[], None]
 
 
 _ENDS_BY_KIND = {
@@ -291,14 +298,17 @@
     Until its first event a stream that breaks off can still be repeated as a whole, or
     answered with an error.
     """
-    if receiver.progress.is_stream_started:
+    progress = receiver.progress
+    if progress.is_stream_started:
         return
+    progress.origin = progress.origin or receiver.attempt.origin
+    receiver.record_stream_start()
     await receiver.sink.start(
         answer.status,
         remove_hop_by_hop_headers(answer.headers),
         is_framed=answer.response.is_framed,
     )
-    receiver.progress.is_stream_started = True
+    progress.is_stream_started = True
 
 
 def _is_complete(buffer, answer):
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -6,6 +6,7 @@
 
 from jujubenotch.outcomes import FailureReason, Outcome, RefusalReason
 from jujubenotch.records import ServiceClass, Team
+from jujubenotch.streams import StreamOrigin
 
 Headers = tuple[tuple[str, str], ...]
 MAX_ATTEMPTS = 4
@@ -16,6 +17,8 @@
     """A caller's request after validation and classification.
 
     :param target: The name of the model or plain service.
+    :param services: The services to which the route allows the request; empty when
+        only the target.
     :param path: The path and query, relative to the upstream's base URL.
     :param arrived_s: The monotonic time of arrival, in seconds.
     :param is_stream: Whether the caller expects a stream of events.
@@ -54,6 +57,7 @@
     headers: Headers
     body: bytes
     arrived_s: float
+    services: frozenset[str] = frozenset()
     is_stream: bool = False
     is_idempotent: bool = True
     idempotency_key: str = ""
@@ -147,6 +151,8 @@
         because it is claimed, or was sent and is not idempotent.
     :param is_stream_started: Whether the status and headers of a stream were
         forwarded to the caller.
+    :param origin: Where the stream began, which may have been in an earlier request;
+        ``None`` before its first event.
     :param last_event_id: The id of the last event that was forwarded.
     :param attempts: The number of attempts made.
     :param runs: The number of attempts that may have run.
@@ -160,6 +166,7 @@
     is_claimed: bool = False
     must_finish: bool = False
     is_stream_started: bool = False
+    origin: StreamOrigin | None = None
     last_event_id: str = ""
     attempts: int = 0
     runs: int = 0
@@ -175,3 +182,12 @@
     :returns: The event's id; empty when the stream starts from its beginning.
     """
     return progress.last_event_id or call.resume_after_event_id
+
+
+def find_target(call: Call, progress: Progress) -> str:
+    """Find the service that a call goes to: that of its stream, once it has begun.
+
+    :param call: The call.
+    :param progress: The call's progress.
+    """
+    return progress.origin.service if progress.origin else call.target
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -29,6 +29,7 @@
     Progress,
     Sink,
     find_resume_point,
+    find_target,
 )
 from jujubenotch.dispatch.decide import (
     AttemptResult,
@@ -43,6 +44,7 @@
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import FailureReason, Outcome, Refusal
+from jujubenotch.streams import StreamOrigin
 from jujubenotch.work import WorkReport, WorkResult, describe_basis
 
 logger = logging.getLogger(__name__)
@@ -168,6 +170,11 @@
 
 
 async def _run_attempts(dispatcher, call, progress, sink, reports):
+    if call.resume_after_event_id:
+        origin = await dispatcher.find_stream_origin(call)
+        if isinstance(origin, Refusal):
+            return make_refusal_answer(progress, origin)
+        progress.origin = origin
     while True:
         block = dispatcher.find_block(call)
         if block is not None:
@@ -248,7 +255,11 @@
 
 async def _run_attempt_on_slot(dispatcher, call, progress, grant, sink):
     attempt = Attempt(
-        sent_at_s=read_clock_s(), process=dispatcher.identify_process(grant.upstream)
+        sent_at_s=read_clock_s(),
+        process=dispatcher.identify_process(grant.upstream),
+        origin=StreamOrigin(
+            service=call.target, software_version=grant.software_version
+        ),
     )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
     progress.attempts += 1
@@ -287,6 +298,7 @@
                 attempt,
                 sink,
                 lambda head: _record_head(dispatcher, grant, head),
+                lambda: dispatcher.record_stream_start(call, progress.origin),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -327,7 +339,9 @@
     decision = decide(has_budget=True)
     # Asking for budget spends it, so the budget is asked only when a retry would
     # otherwise be made.
-    if isinstance(decision, Retry) and not _has_budget(dispatcher, call, now_s):
+    target = find_target(call, progress)
+    may_retry = dispatcher.retry_budget.may_retry
+    if isinstance(decision, Retry) and not may_retry(target, now_s):
         decision = decide(has_budget=False)
     if isinstance(decision, GiveUp):
         return make_give_up_answer(progress, attempt, decision)
@@ -373,7 +387,3 @@
         parts=call.shared_parts,
         body=call.body,
     )
-
-
-def _has_budget(dispatcher, call, now_s):
-    return dispatcher.retry_budget.may_retry(call.target, now_s)
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -1,7 +1,7 @@
 """The dispatcher's state and the interfaces that it depends on."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from typing import Protocol
 
@@ -11,6 +11,7 @@
 from jujubenotch.dispatch.silence import ExchangeRegistry
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Configuration
+from jujubenotch.streams import StreamOrigin
 from jujubenotch.upstreams import UpstreamConnections
 from jujubenotch.work import Grant, SlotProvider, UpstreamNotice, WorkReport
 
@@ -62,6 +63,10 @@
     record_success: Callable[[str, float], None]
 
 
+async def _find_no_origin(call):
+    return None
+
+
 @dataclass(kw_only=True)
 class Dispatcher:
     """The dependencies of the calls of one instance, and the calls in progress.
@@ -79,6 +84,10 @@
         stands for at present.
     :param find_block: Returns a refusal for a call that may not be sent to any
         upstream, although upstreams are available.
+    :param find_stream_origin: Finds where the stream began that a call resumes; returns
+        a refusal when that isn't known, and ``None`` when it doesn't matter.
+    :param record_stream_start: Called with a call and the origin of its stream before
+        the first event is forwarded.
     :param record_attempt: Called with the call and its attempt when the attempt has
         ended.
     :param in_progress: The tasks of the calls that have not ended.
@@ -99,5 +108,11 @@
     record_notice: Callable[[str, UpstreamNotice], None] = lambda upstream, notice: None
     identify_process: Callable[[str], str] = lambda upstream: upstream
     find_block: Callable[[Call], Refusal | None] = lambda call: None
+    find_stream_origin: Callable[[Call], Awaitable[StreamOrigin | Refusal | None]] = (
+        _find_no_origin
+    )
+    record_stream_start: Callable[[Call, StreamOrigin], None] = lambda call, origin: (
+        None
+    )
     record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
     in_progress: set[asyncio.Task] = field(default_factory=set)
--- a/jujubenotch/dispatch/work_request.py
+++ b/jujubenotch/dispatch/work_request.py
@@ -1,6 +1,6 @@
 """Makes the request for a slot from a call."""
 
-from jujubenotch.dispatch.call import Call, Progress
+from jujubenotch.dispatch.call import Call, Progress, find_target
 from jujubenotch.work import WorkRequest
 
 
@@ -12,9 +12,10 @@
     :returns: The request; its times are monotonic, in seconds.
     """
     service_class = call.service_class
+    origin = progress.origin
     return WorkRequest(
         request_id=call.request_id,
-        target=call.target,
+        target=find_target(call, progress),
         team=call.team.name,
         team_weight=call.team.weight,
         team_limit=call.team.max_in_progress,
@@ -30,4 +31,5 @@
         excluded_upstreams=progress.failed_upstreams,
         between_tokens_target_s=service_class.between_tokens_target_s,
         is_idempotent=call.is_idempotent,
+        software_version=origin.software_version if origin else None,
     )
--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -103,6 +103,7 @@
     return Call(
         request_id=arrived.request_id,
         target=choose_service(route, draw),
+        services=frozenset(share.service for share in route.shares),
         team=Team(name=team.name) if team else ANONYMOUS_TEAM,
         service_class=_build_service_class(route, tier),
         method=arrived.method,
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -114,6 +114,7 @@
             instances=self._read_instance_count(),
             draw=self._draw,
             now_s=listing_s,
+            software_version=request.software_version,
         )
         states = availability.usable
         if availability.holds and not states:
@@ -246,6 +247,10 @@
             state for state in states if state.name not in request.excluded_upstreams
         ]
         available = [state for state in untried if self._is_available(state, now_s)]
+        if request.software_version is not None:
+            # An upstream that failed may have been replaced by one of another version
+            # that the list doesn't show yet, so a stream is not continued there.
+            states = untried
         if uses_all:
             return available or untried or states
         is_long = is_long_prompt(request.prompt_tokens)
--- a/jujubenotch/forwarding/held.py
+++ b/jujubenotch/forwarding/held.py
@@ -22,6 +22,7 @@
 MAX_RETRY_SHARE = 0.2
 REFUSAL_REASONS = {
     HoldReason.LEAVING: RefusalReason.NO_UPSTREAM,
+    HoldReason.OTHER_VERSION: RefusalReason.VERSION_UNAVAILABLE,
     HoldReason.LIMIT: RefusalReason.UPSTREAM_LIMIT,
     HoldReason.WAIT: RefusalReason.UPSTREAM_WAIT,
 }
@@ -45,6 +46,7 @@
     instances: int,
     draw: Callable[[], float],
     now_s: float,
+    software_version: str | None = None,
 ) -> Availability:
     """Part the upstreams of a service by whether they may get a request now.
 
@@ -54,11 +56,13 @@
     :param instances: The number of instances that share the upstreams.
     :param draw: Returns a random number in [0, 1).
     :param now_s: The present time on a clock that includes suspended time, in seconds.
+    :param software_version: The only version that may get the request; ``None`` when
+        any may.
     """
     usable, returning, holds = [], [], []
     for state in states:
         _update_opening(state.statements.limit, instances, draw, now_s)
-        hold = find_hold(state.statements, now_s)
+        hold = find_hold(state, software_version, now_s)
         if hold is not None:
             holds.append(hold)
         elif is_returning(state.statements.wait, draw, now_s):
@@ -93,10 +97,7 @@
     :returns: The refusal, with the time at which the first hold ends.
     """
     first = min(holds, key=lambda hold: hold.until_s)
-    retry_after_s = MIN_RETRY_AFTER_S
-    if first.reason is not HoldReason.LEAVING:
-        retry_after_s = max(retry_after_s, first.until_s - now_s)
-    retry_after_s = min(retry_after_s, MAX_RETRY_SHARE * max(0.0, left_s))
+    retry_after_s = _choose_retry_after_s(first, left_s, now_s)
     retry_after_s *= 1 + RETRY_SPREAD_SHARE * draw
     log_event(
         logger,
@@ -106,6 +107,7 @@
         target=request.target,
         upstreams=len(holds),
         reason=first.reason,
+        software_version=request.software_version,
         retry_after_s=round(retry_after_s, 3),
     )
     return Refusal(
@@ -113,3 +115,13 @@
         retry_after_s=retry_after_s,
         detail=f"the upstreams of {request.target} accept no more now; come back",
     )
+
+
+def _choose_retry_after_s(first, left_s, now_s):
+    if first.reason is HoldReason.OTHER_VERSION:
+        # No upstream of the version serves any more, so no retry can succeed.
+        return 0.0
+    retry_after_s = MIN_RETRY_AFTER_S
+    if first.reason is not HoldReason.LEAVING:
+        retry_after_s = max(retry_after_s, first.until_s - now_s)
+    return min(retry_after_s, MAX_RETRY_SHARE * max(0.0, left_s))
--- a/jujubenotch/forwarding/permission.py
+++ b/jujubenotch/forwarding/permission.py
@@ -4,13 +4,14 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from jujubenotch.forwarding.notices import Statements
+from jujubenotch.forwarding.placement import UpstreamState
 
 
 class HoldReason(StrEnum):
     """Why an upstream may get no request now."""
 
     LEAVING = "leaving"
+    OTHER_VERSION = "other-version"
     LIMIT = "limit"
     WAIT = "wait"
 
@@ -26,15 +27,22 @@
     until_s: float
 
 
-def find_hold(statements: Statements, now_s: float) -> Hold | None:
-    """Return why an upstream may get no further request now.
+def find_hold(
+    state: UpstreamState, software_version: str | None, now_s: float
+) -> Hold | None:
+    """Return why an upstream may not get a request now.
 
     Unlike an ejection, a hold is never disregarded for want of another upstream.
 
-    :param statements: What the upstream has stated about itself.
+    :param state: The upstream's state, with what it has stated about itself.
+    :param software_version: The only version that may get the request; ``None`` when
+        any may.
     :param now_s: The present time on a clock that includes suspended time, in seconds.
     :returns: The hold; ``None`` when the upstream may get a request.
     """
+    statements = state.statements
+    if software_version not in (None, state.software_version):
+        return Hold(reason=HoldReason.OTHER_VERSION, until_s=math.inf)
     if statements.left_s is not None:
         return Hold(reason=HoldReason.LEAVING, until_s=math.inf)
     wait, limit = statements.wait, statements.limit
--- a/jujubenotch/neighbours/__init__.py
+++ b/jujubenotch/neighbours/__init__.py
@@ -23,6 +23,7 @@
     MessageKind,
     Neighbours,
     Registry,
+    StreamEntry,
 )
 from jujubenotch.neighbours.role import (
     DEFAULT_MAX_AGE_S,
@@ -47,6 +48,7 @@
     "ReaderRole",
     "Reassembly",
     "Registry",
+    "StreamEntry",
     "allows_single_reader",
     "choose_read_wait_s",
     "decode_message",
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -9,7 +9,12 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, Field, ValidationError
 
-from jujubenotch.neighbours.model import Message, MessageItem, MessageKind
+from jujubenotch.neighbours.model import (
+    Message,
+    MessageItem,
+    MessageKind,
+    StreamEntry,
+)
 
 # Identifies the format; a release that changes the format changes these bytes.
 MAGIC = b"J1"
@@ -22,6 +27,7 @@
 MAX_MESSAGE_BYTES = 1 << 20
 PART_LIFETIME_S = 2.0
 MAX_PARTIAL_MESSAGES = 64
+CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids"}
 
 Number = Annotated[int, Field(ge=0)]
 
@@ -39,6 +45,14 @@
     revision: Number = 0
 
 
+class _StreamDocument(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    request_id: str
+    service: str
+    software_version: str
+
+
 class _MessageDocument(BaseModel):
     """A message; fields that a later release adds are ignored."""
 
@@ -55,6 +69,8 @@
     follows_outage: bool = False
     is_complete: bool = True
     items: list[_ItemDocument] = []
+    streams: list[_StreamDocument] = []
+    request_ids: list[str] = []
 
 
 @dataclass(kw_only=True)
@@ -127,9 +143,13 @@
     try:
         document = _MessageDocument.model_validate(orjson.loads(_decompress(content)))
         return Message(
-            **document.model_dump(exclude={"kind", "items"}),
+            **document.model_dump(exclude=CONVERTED_FIELDS),
             kind=MessageKind(document.kind),
             items=tuple(_decode_item(item) for item in document.items),
+            streams=tuple(
+                StreamEntry(**entry.model_dump()) for entry in document.streams
+            ),
+            request_ids=tuple(document.request_ids),
         )
     except (ValidationError, ValueError, zlib.error) as error:
         raise MessageError(f"the message is invalid: {error}") from error
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -16,6 +16,8 @@
     UPSTREAMS = "upstreams"
     CRASHES = "crashes"
     OUTAGE = "outage"
+    STREAMS = "streams"
+    STREAM_QUERY = "stream-query"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,12 +30,21 @@
     revision: int = 0
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class StreamEntry:
+    """Where a stream began, by the request that brought its first event."""
+
+    request_id: str
+    service: str
+    software_version: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Message:
     """A message of an instance to its neighbours.
 
-    The fields after ``kind`` describe a page that the sender read; a greeting and
-    the report of an outage have none.
+    The fields from ``era`` to ``items`` describe a page that the sender read; other
+    messages have none.
 
     :param era: The era of the store.
     :param after_revision: The revision after which the page's changes begin.
@@ -47,6 +58,9 @@
     :param follows_outage: Whether the sender's calls before this page failed.
     :param is_complete: Whether ``items`` holds all changes; a page that is too large
         for a message is announced without its items.
+    :param streams: The origins of streams that the sender knows.
+    :param request_ids: The streams that the sender asks for, or that it doesn't know
+        after another instance has asked.
     """
 
     kind: MessageKind
@@ -60,6 +74,8 @@
     follows_outage: bool = False
     is_complete: bool = True
     items: tuple[MessageItem, ...] = ()
+    streams: tuple[StreamEntry, ...] = ()
+    request_ids: tuple[str, ...] = ()
 
 
 @dataclass(kw_only=True)
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -45,6 +45,8 @@
     UPSTREAM_LIMIT = "upstream-limit"
     UPSTREAM_WAIT = "upstream-wait"
     CRASHES_UPSTREAMS = "crashes-upstreams"
+    STREAM_ORIGIN_UNKNOWN = "stream-origin-unknown"
+    VERSION_UNAVAILABLE = "version-unavailable"
 
 
 class RetryReason(StrEnum):
--- a/jujubenotch/platform/directory.py
+++ b/jujubenotch/platform/directory.py
@@ -12,6 +12,8 @@
 from jujubenotch.platform.store import StoreClient, call_store
 
 NAME_PREFIX = "instance-"
+# Separates the instance's name from its address in the object's name.
+ADDRESS_SEPARATOR = "@"
 # The object's name is all that is read; an object can't be empty.
 OBJECT_CONTENT = b"1"
 
@@ -31,34 +33,35 @@
 
 @dataclass(frozen=True, kw_only=True)
 class StoreDirectory:
-    """The names of the instances: one object of the store for each.
+    """The names and addresses of the instances: one object of the store for each.
 
     :param client: The client of the store.
     """
 
     client: StoreClient
 
-    async def add_instance(self, name: str) -> None:
+    async def add_instance(self, name: str, address: str) -> None:
         """Add an instance.
 
         :param name: The instance's name.
+        :param address: The address of its endpoint; empty when it has none.
         :raises SourceError: The store did not confirm it.
         """
-        path = f"/v1/blob-put/{NAME_PREFIX}{name}"
+        path = f"/v1/blob-put/{NAME_PREFIX}{name}{ADDRESS_SEPARATOR}{address}"
         await call_store(self.client, "PUT", path, data=OBJECT_CONTENT)
 
-    async def count_instances(self) -> int:
-        """Return how many instances have been added.
+    async def list_instances(self) -> tuple[str, ...]:
+        """Return the addresses of all instances that have been added.
 
         :raises SourceError: The store did not return a valid response.
         """
-        total = 0
+        names = []
         parameters = {"prefix": NAME_PREFIX}
         while True:
             document = await self._read_names(parameters)
-            total += len(document.names)
+            names += document.names
             if not document.has_more or not document.names:
-                return total
+                return tuple(name.partition(ADDRESS_SEPARATOR)[2] for name in names)
             parameters["since-rev"] = document.names[-1]
 
     async def _read_names(self, parameters):
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -44,6 +44,8 @@
         time between tokens, in seconds; 0 means no target.
     :param is_idempotent: Whether the request may be repeated.
     :param prompt_tokens: Length of the prompt, in tokens; 0 when unknown.
+    :param software_version: The only version of upstreams that may get the request,
+        which continues a stream; ``None`` when any may.
     """
 
     request_id: str
@@ -63,6 +65,7 @@
     between_tokens_target_s: float = 0.0
     is_idempotent: bool = True
     prompt_tokens: int = 0
+    software_version: str | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
