--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -32,6 +32,7 @@
 
 FIRST_ERROR_STATUS = 500
 USAGE_TAIL_BYTES = 1024
+MAX_ERROR_LENGTH = 160
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -69,6 +70,7 @@
         in seconds; 0 before it.
     :param origin: Where a stream that begins with this attempt has its origin.
     :param process: The process that the request was sent to; empty when unknown.
+    :param error: What the connection's error says; empty without one.
     :param is_broken_off: Whether the connection ended before the response did.
     """
 
@@ -81,6 +83,7 @@
     head_at_s: float = 0.0
     origin: StreamOrigin | None = None
     process: str = ""
+    error: str = ""
     is_broken_off: bool = False
 
 
@@ -123,8 +126,9 @@
                 record_stream_start=record_stream_start,
             )
             await _receive(receiver, answer)
-    except ConnectFailedError:
+    except ConnectFailedError as error:
         attempt.end = AttemptResult.CONNECT_FAILED
+        attempt.error = str(error)[:MAX_ERROR_LENGTH]
     except SilentUpstreamError:
         attempt.end = AttemptResult.SILENT
     except ConnectionLostError:
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -321,7 +321,12 @@
 def _decide(dispatcher, call, progress, grant, attempt):
     end = attempt.end
     dispatcher.observer.record(
-        call.request_id, "attempt-ended", reason=end, upstream=grant.upstream
+        call.request_id,
+        "attempt-ended",
+        reason=end,
+        upstream=grant.upstream,
+        error=attempt.error,
+        took_s=round(read_clock_s() - attempt.sent_at_s, 4),
     )
     if attempt.is_broken_off:
         _log_broken_off(call, grant, attempt)
