--- /dev/null
+++ b/features/platform/cut_off.feature
@@ -0,0 +1,53 @@
+Feature: An instance that reaches no upstream serves its callers by way of another one
+
+  # Guards against callers that are refused at an instance whose paths to all upstreams are
+  # cut, while other instances reach them. Such an instance counts as in service.
+  Scenario Outline: Two of three instances are cut off
+    Given a site of 3 instances with paths to 4 upstreams
+    When the paths of 2 instances are cut so that a connection <how>
+    And callers send 20 requests a second to each instance for 7 s
+    Then at least 95 in 100 first tries sent later than 3 s after the cut were served
+    And no request ran twice that may run once
+    And no request that was refused as not run has run
+    And each request reached upstreams with its team and without its key
+
+    Examples: ways to cut
+      | how     |
+      | hangs   |
+      | resets  |
+      | refuses |
+
+  # Guards against instances that keep using others when their own paths are back.
+  Scenario: The paths are back
+    Given a site of 3 instances with paths to 4 upstreams
+    When the paths of 1 instance are cut so that a connection hangs
+    And callers send 20 requests a second to each instance for 4 s
+    And the paths are back
+    And 3 s pass
+    And callers send 20 requests a second to each instance for 2 s
+    Then at least 95 in 100 of the last requests were served
+    And the instances that were cut off sent the last requests by their own paths
+
+  # Guards against requests that wait, or go round, when no instance reaches an upstream.
+  Scenario: All instances are cut off
+    Given a site of 3 instances with paths to 4 upstreams
+    When the paths of 3 instances are cut so that a connection hangs
+    And callers send 10 requests a second to each instance for 5 s
+    Then each request sent later than 3 s after the cut got the status 503 within 0.5 s
+    And no request that was refused as not run has run
+
+  # Guards against work that goes on at an upstream for a caller who has left.
+  Scenario: A caller leaves a stream that goes by way of another instance
+    Given a site of 2 instances with paths to 4 upstreams
+    When the paths of 1 instance are cut so that a connection hangs
+    And callers send 20 requests a second to each instance for 4 s
+    And a caller of an instance that is cut off leaves a long stream after 2 events
+    Then the upstream's connection for that stream is closed within 0.5 s
+
+  # Guards against anybody who can connect using an instance without a key.
+  Scenario: A stranger asks an instance for help
+    Given a site of 2 instances with paths to 4 upstreams
+    When the paths of 1 instance are cut so that a connection hangs
+    And callers send 20 requests a second to each instance for 4 s
+    And a stranger sends a borrowed request to the other instance
+    Then the stranger is refused and no upstream got its request
--- /dev/null
+++ b/features/platform/steps/cut_off_steps.py
@@ -0,0 +1,290 @@
+import http.client
+import random
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass
+
+from behave import given, then, when
+
+from features.platform.paths import (
+    Path,
+    RecordingUpstream,
+    count_runs,
+    cut_path,
+    list_path,
+    open_path,
+    start_own_store,
+    start_recording_upstream,
+)
+from features.platform.site import (
+    CALL_TIMEOUT_S,
+    HOST,
+    KEY,
+    open_site,
+    put_configuration,
+    read_log,
+    run,
+    wait_until_ready,
+)
+from features.platform.steps.versions_steps import (
+    add_instance,
+    start_instance,
+    stop_instance,
+)
+
+CALLERS = 48
+PATHS = ("/send/x", "/read/x", "/resume/x")
+ONCE = "/send/x"
+HELP_PORT = 7341
+
+
+@dataclass(frozen=True, kw_only=True)
+class Try:
+    instance: int
+    request_id: str
+    path: str
+    sent_s: float
+    took_s: float
+    status: int
+    outcome: str
+    is_whole: bool
+
+
+@given("a site of {count:d} instances with paths to {upstreams:d} upstreams")
+def open_site_with_paths(context, count, upstreams):
+    site = context.stack.enter_context(open_site())
+    context.site = site
+    context.upstreams = [
+        RecordingUpstream(name=f"u-{each}") for each in range(upstreams)
+    ]
+    for upstream in context.upstreams:
+        run(site, start_recording_upstream(site.host, upstream))
+    context.instances = [add_instance(site, number) for number in range(1, count + 1)]
+    context.paths = []
+    for number, view in enumerate(context.instances, 1):
+        run(site, start_own_store(view))
+        site.resources.extend(view.resources)
+        put_configuration(view)
+        context.paths.append(
+            [_make_path(site, view, each) for each in context.upstreams]
+        )
+        context.stack.callback(stop_instance, view)
+        start_instance(view, number, view.host)
+    for view in context.instances:
+        wait_until_ready(view)
+    # Callers come when all instances are known to the store.
+    time.sleep(1.0)
+    context.tries = []
+    context.cut = 0
+    context.cut_s = time.monotonic()
+
+
+def _make_path(site, view, upstream):
+    path = Path(host=view.host, target=(site.host, upstream.port))
+    run(site, open_path(path))
+    list_path(view, upstream, path)
+    return path
+
+
+@when("the paths of {count:d} instance are cut so that a connection {how:w}")
+@when("the paths of {count:d} instances are cut so that a connection {how:w}")
+def cut_paths(context, count, how):
+    _send_at_rate(context, 20, 1.0)
+    context.cut = count
+    context.cut_s = time.monotonic()
+    for paths in context.paths[:count]:
+        for path in paths:
+            run(context.site, cut_path(path, how))
+
+
+@when("the paths are back")
+def restore_paths(context):
+    for paths in context.paths[: context.cut]:
+        for path in paths:
+            run(context.site, open_path(path))
+
+
+@when("callers send {rate:d} requests a second to each instance for {seconds:d} s")
+def send_at_rate(context, rate, seconds):
+    _send_at_rate(context, rate, seconds)
+
+
+def _send_at_rate(context, rate, seconds):
+    start_s = time.monotonic()
+    context.last_sent_s = start_s
+    pending = []
+    total = int(rate * seconds)
+    with ThreadPoolExecutor(CALLERS) as executor:
+        for number in range(total):
+            time.sleep(max(0.0, start_s + number / rate - time.monotonic()))
+            for instance in range(len(context.instances)):
+                path = PATHS[(number + instance) % len(PATHS)]
+                pending.append(executor.submit(send_try, context, instance, path))
+    context.tries += [each.result() for each in pending]
+
+
+def send_try(context, instance, path):
+    request_id = f"{random.getrandbits(64):016x}"
+    view = context.instances[instance]
+    connection = http.client.HTTPConnection(view.host, 8000, timeout=CALL_TIMEOUT_S)
+    headers = make_headers(request_id)
+    sent_s = time.monotonic()
+    status, outcome, is_whole = 0, "", False
+    try:
+        connection.request("POST", path, body=b"content", headers=headers)
+        response = connection.getresponse()
+        status = response.status
+        outcome = response.getheader("X-Jujubenotch-Outcome") or ""
+        response.read()
+        is_whole = True
+    except (OSError, http.client.HTTPException):
+        is_whole = False
+    finally:
+        connection.close()
+    return Try(
+        instance=instance,
+        request_id=request_id,
+        path=path,
+        sent_s=sent_s,
+        took_s=time.monotonic() - sent_s,
+        status=status,
+        outcome=outcome,
+        is_whole=is_whole,
+    )
+
+
+def make_headers(request_id):
+    return {
+        "Host": HOST,
+        "X-Attempt-Id": request_id,
+        "X-Deadline-Ms": "4000",
+        "Authorization": f"Bearer {KEY}",
+    }
+
+
+def check_share(tries, share, context):
+    served = [each for each in tries if each.status == 200 and each.is_whole]
+    failed = [each for each in tries if each not in served]
+    assert tries and 100 * len(served) >= share * len(tries), (
+        len(served),
+        len(tries),
+        failed[:3],
+        read_log(context.instances[0])[-3000:],
+    )
+
+
+@then(
+    "at least {share:d} in 100 first tries sent later than {delay_s:g} s after the cut "
+    "were served"
+)
+def check_served(context, share, delay_s):
+    late = [each for each in context.tries if each.sent_s > context.cut_s + delay_s]
+    for instance in range(len(context.instances)):
+        check_share(
+            [each for each in late if each.instance == instance], share, context
+        )
+
+
+@then("at least {share:d} in 100 of the last requests were served")
+def check_last_served(context, share):
+    check_share(find_last(context), share, context)
+
+
+def find_last(context):
+    return [each for each in context.tries if each.sent_s >= context.last_sent_s]
+
+
+@then("no request ran twice that may run once")
+def check_runs(context):
+    runs = count_runs(context.upstreams)
+    once = [each.request_id for each in context.tries if each.path == ONCE]
+    twice = [each for each in once if runs.get(each, 0) > 1]
+    assert not twice, twice
+
+
+@then("no request that was refused as not run has run")
+def check_refusals(context):
+    runs = count_runs(context.upstreams)
+    refused = [
+        each
+        for each in context.tries
+        if each.status in (429, 503) or each.outcome == "not-run"
+    ]
+    ran = [each for each in refused if each.request_id in runs]
+    assert not ran, ran[:3]
+
+
+@then("each request reached upstreams with its team and without its key")
+def check_heads(context):
+    heads = [head for upstream in context.upstreams for head in upstream.heads]
+    assert heads
+    for head in heads:
+        assert b"\r\nx-tenant: agents\r\n" in head.lower(), head
+        assert KEY.encode() not in head, head
+
+
+@then("the instances that were cut off sent the last requests by their own paths")
+def check_own_paths(context):
+    upstreams = context.upstreams
+    last = {each.request_id for each in find_last(context) if each.instance == 0}
+    assert last & set(count_runs(upstreams))
+    log = read_log(context.instances[1])
+    borrowed = [each for each in last if each in log]
+    assert not borrowed, len(borrowed)
+
+
+@then(
+    "each request sent later than {delay_s:g} s after the cut got the status {status:d} "
+    "within {bound_s:g} s"
+)
+def check_refused(context, delay_s, status, bound_s):
+    late = [each for each in context.tries if each.sent_s > context.cut_s + delay_s]
+    slow = [each for each in late if each.status != status or each.took_s > bound_s]
+    assert late and not slow, (len(slow), len(late), slow[:3])
+
+
+@when("a caller of an instance that is cut off leaves a long stream after 2 events")
+def leave_stream(context):
+    context.left_id = f"{random.getrandbits(64):016x}"
+    view = context.instances[0]
+    connection = http.client.HTTPConnection(view.host, 8000, timeout=CALL_TIMEOUT_S)
+    headers = make_headers(context.left_id)
+    connection.request("POST", "/resume/x", body=b"long", headers=headers)
+    response = connection.getresponse()
+    assert response.status == 200, (response.status, read_log(view)[-2000:])
+    content = b""
+    while content.count(b"id:") < 2:
+        content += response.read1()
+    response.close()
+    connection.close()
+
+
+@then("the upstream's connection for that stream is closed within {bound_s:g} s")
+def check_left(context, bound_s):
+    time.sleep(bound_s)
+    left = [each for upstream in context.upstreams for each in upstream.left]
+    assert context.left_id in left, left
+
+
+@when("a stranger sends a borrowed request to the other instance")
+def send_as_stranger(context):
+    context.stranger_id = "00000000000000ee"
+    view = context.instances[1]
+    connection = http.client.HTTPConnection(view.host, HELP_PORT, timeout=2.0)
+    try:
+        connection.request(
+            "POST", "/", body=b"{}", headers=make_headers(context.stranger_id)
+        )
+        context.stranger_status = connection.getresponse().status
+    except (OSError, http.client.HTTPException) as error:
+        context.stranger_status = type(error).__name__
+    finally:
+        connection.close()
+
+
+@then("the stranger is refused and no upstream got its request")
+def check_stranger(context):
+    assert context.stranger_status in (403, "RemoteDisconnected"), (
+        context.stranger_status
+    )
+    assert context.stranger_id not in count_runs(context.upstreams)
