--- a/features/platform/steps/cut_off_steps.py
+++ b/features/platform/steps/cut_off_steps.py
@@ -35,7 +35,7 @@
 CALLERS = 48
 PATHS = ("/send/x", "/read/x", "/resume/x")
 ONCE = "/send/x"
-HELP_PORT = 7341
+HELP_PORT = 7340
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/features/platform/steps/directory_steps.py
+++ b/features/platform/steps/directory_steps.py
@@ -24,7 +24,7 @@
 def add_instances(context, names):
     async def add(directory):
         for name in names.split(","):
-            await directory.add_instance(name, "127.0.0.1:7340")
+            await directory.add_instance(name, "a", "127.0.0.1:7340")
 
     use_directory(context, add)
 
--- a/jujubenotch/callers/__init__.py
+++ b/jujubenotch/callers/__init__.py
@@ -8,6 +8,7 @@
     CallerLimits,
     build_caller_app,
 )
+from jujubenotch.callers.borrowed import build_borrowed_app
 from jujubenotch.callers.errors import CallersError, RefusedRequestError
 from jujubenotch.callers.forward import build_forward_app
 
@@ -16,6 +17,7 @@
     "CallerLimits",
     "CallersError",
     "RefusedRequestError",
+    "build_borrowed_app",
     "build_caller_app",
     "build_forward_app",
 ]
--- a/jujubenotch/callers/answers.py
+++ b/jujubenotch/callers/answers.py
@@ -7,10 +7,13 @@
 from sanic.exceptions import RequestCancelled, ServerError
 
 from jujubenotch.dispatch import Answer, CallerDisconnectedError
-from jujubenotch.outcomes import Outcome, Refusal
+from jujubenotch.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Outcome,
+    Refusal,
+)
 
-OUTCOME_HEADER = "X-Jujubenotch-Outcome"
-REASON_HEADER = "X-Jujubenotch-Reason"
 REQUEST_ID_HEADER = "X-Request-Id"
 _ROUTER_HEADERS = frozenset(
     {OUTCOME_HEADER.lower(), REASON_HEADER.lower(), REQUEST_ID_HEADER.lower()}
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -12,9 +12,14 @@
 from sanic.exceptions import RequestCancelled, SanicException, ServerError
 from sanic.router import Router
 
-from jujubenotch.callers.answers import OUTCOME_HEADER, REASON_HEADER
 from jujubenotch.callers.app import UNLIMITED_RESPONSE_TIMEOUT_S, CallerLimits
-from jujubenotch.dispatch import Answer, CallerDisconnectedError, Dispatcher, dispatch
+from jujubenotch.dispatch import (
+    Answer,
+    Call,
+    CallerDisconnectedError,
+    Dispatcher,
+    dispatch,
+)
 from jujubenotch.forwarding import (
     ArrivedRequest,
     ConfigurationView,
@@ -22,11 +27,18 @@
 )
 from jujubenotch.listeners import reset_connection, set_request_limits
 from jujubenotch.logs import log_event
-from jujubenotch.outcomes import Outcome, Refusal, RefusalReason
+from jujubenotch.outcomes import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
+    Outcome,
+    Refusal,
+    RefusalReason,
+)
 
 logger = logging.getLogger(__name__)
 
 UNAUTHORIZED = 401
+FORBIDDEN = 403
 NOT_FOUND = 404
 SERVICE_UNAVAILABLE = 503
 INTERNAL_SERVER_ERROR = 500
@@ -40,6 +52,7 @@
 MAX_STARTUP_WAIT_S = 1.0
 _STATUS_BY_REFUSAL = {
     RefusalReason.AUTHENTICATION: UNAUTHORIZED,
+    RefusalReason.FORBIDDEN: FORBIDDEN,
     RefusalReason.UNKNOWN_SERVICE: NOT_FOUND,
 }
 
@@ -170,10 +183,23 @@
     if isinstance(call_or_refusal, Refusal):
         forwarder.record_refusal(arrived.request_id, call_or_refusal)
         refusal = _limit_retry_after(call_or_refusal, arrived.wait_s)
-        return _close_if_stopping(forwarder, request, _build_refusal_response(refusal))
+        return _close_if_stopping(forwarder, request, build_refusal_response(refusal))
+    return await answer_call(forwarder, request, call_or_refusal)
+
+
+async def answer_call(
+    forwarder: Forwarder, request: Request, call: Call
+) -> HTTPResponse | None:
+    """Run a call and answer the request that it was made from.
+
+    :param forwarder: The part of the instance that the interface uses.
+    :param request: The request.
+    :param call: The call.
+    :returns: The response; ``None`` when it was streamed.
+    """
     sink = ForwardSink(request=request)
-    answer = await dispatch(forwarder.dispatcher, call_or_refusal, sink)
-    remaining_s = call_or_refusal.deadline_s - asyncio.get_running_loop().time()
+    answer = await dispatch(forwarder.dispatcher, call, sink)
+    remaining_s = call.deadline_s - asyncio.get_running_loop().time()
     answer.retry_after_s = min(
         answer.retry_after_s, max(0, remaining_s * MAX_DELAY_SHARE)
     )
@@ -252,7 +278,11 @@
     return response
 
 
-def _build_refusal_response(refusal):
+def build_refusal_response(refusal: Refusal) -> HTTPResponse:
+    """Build the response to a request that is refused before its dispatch.
+
+    :param refusal: The refusal.
+    """
     status = _STATUS_BY_REFUSAL.get(refusal.reason, SERVICE_UNAVAILABLE)
     return _build_response(
         Answer(
--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -3,7 +3,6 @@
 import asyncio
 import logging
 
-from jujubenotch.daemon.forward_messages import send_message
 from jujubenotch.daemon.forward_parts import Directory, PlatformComponents
 from jujubenotch.daemon.forward_registration import (
     repeat_until_confirmed,
@@ -12,11 +11,12 @@
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.forwarding import SourceError
 from jujubenotch.logs import log_event
-from jujubenotch.neighbours import Message, MessageKind
+from jujubenotch.neighbours import ListedInstance
 
 logger = logging.getLogger(__name__)
 
 COUNT_INTERVAL_S = 10.0
+MIN_LIST_INTERVAL_S = 1.0
 
 
 async def stay_counted(relay: Relay, components: PlatformComponents) -> None:
@@ -36,7 +36,7 @@
         era = state.listing_progress.era
         await repeat_until_confirmed(
             lambda: components.directory.add_instance(
-                settings.name, relay.neighbours.own_address
+                settings.name, settings.data_centre, relay.neighbours.own_address
             ),
             "instance-not-listed",
         )
@@ -83,9 +83,7 @@
 
 
 async def keep_addresses(relay: Relay, components: PlatformComponents) -> None:
-    """List the other instances when they have to be told something, and greet them.
-
-    Instances that share pages know their neighbours already.
+    """List the other instances when that is wanted, and greet them.
 
     :param relay: The relay; its neighbours are changed in place.
     :param components: The components that are specific to the platform.
@@ -93,18 +91,20 @@
     watch = relay.instance.stream_watch
     while True:
         await watch.addresses_wanted.wait()
-        if not relay.is_active:
-            await _add_listed(relay, components.directory)
+        # Instances that share pages know those of their data centre already.
+        if not relay.is_active or watch.wants_all:
+            await _add_listed(relay, components)
+        watch.listed_s = asyncio.get_running_loop().time()
         watch.addresses_known.set()
-        await asyncio.sleep(COUNT_INTERVAL_S)
         watch.addresses_wanted.clear()
+        await asyncio.sleep(MIN_LIST_INTERVAL_S)
 
 
-async def _add_listed(relay, directory):
+async def _add_listed(relay, components):
     neighbours = relay.neighbours
-    before = len(neighbours.addresses)
+    before = len(neighbours.listed)
     try:
-        listed = await directory.list_instances()
+        listed = await _list_instances(relay, components)
     except SourceError as error:
         log_event(
             logger,
@@ -114,15 +114,28 @@
             error=str(error),
         )
         return
-    for address in listed:
-        if address:
+    neighbours.listed = {
+        each.address: each.data_centre
+        for each in listed
+        if each.address and each.address != neighbours.own_address
+    }
+    if not relay.is_active:
+        for address in neighbours.listed:
             neighbours.add(address)
-    if len(neighbours.addresses) != before:
-        log_event(
-            logger,
-            logging.INFO,
-            "instances-listed",
-            neighbours=len(neighbours.addresses),
-            before=before,
-        )
-        send_message(relay, Message(kind=MessageKind.HELLO), neighbours.addresses)
+    log_event(
+        logger,
+        logging.INFO,
+        "instances-listed",
+        neighbours=len(neighbours.listed),
+        before=before,
+    )
+
+
+async def _list_instances(relay, components):
+    if not relay.is_active:
+        return await components.directory.list_instances()
+    listed = []
+    for data_centre in relay.instance.settings.all_data_centres:
+        for address in await components.registry.list_instances(data_centre):
+            listed.append(ListedInstance(data_centre=data_centre, address=address))
+    return listed
--- a/jujubenotch/daemon/forward_crashes.py
+++ b/jujubenotch/daemon/forward_crashes.py
@@ -4,7 +4,6 @@
 import logging
 import time
 from dataclasses import dataclass, field
-from urllib.parse import urlsplit
 
 from jujubenotch.crashes import (
     Evidence,
@@ -29,15 +28,12 @@
 from jujubenotch.forwarding import SourceUpdate
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Refusal, RefusalReason
+from jujubenotch.upstreams import keeps_connections
 
 logger = logging.getLogger(__name__)
 
 # A response whose events came for this time did not crash its upstream.
 MIN_SOUND_S = 0.5
-# An upstream that accepts no connection within this time has ended.
-CONNECT_TIMEOUT_S = 0.5
-# A proxy in front of an upstream that has ended accepts connections and closes them.
-KEPT_OPEN_S = 0.1
 
 
 @dataclass(kw_only=True)
@@ -186,7 +182,7 @@
     A running upstream may break off single responses, and so may the network.
     """
     upstream = watch.state.upstreams.upstreams.get(process.rpartition("@")[0])
-    is_running = upstream is not None and await _keeps_connections(upstream.url)
+    is_running = upstream is not None and await keeps_connections(upstream.url)
     suspects = list(watch.pending.pop(process))
     log_event(
         logger,
@@ -208,27 +204,6 @@
     _note_change(watch)
 
 
-async def _keeps_connections(url):
-    address = urlsplit(url)
-    try:
-        async with asyncio.timeout(CONNECT_TIMEOUT_S):
-            reader, writer = await asyncio.open_connection(
-                address.hostname, address.port
-            )
-    except (OSError, TimeoutError):
-        return False
-    try:
-        async with asyncio.timeout(KEPT_OPEN_S):
-            await reader.read(1)
-    except TimeoutError:
-        return True
-    except OSError:
-        return False
-    finally:
-        writer.close()
-    return False
-
-
 def apply_crash_page(watch: CrashWatch, update: SourceUpdate) -> None:
     """Take up the reports of other instances.
 
--- /dev/null
+++ b/jujubenotch/daemon/forward_detour.py
@@ -0,0 +1,324 @@
+"""Finds that an instance reaches no upstream, and sends its calls by way of others."""
+
+import asyncio
+import logging
+import random
+from dataclasses import dataclass, field, replace
+
+from jujubenotch.daemon.forward_state import ForwardState
+from jujubenotch.daemon.forward_streams import StreamWatch, wait_for_instances
+from jujubenotch.detour import (
+    HELPER_PROTOCOL,
+    Helpers,
+    Reach,
+    avoid_helper,
+    choose_helpers,
+    choose_samples,
+    encode_call,
+    needs_check,
+    record_check,
+    record_contact,
+    record_failure,
+    record_probe,
+)
+from jujubenotch.dispatch import (
+    Answer,
+    Attempt,
+    AttemptResult,
+    Call,
+    Progress,
+    Sink,
+    make_give_up,
+    make_give_up_answer,
+    make_refusal_answer,
+    read_clock_s,
+    record_attempt,
+    run_attempt,
+)
+from jujubenotch.forwarding import find_usable, read_boot_clock_s
+from jujubenotch.logs import log_event
+from jujubenotch.outcomes import REASON_HEADER, Refusal, RefusalReason
+from jujubenotch.records import Upstream, UpstreamKind
+from jujubenotch.upstreams import UpstreamConnections, keeps_connections
+
+logger = logging.getLogger(__name__)
+
+# The mean pause between two probes of a service that is out of reach.
+PROBE_PAUSE_S = 0.4
+# How old the list of instances may be when a service gets out of reach.
+LIST_AGE_S = 5.0
+# Callers come back to another instance, which may reach upstreams.
+RETRY_AFTER_S = 0.3
+# Another instance may be able to send a call that was refused for one of these.
+PASSING_REASONS = frozenset(
+    {
+        RefusalReason.UPSTREAM_UNREACHABLE,
+        RefusalReason.NO_UPSTREAM,
+        RefusalReason.SHUTTING_DOWN,
+        RefusalReason.STARTING,
+        RefusalReason.FORBIDDEN,
+        RefusalReason.QUEUE_FULL,
+    }
+)
+LOST_CONTACT = frozenset({AttemptResult.CONNECT_FAILED, AttemptResult.SILENT})
+
+
+@dataclass(kw_only=True)
+class DetourWatch:
+    """Which services an instance reaches, and which instances are of no help.
+
+    :param streams: Knows the other instances.
+    :param reaches: What is known of the paths to each service.
+    :param tasks: The checks and probes in progress.
+    """
+
+    state: ForwardState
+    streams: StreamWatch
+    data_centre: str
+    reaches: dict[str, Reach] = field(default_factory=dict)
+    helpers: Helpers = field(default_factory=Helpers)
+    tasks: set[asyncio.Task] = field(default_factory=set)
+
+
+def record_reach(watch: DetourWatch, attempt: Attempt) -> None:
+    """Take up what the end of an attempt tells about the paths to its service.
+
+    :param watch: The state of the watch; changed in place.
+    :param attempt: The attempt, which has ended.
+    """
+    if attempt.origin is None:
+        return
+    service = attempt.origin.service
+    reach = watch.reaches.setdefault(service, Reach())
+    now_s = read_clock_s()
+    if attempt.head_at_s:
+        record_contact(reach, attempt.head_at_s)
+    elif attempt.end in LOST_CONTACT:
+        record_failure(reach, attempt.process.rpartition("@")[0], now_s)
+        if needs_check(reach, now_s):
+            reach.checked_s = now_s
+            _start(watch, _check(watch, service))
+
+
+def _start(watch, coroutine):
+    task = asyncio.create_task(coroutine)
+    watch.tasks.add(task)
+    task.add_done_callback(watch.tasks.discard)
+
+
+async def _check(watch, service):
+    """Connect to several upstreams of a service at once."""
+    upstreams = _find_usable(watch, service)
+    samples = choose_samples(upstreams, [random.random() for _ in upstreams])
+    results = await asyncio.gather(
+        *(keeps_connections(f"http://{each.address}") for each in samples)
+    )
+    reach = watch.reaches[service]
+    was_lost = reach.is_lost
+    record_check(reach, tried=len(results), reached=sum(results), now_s=read_clock_s())
+    log_event(
+        logger,
+        logging.WARNING if reach.is_lost else logging.INFO,
+        "upstreams-lost" if reach.is_lost else "upstreams-reached",
+        service=service,
+        tried=len(results),
+        reached=sum(results),
+        listed=len(upstreams),
+        failed=sorted(reach.failed_s),
+    )
+    if reach.is_lost and not was_lost:
+        _start(watch, _probe(watch, service))
+        _check_others(watch)
+        watch.streams.wants_all = True
+        await wait_for_instances(watch.streams, LIST_AGE_S)
+
+
+def _check_others(watch):
+    """Check the other services, as one cut may affect all."""
+    listed = watch.state.listing.upstreams.values()
+    for service in {each.listed.service for each in listed}:
+        reach = watch.reaches.setdefault(service, Reach())
+        if not reach.is_lost and not reach.failed_s.get(""):
+            _start(watch, _check(watch, service))
+
+
+def _find_usable(watch, service):
+    return find_usable(watch.state.listing, service, read_boot_clock_s())
+
+
+async def _probe(watch, service):
+    """Connect to one upstream at a time until the service is in reach again."""
+    reach = watch.reaches[service]
+    lost_s = reach.lost_s
+    while reach.is_lost:
+        await asyncio.sleep(PROBE_PAUSE_S * random.uniform(0.5, 1.5))
+        upstreams = _find_usable(watch, service)
+        if not upstreams:
+            continue
+        upstream = random.choice(upstreams)
+        is_reached = await keeps_connections(f"http://{upstream.address}")
+        now_s = read_clock_s()
+        if record_probe(reach, is_reached=is_reached, now_s=now_s):
+            log_event(
+                logger,
+                logging.INFO,
+                "upstreams-regained",
+                service=service,
+                upstream=upstream.name,
+                lost_for_s=round(now_s - lost_s, 3),
+            )
+
+
+async def send_elsewhere(
+    watch: DetourWatch,
+    connections: UpstreamConnections,
+    call: Call,
+    progress: Progress,
+    sink: Sink,
+) -> Answer | None:
+    """Send a call by way of another instance, if this one reaches no upstream for it.
+
+    A call goes by way of one other instance at most, and is never sent both ways unless
+    the first has proved that it was not run.
+
+    :param watch: The state of the watch; changed in place.
+    :param connections: The connections to upstreams and instances.
+    :param call: The call.
+    :param progress: The call's progress; changed in place.
+    :param sink: Receives the events of a stream.
+    :returns: The response for the caller; ``None`` when the call has to be sent
+        directly.
+    """
+    service = progress.origin.service if progress.origin else call.target
+    reach = watch.reaches.get(service)
+    if reach is None or not reach.is_lost:
+        return None
+    lost_for_s = read_clock_s() - reach.lost_s
+    if call.is_borrowed or progress.is_stream_started:
+        return make_refusal_answer(progress, _refuse(service))
+    await wait_for_instances(watch.streams, max_age_s=float("inf"))
+    for address in _choose(watch):
+        _log(call, "detour-begun", service, address, lost_for_s=round(lost_for_s, 3))
+        answer = await _try_helper(watch, connections, address, call, progress, sink)
+        if answer is not None:
+            return answer
+    _log(call, "detour-unavailable", service, "", lost_for_s=round(lost_for_s, 3))
+    return make_refusal_answer(progress, _refuse(service))
+
+
+def _refuse(service):
+    return Refusal(
+        reason=RefusalReason.UPSTREAM_UNREACHABLE,
+        retry_after_s=RETRY_AFTER_S,
+        detail=f"this instance reaches no upstream of {service}; come back",
+    )
+
+
+def _choose(watch):
+    instances = watch.streams.neighbours.listed
+    return choose_helpers(
+        watch.helpers,
+        instances,
+        watch.data_centre,
+        draws={address: random.random() for address in instances},
+        now_s=read_clock_s(),
+    )
+
+
+async def _try_helper(watch, connections, address, call, progress, sink):
+    """Send a call to another instance; return ``None`` to try a further one."""
+    attempt = Attempt(sent_at_s=read_clock_s())
+    heads = []
+    progress.must_finish = call.outlives_caller
+    try:
+        async with asyncio.timeout_at(call.deadline_s):
+            await run_attempt(
+                connections,
+                HELPER_PROTOCOL,
+                _make_upstream(address),
+                _make_borrowed(call, progress),
+                progress,
+                attempt,
+                sink,
+                heads.append,
+                lambda: None,
+            )
+    except TimeoutError:
+        attempt.end = AttemptResult.DEADLINE
+    except BaseException:
+        progress.may_have_run = True
+        raise
+    reason = heads[0].find_header(REASON_HEADER) if heads else ""
+    _log(
+        call,
+        "detour-ended",
+        call.target,
+        address,
+        result=attempt.end,
+        reason=reason,
+        error=attempt.error,
+        took_s=round(read_clock_s() - attempt.sent_at_s, 4),
+    )
+    return _interpret(watch, address, attempt, reason, heads, progress)
+
+
+def _interpret(watch, address, attempt, reason, heads, progress):
+    end = attempt.end
+    if end is AttemptResult.COMPLETED:
+        return attempt.answer
+    if end is AttemptResult.CONNECT_FAILED:
+        avoid_helper(watch.helpers, address, read_clock_s())
+        return None
+    if end is not AttemptResult.REFUSED:
+        record_attempt(progress, end)
+        return make_give_up_answer(progress, attempt, make_give_up(progress, end))
+    if reason in PASSING_REASONS:
+        avoid_helper(watch.helpers, address, read_clock_s())
+        return None
+    refusal = Refusal(
+        reason=RefusalReason(reason),
+        retry_after_s=_read_retry_after_s(heads[0]),
+        detail="the instance that sends requests on for this one refused it",
+    )
+    return make_refusal_answer(progress, refusal)
+
+
+def _read_retry_after_s(head):
+    try:
+        return max(0.0, float(head.find_header("Retry-After") or 0.0))
+    except ValueError:
+        return RETRY_AFTER_S
+
+
+def _make_upstream(address):
+    return Upstream(
+        name=address,
+        kind=UpstreamKind.SERVICE,
+        data_centre="",
+        url=f"http://{address}",
+        models=(),
+        slots=1,
+    )
+
+
+def _make_borrowed(call, progress):
+    """Make the request for the other instance, whose timeouts bound its silence."""
+    return replace(
+        call,
+        method="POST",
+        path="/",
+        body=encode_call(call, progress, read_clock_s()),
+        silence_timeout_s=None,
+    )
+
+
+def _log(call, event, service, helper, **fields):
+    log_event(
+        logger,
+        logging.INFO,
+        event,
+        request_id=call.request_id,
+        service=service,
+        helper=helper,
+        **fields,
+    )
--- a/jujubenotch/daemon/forward_listeners.py
+++ b/jujubenotch/daemon/forward_listeners.py
@@ -1,14 +1,25 @@
 """The listeners of an instance that routes requests by host and path."""
 
+import logging
 import socket
 
 from sanic import HTTPResponse, Sanic
 
-from jujubenotch.callers import CallerLimits, build_forward_app
+from jujubenotch.callers import (
+    CallerLimits,
+    build_borrowed_app,
+    build_forward_app,
+)
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_state import attach_callers_app, is_ready
+from jujubenotch.daemon.forward_streams import is_listed
+from jujubenotch.detour import MAX_DOCUMENT_BYTES
 from jujubenotch.listeners import ListenerLimits, bind_socket, start_listener
+from jujubenotch.logs import log_event
 from jujubenotch.metrics import count_refused_connection, render
+from jujubenotch.sockets import ListenerError
+
+logger = logging.getLogger(__name__)
 
 SERVICE_UNAVAILABLE = 503
 MAX_CALLER_CONNECTIONS = 3000
@@ -45,6 +56,7 @@
     instance.listeners.append(
         await start_listener(callers, callers_socket, None, limits)
     )
+    await _start_help_listener(instance)
     for name, address, make_response in (
         ("readiness", settings.readiness, _make_readiness_response),
         ("metrics", settings.metrics, _make_metrics_response),
@@ -56,9 +68,29 @@
         instance.listeners.append(await start_listener(app, bound_socket))
 
 
-def _make_caller_limits(bounds):
+async def _start_help_listener(instance):
+    """Start the listener for other instances, at the address of the endpoint."""
+    address = instance.settings.neighbours
+    if address is None:
+        return
+    limits = _make_caller_limits(instance.state.bounds, extra_bytes=MAX_DOCUMENT_BYTES)
+    app = build_borrowed_app(
+        "borrowed",
+        instance,
+        lambda host: is_listed(instance.stream_watch, host),
+        limits,
+    )
+    try:
+        bound_socket = bind_socket(address.host, address.port)
+    except ListenerError as error:
+        log_event(logger, logging.ERROR, "help-unavailable", error=str(error))
+        return
+    instance.help_listener = await start_listener(app, bound_socket)
+
+
+def _make_caller_limits(bounds, extra_bytes=0):
     return CallerLimits(
-        max_body_bytes=bounds.max_body_bytes,
+        max_body_bytes=bounds.max_body_bytes + extra_bytes,
         max_header_bytes=bounds.max_header_bytes,
         body_timeout_s=bounds.header_timeout_s,
         idle_timeout_s=bounds.idle_timeout_s,
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -8,6 +8,7 @@
 
 from jujubenotch.crashes import InstanceReports
 from jujubenotch.daemon.forward_crashes import CrashWatch
+from jujubenotch.daemon.forward_detour import DetourWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.daemon.forward_streams import StreamWatch
@@ -20,8 +21,9 @@
     read_boot_clock_s,
 )
 from jujubenotch.listeners import Listener
-from jujubenotch.neighbours import Registry
+from jujubenotch.neighbours import ListedInstance, Registry
 from jujubenotch.settings import Address, ForwarderSettings
+from jujubenotch.upstreams import UpstreamConnections
 
 # Assumed until the instances have been counted; more than a small site has.
 UNKNOWN_COUNT = 32
@@ -30,14 +32,14 @@
 class Directory(Protocol):
     """Lists the instances of all data centres."""
 
-    async def add_instance(self, name: str, address: str) -> None:
+    async def add_instance(self, name: str, data_centre: str, address: str) -> None:
         """Add an instance, with the address of its endpoint; empty when it has none.
 
         :raises SourceError: The store did not confirm it.
         """
 
-    async def list_instances(self) -> tuple[str, ...]:
-        """Return the addresses of all instances that have been added.
+    async def list_instances(self) -> tuple[ListedInstance, ...]:
+        """Return all instances that have been added.
 
         :raises SourceError: The store did not return a valid response.
         """
@@ -106,7 +108,11 @@
     :param stopping: Set when the instance has to stop.
     :param crash_watch: Watches for requests that crash upstreams.
     :param stream_watch: Knows at which software version each stream began.
+    :param detour_watch: Knows which services this instance reaches, and who helps.
+    :param helper_connections: The connections to the instances that help.
     :param instance_count: The number of instances that share the upstreams.
+    :param borrowed: The number of calls of other instances that are in progress.
+    :param help_listener: The listener for such calls; ``None`` without one.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -119,7 +125,11 @@
     stopping: asyncio.Event
     crash_watch: CrashWatch
     stream_watch: StreamWatch
+    detour_watch: DetourWatch
+    helper_connections: UpstreamConnections
     instance_count: InstanceCount = field(default_factory=InstanceCount)
+    borrowed: int = 0
+    help_listener: Listener | None = None
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -45,6 +45,10 @@
 ANSWER_TIMEOUT_S = 0.15
 # The instances are listed by the store.
 ADDRESSES_TIMEOUT_S = 0.3
+# How old the list of instances may be when a stream began.
+LIST_AGE_S = 10.0
+# How old the list of instances may be when one that it lacks asks for help.
+MIN_LIST_AGE_S = 1.0
 # Bounds the datagrams that one question causes at large sites.
 MAX_ASKED = 64
 # The list is known to be up to date for at least as long as an instance is said to be
@@ -77,7 +81,9 @@
     :param unsent: The requests whose origins are to be sent to other instances.
     :param must_send: Set when there are any.
     :param addresses_wanted: Set when the other instances have to be listed.
+    :param wants_all: Whether those of other data centres have to be listed as well.
     :param addresses_known: Set once they were listed.
+    :param listed_s: When that was last done, monotonic, in seconds.
     :param questions: The questions that wait for answers, by request.
     :param split: The services that had upstreams of several versions lately.
     """
@@ -90,6 +96,8 @@
     unsent: list[str] = field(default_factory=list)
     must_send: asyncio.Event = field(default_factory=asyncio.Event)
     addresses_wanted: asyncio.Event = field(default_factory=asyncio.Event)
+    wants_all: bool = False
+    listed_s: float = float("-inf")
     addresses_known: asyncio.Event = field(default_factory=asyncio.Event)
     questions: dict[str, Question] = field(default_factory=dict)
     split: set[str] = field(default_factory=set)
@@ -170,7 +178,6 @@
 def _send_later(watch, request_ids):
     watch.unsent.extend(request_ids)
     if watch.unsent:
-        watch.addresses_wanted.set()
         watch.must_send.set()
 
 
@@ -181,7 +188,7 @@
     """
     while True:
         await watch.must_send.wait()
-        await _wait_for_addresses(watch)
+        await wait_for_instances(watch, LIST_AGE_S)
         await asyncio.sleep(FLUSH_DELAY_S)
         watch.must_send.clear()
         request_ids, watch.unsent = watch.unsent, []
@@ -199,13 +206,36 @@
     return {*watch.neighbours.addresses, watch.neighbours.own_address}
 
 
-async def _wait_for_addresses(watch):
-    watch.addresses_wanted.set()
+async def wait_for_instances(watch: StreamWatch, max_age_s: float) -> None:
+    """Wait until the other instances were listed, if that was too long ago.
+
+    :param watch: The state of the watch; changed in place.
+    :param max_age_s: The largest age of the list, in seconds.
+    """
+    if asyncio.get_running_loop().time() - watch.listed_s > max_age_s:
+        watch.addresses_known.clear()
+        watch.addresses_wanted.set()
     with contextlib.suppress(TimeoutError):
         async with asyncio.timeout(ADDRESSES_TIMEOUT_S):
             await watch.addresses_known.wait()
 
 
+async def is_listed(watch: StreamWatch, host: str) -> bool:
+    """Return whether the store lists an instance of an IP address.
+
+    :param watch: The state of the watch; changed in place.
+    :param host: The IP address.
+    """
+    if not _has_listed(watch, host):
+        watch.wants_all = True
+        await wait_for_instances(watch, MIN_LIST_AGE_S)
+    return _has_listed(watch, host)
+
+
+def _has_listed(watch, host):
+    return any(each.rpartition(":")[0] == host for each in watch.neighbours.listed)
+
+
 def _send_entries(watch, request_ids, address, unknown=()):
     now_s = read_boot_clock_s()
     known = {
@@ -308,7 +338,7 @@
         origin = _find_known(watch, request_id)
         if origin is not None:
             return origin, "own"
-        await _wait_for_addresses(watch)
+        await wait_for_instances(watch, LIST_AGE_S)
         owners = choose_owners(request_id, _list_instances(watch))
         origin = await _ask(watch, request_id, owners)
         if origin is not None:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -1,6 +1,7 @@
 """Starts, runs and stops an instance that routes requests by host and path."""
 
 import asyncio
+import functools
 import gc
 import logging
 import os
@@ -8,6 +9,7 @@
 import socket
 import sys
 from collections.abc import Callable
+from dataclasses import replace
 
 import uvloop
 
@@ -17,6 +19,11 @@
     record_attempt,
     refuse_blocked,
 )
+from jujubenotch.daemon.forward_detour import (
+    DetourWatch,
+    record_reach,
+    send_elsewhere,
+)
 from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
@@ -85,6 +92,9 @@
     max_answer_bytes=16 * 1024 * 1024,
 )
 
+# The timeouts of the instance that sends a request on are those of its upstream.
+HELPER_LIMITS = replace(UPSTREAM_LIMITS, connect_timeout_s=0.3)
+
 
 def run_forwarder(
     settings: ForwarderSettings,
@@ -164,6 +174,14 @@
     instance_count = InstanceCount()
     crash_watch = CrashWatch(name=settings.name, state=state)
     stream_watch = StreamWatch(state=state)
+    detour_watch = DetourWatch(
+        state=state, streams=stream_watch, data_centre=settings.data_centre
+    )
+    # Another instance knows this one by the address of its endpoint.
+    endpoint = settings.neighbours
+    helper_connections = open_connections(
+        HELPER_LIMITS, endpoint.host if endpoint else None
+    )
     capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=loop.time,
@@ -189,7 +207,10 @@
         record_stream_start=lambda call, origin: record_stream_start(
             stream_watch, call, origin
         ),
-        record_attempt=lambda call, attempt: record_attempt(crash_watch, call, attempt),
+        send_elsewhere=functools.partial(
+            send_elsewhere, detour_watch, helper_connections
+        ),
+        record_attempt=functools.partial(_record_attempt, crash_watch, detour_watch),
     )
     instance = ForwardingInstance(
         settings=settings,
@@ -200,11 +221,18 @@
         stopping=stopping,
         crash_watch=crash_watch,
         stream_watch=stream_watch,
+        detour_watch=detour_watch,
+        helper_connections=helper_connections,
         instance_count=instance_count,
     )
     return instance
 
 
+def _record_attempt(crash_watch, detour_watch, call, attempt):
+    record_attempt(crash_watch, call, attempt)
+    record_reach(detour_watch, attempt)
+
+
 def _make_retry_budget(read_ratio):
     histories = {}
 
@@ -253,11 +281,14 @@
     instance.refuses_requests = True
     callers, *others = instance.listeners
     open_connections_left = await stop_listener(callers, max(0.0, end_s - loop.time()))
+    if instance.help_listener is not None:
+        await stop_listener(instance.help_listener, max(0.0, end_s - loop.time()))
     for listener in others:
         await stop_listener(listener, 0.0)
     for task in instance.tasks:
         task.cancel()
     await asyncio.gather(*instance.tasks, return_exceptions=True)
     await close_connections(instance.dispatcher.connections)
+    await close_connections(instance.helper_connections)
     await components.close()
     log_event(logger, logging.INFO, "instance-stopped", cut_off=open_connections_left)
--- /dev/null
+++ b/jujubenotch/detour/__init__.py
@@ -0,0 +1,40 @@
+"""Decides whether this instance reaches a service's upstreams, and who helps if not.
+
+Errors: ``BorrowedCallError``. Features: ``features/detour``.
+"""
+
+from jujubenotch.detour.borrowed import (
+    HELPER_PROTOCOL,
+    MAX_DOCUMENT_BYTES,
+    BorrowedCallError,
+    decode_call,
+    encode_call,
+)
+from jujubenotch.detour.helpers import Helpers, avoid_helper, choose_helpers
+from jujubenotch.detour.reach import (
+    Reach,
+    choose_samples,
+    needs_check,
+    record_check,
+    record_contact,
+    record_failure,
+    record_probe,
+)
+
+__all__ = [
+    "HELPER_PROTOCOL",
+    "MAX_DOCUMENT_BYTES",
+    "BorrowedCallError",
+    "Helpers",
+    "Reach",
+    "avoid_helper",
+    "choose_helpers",
+    "choose_samples",
+    "decode_call",
+    "encode_call",
+    "needs_check",
+    "record_check",
+    "record_contact",
+    "record_failure",
+    "record_probe",
+]
--- /dev/null
+++ b/jujubenotch/detour/borrowed.py
@@ -0,0 +1,115 @@
+"""Encodes a call for an instance that sends it on, and reads that one's responses.
+
+The call is routed and its team is known; the caller's key is not part of it.
+"""
+
+import orjson
+from pydantic import BaseModel, ConfigDict, ValidationError
+
+from jujubenotch.dispatch import AnswerKind, Call, Progress, UpstreamProtocol
+from jujubenotch.outcomes import OUTCOME_HEADER, Outcome
+from jujubenotch.records import ServiceClass, Team
+from jujubenotch.streams import StreamOrigin
+
+SEPARATOR = b"\n"
+# Larger than all that the head of a caller's request may contain.
+MAX_DOCUMENT_BYTES = 256 * 1024
+# Each borrowed call runs once at most; the instance that lends it decides on repeats.
+MAX_BORROWED_RUNS = 1
+
+
+class BorrowedCallError(Exception):
+    """A request of another instance is not a valid call."""
+
+
+class _CallDocument(BaseModel):
+    """A call as it travels; ``left_s`` is the time until its deadline."""
+
+    model_config = ConfigDict(extra="ignore", strict=False)
+
+    request_id: str
+    target: str
+    team: Team
+    service_class: ServiceClass
+    method: str
+    path: str
+    headers: tuple[tuple[str, str], ...]
+    left_s: float
+    is_stream: bool
+    is_idempotent: bool
+    is_cancelled_on_disconnect: bool
+    can_resume_elsewhere: bool
+    expected_tokens: int
+    prefix_key: str
+    prompt_tokens: int
+    shared_parts: tuple[str, ...]
+    resume_after_event_id: str
+    resumed_request_id: str
+    silence_timeout_s: float | None
+    origin: StreamOrigin | None
+
+
+COPIED_FIELDS = tuple(
+    name for name in _CallDocument.model_fields if name not in ("left_s", "target")
+)
+
+
+def encode_call(call: Call, progress: Progress, now_s: float) -> bytes:
+    """Encode a call.
+
+    :param call: The call.
+    :param progress: Its progress, with the origin of the stream that it resumes.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    target = progress.origin.service if progress.origin else call.target
+    fields = {name: getattr(call, name) for name in COPIED_FIELDS if name != "origin"}
+    document = _CallDocument(
+        **fields,
+        target=target,
+        origin=progress.origin,
+        left_s=max(0.0, call.deadline_s - now_s),
+    )
+    return orjson.dumps(document.model_dump()) + SEPARATOR + call.body
+
+
+def decode_call(content: bytes, now_s: float) -> Call:
+    """Decode a call of another instance.
+
+    :param content: The encoded call.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The call; it must not be sent on to a further instance.
+    :raises BorrowedCallError: The content is no call.
+    """
+    head, separator, body = content.partition(SEPARATOR)
+    if not separator or len(head) > MAX_DOCUMENT_BYTES:
+        raise BorrowedCallError(f"a head of {len(head)} bytes is no call")
+    try:
+        document = _CallDocument.model_validate_json(head)
+    except ValidationError as error:
+        raise BorrowedCallError(f"the call is invalid: {error}") from error
+    return Call(
+        **{name: getattr(document, name) for name in COPIED_FIELDS},
+        target=document.target,
+        body=body,
+        arrived_s=now_s,
+        caller_deadline_s=now_s + document.left_s,
+        max_runs=MAX_BORROWED_RUNS,
+        is_borrowed=True,
+    )
+
+
+def _write_no_headers(upstream, call, progress, now_s):
+    return (("Content-Type", "application/octet-stream"),)
+
+
+def _classify_answer(call, answer):
+    """Tell an upstream's response from one that the other instance made itself."""
+    outcome = answer.find_header(OUTCOME_HEADER)
+    if outcome == Outcome.NOT_RUN:
+        return AnswerKind.NOT_STARTED
+    return AnswerKind.UNPROVED if outcome else AnswerKind.OWN
+
+
+HELPER_PROTOCOL = UpstreamProtocol(
+    write_headers=_write_no_headers, classify_answer=_classify_answer
+)
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -4,21 +4,34 @@
 Features: ``features/dispatch``.
 """
 
-from jujubenotch.dispatch.answers import STATUS_BY_REFUSAL
+from jujubenotch.dispatch.answers import (
+    STATUS_BY_REFUSAL,
+    make_give_up_answer,
+    make_refusal_answer,
+)
 from jujubenotch.dispatch.attempt import (
     Attempt,
     read_clock_s,
     remove_hop_by_hop_headers,
+    run_attempt,
 )
 from jujubenotch.dispatch.budget import RetryHistory, may_retry, record_success
 from jujubenotch.dispatch.call import (
     Answer,
     Call,
     CallerDisconnectedError,
+    Progress,
     Sink,
     find_resume_point,
 )
-from jujubenotch.dispatch.decide import AttemptResult, GiveUp, Retry, decide_next
+from jujubenotch.dispatch.decide import (
+    AttemptResult,
+    GiveUp,
+    Retry,
+    decide_next,
+    make_give_up,
+    record_attempt,
+)
 from jujubenotch.dispatch.dispatcher import digest_call, dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
@@ -37,6 +50,7 @@
     "ExchangeRegistry",
     "GiveUp",
     "Observer",
+    "Progress",
     "Retry",
     "RetryBudget",
     "RetryHistory",
@@ -46,10 +60,15 @@
     "digest_call",
     "dispatch",
     "find_resume_point",
+    "make_give_up",
+    "make_give_up_answer",
+    "make_refusal_answer",
     "may_retry",
     "read_clock_s",
+    "record_attempt",
     "record_success",
     "remove_hop_by_hop_headers",
+    "run_attempt",
     "wait_until_idle",
     "watch_exchange",
 ]
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -44,6 +44,10 @@
         resume the stream; empty when the caller asks for the complete stream.
     :param resumed_request_id: The id of the request that brought the first event of
         that stream; empty when the caller names none.
+    :param origin: Where the stream began that the caller resumes; ``None`` when that is
+        still to be found.
+    :param is_borrowed: Whether another instance has sent the call, as it reaches no
+        upstream; the call is not sent to a further instance.
     :param silence_timeout_s: How long an upstream may send nothing, in seconds;
         ``None`` uses the timeout of the connections.
     """
@@ -71,6 +75,8 @@
     is_cancelled_on_disconnect: bool = False
     resume_after_event_id: str = ""
     resumed_request_id: str = ""
+    origin: StreamOrigin | None = None
+    is_borrowed: bool = False
     silence_timeout_s: float | None = None
 
     @property
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -170,15 +170,16 @@
 
 
 async def _run_attempts(dispatcher, call, progress, sink, reports):
-    if call.resume_after_event_id:
-        origin = await dispatcher.find_stream_origin(call)
-        if isinstance(origin, Refusal):
-            return make_refusal_answer(progress, origin)
-        progress.origin = origin
+    refusal = await _find_origin(dispatcher, call, progress)
+    if refusal is not None:
+        return make_refusal_answer(progress, refusal)
     while True:
         block = dispatcher.find_block(call)
         if block is not None:
             return make_block_answer(progress, block)
+        answer = await dispatcher.send_elsewhere(call, progress, sink)
+        if answer is not None:
+            return answer
         grant = await dispatcher.capacity.acquire(make_work_request(call, progress))
         if isinstance(grant, Refusal):
             return make_refusal_answer(progress, grant)
@@ -206,6 +207,17 @@
             return answer
 
 
+async def _find_origin(dispatcher, call, progress):
+    """Find where the stream began that a call resumes, or return a refusal."""
+    origin = call.origin
+    if call.resume_after_event_id and origin is None:
+        origin = await dispatcher.find_stream_origin(call)
+    if isinstance(origin, Refusal):
+        return origin
+    progress.origin = origin
+    return None
+
+
 async def _claim_call(dispatcher, call, progress, grant):
     """Claim a call whose slot was granted.
 
@@ -258,7 +270,8 @@
         sent_at_s=read_clock_s(),
         process=dispatcher.identify_process(grant.upstream),
         origin=StreamOrigin(
-            service=call.target, software_version=grant.software_version
+            service=find_target(call, progress),
+            software_version=grant.software_version,
         ),
     )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -6,7 +6,7 @@
 from typing import Protocol
 
 from jujubenotch.dispatch.attempt import Attempt
-from jujubenotch.dispatch.call import Answer, Call
+from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry
 from jujubenotch.outcomes import Refusal
@@ -67,6 +67,10 @@
     return None
 
 
+async def _send_directly(call, progress, sink):
+    return None
+
+
 @dataclass(kw_only=True)
 class Dispatcher:
     """The dependencies of the calls of one instance, and the calls in progress.
@@ -86,6 +90,8 @@
         upstream, although upstreams are available.
     :param find_stream_origin: Finds where the stream began that a call resumes; returns
         a refusal when that isn't known, and ``None`` when it doesn't matter.
+    :param send_elsewhere: Sends a call by way of another instance if this one reaches
+        no upstream of its service; else returns ``None``.
     :param record_stream_start: Called with a call and the origin of its stream before
         the first event is forwarded.
     :param record_attempt: Called with the call and its attempt when the attempt has
@@ -111,6 +117,9 @@
     find_stream_origin: Callable[[Call], Awaitable[StreamOrigin | Refusal | None]] = (
         _find_no_origin
     )
+    send_elsewhere: Callable[[Call, Progress, Sink], Awaitable[Answer | None]] = (
+        _send_directly
+    )
     record_stream_start: Callable[[Call, StreamOrigin], None] = lambda call, origin: (
         None
     )
--- a/jujubenotch/neighbours/__init__.py
+++ b/jujubenotch/neighbours/__init__.py
@@ -18,6 +18,7 @@
 from jujubenotch.neighbours.endpoint import NeighbourEndpoint, open_endpoint
 from jujubenotch.neighbours.model import (
     MAX_NEIGHBOURS,
+    ListedInstance,
     Message,
     MessageItem,
     MessageKind,
@@ -39,6 +40,7 @@
 __all__ = [
     "DEFAULT_MAX_AGE_S",
     "MAX_NEIGHBOURS",
+    "ListedInstance",
     "NeighbourEndpoint",
     "Neighbours",
     "Message",
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -83,6 +83,8 @@
     """The other instances of the data centre, by the address of their endpoint.
 
     :param own_address: The address of this instance's endpoint.
+    :param listed: The data centre of each instance that the store lists, of all data
+        centres, by address.
     :param is_registered: Whether the others can find this instance.
 
     >>> Neighbours(own_address="127.0.0.1:1").addresses
@@ -91,6 +93,7 @@
 
     own_address: str
     addresses: set[str] = field(default_factory=set)
+    listed: dict[str, str] = field(default_factory=dict)
     is_registered: bool = False
 
     def add(self, address: str) -> None:
@@ -102,6 +105,17 @@
             self.addresses.add(address)
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ListedInstance:
+    """An instance that the store lists.
+
+    :param address: The address of its endpoint; empty when it has none.
+    """
+
+    data_centre: str
+    address: str
+
+
 class Registry(Protocol):
     """Makes the instances of a data centre known to each other."""
 
--- a/jujubenotch/outcomes/__init__.py
+++ b/jujubenotch/outcomes/__init__.py
@@ -4,6 +4,8 @@
 """
 
 from jujubenotch.outcomes.core import (
+    OUTCOME_HEADER,
+    REASON_HEADER,
     ChangeRefusalReason,
     FailureReason,
     Outcome,
@@ -13,6 +15,8 @@
 )
 
 __all__ = [
+    "OUTCOME_HEADER",
+    "REASON_HEADER",
     "ChangeRefusalReason",
     "FailureReason",
     "Outcome",
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -3,6 +3,10 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
+# Headers of the responses that this system makes itself.
+OUTCOME_HEADER = "X-Jujubenotch-Outcome"
+REASON_HEADER = "X-Jujubenotch-Reason"
+
 
 class Outcome(StrEnum):
     """The outcome of a request.
--- a/jujubenotch/platform/directory.py
+++ b/jujubenotch/platform/directory.py
@@ -9,11 +9,12 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from jujubenotch.forwarding import SourceError
+from jujubenotch.neighbours import ListedInstance
 from jujubenotch.platform.store import StoreClient, call_store
 
 NAME_PREFIX = "instance-"
-# Separates the instance's name from its address in the object's name.
-ADDRESS_SEPARATOR = "@"
+# Separates the instance's name, its data centre and its address in the object's name.
+SEPARATOR = "@"
 # The object's name is all that is read; an object can't be empty.
 OBJECT_CONTENT = b"1"
 
@@ -40,18 +41,20 @@
 
     client: StoreClient
 
-    async def add_instance(self, name: str, address: str) -> None:
+    async def add_instance(self, name: str, data_centre: str, address: str) -> None:
         """Add an instance.
 
         :param name: The instance's name.
+        :param data_centre: The instance's data centre.
         :param address: The address of its endpoint; empty when it has none.
         :raises SourceError: The store did not confirm it.
         """
-        path = f"/v1/blob-put/{NAME_PREFIX}{name}{ADDRESS_SEPARATOR}{address}"
+        object_name = SEPARATOR.join((NAME_PREFIX + name, data_centre, address))
+        path = f"/v1/blob-put/{object_name}"
         await call_store(self.client, "PUT", path, data=OBJECT_CONTENT)
 
-    async def list_instances(self) -> tuple[str, ...]:
-        """Return the addresses of all instances that have been added.
+    async def list_instances(self) -> tuple[ListedInstance, ...]:
+        """Return all instances that have been added.
 
         :raises SourceError: The store did not return a valid response.
         """
@@ -61,7 +64,7 @@
             document = await self._read_names(parameters)
             names += document.names
             if not document.has_more or not document.names:
-                return tuple(name.partition(ADDRESS_SEPARATOR)[2] for name in names)
+                return tuple(_read_name(name) for name in names)
             parameters["since-rev"] = document.names[-1]
 
     async def _read_names(self, parameters):
@@ -72,3 +75,9 @@
             return NamesDocument.model_validate_json(content)
         except ValueError as error:
             raise SourceError(f"the list of names is invalid: {error}") from error
+
+
+def _read_name(name):
+    _, _, rest = name.partition(SEPARATOR)
+    data_centre, _, address = rest.partition(SEPARATOR)
+    return ListedInstance(data_centre=data_centre, address=address)
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -32,6 +32,7 @@
     translate_errors,
 )
 from jujubenotch.upstreams.load import read_load
+from jujubenotch.upstreams.probe import keeps_connections
 
 __all__ = [
     "END_MARKER",
@@ -47,6 +48,7 @@
     "UpstreamRequest",
     "check_not_truncated",
     "close_connections",
+    "keeps_connections",
     "open_connections",
     "open_exchange",
     "read_body",
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -57,15 +57,19 @@
     limits: ConnectionLimits
 
 
-def open_connections(limits: ConnectionLimits) -> UpstreamConnections:
+def open_connections(
+    limits: ConnectionLimits, local_host: str | None = None
+) -> UpstreamConnections:
     """Create the two connection pools; requires a running event loop.
 
     :param limits: The limits on each connection.
+    :param local_host: The address that connections come from; ``None`` lets the system
+        choose one.
     :returns: The pools; close them with :func:`close_connections`.
     """
     return UpstreamConnections(
-        reusable=_make_session(limits, force_close=False),
-        single_use=_make_session(limits, force_close=True),
+        reusable=_make_session(limits, local_host, force_close=False),
+        single_use=_make_session(limits, local_host, force_close=True),
         stream_timeout=make_timeout(limits, limits.idle_timeout_s),
         limits=limits,
     )
@@ -80,7 +84,7 @@
     await connections.single_use.close()
 
 
-def _make_session(limits, *, force_close):
+def _make_session(limits, local_host, *, force_close):
     def make_socket(address_info):
         family, kind, protocol, _, _ = address_info
         sock = socket.socket(family, kind, protocol)
@@ -92,6 +96,7 @@
         limit=0,
         force_close=force_close,
         socket_factory=make_socket,
+        local_addr=(local_host, 0) if local_host else None,
         **arguments,
     )
     session = aiohttp.ClientSession(
