Show that instances end brittle upstreams (LIMIT)

An upstream says that it is brittle (Server-Brittle), lets none wait 3 s later, and ends when it turns more requests away in a second than it said.

--- a/features/forwarding/steps/limit_steps.py
+++ b/features/forwarding/steps/limit_steps.py
@@ -60,7 +60,7 @@
         self.now_s = end_s
 
 
-def make_items(names, started_ms):
+def make_items(names, started_ms, slots=SLOTS):
     return tuple(
         Item(
             key=name,
@@ -69,7 +69,7 @@
                 service="drafting",
                 address="127.0.0.1:1",
                 data_centre="north",
-                slots=SLOTS,
+                slots=slots,
                 started_ms=started_ms,
             ),
         )
--- a/jujubenotch/work/notice.py
+++ b/jujubenotch/work/notice.py
@@ -22,6 +22,8 @@
     :param is_leaving: Whether the upstream is about to go out of service.
     :param wait_s: How long the upstream wants no request of this instance, in seconds;
         ``None`` when it states no time.
+    :param brittle_per_s: How many requests per second the upstream can turn away for
+        want of room before it ends; ``None`` when it is not brittle.
 
     >>> UpstreamNotice(limit_per_s=3.5).is_leaving
     False
@@ -30,10 +32,16 @@
     limit_per_s: float | Unreadable | None = None
     is_leaving: bool | Unreadable = False
     wait_s: float | Unreadable | None = None
+    brittle_per_s: float | Unreadable | None = None
 
     @property
     def unreadable(self) -> str:
         """The statements that can't be interpreted; empty when there are none."""
-        statements = (self.limit_per_s, self.is_leaving, self.wait_s)
+        statements = (
+            self.limit_per_s,
+            self.is_leaving,
+            self.wait_s,
+            self.brittle_per_s,
+        )
         texts = [each.text for each in statements if isinstance(each, Unreadable)]
         return "; ".join(texts)
