Spare brittle upstreams that have no room (LIMIT)

While a service is brittle, an instance replaces its own requests that have ended on an upstream, and adds its share of the room that the last report shows, or takes back its share of what is beyond. After a request that was turned away, an upstream that ended, or a first try, it pauses for so long that all instances together stay below the bound. The hold goes through find_hold like the other three. Retries go the same way. Without the statement nothing changes.

Six simulated loads of features/forwarding/brittle.feature failed before and pass now. The test double of run_attempt in features/claims takes further hooks, as the interface got one.

--- a/features/claims/steps/calls_steps.py
+++ b/features/claims/steps/calls_steps.py
@@ -179,7 +179,7 @@
 )
 def dispatch_both(context, first, second, key, one, other):
     async def send(
-        connections, protocol, upstream, call, progress, attempt, sink, record_load
+        connections, protocol, upstream, call, progress, attempt, sink, *hooks
     ):
         context.sent.append(call.body)
         await asyncio.sleep(5.0)
--- a/features/forwarding/steps/brittle_steps.py
+++ b/features/forwarding/steps/brittle_steps.py
@@ -183,12 +183,14 @@
 
 
 def reject(simulation, upstream):
+    """Turn a request away; until all instances can know, that ends no upstream."""
     now_s = simulation.now_s
     rejected = upstream.rejected_s
     rejected.append(now_s)
     while rejected[0] <= now_s - 1.0:
         rejected.popleft()
-    if simulation.is_brittle and len(rejected) > simulation.bound:
+    may_end = simulation.is_brittle and now_s >= CONTACT_S
+    if may_end and len(rejected) > simulation.bound:
         upstream.ended += 1
         upstream.running = 0
         upstream.down_until_s = now_s + DOWN_S
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -28,6 +28,13 @@
     start_prefill,
 )
 from jujubenotch.forwarding.shedding import LongPrompts, shed_long_prompt
+from jujubenotch.forwarding.sparing import (
+    BrittleServices,
+    make_room_check,
+    record_brittleness,
+    spare_after,
+    spare_if_unheard,
+)
 from jujubenotch.forwarding.states import UpstreamStates
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
@@ -96,6 +103,9 @@
         self._states = UpstreamStates()
         self._divisions: dict[str, Division] = {}
         self._long_prompts: dict[str, LongPrompts] = {}
+        self._brittle = BrittleServices(
+            read_instance_count=read_instance_count, draw=draw
+        )
         self._outstanding: dict[str, OutstandingGrant] = {}
         self._grant_numbers = itertools.count(1)
 
@@ -115,6 +125,9 @@
             draw=self._draw,
             now_s=listing_s,
             software_version=request.software_version,
+            find_full_for_s=make_room_check(
+                self._brittle, request.target, listed, now_s
+            ),
         )
         states = availability.usable
         if availability.holds and not states:
@@ -168,6 +181,13 @@
         """
         outstanding = self._outstanding.pop(grant.grant_id)
         outstanding.state.running -= 1
+        spare_after(
+            self._brittle,
+            outstanding.state,
+            outstanding.request,
+            report.result,
+            now_s=now_s,
+        )
         if outstanding.prefill is not None:
             abandon_prefill(outstanding.prefill, outstanding.request.tier)
         record_result(
@@ -208,6 +228,7 @@
         if state is None:
             return
         record_report(state, report, now_s)
+        state.report_draw = self._draw()
         for division in self._divisions.values():
             record_group_load(division, upstream, state.reported, now_s)
 
@@ -229,6 +250,18 @@
             )
             if state.statements.limit is not None:
                 self._report_limit()
+            self._record_brittleness(upstream, notice)
+
+    def _record_brittleness(self, upstream, notice):
+        known = self._listing.upstreams.get(upstream)
+        if known is not None and record_brittleness(
+            self._brittle,
+            known.listed.service,
+            upstream,
+            notice.brittle_per_s,
+            now_s=self._read_clock_s(),
+        ):
+            self._report_limit()
 
     def _list_states(self, request):
         listing_s = self._read_listing_clock_s()
@@ -283,6 +316,7 @@
 
     def _create_grant(self, request, choice, now_s):
         state = choice.state
+        spare_if_unheard(self._brittle, state, request, now_s=now_s)
         is_probe = may_probe(state.health, now_s)
         if is_probe:
             start_probe(state.health, now_s)
--- a/jujubenotch/forwarding/held.py
+++ b/jujubenotch/forwarding/held.py
@@ -25,6 +25,7 @@
     HoldReason.OTHER_VERSION: RefusalReason.VERSION_UNAVAILABLE,
     HoldReason.LIMIT: RefusalReason.UPSTREAM_LIMIT,
     HoldReason.WAIT: RefusalReason.UPSTREAM_WAIT,
+    HoldReason.FULL: RefusalReason.UPSTREAM_FULL,
 }
 
 
@@ -47,6 +48,7 @@
     draw: Callable[[], float],
     now_s: float,
     software_version: str | None = None,
+    find_full_for_s: Callable[[UpstreamState], float] = lambda state: 0.0,
 ) -> Availability:
     """Part the upstreams of a service by whether they may get a request now.
 
@@ -58,11 +60,15 @@
     :param now_s: The present time on a clock that includes suspended time, in seconds.
     :param software_version: The only version that may get the request; ``None`` when
         any may.
+    :param find_full_for_s: Returns for how long an upstream has to be spared for want
+        of room, in seconds; 0 when it need not be.
     """
     usable, returning, holds = [], [], []
     for state in states:
         _update_opening(state.statements.limit, instances, draw, now_s)
-        hold = find_hold(state, software_version, now_s)
+        hold = find_hold(
+            state, software_version, now_s, full_for_s=find_full_for_s(state)
+        )
         if hold is not None:
             holds.append(hold)
         elif is_returning(state.statements.wait, draw, now_s):
--- a/jujubenotch/forwarding/permission.py
+++ b/jujubenotch/forwarding/permission.py
@@ -14,6 +14,7 @@
     OTHER_VERSION = "other-version"
     LIMIT = "limit"
     WAIT = "wait"
+    FULL = "full"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -28,7 +29,11 @@
 
 
 def find_hold(
-    state: UpstreamState, software_version: str | None, now_s: float
+    state: UpstreamState,
+    software_version: str | None,
+    now_s: float,
+    *,
+    full_for_s: float = 0.0,
 ) -> Hold | None:
     """Return why an upstream may not get a request now.
 
@@ -38,6 +43,8 @@
     :param software_version: The only version that may get the request; ``None`` when
         any may.
     :param now_s: The present time on a clock that includes suspended time, in seconds.
+    :param full_for_s: For how long the upstream has to be spared for want of room, in
+        seconds; 0 when it need not be.
     :returns: The hold; ``None`` when the upstream may get a request.
     """
     statements = state.statements
@@ -50,4 +57,6 @@
         return Hold(reason=HoldReason.WAIT, until_s=wait.until_s)
     if limit is not None and now_s < limit.opens_s:
         return Hold(reason=HoldReason.LIMIT, until_s=limit.opens_s)
+    if full_for_s > 0:
+        return Hold(reason=HoldReason.FULL, until_s=now_s + full_for_s)
     return None
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -43,6 +43,10 @@
         when that report arrived.
     :param reported_s: When that report arrived, monotonic, in seconds; ``None``
         before the first report.
+    :param report_draw: A random number in [0, 1), drawn for the last report while the
+        upstream is brittle.
+    :param spared_until_s: Until when it gets nothing beyond what it is known to have
+        room for, as it is brittle, monotonic, in seconds.
     :param health: The upstream's health by the results of recent requests.
     :param statements: What the upstream has stated about itself.
     """
@@ -55,6 +59,8 @@
     reported: int = 0
     running_at_report: int = 0
     reported_s: float | None = None
+    report_draw: float = 0.0
+    spared_until_s: float = 0.0
     health: Health = field(default_factory=Health)
     statements: Statements = field(default_factory=Statements)
 
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -48,6 +48,7 @@
     UPSTREAM_UNREACHABLE = "upstream-unreachable"
     UPSTREAM_LIMIT = "upstream-limit"
     UPSTREAM_WAIT = "upstream-wait"
+    UPSTREAM_FULL = "upstream-full"
     CRASHES_UPSTREAMS = "crashes-upstreams"
     STREAM_ORIGIN_UNKNOWN = "stream-origin-unknown"
     VERSION_UNAVAILABLE = "version-unavailable"
--- a/jujubenotch/platform/notices.py
+++ b/jujubenotch/platform/notices.py
@@ -9,6 +9,8 @@
 # The upstream is about to go out of service.
 LEAVING = "Server-Leaving"
 LEAVING_VALUE = "1"
+# How many requests a second the upstream can turn away before it ends.
+BRITTLE = "Server-Brittle"
 # In a response that turns a request away: how many seconds to send nothing.
 WAIT = "Retry-After"
 TURNED_AWAY_STATUS = 503
@@ -32,6 +34,7 @@
         limit_per_s=_read_amount(answer, REQUEST_LIMIT, MAX_LIMIT_PER_S),
         is_leaving=_read_leaving(answer),
         wait_s=_read_wait_s(answer),
+        brittle_per_s=_read_amount(answer, BRITTLE, MAX_LIMIT_PER_S),
     )
 
 
