--- /dev/null
+++ b/features/streams/fleet.py
@@ -0,0 +1,494 @@
+"""Instances that share what they know of streams, in virtual time.
+
+The instances run the code of the daemon; the messages between them, the list of
+upstreams, the callers and the faults are drawn.
+"""
+
+import asyncio
+import random
+import selectors
+from dataclasses import dataclass, field
+from types import SimpleNamespace
+from unittest import mock
+
+from jujubenotch.daemon import forward_streams
+from jujubenotch.daemon.forward_count import keep_addresses
+from jujubenotch.daemon.forward_state import ForwardState
+from jujubenotch.daemon.forward_streams import (
+    StreamWatch,
+    find_stream_origin,
+    receive_streams,
+    record_listing,
+    record_stream_start,
+    send_origins,
+)
+from jujubenotch.dispatch import Call
+from jujubenotch.forwarding import (
+    DirectCapacity,
+    Freshness,
+    HostRoute,
+    Item,
+    ListedUpstream,
+    RouteKind,
+    ServiceShare,
+    SiteConfiguration,
+    apply_items,
+    build_index,
+)
+from jujubenotch.neighbours import ListedInstance, Neighbours
+from jujubenotch.outcomes import Refusal
+from jujubenotch.records import ServiceClass, Team
+from jujubenotch.streams import StreamOrigin
+from jujubenotch.work import WorkReport, WorkRequest, WorkResult
+
+SERVICE = "drafting"
+TIMEOUT_S = 5.0
+UNIX_S = 1_700_000_000.0
+CONFIRM_PAUSE_S = 1.0
+TRANSIT_S = (0.001, 0.02)
+START_PAUSE_S = 1.5
+
+
+class VirtualSelector(selectors.SelectSelector):
+    """Advances the time instead of waiting."""
+
+    def __init__(self):
+        super().__init__()
+        self.now_s = 0.0
+
+    def select(self, timeout=None):
+        assert timeout is not None, "nothing is left to happen"
+        self.now_s += max(0.0, timeout)
+        return super().select(0)
+
+
+@dataclass(frozen=True, kw_only=True)
+class Plan:
+    """What is drawn in a history; times in seconds.
+
+    ``rollouts`` are times of a change to the next version, in upstreams a second.
+    """
+
+    instances: int
+    upstreams: int
+    streams_per_s: float
+    length_s: float = 24.0
+    versions: tuple = ("v1", "v2")
+    rollouts: tuple = (6.0,)
+    pace_s: float = 0.4
+    upstream_kills: int = 3
+    instance_kills: int = 0
+    loss: float = 0.01
+    list_delay_s: float = 0.4
+    cut_share: float = 0.0
+    knows_origins: bool = True
+
+
+@dataclass(kw_only=True)
+class Upstream:
+    name: str
+    version: str
+    started_s: float
+    is_listed: bool = True
+    is_up: bool = True
+
+
+@dataclass(kw_only=True)
+class Instance:
+    name: str
+    address: str
+    watch: StreamWatch | None = None
+    capacity: DirectCapacity | None = None
+    tasks: list = field(default_factory=list)
+    is_up: bool = True
+    is_cut: bool = False
+
+
+@dataclass(kw_only=True)
+class Counts:
+    begun: int = 0
+    not_begun: int = 0
+    taken_up: int = 0
+    gone_on: int = 0
+    mixed: int = 0
+    messages: int = 0
+
+
+@dataclass(kw_only=True)
+class Fleet:
+    plan: Plan
+    loop: asyncio.AbstractEventLoop
+    draws: random.Random
+    instances: list = field(default_factory=list)
+    upstreams: dict = field(default_factory=dict)
+    counts: Counts = field(default_factory=Counts)
+    numbers: int = 0
+    tasks: set = field(default_factory=set)
+
+    def now_s(self):
+        return self.loop.time()
+
+
+def play(plan, seed):
+    selector = VirtualSelector()
+    loop = asyncio.SelectorEventLoop(selector)
+    loop.time = lambda: selector.now_s
+    clock = SimpleNamespace(
+        time=lambda: UNIX_S + selector.now_s, monotonic=lambda: selector.now_s
+    )
+    with (
+        mock.patch.object(forward_streams, "read_boot_clock_s", loop.time),
+        mock.patch.object(forward_streams, "time", clock),
+    ):
+        fleet = Fleet(plan=plan, loop=loop, draws=random.Random(seed))
+        loop.run_until_complete(_play(fleet))
+    loop.close()
+    return fleet.counts
+
+
+async def _play(fleet):
+    plan = fleet.plan
+    for number in range(plan.upstreams):
+        _start_upstream(fleet, f"{plan.versions[0]}-{number}", plan.versions[0], -600.0)
+    for number in range(plan.instances):
+        instance = Instance(
+            name=f"e-{number}", address=f"10.0.{number // 250}.{number % 250}:1"
+        )
+        fleet.instances.append(instance)
+        _start_instance(fleet, instance)
+    _start(fleet, _confirm(fleet))
+    _start(fleet, _send_streams(fleet))
+    for number, at_s in enumerate(plan.rollouts, 1):
+        _start(fleet, _roll_out(fleet, plan.versions[number], at_s))
+    _start(fleet, _kill_upstreams(fleet))
+    _start(fleet, _kill_instances(fleet))
+    _start(fleet, _cut_instances(fleet))
+    await asyncio.sleep(plan.length_s + 2 * TIMEOUT_S)
+    tasks = asyncio.all_tasks() - {asyncio.current_task()}
+    for task in tasks:
+        task.cancel()
+    await asyncio.gather(*tasks, return_exceptions=True)
+
+
+def _start(fleet, coroutine):
+    task = asyncio.ensure_future(coroutine)
+    fleet.tasks.add(task)
+    task.add_done_callback(fleet.tasks.discard)
+    return task
+
+
+def _start_instance(fleet, instance):
+    state = ForwardState()
+    route = HostRoute(
+        name="r",
+        host="h",
+        prefix="/",
+        kind=RouteKind.STREAM,
+        shares=(ServiceShare(service=SERVICE),),
+        timeout_s=TIMEOUT_S,
+        target_s=1.0,
+        is_resumable=True,
+    )
+    state.index = build_index(SiteConfiguration(version=1, routes=(route,)))
+    neighbours = Neighbours(own_address=instance.address)
+    instance.is_up = True
+    instance.watch = StreamWatch(
+        state=state,
+        neighbours=neighbours,
+        send=lambda message, addresses: _send(fleet, instance, message, addresses),
+    )
+    instance.capacity = DirectCapacity(
+        listing=state.listing,
+        read_clock_s=fleet.loop.time,
+        read_listing_clock_s=fleet.loop.time,
+        draw=fleet.draws.random,
+    )
+    _apply_list(fleet, instance, instance.watch)
+    _confirm_one(fleet, instance)
+    relay = SimpleNamespace(
+        instance=SimpleNamespace(stream_watch=instance.watch),
+        is_active=False,
+        neighbours=neighbours,
+    )
+    components = SimpleNamespace(
+        directory=SimpleNamespace(list_instances=lambda: _list_instances(fleet))
+    )
+    instance.tasks = [
+        _start(fleet, send_origins(instance.watch)),
+        _start(fleet, keep_addresses(relay, components)),
+    ]
+
+
+async def _list_instances(fleet):
+    await asyncio.sleep(0.025)
+    return tuple(
+        ListedInstance(data_centre="a", address=each.address)
+        for each in fleet.instances
+    )
+
+
+def _send(fleet, sender, message, addresses):
+    for address in addresses:
+        fleet.counts.messages += 1
+        if fleet.draws.random() < fleet.plan.loss:
+            continue
+        receiver = next(each for each in fleet.instances if each.address == address)
+        fleet.loop.call_later(
+            fleet.draws.uniform(*TRANSIT_S), _receive, sender, receiver, message
+        )
+
+
+def _receive(sender, receiver, message):
+    if receiver.is_up:
+        receive_streams(receiver.watch, sender.address, message)
+
+
+def _start_upstream(fleet, name, version, started_s):
+    fleet.upstreams[name] = Upstream(name=name, version=version, started_s=started_s)
+    _publish(fleet)
+
+
+def _publish(fleet):
+    """Tell the list to all instances, each after a delay of its own."""
+    for instance in fleet.instances:
+        if not instance.is_cut:
+            delay_s = fleet.draws.uniform(0.05, fleet.plan.list_delay_s)
+            fleet.loop.call_later(delay_s, _apply_list, fleet, instance, instance.watch)
+
+
+def _apply_list(fleet, instance, watch):
+    if instance.watch is not watch or instance.is_cut:
+        return
+    items = tuple(
+        Item(
+            key=each.name,
+            value=ListedUpstream(
+                name=each.name,
+                service=SERVICE,
+                address="127.0.0.1:1",
+                data_centre="a",
+                slots=48,
+                started_ms=int((UNIX_S + each.started_s) * 1000),
+                software_version=each.version,
+            ),
+        )
+        for each in fleet.upstreams.values()
+        if each.is_listed
+    )
+    apply_items(
+        watch.state.listing,
+        items,
+        is_snapshot=True,
+        follows_outage=False,
+        now_s=fleet.now_s(),
+    )
+    record_listing(watch)
+
+
+async def _confirm(fleet):
+    while True:
+        for instance in fleet.instances:
+            _confirm_one(fleet, instance)
+        await asyncio.sleep(CONFIRM_PAUSE_S)
+
+
+def _confirm_one(fleet, instance):
+    if not instance.is_cut:
+        now_s = fleet.now_s()
+        instance.watch.state.freshness = Freshness(offset_s=0.0, confirmed_s=now_s)
+
+
+async def _roll_out(fleet, version, at_s):
+    """Start upstreams of a version, and let as many of the others leave, in turn."""
+    await asyncio.sleep(at_s)
+    old = [each for each in fleet.upstreams.values() if each.is_listed]
+    for number, leaving in enumerate(old):
+        name = f"{version}-{number}-{at_s}"
+        _start_upstream(fleet, name, version, fleet.now_s())
+        await asyncio.sleep(fleet.plan.pace_s)
+        leaving.is_listed = False
+        _publish(fleet)
+        fleet.loop.call_later(2.0, _end_upstream, leaving)
+
+
+def _end_upstream(upstream):
+    upstream.is_up = False
+
+
+async def _kill_upstreams(fleet):
+    plan = fleet.plan
+    first_s = plan.rollouts[0] if plan.rollouts else 3.0
+    for _ in range(plan.upstream_kills):
+        await asyncio.sleep(first_s + fleet.draws.uniform(0.0, 2.0))
+        first_s = 0.5
+        up = [
+            each for each in fleet.upstreams.values() if each.is_up and each.is_listed
+        ]
+        versions = {each.version for each in up}
+        for version in versions:
+            upstream = fleet.draws.choice(
+                [each for each in up if each.version == version]
+            )
+            upstream.is_up = False
+            fleet.loop.call_later(3.0, _unlist, fleet, upstream)
+
+
+def _unlist(fleet, upstream):
+    upstream.is_listed = False
+    _publish(fleet)
+    _start_upstream(fleet, f"{upstream.name}+", upstream.version, fleet.now_s())
+
+
+async def _kill_instances(fleet):
+    first_s = fleet.plan.rollouts[0] if fleet.plan.rollouts else 3.0
+    for _ in range(fleet.plan.instance_kills):
+        await asyncio.sleep(first_s + fleet.draws.uniform(0.2, 2.0))
+        first_s = 0.0
+        instance = fleet.draws.choice(fleet.instances)
+        if not instance.is_up:
+            continue
+        instance.is_up = False
+        for task in instance.tasks:
+            task.cancel()
+        fleet.loop.call_later(START_PAUSE_S, _start_instance, fleet, instance)
+
+
+async def _cut_instances(fleet):
+    """Cut instances off from the store just before each rollout."""
+    count = int(fleet.plan.cut_share * len(fleet.instances))
+    for at_s in fleet.plan.rollouts[:1]:
+        await asyncio.sleep(at_s - 0.2)
+        for instance in fleet.draws.sample(fleet.instances, count):
+            instance.is_cut = True
+        await asyncio.sleep(6.0)
+        for instance in fleet.instances:
+            instance.is_cut = False
+        _publish(fleet)
+
+
+async def _send_streams(fleet):
+    while fleet.now_s() < fleet.plan.length_s:
+        await asyncio.sleep(fleet.draws.expovariate(fleet.plan.streams_per_s))
+        _start(fleet, _read_stream(fleet))
+
+
+async def _read_stream(fleet):
+    """Read one stream as a caller does, who comes back once after a break."""
+    fleet.numbers += 1
+    first_id = f"s-{fleet.numbers}"
+    instance = _choose_instance(fleet, None)
+    if instance is None:
+        return
+    begun = await _run(fleet, instance, _make_call(first_id, ""), None)
+    if begun is None:
+        fleet.counts.not_begun += 1
+        return
+    fleet.counts.begun += 1
+    version, is_whole = begun
+    if is_whole:
+        return
+    await asyncio.sleep(fleet.draws.uniform(0.01, 0.5))
+    other = _choose_instance(fleet, instance)
+    if other is None:
+        return
+    serving = sum(
+        each.is_up and each.is_listed and each.version == version
+        for each in fleet.upstreams.values()
+    )
+    rest = await _take_up(fleet, other, first_id)
+    if rest is not None and rest[0] != version:
+        fleet.counts.mixed += 1
+    if serving >= 2 and not other.is_cut:
+        fleet.counts.taken_up += 1
+        fleet.counts.gone_on += rest is not None
+
+
+async def _take_up(fleet, instance, first_id):
+    fleet.numbers += 1
+    call = _make_call(f"s-{fleet.numbers}", first_id)
+    origin = None
+    if fleet.plan.knows_origins:
+        origin = await find_stream_origin(instance.watch, call)
+        if isinstance(origin, Refusal):
+            return None
+    return await _run(fleet, instance, call, origin)
+
+
+def _choose_instance(fleet, but):
+    up = [each for each in fleet.instances if each.is_up and each is not but]
+    return fleet.draws.choice(up) if up else None
+
+
+async def _run(fleet, instance, call, origin):
+    """Run a stream; return its version and whether it is whole, or ``None``."""
+    excluded = set()
+    while True:
+        grant = await instance.capacity.acquire(_make_request(call, origin, excluded))
+        if isinstance(grant, Refusal):
+            return None
+        upstream = fleet.upstreams[grant.upstream]
+        if upstream.is_up:
+            break
+        _release(fleet, instance, grant, WorkResult.CONNECT_FAILED)
+        excluded.add(upstream.name)
+        if len(excluded) > 3:
+            return None
+    watch = instance.watch
+    await asyncio.sleep(0.02)
+    begun = origin or StreamOrigin(
+        service=SERVICE, software_version=grant.software_version
+    )
+    record_stream_start(watch, call, begun)
+    end_s = fleet.now_s() + fleet.draws.uniform(0.2, 3.0)
+    while fleet.now_s() < end_s:
+        await asyncio.sleep(0.05)
+        if not upstream.is_up or instance.watch is not watch or not instance.is_up:
+            _release(fleet, instance, grant, WorkResult.LOST)
+            return upstream.version, False
+    _release(fleet, instance, grant, WorkResult.COMPLETED)
+    return upstream.version, True
+
+
+def _release(fleet, instance, grant, result):
+    if grant.grant_id in instance.capacity._outstanding:
+        instance.capacity.release(grant, WorkReport(result=result), fleet.now_s())
+
+
+def _make_call(request_id, resumed_id):
+    return Call(
+        request_id=request_id,
+        target=SERVICE,
+        team=Team(name="agents"),
+        service_class=ServiceClass(
+            name="r", tier=0, first_token_target_s=1.0, deadline_s=TIMEOUT_S
+        ),
+        method="POST",
+        path="/",
+        headers=(),
+        body=b"",
+        arrived_s=0.0,
+        services=frozenset({SERVICE}),
+        is_stream=True,
+        can_resume_elsewhere=True,
+        resume_after_event_id="3" if resumed_id else "",
+        resumed_request_id=resumed_id,
+    )
+
+
+def _make_request(call, origin, excluded):
+    return WorkRequest(
+        request_id=call.request_id,
+        target=SERVICE,
+        team="agents",
+        team_weight=1.0,
+        team_limit=0,
+        service_class="r",
+        tier=0,
+        arrived_s=0.0,
+        first_token_by_s=1.0,
+        deadline_s=TIMEOUT_S,
+        max_wait_s=1.0,
+        expected_tokens=10,
+        excluded_upstreams=frozenset(excluded),
+        software_version=origin.software_version if origin else None,
+    )
