--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -28,6 +28,7 @@
     Call,
     Progress,
     Sink,
+    find_target,
     make_give_up,
     make_give_up_answer,
     make_refusal_answer,
@@ -47,6 +48,8 @@
 PROBE_PAUSE_S = 0.4
 # How old the list of instances may be when a service gets out of reach.
 LIST_AGE_S = 5.0
+# An instance that isn't reached costs each request that asks it a timeout.
+UNREACHED_AVOID_S = 3.0
 # Callers come back to another instance, which may reach upstreams.
 RETRY_AFTER_S = 0.3
 # Another instance may be able to send a call that was refused for one of these.
@@ -189,12 +192,15 @@
     :returns: The response for the caller; ``None`` when the call has to be sent
         directly.
     """
-    service = progress.origin.service if progress.origin else call.target
+    service = find_target(call, progress)
     reach = watch.reaches.get(service)
     if reach is None or not reach.is_lost:
         return None
     lost_for_s = read_clock_s() - reach.lost_s
-    if call.is_borrowed or progress.is_stream_started:
+    # Only the instance that sent the start of a stream on knows at which version it
+    # began, so no further one can continue it.
+    is_begun_elsewhere = progress.is_stream_started and progress.origin is None
+    if call.is_borrowed or is_begun_elsewhere:
         return make_refusal_answer(progress, _refuse(service))
     await wait_for_instances(watch.streams, max_age_s=float("inf"))
     for address in _choose(watch):
@@ -267,7 +273,7 @@
     if end is AttemptResult.COMPLETED:
         return attempt.answer
     if end is AttemptResult.CONNECT_FAILED:
-        avoid_helper(watch.helpers, address, read_clock_s())
+        avoid_helper(watch.helpers, address, read_clock_s(), avoid_s=UNREACHED_AVOID_S)
         return None
     if end is not AttemptResult.REFUSED:
         record_attempt(progress, end)
--- a/jujubenotch/detour/borrowed.py
+++ b/jujubenotch/detour/borrowed.py
@@ -6,7 +6,14 @@
 import orjson
 from pydantic import BaseModel, ConfigDict, ValidationError
 
-from jujubenotch.dispatch import AnswerKind, Call, Progress, UpstreamProtocol
+from jujubenotch.dispatch import (
+    AnswerKind,
+    Call,
+    Progress,
+    UpstreamProtocol,
+    find_resume_point,
+    find_target,
+)
 from jujubenotch.outcomes import OUTCOME_HEADER, Outcome
 from jujubenotch.records import ServiceClass, Team
 from jujubenotch.streams import StreamOrigin
@@ -61,12 +68,12 @@
     :param progress: Its progress, with the origin of the stream that it resumes.
     :param now_s: The present monotonic time, in seconds.
     """
-    target = progress.origin.service if progress.origin else call.target
-    fields = {name: getattr(call, name) for name in COPIED_FIELDS if name != "origin"}
+    fields = {name: getattr(call, name) for name in COPIED_FIELDS}
+    fields["origin"] = progress.origin
+    fields["resume_after_event_id"] = find_resume_point(call, progress)
     document = _CallDocument(
         **fields,
-        target=target,
-        origin=progress.origin,
+        target=find_target(call, progress),
         left_s=max(0.0, call.deadline_s - now_s),
     )
     return orjson.dumps(document.model_dump()) + SEPARATOR + call.body
--- a/jujubenotch/detour/helpers.py
+++ b/jujubenotch/detour/helpers.py
@@ -19,15 +19,18 @@
     avoided_until_s: dict[str, float] = field(default_factory=dict)
 
 
-def avoid_helper(helpers: Helpers, address: str, now_s: float) -> None:
+def avoid_helper(
+    helpers: Helpers, address: str, now_s: float, avoid_s: float = AVOID_S
+) -> None:
     """Ask an instance for no help for some time.
 
     :param helpers: The instances that were of no help; changed in place.
     :param address: The address of the instance.
     :param now_s: The present monotonic time, in seconds.
+    :param avoid_s: For how long, in seconds.
     """
     until_s = helpers.avoided_until_s
-    until_s[address] = now_s + AVOID_S
+    until_s[address] = now_s + avoid_s
     for other in [each for each, end_s in until_s.items() if end_s <= now_s]:
         del until_s[other]
 
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -23,6 +23,7 @@
     Progress,
     Sink,
     find_resume_point,
+    find_target,
 )
 from jujubenotch.dispatch.decide import (
     AttemptResult,
@@ -60,6 +61,7 @@
     "digest_call",
     "dispatch",
     "find_resume_point",
+    "find_target",
     "make_give_up",
     "make_give_up_answer",
     "make_refusal_answer",
