--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -41,8 +41,10 @@
 FLUSH_DELAY_S = 0.05
 # About 3 KB compressed, three datagrams.
 MAX_ENTRIES = 100
-# Several round trips between two busy instances.
-ANSWER_TIMEOUT_S = 0.15
+# Several round trips between two busy instances. A question may get lost, so it is sent
+# more than once.
+ANSWER_TIMEOUT_S = 0.05
+QUESTIONS = 3
 # The instances are listed by the store.
 ADDRESSES_TIMEOUT_S = 0.3
 # How old the list of instances may be when a stream began.
@@ -64,10 +66,10 @@
 class Question:
     """A question to other instances that waits for their answers.
 
-    :param pending: The number of instances that have not answered.
+    :param pending: The instances that have not answered.
     """
 
-    pending: int
+    pending: set[str] = field(default_factory=set)
     is_answered: asyncio.Event = field(default_factory=asyncio.Event)
 
 
@@ -282,14 +284,15 @@
         if question is not None:
             question.is_answered.set()
     for request_id in message.request_ids:
-        _count_unknown(watch.questions.get(request_id))
+        _end_wait(watch.questions.get(request_id), sender)
 
 
-def _count_unknown(question):
+def _end_wait(question, sender):
+    """Record that an instance doesn't know the stream that was asked for."""
     if question is None:
         return
-    question.pending -= 1
-    if question.pending <= 0:
+    question.pending.discard(sender)
+    if not question.pending:
         question.is_answered.set()
 
 
@@ -359,16 +362,17 @@
     asked = [each for each in addresses if each != watch.neighbours.own_address]
     if not asked:
         return None
-    question = watch.questions.get(request_id)
-    if question is None:
-        question = watch.questions[request_id] = Question(pending=len(asked))
+    question = watch.questions.setdefault(request_id, Question())
+    question.pending.update(asked)
     message = Message(kind=MessageKind.STREAM_QUERY, request_ids=(request_id,))
-    watch.send(message, asked)
     try:
-        async with asyncio.timeout(ANSWER_TIMEOUT_S):
-            await question.is_answered.wait()
-    except TimeoutError:
-        logger.debug("not all of %d instances answered in time", len(asked))
+        for _ in range(QUESTIONS):
+            watch.send(message, asked)
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(ANSWER_TIMEOUT_S):
+                    await question.is_answered.wait()
+            if question.is_answered.is_set():
+                break
     finally:
         watch.questions.pop(request_id, None)
     return _find_known(watch, request_id)
