--- a/benchmarks/site/callers.py
+++ b/benchmarks/site/callers.py
@@ -5,7 +5,7 @@
 import re
 import time
 from contextlib import suppress
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from benchmarks.site.documents import HOST
 from benchmarks.site.model import (
@@ -31,6 +31,12 @@
 MAX_WAIT_S = 4.0
 MAX_EVENTS = 30
 TOPICS = 12
+# Callers resume this share of the streams that broke off, within this time.
+RESUME_RATIO = 0.8
+MAX_RETURN_S = 0.3
+MIN_RESUME_S = 0.5
+# The last digit of a resumption's id; other ids are hexadecimal.
+RESUMPTION_MARK = "r"
 # The share of the requests that may have a content that crashes upstreams.
 BAD_CONTENT_RATIO = 0.15
 # The share of read requests that go to routes which are added and removed in the run.
@@ -133,14 +139,18 @@
     endpoint.failed_checks = 0 if is_ready else endpoint.failed_checks + 1
 
 
-async def _send_request(callers):
+async def _send_request(callers, resumed=None):
     try:
         async with asyncio.timeout(CONNECT_TIMEOUT_S):
             connection = await _take_connection(callers)
     except (OSError, TimeoutError):
         # No request was sent, and a real caller would try another instance.
         return
-    request = _draw_request(callers, connection.endpoint.instance)
+    instance = connection.endpoint.instance
+    if resumed is None:
+        request = _draw_request(callers, instance)
+    else:
+        request = _make_resumption(resumed, instance)
     callers.journal.told.append(request)
     wait_s = request.deadline_s - request.sent_s
     stays_open = False
@@ -154,6 +164,38 @@
         request.error = f"{type(error).__name__}: {error}"
     request.ended_s = time.monotonic()
     _put_back(callers, connection, stays_open=stays_open)
+    if _may_resume(callers, request):
+        await asyncio.sleep(callers.generator.uniform(0.0, MAX_RETURN_S))
+        await _send_request(callers, resumed=request)
+
+
+def _may_resume(callers, request):
+    """Return whether a caller asks once for the rest of a stream that broke off."""
+    is_broken = request.kind is RouteKind.RESUME and not request.is_whole
+    if not is_broken or not request.events or request.resumes:
+        return False
+    has_time = request.deadline_s - time.monotonic() > MIN_RESUME_S
+    return has_time and callers.generator.random() < RESUME_RATIO
+
+
+def _make_resumption(request, instance):
+    """Make the request for the rest of a stream."""
+    return replace(
+        request,
+        request_id=f"{request.request_id[:-1]}{RESUMPTION_MARK}",
+        instance=instance,
+        sent_s=time.monotonic(),
+        resumes=request.request_id,
+        after_event=request.events[-1],
+        ended_s=0.0,
+        status=0,
+        retry_after_s=0.0,
+        body=b"",
+        events=(),
+        is_whole=False,
+        is_signed=False,
+        error="",
+    )
 
 
 def _draw_request(callers, instance):
@@ -223,6 +265,10 @@
     )
     if request.prompt:
         head += f"X-Prompt-Prefix: {request.prompt}\r\nX-Token-Count: 600,200\r\n"
+    if request.resumes:
+        head += (
+            f"Last-Event-Id: {request.after_event}\r\nResumes: {request.resumes}\r\n"
+        )
     head += "\r\n"
     if connection.writer.is_closing():
         raise ConnectionResetError("ended before the request was sent")
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -46,6 +46,11 @@
     """An instance of the site did not start."""
 
 
+# Of the new upstreams: those that bring a version on, and those of the one before.
+NEXT_VERSION_RATIO = 0.1
+OLD_VERSION_RATIO = 0.4
+
+
 @dataclass(kw_only=True)
 class Instance:
     """An instance: a process of the program, with relays to callers and the store.
@@ -83,7 +88,10 @@
 
 @dataclass(kw_only=True)
 class Site:
-    """A running site: its instances, its stand-ins and the journal of the run."""
+    """A running site: its instances, its stand-ins and the journal of the run.
+
+    :param newest_version: The number of the newest software version of upstreams.
+    """
 
     directory: Path
     generator: random.Random
@@ -94,6 +102,7 @@
     instances: dict[str, Instance] = field(default_factory=dict)
     upstream_endpoints: dict[str, UpstreamEndpoint] = field(default_factory=dict)
     restarts: set[asyncio.Task] = field(default_factory=set)
+    newest_version: int = 2
 
 
 @asynccontextmanager
@@ -148,6 +157,7 @@
         zone=endpoint.zone,
         slots=upstream.slots,
         is_leaving=upstream.is_leaving,
+        version=upstream.version,
     )
     write_row(site.store, "servers", upstream.name, entry)
 
@@ -308,6 +318,13 @@
             publish_upstream(site, endpoint)
 
 
+def _draw_version(site):
+    """Draw the version of a new upstream; most of a while are of the same one."""
+    if site.generator.random() < NEXT_VERSION_RATIO:
+        site.newest_version += 1
+    return f"v{site.newest_version - (site.generator.random() < OLD_VERSION_RATIO)}"
+
+
 def _make_upstream(site, endpoint, service, port):
     return Upstream(
         name=f"i-{endpoint.name}-{endpoint.number}",
@@ -317,6 +334,8 @@
         slots=SLOTS,
         record=site.journal.arrivals.append,
         record_statement=site.journal.statements.append,
+        version=_draw_version(site),
+        record_part=site.journal.stream_parts.append,
         crash=lambda upstream, content: _crash(site, endpoint, upstream, content),
         generator=random.Random(site.generator.getrandbits(32)),
     )
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -90,6 +90,22 @@
     bad_content: str = ""
 
 
+@dataclass(frozen=True, kw_only=True)
+class StreamPart:
+    """What one upstream wrote of a stream.
+
+    :param stream: The request that brought the stream's first event, as its caller
+        names it; the request itself until then.
+    :param first: The number of the first event.
+    """
+
+    stream: str
+    upstream: str
+    version: str
+    first: int
+    at_s: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class ContentCrash:
     """The end of an upstream by the content of a request that it had begun to run."""
@@ -109,6 +125,9 @@
     :param is_signed: Whether the answer has an upstream's signature.
     :param events: The ids of the received events, in the order of their arrival.
     :param error: The reason why the connection ended early; otherwise empty.
+    :param resumes: The request that brought the first event of the stream that this one
+        resumes; empty for none.
+    :param after_event: The number of the last event that the caller had.
     """
 
     request_id: str
@@ -127,6 +146,8 @@
     is_whole: bool = False
     is_signed: bool = False
     error: str = ""
+    resumes: str = ""
+    after_event: int = 0
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -197,5 +218,6 @@
     leavings: list[Leaving] = field(default_factory=list)
     routes: list[RouteChange] = field(default_factory=list)
     statements: list[Statement] = field(default_factory=list)
+    stream_parts: list[StreamPart] = field(default_factory=list)
     content_crashes: list[ContentCrash] = field(default_factory=list)
     ended: dict[str, int] = field(default_factory=dict)
--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -8,7 +8,7 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from benchmarks.site.model import Arrival, SiteFault, Statement
+from benchmarks.site.model import Arrival, SiteFault, Statement, StreamPart
 
 END_OF_HEAD = b"\r\n\r\n"
 MAX_QUEUED = 24
@@ -44,6 +44,8 @@
     :param slots: The number of requests that the upstream runs concurrently.
     :param record: Called with each request that the upstream has received.
     :param record_statement: Called with each statement that the upstream sends.
+    :param version: The version of its software.
+    :param record_part: Called with each part of a stream that the upstream writes.
     :param crash: Called with the upstream and the content of a request that ends it.
     :param port: The port to listen on; 0 for a free one, which is set on opening.
     :param slowdown: The factor by which work takes longer than normal.
@@ -62,6 +64,8 @@
     slots: int
     record: Callable[[Arrival], None]
     record_statement: Callable[[Statement], None]
+    version: str = "v1"
+    record_part: Callable[[StreamPart], None] = lambda part: None
     crash: Callable[["Upstream", str], None] = lambda upstream, content: None
     port: int = 0
     slowdown: float = 1.0
@@ -300,6 +304,8 @@
     if head.bad_content:
         await asyncio.sleep(CRASH_DELAY_S)
         return _crash(upstream, head)
+    if first <= stop:
+        _record_part(upstream, head, first)
     for number in range(first, stop + 1):
         event = make_event(head.request_id, number)
         await _send(writer, b"%x\r\n%b\r\n" % (len(event), event))
@@ -312,6 +318,17 @@
     return True
 
 
+def _record_part(upstream, head, first):
+    part = StreamPart(
+        stream=head.fields.get("resumes", head.request_id),
+        upstream=upstream.name,
+        version=upstream.version,
+        first=first,
+        at_s=time.monotonic(),
+    )
+    upstream.record_part(part)
+
+
 def _crash(upstream, head):
     upstream.crash(upstream, head.bad_content)
     return False
--- a/features/soak/site.feature
+++ b/features/soak/site.feature
@@ -35,6 +35,7 @@
       | 40 requests at a limit of 2 a second                  | an upstream that names a limit gets no more     |
       | 4 requests with a part 3 s after its fifth crash      | what crashes upstreams is no longer sent        |
       | 4 repeats of a request 3 s after its third crash      | what crashes upstreams is no longer sent        |
+      | 3 streams that go on at another version               | a stream goes on at the version that began it   |
       | an upstream's failures at the end                     | nearly all is served after the last fault       |
 
   Scenario Outline: An event that a fault or an exception of a rule explains breaks no rule
@@ -55,6 +56,8 @@
       | 4 requests with a part that crashed 4 upstreams          |
       | 3 requests with a part 3 s after its fifth crash         |
       | 4 such requests from an instance cut off from the store  |
+      | 2 streams that go on at another version                  |
+      | 3 streams that go on at their version                    |
 
   Scenario: Equal seeds draw equal faults, and different seeds draw different faults
     Then the site's seed 7 draws the same faults twice, and seed 8 draws different faults
--- a/features/soak/steps/site_steps.py
+++ b/features/soak/steps/site_steps.py
@@ -18,6 +18,7 @@
     SiteFault,
     SiteJournal,
     Statement,
+    StreamPart,
 )
 from benchmarks.site.rules import SITE_RULES
 from benchmarks.site.run import run_site_soak
@@ -211,6 +212,24 @@
     return add
 
 
+def write_parts(*versions, count):
+    """Let upstreams of the versions write the parts of streams, in turn."""
+
+    def add(journal):
+        for stream in range(count):
+            for number, version in enumerate(versions):
+                part = StreamPart(
+                    stream=f"{stream:016x}",
+                    upstream=f"i-{number}",
+                    version=version,
+                    first=1 + 3 * number,
+                    at_s=30.0 + number,
+                )
+                journal.stream_parts.append(part)
+
+    return add
+
+
 def send_bad(kind, content, crashes_s, arrivals_s, *, fault=None):
     """Let a content crash upstreams, and arrive at others; times from 40 s on."""
 
@@ -247,6 +266,9 @@
     "4 repeats of a request 3 s after its third crash": send_bad(
         SiteFault.BAD_REQUEST, "/read/bad-1", [1.0, 1.1, 1.2], LATE_TIMES_S
     ),
+    "3 streams that go on at another version": write_parts("v1", "v2", count=3),
+    "2 streams that go on at another version": write_parts("v1", "v2", count=2),
+    "3 streams that go on at their version": write_parts("v1", "v1", count=3),
     "4 requests with a part that crashed 4 upstreams": send_bad(
         SiteFault.BAD_PART, "bad-1", [1.0, 1.1, 1.2, 1.3], LATE_TIMES_S
     ),
