--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -14,8 +14,8 @@
 # The share of the route's timeout that leaves time for a second attempt.
 SILENCE_TIMEOUT_SHARE = 0.4
 # Callers abandon a stream after a pause of 2 s, so another upstream must be
-# tried earlier than that.
-MIN_STREAM_SILENCE_S = 1.2
+# tried earlier than that. A sound upstream may be silent for a second or so.
+MIN_STREAM_SILENCE_S = 1.5
 # More parts than a prompt has in practice; bounds the work for one request.
 MAX_SHARED_PARTS = 64
 ANONYMOUS_TEAM = Team(name="")
