Draw for sparing only while a service is brittle; end messages after a rollout; tolerate new reasons

Origins are no longer sent when the list has not changed since the other versions left; all data centres are listed only when that is wanted; a refusal with a reason of a later release is no error.

--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -94,6 +94,7 @@
         # Instances that share pages know those of their data centre already.
         if not relay.is_active or watch.wants_all:
             await _add_listed(relay, components)
+            watch.wants_all = False
         watch.listed_s = asyncio.get_running_loop().time()
         watch.addresses_known.set()
         watch.addresses_wanted.clear()
--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -141,7 +141,7 @@
     listed = watch.state.listing.upstreams.values()
     for service in {each.listed.service for each in listed}:
         reach = watch.reaches.setdefault(service, Reach())
-        if not reach.is_lost and not reach.failed_s.get(""):
+        if not reach.is_lost:
             _start(watch, _check(watch, service))
 
 
@@ -282,13 +282,21 @@
         avoid_helper(watch.helpers, address, read_clock_s())
         return None
     refusal = Refusal(
-        reason=RefusalReason(reason),
+        reason=_read_reason(reason),
         retry_after_s=_read_retry_after_s(heads[0]),
         detail="the instance that sends requests on for this one refused it",
     )
     return make_refusal_answer(progress, refusal)
 
 
+def _read_reason(text):
+    """Read the reason of a refusal; a later release may have others."""
+    try:
+        return RefusalReason(text)
+    except ValueError:
+        return RefusalReason.UPSTREAM_REFUSED
+
+
 def _read_retry_after_s(head):
     try:
         return max(0.0, float(head.find_header("Retry-After") or 0.0))
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -173,8 +173,13 @@
     is_new = remember_origin(
         watch.origins, request_id, origin, now_s=read_boot_clock_s()
     )
-    if is_new and origin.service in watch.split:
+    if not is_new or origin.service not in watch.split:
+        return
+    if _is_split(watch, origin.service):
         _send_later(watch, (request_id,))
+    else:
+        # The list may not change for long after the other versions have left.
+        watch.split.discard(origin.service)
 
 
 def _send_later(watch, request_ids):
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -228,7 +228,8 @@
         if state is None:
             return
         record_report(state, report, now_s)
-        state.report_draw = self._draw()
+        if self._brittle.services:
+            state.report_draw = self._draw()
         for division in self._divisions.values():
             record_group_load(division, upstream, state.reported, now_s)
 
