--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -11,12 +11,12 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from jujubenotch.daemon import forward_streams
+from jujubenotch.daemon import forward_origins, forward_streams
 from jujubenotch.daemon.forward_count import keep_addresses
+from jujubenotch.daemon.forward_origins import find_stream_origin
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.daemon.forward_streams import (
     StreamWatch,
-    find_stream_origin,
     receive_streams,
     record_listing,
     record_stream_start,
@@ -138,7 +138,8 @@
     )
     with (
         mock.patch.object(forward_streams, "read_boot_clock_s", loop.time),
-        mock.patch.object(forward_streams, "time", clock),
+        mock.patch.object(forward_origins, "read_boot_clock_s", loop.time),
+        mock.patch.object(forward_origins, "time", clock),
     ):
         fleet = Fleet(plan=plan, loop=loop, draws=random.Random(seed))
         loop.run_until_complete(_play(fleet))
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -8,8 +8,8 @@
 
 from jujubenotch.crashes import InstanceReports
 from jujubenotch.daemon.forward_crashes import CrashWatch
-from jujubenotch.daemon.forward_detour import DetourWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
+from jujubenotch.daemon.forward_reach import DetourWatch
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.daemon.forward_streams import StreamWatch
 from jujubenotch.dispatch import Dispatcher, UpstreamProtocol
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -9,7 +9,7 @@
 import socket
 import sys
 from collections.abc import Callable
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 import uvloop
 
@@ -19,28 +19,22 @@
     record_attempt,
     refuse_blocked,
 )
-from jujubenotch.daemon.forward_detour import (
-    DetourWatch,
-    record_reach,
-    send_elsewhere,
-)
+from jujubenotch.daemon.forward_detour import send_elsewhere
 from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
+from jujubenotch.daemon.forward_origins import find_stream_origin
 from jujubenotch.daemon.forward_parts import (
     ForwardingInstance,
     InstanceCount,
     PlatformComponents,
 )
+from jujubenotch.daemon.forward_reach import DetourWatch, record_reach
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
 )
-from jujubenotch.daemon.forward_streams import (
-    StreamWatch,
-    find_stream_origin,
-    record_stream_start,
-)
+from jujubenotch.daemon.forward_streams import StreamWatch, record_stream_start
 from jujubenotch.dispatch import (
     Dispatcher,
     ExchangeRegistry,
@@ -170,7 +164,6 @@
             age_s=measure_age_s(state.freshness, read_boot_clock_s()),
         ),
     )
-    loop = asyncio.get_running_loop()
     instance_count = InstanceCount()
     crash_watch = CrashWatch(name=settings.name, state=state)
     stream_watch = StreamWatch(state=state)
@@ -182,50 +175,81 @@
     helper_connections = open_connections(
         HELPER_LIMITS, endpoint.host if endpoint else None
     )
+    dispatcher = _make_dispatcher(
+        state,
+        observer,
+        components.protocol,
+        instance_count,
+        _Watches(crashes=crash_watch, streams=stream_watch, detours=detour_watch),
+        helper_connections,
+        lambda: instance.settings.retry_ratio,
+    )
+    instance = ForwardingInstance(
+        settings=settings,
+        last_read_settings=settings,
+        state=state,
+        observer=observer,
+        dispatcher=dispatcher,
+        stopping=stopping,
+        crash_watch=crash_watch,
+        stream_watch=stream_watch,
+        detour_watch=detour_watch,
+        helper_connections=helper_connections,
+        instance_count=instance_count,
+    )
+    return instance
+
+
+@dataclass(frozen=True, kw_only=True)
+class _Watches:
+    """What an instance watches in the requests that it sends."""
+
+    crashes: CrashWatch
+    streams: StreamWatch
+    detours: DetourWatch
+
+
+def _make_dispatcher(
+    state,
+    observer,
+    protocol,
+    instance_count,
+    watches,
+    helper_connections,
+    read_retry_ratio,
+):
     capacity = DirectCapacity(
         listing=state.listing,
-        read_clock_s=loop.time,
+        read_clock_s=asyncio.get_running_loop().time,
         read_listing_clock_s=read_boot_clock_s,
         read_instance_count=lambda: instance_count.value,
         report_limit=instance_count.wanted.set,
     )
-    dispatcher = Dispatcher(
+    return Dispatcher(
         capacity=capacity,
         record_response_start=capacity.record_response_start,
         record_notice=capacity.record_notice,
         connections=open_connections(UPSTREAM_LIMITS),
         observer=observer,
-        retry_budget=_make_retry_budget(lambda: instance.settings.retry_ratio),
+        retry_budget=_make_retry_budget(read_retry_ratio),
         read_configuration=lambda: state.upstreams,
         exchange_registry=ExchangeRegistry(
             idle_timeout_s=UPSTREAM_LIMITS.idle_timeout_s
         ),
-        protocol=components.protocol,
-        identify_process=lambda upstream: identify_process(crash_watch, upstream),
-        find_block=lambda call: refuse_blocked(crash_watch, call),
-        find_stream_origin=lambda call: find_stream_origin(stream_watch, call),
+        protocol=protocol,
+        identify_process=lambda upstream: identify_process(watches.crashes, upstream),
+        find_block=lambda call: refuse_blocked(watches.crashes, call),
+        find_stream_origin=lambda call: find_stream_origin(watches.streams, call),
         record_stream_start=lambda call, origin: record_stream_start(
-            stream_watch, call, origin
+            watches.streams, call, origin
         ),
         send_elsewhere=functools.partial(
-            send_elsewhere, detour_watch, helper_connections
+            send_elsewhere, watches.detours, helper_connections
+        ),
+        record_attempt=functools.partial(
+            _record_attempt, watches.crashes, watches.detours
         ),
-        record_attempt=functools.partial(_record_attempt, crash_watch, detour_watch),
-    )
-    instance = ForwardingInstance(
-        settings=settings,
-        last_read_settings=settings,
-        state=state,
-        observer=observer,
-        dispatcher=dispatcher,
-        stopping=stopping,
-        crash_watch=crash_watch,
-        stream_watch=stream_watch,
-        detour_watch=detour_watch,
-        helper_connections=helper_connections,
-        instance_count=instance_count,
     )
-    return instance
 
 
 def _record_attempt(crash_watch, detour_watch, call, attempt):
