--- a/jujubenotch/forwarding/brittle.py
+++ b/jujubenotch/forwarding/brittle.py
@@ -2,10 +2,9 @@
 
 The bound holds for what all instances send beyond the room of an upstream. No message
 tells one instance what the others send. Each therefore replaces its own requests that
-have ended, and adds its share of the room that an upstream reports, or takes
-back its share of what is reported beyond the room. After a
-request that was turned away it makes a pause, so long that all instances together stay
-below the bound.
+have ended, and adds its share of the room that an upstream reports, or takes back its
+share of what is reported beyond the room. After a request that was turned away it makes
+a pause, so long that all instances together stay below the bound.
 """
 
 import math
--- a/jujubenotch/forwarding/held.py
+++ b/jujubenotch/forwarding/held.py
@@ -102,7 +102,10 @@
     :param now_s: The present time on the clock of the holds, in seconds.
     :returns: The refusal, with the time at which the first hold ends.
     """
-    first = min(holds, key=lambda hold: hold.until_s)
+    first = min(
+        holds,
+        key=lambda hold: (hold.until_s, hold.reason is not HoldReason.OTHER_VERSION),
+    )
     retry_after_s = _choose_retry_after_s(first, left_s, now_s)
     retry_after_s *= 1 + RETRY_SPREAD_SHARE * draw
     log_event(
