Resume a stream whose first request isn't named while one version serves (ORDER)

Nobody can know more of such a stream, so the versions that are listed, or were lately, decide alone. The new scenario failed before (503) and passes now; with two versions such a request is refused as before.

--- a/features/platform/steps/versions_steps.py
+++ b/features/platform/steps/versions_steps.py
@@ -17,6 +17,7 @@
     write_route,
 )
 from features.platform.versions import (
+    EVENTS,
     ReadStream,
     end_upstream,
     read_stream,
@@ -51,13 +52,20 @@
         view.process.wait()
 
 
+@given(
+    'a site of {count:d} instances with the upstreams "{entries}" that have just started'
+)
+def open_site_of_young_upstreams(context, count, entries):
+    open_versioned_site(context, count, entries, born=int(time.time() * 1000))
+
+
 @given('a site of {count:d} instances with the upstreams "{entries}"')
-def open_versioned_site(context, count, entries):
+def open_versioned_site(context, count, entries, **entry):
     site = context.stack.enter_context(open_site())
     put_configuration(site, routes=(*ROUTES, ONCE))
     context.site = site
     context.upstreams = {}
-    start_listed(context, entries)
+    start_listed(context, entries, **entry)
     others = [add_instance(site, number) for number in range(2, count + 1)]
     context.instances = [site, *others]
     for number, view in enumerate(context.instances, 1):
@@ -69,10 +77,12 @@
     time.sleep(1.0)
 
 
-def start_listed(context, entries):
+def start_listed(context, entries, **fields):
     for entry in entries.split(","):
         name, _, version = entry.partition("=")
-        context.upstreams[name] = start_upstream(context.site, name, version, slots=48)
+        context.upstreams[name] = start_upstream(
+            context.site, name, version, slots=48, **fields
+        )
 
 
 def read_streams(context, count, path, *events):
@@ -160,12 +170,24 @@
     context.took_s = time.monotonic() - start_s
 
 
+@when("a caller takes up a stream without naming its first request")
+def take_up_unnamed(context):
+    take_up_unknown(context, names_first=False)
+
+
+@then("it got the rest of its stream")
+def check_rest(context):
+    (stream,) = context.streams
+    assert stream.is_whole, (stream, read_log(context.instances[-1])[-1500:])
+    assert [number for number, _ in stream.events] == list(range(3, EVENTS + 1))
+
+
 @when("a caller takes up a stream that no instance knows")
-def take_up_unknown(context):
+def take_up_unknown(context, names_first=True):
     stream = ReadStream(first_id="00000000000000aa", events=[(3, "v1")])
     context.streams = context.broken = [stream]
     start_s = time.monotonic()
-    read_stream(context.instances[-1], stream, "/once/x")
+    read_stream(context.instances[-1], stream, "/once/x", names_first=names_first)
     context.took_s = time.monotonic() - start_s
 
 
--- a/features/platform/versions.feature
+++ b/features/platform/versions.feature
@@ -54,3 +54,16 @@
     When callers read 12 streams of "/once/x" and the first instance is killed after 0.4 s
     And the callers take up their streams at the other instance
     Then all streams are whole
+
+  # Guards against refusals of callers that don't name the first request of their stream, at
+  # instances and beside upstreams that have just started.
+  Scenario: A caller doesn't name its first request, and one version serves
+    Given a site of 2 instances with the upstreams "a=v1,b=v1" that have just started
+    When a caller takes up a stream without naming its first request
+    Then it got the rest of its stream
+
+  Scenario: A caller doesn't name its first request, and two versions serve
+    Given a site of 2 instances with the upstreams "a=v1,b=v2"
+    When a caller takes up a stream without naming its first request
+    Then it got the status 503 without Retry-After within 1 s
+    And no upstream got its request
--- a/features/platform/versions.py
+++ b/features/platform/versions.py
@@ -44,7 +44,8 @@
     upstream = VersionedUpstream(name=name, version=version)
     run(site, _listen(site, upstream))
     site.upstreams[name] = upstream
-    list_upstream(site, name, born=1_700_000_000_000, version=version, **entry)
+    fields = {"born": 1_700_000_000_000, "version": version, **entry}
+    list_upstream(site, name, **fields)
     return upstream
 
 
--- a/jujubenotch/daemon/forward_origins.py
+++ b/jujubenotch/daemon/forward_origins.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 import time
 
 from jujubenotch.daemon.forward_revisions import is_source_behind
@@ -123,14 +124,21 @@
 
 
 def _find_sole_origin(watch, call):
-    if len(call.services) > 1 or _measure_list_age_s(watch) > MAX_LIST_AGE_S:
+    if len(call.services) > 1:
         return None
+    # Of a stream whose first request isn't named no instance can know more, so nothing
+    # has to be certain of the time before this instance's list.
+    newest_start_age_s = math.inf
+    if call.resumed_request_id:
+        if _measure_list_age_s(watch) > MAX_LIST_AGE_S:
+            return None
+        newest_start_age_s = _measure_newest_start_age_s(watch, call.target)
     version = find_sole_version(
         watch.history,
         call.target,
         window_s=find_window_s(watch.state),
         now_s=read_boot_clock_s(),
-        newest_start_age_s=_measure_newest_start_age_s(watch, call.target),
+        newest_start_age_s=newest_start_age_s,
     )
     if version is None:
         return None
