--- a/jujubenotch/callers/borrowed.py
+++ b/jujubenotch/callers/borrowed.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 from sanic import Request, Sanic
 
@@ -26,7 +27,7 @@
 BUSY_RETRY_AFTER_S = 0.3
 
 
-class Helper(Forwarder):
+class Helper(Forwarder, Protocol):
     """The part of the instance that the interface uses.
 
     :param borrowed: The number of calls of other instances that are in progress.
