--- a/jujubenotch/detour/borrowed.py
+++ b/jujubenotch/detour/borrowed.py
@@ -21,7 +21,7 @@
 SEPARATOR = b"\n"
 # Larger than all that the head of a caller's request may contain.
 MAX_DOCUMENT_BYTES = 256 * 1024
-# Each borrowed call runs once at most; the instance that lends it decides on repeats.
+# Each borrowed call runs once at most; the instance that sent it decides on repeats.
 MAX_BORROWED_RUNS = 1
 
 
--- a/jujubenotch/forwarding/brittle.py
+++ b/jujubenotch/forwarding/brittle.py
@@ -10,7 +10,7 @@
 import math
 from dataclasses import dataclass
 
-# Of the slots, for what is on its way.
+# The share of the slots that is left free for requests in transit.
 KEPT_SHARE = 0.08
 MIN_KEPT = 1.0
 # The rest allows for chance, as the instances draw their pauses independently. Chance
--- a/jujubenotch/forwarding/sparing.py
+++ b/jujubenotch/forwarding/sparing.py
@@ -182,7 +182,7 @@
     instances = brittle.read_instance_count()
     pause_s = find_pause_s(brittleness.per_s, instances, brittle.draw())
     state.spared_until_s = now_s + pause_s
-    # What has ended since is not replaced.
+    # Requests that have ended since the last report are not replaced by new ones.
     state.running_at_report = min(state.running_at_report, state.running)
     log_event(
         logger,
