Read load reports that have more than three figures

Cause: the reader of X-Instance-Load accepted exactly three figures. Upstreams that share their machines add a fourth one, so each of their reports was dropped and an instance knew only its own requests. A figure such as a superscript digit raised an error in the request that it came with.

Change: the fourth figure is read as LoadReport.pace, a multiple of the usual time; further figures are ignored; numbers of more than nine digits aren't read.

--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -25,6 +25,13 @@
 SIGNATURE = "X-Response-Signature"
 NOT_EXECUTED = "X-Not-Executed"
 INSTANCE_LOAD = "X-Instance-Load"
+# The numbers of running requests, waiting requests and slots.
+LOAD_COUNTS = 3
+# No upstream has as many slots; a larger number is an error.
+MAX_COUNT_DIGITS = 9
+PERCENT = 100
+# A higher pace can't be told from a stalled upstream.
+MAX_PACE_PERCENT = 100_000
 
 # The headers that only this program may set for upstreams, and the hop-by-hop
 # headers.
@@ -158,15 +165,37 @@
 def _read_load(answer):
     """Read the numbers of running requests, waiting requests and slots.
 
+    Some upstreams add how long work takes at present, where 100 is the usual time.
+    Figures that later versions of the platform may append are ignored.
+
     The response of another process than the expected one tells nothing of its load.
     """
     if answer.status == MISDIRECTED_STATUS:
         return None
     parts = answer.find_header(INSTANCE_LOAD).split(",")
-    if len(parts) != 3 or not all(part.strip().isdigit() for part in parts):
+    if len(parts) < LOAD_COUNTS:
+        return None
+    counts = [_read_count(part) for part in parts[:LOAD_COUNTS]]
+    if None in counts:
+        return None
+    running, waiting, slots = counts
+    pace = _read_pace(parts[LOAD_COUNTS]) if len(parts) > LOAD_COUNTS else None
+    return LoadReport(running=running, waiting=waiting, slots=slots, pace=pace)
+
+
+def _read_count(text):
+    text = text.strip()
+    if not text.isascii() or not text.isdigit() or len(text) > MAX_COUNT_DIGITS:
+        return None
+    return int(text)
+
+
+def _read_pace(text):
+    """Read how long work takes, as a multiple of the usual time."""
+    percent = _read_number(text)
+    if not percent or percent > MAX_PACE_PERCENT:
         return None
-    running, waiting, slots = (int(part) for part in parts)
-    return LoadReport(running=running, waiting=waiting, slots=slots)
+    return percent / PERCENT
 
 
 PLATFORM_PROTOCOL = UpstreamProtocol(
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -124,6 +124,8 @@
     :param slots: Number of requests that the upstream can run at once.
     :param is_leaving: Whether the upstream is about to go out of service.
     :param age_s: Age of the report according to the upstream, in seconds.
+    :param pace: How long work takes on the upstream's machine at the time of the
+        report, as a multiple of the usual time; ``None`` when it isn't reported.
     """
 
     running: int
@@ -131,6 +133,7 @@
     slots: int
     is_leaving: bool = False
     age_s: float = 0.0
+    pace: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
