--- a/jujubenotch/usage/model.py
+++ b/jujubenotch/usage/model.py
@@ -1,6 +1,7 @@
 """Data model of the usage reports and of the demand for services."""
 
-from dataclasses import dataclass
+from collections.abc import Mapping
+from dataclasses import dataclass, field
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -16,7 +17,7 @@
     :param busy_slots: Requests in progress on upstreams, in the mean.
     :param age_s: Time since the oldest of the reports that were added up was made, in
         seconds; infinite without a report.
-    :param instances: The number of instances that reported.
+    :param instances: The number of instances of the data centre that reported.
     """
 
     arrived_per_s: float = 0.0
@@ -26,3 +27,45 @@
     busy_slots: float = 0.0
     age_s: float = float("inf")
     instances: int = 0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceTotals:
+    """What one process has counted for a service since its start.
+
+    :param arrived: Requests that arrived.
+    :param refused: Requests refused for lack of capacity.
+    :param prompt_tokens: Tokens of the prompts of requests that arrived.
+    :param answer_tokens: Tokens that upstreams sent.
+    :param slot_s: The integral of the requests in progress on upstreams, in
+        slot-seconds.
+    """
+
+    arrived: int = 0
+    refused: int = 0
+    prompt_tokens: int = 0
+    answer_tokens: int = 0
+    slot_s: float = 0.0
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ProcessReport:
+    """The cumulative counts of one process; any subset of the windows may be sent.
+
+    :param process: A random name of the process, which a restart changes.
+    :param data_centre: The data centre of the process.
+    :param true_time_s: The true time at the process when the report was made, in
+        seconds.
+    :param up_s: The time since the start of the process, in seconds.
+    :param age_s: The time since the report was made, in seconds.
+    :param windows: The requests that began, by window and team.
+    :param services: The totals by service.
+    """
+
+    process: str
+    data_centre: str
+    true_time_s: float
+    up_s: float
+    age_s: float = 0.0
+    windows: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
+    services: Mapping[str, ServiceTotals] = field(default_factory=dict)
