Add the interface of the lease on calls to the platform's API

Cause: two duties are built in parallel and need the names and signatures of the lease, the API's client and the settings before they work. Change: signatures and docstrings; no instance makes a call yet. Measured: the package imports; nothing else was run.

--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -8,6 +8,7 @@
 
 from jujubenotch.crashes import InstanceReports
 from jujubenotch.daemon.forward_crashes import CrashWatch
+from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_reach import DetourWatch
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
@@ -20,6 +21,7 @@
     measure_age_s,
     read_boot_clock_s,
 )
+from jujubenotch.leases import CloudApi, LeaseStore
 from jujubenotch.listeners import Listener
 from jujubenotch.neighbours import ListedInstance, Registry
 from jujubenotch.settings import Address, ForwarderSettings
@@ -65,6 +67,9 @@
     :param crash_reports: Where this instance publishes its own reports.
     :param registry: Makes the instances of a data centre known to each other.
     :param directory: Makes the instances of all data centres countable.
+    :param leases: Where the lease on calls to the platform's API is kept; ``None``
+        when nothing calls it.
+    :param cloud: The platform's API; ``None`` when nothing calls it.
     :param protocol: The protocol of the upstreams.
     :param decode_request: Decodes the method, target and headers of a caller's
         request.
@@ -82,6 +87,8 @@
     decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
     set_store_address: Callable[[Address], None]
     close: Callable[[], Awaitable[None]]
+    leases: LeaseStore | None = None
+    cloud: CloudApi | None = None
 
 
 @dataclass(kw_only=True)
@@ -113,6 +120,8 @@
     :param instance_count: The number of instances that share the upstreams.
     :param borrowed: The number of calls of other instances that are in progress.
     :param help_listener: The listener for such calls; ``None`` without one.
+    :param lease_watch: Holds or watches the lease on calls to the platform's API;
+        ``None`` when nothing calls it.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -130,6 +139,7 @@
     instance_count: InstanceCount = field(default_factory=InstanceCount)
     borrowed: int = 0
     help_listener: Listener | None = None
+    lease_watch: LeaseWatch | None = None
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -5,9 +5,10 @@
 
 from pydantic import ValidationError
 
+from jujubenotch.leases import Duty
 from jujubenotch.platform.errors import PlatformSettingsError
 from jujubenotch.platform.units import MS_PER_S
-from jujubenotch.settings.forwarder import Address, ForwarderSettings
+from jujubenotch.settings.forwarder import Address, CloudSettings, ForwarderSettings
 
 FILE_VARIABLE = "JUJUBENOTCH_NODE_FILE"
 DEFAULT_FILE = "/etc/jujubenotch/settings.conf"
@@ -79,6 +80,37 @@
             for name in ("config-ms", "drain-ms")
         ),
         retry_ratio=_read_number(fields, "bounds.retry-ratio", 0.1),
+        cloud=_read_cloud(fields),
+    )
+
+
+def _read_cloud(fields):
+    """Return how the platform's API is called; ``None`` when nothing calls it."""
+    if not fields.get("cloud.address"):
+        return None
+    duties = _read_duties(fields)
+    if not duties:
+        return None
+    return CloudSettings(
+        address=_read_address(fields, "cloud.address"),
+        duties=duties,
+        calls_per_s=_read_number(fields, "cloud.duty-per-s", 10.0),
+        is_fenced=fields.get("bounds.fencing-enforced") == "true",
+        lease_s=_read_number(fields, "bounds.lease-ms", 3000.0) / MS_PER_S,
+        thaw_s=_read_number(fields, "bounds.thaw-ms", 300.0) / MS_PER_S,
+        report_window_s=_read_number(fields, "bounds.report-window-s", 5.0),
+        usage_late_s=_read_number(fields, "bounds.usage-late-s", 10.0),
+        usage_tolerance=_read_number(fields, "bounds.usage-tolerance", 0.05),
+    )
+
+
+def _read_duties(fields):
+    """Return the listed duties that are known and not switched off by themselves."""
+    listed = {name.strip() for name in fields.get("cloud.duties", "").split(",")}
+    return tuple(
+        duty.value
+        for duty in Duty
+        if duty.value in listed and fields.get(f"cloud.{duty.value}") != "false"
     )
 
 
--- a/jujubenotch/settings/__init__.py
+++ b/jujubenotch/settings/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from jujubenotch.settings.errors import SettingsError
-from jujubenotch.settings.forwarder import Address, ForwarderSettings
+from jujubenotch.settings.forwarder import Address, CloudSettings, ForwarderSettings
 from jujubenotch.settings.load import load_settings
 from jujubenotch.settings.model import (
     CallersSettings,
@@ -30,6 +30,7 @@
 
 __all__ = [
     "Address",
+    "CloudSettings",
     "CallersSettings",
     "CapacitySettings",
     "ForwarderSettings",
--- a/jujubenotch/settings/forwarder.py
+++ b/jujubenotch/settings/forwarder.py
@@ -25,6 +25,33 @@
         return f"{self.host}:{self.port}"
 
 
+class CloudSettings(BaseModel):
+    """How the platform's API is called, which accepts calls of one instance at a time.
+
+    :param address: The address of the API.
+    :param duties: The names of the duties that are switched on.
+    :param calls_per_s: The calls per second that the API accepts from all instances.
+    :param is_fenced: Whether the API refuses lower fencing tokens.
+    :param lease_s: The time after which an unchanged lease may be taken over.
+    :param thaw_s: The time that a process may take to notice that it was suspended.
+    :param report_window_s: The length of a window of usage reports.
+    :param usage_late_s: The time after a window's end until which its report is due.
+    :param usage_tolerance: The share by which a report may differ from what ran.
+    """
+
+    model_config = ConfigDict(frozen=True, extra="forbid")
+
+    address: Address
+    duties: tuple[str, ...] = ()
+    calls_per_s: PositiveFloat = 10.0
+    is_fenced: bool = False
+    lease_s: PositiveFloat = 3.0
+    thaw_s: float = Field(default=0.3, ge=0)
+    report_window_s: PositiveFloat = 5.0
+    usage_late_s: PositiveFloat = 10.0
+    usage_tolerance: float = Field(default=0.05, ge=0)
+
+
 class ForwarderSettings(BaseModel):
     """The settings of an instance that forwards by host and path.
 
@@ -45,6 +72,8 @@
     :param grace_s: The longest time that a graceful shutdown may take, in seconds.
     :param retry_ratio: The number of retries allowed per request, over all
         instances together.
+    :param cloud: How the platform's API is called; ``None`` switches off all calls
+        to it and the lease on them.
     :param log_level: The name of a log level, for instance ``INFO``.
     """
 
@@ -62,6 +91,7 @@
     max_key_age_s: float = Field(default=0.0, ge=0)
     grace_s: PositiveFloat = 8.0
     retry_ratio: float = Field(default=0.1, ge=0)
+    cloud: CloudSettings | None = None
     log_level: str = "INFO"
 
     @property
