Count requests and demand, gather the counts and report windows

Cause: usage must be reported once for each window from the counts of all instances. Change: hooks of the dispatcher, messages of the kind reports by way of the readers, and the task that decides, stores and sends windows under the lease. All of it is off without a lease. Measured: the modules import; no feature was run.

--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -7,6 +7,7 @@
 
 from jujubenotch.daemon.forward_count import keep_addresses, keep_count, stay_counted
 from jujubenotch.daemon.forward_crashes import apply_crash_page
+from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_messages import (
     report_outage,
     send_message,
@@ -31,6 +32,8 @@
     apply_upstreams,
 )
 from jujubenotch.daemon.forward_streams import record_listing, send_origins
+from jujubenotch.daemon.forward_usage import gather_reports
+from jujubenotch.daemon.forward_usage_reports import report_usage
 from jujubenotch.forwarding import (
     Source,
     choose_list_delay_s,
@@ -38,6 +41,7 @@
     follow_source,
     interrupt_call,
 )
+from jujubenotch.leases import Duty
 from jujubenotch.logs import log_event
 from jujubenotch.neighbours import MessageKind
 
@@ -75,6 +79,7 @@
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
     return (
+        *_make_usage_tasks(relay, instance),
         _follow_configuration(relay, configuration),
         _follow_upstreams(relay, upstreams),
         _follow_crashes(relay, crashes),
@@ -91,6 +96,36 @@
     )
 
 
+def _make_usage_tasks(relay, instance):
+    """Make the tasks that count usage and demand, where the settings name a duty.
+
+    They come first, so that the last counts are sent before the endpoint is closed.
+    """
+    watch = instance.usage_watch
+    if watch is None:
+        return ()
+    watch.send = functools.partial(send_message, relay)
+    watch.find_receiver = lambda: find_report_receiver(relay, watch.lease)
+    watch.is_forwarding = lambda: relay.role.is_reader
+    if Duty.USAGE_REPORTING in instance.settings.cloud.duties:
+        return gather_reports(watch), report_usage(watch)
+    return (gather_reports(watch),)
+
+
+def find_report_receiver(relay: Relay, lease: LeaseWatch) -> str:
+    """Return the endpoint to which this instance sends its counts.
+
+    :param relay: The relay.
+    :param lease: What this instance knows of the lease.
+    :returns: The reader of the data centre, or the holder of the lease for a reader;
+        empty when it is unknown or this instance itself.
+    """
+    if relay.endpoint is None:
+        return ""
+    address = lease.holder_address if relay.is_reading else relay.reader_address
+    return "" if address == relay.neighbours.own_address else address
+
+
 def add_configuration(
     relay: Relay, state: ForwardState, source: Source
 ) -> FollowedSource:
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -8,6 +8,7 @@
 
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.daemon.forward_streams import receive_streams
+from jujubenotch.daemon.forward_usage import receive_reports
 from jujubenotch.forwarding import (
     FollowProgress,
     Item,
@@ -118,7 +119,13 @@
     :param sender: The address of the neighbour's endpoint.
     :param message: The message.
     """
+    if message.kind is MessageKind.REPORTS:
+        # These come from other data centres too, whose instances get no pages.
+        _receive_reports(relay, message)
+        return
     relay.neighbours.add(sender)
+    if message.kind is MessageKind.CONFIGURATION:
+        relay.reader_address = sender
     if message.kind in (MessageKind.STREAMS, MessageKind.STREAM_QUERY):
         receive_streams(relay.instance.stream_watch, sender, message)
     metrics = relay.instance.observer.metrics
@@ -141,6 +148,13 @@
     _compare_revisions(relay, message)
 
 
+def _receive_reports(relay, message):
+    metrics = relay.instance.observer.metrics
+    count_neighbour_message(metrics, message.kind, "received")
+    if relay.instance.usage_watch is not None:
+        receive_reports(relay.instance.usage_watch, message)
+
+
 def _record_outage(relay, sender):
     if sender >= relay.neighbours.own_address:
         return
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -13,6 +13,7 @@
 from jujubenotch.daemon.forward_reach import DetourWatch
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.daemon.forward_streams import StreamWatch
+from jujubenotch.daemon.forward_usage import UsageWatch
 from jujubenotch.dispatch import Dispatcher, UpstreamProtocol
 from jujubenotch.forwarding import (
     ArrivedRequest,
@@ -122,6 +123,8 @@
     :param help_listener: The listener for such calls; ``None`` without one.
     :param lease_watch: Holds or watches the lease on calls to the platform's API;
         ``None`` when nothing calls it.
+    :param usage_watch: Counts requests and demand; ``None`` when nothing calls the
+        platform's API.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -140,6 +143,7 @@
     borrowed: int = 0
     help_listener: Listener | None = None
     lease_watch: LeaseWatch | None = None
+    usage_watch: UsageWatch | None = None
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -64,6 +64,8 @@
     :param endpoint: The socket for messages; ``None`` before it is opened.
     :param registered_era: The era of the store in which this instance registered;
         ``None`` before.
+    :param reader_address: The endpoint that sent the last page of the configuration;
+        empty before.
     """
 
     instance: ForwardingInstance
@@ -73,6 +75,7 @@
     followed: dict[MessageKind, FollowedSource] = field(default_factory=dict)
     endpoint: NeighbourEndpoint | None = None
     registered_era: int | None = None
+    reader_address: str = ""
 
     @property
     def is_active(self) -> bool:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -35,6 +35,7 @@
     ForwardState,
 )
 from jujubenotch.daemon.forward_streams import StreamWatch, record_stream_start
+from jujubenotch.daemon.forward_usage import UsageMeter, make_usage_watch
 from jujubenotch.dispatch import (
     Dispatcher,
     ExchangeRegistry,
@@ -127,6 +128,7 @@
         loop.add_signal_handler(number, stopping.set)
     components = make_platform_components(settings)
     instance = _build_instance(settings, components, stopping)
+    _count_usage(instance)
     loop.add_signal_handler(
         signal.SIGHUP, reload_now, instance, components, reload_settings
     )
@@ -200,6 +202,17 @@
     return instance
 
 
+def _count_usage(instance):
+    """Count requests and demand where the settings name a duty for them."""
+    if instance.lease_watch is None:
+        return
+    watch = make_usage_watch(
+        instance.settings, instance.lease_watch, instance.observer.metrics
+    )
+    instance.usage_watch = watch
+    instance.dispatcher.meter = UsageMeter(counter=watch.counter)
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Watches:
     """What an instance watches in the requests that it sends."""
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -155,6 +155,7 @@
     :param is_claimed: Whether this call holds the claim of its idempotency key.
     :param must_finish: Whether the call continues when its caller disconnects,
         because it is claimed, or was sent and is not idempotent.
+    :param has_begun: Whether the meter has counted the call as begun.
     :param is_stream_started: Whether the status and headers of a stream were
         forwarded to the caller.
     :param origin: Where the stream began, which may have been in an earlier request;
@@ -171,6 +172,7 @@
     has_run: bool = False
     is_claimed: bool = False
     must_finish: bool = False
+    has_begun: bool = False
     is_stream_started: bool = False
     origin: StreamOrigin | None = None
     last_event_id: str = ""
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -18,6 +18,7 @@
 )
 from jujubenotch.dispatch.attempt import (
     Attempt,
+    has_event_stream,
     read_clock_s,
     report_attempt,
     run_attempt,
@@ -39,6 +40,7 @@
     record_attempt,
 )
 from jujubenotch.dispatch.model import Dispatcher
+from jujubenotch.dispatch.protocol import AnswerKind
 from jujubenotch.dispatch.silence import watch_exchange
 from jujubenotch.dispatch.work_request import make_work_request
 from jujubenotch.invariants import assert_invariant
@@ -111,6 +113,7 @@
     reports = []
     answer = None
     _record_arrival(dispatcher, call)
+    dispatcher.meter.record_arrival(call)
     try:
         if call.idempotency_key:
             answer = await _look_up(dispatcher, call)
@@ -154,6 +157,7 @@
         dispatcher.retry_budget.record_success(call.target, read_clock_s())
     report = reports[-1] if reports else None
     dispatcher.observer.count_end(call, answer, report)
+    dispatcher.meter.record_end(call, answer)
 
 
 def _with_recorded_events(answer, progress):
@@ -276,6 +280,7 @@
     )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
     progress.attempts += 1
+    dispatcher.meter.record_attempt_start(attempt.origin.service)
     try:
         if upstream is None:
             attempt.end = AttemptResult.CONNECT_FAILED
@@ -289,6 +294,7 @@
         progress.may_have_run = True
         raise
     finally:
+        dispatcher.meter.record_attempt_end(attempt.origin.service, attempt.tokens)
         if attempt.end is None:
             _release_slot(dispatcher, grant, WorkResult.CANCELLED)
         else:
@@ -310,8 +316,8 @@
                 progress,
                 attempt,
                 sink,
-                lambda head: _record_head(dispatcher, grant, head),
-                lambda: dispatcher.record_stream_start(call, progress.origin),
+                lambda head: _record_head(dispatcher, grant, call, progress, head),
+                lambda: _record_stream_start(dispatcher, call, progress),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -320,7 +326,20 @@
         attempt.end = AttemptResult.DEADLINE
 
 
-def _record_head(dispatcher, grant, head):
+def _record_stream_start(dispatcher, call, progress):
+    _record_begin(dispatcher, call, progress)
+    dispatcher.record_stream_start(call, progress.origin)
+
+
+def _record_begin(dispatcher, call, progress):
+    """Count a call that has begun, unless it only continues a stream."""
+    if progress.has_begun or call.resume_after_event_id:
+        return
+    progress.has_begun = True
+    dispatcher.meter.record_begin(call)
+
+
+def _record_head(dispatcher, grant, call, progress, head):
     now_s = read_clock_s()
     dispatcher.record_response_start(grant, now_s)
     load = dispatcher.protocol.read_load(head)
@@ -329,6 +348,11 @@
     notice = dispatcher.protocol.read_notice(head)
     if notice is not None:
         dispatcher.record_notice(grant.upstream, notice)
+    is_stream = call.is_stream and has_event_stream(head)
+    if not is_stream:
+        kind = dispatcher.protocol.classify_answer(call, head)
+        if kind is AnswerKind.OWN:
+            _record_begin(dispatcher, call, progress)
 
 
 def _decide(dispatcher, call, progress, grant, attempt):
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -7,6 +7,7 @@
 
 from jujubenotch.dispatch.attempt import Attempt
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
+from jujubenotch.dispatch.meter import Meter, NoMeter
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry
 from jujubenotch.outcomes import Refusal
@@ -96,6 +97,7 @@
         the first event is forwarded.
     :param record_attempt: Called with the call and its attempt when the attempt has
         ended.
+    :param meter: Counts what calls ask of services.
     :param in_progress: The tasks of the calls that have not ended.
 
     >>> Dispatcher.__name__
@@ -124,4 +126,5 @@
         None
     )
     record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
+    meter: Meter = field(default_factory=NoMeter)
     in_progress: set[asyncio.Task] = field(default_factory=set)
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -58,6 +58,8 @@
     authentication_failures: Counter
     refused_connections: Counter
     neighbour_messages: Counter
+    usage_windows: Counter
+    usage_calls: Counter
     first_token: Histogram
     between_tokens: Histogram
     queued: Gauge
@@ -102,6 +104,8 @@
         "authentication_failures": "Wrong or missing keys, by listener",
         "refused_connections": "Connections over a listener's bound, by listener",
         "neighbour_messages": "Messages of neighbour instances, by kind and result",
+        "usage_windows": "Windows of usage decided, sent or missed here, by result",
+        "usage_calls": "Calls that report usage to the platform, by result",
     }
     return {
         name: Counter(f"jujubenotch_{name}_total", help_text, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -162,3 +162,22 @@
     :param result: ``sent``, ``received`` or ``missed``.
     """
     metrics.neighbour_messages.inc({"kind": str(kind), "result": result})
+
+
+def count_usage_windows(metrics: Metrics, result: str, windows: int = 1) -> None:
+    """Count windows of usage reports.
+
+    :param metrics: The metrics.
+    :param result: ``decided``, ``sent``, ``missed`` or ``too-large``.
+    :param windows: The number of windows.
+    """
+    metrics.usage_windows.add({"result": result}, windows)
+
+
+def count_usage_call(metrics: Metrics, result: str) -> None:
+    """Count a call that reports usage to the platform.
+
+    :param metrics: The metrics.
+    :param result: The result of the call.
+    """
+    metrics.usage_calls.inc({"result": str(result)})
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -3,7 +3,7 @@
 import base64
 import struct
 import zlib
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass, field, replace
 from typing import Annotated
 
 import orjson
@@ -15,6 +15,11 @@
     MessageKind,
     StreamEntry,
 )
+from jujubenotch.neighbours.report_codec import (
+    ReportsDocument,
+    decode_reports,
+    encode_reports,
+)
 
 # Identifies the format; a release that changes the format changes these bytes.
 MAGIC = b"J1"
@@ -27,7 +32,7 @@
 MAX_MESSAGE_BYTES = 1 << 20
 PART_LIFETIME_S = 2.0
 MAX_PARTIAL_MESSAGES = 64
-CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids"}
+CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids", "reports"}
 
 Number = Annotated[int, Field(ge=0)]
 
@@ -71,6 +76,7 @@
     items: list[_ItemDocument] = []
     streams: list[_StreamDocument] = []
     request_ids: list[str] = []
+    reports: ReportsDocument | None = None
 
 
 @dataclass(kw_only=True)
@@ -93,7 +99,10 @@
     :param message_id: A number below 2**64 that this sender has not used recently.
     :returns: The datagrams; ``None`` when the message is too large.
     """
-    document = asdict(message)
+    document = asdict(replace(message, reports=()))
+    del document["reports"]
+    if message.reports:
+        document["reports"] = encode_reports(message.reports)
     for item in document["items"]:
         item["content"] = base64.b64encode(item["content"]).decode()
     content = zlib.compress(orjson.dumps(document))
@@ -150,6 +159,7 @@
                 StreamEntry(**entry.model_dump()) for entry in document.streams
             ),
             request_ids=tuple(document.request_ids),
+            reports=decode_reports(document.reports),
         )
     except (ValidationError, ValueError, zlib.error) as error:
         raise MessageError(f"the message is invalid: {error}") from error
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -4,6 +4,8 @@
 from enum import StrEnum
 from typing import Protocol
 
+from jujubenotch.usage import ProcessReport
+
 # Bounds the datagrams that one page causes, whatever the registry contains.
 MAX_NEIGHBOURS = 512
 
@@ -18,6 +20,7 @@
     OUTAGE = "outage"
     STREAMS = "streams"
     STREAM_QUERY = "stream-query"
+    REPORTS = "reports"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -61,6 +64,7 @@
     :param streams: The origins of streams that the sender knows.
     :param request_ids: The streams that the sender asks for, or that it doesn't know
         after another instance has asked.
+    :param reports: The counts of processes, of which the sender may be one.
     """
 
     kind: MessageKind
@@ -76,6 +80,7 @@
     items: tuple[MessageItem, ...] = ()
     streams: tuple[StreamEntry, ...] = ()
     request_ids: tuple[str, ...] = ()
+    reports: tuple[ProcessReport, ...] = ()
 
 
 @dataclass(kw_only=True)
--- a/jujubenotch/usage/__init__.py
+++ b/jujubenotch/usage/__init__.py
@@ -38,7 +38,12 @@
     record_write,
     skip_late_windows,
 )
-from jujubenotch.usage.model import ProcessReport, ServiceDemand, ServiceTotals
+from jujubenotch.usage.model import (
+    ProcessReport,
+    ServiceDemand,
+    ServiceTotals,
+    split_reports,
+)
 from jujubenotch.usage.rows import (
     FIRST_KEY,
     FirstWindow,
@@ -97,4 +102,5 @@
     "record_wall_clock",
     "record_write",
     "skip_late_windows",
+    "split_reports",
 ]
--- a/jujubenotch/usage/ledger.py
+++ b/jujubenotch/usage/ledger.py
@@ -120,12 +120,12 @@
     """
     ledger.decided.clear()
     ledger.stored.clear()
-    ledger.sent.clear()
     ledger.row_windows.clear()
     for key, content in records.items():
         window = read_window_key(key)
         if window is not None:
             _adopt_window(ledger, window, content, era)
+    ledger.sent &= set(ledger.stored)
     first = _read_first(records)
     ledger.is_first_stored = first is not None and first.era == era
     ledger.era = era
--- a/jujubenotch/usage/model.py
+++ b/jujubenotch/usage/model.py
@@ -1,7 +1,7 @@
 """Data model of the usage reports and of the demand for services."""
 
-from collections.abc import Mapping
-from dataclasses import dataclass, field
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, field, replace
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -69,3 +69,31 @@
     age_s: float = 0.0
     windows: Mapping[int, Mapping[str, int]] = field(default_factory=dict)
     services: Mapping[str, ServiceTotals] = field(default_factory=dict)
+
+
+def split_reports(reports: Sequence[ProcessReport]) -> list[list[ProcessReport]]:
+    """Divide reports into two smaller lists, which together tell the same.
+
+    :param reports: The reports.
+    :returns: Two lists; none when the reports can't be divided.
+    """
+    middle = len(reports) // 2
+    if middle:
+        return [list(reports[:middle]), list(reports[middle:])]
+    return [[part] for report in reports for part in _split_report(report)]
+
+
+def _split_report(report):
+    """Divide the windows of a report, or the teams of its only window."""
+    if len(report.windows) > 1:
+        return [replace(report, windows=half) for half in _halve(report.windows)]
+    for window, counts in report.windows.items():
+        if len(counts) > 1:
+            return [replace(report, windows={window: half}) for half in _halve(counts)]
+    return []
+
+
+def _halve(entries):
+    pairs = list(entries.items())
+    middle = len(pairs) // 2
+    return dict(pairs[:middle]), dict(pairs[middle:])
