Take, renew and hand over the lease on calls to the platform's API

Cause: two duties of the platform's API may be done by one instance at a time. Change: decisions in jujubenotch/leases, rows in platform/leases.py, the API's client in platform/cloud.py, the task in daemon/forward_leases.py; the rows' revisions are attributed so that the list of upstreams isn't taken for stalled.

--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Coroutine
 
+from jujubenotch.daemon.forward_cloud import follow_lease
 from jujubenotch.daemon.forward_count import keep_addresses, keep_count, stay_counted
 from jujubenotch.daemon.forward_crashes import apply_crash_page
 from jujubenotch.daemon.forward_messages import (
@@ -88,6 +89,7 @@
         keep_count(relay, components),
         keep_addresses(relay, components),
         send_origins(stream_watch),
+        *follow_lease(relay, components),
     )
 
 
@@ -109,6 +111,7 @@
             if update.follows_outage:
                 progress.retry_requested.set()
             if _is_behind(state, progress):
+                relay.request_lease_read()
                 loop.call_later(CHANGE_DELIVERY_S, _end_stalled_call, state, progress)
 
     return add_followed_source(
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -7,6 +7,7 @@
 from dataclasses import replace
 
 from jujubenotch.daemon.forward_relay import Relay
+from jujubenotch.daemon.forward_revisions import add_known
 from jujubenotch.daemon.forward_streams import receive_streams
 from jujubenotch.forwarding import (
     FollowProgress,
@@ -33,6 +34,8 @@
 # not ordered. It is random because several neighbours may miss the same page.
 MIN_CATCH_UP_DELAY_S = 0.05
 CATCH_UP_SPREAD_S = 0.3
+# The lease's writes of some pages, so that a lost page leaves no gap.
+MAX_SENT_REVISIONS = 24
 
 
 def report_outage(relay: Relay) -> None:
@@ -94,6 +97,7 @@
         list_revision=_find_known_revision(relay, MessageKind.UPSTREAMS, page.era),
         crash_revision=_find_known_revision(relay, MessageKind.CRASHES, page.era),
         follows_outage=update.follows_outage,
+        lease_revisions=relay.list_lease_revisions()[-MAX_SENT_REVISIONS:],
         items=tuple(
             MessageItem(
                 key=item.key,
@@ -180,6 +184,7 @@
     )
     ends_outage = followed.progress.failures > 0
     record_update(followed.progress, update)
+    add_known(relay.instance.state.revisions, message.lease_revisions)
     followed.apply(update)
     if ends_outage:
         _end_pauses(relay)
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -64,6 +64,9 @@
     :param endpoint: The socket for messages; ``None`` before it is opened.
     :param registered_era: The era of the store in which this instance registered;
         ``None`` before.
+    :param request_lease_read: Called when a revision of the store may be a write of
+        the lease.
+    :param list_lease_revisions: Returns the revisions of the lease's latest writes.
     """
 
     instance: ForwardingInstance
@@ -73,6 +76,8 @@
     followed: dict[MessageKind, FollowedSource] = field(default_factory=dict)
     endpoint: NeighbourEndpoint | None = None
     registered_era: int | None = None
+    request_lease_read: Callable[[], None] = lambda: None
+    list_lease_revisions: Callable[[], tuple[int, ...]] = tuple
 
     @property
     def is_active(self) -> bool:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -21,6 +21,7 @@
 )
 from jujubenotch.daemon.forward_detour import send_elsewhere
 from jujubenotch.daemon.forward_followers import make_followers
+from jujubenotch.daemon.forward_leases import hand_over
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
 from jujubenotch.daemon.forward_origins import find_stream_origin
@@ -301,6 +302,9 @@
         "instance-stopping",
         in_progress=len(instance.dispatcher.in_progress),
     )
+    if instance.lease_watch is not None:
+        # Another instance takes the lease while this one ends its requests.
+        _start_background_task(instance, hand_over(instance.lease_watch))
     await asyncio.sleep(LISTENER_CLOSE_DELAY_S)
     instance.refuses_requests = True
     callers, *others = instance.listeners
--- a/jujubenotch/leases/model.py
+++ b/jujubenotch/leases/model.py
@@ -1,5 +1,6 @@
 """Data model of the lease on the calls that one instance at a time may make."""
 
+import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -92,7 +93,6 @@
     :param revision: The revision of the row; 0 when there is none.
     :param store_time_s: The store's own clock, in seconds.
     :param era: The era of the store that returned it.
-    :param revisions: The revisions of all writes that the row accounts for.
     """
 
     lease: Lease | None
@@ -101,21 +101,15 @@
     era: int
 
 
-class WriteOutcome(StrEnum):
-    """The outcome of a conditional write as the store stated it."""
-
-    WRITTEN = "written"
-    REFUSED = "refused"
-
-
 @dataclass(frozen=True, kw_only=True, slots=True)
 class WriteResult:
     """The response to a conditional write.
 
+    :param is_written: Whether the store executed it; otherwise its condition failed.
     :param row: The row after the write, or the row that made the store refuse it.
     """
 
-    outcome: WriteOutcome
+    is_written: bool
     row: LeaseRow
 
 
@@ -153,19 +147,116 @@
     is_fenced: bool = True
 
 
-@dataclass(kw_only=True)
+@dataclass(frozen=True, kw_only=True, slots=True)
+class SeenRow:
+    """What a candidate has seen of the lease's row in one era of the store.
+
+    :param row: The row as last returned.
+    :param unchanged_since_s: The store's clock when the row was first returned with
+        its revision.
+    :param era_since_s: The store's clock in the first response of the era.
+    :param read_s: When the last call was sent, by the clock that counts suspended
+        time, in seconds.
+    """
+
+    row: LeaseRow
+    unchanged_since_s: float
+    era_since_s: float
+    read_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
+class Attempt:
+    """A write of the lease that this process has sent.
+
+    :param lease: The value.
+    :param expected_revision: The revision of the row on which it is conditional.
+    :param sent_s: When it was sent, by the clock that counts suspended time.
+    """
+
+    lease: Lease
+    expected_revision: int
+    sent_s: float
+
+
+@dataclass(frozen=True, kw_only=True, slots=True)
 class Tenure:
     """The time during which this instance holds the lease.
 
     :param token: The fencing token.
     :param era: The era of the store in which the lease was taken.
-    :param revision: The revision of the last confirmed write.
     :param sent_s: When the last confirmed write was sent, by the clock that counts
         suspended time, in seconds.
     """
 
     token: int
     era: int
-    revision: int
     sent_s: float
-    revisions: tuple[int, ...] = field(default_factory=tuple)
+
+
+class EndReason(StrEnum):
+    """Why a tenure ended."""
+
+    EXPIRED = "expired"
+    LOST = "lost"
+    ERA_CHANGED = "era-changed"
+    REFRESH_FAILED = "refresh-failed"
+    API_FAILING = "api-failing"
+    HANDED_OVER = "handed-over"
+
+
+@dataclass(kw_only=True)
+class LeaseState:
+    """What one process knows of the lease.
+
+    :param name: The instance's name.
+    :param nonce: Identifies the process.
+    :param address: The address of the instance's endpoint; empty without one.
+    :param last_act_s: The latest time at which this process may have called the API;
+        the time of its start before the first tenure, as the instance's previous
+        process may have held the lease until then.
+    :param jitter: A draw from 0 to 1 that spreads the candidates.
+    :param seen: The row as last seen; ``None`` before the first response.
+    :param tenure: The tenure; ``None`` while this instance doesn't hold the lease.
+    :param attempts: The writes that may still be executed, by their serial.
+    :param serial: The serial of the last write.
+    :param barred_until_s: This instance doesn't take the lease before this time.
+    :param is_stopping: Whether this instance no longer takes the lease.
+    :param is_read_wanted: Whether the row is read at the next opportunity, for
+        instance to learn whether a write without a response was executed.
+    :param failures: Consecutive calls to the store without a valid response.
+    :param retry_s: After a failure, no call to the store is made before this time.
+    :param failing_since_s: Since when no call to the API succeeded; ``None`` when the
+        last one did.
+    :param failed_s: When the last call to the API failed.
+    :param unanswered_s: When the last call to the API without a response ended.
+    """
+
+    name: str
+    nonce: str
+    address: str
+    terms: LeaseTerms
+    last_act_s: float
+    jitter: float
+    seen: SeenRow | None = None
+    tenure: Tenure | None = None
+    attempts: dict[int, Attempt] = field(default_factory=dict)
+    serial: int = 0
+    barred_until_s: float = -math.inf
+    is_stopping: bool = False
+    is_read_wanted: bool = False
+    failures: int = 0
+    retry_s: float = -math.inf
+    failing_since_s: float | None = None
+    failed_s: float = -math.inf
+    unanswered_s: float = -math.inf
+
+
+class Step(StrEnum):
+    """What an instance does next about the lease."""
+
+    READ = "read"
+    TAKE = "take"
+    RENEW = "renew"
+    RELEASE = "release"
+    WAIT = "wait"
--- a/jujubenotch/metrics/__init__.py
+++ b/jujubenotch/metrics/__init__.py
@@ -9,8 +9,10 @@
 from jujubenotch.metrics.model import Metrics, make_metrics
 from jujubenotch.metrics.record import (
     count_authentication_failure,
+    count_cloud_call,
     count_configuration_rejection,
     count_failure,
+    count_lease_end,
     count_neighbour_message,
     count_outcome,
     count_refusal,
@@ -18,6 +20,7 @@
     count_retry,
     observe_between_tokens,
     observe_first_token,
+    set_lease,
     set_peers_connected,
     set_queued,
     set_requests_in_progress,
@@ -29,8 +32,10 @@
 __all__ = [
     "Metrics",
     "count_authentication_failure",
+    "count_cloud_call",
     "count_configuration_rejection",
     "count_failure",
+    "count_lease_end",
     "count_outcome",
     "count_refusal",
     "count_neighbour_message",
@@ -41,6 +46,7 @@
     "observe_first_token",
     "read_value",
     "render",
+    "set_lease",
     "set_peers_connected",
     "set_queued",
     "set_requests_in_progress",
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -58,6 +58,8 @@
     authentication_failures: Counter
     refused_connections: Counter
     neighbour_messages: Counter
+    lease_ends: Counter
+    cloud_calls: Counter
     first_token: Histogram
     between_tokens: Histogram
     queued: Gauge
@@ -65,6 +67,9 @@
     peers_connected: Gauge
     revision: Gauge
     requests_in_progress: Gauge
+    lease_held: Gauge
+    lease_token: Gauge
+    lease_age: Gauge
 
 
 def make_metrics() -> Metrics:
@@ -102,6 +107,8 @@
         "authentication_failures": "Wrong or missing keys, by listener",
         "refused_connections": "Connections over a listener's bound, by listener",
         "neighbour_messages": "Messages of neighbour instances, by kind and result",
+        "lease_ends": "Tenures of the lease that ended, by reason",
+        "cloud_calls": "Calls to the platform's API, by duty and result",
     }
     return {
         name: Counter(f"jujubenotch_{name}_total", help_text, registry=registry)
@@ -133,6 +140,9 @@
         "peers_connected": "Peers with a live session",
         "revision": "Revision of the records in force",
         "requests_in_progress": "Requests between arrival and last byte",
+        "lease_held": "Whether this instance holds the lease on the platform's API",
+        "lease_token": "The fencing token of the lease that this instance holds",
+        "lease_age": "Seconds since the lease was last confirmed; 0 without it",
     }
     return {
         name: Gauge(f"jujubenotch_{name}", help_text, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -162,3 +162,34 @@
     :param result: ``sent``, ``received`` or ``missed``.
     """
     metrics.neighbour_messages.inc({"kind": str(kind), "result": result})
+
+
+def set_lease(metrics: Metrics, token: int | None, age_s: float) -> None:
+    """Set what this instance knows of the lease on calls to the platform's API.
+
+    :param metrics: The metrics.
+    :param token: The fencing token; ``None`` when this instance doesn't hold it.
+    :param age_s: Time since it was last confirmed, in seconds.
+    """
+    metrics.lease_held.set({}, int(token is not None))
+    metrics.lease_token.set({}, token or 0)
+    metrics.lease_age.set({}, age_s)
+
+
+def count_lease_end(metrics: Metrics, reason: str) -> None:
+    """Count a tenure of the lease that ended.
+
+    :param metrics: The metrics.
+    :param reason: Why it ended.
+    """
+    metrics.lease_ends.inc({"reason": reason})
+
+
+def count_cloud_call(metrics: Metrics, duty: str, result: str) -> None:
+    """Count a call to the platform's API.
+
+    :param metrics: The metrics.
+    :param duty: The duty that made it.
+    :param result: Its result.
+    """
+    metrics.cloud_calls.inc({"duty": str(duty), "result": str(result)})
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -27,7 +27,7 @@
 MAX_MESSAGE_BYTES = 1 << 20
 PART_LIFETIME_S = 2.0
 MAX_PARTIAL_MESSAGES = 64
-CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids"}
+CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids", "lease_revisions"}
 
 Number = Annotated[int, Field(ge=0)]
 
@@ -66,6 +66,7 @@
     store_time_s: float = 0.0
     list_revision: Number = 0
     crash_revision: Number = 0
+    lease_revisions: list[Number] = []
     follows_outage: bool = False
     is_complete: bool = True
     items: list[_ItemDocument] = []
@@ -96,6 +97,9 @@
     document = asdict(message)
     for item in document["items"]:
         item["content"] = base64.b64encode(item["content"]).decode()
+    if not message.lease_revisions:
+        # A site without the lease sends what it sent before there was one.
+        del document["lease_revisions"]
     content = zlib.compress(orjson.dumps(document))
     starts = range(0, len(content), MAX_PART_BYTES)
     if len(starts) > MAX_PARTS:
@@ -150,6 +154,7 @@
                 StreamEntry(**entry.model_dump()) for entry in document.streams
             ),
             request_ids=tuple(document.request_ids),
+            lease_revisions=tuple(document.lease_revisions),
         )
     except (ValidationError, ValueError, zlib.error) as error:
         raise MessageError(f"the message is invalid: {error}") from error
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -55,6 +55,8 @@
         upstreams.
     :param crash_revision: The revision up to which the sender knows the reports of
         crashed upstreams.
+    :param lease_revisions: Revisions of the store that are writes of the lease on calls
+        to the platform's API.
     :param follows_outage: Whether the sender's calls before this page failed.
     :param is_complete: Whether ``items`` holds all changes; a page that is too large
         for a message is announced without its items.
@@ -71,6 +73,7 @@
     store_time_s: float = 0.0
     list_revision: int = 0
     crash_revision: int = 0
+    lease_revisions: tuple[int, ...] = ()
     follows_outage: bool = False
     is_complete: bool = True
     items: tuple[MessageItem, ...] = ()
--- a/jujubenotch/platform/parts.py
+++ b/jujubenotch/platform/parts.py
@@ -1,8 +1,10 @@
 """Builds the components of the forwarder that depend on the platform."""
 
 from jujubenotch.daemon.forward_parts import PlatformComponents
+from jujubenotch.platform.cloud import open_cloud
 from jujubenotch.platform.crash_reports import StoreCrashReports, make_crash_source
 from jujubenotch.platform.directory import StoreDirectory
+from jujubenotch.platform.leases import StoreLeases
 from jujubenotch.platform.registry import StoreRegistry
 from jujubenotch.platform.requests import PLATFORM_PROTOCOL, decode_request
 from jujubenotch.platform.store import (
@@ -20,6 +22,13 @@
     :returns: The components.
     """
     client = open_store(settings.store)
+    cloud = open_cloud(settings.cloud.address) if settings.cloud else None
+
+    async def close():
+        await client.session.close()
+        if cloud is not None:
+            await cloud.session.close()
+
     return PlatformComponents(
         configuration=make_configuration_source(client),
         upstreams=make_upstream_source(client),
@@ -30,5 +39,7 @@
         protocol=PLATFORM_PROTOCOL,
         decode_request=decode_request,
         set_store_address=client.move,
-        close=client.session.close,
+        close=close,
+        leases=StoreLeases(client=client) if settings.cloud else None,
+        cloud=cloud,
     )
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -247,15 +247,17 @@
     )
 
 
-async def call_store(client: StoreClient, method: str, path: str, **arguments) -> bytes:
-    """Make one call to the store that does not wait for changes.
+async def exchange(
+    client: StoreClient, method: str, path: str, **arguments
+) -> tuple[int, int, bytes]:
+    """Make one call to the store, whatever the status of the response.
 
     :param client: The client.
     :param method: The HTTP method.
     :param path: The path of the call.
     :param arguments: Further arguments of the request.
-    :returns: The body of the response.
-    :raises SourceError: The store did not answer in time, or not with success.
+    :returns: The status, the era of the store, and the body of the response.
+    :raises SourceError: The store did not answer in time.
     """
     url = f"http://{client.address.text}{path}"
     timeout = aiohttp.ClientTimeout(total=CALL_TIMEOUT_S)
@@ -264,8 +266,28 @@
             method, url, timeout=timeout, **arguments
         ) as answer:
             content = await answer.read()
-    except (aiohttp.ClientError, OSError, RuntimeError, TimeoutError) as error:
+        return answer.status, int(answer.headers.get(ERA_HEADER, 0)), content
+    except (
+        aiohttp.ClientError,
+        OSError,
+        RuntimeError,
+        TimeoutError,
+        ValueError,
+    ) as error:
         raise SourceError(f"the store did not answer {path}: {error!r}") from error
-    if not 200 <= answer.status < 300:
-        raise SourceError(f"{path}: the store answered with status {answer.status}")
+
+
+async def call_store(client: StoreClient, method: str, path: str, **arguments) -> bytes:
+    """Make one call to the store that does not wait for changes.
+
+    :param client: The client.
+    :param method: The HTTP method.
+    :param path: The path of the call.
+    :param arguments: Further arguments of the request.
+    :returns: The body of the response.
+    :raises SourceError: The store did not answer in time, or not with success.
+    """
+    status, _, content = await exchange(client, method, path, **arguments)
+    if not 200 <= status < 300:
+        raise SourceError(f"{path}: the store answered with status {status}")
     return content
