--- a/standins/store.py
+++ b/standins/store.py
@@ -19,6 +19,8 @@
 MAX_NAMES = 1000
 SERVICE_UNAVAILABLE = 503
 GONE = 410
+PRECONDITION_FAILED = 412
+MAX_ROWS = 10_000
 ERA_HEADER = "Store-Era"
 SLOW_RESPONSE_CHUNKS = 6
 
@@ -188,9 +190,14 @@
 
 
 def _store_row(state, row):
+    _store_rows(state, [row])
+
+
+def _store_rows(state, rows):
     state.revision += 1
-    row.revision = state.revision
-    state.rows[row.table, row.part, row.key] = row
+    for row in rows:
+        row.revision = state.revision
+        state.rows[row.table, row.part, row.key] = row
     _wake_feeds(state)
 
 
@@ -226,14 +233,33 @@
 
 
 async def _run_transaction(state, request):
-    """Write the rows of a transaction that has no conditions."""
+    """Execute all of a transaction as one change, or nothing of it."""
     document = orjson.loads(await request.read())
-    for write in document["writes"]:
-        value = base64.b64decode(write["value"])
-        _store_row(state, StoredRow(**{**write, "value": value, "revision": 0}))
+    expected = document["expected-rev"]
+    current = [state.rows.get(_read_address(each)) for each in expected]
+    revisions = [
+        row.revision if row is not None and not row.is_deleted else 0 for row in current
+    ]
+    if revisions != [each["schema-version"] for each in expected]:
+        found = [row for row in current if row is not None and not row.is_deleted]
+        return _make_response(state, found, status=PRECONDITION_FAILED)
+    rows = [
+        StoredRow(**{**write, "value": base64.b64decode(write["value"]), "revision": 0})
+        for write in document["writes"]
+    ]
+    rows += [
+        StoredRow(**{**address, "value": b"", "revision": 0, "is_deleted": True})
+        for address in document["remove"]
+    ]
+    if rows:
+        _store_rows(state, rows)
     return _make_response(state, [])
 
 
+def _read_address(document):
+    return document["table"], document.get("part", ""), document["key"]
+
+
 async def _put_object(state, request):
     state.objects[request.match_info["name"]] = await request.read()
     return web.Response(status=OK)
@@ -263,7 +289,8 @@
         and key >= first_key
         and not row.is_deleted
     ]
-    return _make_response(state, rows)
+    limit = int(query.get("limit", MAX_ROWS))
+    return _make_response(state, rows[:limit], has_more=len(rows) > limit)
 
 
 async def _read_feed(state, request):
@@ -312,14 +339,16 @@
     return sorted(rows, key=lambda row: row.revision)
 
 
-def _make_response(state, rows):
+def _make_response(state, rows, *, status=OK, has_more=False):
     body = {
         "rows": [_encode_row(row) for row in rows],
         "schema-version": state.revision,
         "now-ms": int(time.monotonic() * MS_PER_S),
-        "has-more": False,
+        "has-more": has_more,
     }
-    return web.Response(body=orjson.dumps(body), content_type="application/json")
+    return web.Response(
+        body=orjson.dumps(body), status=status, content_type="application/json"
+    )
 
 
 def _encode_row(row):
