--- a/jujubenotch/platform/leases.py
+++ b/jujubenotch/platform/leases.py
@@ -2,12 +2,13 @@
 
 import base64
 import binascii
+import math
 from collections.abc import Collection, Mapping
 from dataclasses import dataclass
 from typing import Annotated, Literal
 
 import orjson
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import BaseModel, ConfigDict, Field, FiniteFloat, ValidationError
 
 from jujubenotch.forwarding import SourceError
 from jujubenotch.leases import Lease, LeaseRow, WriteResult
@@ -22,8 +23,10 @@
 WRITE_PATH = "/v1/rows-tx"
 # A release that changes the value so that this one would misread it changes the number.
 VALUE_VERSION = 1
+# Larger numbers could not be encoded once they have been incremented.
+MAX_NUMBER = 2**60
 
-Number = Annotated[int, Field(ge=0)]
+Number = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
 
 
 class _LeaseDocument(BaseModel):
@@ -35,7 +38,7 @@
     holder: str
     nonce: str
     address: str = ""
-    token: Number
+    token: Annotated[int, Field(ge=0, le=4 * MAX_NUMBER)]
     era: Number
     serial: Number = 0
     is_released: bool = False
@@ -44,7 +47,7 @@
 
 class _WrittenDocument(BaseModel):
     revision: Number = Field(alias="schema-version")
-    now_ms: float = Field(alias="now-ms")
+    now_ms: FiniteFloat = Field(alias="now-ms")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -62,7 +65,7 @@
         :raises SourceError: The store did not return a valid response.
         """
         document = await self._read({"from": LEASE_KEY, "limit": "1"})
-        return _find_lease(document)
+        return _find_lease(READ_PATH, document)
 
     async def read_records(self) -> tuple[int, dict[str, bytes]]:
         """Read all rows of the table but the lease's.
@@ -118,7 +121,7 @@
             self.client, "POST", WRITE_PATH, json=body
         )
         if status == PRECONDITION_FAILED:
-            row = _find_lease(_decode_rows(WRITE_PATH, era, content))
+            row = decode_lease_row(WRITE_PATH, era, content)
             return WriteResult(is_written=False, row=row)
         _check_status(WRITE_PATH, status)
         try:
@@ -198,12 +201,29 @@
     return document
 
 
-def _find_lease(document):
+def decode_lease_row(path: str, era: int, content: bytes) -> LeaseRow:
+    """Decode a response that lists the lease's row, if there is one.
+
+    :param path: The path of the call.
+    :param era: The era of the store.
+    :param content: The body of the response.
+    :raises SourceError: The response is invalid.
+    """
+    return _find_lease(path, _decode_rows(path, era, content))
+
+
+def _find_lease(path, document):
     """Return the lease's row; the first row may be another one when it is absent."""
     rows = [row for row in document.rows if row.key == LEASE_KEY and not row.deleted]
+    revision = rows[0].revision if rows else 0
+    if not 0 <= revision <= MAX_NUMBER or not math.isfinite(document.now_ms):
+        raise SourceError(
+            f"{path}: the store answered with revision {revision} at the time "
+            f"{document.now_ms}"
+        )
     return LeaseRow(
         lease=decode_lease(_decode_value(rows[0])) if rows else None,
-        revision=rows[0].revision if rows else 0,
+        revision=revision,
         store_time_s=document.now_ms / MS_PER_S,
         era=document.era,
     )
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -33,6 +33,8 @@
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 15.0
 CALL_TIMEOUT_S = 2.0
+# Fencing tokens contain the era in their upper bits, and have 64 bits.
+MAX_ERA = 2**28
 
 
 class RowDocument(BaseModel):
@@ -266,7 +268,7 @@
             method, url, timeout=timeout, **arguments
         ) as answer:
             content = await answer.read()
-        return answer.status, int(answer.headers.get(ERA_HEADER, 0)), content
+        return answer.status, _read_era(answer), content
     except (
         aiohttp.ClientError,
         OSError,
@@ -277,6 +279,13 @@
         raise SourceError(f"the store did not answer {path}: {error!r}") from error
 
 
+def _read_era(answer):
+    era = int(answer.headers.get(ERA_HEADER, 0))
+    if not 0 <= era <= MAX_ERA:
+        raise ValueError(f"the store answered with era {era}")
+    return era
+
+
 async def call_store(client: StoreClient, method: str, path: str, **arguments) -> bytes:
     """Make one call to the store that does not wait for changes.
 
--- a/standins/cloud.py
+++ b/standins/cloud.py
@@ -30,6 +30,7 @@
     :param is_fenced: Whether lower tokens than the highest one are refused.
     :param status: The status of the responses.
     :param is_silent: Whether calls are executed but never get a response.
+    :param closes: Whether connections are closed without a response.
     :param delay_s: Time until a response.
     :param highest: The highest token by subject.
     """
@@ -37,6 +38,7 @@
     is_fenced: bool = True
     status: int = OK
     is_silent: bool = False
+    closes: bool = False
     delay_s: float = 0.0
     calls: list[CloudCall] = field(default_factory=list)
     highest: dict[tuple[str, ...], int] = field(default_factory=dict)
@@ -59,7 +61,9 @@
             body=body,
         )
         state.calls.append(call)
-        if state.is_silent:
+        if state.closes:
+            request.transport.abort()
+        if state.is_silent or state.closes:
             await asyncio.Event().wait()
         await asyncio.sleep(state.delay_s)
         highest = state.highest.get(subject, 0)
