--- a/features/usage/fleet.py
+++ b/features/usage/fleet.py
@@ -16,14 +16,13 @@
 
 from jujubenotch.daemon import forward_usage, forward_usage_reports
 from jujubenotch.daemon.forward_followers import find_report_receiver
-from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_usage import (
     gather_reports,
     make_usage_watch,
     receive_reports,
 )
 from jujubenotch.daemon.forward_usage_reports import report_usage
-from jujubenotch.leases import ApiResult, Tenure
+from jujubenotch.leases import ApiResult
 from jujubenotch.metrics import make_metrics
 from jujubenotch.neighbours import (
     Reassembly,
@@ -233,9 +232,14 @@
             address=address, report_window_s=WINDOW_S, usage_late_s=LATE_S
         ),
     )
-    lease = LeaseWatch(name=instance.name)
-    lease.api = SimpleNamespace(
-        send_usage=lambda *rest: _send_usage(fleet, instance, *rest)
+    lease = SimpleNamespace(
+        state=SimpleNamespace(tenure=None),
+        records={},
+        holder_address="",
+        tenure_began=asyncio.Event(),
+        api=SimpleNamespace(
+            send_usage=lambda *rest: _send_usage(fleet, instance, *rest)
+        ),
     )
     watch = make_usage_watch(settings, lease, make_metrics())
     relay = instance.relay
@@ -313,14 +317,15 @@
 
 
 def find_token(lease, now_s):
-    tenure = lease.tenure
+    tenure = lease.state.tenure
     if tenure is None or now_s - tenure.sent_s >= ACT_SHARE * LEASE_S:
         return None
     return tenure.token
 
 
 def _end_tenure(lease):
-    lease.tenure = None
+    lease.state.tenure = None
+    lease.records = {}
     lease.tenure_began.clear()
 
 
@@ -332,7 +337,7 @@
         await asyncio.sleep(fleet.draws.uniform(0.9, 1.5))
         await instance.resumed.wait()
         now_s = fleet.loop.time()
-        tenure = lease.tenure
+        tenure = lease.state.tenure
         own_s = now_s + instance.boot_offset_s
         if tenure is not None:
             ended_s = now_s
@@ -352,7 +357,7 @@
         _commit(fleet)
         lease.holder_address = instance.address
         lease.records = dict(store.rows)
-        lease.tenure = Tenure(
+        lease.state.tenure = SimpleNamespace(
             token=token, era=store.era, revision=store.revision, sent_s=own_s
         )
         lease.tenure_began.set()
@@ -377,7 +382,7 @@
 async def _write_alone(fleet, lease, writes, removals, is_exact):
     """Write rows if the lease is unchanged; the call or its response may get lost."""
     instance, store, draws = CURRENT.get(), fleet.store, fleet.draws
-    tenure = lease.tenure
+    tenure = lease.state.tenure
     sent_s = fleet.loop.time() + instance.boot_offset_s
     if tenure is None or find_token(lease, sent_s) is None or store.is_away:
         return False
@@ -394,8 +399,8 @@
     is_done = _execute(fleet, expected, instance, tenure, writes, removals)
     await asyncio.sleep(draws.uniform(0.005, 0.05))
     await instance.resumed.wait()
-    if not is_done or store.era != tenure.era or lease.tenure is not tenure:
-        if lease.tenure is tenure:
+    if not is_done or store.era != tenure.era or lease.state.tenure is not tenure:
+        if lease.state.tenure is tenure:
             _end_tenure(lease)
         return False
     if is_lost:
@@ -433,6 +438,8 @@
     if fate < 1.5 * share:
         return draws.choice([ApiResult.NOT_DONE, ApiResult.LIMITED])
     is_done = _report(fleet, window, counts, token)
+    if not is_done:
+        _end_tenure(instance.watch.lease)
     return ApiResult.DONE if is_done else ApiResult.CONFLICT
 
 
@@ -482,7 +489,7 @@
 
 async def _kill_holder(fleet):
     for each in _find_up(fleet):
-        if each.watch.lease.tenure is not None:
+        if each.watch.lease.state.tenure is not None:
             await _kill(fleet, each)
 
 
@@ -492,7 +499,7 @@
 
 async def _suspend_holder(fleet):
     for each in _find_up(fleet):
-        if each.watch.lease.tenure is not None:
+        if each.watch.lease.state.tenure is not None:
             each.resumed.clear()
             await asyncio.sleep(fleet.draws.uniform(0.3, 9.0))
             each.resumed.set()
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -5,6 +5,7 @@
 import logging
 from collections.abc import Coroutine
 
+from jujubenotch.daemon.forward_cloud import follow_lease
 from jujubenotch.daemon.forward_count import keep_addresses, keep_count, stay_counted
 from jujubenotch.daemon.forward_crashes import apply_crash_page
 from jujubenotch.daemon.forward_leases import LeaseWatch
@@ -32,7 +33,11 @@
     apply_upstreams,
 )
 from jujubenotch.daemon.forward_streams import record_listing, send_origins
-from jujubenotch.daemon.forward_usage import gather_reports
+from jujubenotch.daemon.forward_usage import (
+    UsageMeter,
+    gather_reports,
+    make_usage_watch,
+)
 from jujubenotch.daemon.forward_usage_reports import report_usage
 from jujubenotch.forwarding import (
     Source,
@@ -78,8 +83,10 @@
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
+    lease_tasks = follow_lease(relay, components)
+    usage_tasks = _make_usage_tasks(relay, instance)
     return (
-        *_make_usage_tasks(relay, instance),
+        *usage_tasks,
         _follow_configuration(relay, configuration),
         _follow_upstreams(relay, upstreams),
         _follow_crashes(relay, crashes),
@@ -93,6 +100,7 @@
         keep_count(relay, components),
         keep_addresses(relay, components),
         send_origins(stream_watch),
+        *lease_tasks,
     )
 
 
@@ -101,11 +109,14 @@
 
     They come first, so that the last counts are sent before the endpoint is closed.
     """
-    watch = instance.usage_watch
-    if watch is None:
+    lease = instance.lease_watch
+    if lease is None:
         return ()
+    watch = make_usage_watch(instance.settings, lease, instance.observer.metrics)
+    instance.usage_watch = watch
+    instance.dispatcher.meter = UsageMeter(counter=watch.counter)
     watch.send = functools.partial(send_message, relay)
-    watch.find_receiver = lambda: find_report_receiver(relay, watch.lease)
+    watch.find_receiver = lambda: find_report_receiver(relay, lease)
     watch.is_forwarding = lambda: relay.role.is_reader
     if Duty.USAGE_REPORTING in instance.settings.cloud.duties:
         return gather_reports(watch), report_usage(watch)
@@ -144,6 +155,7 @@
             if update.follows_outage:
                 progress.retry_requested.set()
             if _is_behind(state, progress):
+                relay.request_lease_read()
                 loop.call_later(CHANGE_DELIVERY_S, _end_stalled_call, state, progress)
 
     return add_followed_source(
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -66,6 +66,9 @@
         ``None`` before.
     :param reader_address: The endpoint that sent the last page of the configuration;
         empty before.
+    :param request_lease_read: Called when a revision of the store may be a write of
+        the lease.
+    :param list_lease_revisions: Returns the revisions of the lease's latest writes.
     """
 
     instance: ForwardingInstance
@@ -76,6 +79,8 @@
     endpoint: NeighbourEndpoint | None = None
     registered_era: int | None = None
     reader_address: str = ""
+    request_lease_read: Callable[[], None] = lambda: None
+    list_lease_revisions: Callable[[], tuple[int, ...]] = tuple
 
     @property
     def is_active(self) -> bool:
--- a/jujubenotch/daemon/forward_usage_reports.py
+++ b/jujubenotch/daemon/forward_usage_reports.py
@@ -16,9 +16,9 @@
     take_own_counts,
 )
 from jujubenotch.forwarding import read_boot_clock_s
-from jujubenotch.leases import ApiResult, Tenure
+from jujubenotch.leases import ApiResult
 from jujubenotch.logs import log_event
-from jujubenotch.metrics import count_usage_call, count_usage_windows
+from jujubenotch.metrics import count_usage_windows
 from jujubenotch.usage import (
     adopt_records,
     decide_window,
@@ -48,15 +48,16 @@
 class ReportingState:
     """The progress of the task that reports usage.
 
-    :param tenure: The tenure whose records the ledger has adopted.
-    :param noticed: The tenure that was seen last.
-    :param noticed_s: When it was seen first, in seconds of the boot clock.
+    :param records: The records that the ledger has adopted; each tenure has others,
+        which the lease changes in place.
+    :param noticed: The records that were seen last.
+    :param noticed_s: When they were seen first, in seconds of the boot clock.
     :param pause_s: The pause after the last failed call, in seconds; 0 after none.
     :param paused_until_s: No call is made before, in seconds of the boot clock.
     """
 
-    tenure: Tenure | None = None
-    noticed: Tenure | None = None
+    records: dict[str, bytes] | None = None
+    noticed: dict[str, bytes] | None = None
     noticed_s: float = 0.0
     pause_s: float = 0.0
     paused_until_s: float = 0.0
@@ -101,20 +102,21 @@
 
 def _adopt_tenure(watch, state, now_s, true_time_s):
     """Return whether the ledger stands on the records of the present tenure."""
-    tenure = watch.lease.tenure
-    if tenure is None:
+    lease = watch.lease
+    tenure, records = lease.state.tenure, lease.records
+    if tenure is None or not lease.tenure_began.is_set():
         return False
-    if tenure is not state.noticed:
-        state.noticed = tenure
+    if records is not state.noticed:
+        state.noticed = records
         state.noticed_s = now_s
-    if state.tenure is tenure:
+    if state.records is records:
         return True
     is_alone = len(watch.gathered.processes) < MIN_PROCESSES
     if is_alone and now_s - state.noticed_s < MAX_PROCESSES_WAIT_S:
         return False
     ledger = watch.ledger
-    adopt_records(ledger, watch.lease.records, tenure.era, true_time_s)
-    state.tenure = tenure
+    adopt_records(ledger, records, tenure.era, true_time_s)
+    state.records = records
     state.pause_s = 0.0
     state.paused_until_s = 0.0
     log_event(
@@ -169,9 +171,8 @@
     write = make_write(watch.ledger, true_time_s)
     if write is None:
         return True
-    tenure = state.tenure
     is_confirmed = await write_records(watch.lease, write.writes, write.removals)
-    if watch.lease.tenure is not tenure:
+    if watch.lease.records is not state.records:
         # The records of the next tenure tell whether the write was executed.
         return False
     if not is_confirmed:
@@ -204,10 +205,9 @@
     timeout_s = min(MAX_CALL_S, find_call_timeout_s(lease, now_s))
     if token is None or timeout_s <= 0 or find_era(token) != ledger.era:
         return False
-    if lease.tenure is not state.tenure:
+    if lease.records is not state.records:
         return False
     result = await lease.api.send_usage(window, counts, watch.name, token, timeout_s)
-    count_usage_call(watch.metrics, result)
     log_event(
         logger,
         logging.INFO if result is ApiResult.DONE else logging.WARNING,
@@ -224,10 +224,8 @@
         count_usage_windows(watch.metrics, "sent")
         state.pause_s = 0.0
         return True
-    if result is ApiResult.CONFLICT:
-        end_tenure(lease, "token-refused")
-    else:
-        _pause(state)
+    # After a conflict the tenure has ended, and the pause is without effect.
+    _pause(state)
     return False
 
 
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -21,6 +21,7 @@
 )
 from jujubenotch.daemon.forward_detour import send_elsewhere
 from jujubenotch.daemon.forward_followers import make_followers
+from jujubenotch.daemon.forward_leases import hand_over
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
 from jujubenotch.daemon.forward_origins import find_stream_origin
@@ -35,7 +36,6 @@
     ForwardState,
 )
 from jujubenotch.daemon.forward_streams import StreamWatch, record_stream_start
-from jujubenotch.daemon.forward_usage import UsageMeter, make_usage_watch
 from jujubenotch.dispatch import (
     Dispatcher,
     ExchangeRegistry,
@@ -128,7 +128,6 @@
         loop.add_signal_handler(number, stopping.set)
     components = make_platform_components(settings)
     instance = _build_instance(settings, components, stopping)
-    _count_usage(instance)
     loop.add_signal_handler(
         signal.SIGHUP, reload_now, instance, components, reload_settings
     )
@@ -202,17 +201,6 @@
     return instance
 
 
-def _count_usage(instance):
-    """Count requests and demand where the settings name a duty for them."""
-    if instance.lease_watch is None:
-        return
-    watch = make_usage_watch(
-        instance.settings, instance.lease_watch, instance.observer.metrics
-    )
-    instance.usage_watch = watch
-    instance.dispatcher.meter = UsageMeter(counter=watch.counter)
-
-
 @dataclass(frozen=True, kw_only=True)
 class _Watches:
     """What an instance watches in the requests that it sends."""
@@ -314,6 +302,9 @@
         "instance-stopping",
         in_progress=len(instance.dispatcher.in_progress),
     )
+    if instance.lease_watch is not None:
+        # Another instance takes the lease while this one ends its requests.
+        _start_background_task(instance, hand_over(instance.lease_watch))
     await asyncio.sleep(LISTENER_CLOSE_DELAY_S)
     instance.refuses_requests = True
     callers, *others = instance.listeners
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -174,10 +174,32 @@
     metrics.usage_windows.add({"result": result}, windows)
 
 
-def count_usage_call(metrics: Metrics, result: str) -> None:
-    """Count a call that reports usage to the platform.
+def set_lease(metrics: Metrics, token: int | None, age_s: float) -> None:
+    """Set what this instance knows of the lease on calls to the platform's API.
 
     :param metrics: The metrics.
-    :param result: The result of the call.
+    :param token: The fencing token; ``None`` when this instance doesn't hold it.
+    :param age_s: Time since it was last confirmed, in seconds.
     """
-    metrics.usage_calls.inc({"result": str(result)})
+    metrics.lease_held.set({}, int(token is not None))
+    metrics.lease_token.set({}, token or 0)
+    metrics.lease_age.set({}, age_s)
+
+
+def count_lease_end(metrics: Metrics, reason: str) -> None:
+    """Count a tenure of the lease that ended.
+
+    :param metrics: The metrics.
+    :param reason: Why it ended.
+    """
+    metrics.lease_ends.inc({"reason": reason})
+
+
+def count_cloud_call(metrics: Metrics, duty: str, result: str) -> None:
+    """Count a call to the platform's API.
+
+    :param metrics: The metrics.
+    :param duty: The duty that made it.
+    :param result: Its result.
+    """
+    metrics.cloud_calls.inc({"duty": str(duty), "result": str(result)})
