Decode the limits of orders and the end of preemptible upstreams

Cause: the configuration's scaling and the list entries' preemptible and leaves_ms were ignored. Change: ServiceScaling, is_preemptible and leaves_s in the model. An upstream that is reclaimed within 10 s gets nothing new. Limits that can't be read leave the routes valid and nothing is ordered.

--- a/jujubenotch/forwarding/listing.py
+++ b/jujubenotch/forwarding/listing.py
@@ -12,6 +12,9 @@
 # A store that was restored from a copy may list upstreams that no longer run. It
 # removes such an entry after three missed heartbeats; this delay is longer.
 COPIED_ENTRY_DELAY_S = 5.0
+# Streams last up to 10 s; one that begins later than this before its upstream is
+# reclaimed may be cut.
+MIN_REMAINING_S = 10.0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -22,11 +25,13 @@
         entry, in seconds; ``None`` while it is listed.
     :param usable_from_s: From when the upstream is usable, in seconds; 0 unless it is
         known only from a copy from which the store was restored.
+    :param leaves_at_s: When the upstream ends, in seconds; ``None`` when it has no end.
     """
 
     listed: ListedUpstream
     usable_until_s: float | None = None
     usable_from_s: float = 0.0
+    leaves_at_s: float | None = None
 
 
 @dataclass(kw_only=True)
@@ -122,6 +127,8 @@
         return False
     if now_s < known.usable_from_s:
         return False
+    if known.leaves_at_s is not None and now_s > known.leaves_at_s - MIN_REMAINING_S:
+        return False
     return known.usable_until_s is None or now_s < known.usable_until_s
 
 
@@ -149,6 +156,23 @@
     elif not known.listed.is_leaving:
         known.listed = item.value
         known.usable_until_s = None
+    _set_end(listing.upstreams[item.key], known, now_s)
+
+
+def _set_end(added, previous, now_s):
+    """Set when an upstream ends, never later than an earlier entry told.
+
+    An entry that is read again tells the time that was left when it was written.
+    """
+    if added.listed.leaves_s is None:
+        return
+    ends_s = [now_s + added.listed.leaves_s]
+    is_same = (
+        previous is not None and previous.listed.started_ms == added.listed.started_ms
+    )
+    if is_same and previous.leaves_at_s is not None:
+        ends_s.append(previous.leaves_at_s)
+    added.leaves_at_s = min(ends_s)
 
 
 def _remove(listing, name, *, follows_outage, now_s):
--- a/jujubenotch/forwarding/model.py
+++ b/jujubenotch/forwarding/model.py
@@ -82,6 +82,25 @@
     cache_tokens: int
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class ServiceScaling:
+    """Within which limits the upstreams of a service are ordered, and their prices.
+
+    :param min_upstreams: The fewest upstreams in each data centre, both kinds together.
+    :param max_upstreams: The most upstreams in each data centre, both kinds together.
+    :param boot_s: Time from an order until a new upstream serves, in seconds.
+    :param preemptible_price: The price of preemptible upstreams relative to standard
+        ones; ``None`` when none can be ordered.
+    :param data_centre_prices: The price in each data centre relative to the others.
+    """
+
+    min_upstreams: int
+    max_upstreams: int
+    boot_s: float
+    preemptible_price: float | None = None
+    data_centre_prices: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Service:
     """A service that requests are forwarded to.
@@ -90,11 +109,14 @@
         instances together.
     :param engine: The limits of its model engines; ``None`` for a service
         without model engines.
+    :param scaling: The limits on orders of its upstreams; ``None`` for a service
+        whose upstreams are not ordered.
     """
 
     name: str
     max_connections: int = 100
     engine: EngineLimits | None = None
+    scaling: ServiceScaling | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -133,6 +155,9 @@
         0 when unknown.
     :param software_version: The version of the upstream's software; versions have no
         order. Empty when unknown.
+    :param is_preemptible: Whether the platform may reclaim the upstream.
+    :param leaves_s: The time that the upstream has left, in seconds, when its entry
+        was written; ``None`` when it has no end.
     """
 
     name: str
@@ -144,6 +169,8 @@
     warming_s: float = 0.0
     started_ms: int = 0
     software_version: str = ""
+    is_preemptible: bool = False
+    leaves_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
--- a/jujubenotch/platform/documents.py
+++ b/jujubenotch/platform/documents.py
@@ -1,9 +1,9 @@
 """Validates the platform's documents and converts them to internal types."""
 
 import hashlib
-from typing import Annotated, Literal
+from typing import Annotated, Any, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AliasChoices, BaseModel, ConfigDict, Field, ValidationError
 
 from jujubenotch.forwarding import (
     CallerBounds,
@@ -12,6 +12,7 @@
     ListedUpstream,
     RouteKind,
     Service,
+    ServiceScaling,
     ServiceShare,
     SiteConfiguration,
     TeamKeys,
@@ -81,12 +82,27 @@
     kv_capacity: Count
 
 
+class ScalingDocument(WireDocument):
+    """The limits of orders of upstreams; ``spot_price`` is absent without spots."""
+
+    min_replicas: Count = 0
+    max_replicas: Count
+    boot_s: Duration
+    spot_price: Duration | None = None
+    zone_prices: dict[str, Duration] = {}
+
+
 class ServiceDocument(WireDocument):
-    """A service; ``engine`` is absent for a service without a model engine."""
+    """A service; ``engine`` is absent for a service without a model engine.
+
+    ``scaling`` is validated separately, so that limits that can't be read don't
+    invalidate the routes.
+    """
 
     name: Text
     max_conns: Count = 100
     engine: EngineDocument | None = None
+    scaling: Any = None
 
 
 class LimitsDocument(WireDocument):
@@ -121,7 +137,8 @@
 
     ``cold_remaining_ms`` is the remaining time during which the upstream is slow
     after its start. ``born`` is the Unix time of its start in milliseconds.
-    ``version`` is the version of its software, in no order.
+    ``version`` is the version of its software, in no order. ``leaves_ms`` is the time
+    left until a preemptible upstream is reclaimed.
     """
 
     service: Text
@@ -132,6 +149,10 @@
     cold_remaining_ms: Duration = 0
     born: Count = 0
     version: str = ""
+    preemptible: bool = False
+    leaves_ms: Duration | None = Field(
+        default=None, validation_alias=AliasChoices("leaves_ms", "leaves-ms")
+    )
 
 
 def decode_configuration(content: bytes) -> SiteConfiguration | None:
@@ -181,6 +202,10 @@
         warming_s=document.cold_remaining_ms / MS_PER_S,
         started_ms=document.born,
         software_version=_shorten_version(document.version),
+        is_preemptible=document.preemptible,
+        leaves_s=(
+            None if document.leaves_ms is None else document.leaves_ms / MS_PER_S
+        ),
     )
 
 
@@ -222,7 +247,29 @@
             slots=document.engine.slots, cache_tokens=document.engine.kv_capacity
         )
     return Service(
-        name=document.name, max_connections=document.max_conns, engine=engine
+        name=document.name,
+        max_connections=document.max_conns,
+        engine=engine,
+        scaling=_convert_scaling(document.scaling),
+    )
+
+
+def _convert_scaling(content):
+    """Convert the limits of orders; without readable ones nothing is ordered."""
+    if content is None:
+        return None
+    try:
+        document = ScalingDocument.model_validate(content)
+    except ValidationError:
+        return None
+    if document.min_replicas > document.max_replicas:
+        return None
+    return ServiceScaling(
+        min_upstreams=document.min_replicas,
+        max_upstreams=document.max_replicas,
+        boot_s=document.boot_s,
+        preemptible_price=document.spot_price,
+        data_centre_prices=document.zone_prices,
     )
 
 
