Add the decisions on orders of upstreams

Cause: nothing ordered upstreams, so the fleet stayed as at the start. Change: package scaling decides totals, kinds, data centres, repeats and the pacing of calls, and encodes the orders for the store.

--- /dev/null
+++ b/jujubenotch/scaling/__init__.py
@@ -0,0 +1,67 @@
+"""Decides how many upstreams of each service are ordered, of which kind and where.
+
+Errors: none. Features: ``features/scaling``.
+"""
+
+from jujubenotch.scaling.codec import decode_orders, encode_orders
+from jujubenotch.scaling.demand import DemandDoubt, find_doubt, record_demand
+from jujubenotch.scaling.kinds import LISTING_DELAY_S, find_standard_floor
+from jujubenotch.scaling.model import (
+    CapacityKind,
+    ChangeReason,
+    DemandHistory,
+    Order,
+    OrderChange,
+    OrderKey,
+    Presence,
+    ScalingState,
+)
+from jujubenotch.scaling.orders import (
+    begin_order,
+    block_reclaimed,
+    block_unavailable,
+    cancel_order,
+    confirm_order,
+)
+from jujubenotch.scaling.pacing import (
+    CallPacing,
+    count_available,
+    make_pacing,
+    pause_calls,
+    record_call,
+    record_success,
+)
+from jujubenotch.scaling.plan import plan_service
+from jujubenotch.scaling.present import count_present, find_slots
+
+__all__ = [
+    "LISTING_DELAY_S",
+    "CallPacing",
+    "CapacityKind",
+    "ChangeReason",
+    "DemandDoubt",
+    "DemandHistory",
+    "Order",
+    "OrderChange",
+    "OrderKey",
+    "Presence",
+    "ScalingState",
+    "begin_order",
+    "block_reclaimed",
+    "block_unavailable",
+    "cancel_order",
+    "confirm_order",
+    "count_available",
+    "count_present",
+    "decode_orders",
+    "encode_orders",
+    "find_doubt",
+    "find_slots",
+    "find_standard_floor",
+    "make_pacing",
+    "pause_calls",
+    "plan_service",
+    "record_call",
+    "record_demand",
+    "record_success",
+]
--- /dev/null
+++ b/jujubenotch/scaling/demand.py
@@ -0,0 +1,131 @@
+"""Estimates the slots that a service needs, and when its demand can't be trusted."""
+
+import statistics
+from collections.abc import Collection
+from enum import StrEnum
+
+from jujubenotch.scaling.model import DemandHistory, DemandSample
+from jujubenotch.usage import ServiceDemand
+
+# Covers two periods of a swing of 11 s, so that a trough is not taken for less demand.
+PEAK_WINDOW_S = 30.0
+# After this time without a lost instance the remaining ones have taken over.
+HISTORY_S = 60.0
+# Until one period of such a swing has been seen, its peak is unknown.
+YOUNG_S = 12.0
+# The number of requests in progress varies by about its square root: twice that is 9%
+# of 500 slots. The rest of the slots absorbs it.
+TARGET_UTILISATION = 0.9
+# Refused callers come back several times, so their arrivals overstate the demand.
+MAX_REFUSED_RATIO = 2.0
+# Demand this far above the earlier peak is new growth; less is noise.
+GROWTH_RATIO = 1.1
+TREND_S = 2.0
+# A burst ends within seconds, so its trend is not extrapolated further than this.
+MAX_EXTRAPOLATION = 1.5
+# Reports and decisions take this long in addition to the boot of an upstream.
+REACTION_S = 2.0
+# A drop below this share of the median may mean that callers are cut off.
+DROP_SHARE = 0.5
+DROP_WINDOW_S = 5.0
+# With many instances single ones restart all the time, each with little of the demand.
+INSTANCE_SHARE = 0.97
+
+
+class DemandDoubt(StrEnum):
+    """Why the demand is no reason to order fewer upstreams."""
+
+    ABSENT = "no-demand"
+    YOUNG = "young-demand"
+    INSTANCES_LOST = "instances-lost"
+    DROPPED = "demand-dropped"
+
+
+def record_demand(
+    history: DemandHistory, figures: Collection[ServiceDemand], now_s: float
+) -> None:
+    """Record the demand that the instances of all data centres have reported.
+
+    :param history: The service's history; changed in place.
+    :param figures: The figures of each data centre.
+    :param now_s: The present time, in seconds.
+    """
+    arrived_per_s = sum(each.arrived_per_s for each in figures)
+    history.samples.append(
+        DemandSample(
+            at_s=now_s,
+            offered_slots=sum(_estimate_offered(each) for each in figures),
+            arrived_per_s=arrived_per_s,
+            instances=sum(each.instances for each in figures),
+        )
+    )
+    history.has_arrivals |= arrived_per_s > 0
+    while history.samples[0].at_s < now_s - HISTORY_S:
+        history.samples.popleft()
+
+
+def _estimate_offered(figures):
+    accepted_per_s = figures.arrived_per_s - figures.refused_per_s
+    ratio = MAX_REFUSED_RATIO
+    if accepted_per_s > 0:
+        ratio = min(ratio, figures.refused_per_s / accepted_per_s)
+    return figures.busy_slots * (1 + max(0.0, ratio))
+
+
+def find_needed_slots(
+    history: DemandHistory, boot_s: float, now_s: float
+) -> float | None:
+    """Find the slots that a service needs by the time new upstreams serve.
+
+    A swing returns to its peak, so the peak of the last tens of seconds counts. Only
+    demand above that peak is extrapolated by its trend.
+
+    :param history: The service's history.
+    :param boot_s: The time until a new upstream serves, in seconds.
+    :param now_s: The present time, in seconds.
+    :returns: The slots; ``None`` while no demand is known.
+    """
+    recent = [
+        sample for sample in history.samples if now_s - sample.at_s <= PEAK_WINDOW_S
+    ]
+    if not history.has_arrivals or not recent:
+        return None
+    peak = max(sample.offered_slots for sample in recent)
+    return max(peak, _extrapolate(recent, boot_s, now_s)) / TARGET_UTILISATION
+
+
+def _extrapolate(recent, boot_s, now_s):
+    last = recent[-1]
+    earlier = [sample for sample in recent if now_s - sample.at_s >= TREND_S]
+    if not earlier or now_s - recent[0].at_s < YOUNG_S:
+        return 0.0
+    earlier_peak = max(sample.offered_slots for sample in earlier)
+    if last.offered_slots < GROWTH_RATIO * earlier_peak:
+        return 0.0
+    base = earlier[-1]
+    slope = (last.offered_slots - base.offered_slots) / (last.at_s - base.at_s)
+    predicted = last.offered_slots + max(0.0, slope) * (boot_s + REACTION_S)
+    return min(predicted, MAX_EXTRAPOLATION * last.offered_slots)
+
+
+def find_doubt(history: DemandHistory, now_s: float) -> DemandDoubt | None:
+    """Return why the demand is no reason to order less; ``None`` when it is one.
+
+    :param history: The service's history.
+    :param now_s: The present time, in seconds.
+    """
+    samples = history.samples
+    if not samples or not history.has_arrivals:
+        return DemandDoubt.ABSENT
+    last = samples[-1]
+    if last.instances < INSTANCE_SHARE * max(each.instances for each in samples):
+        return DemandDoubt.INSTANCES_LOST
+    median = statistics.median(each.offered_slots for each in samples)
+    recent = [each for each in samples if now_s - each.at_s <= DROP_WINDOW_S]
+    if not recent or last.arrived_per_s <= 0:
+        return DemandDoubt.ABSENT
+    if statistics.fmean(each.offered_slots for each in recent) < DROP_SHARE * median:
+        return DemandDoubt.DROPPED
+    if now_s - samples[0].at_s < PEAK_WINDOW_S:
+        return DemandDoubt.YOUNG
+    return None
