--- /dev/null
+++ b/features/scaling/environment.py
@@ -0,0 +1,5 @@
+import logging
+
+
+def before_all(context):
+    logging.getLogger("jujubenotch").setLevel(logging.CRITICAL)
--- /dev/null
+++ b/features/scaling/orders.feature
@@ -0,0 +1,176 @@
+Feature: Upstreams are ordered by demand, and preemptible ones first
+
+  # Guards against scaling that follows a swing too late, that costs as much as it saves,
+  # and that calls the API for each swing.
+  Scenario Outline: A calm day with a swing
+    Given a site with seed <seed> whose demand swings by 27% with a period of 11 s
+    When 240 s are played
+    Then the room was never under the demand
+    And the cost was at most 0.5 of the initial fleet's
+    And at most 20 calls were sent
+
+    Examples:
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
+
+  # Guards against capacity that drops while standard upstreams are replaced under load.
+  Scenario: Callers are there from the start
+    Given a site with seed 4 whose demand swings by 27% with a period of 11 s
+    And callers come at 0 s
+    When 240 s are played
+    Then the room was never under the demand
+    And the cost was at most 0.5 of the initial fleet's
+    And no step took more than 9 upstreams away
+
+  # Guards against bursts that are answered after they have ended, that pass the limits,
+  # and that leave a fleet behind which is never scaled in.
+  Scenario Outline: Bursts
+    Given a site with seed <seed> whose demand is <factor> times as high for <length> s after 60 s
+    When 240 s are played
+    Then more upstreams were ordered within 2.5 s of the burst if it exceeds the room
+    And the room covered the demand 8 s after the burst began
+    And at the end the orders are within 12% of those before the burst
+    And at most 60 calls were sent
+
+    Examples:
+      | seed | factor | length |
+      | 1    | 1.5    | 3      |
+      | 2    | 1.5    | 9      |
+      | 3    | 2      | 6      |
+      | 4    | 3      | 3      |
+      | 5    | 3      | 9      |
+
+  # Guards against a loss of preemptible upstreams that leaves too little for urgent work,
+  # and against orders for preemptible ones where none are left.
+  Scenario Outline: All preemptible upstreams of a data centre are reclaimed
+    Given a site with seed <seed> whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And the preemptible upstreams of "<place>" are reclaimed
+    And 100 s are played
+    Then the room was never under 0.6 of the demand
+    And the room was never under the demand from 8 s after that on
+    And no preemptible upstream was ordered in "<place>" for 25 s
+    And preemptible upstreams serve in "<place>" at the end
+    And at most 50 calls were sent
+
+    Examples:
+      | seed | place |
+      | 1    | north |
+      | 2    | south |
+      | 3    | west  |
+
+  # Guards against a storm of calls, and against lost room, where none are available.
+  Scenario: No preemptible upstream is available for some seconds
+    Given a site with seed 5 whose demand swings by 27% with a period of 11 s
+    And no preemptible upstreams are available anywhere until 18 s
+    When 120 s are played
+    Then the room was never under the demand
+    And at most 15 calls got "conflict"
+    And after each call that got "conflict" a fresh token was taken
+    And preemptible upstreams serve in "north" at the end
+
+  # Guards against two orders to the API of which the later one is executed first.
+  Scenario Outline: An order gets no response
+    Given a site with seed 6 whose demand swings by 27% with a period of 11 s
+    And call number <number> gets no response and is <what>
+    When 120 s are played
+    Then after each call that got "unknown" a fresh token was taken
+    And the call after it has a higher token
+    And the room was never under the demand
+    And the cost was at most 0.5 of the initial fleet's
+
+    Examples:
+      | number | what         |
+      | 1      | executed     |
+      | 1      | not executed |
+      | 4      | executed     |
+      | 4      | not executed |
+
+  # Guards against calls that go on at full rate while the API refuses them.
+  Scenario Outline: The API refuses all calls for a time
+    Given a site with seed 7 whose demand swings by 27% with a period of 11 s
+    And all calls get "<result>" until 60 s
+    When 150 s are played
+    Then at most 16 calls got "<result>"
+    And the room was never under the demand
+    And preemptible upstreams serve in "north" at the end
+
+    Examples:
+      | result   |
+      | limited  |
+      | not-done |
+      | unknown  |
+
+  # Guards against a fault that is taken for less demand.
+  Scenario Outline: A fault is no reason to order less
+    Given a site with seed 8 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And <fault>
+    And 50 s are played
+    Then nothing was scaled in since the fault
+
+    Examples:
+      | fault                              |
+      | a third of the instances is lost   |
+      | callers are cut off                |
+      | the demand falls by 60%            |
+      | a quarter of the upstreams crashes |
+
+  # Guards against orders that are based on old news.
+  Scenario Outline: Nothing is ordered on old news
+    Given a site with seed 9 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And <fault>
+    And the demand doubles
+    And 30 s are played
+    Then no call was sent since the fault
+
+    Examples:
+      | fault                |
+      | the list gets old    |
+      | the demand gets old  |
+      | the store can't be reached |
+
+  # Guards against orders that are based on the copy from which a store was restored.
+  Scenario: The store is restored from a copy
+    Given a site with seed 10 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And the store is restored from a copy
+    And the demand doubles
+    And 9 s are played
+    Then no call was sent since the fault
+    When 30 s are played
+    Then calls were sent since the fault
+
+  # Guards against a successor that repeats orders or begins again from the list.
+  Scenario: Another instance takes the lease
+    Given a site with seed 11 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And another instance takes the lease
+    And 60 s are played
+    Then only changes were sent since the fault, at most 4
+
+  # Guards against a successor that orders before it knows the demand.
+  Scenario: A successor has no demand yet
+    Given a site with seed 12 whose demand swings by 27% with a period of 11 s
+    When 2 s are played
+    And another instance takes the lease
+    And 6 s are played
+    Then no call was sent since the fault
+
+  # Guards against orders above or below the limits, also while the kinds are replaced.
+  # The site checks the limits of both kinds together at each step.
+  Scenario Outline: Limits hold for both kinds together
+    Given a site with seed 13 and limits of <least> and <most> upstreams in each data centre
+    And the demand is <demand> slots
+    When 200 s are played
+    Then at the end between <least> and <most> upstreams are ordered in each data centre
+    And preemptible upstreams serve in "north" at the end
+
+    Examples:
+      | least | most | demand |
+      | 4     | 20   | 450    |
+      | 4     | 20   | 900    |
+      | 10    | 40   | 60     |
--- /dev/null
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -0,0 +1,456 @@
+"""Orders upstreams while this instance holds the lease."""
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass, field
+
+from jujubenotch.daemon.forward_leases import (
+    LeaseWatch,
+    find_call_timeout_s,
+    find_token,
+    refresh_token,
+    write_records,
+)
+from jujubenotch.daemon.forward_revisions import is_source_behind
+from jujubenotch.daemon.forward_state import ForwardState
+from jujubenotch.forwarding import (
+    Service,
+    choose_change_wait_s,
+    measure_age_s,
+    read_boot_clock_s,
+    was_recently_unavailable,
+)
+from jujubenotch.leases import ApiResult, UpstreamOrder
+from jujubenotch.logs import log_event
+from jujubenotch.metrics import Metrics, count_order, observe_upstreams
+from jujubenotch.scaling import (
+    LISTING_DELAY_S,
+    CallPacing,
+    CapacityKind,
+    ChangeReason,
+    DemandHistory,
+    OrderChange,
+    Presence,
+    ScalingState,
+    begin_order,
+    block_reclaimed,
+    block_unavailable,
+    cancel_order,
+    confirm_order,
+    count_available,
+    count_present,
+    decode_orders,
+    encode_orders,
+    find_slots,
+    make_pacing,
+    pause_calls,
+    plan_service,
+    record_call,
+    record_demand,
+    record_success,
+)
+from jujubenotch.usage import ServiceDemand
+
+logger = logging.getLogger(__name__)
+
+RECORD_KEY = "orders"
+# Reports of demand come about once a second.
+CYCLE_S = 0.5
+# An older list may lack upstreams that serve, or contain reclaimed ones. The age is
+# known each time a call for changes of the configuration returns.
+STORE_DELAY_S = 4.0
+# Reports pass through a reader; three that are lost in a row make the demand stale.
+MAX_DEMAND_AGE_S = 5.0
+# After an outage the entries of running upstreams are renewed within about 2 s.
+OUTAGE_HOLD_S = 6.0
+# After a restore, dead upstreams of the copy disappear within 5 s, and the holders'
+# neighbours report their demand again.
+RESTORE_HOLD_S = 10.0
+# A call must end before the lease does.
+CALL_TIMEOUT_S = 1.0
+MIN_CALL_TIMEOUT_S = 0.1
+NOT_EXECUTED = frozenset({ApiResult.LIMITED, ApiResult.NOT_DONE})
+
+ReadDemand = Callable[[float], Mapping[tuple[str, str], ServiceDemand]]
+
+
+@dataclass(kw_only=True)
+class ScalingWatch:
+    """The state of ordering upstreams.
+
+    :param read_demand: Returns the demand by service and data centre at a time of the
+        boot clock.
+    :param max_store_age_s: The largest age of what is known from the store.
+    :param read_clock_s: Reads the clock that counts suspended time, in seconds.
+    :param is_loaded: Whether the orders of the present tenure have been taken up.
+    :param token: The token under which they were.
+    :param needs_fresh_token: Whether a call without a response may still be executed.
+    :param hold: Why nothing is ordered, for the log; empty while orders may be sent.
+    :param era: The last known era of the store.
+    :param era_changed_s: When it changed, in seconds.
+    """
+
+    state: ForwardState
+    leases: LeaseWatch
+    metrics: Metrics
+    read_demand: ReadDemand
+    pacing: CallPacing
+    max_store_age_s: float
+    read_clock_s: Callable[[], float] = read_boot_clock_s
+    draw: Callable[[], float] = random.random
+    orders: ScalingState = field(default_factory=ScalingState)
+    is_loaded: bool = False
+    token: int | None = None
+    needs_fresh_token: bool = False
+    hold: str = ""
+    era: int | None = None
+    era_changed_s: float = float("-inf")
+
+
+def make_scaling_watch(
+    state: ForwardState,
+    leases: LeaseWatch,
+    metrics: Metrics,
+    read_demand: ReadDemand,
+    *,
+    calls_per_s: float,
+    max_key_age_s: float,
+) -> ScalingWatch:
+    """Make the state of ordering upstreams.
+
+    :param state: The configuration and the upstreams known to the instance.
+    :param leases: The lease.
+    :param metrics: The instance's metrics.
+    :param read_demand: Returns the demand by service and data centre.
+    :param calls_per_s: Calls a second that the API accepts from all instances.
+    :param max_key_age_s: The bound on the age of keys, in seconds; 0 without one.
+    """
+    return ScalingWatch(
+        state=state,
+        leases=leases,
+        metrics=metrics,
+        read_demand=read_demand,
+        pacing=make_pacing(calls_per_s),
+        max_store_age_s=STORE_DELAY_S + choose_change_wait_s(max_key_age_s, 0),
+    )
+
+
+async def order_upstreams(watch: ScalingWatch) -> None:
+    """Order upstreams whenever this instance holds the lease, until cancelled.
+
+    :param watch: The state; changed in place.
+    """
+    while True:
+        await watch.leases.tenure_began.wait()
+        await run_cycle(watch)
+        if not watch.leases.tenure_began.is_set():
+            end_scaling(watch)
+        await asyncio.sleep(CYCLE_S)
+        if not watch.leases.tenure_began.is_set():
+            end_scaling(watch)
+
+
+def end_scaling(watch: ScalingWatch) -> None:
+    """Forget the orders at the end of a tenure; the next holder changes them.
+
+    :param watch: The state; changed in place.
+    """
+    watch.is_loaded = False
+    for key in watch.orders.orders:
+        observe_upstreams(
+            watch.metrics, key.service, key.data_centre, key.kind, ordered=0, listed=0
+        )
+
+
+async def run_cycle(watch: ScalingWatch) -> None:
+    """Decide once which orders change, store them and send them.
+
+    :param watch: The state; changed in place.
+    """
+    now_s = watch.read_clock_s()
+    token = find_token(watch.leases, now_s)
+    if token is None:
+        return
+    hold = _find_hold(watch, now_s)
+    _set_hold(watch, hold)
+    if hold:
+        return
+    if not watch.is_loaded or token != watch.token:
+        _load(watch, token, now_s)
+    changes = _plan(watch, now_s)
+    changes = changes[: count_available(watch.pacing, now_s)]
+    if not changes:
+        return
+    if watch.needs_fresh_token and not await _take_fresh_token(watch):
+        return
+    if await _store(watch, changes):
+        await _send_all(watch, changes)
+
+
+def read_coming_room(
+    watch: ScalingWatch, service: str, now_s: float
+) -> tuple[float, float]:
+    """Return the room of upstreams that are ordered but don't serve yet.
+
+    Only the holder of the lease knows the orders; elsewhere the result is (0, 0).
+
+    :param watch: The state.
+    :param service: The service's name.
+    :param now_s: The present time by the boot clock, in seconds.
+    :returns: The slots, and the time until the first of them serve, in seconds.
+    """
+    described = _find_services(watch).get(service)
+    if described is None or not watch.is_loaded:
+        return 0.0, 0.0
+    boot_s = described.scaling.boot_s
+    present = count_present(watch.state.listing, service, now_s)
+    coming, first_s = 0, float("inf")
+    for key, order in watch.orders.orders.items():
+        missing = order.count - present.get(key, Presence()).ready
+        elapsed_s = now_s - order.raised_s
+        if key.service != service or missing <= 0:
+            continue
+        if elapsed_s <= boot_s + LISTING_DELAY_S:
+            coming += missing
+            first_s = min(first_s, max(0.0, boot_s - elapsed_s))
+    if not coming:
+        return 0.0, 0.0
+    return coming * _find_slots(watch, described), first_s
+
+
+def _find_hold(watch, now_s):
+    """Return why nothing may be ordered now; empty when orders may be sent."""
+    state = watch.state
+    era = state.configuration_progress.era
+    if era != watch.era:
+        if watch.era is not None:
+            watch.era_changed_s = now_s
+        watch.era = era
+    if state.index is None or not state.has_read_listing:
+        return "not-loaded"
+    tenure = watch.leases.tenure
+    if tenure is None or tenure.era != era:
+        return "store-restored"
+    if now_s - watch.era_changed_s < RESTORE_HOLD_S:
+        return "store-restored"
+    for progress in (state.configuration_progress, state.listing_progress):
+        if was_recently_unavailable(progress, OUTAGE_HOLD_S, now_s):
+            return "store-unavailable"
+    if measure_age_s(state.freshness, now_s) > watch.max_store_age_s:
+        return "list-old"
+    if is_source_behind(
+        state.revisions, state.listing_progress, state.configuration_progress
+    ):
+        return "list-behind"
+    return ""
+
+
+def _set_hold(watch, hold):
+    if hold != watch.hold:
+        watch.hold = hold
+        event = "scaling-held" if hold else "scaling-resumed"
+        log_event(logger, logging.INFO, event, reason=hold or "none")
+
+
+def _load(watch, token, now_s):
+    """Take up the orders of the last holder, or what the list shows."""
+    content = watch.leases.records.get(RECORD_KEY)
+    stored = None
+    if content is not None:
+        stored = decode_orders(content, watch.era, now_s)
+    orders = stored or ScalingState()
+    # The demand and the refusals concern the platform, not one tenure.
+    orders.histories = watch.orders.histories
+    orders.blocks = watch.orders.blocks
+    # An order of this process without a response is repeated under the new token.
+    for key, order in watch.orders.orders.items():
+        if not order.is_settled and key in orders.orders:
+            orders.orders[key].is_settled = False
+    watch.orders = orders
+    watch.is_loaded = True
+    watch.token = token
+    log_event(
+        logger,
+        logging.INFO,
+        "orders-loaded",
+        source="list" if stored is None else "store",
+        is_stored=content is not None,
+        orders=len(orders.orders),
+        era=watch.era,
+        token=token,
+    )
+
+
+def _find_services(watch) -> dict[str, Service]:
+    if watch.state.index is None:
+        return {}
+    services = watch.state.index.configuration.services
+    return {
+        name: service
+        for name, service in services.items()
+        if service.scaling is not None
+    }
+
+
+def _plan(watch, now_s) -> list[OrderChange]:
+    figures = watch.read_demand(now_s)
+    changes = []
+    for name, service in sorted(_find_services(watch).items()):
+        if not _record_demand(watch, name, figures, now_s):
+            continue
+        present = count_present(watch.state.listing, name, now_s)
+        slots = _find_slots(watch, service)
+        changes.extend(plan_service(watch.orders, service, present, slots, now_s))
+        for key, order in watch.orders.orders.items():
+            if key.service == name:
+                ready = present.get(key, Presence()).ready
+                observe_upstreams(
+                    watch.metrics,
+                    name,
+                    key.data_centre,
+                    key.kind,
+                    ordered=order.count,
+                    listed=ready,
+                )
+    return changes
+
+
+def _record_demand(watch, service, figures, now_s):
+    """Record the demand for a service; return whether orders may be based on it.
+
+    Where no demand was ever reported and nobody has ordered before, no caller has come
+    yet, and the kinds may be replaced by the list alone.
+    """
+    history = watch.orders.histories.setdefault(service, DemandHistory())
+    reported = [each for key, each in figures.items() if key[0] == service]
+    if reported and max(each.age_s for each in reported) <= MAX_DEMAND_AGE_S:
+        record_demand(history, reported, now_s)
+        return True
+    return not watch.orders.is_restored and not history.samples
+
+
+def _find_slots(watch, service):
+    default = service.engine.slots if service.engine else 1
+    return find_slots(watch.state.listing, service.name, default)
+
+
+async def _take_fresh_token(watch):
+    """Take a token that makes earlier calls stale; return whether it was confirmed."""
+    token = await refresh_token(watch.leases)
+    if token is None:
+        return False
+    watch.token = token
+    watch.needs_fresh_token = False
+    return True
+
+
+async def _store(watch, changes):
+    """Store the orders before they are sent; return whether that was confirmed."""
+    content = encode_orders(watch.orders, changes, watch.era)
+    if content == watch.leases.records.get(RECORD_KEY):
+        return True
+    if await write_records(watch.leases, {RECORD_KEY: content}):
+        return True
+    pause_s = pause_calls(watch.pacing, watch.draw(), watch.read_clock_s())
+    log_event(
+        logger,
+        logging.WARNING,
+        "orders-not-stored",
+        changes=len(changes),
+        pause_s=round(pause_s, 3),
+    )
+    return False
+
+
+async def _send_all(watch, changes):
+    for change in changes:
+        now_s = watch.read_clock_s()
+        token = find_token(watch.leases, now_s)
+        timeout_s = min(CALL_TIMEOUT_S, find_call_timeout_s(watch.leases, now_s))
+        # A token that another tenure took shows that other orders may have been sent.
+        if token is None or token != watch.token or timeout_s < MIN_CALL_TIMEOUT_S:
+            return
+        was_settled = watch.orders.orders[change.key].is_settled
+        result = await _send(watch, change, token, timeout_s, now_s)
+        if not await _record_result(watch, change, result, was_settled=was_settled):
+            return
+
+
+async def _send(watch, change, token, timeout_s, now_s):
+    key = change.key
+    begin_order(watch.orders.orders[key], change, now_s)
+    if change.reason is ChangeReason.RECLAIMED:
+        block_reclaimed(watch.orders, key, now_s)
+    record_call(watch.pacing)
+    result = await watch.leases.api.order_upstreams(
+        UpstreamOrder(
+            service=key.service,
+            data_centre=key.data_centre,
+            count=change.count,
+            is_preemptible=key.kind is CapacityKind.PREEMPTIBLE,
+        ),
+        watch.leases.name,
+        token,
+        timeout_s,
+    )
+    count_order(watch.metrics, result)
+    log_event(
+        logger,
+        logging.INFO if result is ApiResult.DONE else logging.WARNING,
+        "upstreams-ordered",
+        service=key.service,
+        data_centre=key.data_centre,
+        kind=key.kind,
+        count=change.count,
+        before=change.before,
+        reason=change.reason,
+        needed=watch.orders.plans[key.service].needed,
+        result=result,
+        token=token,
+        took_s=round(watch.read_clock_s() - now_s, 3),
+    )
+    return result
+
+
+async def _record_result(watch, change, result, *, was_settled):
+    """Record the result of a call; return whether the next call may follow it."""
+    order = watch.orders.orders[change.key]
+    if result is ApiResult.DONE:
+        confirm_order(watch.orders, change.key)
+        record_success(watch.pacing)
+        return True
+    if result is ApiResult.CONFLICT:
+        return await _handle_conflict(watch, change, order)
+    if result in NOT_EXECUTED:
+        # An earlier call for the same order may have been executed.
+        if was_settled:
+            cancel_order(order)
+    else:
+        watch.needs_fresh_token = True
+    pause_calls(watch.pacing, watch.draw(), watch.read_clock_s())
+    return False
+
+
+async def _handle_conflict(watch, change, order):
+    """Find out by a fresh token whether a refusal concerns the token or the order."""
+    if not await _take_fresh_token(watch):
+        return False
+    if change.count < order.previous:
+        # Fewer are always available, so the old token was refused.
+        pause_calls(watch.pacing, watch.draw(), watch.read_clock_s())
+        return False
+    cancel_order(order)
+    pause_s = block_unavailable(watch.orders, change.key, watch.read_clock_s())
+    log_event(
+        logger,
+        logging.WARNING,
+        "upstreams-unavailable",
+        service=change.key.service,
+        data_centre=change.key.data_centre,
+        kind=change.key.kind,
+        count=change.count,
+        pause_s=pause_s,
+    )
+    return True
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -58,6 +58,7 @@
     authentication_failures: Counter
     refused_connections: Counter
     neighbour_messages: Counter
+    orders: Counter
     first_token: Histogram
     between_tokens: Histogram
     queued: Gauge
@@ -65,6 +66,8 @@
     peers_connected: Gauge
     revision: Gauge
     requests_in_progress: Gauge
+    upstreams_ordered: Gauge
+    upstreams_listed: Gauge
 
 
 def make_metrics() -> Metrics:
@@ -102,6 +105,7 @@
         "authentication_failures": "Wrong or missing keys, by listener",
         "refused_connections": "Connections over a listener's bound, by listener",
         "neighbour_messages": "Messages of neighbour instances, by kind and result",
+        "orders": "Orders of upstreams sent to the platform, by result",
     }
     return {
         name: Counter(f"jujubenotch_{name}_total", help_text, registry=registry)
@@ -133,6 +137,8 @@
         "peers_connected": "Peers with a live session",
         "revision": "Revision of the records in force",
         "requests_in_progress": "Requests between arrival and last byte",
+        "upstreams_ordered": "Upstreams ordered, by service, data centre and kind",
+        "upstreams_listed": "Ready upstreams, by service, data centre and kind",
     }
     return {
         name: Gauge(f"jujubenotch_{name}", help_text, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -162,3 +162,35 @@
     :param result: ``sent``, ``received`` or ``missed``.
     """
     metrics.neighbour_messages.inc({"kind": str(kind), "result": result})
+
+
+def count_order(metrics: Metrics, result: str) -> None:
+    """Count an order of upstreams.
+
+    :param metrics: The metrics.
+    :param result: The result of the call.
+    """
+    metrics.orders.inc({"result": str(result)})
+
+
+def observe_upstreams(
+    metrics: Metrics,
+    service: str,
+    data_centre: str,
+    kind: str,
+    *,
+    ordered: int,
+    listed: int,
+) -> None:
+    """Set how many upstreams are ordered and how many are ready.
+
+    :param metrics: The metrics.
+    :param service: The service's name.
+    :param data_centre: The data centre's name.
+    :param kind: The kind of the upstreams.
+    :param ordered: The ordered number.
+    :param listed: The number of ready ones.
+    """
+    labels = {"service": service, "data_centre": data_centre, "kind": str(kind)}
+    metrics.upstreams_ordered.set(labels, ordered)
+    metrics.upstreams_listed.set(labels, listed)
--- a/jujubenotch/scaling/codec.py
+++ b/jujubenotch/scaling/codec.py
@@ -78,7 +78,7 @@
     }
 
 
-def decode_orders(content: bytes, era: int) -> ScalingState | None:
+def decode_orders(content: bytes, era: int, now_s: float) -> ScalingState | None:
     """Decode the orders that an earlier holder of the lease stored.
 
     Orders of an earlier era may be older than the last ones that were sent, so they
@@ -86,6 +86,7 @@
 
     :param content: The row's value.
     :param era: The present era of the store.
+    :param now_s: The present time, in seconds; the last orders may still be booting.
     :returns: The orders; ``None`` when they are invalid or of another era.
     """
     try:
@@ -104,5 +105,5 @@
             for key, count in zip(
                 make_keys(name, place), (each.standard, each.preemptible), strict=True
             ):
-                state.orders[key] = Order(count=count, previous=count)
+                state.orders[key] = Order(count=count, previous=count, raised_s=now_s)
     return state
--- a/jujubenotch/scaling/orders.py
+++ b/jujubenotch/scaling/orders.py
@@ -98,7 +98,8 @@
     """Return the order again where the platform has not confirmed or not met it.
 
     The platform is taken to keep the ordered number, so a crashed upstream is never a
-    reason to order less. A number that stays unmet is ordered anew after growing pauses.
+    reason to order less. A number that stays unmet is ordered anew, with growing pauses
+    between the attempts.
 
     :param state: The orders.
     :param key: What the order is for.
