--- a/features/scaling/site.py
+++ b/features/scaling/site.py
@@ -9,7 +9,6 @@
 from unittest.mock import patch
 
 from jujubenotch.daemon import forward_scaling
-from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_scaling import ScalingWatch, end_scaling, run_cycle
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.forwarding import (
@@ -114,8 +113,12 @@
         )
         for progress in (state.configuration_progress, state.listing_progress):
             progress.era = self.era
-        leases = LeaseWatch(name="entry-1", api=self, records=dict(self.records))
-        leases.tenure = SimpleNamespace(era=self.era)
+        leases = SimpleNamespace(
+            name="entry-1",
+            api=self,
+            records=dict(self.records),
+            state=SimpleNamespace(tenure=SimpleNamespace(era=self.era)),
+        )
         return ScalingWatch(
             state=state,
             leases=leases,
@@ -143,7 +146,7 @@
             self.watch.state.listing_progress,
         ):
             progress.era = self.era
-        self.watch.leases.tenure.era = self.era
+        self.watch.leases.state.tenure.era = self.era
 
     def play(self, duration_s):
         """Play some time; each half second there is a cycle."""
--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -24,7 +24,7 @@
 )
 from jujubenotch.leases import ApiResult, UpstreamOrder
 from jujubenotch.logs import log_event
-from jujubenotch.metrics import Metrics, count_order, observe_upstreams
+from jujubenotch.metrics import Metrics, observe_upstreams
 from jujubenotch.scaling import (
     LISTING_DELAY_S,
     CallPacing,
@@ -230,7 +230,7 @@
         watch.era = era
     if state.index is None or not state.has_read_listing:
         return "not-loaded"
-    tenure = watch.leases.tenure
+    tenure = watch.leases.state.tenure
     if tenure is None or tenure.era != era:
         return "store-restored"
     if now_s - watch.era_changed_s < RESTORE_HOLD_S:
@@ -398,7 +398,6 @@
         token,
         timeout_s,
     )
-    count_order(watch.metrics, result)
     log_event(
         logger,
         logging.INFO if result is ApiResult.DONE else logging.WARNING,
