--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -68,6 +68,8 @@
     peers_connected: Gauge
     revision: Gauge
     requests_in_progress: Gauge
+    upstreams_ordered: Gauge
+    upstreams_listed: Gauge
     lease_held: Gauge
     lease_token: Gauge
     lease_age: Gauge
@@ -142,6 +144,8 @@
         "peers_connected": "Peers with a live session",
         "revision": "Revision of the records in force",
         "requests_in_progress": "Requests between arrival and last byte",
+        "upstreams_ordered": "Upstreams ordered, by service, data centre and kind",
+        "upstreams_listed": "Ready upstreams, by service, data centre and kind",
         "lease_held": "Whether this instance holds the lease on the platform's API",
         "lease_token": "The fencing token of the lease that this instance holds",
         "lease_age": "Seconds since the lease was last confirmed; 0 without it",
