--- a/features/scaling/orders.feature
+++ b/features/scaling/orders.feature
@@ -15,6 +15,14 @@
       | 2    |
       | 3    |
 
+  # Guards against a list of upstreams that are still registering, which is taken for a
+  # small fleet whose other upstreams are then ordered away.
+  Scenario: Upstreams register while the first holder takes the lease
+    Given a site with seed 5 whose demand swings by 27% with a period of 11 s
+    And its upstreams register over 3 s
+    When 120 s are played
+    Then the room was never under the demand
+
   # Guards against capacity that drops while standard upstreams are replaced under load.
   Scenario: Callers are there from the start
     Given a site with seed 4 whose demand swings by 27% with a period of 11 s
--- a/features/scaling/site.py
+++ b/features/scaling/site.py
@@ -128,8 +128,16 @@
             max_store_age_s=5.2,
             read_clock_s=lambda: self.now_s,
             draw=self.random.random,
+            # The initial upstreams have been listed for long.
+            listed=sum(INITIAL.values()),
         )
 
+    def register_over(self, duration_s):
+        """Let the initial upstreams appear in the list one after the other."""
+        self.watch.listed = 0
+        for number, machine in enumerate(self.machines.values()):
+            machine.ready_s = number / len(self.machines) * duration_s
+
     def replace_holder(self):
         """Let another instance take the lease, with the stored orders."""
         end_scaling(self.watch)
--- a/features/scaling/steps/orders_steps.py
+++ b/features/scaling/steps/orders_steps.py
@@ -49,6 +49,11 @@
     context.site.demand = lambda now_s: slots
 
 
+@given("its upstreams register over {duration_s:g} s")
+def register_upstreams(context, duration_s):
+    context.site.register_over(duration_s)
+
+
 @given("callers come at {now_s:g} s")
 def set_begin(context, now_s):
     context.site.begins_s = now_s
--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -68,6 +68,9 @@
 # After a restore, dead upstreams of the copy disappear within 5 s, and the holders'
 # neighbours report their demand again.
 RESTORE_HOLD_S = 10.0
+# When a deployment starts, its upstreams register over some seconds, with pauses below
+# two heartbeats of 1.2 s. A list that still grows would be taken for a small fleet.
+GROWTH_HOLD_S = 3.0
 # A call must end before the lease does.
 CALL_TIMEOUT_S = 1.0
 MIN_CALL_TIMEOUT_S = 0.1
@@ -90,6 +93,9 @@
     :param hold: Why nothing is ordered, for the log; empty while orders may be sent.
     :param era: The last known era of the store.
     :param era_changed_s: When it changed, in seconds.
+    :param listed: The largest number of listed upstreams that was seen while nothing
+        had been ordered.
+    :param grown_s: When that number last grew, in seconds.
     """
 
     state: ForwardState
@@ -107,6 +113,8 @@
     hold: str = ""
     era: int | None = None
     era_changed_s: float = float("-inf")
+    listed: int = 0
+    grown_s: float = float("-inf")
 
 
 def make_scaling_watch(
@@ -174,6 +182,8 @@
     if token is None:
         return
     hold = _find_hold(watch, now_s)
+    if not hold and _is_growing(watch, now_s):
+        hold = "list-growing"
     _set_hold(watch, hold)
     if hold:
         return
@@ -247,6 +257,17 @@
     return ""
 
 
+def _is_growing(watch, now_s):
+    """Return whether upstreams still register that were there before any order."""
+    if RECORD_KEY in watch.leases.records:
+        return False
+    listed = len(watch.state.listing.upstreams)
+    if listed > watch.listed:
+        watch.listed = listed
+        watch.grown_s = now_s
+    return now_s - watch.grown_s < GROWTH_HOLD_S
+
+
 def _set_hold(watch, hold):
     if hold != watch.hold:
         watch.hold = hold
