Let refused callers return as late as the shortage is expected to last

Cause: each long prompt that was refused for want of room was told to come back after 1 s, all at once, in a shortage of several seconds.

Change: a shortage that has lasted for some time is expected to last as long again. The time to come back is drawn from a range around that, earlier for more urgent callers, within what the caller has left.

The effect on callers isn't measured yet.

--- a/features/forwarding/steps/urgency_steps.py
+++ b/features/forwarding/steps/urgency_steps.py
@@ -50,9 +50,10 @@
     )
     return shed_long_prompt(
         context.long_prompts,
-        SimpleNamespace(tier=tier, target="drafting", request_id="r"),
+        SimpleNamespace(tier=tier, target="drafting", request_id="r", deadline_s=9.0),
         Choice(state=UpstreamState(name="i-1", slots=48), basis=basis),
         is_short_full=True,
         is_shared=False,
+        draw=lambda: 0.0,
         now_s=1.0,
     )
--- a/jujubenotch/forwarding/shedding.py
+++ b/jujubenotch/forwarding/shedding.py
@@ -1,10 +1,17 @@
 """Refuses long prompts that the engines of a service can't read in time."""
 
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
 from jujubenotch.forwarding.placement import Choice, must_shed_long_prompt
 from jujubenotch.forwarding.prefill import PrefillLimit, count_ahead, is_prefill_full
+from jujubenotch.forwarding.returns import (
+    Shortage,
+    choose_return_s,
+    measure_shortage_s,
+    record_refused,
+)
 from jujubenotch.forwarding.urgency import RecentTiers, is_spared, record_tier
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import Refusal, RefusalReason
@@ -12,9 +19,6 @@
 
 logger = logging.getLogger(__name__)
 
-# After this time some of the requests in progress have usually ended.
-RETRY_AFTER_S = 1.0
-
 
 @dataclass(kw_only=True, slots=True)
 class LongPrompts:
@@ -22,10 +26,12 @@
 
     :param prefill: The limit on those that wait for their first token.
     :param recent: The tiers of the recent ones.
+    :param shortage: Since when some of them are refused.
     """
 
     prefill: PrefillLimit = field(default_factory=PrefillLimit)
     recent: RecentTiers = field(default_factory=RecentTiers)
+    shortage: Shortage = field(default_factory=Shortage)
 
 
 def shed_long_prompt(
@@ -35,6 +41,7 @@
     *,
     is_short_full: bool,
     is_shared: bool,
+    draw: Callable[[], float],
     now_s: float,
 ) -> Refusal | None:
     """Refuse a long prompt if it has to give way to others.
@@ -44,6 +51,7 @@
     :param choice: The upstream chosen for it.
     :param is_short_full: Whether the upstreams for short prompts are full.
     :param is_shared: Whether the upstream serves short prompts as well.
+    :param draw: Returns a random number in [0, 1).
     :param now_s: The present monotonic time, in seconds.
     :returns: The refusal; ``None`` when the prompt may be sent.
     """
@@ -55,6 +63,14 @@
     is_full = is_prefill_full(long_prompts.prefill, request.tier, is_spared=spared)
     if not is_full and (spared or not is_overloaded):
         return None
+    record_refused(long_prompts.shortage, now_s)
+    retry_after_s = choose_return_s(
+        long_prompts.shortage,
+        is_urgent=spared,
+        left_s=request.deadline_s - now_s,
+        draw=draw(),
+        now_s=now_s,
+    )
     log_event(
         logger,
         logging.INFO,
@@ -65,12 +81,14 @@
         is_short_full=is_short_full,
         upstream=choice.state.name,
         slots=choice.state.slots,
+        shortage_s=round(measure_shortage_s(long_prompts.shortage, now_s), 3),
+        retry_after_s=round(retry_after_s, 3),
         **_describe_prefill(long_prompts.prefill, request.tier),
         **describe_basis(choice.basis),
     )
     return Refusal(
         reason=RefusalReason.QUEUE_FULL,
-        retry_after_s=RETRY_AFTER_S,
+        retry_after_s=retry_after_s,
         detail=f"too many requests wait for {request.target}; come back",
     )
 
