Test how the lease's revisions reach instances without own reads

Cause: an instance that becomes the reader must account for writes that it never read. Change: scenarios of the fleet, the metrics and a killed reader at the real site; drawn messages contain the lease's revisions.

--- a/features/lease_sites/site.feature
+++ b/features/lease_sites/site.feature
@@ -42,6 +42,13 @@
       | that read for themselves |
       | that share a reader |
 
+  Scenario: An instance that becomes the reader accounts for the writes of the lease
+    Given a site of 2 programs that share a reader, one of which holds the lease
+    When 4 s pass with changes of the list of upstreams
+    And the holder gets SIGKILL
+    Then the other one holds the lease within 9 s, with a higher token
+    And no program has logged "upstream-list-stalled"
+
   Scenario: Without the API's address nothing is called or written
     Given a site of 2 programs without the API's address
     When 4 s pass with changes of the list of upstreams
--- a/features/metrics/metrics.feature
+++ b/features/metrics/metrics.feature
@@ -29,6 +29,11 @@
       | a gauge of each | jujubenotch_peers_connected 6 |
       | a gauge of each | jujubenotch_revision 41 |
       | a gauge of each | jujubenotch_requests_in_progress 9 |
+      | a gauge of each | jujubenotch_lease_held 1 |
+      | a gauge of each | jujubenotch_lease_token 17 |
+      | a gauge of each | jujubenotch_lease_age 0.5 |
+      | a lease that ended | jujubenotch_lease_ends_total{reason="lost"} 1 |
+      | a call to the API | jujubenotch_cloud_calls_total{duty="autoscaling",result="done"} 1 |
 
   Scenario: Two instances in one process don't share metrics
     Given the metrics of another instance
--- a/features/metrics/steps/metrics_steps.py
+++ b/features/metrics/steps/metrics_steps.py
@@ -17,6 +17,7 @@
     metrics.set_peers_connected(state, 6)
     metrics.set_revision(state, 41)
     metrics.set_requests_in_progress(state, 9)
+    metrics.set_lease(state, 17, 0.5)
 
 
 def violate_invariant(state):
@@ -45,6 +46,10 @@
     "a violation": violate_invariant,
     "a first token": lambda state: metrics.observe_first_token(state, "gate", 1.1),
     "a pace": lambda state: metrics.observe_between_tokens(state, "gate", 0.03),
+    "a lease that ended": lambda state: metrics.count_lease_end(state, "lost"),
+    "a call to the API": lambda state: metrics.count_cloud_call(
+        state, "autoscaling", "done"
+    ),
     "a gauge of each": set_each_gauge,
 }
 
--- a/features/neighbours/relay.feature
+++ b/features/neighbours/relay.feature
@@ -125,3 +125,10 @@
       | what                                         |
       | the reader is killed                         |
       | one instance is cut off from its neighbours  |
+
+  Scenario: The writes of the lease reach instances that only get pages
+    Given 10 instances that have read the store
+    When 2 s pass
+    And the reader knows writes of the lease at the revisions 901 and 902
+    And 1.2 s pass
+    Then all other instances account for the revisions 901 and 902
--- a/features/neighbours/steps/codec_steps.py
+++ b/features/neighbours/steps/codec_steps.py
@@ -37,6 +37,7 @@
     follows_outage=st.booleans(),
     is_complete=st.booleans(),
     items=st.lists(ITEMS, max_size=6).map(tuple),
+    lease_revisions=st.lists(NUMBERS, max_size=4).map(tuple),
 )
 
 
--- a/features/neighbours/steps/relay_steps.py
+++ b/features/neighbours/steps/relay_steps.py
@@ -121,6 +121,20 @@
     call(context, stop_member, context.fleet, reader)
 
 
+@when("the reader knows writes of the lease at the revisions {first:d} and {second:d}")
+def write_lease(context, first, second):
+    (context.reader,) = find_readers(context.fleet)
+    relay = context.fleet.members[context.reader].relay
+    relay.list_lease_revisions = lambda: (first, second)
+
+
+@then("all other instances account for the revisions {first:d} and {second:d}")
+def check_lease_revisions(context, first, second):
+    for name, member in context.fleet.members.items():
+        known = member.state.revisions.known
+        assert name == context.reader or {first, second} <= set(known), (name, known)
+
+
 @when("the store turns the reader away")
 def turn_reader_away(context):
     context.fleet.store.turned_away |= set(find_readers(context.fleet))
