Keep an instance alive when the lease's task fails

Cause: an unexpected error in the task ended the process with its callers. Change: it ends the tenure, is logged, and the task goes on after half a lease; the same at a planned stop. Pages that are announced without their items, and pages of another era, are attributed rightly.

--- a/features/leases/records.feature
+++ b/features/leases/records.feature
@@ -47,3 +47,8 @@
     Given a holder with fencing and another instance
     When its calls to the API fail for 7 s
     Then the other instance holds the lease
+
+  Scenario: An unexpected error ends the tenure but not the task
+    Given a holder with fencing
+    When a call to the store raises an error that nothing expects
+    Then the tenure has ended, and 2 s later the instance holds the lease again
--- a/features/leases/steps/records_steps.py
+++ b/features/leases/steps/records_steps.py
@@ -316,3 +316,23 @@
 @then("the other instance holds the lease")
 def check_other(context):
     assert context.holders == ["second"], context.holders
+
+
+@when("a call to the store raises an error that nothing expects")
+def raise_unexpected(context):
+    async def work():
+        watch = await context.begin()
+        call, context.store.write = context.store.write, None
+        await asyncio.sleep(1.5)
+        context.is_held_after_error = watch.tenure_began.is_set()
+        context.store.write = call
+        await asyncio.sleep(2)
+        context.is_held_again = find_token(watch, now_s()) is not None
+
+    run_in_virtual_time(work)
+
+
+@then("the tenure has ended, and 2 s later the instance holds the lease again")
+def check_held_again(context):
+    assert not context.is_held_after_error
+    assert context.is_held_again
--- a/jujubenotch/daemon/forward_cloud.py
+++ b/jujubenotch/daemon/forward_cloud.py
@@ -57,7 +57,9 @@
     watch.note_revisions = functools.partial(_add_revisions, instance.state)
     watch.api = GuardedApi(watch=watch, api=components.cloud)
     relay.request_lease_read = functools.partial(request_lease_read, watch)
-    relay.list_lease_revisions = functools.partial(list_known_revisions, watch)
+    relay.list_lease_revisions = functools.partial(
+        _list_revisions, instance.state, watch
+    )
     instance.lease_watch = watch
     return (_run_when_loaded(instance.state, watch),)
 
@@ -74,6 +76,14 @@
         add_known(state.revisions, numbers)
 
 
+def _list_revisions(state, watch):
+    """Return the revisions of the lease's writes in the era of the pages."""
+    seen = watch.state.seen
+    if seen is None or seen.row.era != state.configuration_progress.era:
+        return ()
+    return list_known_revisions(watch)
+
+
 async def _has_others(relay, components):
     """Return whether another instance could hold the lease.
 
--- a/jujubenotch/daemon/forward_leases.py
+++ b/jujubenotch/daemon/forward_leases.py
@@ -252,24 +252,35 @@
 async def run_leases(watch: LeaseWatch) -> None:
     """Take the lease when it is free and renew it, until the task is cancelled.
 
+    An unexpected error ends the tenure, but not the instance, which serves callers.
+
     :param watch: The state of the lease; changed in place.
     """
-    state = watch.state
     while True:
-        # Cleared before the step is chosen, so that no change during the choice of
-        # the step is missed.
-        watch.wake.clear()
-        now_s = read_boot_clock_s()
-        before = state.tenure
-        _note(watch, before, end_if_expired(state, now_s))
-        set_lease(watch.metrics, find_own_token(watch), _measure_age_s(state, now_s))
-        step, wait_s = choose_step(state, now_s, is_candidate=watch.is_candidate())
-        if step is Step.WAIT and not _must_load(watch, now_s):
-            # An instance becomes a candidate without notice.
-            await _wait(watch, min(wait_s, READ_SHARE * state.terms.lease_s))
-            continue
-        async with watch.lock:
-            await _run_next_step(watch)
+        try:
+            await _follow_lease(watch)
+        except Exception as error:
+            log_event(logger, logging.ERROR, "lease-task-failed", error=repr(error))
+            _end(watch, EndReason.ERROR)
+            await asyncio.sleep(READ_SHARE * watch.state.terms.lease_s)
+
+
+async def _follow_lease(watch):
+    """Wait for the next step, or take it."""
+    state = watch.state
+    # Cleared before the step is chosen, so that no change meanwhile is missed.
+    watch.wake.clear()
+    now_s = read_boot_clock_s()
+    before = state.tenure
+    _note(watch, before, end_if_expired(state, now_s))
+    set_lease(watch.metrics, find_own_token(watch), _measure_age_s(state, now_s))
+    step, wait_s = choose_step(state, now_s, is_candidate=watch.is_candidate())
+    if step is Step.WAIT and not _must_load(watch, now_s):
+        # An instance becomes a candidate without notice.
+        await _wait(watch, min(wait_s, READ_SHARE * state.terms.lease_s))
+        return
+    async with watch.lock:
+        await _run_next_step(watch)
 
 
 def _measure_age_s(state, now_s):
@@ -438,21 +449,28 @@
     """
     watch.state.is_stopping = True
     watch.wake.set()
-    with contextlib.suppress(TimeoutError):
+    try:
         async with asyncio.timeout(MAX_HAND_OVER_S):
             await _await_last_call(watch)
             async with watch.lock:
-                if watch.state.tenure is None:
-                    return
-                token = find_own_token(watch)
-                is_released = await _release(watch, EndReason.HANDED_OVER)
-                log_event(
-                    logger,
-                    logging.INFO,
-                    "lease-handed-over",
-                    token=token,
-                    is_released=is_released,
-                )
+                await _release_if_held(watch)
+    # The requests in progress are ended in any case.
+    except Exception as error:
+        log_event(logger, logging.ERROR, "lease-not-handed-over", error=repr(error))
+
+
+async def _release_if_held(watch):
+    token = find_own_token(watch)
+    if token is None:
+        return
+    is_released = await _release(watch, EndReason.HANDED_OVER)
+    log_event(
+        logger,
+        logging.INFO,
+        "lease-handed-over",
+        token=token,
+        is_released=is_released,
+    )
 
 
 async def _await_last_call(watch):
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -137,6 +137,8 @@
         return
     if message.era == progress.era and message.revision < (progress.revision or 0):
         return
+    if message.era == progress.era:
+        add_known(relay.instance.state.revisions, message.lease_revisions)
     _step_down_if_needed(relay, sender, message, progress)
     if is_usable_page(message, progress.era, progress.revision):
         _apply_page(relay, followed, message)
@@ -184,7 +186,6 @@
     )
     ends_outage = followed.progress.failures > 0
     record_update(followed.progress, update)
-    add_known(relay.instance.state.revisions, message.lease_revisions)
     followed.apply(update)
     if ends_outage:
         _end_pauses(relay)
--- a/jujubenotch/leases/model.py
+++ b/jujubenotch/leases/model.py
@@ -203,6 +203,7 @@
     REFRESH_FAILED = "refresh-failed"
     API_FAILING = "api-failing"
     HANDED_OVER = "handed-over"
+    ERROR = "error"
 
 
 @dataclass(kw_only=True)
