--- a/features/usage/counting.feature
+++ b/features/usage/counting.feature
@@ -55,8 +55,6 @@
     When no report arrives for 6 s
     Then there is no demand
 
-  # Guards against requests that are counted twice, or at the wrong instance.
-  Scenario: A call is counted once where it runs
-    Then a stream counts at its first event and another response at its head
-    And a resumed stream, a refused call and a response of another process don't count
-    And a borrowed call counts as begun but not as arrived
+  # Guards against calls that two instances count.
+  Scenario: A borrowed call counts where it runs
+    Then a borrowed call counts as begun and running, but not as arrived or refused
--- a/jujubenotch/usage/gathering.py
+++ b/jujubenotch/usage/gathering.py
@@ -82,7 +82,7 @@
             true_offset_s=report.true_time_s - made_s,
         )
         gathered.processes[report.process] = known
-    newest_up_s = known.samples[-1].up_s if known.samples else -1.0
+    newest_up_s = known.samples[-1].up_s if known.samples else float("-inf")
     if report.up_s > newest_up_s:
         known.made_s = made_s
         known.true_offset_s = report.true_time_s - made_s
--- a/jujubenotch/usage/ledger.py
+++ b/jujubenotch/usage/ledger.py
@@ -60,7 +60,8 @@
     :param era: The era of the store in which the tenure began; ``None`` before the
         first tenure.
     :param tenure_began_s: The true time at which the tenure began, in seconds.
-    :param first: The first window that may still be decided; it never falls.
+    :param first: The first window that may still be decided; it never falls in an era
+        once the store has confirmed it.
     :param decided: Windows that were decided in this tenure, while the store has not
         confirmed them.
     :param stored: Windows that the store has confirmed.
@@ -131,7 +132,9 @@
     ledger.era = era
     ledger.tenure_began_s = true_time_s
     if ledger.is_first_stored:
-        ledger.first = max(ledger.first, first.window)
+        # What this process has decided since, without a confirmation, was not sent,
+        # and can't be written any more, as the lease has changed.
+        ledger.first = first.window
     else:
         running = find_window(true_time_s, ledger.bounds.window_s)
         ledger.first = max(ledger.first, running)
