--- a/features/usage/counting.feature
+++ b/features/usage/counting.feature
@@ -25,9 +25,9 @@
 
     Examples:
       | instances | bytes |
-      | 28        | 8000  |
-      | 39        | 11000 |
-      | 40        | 11000 |
+      | 28        | 7500  |
+      | 39        | 10500 |
+      | 40        | 10700 |
 
   # Guards against a team list that no division makes small enough.
   Scenario: The counts of 12,000 teams are sent in several messages
