--- a/features/scaling/orders.feature
+++ b/features/scaling/orders.feature
@@ -63,6 +63,7 @@
     And 100 s are played
     Then the room was never under 0.6 of the demand
     And the room was never under the demand from 8 s after that on
+    And the order for preemptible ones in "<place>" was given up within 5 s
     And no preemptible upstream was ordered in "<place>" for 25 s
     And preemptible upstreams serve in "<place>" at the end
     And at most 50 calls were sent
@@ -157,6 +158,39 @@
     When 30 s are played
     Then calls were sent since the fault
 
+  # Guards against orders that a restored store has forgotten or brings back.
+  Scenario: The store is restored from a copy with older orders
+    Given a site with seed 16 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And the store is restored from a copy with the first orders
+    And 30 s are played
+    Then no call was sent since the fault
+
+  # Guards against a platform that has lost an order and is never told again.
+  Scenario: An order isn't met
+    Given a site with seed 17 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And the platform forgets 2 standard upstreams in "north"
+    And 16 s are played
+    Then the order for standard ones in "north" was repeated, at most 2 times
+
+  # Guards against a refused repeat that is taken for the order before it.
+  Scenario: An order gets no response and its repeat is refused
+    Given a site with seed 18 whose demand swings by 27% with a period of 11 s
+    And the calls get "unknown,limited"
+    When 2 s are played
+    Then the first order is still unanswered
+    When 20 s are played
+    Then at the end the list shows what was ordered
+
+  # Guards against a successor that replaces upstreams which are still booting.
+  Scenario: Another instance takes the lease while upstreams boot
+    Given a site with seed 2 whose demand is 1.5 times as high for 9 s after 60 s
+    When 61.5 s are played
+    And another instance takes the lease
+    And 3 s are played
+    Then no standard upstream was ordered since the fault
+
   # Guards against a successor that repeats orders or begins again from the list.
   Scenario: Another instance takes the lease
     Given a site with seed 11 whose demand swings by 27% with a period of 11 s
--- a/features/scaling/site.py
+++ b/features/scaling/site.py
@@ -81,7 +81,7 @@
         self.begins_s = 0.0
         self.token, self.highest_token = 1, 0
         self.refreshes = []
-        self.records = {}
+        self.records, self.first_records = {}, {}
         self.era = 0
         self.cut_place = None
         self.scaling = ServiceScaling(
@@ -182,6 +182,7 @@
         return self.token
 
     async def _write_records(self, leases, writes, removals=()):
+        self.first_records = self.first_records or dict(writes)
         self.records |= writes
         leases.records |= writes
         return True
--- a/features/scaling/steps/orders_steps.py
+++ b/features/scaling/steps/orders_steps.py
@@ -114,6 +114,14 @@
     context.site.result = lambda key, count: ApiResult.DONE
 
 
+@given('the calls get "{results}"')
+def script_calls(context, results):
+    site = context.site
+    site.executes_unanswered = False
+    script = [ApiResult(each) for each in results.split(",")]
+    site.result = lambda key, count: script.pop(0) if script else ApiResult.DONE
+
+
 @when("{duration_s:g} s are played")
 def play(context, duration_s):
     context.site.play(duration_s)
@@ -185,6 +193,20 @@
     context.site.restore()
 
 
+@when("the store is restored from a copy with the first orders")
+def restore_old_orders(context):
+    mark_fault(context)
+    context.site.restore()
+    context.site.watch.leases.records = dict(context.site.first_records)
+
+
+@when('the platform forgets {count:d} standard upstreams in "{place}"')
+def forget_order(context, count, place):
+    mark_fault(context)
+    key = context.site.make_key(place, CapacityKind.STANDARD)
+    context.site.desired[key] -= count
+
+
 @when("another instance takes the lease")
 def replace_holder(context):
     mark_fault(context)
@@ -322,6 +344,39 @@
     assert abs(after - before) <= share / 100 * before, (before, after)
 
 
+@then('the order for preemptible ones in "{place}" was given up within {delay_s:g} s')
+def check_given_up(context, place, delay_s):
+    key = context.site.make_key(place, CapacityKind.PREEMPTIBLE)
+    calls = [call for call in find_calls_since(context) if call.key == key]
+    assert calls and calls[0].count == 0, calls[:2]
+    assert calls[0].at_s <= context.fault_s + delay_s, calls[0]
+
+
+@then('the order for standard ones in "{place}" was repeated, at most {count:d} times')
+def check_repeated(context, place, count):
+    key = context.site.make_key(place, CapacityKind.STANDARD)
+    ordered = context.site.watch.orders.orders[key].count
+    calls = [call for call in find_calls_since(context) if call.key == key]
+    assert 1 <= len(calls) <= count, calls
+    assert all(call.count == ordered for call in calls), (ordered, calls)
+
+
+@then("the first order is still unanswered")
+def check_unanswered(context):
+    orders = context.site.watch.orders.orders
+    assert not orders[context.site.calls[0].key].is_settled, orders
+
+
+@then("no standard upstream was ordered since the fault")
+def check_no_standard(context):
+    calls = [
+        call
+        for call in find_calls_since(context)
+        if call.key.kind is CapacityKind.STANDARD and call.count > call.before
+    ]
+    assert not calls, calls
+
+
 @then('no preemptible upstream was ordered in "{place}" for {duration_s:g} s')
 def check_block(context, place, duration_s):
     key = context.site.make_key(place, CapacityKind.PREEMPTIBLE)
