--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -8,6 +8,7 @@
 from jujubenotch.daemon.forward_cloud import follow_lease
 from jujubenotch.daemon.forward_count import keep_addresses, keep_count, stay_counted
 from jujubenotch.daemon.forward_crashes import apply_crash_page
+from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_messages import (
     report_outage,
     send_message,
@@ -32,6 +33,12 @@
     apply_upstreams,
 )
 from jujubenotch.daemon.forward_streams import record_listing, send_origins
+from jujubenotch.daemon.forward_usage import (
+    UsageMeter,
+    gather_reports,
+    make_usage_watch,
+)
+from jujubenotch.daemon.forward_usage_reports import report_usage
 from jujubenotch.forwarding import (
     Source,
     choose_list_delay_s,
@@ -39,6 +46,7 @@
     follow_source,
     interrupt_call,
 )
+from jujubenotch.leases import Duty
 from jujubenotch.logs import log_event
 from jujubenotch.neighbours import MessageKind
 
@@ -75,7 +83,10 @@
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
+    lease_tasks = follow_lease(relay, components)
+    usage_tasks = _make_usage_tasks(relay, instance)
     return (
+        *usage_tasks,
         _follow_configuration(relay, configuration),
         _follow_upstreams(relay, upstreams),
         _follow_crashes(relay, crashes),
@@ -89,10 +100,43 @@
         keep_count(relay, components),
         keep_addresses(relay, components),
         send_origins(stream_watch),
-        *follow_lease(relay, components),
+        *lease_tasks,
     )
 
 
+def _make_usage_tasks(relay, instance):
+    """Make the tasks that count usage and demand, where the settings name a duty.
+
+    They come first, so that the last counts are sent before the endpoint is closed.
+    """
+    lease = instance.lease_watch
+    if lease is None:
+        return ()
+    watch = make_usage_watch(instance.settings, lease, instance.observer.metrics)
+    instance.usage_watch = watch
+    instance.dispatcher.meter = UsageMeter(counter=watch.counter)
+    watch.send = functools.partial(send_message, relay)
+    watch.find_receiver = lambda: find_report_receiver(relay, lease)
+    watch.is_forwarding = lambda: relay.role.is_reader
+    if Duty.USAGE_REPORTING in instance.settings.cloud.duties:
+        return gather_reports(watch), report_usage(watch)
+    return (gather_reports(watch),)
+
+
+def find_report_receiver(relay: Relay, lease: LeaseWatch) -> str:
+    """Return the endpoint to which this instance sends its counts.
+
+    :param relay: The relay.
+    :param lease: What this instance knows of the lease.
+    :returns: The reader of the data centre, or the holder of the lease for a reader;
+        empty when it is unknown or this instance itself.
+    """
+    if relay.endpoint is None:
+        return ""
+    address = lease.holder_address if relay.is_reading else relay.reader_address
+    return "" if address == relay.neighbours.own_address else address
+
+
 def add_configuration(
     relay: Relay, state: ForwardState, source: Source
 ) -> FollowedSource:
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -58,6 +58,7 @@
     authentication_failures: Counter
     refused_connections: Counter
     neighbour_messages: Counter
+    usage_windows: Counter
     lease_ends: Counter
     cloud_calls: Counter
     first_token: Histogram
@@ -109,6 +110,7 @@
         "authentication_failures": "Wrong or missing keys, by listener",
         "refused_connections": "Connections over a listener's bound, by listener",
         "neighbour_messages": "Messages of neighbour instances, by kind and result",
+        "usage_windows": "Windows of usage decided, sent or missed here, by result",
         "lease_ends": "Tenures of the lease that ended, by reason",
         "cloud_calls": "Calls to the platform's API, by duty and result",
     }
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -164,27 +164,14 @@
     metrics.neighbour_messages.inc({"kind": str(kind), "result": result})
 
 
-def observe_upstreams(
-    metrics: Metrics,
-    service: str,
-    data_centre: str,
-    kind: str,
-    *,
-    ordered: int,
-    listed: int,
-) -> None:
-    """Set how many upstreams are ordered and how many are ready.
+def count_usage_windows(metrics: Metrics, result: str, windows: int = 1) -> None:
+    """Count windows of usage reports.
 
     :param metrics: The metrics.
-    :param service: The service's name.
-    :param data_centre: The data centre's name.
-    :param kind: The kind of the upstreams.
-    :param ordered: The ordered number.
-    :param listed: The number of ready ones.
+    :param result: ``decided``, ``sent``, ``missed`` or ``too-large``.
+    :param windows: The number of windows.
     """
-    labels = {"service": service, "data_centre": data_centre, "kind": str(kind)}
-    metrics.upstreams_ordered.set(labels, ordered)
-    metrics.upstreams_listed.set(labels, listed)
+    metrics.usage_windows.add({"result": result}, windows)
 
 
 def set_lease(metrics: Metrics, token: int | None, age_s: float) -> None:
