Run the orders beside the lease and the demand figures

Cause: nothing started the task. Change: the followers start it where cloud.duties names autoscaling; an unexpected error is logged and the instance serves on.

--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -27,6 +27,7 @@
     wait_until_due,
 )
 from jujubenotch.daemon.forward_revisions import is_source_behind, record_revisions
+from jujubenotch.daemon.forward_scaling import make_scaling_watch, order_upstreams
 from jujubenotch.daemon.forward_state import (
     ForwardState,
     apply_configuration,
@@ -37,6 +38,7 @@
     UsageMeter,
     gather_reports,
     make_usage_watch,
+    read_demand,
 )
 from jujubenotch.daemon.forward_usage_reports import report_usage
 from jujubenotch.forwarding import (
@@ -101,6 +103,7 @@
         keep_addresses(relay, components),
         send_origins(stream_watch),
         *lease_tasks,
+        *_make_scaling_tasks(instance),
     )
 
 
@@ -123,6 +126,23 @@
     return (gather_reports(watch),)
 
 
+def _make_scaling_tasks(instance):
+    """Make the task that orders upstreams, where the settings name the duty."""
+    lease, usage = instance.lease_watch, instance.usage_watch
+    if lease is None or Duty.AUTOSCALING not in instance.settings.cloud.duties:
+        return ()
+    watch = make_scaling_watch(
+        instance.state,
+        lease,
+        instance.observer.metrics,
+        functools.partial(read_demand, usage),
+        calls_per_s=instance.settings.cloud.calls_per_s,
+        max_key_age_s=instance.settings.max_key_age_s,
+    )
+    instance.scaling_watch = watch
+    return (order_upstreams(watch),)
+
+
 def find_report_receiver(relay: Relay, lease: LeaseWatch) -> str:
     """Return the endpoint to which this instance sends its counts.
 
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -11,6 +11,7 @@
 from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_reach import DetourWatch
+from jujubenotch.daemon.forward_scaling import ScalingWatch
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.daemon.forward_streams import StreamWatch
 from jujubenotch.daemon.forward_usage import UsageWatch
@@ -125,6 +126,7 @@
         ``None`` when nothing calls it.
     :param usage_watch: Counts requests and demand; ``None`` when nothing calls the
         platform's API.
+    :param scaling_watch: Orders upstreams; ``None`` where that duty is switched off.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -144,6 +146,7 @@
     help_listener: Listener | None = None
     lease_watch: LeaseWatch | None = None
     usage_watch: UsageWatch | None = None
+    scaling_watch: ScalingWatch | None = None
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -58,6 +58,8 @@
 RECORD_KEY = "orders"
 # Reports of demand come about once a second.
 CYCLE_S = 0.5
+# An error that was not expected is likely to occur again at once.
+FAILURE_PAUSE_S = 10.0
 # An older list may lack upstreams that serve, or contain reclaimed ones. The age is
 # known each time a call for changes of the configuration returns.
 STORE_DELAY_S = 4.0
@@ -144,9 +146,13 @@
     """
     while True:
         await watch.leases.tenure_began.wait()
-        await run_cycle(watch)
-        if not watch.leases.tenure_began.is_set():
-            end_scaling(watch)
+        try:
+            await run_cycle(watch)
+        except Exception:
+            # The instance serves callers without this duty as well.
+            logger.exception("scaling-failed")
+            watch.is_loaded = False
+            await asyncio.sleep(FAILURE_PAUSE_S)
         await asyncio.sleep(CYCLE_S)
         if not watch.leases.tenure_began.is_set():
             end_scaling(watch)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -203,3 +203,26 @@
     :param result: Its result.
     """
     metrics.cloud_calls.inc({"duty": str(duty), "result": str(result)})
+
+
+def observe_upstreams(
+    metrics: Metrics,
+    service: str,
+    data_centre: str,
+    kind: str,
+    *,
+    ordered: int,
+    listed: int,
+) -> None:
+    """Set how many upstreams are ordered and how many are ready.
+
+    :param metrics: The metrics.
+    :param service: The service's name.
+    :param data_centre: The data centre's name.
+    :param kind: The kind of the upstreams.
+    :param ordered: The ordered number.
+    :param listed: The number of ready ones.
+    """
+    labels = {"service": service, "data_centre": data_centre, "kind": str(kind)}
+    metrics.upstreams_ordered.set(labels, ordered)
+    metrics.upstreams_listed.set(labels, listed)
