--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -73,6 +73,8 @@
 # A call must end before the lease does.
 CALL_TIMEOUT_S = 1.0
 MIN_CALL_TIMEOUT_S = 0.1
+# Label of a service whose demand isn't known; nothing is ordered for it.
+STALE_DEMAND = "demand-stale"
 NOT_EXECUTED = frozenset({ApiResult.LIMITED, ApiResult.NOT_DONE})
 
 ReadDemand = Callable[[float], Mapping[tuple[str, str], ServiceDemand]]
@@ -90,6 +92,8 @@
     :param token: The token under which they were.
     :param needs_fresh_token: Whether a call without a response may still be executed.
     :param hold: Why nothing is ordered, for the log; empty while orders may be sent.
+    :param doubts: Why the demand for a service can't be relied on, for the log; absent
+        while it can.
     :param era: The last known era of the store.
     :param era_changed_s: When it changed, in seconds.
     """
@@ -107,6 +111,7 @@
     token: int | None = None
     needs_fresh_token: bool = False
     hold: str = ""
+    doubts: dict[str, str] = field(default_factory=dict)
     era: int | None = None
     era_changed_s: float = float("-inf")
 
@@ -260,6 +265,23 @@
         log_event(logger, logging.INFO, event, reason=hold or "none")
 
 
+def _set_doubt(watch, service, doubt):
+    """Log when the demand for a service becomes doubtful, and when it can be used."""
+    if doubt == watch.doubts.get(service):
+        return
+    if doubt is None:
+        del watch.doubts[service]
+    else:
+        watch.doubts[service] = doubt
+    log_event(
+        logger,
+        logging.INFO,
+        "demand-held" if doubt else "demand-resumed",
+        service=service,
+        reason=doubt or "none",
+    )
+
+
 def _load(watch, token, now_s):
     """Take up the orders of the last holder, or what the list shows."""
     content = watch.leases.records.get(RECORD_KEY)
@@ -305,10 +327,12 @@
     changes = []
     for name, service in sorted(_find_services(watch).items()):
         if not _record_demand(watch, name, figures, now_s):
+            _set_doubt(watch, name, STALE_DEMAND)
             continue
         present = count_present(watch.state.listing, name, now_s)
         slots = _find_slots(watch, service)
         changes.extend(plan_service(watch.orders, service, present, slots, now_s))
+        _set_doubt(watch, name, watch.orders.plans[name].doubt)
         for key, order in watch.orders.orders.items():
             if key.service == name:
                 ready = present.get(key, Presence()).ready
--- a/jujubenotch/scaling/model.py
+++ b/jujubenotch/scaling/model.py
@@ -129,11 +129,13 @@
     :param needed: The number of upstreams that the demand needs.
     :param totals: Upstreams of both kinds to have in each data centre.
     :param lowered_s: When a total was last decreased, in seconds.
+    :param doubt: Why the demand is no reason to order less; ``None`` when it is one.
     """
 
     needed: int
     totals: dict[str, int]
     lowered_s: float = NEVER_S
+    doubt: str | None = None
 
 
 @dataclass(kw_only=True, slots=True)
--- a/jujubenotch/scaling/plan.py
+++ b/jujubenotch/scaling/plan.py
@@ -54,7 +54,7 @@
     boot_s = service.scaling.boot_s
     for key in keys:
         record_presence(state, key, present.get(key, Presence()), now_s)
-    doubt = find_doubt(history, now_s)
+    plan.doubt = doubt = find_doubt(history, now_s)
     needed_slots = find_needed_slots(history, boot_s, now_s)
     update_totals(
         plan,
