--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -127,18 +127,19 @@
 
 
 def _make_scaling_tasks(instance):
-    """Make the task that orders upstreams, where the settings name that duty."""
-    cloud = instance.settings.cloud
-    if instance.lease_watch is None or Duty.AUTOSCALING not in cloud.duties:
+    """Make the task that orders upstreams, where the settings name the duty."""
+    lease, usage = instance.lease_watch, instance.usage_watch
+    if lease is None or Duty.AUTOSCALING not in instance.settings.cloud.duties:
         return ()
     watch = make_scaling_watch(
         instance.state,
-        instance.lease_watch,
+        lease,
         instance.observer.metrics,
-        functools.partial(read_demand, instance.usage_watch),
-        calls_per_s=cloud.calls_per_s,
+        functools.partial(read_demand, usage),
+        calls_per_s=instance.settings.cloud.calls_per_s,
         max_key_age_s=instance.settings.max_key_age_s,
     )
+    instance.scaling_watch = watch
     return (order_upstreams(watch),)
 
 
--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -58,6 +58,8 @@
 RECORD_KEY = "orders"
 # Reports of demand come about once a second.
 CYCLE_S = 0.5
+# An error that was not expected is likely to occur again at once.
+FAILURE_PAUSE_S = 10.0
 # An older list may lack upstreams that serve, or contain reclaimed ones. The age is
 # known each time a call for changes of the configuration returns.
 STORE_DELAY_S = 4.0
@@ -74,6 +76,8 @@
 # A call must end before the lease does.
 CALL_TIMEOUT_S = 1.0
 MIN_CALL_TIMEOUT_S = 0.1
+# Label of a service whose demand isn't known; nothing is ordered for it.
+STALE_DEMAND = "demand-stale"
 NOT_EXECUTED = frozenset({ApiResult.LIMITED, ApiResult.NOT_DONE})
 
 ReadDemand = Callable[[float], Mapping[tuple[str, str], ServiceDemand]]
@@ -91,6 +95,8 @@
     :param token: The token under which they were.
     :param needs_fresh_token: Whether a call without a response may still be executed.
     :param hold: Why nothing is ordered, for the log; empty while orders may be sent.
+    :param doubts: Why the demand for a service can't be relied on, for the log; absent
+        while it can.
     :param era: The last known era of the store.
     :param era_changed_s: When it changed, in seconds.
     :param listed: The largest number of listed upstreams that was seen while nothing
@@ -111,6 +117,7 @@
     token: int | None = None
     needs_fresh_token: bool = False
     hold: str = ""
+    doubts: dict[str, str] = field(default_factory=dict)
     era: int | None = None
     era_changed_s: float = float("-inf")
     listed: int = 0
@@ -152,9 +159,13 @@
     """
     while True:
         await watch.leases.tenure_began.wait()
-        await run_cycle(watch)
-        if not watch.leases.tenure_began.is_set():
-            end_scaling(watch)
+        try:
+            await run_cycle(watch)
+        except Exception:
+            # The instance serves callers without this duty as well.
+            logger.exception("scaling-failed")
+            watch.is_loaded = False
+            await asyncio.sleep(FAILURE_PAUSE_S)
         await asyncio.sleep(CYCLE_S)
         if not watch.leases.tenure_began.is_set():
             end_scaling(watch)
@@ -275,6 +286,23 @@
         log_event(logger, logging.INFO, event, reason=hold or "none")
 
 
+def _set_doubt(watch, service, doubt):
+    """Log when the demand for a service becomes doubtful, and when it can be used."""
+    if doubt == watch.doubts.get(service):
+        return
+    if doubt is None:
+        del watch.doubts[service]
+    else:
+        watch.doubts[service] = doubt
+    log_event(
+        logger,
+        logging.INFO,
+        "demand-held" if doubt else "demand-resumed",
+        service=service,
+        reason=doubt or "none",
+    )
+
+
 def _load(watch, token, now_s):
     """Take up the orders of the last holder, or what the list shows."""
     content = watch.leases.records.get(RECORD_KEY)
@@ -320,10 +348,12 @@
     changes = []
     for name, service in sorted(_find_services(watch).items()):
         if not _record_demand(watch, name, figures, now_s):
+            _set_doubt(watch, name, STALE_DEMAND)
             continue
         present = count_present(watch.state.listing, name, now_s)
         slots = _find_slots(watch, service)
         changes.extend(plan_service(watch.orders, service, present, slots, now_s))
+        _set_doubt(watch, name, watch.orders.plans[name].doubt)
         for key, order in watch.orders.orders.items():
             if key.service == name:
                 ready = present.get(key, Presence()).ready
