--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -228,6 +228,7 @@
     return Dispatcher(
         capacity=capacity,
         record_response_start=capacity.record_response_start,
+        record_first_event=capacity.record_first_event,
         record_notice=capacity.record_notice,
         connections=open_connections(UPSTREAM_LIMITS),
         observer=observer,
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -29,6 +29,8 @@
     :param prefix_key: A key that is equal for requests with the same prompt
         prefix.
     :param prompt_tokens: The length of the prompt, in tokens; 0 when unknown.
+    :param prefix_tokens: The tokens that an upstream has cached if it was sent requests
+        with the same prefix; 0 when unknown.
     :param shared_parts: The identifiers of the prompt parts that other prompts may
         contain as well.
     :param max_runs: The maximum number of attempts in which an upstream may have
@@ -68,6 +70,7 @@
     expected_tokens: int = 1
     prefix_key: str = ""
     prompt_tokens: int = 0
+    prefix_tokens: int = 0
     shared_parts: tuple[str, ...] = ()
     max_runs: int = MAX_ATTEMPTS
     caller_deadline_s: float = math.inf
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -311,7 +311,7 @@
                 attempt,
                 sink,
                 lambda head: _record_head(dispatcher, grant, head),
-                lambda: dispatcher.record_stream_start(call, progress.origin),
+                lambda: _record_stream_start(dispatcher, grant, call, progress),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -320,6 +320,11 @@
         attempt.end = AttemptResult.DEADLINE
 
 
+def _record_stream_start(dispatcher, grant, call, progress):
+    dispatcher.record_first_event(grant, read_clock_s())
+    dispatcher.record_stream_start(call, progress.origin)
+
+
 def _record_head(dispatcher, grant, head):
     now_s = read_clock_s()
     dispatcher.record_response_start(grant, now_s)
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -82,6 +82,8 @@
         once; ``None`` when no call has a key.
     :param record_response_start: Called when the response to a granted request
         begins, with the present monotonic time in seconds.
+    :param record_first_event: Called before the first event of a granted request's
+        stream is forwarded, with the present monotonic time in seconds.
     :param record_notice: Called with the upstream's name and what it states about
         itself in the head of a response.
     :param identify_process: Returns a name for the process that an upstream's name
@@ -111,6 +113,7 @@
     protocol: UpstreamProtocol = OPENAI_PROTOCOL
     claims: Claims | None = None
     record_response_start: Callable[[Grant, float], None] = lambda grant, now_s: None
+    record_first_event: Callable[[Grant, float], None] = lambda grant, now_s: None
     record_notice: Callable[[str, UpstreamNotice], None] = lambda upstream, notice: None
     identify_process: Callable[[str], str] = lambda upstream: upstream
     find_block: Callable[[Call], Refusal | None] = lambda call: None
--- a/jujubenotch/dispatch/work_request.py
+++ b/jujubenotch/dispatch/work_request.py
@@ -28,6 +28,7 @@
         expected_tokens=call.expected_tokens,
         prefix_key=call.prefix_key,
         prompt_tokens=call.prompt_tokens,
+        prefix_tokens=call.prefix_tokens,
         excluded_upstreams=progress.failed_upstreams,
         between_tokens_target_s=service_class.between_tokens_target_s,
         is_idempotent=call.is_idempotent,
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -67,9 +67,21 @@
     choose_upstream,
 )
 from jujubenotch.forwarding.priority import pair_priorities, rank_priorities
+from jujubenotch.forwarding.shared_paces import (
+    PaceExchange,
+    list_own,
+    list_totals,
+    take_own,
+    take_totals,
+)
 from jujubenotch.forwarding.source import Item, Page, Source
 
 __all__ = [
+    "PaceExchange",
+    "list_own",
+    "list_totals",
+    "take_own",
+    "take_totals",
     "ArrivedRequest",
     "CallerBounds",
     "ConfigurationView",
--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -116,6 +116,7 @@
         expected_tokens=max(1, arrived.expected_tokens or arrived.answer_tokens),
         prefix_key=choose_prefix_key(arrived),
         prompt_tokens=arrived.prompt_tokens,
+        prefix_tokens=count_prefix_tokens(arrived),
         shared_parts=find_shared_parts(arrived),
         max_runs=route.max_attempts,
         caller_deadline_s=now_s + wait_s,
@@ -159,6 +160,19 @@
     return arrived.prompt[min(1, len(arrived.prompt) - 1)].part_id
 
 
+def count_prefix_tokens(arrived: ArrivedRequest) -> int:
+    """Count the tokens that upstreams cache for requests with the same prefix key.
+
+    The first part is common to all requests of one kind, so all upstreams cache it. The
+    last part belongs to the request alone unless it is the one of the prefix key.
+
+    :param arrived: The request.
+    """
+    begin = min(1, len(arrived.prompt) - 1)
+    end = max(begin + 1, len(arrived.prompt) - 1)
+    return sum(part.tokens for part in arrived.prompt[begin:end])
+
+
 def find_shared_parts(arrived: ArrivedRequest) -> tuple[str, ...]:
     """Return the identifiers of the prompt parts that other prompts may contain.
 
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -12,6 +12,17 @@
     record_group_load,
 )
 from jujubenotch.forwarding.held import find_availability, refuse_held
+from jujubenotch.forwarding.learned import (
+    LearnedServices,
+    Observation,
+    choose_learned,
+    find_learned,
+    forget_learned,
+    observe_end,
+    observe_first_event,
+    rank_for_short,
+    record_learned_report,
+)
 from jujubenotch.forwarding.limit import use_opening
 from jujubenotch.forwarding.listing import UpstreamListing, find_usable
 from jujubenotch.forwarding.notices import record_notice
@@ -27,6 +38,7 @@
     finish_prefill,
     start_prefill,
 )
+from jujubenotch.forwarding.shared_paces import PaceExchange
 from jujubenotch.forwarding.shedding import LongPrompts, shed_long_prompt
 from jujubenotch.forwarding.sparing import (
     BrittleServices,
@@ -56,6 +68,8 @@
     :param granted_s: When the grant was given, monotonic, in seconds.
     :param prefill: The limit that counts the request until its first token; ``None``
         for a request that isn't counted.
+    :param observation: What is learned from the request; ``None`` when its service's
+        upstreams don't report their pace.
     """
 
     state: UpstreamState
@@ -63,6 +77,7 @@
     granted_s: float
     is_probe: bool
     prefill: PrefillLimit | None = None
+    observation: Observation | None = None
 
 
 class DirectCapacity:
@@ -100,7 +115,13 @@
         self._draw = draw
         self._read_instance_count = read_instance_count
         self._report_limit = report_limit
-        self._states = UpstreamStates()
+        self.states = UpstreamStates()
+        self.learned = LearnedServices()
+        self.pace_exchange = PaceExchange(
+            states=self.states,
+            learned=self.learned,
+            record_load=self._record_group_loads,
+        )
         self._divisions: dict[str, Division] = {}
         self._long_prompts: dict[str, LongPrompts] = {}
         self._brittle = BrittleServices(
@@ -153,11 +174,12 @@
                 retry_after_s=NO_UPSTREAM_RETRY_AFTER_S,
                 detail=f"no upstream of {request.target} is known; come back",
             )
-        choice = choose_upstream(
+        choice, observation = self._choose(
             candidates,
+            request,
             "" if uses_all else request.prefix_key,
-            draw=self._draw(),
-            now_s=now_s,
+            states if is_long else (),
+            now_s,
         )
         if is_long:
             refusal = shed_long_prompt(
@@ -170,7 +192,30 @@
             )
             if refusal is not None:
                 return refusal
-        return self._create_grant(request, choice, now_s)
+        return self._create_grant(request, choice, observation, now_s)
+
+    def _choose(self, candidates, request, prefix_key, states, now_s):
+        service = find_learned(self.learned, request.target, now_s)
+        if service is not None:
+            own = {state.name for state in candidates}
+            spare = [
+                state
+                for state in states
+                if state.name not in own
+                and state.name not in request.excluded_upstreams
+                and not is_ejected(state.health, now_s)
+            ]
+            return choose_learned(
+                service,
+                candidates,
+                request,
+                prefix_key=prefix_key,
+                spare=spare,
+                draw=self._draw,
+                now_s=now_s,
+            )
+        choice = choose_upstream(candidates, prefix_key, draw=self._draw(), now_s=now_s)
+        return choice, None
 
     def release(self, grant: Grant, report: WorkReport, now_s: float) -> None:
         """Release a grant after its request has ended.
@@ -190,6 +235,7 @@
         )
         if outstanding.prefill is not None:
             abandon_prefill(outstanding.prefill, outstanding.request.tier)
+        self._learn_from_end(outstanding, report, now_s)
         record_result(
             outstanding.state.health,
             report.result,
@@ -217,6 +263,39 @@
         )
         outstanding.prefill = None
 
+    def record_first_event(self, grant: Grant, now_s: float) -> None:
+        """Record the first event of the stream of a granted request.
+
+        :param grant: The grant.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        outstanding = self._outstanding[grant.grant_id]
+        request = outstanding.request
+        service = find_learned(self.learned, request.target, now_s)
+        if service is not None and outstanding.observation is not None:
+            observe_first_event(
+                service,
+                outstanding.observation,
+                outstanding.state,
+                request,
+                granted_s=outstanding.granted_s,
+                now_s=now_s,
+            )
+
+    def _learn_from_end(self, outstanding, report, now_s):
+        request = outstanding.request
+        service = find_learned(self.learned, request.target, now_s)
+        if service is not None and outstanding.observation is not None:
+            observe_end(
+                service,
+                outstanding.observation,
+                outstanding.state,
+                request,
+                report,
+                granted_s=outstanding.granted_s,
+                now_s=now_s,
+            )
+
     def record_load(self, upstream: str, report: LoadReport, now_s: float) -> None:
         """Record an upstream's load report.
 
@@ -224,14 +303,21 @@
         :param report: The load report.
         :param now_s: The present monotonic time, in seconds.
         """
-        state = self._states.find(upstream)
+        state = self.states.find(upstream)
         if state is None:
             return
         record_report(state, report, now_s)
+        known = self._listing.upstreams.get(upstream)
+        if known is not None:
+            service = known.listed.service
+            record_learned_report(self.learned, service, upstream, report, now_s)
         if self._brittle.services:
             state.report_draw = self._draw()
+        self._record_group_loads(upstream, state.reported, now_s)
+
+    def _record_group_loads(self, upstream, load, now_s):
         for division in self._divisions.values():
-            record_group_load(division, upstream, state.reported, now_s)
+            record_group_load(division, upstream, load, now_s)
 
     def record_notice(self, upstream: str, notice: UpstreamNotice) -> None:
         """Record what an upstream states about itself.
@@ -239,7 +325,7 @@
         :param upstream: The upstream's name; an unknown one is ignored.
         :param notice: The statements in the head of a response.
         """
-        state = self._states.find(upstream)
+        state = self.states.find(upstream)
         if state is not None:
             record_notice(
                 state.statements,
@@ -267,7 +353,7 @@
     def _list_states(self, request):
         listing_s = self._read_listing_clock_s()
         usable = find_usable(self._listing, request.target, listing_s)
-        return [self._states.add(listed) for listed in usable]
+        return [self.states.add(listed) for listed in usable]
 
     def _find_short_states(self, request, listed, states, now_s):
         """Return the states of the upstreams that only short prompts use."""
@@ -304,6 +390,7 @@
             slots=sum(state.slots for state in states) / max(1, len(states)),
             is_long=is_long,
             now_s=now_s,
+            ranking=rank_for_short(self.learned, request.target, names, now_s),
         )
 
     def _find_division(self, request):
@@ -315,7 +402,7 @@
     def _is_available(self, state, now_s):
         return not is_ejected(state.health, now_s) or may_probe(state.health, now_s)
 
-    def _create_grant(self, request, choice, now_s):
+    def _create_grant(self, request, choice, observation, now_s):
         state = choice.state
         spare_if_unheard(self._brittle, state, request, now_s=now_s)
         is_probe = may_probe(state.health, now_s)
@@ -341,6 +428,7 @@
             granted_s=now_s,
             is_probe=is_probe,
             prefill=prefill,
+            observation=observation,
         )
         if state.reported_s is None and request.prompt_tokens:
             # Until the upstream has reported its load, this instance's own
@@ -366,4 +454,6 @@
 
         :param names: The upstreams' names.
         """
-        self._states.forget(names)
+        names = list(names)
+        self.states.forget(names)
+        forget_learned(self.learned, names)
--- a/jujubenotch/forwarding/division.py
+++ b/jujubenotch/forwarding/division.py
@@ -10,7 +10,7 @@
 """
 
 import math
-from collections.abc import Collection
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 
 from jujubenotch.membership import choose_by_rendezvous
@@ -113,6 +113,7 @@
     slots: float,
     is_long: bool,
     now_s: float,
+    ranking: Sequence[str] | None = None,
 ) -> set[str]:
     """Return the upstreams for long prompts or those for short prompts.
 
@@ -121,17 +122,28 @@
     :param slots: The mean number of slots of an upstream.
     :param is_long: Whether to return the upstreams for long prompts.
     :param now_s: The present monotonic time, in seconds.
+    :param ranking: The names in the order in which short prompts get them; ``None``
+        for an order by hash.
     :returns: The upstreams' names; all names when there are fewer than two.
     """
     if len(names) < 2:
         return set(names)
     _move_boundary(division, len(names), slots, now_s)
-    short = set(choose_by_rendezvous(RANKING_KEY, names, division.short_count))
+    ranking = rank_names(names) if ranking is None else ranking
+    short = set(ranking[: division.short_count])
     division.names = frozenset(names)
     division.short_names = frozenset(short)
     return set(names) - short if is_long else short
 
 
+def rank_names(names: Collection[str]) -> list[str]:
+    """Rank upstreams in an order that is the same on all instances.
+
+    :param names: The upstreams' names.
+    """
+    return choose_by_rendezvous(RANKING_KEY, names, len(names))
+
+
 def _move_boundary(division, count, slots, now_s):
     lowest, highest = 1, count - 1
     if not lowest <= division.short_count <= highest:
--- a/jujubenotch/forwarding/placement.py
+++ b/jujubenotch/forwarding/placement.py
@@ -41,6 +41,8 @@
         upstream's last load report.
     :param running_at_report: Requests of this instance that were on the upstream
         when that report arrived.
+    :param reported_waiting: The waiting ones of the reported requests.
+    :param reported_pace: The pace in that report; ``None`` when it has none.
     :param reported_s: When that report arrived, monotonic, in seconds; ``None``
         before the first report.
     :param report_draw: A random number in [0, 1), drawn for the last report while the
@@ -58,6 +60,8 @@
     running: int = 0
     reported: int = 0
     running_at_report: int = 0
+    reported_waiting: int = 0
+    reported_pace: float | None = None
     reported_s: float | None = None
     report_draw: float = 0.0
     spared_until_s: float = 0.0
@@ -74,6 +78,8 @@
     """
     state.reported = report.running + report.waiting
     state.running_at_report = state.running
+    state.reported_waiting = report.waiting
+    state.reported_pace = report.pace
     state.reported_s = now_s
 
 
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -44,6 +44,8 @@
         time between tokens, in seconds; 0 means no target.
     :param is_idempotent: Whether the request may be repeated.
     :param prompt_tokens: Length of the prompt, in tokens; 0 when unknown.
+    :param prefix_tokens: The tokens that an upstream has cached if it was sent requests
+        with the same prefix; 0 when unknown.
     :param software_version: The only version of upstreams that may get the request,
         which continues a stream; ``None`` when any may.
     """
@@ -65,6 +67,7 @@
     between_tokens_target_s: float = 0.0
     is_idempotent: bool = True
     prompt_tokens: int = 0
+    prefix_tokens: int = 0
     software_version: str | None = None
 
 
@@ -79,6 +82,12 @@
     :param candidates: The number of upstreams to choose from.
     :param prefix_rank: The upstream's rank for the prompt's prefix, from 0 for the one
         that is expected to have it cached; ``None`` when only the load counted.
+    :param expected_first_s: The expected time to the first token, in seconds; ``None``
+        when the service's upstreams don't report their pace.
+    :param slowness: The upstream's learned slowness, as a multiple of its service's
+        median; ``None`` as before.
+    :param concurrency_limit: Its learned limit of concurrent requests; ``None`` as
+        before.
     :param limit_per_s: The request rate that the upstream accepts from all instances;
         ``None`` when it has named none.
     :param limit_age_s: Time since this instance read that limit, in seconds.
@@ -89,6 +98,9 @@
     report_age_s: float | None
     candidates: int
     prefix_rank: int | None
+    expected_first_s: float | None = None
+    slowness: float | None = None
+    concurrency_limit: float | None = None
     limit_per_s: float | None = None
     limit_age_s: float | None = None
 
