--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -317,7 +317,7 @@
                 attempt,
                 sink,
                 lambda head: _record_head(dispatcher, grant, call, progress, head),
-                lambda: _record_stream_start(dispatcher, call, progress),
+                lambda: _record_stream_start(dispatcher, grant, call, progress),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -326,8 +326,9 @@
         attempt.end = AttemptResult.DEADLINE
 
 
-def _record_stream_start(dispatcher, call, progress):
+def _record_stream_start(dispatcher, grant, call, progress):
     _record_begin(dispatcher, call, progress)
+    dispatcher.record_first_event(grant, read_clock_s())
     dispatcher.record_stream_start(call, progress.origin)
 
 
