Keep versions and origins of streams in the store, to outlive all instances

Cause: the history of versions and the origins of streams were in memory only. After the end of all instances during or after a rollout the only listed version was taken for the stream's: always for a caller without Resumes, and for one with it unless an upstream had started lately.

Change: while a service has several versions, two keepers write records of the versions and batches of origins as objects. A version without a confirmed record begins no resumable stream while another serves. An instance that has seen less than the window reads the objects when a caller resumes a stream; the only listed version counts if an upstream of it served for the whole window and no other one is recorded, or if no upstream ever left the list. Else the stream is refused (stream-origin-unknown, 503, no Retry-After). While one version serves no call and no message is added.

--- a/features/platform/steps/versions_steps.py
+++ b/features/platform/steps/versions_steps.py
@@ -8,6 +8,7 @@
 from features.platform.site import (
     ROUTES,
     SETTINGS,
+    call_store,
     open_site,
     put_configuration,
     read_log,
@@ -23,6 +24,8 @@
     read_stream,
     start_upstream,
 )
+from jujubenotch.platform.stream_records import decode_name
+from jujubenotch.streams import VersionRecord
 
 ONCE = write_route(
     "once", "/once/", "streaming", **{"stream-resume": True, "max-attempts": 1}
@@ -149,6 +152,47 @@
     read_streams(context, count, path, (at_s, leave))
 
 
+@when(
+    'callers read {count:d} streams of "{path}", the upstreams "{entries}" come after '
+    '{come_s:g} s, "{names}" leave and all instances are killed after {at_s:g} s'
+)
+def read_while_all_end(context, count, path, entries, come_s, names, at_s):
+    def end_all():
+        for name in names.split(","):
+            unlist_upstream(context.site, name)
+            end_upstream(context.site, context.upstreams[name])
+        kill_all(context)
+
+    read_streams(
+        context,
+        count,
+        path,
+        (come_s, lambda: start_listed(context, entries, born=int(time.time() * 1000))),
+        (at_s, end_all),
+    )
+
+
+@when(
+    'callers read {count:d} streams of "{path}" and all instances are killed after '
+    "{at_s:g} s"
+)
+def read_while_instances_end(context, count, path, at_s):
+    read_streams(context, count, path, (at_s, lambda: kill_all(context)))
+
+
+def kill_all(context):
+    for view in context.instances:
+        stop_instance(view)
+
+
+@when("all instances start again")
+def start_all(context):
+    for number, view in enumerate(context.instances, 1):
+        start_instance(view, number, context.site.host)
+    for view in context.instances:
+        wait_until_ready(view)
+
+
 def take_up_stream(site, stream, path):
     """Read the rest of a stream; come back when, and only if, the answer says so."""
     for _ in range(MAX_RETURNS):
@@ -170,6 +214,34 @@
     context.took_s = time.monotonic() - start_s
 
 
+@when("the callers take up their streams without naming their first request")
+def take_up_all_unnamed(context):
+    context.broken = [each for each in context.streams if not each.is_whole]
+    start_s = time.monotonic()
+    with ThreadPoolExecutor(max(1, len(context.broken))) as executor:
+        for stream in context.broken:
+            executor.submit(
+                read_stream,
+                context.instances[-1],
+                stream,
+                context.path,
+                names_first=False,
+            )
+    context.took_s = time.monotonic() - start_s
+
+
+@then('the store holds records of "{versions}"')
+def check_recorded(context, versions):
+    objects = call_store(context.site, lambda state: list(state.objects))
+    recorded = {
+        identity.software_version
+        for name in objects
+        if name.startswith("stream-")
+        and isinstance(identity := decode_name(name), VersionRecord)
+    }
+    assert recorded == set(versions.split(",")), objects
+
+
 @when("a caller takes up a stream without naming its first request")
 def take_up_unnamed(context):
     take_up_unknown(context, names_first=False)
--- a/features/platform/versions.feature
+++ b/features/platform/versions.feature
@@ -67,3 +67,23 @@
     When a caller takes up a stream without naming its first request
     Then it got the status 503 without Retry-After within 1 s
     And no upstream got its request
+
+  # Guards against a restart of all instances after a rollout, of which none has seen the
+  # version that has left. Callers that don't name their first request are refused.
+  Scenario: All instances end after a rollout
+    Given a site of 2 instances with the upstreams "a=v1,b=v1"
+    When callers read 12 streams of "/once/x", the upstreams "c=v2,d=v2" come after 0.1 s, "a,b" leave and all instances are killed after 0.6 s
+    And all instances start again
+    And the callers take up their streams without naming their first request
+    Then no stream has events of two versions
+    And each broken stream got the status 503 without Retry-After within 3 s
+    And the store holds records of "v1,v2"
+
+  # Guards against the loss of all origins with all instances.
+  Scenario: All instances end while two versions serve
+    Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v2,d=v2"
+    When callers read 24 streams of "/once/x" and all instances are killed after 0.85 s
+    And all instances start again
+    And the callers take up their streams at the other instance
+    Then no stream has events of two versions
+    And at least 20 streams are whole
--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -5,15 +5,17 @@
 """
 
 import asyncio
+import functools
 import random
 import selectors
 from dataclasses import dataclass, field
 from types import SimpleNamespace
 from unittest import mock
 
-from jujubenotch.daemon import forward_origins, forward_streams
+from jujubenotch.daemon import forward_origins, forward_records, forward_streams
 from jujubenotch.daemon.forward_count import keep_addresses
 from jujubenotch.daemon.forward_origins import find_stream_origin
+from jujubenotch.daemon.forward_records import find_held, keep_records
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.daemon.forward_streams import (
     StreamWatch,
@@ -25,20 +27,25 @@
 from jujubenotch.dispatch import Call
 from jujubenotch.forwarding import (
     DirectCapacity,
-    Freshness,
     HostRoute,
     Item,
     ListedUpstream,
     RouteKind,
     ServiceShare,
     SiteConfiguration,
+    SourceError,
     apply_items,
     build_index,
 )
 from jujubenotch.neighbours import ListedInstance, Neighbours
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import ServiceClass, Team
-from jujubenotch.streams import StreamOrigin
+from jujubenotch.streams import (
+    BatchName,
+    StreamObjects,
+    StreamOrigin,
+    VersionRecord,
+)
 from jujubenotch.work import WorkReport, WorkRequest, WorkResult
 
 SERVICE = "drafting"
@@ -67,6 +74,8 @@
     """What is drawn in a history; times in seconds.
 
     ``rollouts`` are times of a change to the next version, in upstreams a second.
+    ``power_losses`` are times at which all instances end at once. ``store_faults`` are
+    spans in which no call to the store succeeds, ``restores`` times and ages of copies.
     """
 
     instances: int
@@ -82,6 +91,11 @@
     list_delay_s: float = 0.4
     cut_share: float = 0.0
     knows_origins: bool = True
+    power_losses: tuple = ()
+    named_share: float = 1.0
+    first_start_s: float = -600.0
+    store_faults: tuple = ()
+    restores: tuple = ()
 
 
 @dataclass(kw_only=True)
@@ -110,8 +124,62 @@
     not_begun: int = 0
     taken_up: int = 0
     gone_on: int = 0
+    unnamed: int = 0
+    unnamed_gone_on: int = 0
     mixed: int = 0
     messages: int = 0
+    store_calls: int = 0
+    objects_left: int = 0
+
+
+@dataclass(kw_only=True)
+class Store:
+    """The objects of the store, and whether an upstream has left the list."""
+
+    objects: dict = field(default_factory=dict)
+    era: int = 0
+    has_lost_upstreams: bool = False
+
+
+@dataclass(kw_only=True)
+class InstanceStore:
+    """The store as one instance reaches it; a call takes 25 ms."""
+
+    fleet: "Fleet"
+    instance: "Instance"
+
+    async def _call(self):
+        self.fleet.counts.store_calls += 1
+        await asyncio.sleep(0.025)
+        now_s = self.fleet.now_s()
+        if self.instance.is_cut or any(
+            from_s <= now_s < until_s
+            for from_s, until_s in self.fleet.plan.store_faults
+        ):
+            raise SourceError("the store doesn't answer")
+        return self.fleet.store
+
+    async def list_objects(self):
+        objects = (await self._call()).objects
+        return StreamObjects(
+            records=tuple(each for each in objects if isinstance(each, VersionRecord)),
+            batches=tuple(each for each in objects if isinstance(each, BatchName)),
+        )
+
+    async def write_record(self, record):
+        (await self._call()).objects[record] = {}
+
+    async def write_batch(self, name, origins):
+        (await self._call()).objects[name] = dict(origins)
+
+    async def read_batch(self, name):
+        return (await self._call()).objects[name]
+
+    async def remove(self, identity):
+        (await self._call()).objects.pop(identity, None)
+
+    async def has_lost_upstreams(self):
+        return (await self._call()).has_lost_upstreams
 
 
 @dataclass(kw_only=True)
@@ -122,6 +190,7 @@
     instances: list = field(default_factory=list)
     upstreams: dict = field(default_factory=dict)
     counts: Counts = field(default_factory=Counts)
+    store: Store = field(default_factory=Store)
     numbers: int = 0
     tasks: set = field(default_factory=set)
 
@@ -140,17 +209,22 @@
         mock.patch.object(forward_streams, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_origins, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_origins, "time", clock),
+        mock.patch.object(forward_records, "read_boot_clock_s", loop.time),
+        mock.patch.object(forward_records, "time", clock),
+        mock.patch.object(forward_records, "random", random.Random(seed)),
     ):
         fleet = Fleet(plan=plan, loop=loop, draws=random.Random(seed))
         loop.run_until_complete(_play(fleet))
     loop.close()
+    fleet.counts.objects_left = len(fleet.store.objects)
     return fleet.counts
 
 
 async def _play(fleet):
     plan = fleet.plan
     for number in range(plan.upstreams):
-        _start_upstream(fleet, f"{plan.versions[0]}-{number}", plan.versions[0], -600.0)
+        name = f"{plan.versions[0]}-{number}"
+        _start_upstream(fleet, name, plan.versions[0], plan.first_start_s)
     for number in range(plan.instances):
         instance = Instance(
             name=f"e-{number}", address=f"10.0.{number // 250}.{number % 250}:1"
@@ -164,6 +238,10 @@
     _start(fleet, _kill_upstreams(fleet))
     _start(fleet, _kill_instances(fleet))
     _start(fleet, _cut_instances(fleet))
+    for at_s in plan.power_losses:
+        _start(fleet, _lose_power(fleet, at_s))
+    for at_s, age_s in plan.restores:
+        _start(fleet, _restore_store(fleet, at_s, age_s))
     await asyncio.sleep(plan.length_s + 2 * TIMEOUT_S)
     tasks = asyncio.all_tasks() - {asyncio.current_task()}
     for task in tasks:
@@ -197,12 +275,14 @@
         state=state,
         neighbours=neighbours,
         send=lambda message, addresses: _send(fleet, instance, message, addresses),
+        store=InstanceStore(fleet=fleet, instance=instance),
     )
     instance.capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=fleet.loop.time,
         read_listing_clock_s=fleet.loop.time,
         draw=fleet.draws.random,
+        find_held_versions=functools.partial(find_held, instance.watch),
     )
     _apply_list(fleet, instance, instance.watch)
     _confirm_one(fleet, instance)
@@ -216,6 +296,7 @@
     )
     instance.tasks = [
         _start(fleet, send_origins(instance.watch)),
+        _start(fleet, keep_records(instance.watch)),
         _start(fleet, keep_addresses(relay, components)),
     ]
 
@@ -296,7 +377,11 @@
 def _confirm_one(fleet, instance):
     if not instance.is_cut:
         now_s = fleet.now_s()
-        instance.watch.state.freshness = Freshness(offset_s=0.0, confirmed_s=now_s)
+        freshness = instance.watch.state.freshness
+        freshness.offset_s = 0.0
+        freshness.offset_since_s = now_s
+        freshness.store_s = freshness.confirmed_s = now_s
+        freshness.era = fleet.store.era
 
 
 async def _roll_out(fleet, version, at_s):
@@ -308,6 +393,7 @@
         _start_upstream(fleet, name, version, fleet.now_s())
         await asyncio.sleep(fleet.plan.pace_s)
         leaving.is_listed = False
+        fleet.store.has_lost_upstreams = True
         _publish(fleet)
         fleet.loop.call_later(2.0, _end_upstream, leaving)
 
@@ -336,6 +422,7 @@
 
 def _unlist(fleet, upstream):
     upstream.is_listed = False
+    fleet.store.has_lost_upstreams = True
     _publish(fleet)
     _start_upstream(fleet, f"{upstream.name}+", upstream.version, fleet.now_s())
 
@@ -354,6 +441,28 @@
         fleet.loop.call_later(START_PAUSE_S, _start_instance, fleet, instance)
 
 
+async def _lose_power(fleet, at_s):
+    """End all instances at once; they start again."""
+    await asyncio.sleep(at_s)
+    for instance in fleet.instances:
+        if not instance.is_up:
+            continue
+        instance.is_up = False
+        for task in instance.tasks:
+            task.cancel()
+        delay_s = START_PAUSE_S + fleet.draws.uniform(0.0, 0.5)
+        fleet.loop.call_later(delay_s, _start_instance, fleet, instance)
+
+
+async def _restore_store(fleet, at_s, age_s):
+    """Restore the objects from a copy; instances learn the era within some seconds."""
+    await asyncio.sleep(at_s - age_s)
+    copy = dict(fleet.store.objects)
+    await asyncio.sleep(age_s)
+    fleet.store.objects = copy
+    fleet.store.era += 1
+
+
 async def _cut_instances(fleet):
     """Cut instances off from the store just before each rollout."""
     count = int(fleet.plan.cut_share * len(fleet.instances))
@@ -388,25 +497,39 @@
     version, is_whole = begun
     if is_whole:
         return
-    await asyncio.sleep(fleet.draws.uniform(0.01, 0.5))
-    other = _choose_instance(fleet, instance)
+    other = await _find_other(fleet, instance)
     if other is None:
         return
     serving = sum(
         each.is_up and each.is_listed and each.version == version
         for each in fleet.upstreams.values()
     )
-    rest = await _take_up(fleet, other, first_id)
+    is_named = fleet.draws.random() < fleet.plan.named_share
+    rest = await _take_up(fleet, other, first_id if is_named else "")
     if rest is not None and rest[0] != version:
         fleet.counts.mixed += 1
     if serving >= 2 and not other.is_cut:
-        fleet.counts.taken_up += 1
-        fleet.counts.gone_on += rest is not None
+        if is_named:
+            fleet.counts.taken_up += 1
+            fleet.counts.gone_on += rest is not None
+        else:
+            fleet.counts.unnamed += 1
+            fleet.counts.unnamed_gone_on += rest is not None
+
+
+async def _find_other(fleet, instance):
+    """Wait as a caller does that comes back: for longer if no instance answers."""
+    await asyncio.sleep(fleet.draws.uniform(0.01, 0.5))
+    if fleet.plan.power_losses:
+        # A caller may come back up to the longest stream later.
+        await asyncio.sleep(fleet.draws.uniform(0.0, TIMEOUT_S - 0.5))
+        return _choose_instance(fleet, None)
+    return _choose_instance(fleet, instance)
 
 
 async def _take_up(fleet, instance, first_id):
     fleet.numbers += 1
-    call = _make_call(f"s-{fleet.numbers}", first_id)
+    call = _make_call(f"s-{fleet.numbers}", first_id, is_resumed=True)
     origin = None
     if fleet.plan.knows_origins:
         origin = await find_stream_origin(instance.watch, call)
@@ -455,7 +578,7 @@
         instance.capacity.release(grant, WorkReport(result=result), fleet.now_s())
 
 
-def _make_call(request_id, resumed_id):
+def _make_call(request_id, resumed_id, is_resumed=False):
     return Call(
         request_id=request_id,
         target=SERVICE,
@@ -471,7 +594,7 @@
         services=frozenset({SERVICE}),
         is_stream=True,
         can_resume_elsewhere=True,
-        resume_after_event_id="3" if resumed_id else "",
+        resume_after_event_id="3" if is_resumed else "",
         resumed_request_id=resumed_id,
     )
 
@@ -492,4 +615,5 @@
         expected_tokens=10,
         excluded_upstreams=frozenset(excluded),
         software_version=origin.software_version if origin else None,
+        is_resumable=True,
     )
--- a/features/streams/histories.feature
+++ b/features/streams/histories.feature
@@ -31,8 +31,58 @@
     When the histories of 2 seeds are played
     Then in each more than 2 streams went on at another version
 
-  # Guards against messages where all upstreams have one version.
+  # Guards against messages and calls where all upstreams have one version.
   Scenario: One version serves
     Given histories of 7 instances and 9 upstreams with 80 streams a second in which one version serves
     When the histories of 2 seeds are played
-    Then in each no message was sent
+    Then in each no message was sent and no call was made
+
+  # Guards against streams that go on at another version because no instance is left that
+  # knows of the first one, also where the store lost the records or didn't take them.
+  Scenario Outline: All instances end at once
+    Given histories of 7 instances and 9 upstreams with 80 streams a second in which <what>
+    When the histories of 2 seeds are played
+    Then in each no stream went on at another version
+
+    Examples:
+      | what                                            |
+      | all instances end before a fast rollout         |
+      | all instances end twice                         |
+      | the store is restored as all instances end      |
+      | the store is unavailable when all instances end |
+      | nothing can be recorded and all instances end   |
+
+  # Guards as well against a loss of all origins: the streams of the version that serves go on.
+  Scenario Outline: All instances end at once, and most streams whose version serves go on
+    Given histories of 7 instances and 9 upstreams with 80 streams a second in which <what>
+    When the histories of 2 seeds are played
+    Then in each no stream went on at another version
+    And of the streams that were taken up, while two upstreams of their version served, at least half as many went on as of the new ones began
+
+    Examples:
+      | what                                           |
+      | all instances end during a rollout             |
+      | all instances end at the end of a rollout      |
+      | all instances end after a rollout              |
+      | all instances end after a slow rollout         |
+      | the store is restored before all instances end |
+
+  # Guards against objects that stay in the store.
+  Scenario: The records are removed after a rollout, also by instances that started later
+    Given histories of 7 instances and 9 upstreams with 80 streams a second in which all instances end during a rollout and much later
+    When the histories of 1 seeds are played
+    Then in each no stream went on at another version
+    And no object is left in the store
+
+  # Guards against refusals where one version serves, by instances that have seen too little
+  # of it, also when the deployment is younger than the time that they would have to see.
+  Scenario Outline: All instances end while one version serves
+    Given histories of 7 instances and 9 upstreams with 80 streams a second in which <what>
+    When the histories of 2 seeds are played
+    Then each stream that was taken up went on
+    And each instance made at most 2 calls for records, and no object was written
+
+    Examples:
+      | what                                                |
+      | all instances end while one version serves          |
+      | all instances end soon after the deployment's start |
--- a/features/streams/steps/histories_steps.py
+++ b/features/streams/steps/histories_steps.py
@@ -33,6 +33,88 @@
     "some instances are cut off from the store": {"cut_share": 0.4},
     "lists come late": {"list_delay_s": 3.0, "instance_kills": 2},
     "nothing is known": {"knows_origins": False},
+    # The streams that were cut off before the rollout come back after it.
+    "all instances end before a fast rollout": {
+        "power_losses": (5.0,),
+        "pace_s": 0.05,
+        "named_share": 0.5,
+        "upstream_kills": 0,
+        "rollouts": (5.2,),
+    },
+    "all instances end during a rollout": {
+        "power_losses": (7.5,),
+        "pace_s": 0.4,
+        "named_share": 0.5,
+        "upstream_kills": 0,
+    },
+    "all instances end at the end of a rollout": {
+        "power_losses": (9.6,),
+        "pace_s": 0.4,
+        "named_share": 0.5,
+        "upstream_kills": 0,
+    },
+    "all instances end after a rollout": {
+        "power_losses": (10.5,),
+        "pace_s": 0.4,
+        "named_share": 0.5,
+        "upstream_kills": 0,
+    },
+    "all instances end after a slow rollout": {
+        "power_losses": (19.7,),
+        "pace_s": 1.5,
+        "named_share": 0.5,
+        "upstream_kills": 0,
+    },
+    "all instances end twice": {
+        "power_losses": (9.6, 12.0),
+        "pace_s": 0.4,
+        "named_share": 0.5,
+        "upstream_kills": 0,
+    },
+    # The copy lacks what was recorded since the rollout began.
+    "the store is restored before all instances end": {
+        "power_losses": (9.6,),
+        "restores": ((7.0, 3.0),),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+    },
+    "the store is restored as all instances end": {
+        "power_losses": (9.6,),
+        "restores": ((9.7, 4.5),),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+    },
+    "the store is unavailable when all instances end": {
+        "power_losses": (9.6,),
+        "store_faults": ((8.0, 14.0),),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+    },
+    "nothing can be recorded and all instances end": {
+        "power_losses": (9.6,),
+        "store_faults": ((5.0, 10.0),),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+    },
+    "all instances end during a rollout and much later": {
+        "power_losses": (7.5, 45.0),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+        "length_s": 60.0,
+    },
+    "all instances end while one version serves": {
+        "power_losses": (6.0,),
+        "rollouts": (),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+    },
+    "all instances end soon after the deployment's start": {
+        "power_losses": (4.0,),
+        "rollouts": (),
+        "upstream_kills": 0,
+        "named_share": 0.5,
+        "first_start_s": -2.0,
+    },
     "one version serves": {"rollouts": (), "upstream_kills": 0},
 }
 
@@ -63,6 +145,11 @@
     assert all(each.mixed <= count for each in context.counts), context.counts
 
 
+@then("in each no stream went on at another version")
+def check_none_mixed(context):
+    check_mixed(context, 0)
+
+
 @then("in each more than {count:d} streams went on at another version")
 def check_all_mixed(context, count):
     assert all(each.mixed > count for each in context.counts), context.counts
@@ -81,8 +168,31 @@
         assert each.gone_on / each.taken_up >= begun_share / 2, each
 
 
-@then("in each no message was sent")
+@then("in each no message was sent and no call was made")
 def check_messages(context):
-    assert all(each.begun and not each.messages for each in context.counts), (
-        context.counts
-    )
+    for each in context.counts:
+        assert each.begun, each
+        assert not each.messages and not each.store_calls, each
+
+
+@then("no object is left in the store")
+def check_objects_removed(context):
+    assert not any(each.objects_left for each in context.counts), context.counts
+
+
+@then("each stream that was taken up went on")
+def check_all_gone_on(context):
+    for each in context.counts:
+        assert each.unnamed >= 12, each
+        assert each.unnamed_gone_on == each.unnamed, each
+        assert each.gone_on == each.taken_up, each
+        assert not each.mixed, each
+
+
+@then(
+    "each instance made at most {count:d} calls for records, and no object was written"
+)
+def check_calls(context, count):
+    for each in context.counts:
+        assert each.store_calls <= count * context.plan.instances, each
+        assert not each.objects_left, each
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -14,6 +14,7 @@
 )
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
+from jujubenotch.daemon.forward_records import keep_records
 from jujubenotch.daemon.forward_registration import run_relay
 from jujubenotch.daemon.forward_relay import (
     FollowedSource,
@@ -71,6 +72,7 @@
     stream_watch = instance.stream_watch
     stream_watch.neighbours = relay.neighbours
     stream_watch.send = functools.partial(send_message, relay)
+    stream_watch.store = components.stream_records
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
@@ -88,6 +90,7 @@
         keep_count(relay, components),
         keep_addresses(relay, components),
         send_origins(stream_watch),
+        keep_records(stream_watch),
     )
 
 
--- a/jujubenotch/daemon/forward_origins.py
+++ b/jujubenotch/daemon/forward_origins.py
@@ -3,15 +3,18 @@
 import asyncio
 import contextlib
 import logging
-import math
 import time
 
+from jujubenotch.daemon.forward_records import (
+    find_proved_version,
+    needs_records,
+    read_saved_origins,
+)
 from jujubenotch.daemon.forward_revisions import is_source_behind
 from jujubenotch.daemon.forward_streams import (
     LIST_AGE_S,
     Question,
     StreamWatch,
-    find_window_s,
     list_instances,
     wait_for_instances,
 )
@@ -22,14 +25,13 @@
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.streams import (
     StreamOrigin,
+    VersionBasis,
     choose_owners,
     find_origin,
-    find_sole_version,
 )
 
 logger = logging.getLogger(__name__)
 
-MS_PER_S = 1000
 # Several round trips between two busy instances. A question may get lost, so it is sent
 # more than once.
 ANSWER_TIMEOUT_S = 0.05
@@ -91,11 +93,15 @@
         origin = await _ask(watch, request_id, owners)
         if origin is not None:
             return origin, "owner"
-    origin = _find_sole_origin(watch, call)
+    origin, basis = await _find_sole_origin(watch, call)
     if origin is not None or not request_id:
-        return origin, "only-version"
+        return origin, f"only-version: {basis}"
     others = sorted(watch.neighbours.addresses.difference(owners))[:MAX_ASKED]
-    return await _ask(watch, request_id, others), "others"
+    origin = await _ask(watch, request_id, others)
+    if origin is not None or not needs_records(watch):
+        return origin, "others"
+    await read_saved_origins(watch)
+    return _find_known(watch, request_id), "saved"
 
 
 def _find_known(watch, request_id):
@@ -123,26 +129,18 @@
     return _find_known(watch, request_id)
 
 
-def _find_sole_origin(watch, call):
+async def _find_sole_origin(watch, call):
     if len(call.services) > 1:
-        return None
-    # Of a stream whose first request isn't named no instance can know more, so nothing
-    # has to be certain of the time before this instance's list.
-    newest_start_age_s = math.inf
-    if call.resumed_request_id:
-        if _measure_list_age_s(watch) > MAX_LIST_AGE_S:
-            return None
-        newest_start_age_s = _measure_newest_start_age_s(watch, call.target)
-    version = find_sole_version(
-        watch.history,
-        call.target,
-        window_s=find_window_s(watch.state),
-        now_s=read_boot_clock_s(),
-        newest_start_age_s=newest_start_age_s,
-    )
+        return None, VersionBasis.SEVERAL_VERSIONS
+    # Of a stream whose first request isn't named no other instance can know more, so
+    # an old list is refused only where it is all that this instance has seen.
+    must_be_fresh = call.resumed_request_id or needs_records(watch)
+    if must_be_fresh and _measure_list_age_s(watch) > MAX_LIST_AGE_S:
+        return None, VersionBasis.LIST_TOO_OLD
+    version, basis = await find_proved_version(watch, call.target)
     if version is None:
-        return None
-    return StreamOrigin(service=call.target, software_version=version)
+        return None, basis
+    return StreamOrigin(service=call.target, software_version=version), basis
 
 
 def _measure_list_age_s(watch):
@@ -153,14 +151,3 @@
     ):
         return float("inf")
     return measure_age_s(state.freshness, read_boot_clock_s())
-
-
-def _measure_newest_start_age_s(watch, service):
-    started_ms = [
-        each.listed.started_ms
-        for each in watch.state.listing.upstreams.values()
-        if each.listed.service == service
-    ]
-    # An upstream of which no start is known may have started just now.
-    newest_ms = max(started_ms) if all(started_ms) and started_ms else float("inf")
-    return time.time() - newest_ms / MS_PER_S
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -23,6 +23,7 @@
 from jujubenotch.listeners import Listener
 from jujubenotch.neighbours import ListedInstance, Registry
 from jujubenotch.settings import Address, ForwarderSettings
+from jujubenotch.streams import StreamRecordStore
 from jujubenotch.upstreams import UpstreamConnections
 
 # Assumed until the instances have been counted; more than a small site has.
@@ -65,6 +66,7 @@
     :param crash_reports: Where this instance publishes its own reports.
     :param registry: Makes the instances of a data centre known to each other.
     :param directory: Makes the instances of all data centres countable.
+    :param stream_records: Keeps the versions of services and the origins of streams.
     :param protocol: The protocol of the upstreams.
     :param decode_request: Decodes the method, target and headers of a caller's
         request.
@@ -78,6 +80,7 @@
     crash_reports: CrashReportStore
     registry: Registry
     directory: Directory
+    stream_records: StreamRecordStore
     protocol: UpstreamProtocol
     decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
     set_store_address: Callable[[Address], None]
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -7,6 +7,7 @@
 import asyncio
 import contextlib
 import logging
+import math
 from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field
 
@@ -19,9 +20,14 @@
 from jujubenotch.neighbours import Message, MessageKind, Neighbours, StreamEntry
 from jujubenotch.streams import (
     OriginTable,
+    RecordBook,
+    StreamObjects,
     StreamOrigin,
+    StreamRecordStore,
     VersionHistory,
+    choose_keepers,
     choose_owners,
+    choose_record_span_s,
     find_origin,
     find_origins_of,
     has_many_versions,
@@ -43,6 +49,9 @@
 MIN_LIST_AGE_S = 1.0
 # Versions that have left matter for the longest stream and its caller's return.
 WINDOW_RATIO = 2.0
+# Those of some seconds at large sites; the instance that keeps them writes them twice a
+# second.
+MAX_UNSAVED = 5000
 MIN_WINDOW_S = 10.0
 MAX_WINDOW_S = 120.0
 
@@ -58,6 +67,26 @@
     is_answered: asyncio.Event = field(default_factory=asyncio.Event)
 
 
+@dataclass(kw_only=True)
+class RecordReader:
+    """What an instance has read of the objects since it started.
+
+    :param objects: The records and the names of batches; ``None`` when the last call
+        failed.
+    :param has_lost_upstreams: Whether an upstream has ever left the list; ``None``
+        while that is unknown.
+    :param read_s: When the objects were last read or asked for, in seconds.
+    :param batches_read_s: When the batches were last read, in seconds.
+    :param lock: Held during a call, so that callers that come meanwhile share it.
+    """
+
+    objects: StreamObjects | None = None
+    has_lost_upstreams: bool | None = None
+    read_s: float = -math.inf
+    batches_read_s: float = -math.inf
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+
+
 @dataclass(kw_only=True)
 class StreamWatch:
     """What an instance knows about the origins of streams.
@@ -73,6 +102,10 @@
     :param listed_s: When that was last done, monotonic, in seconds.
     :param questions: The questions that wait for answers, by request.
     :param split: The services that had upstreams of several versions lately.
+    :param store: Keeps what has to outlive all instances; ``None`` without one.
+    :param book: What this instance has written there.
+    :param reader: What this instance has read there.
+    :param must_record: Set when a service gets upstreams of a second version.
     """
 
     state: ForwardState
@@ -88,6 +121,10 @@
     addresses_known: asyncio.Event = field(default_factory=asyncio.Event)
     questions: dict[str, Question] = field(default_factory=dict)
     split: set[str] = field(default_factory=set)
+    store: StreamRecordStore | None = None
+    book: RecordBook = field(default_factory=RecordBook)
+    reader: RecordReader = field(default_factory=RecordReader)
+    must_record: asyncio.Event = field(default_factory=asyncio.Event)
 
 
 def record_listing(watch: StreamWatch) -> None:
@@ -102,11 +139,15 @@
     upstreams = watch.state.listing.upstreams.values()
     listed = [(each.listed.service, each.listed.software_version) for each in upstreams]
     record_versions(watch.history, listed, now_s=now_s)
-    split = {service for service in watch.history.listed if _is_split(watch, service)}
+    split = {service for service in watch.history.listed if is_split(watch, service)}
+    if split:
+        # The list may show a further version of a service.
+        watch.must_record.set()
     for service in split - watch.split:
         window_s = find_window_s(watch.state)
         begun = find_origins_of(watch.origins, service, since_s=now_s - window_s)
         _log_split(watch, service, len(begun), window_s)
+        watch.book.unsaved.update(begun)
         _send_later(watch, begun)
     watch.split = split
 
@@ -136,11 +177,16 @@
     return min(MAX_WINDOW_S, max(MIN_WINDOW_S, WINDOW_RATIO * longest_s))
 
 
-def _is_split(watch, service):
+def is_split(watch: StreamWatch, service: str) -> bool:
+    """Return whether origins of a service are shared, as it had several versions.
+
+    :param watch: The state of the watch.
+    :param service: The service.
+    """
     return has_many_versions(
         watch.history,
         service,
-        window_s=find_window_s(watch.state),
+        window_s=choose_record_span_s(find_window_s(watch.state)),
         now_s=read_boot_clock_s(),
     )
 
@@ -160,13 +206,22 @@
     )
     if not is_new or origin.service not in watch.split:
         return
-    if _is_split(watch, origin.service):
+    if is_split(watch, origin.service):
+        _save_later(watch, request_id, origin)
         _send_later(watch, (request_id,))
     else:
         # The list may not change for long after the other versions have left.
         watch.split.discard(origin.service)
 
 
+def _save_later(watch, request_id, origin):
+    """Keep an origin for the next batch; the oldest are given up for want of room."""
+    unsaved = watch.book.unsaved
+    unsaved[request_id] = origin
+    while len(unsaved) > MAX_UNSAVED:
+        del unsaved[next(iter(unsaved))]
+
+
 def _send_later(watch, request_ids):
     watch.unsent.extend(request_ids)
     if watch.unsent:
@@ -186,7 +241,9 @@
         request_ids, watch.unsent = watch.unsent, []
         by_owner = {}
         for request_id in request_ids:
-            for owner in choose_owners(request_id, list_instances(watch)):
+            instances = list_instances(watch)
+            owners = {*choose_owners(request_id, instances), *choose_keepers(instances)}
+            for owner in sorted(owners):
                 by_owner.setdefault(owner, []).append(request_id)
         by_owner.pop(watch.neighbours.own_address, None)
         for owner, owned in by_owner.items():
@@ -273,7 +330,9 @@
         origin = StreamOrigin(
             service=entry.service, software_version=entry.software_version
         )
-        remember_origin(watch.origins, entry.request_id, origin, now_s=now_s)
+        is_new = remember_origin(watch.origins, entry.request_id, origin, now_s=now_s)
+        if is_new:
+            _save_later(watch, entry.request_id, origin)
         question = watch.questions.get(entry.request_id)
         if question is not None:
             question.is_answered.set()
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -30,6 +30,7 @@
     PlatformComponents,
 )
 from jujubenotch.daemon.forward_reach import DetourWatch, record_reach
+from jujubenotch.daemon.forward_records import find_held
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
@@ -224,6 +225,7 @@
         read_listing_clock_s=read_boot_clock_s,
         read_instance_count=lambda: instance_count.value,
         report_limit=instance_count.wanted.set,
+        find_held_versions=functools.partial(find_held, watches.streams),
     )
     return Dispatcher(
         capacity=capacity,
--- a/jujubenotch/dispatch/work_request.py
+++ b/jujubenotch/dispatch/work_request.py
@@ -32,4 +32,5 @@
         between_tokens_target_s=service_class.between_tokens_target_s,
         is_idempotent=call.is_idempotent,
         software_version=origin.software_version if origin else None,
+        is_resumable=call.can_resume_elsewhere,
     )
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -27,6 +27,7 @@
 )
 from jujubenotch.forwarding.freshness import (
     Freshness,
+    find_store_time_s,
     measure_age_s,
     record_relayed_page,
     record_store_response,
@@ -112,6 +113,7 @@
     "find_usable",
     "follow_source",
     "interrupt_call",
+    "find_store_time_s",
     "measure_age_s",
     "pair_priorities",
     "rank_priorities",
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -48,6 +48,8 @@
 
 NO_UPSTREAM_RETRY_AFTER_S = 0.3
 
+FindHeldVersions = Callable[[str, list[tuple[str, int]]], frozenset[str]]
+
 
 @dataclass(kw_only=True, slots=True)
 class OutstandingGrant:
@@ -76,6 +78,9 @@
     :param read_instance_count: Returns the number of instances that share the
         upstreams.
     :param report_limit: Called when an upstream names a limit.
+    :param find_held_versions: Returns the versions of a service that may begin no
+        resumable stream, from the version and the start of each upstream that takes
+        new requests.
 
     >>> capacity = DirectCapacity(
     ...     listing=UpstreamListing(),
@@ -93,6 +98,7 @@
         draw: Callable[[], float] = random.random,
         read_instance_count: Callable[[], int] = lambda: 1,
         report_limit: Callable[[], None] = lambda: None,
+        find_held_versions: FindHeldVersions = lambda service, upstreams: frozenset(),
     ):
         self._listing = listing
         self._read_clock_s = read_clock_s
@@ -100,6 +106,7 @@
         self._draw = draw
         self._read_instance_count = read_instance_count
         self._report_limit = report_limit
+        self._find_held_versions = find_held_versions
         self._states = UpstreamStates()
         self._divisions: dict[str, Division] = {}
         self._long_prompts: dict[str, LongPrompts] = {}
@@ -128,6 +135,7 @@
             find_full_for_s=make_room_check(
                 self._brittle, request.target, listed, now_s
             ),
+            held_versions=self._choose_held_versions(request, listed),
         )
         states = availability.usable
         if availability.holds and not states:
@@ -269,6 +277,21 @@
         usable = find_usable(self._listing, request.target, listing_s)
         return [self._states.add(listed) for listed in usable]
 
+    def _choose_held_versions(self, request, states):
+        if not request.is_resumable or request.software_version is not None:
+            return frozenset()
+        if len({state.software_version for state in states}) < 2:
+            return frozenset()
+        upstreams = [
+            (state.software_version, self._find_started_ms(state.name))
+            for state in states
+            if state.statements.left_s is None
+        ]
+        return self._find_held_versions(request.target, upstreams)
+
+    def _find_started_ms(self, name):
+        return self._listing.upstreams[name].listed.started_ms
+
     def _find_short_states(self, request, listed, states, now_s):
         """Return the states of the upstreams that only short prompts use."""
         if not request.prompt_tokens or len(listed) < 2:
--- a/jujubenotch/forwarding/freshness.py
+++ b/jujubenotch/forwarding/freshness.py
@@ -99,6 +99,18 @@
         freshness.confirmed_s = confirmed_s
 
 
+def find_store_time_s(freshness: Freshness, now_s: float) -> float | None:
+    """Return an upper bound on the store's present time.
+
+    :param freshness: The configuration's freshness.
+    :param now_s: The present time by this instance's clock, in seconds.
+    :returns: The time in seconds; ``None`` before the first answer.
+    """
+    if freshness.offset_s is None:
+        return None
+    return now_s - _find_offset_s(freshness, now_s)
+
+
 def measure_age_s(freshness: Freshness, now_s: float) -> float:
     """Return the time since the configuration was last known to be up to date.
 
--- a/jujubenotch/forwarding/held.py
+++ b/jujubenotch/forwarding/held.py
@@ -26,6 +26,7 @@
     HoldReason.LIMIT: RefusalReason.UPSTREAM_LIMIT,
     HoldReason.WAIT: RefusalReason.UPSTREAM_WAIT,
     HoldReason.FULL: RefusalReason.UPSTREAM_FULL,
+    HoldReason.UNRECORDED_VERSION: RefusalReason.NO_UPSTREAM,
 }
 
 
@@ -49,6 +50,7 @@
     now_s: float,
     software_version: str | None = None,
     find_full_for_s: Callable[[UpstreamState], float] = lambda state: 0.0,
+    held_versions: frozenset[str] = frozenset(),
 ) -> Availability:
     """Part the upstreams of a service by whether they may get a request now.
 
@@ -62,12 +64,18 @@
         any may.
     :param find_full_for_s: Returns for how long an upstream has to be spared for want
         of room, in seconds; 0 when it need not be.
+    :param held_versions: The versions that may not get the request for want of a
+        record.
     """
     usable, returning, holds = [], [], []
     for state in states:
         _update_opening(state.statements.limit, instances, draw, now_s)
         hold = find_hold(
-            state, software_version, now_s, full_for_s=find_full_for_s(state)
+            state,
+            software_version,
+            now_s,
+            full_for_s=find_full_for_s(state),
+            held_versions=held_versions,
         )
         if hold is not None:
             holds.append(hold)
--- a/jujubenotch/forwarding/permission.py
+++ b/jujubenotch/forwarding/permission.py
@@ -15,6 +15,11 @@
     LIMIT = "limit"
     WAIT = "wait"
     FULL = "full"
+    UNRECORDED_VERSION = "unrecorded-version"
+
+
+# A record of a version is written within about this time.
+RECORD_WAIT_S = 0.3
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -34,6 +39,7 @@
     now_s: float,
     *,
     full_for_s: float = 0.0,
+    held_versions: frozenset[str] = frozenset(),
 ) -> Hold | None:
     """Return why an upstream may not get a request now.
 
@@ -45,6 +51,8 @@
     :param now_s: The present time on a clock that includes suspended time, in seconds.
     :param full_for_s: For how long the upstream has to be spared for want of room, in
         seconds; 0 when it need not be.
+    :param held_versions: The versions that may not get the request for want of a
+        record.
     :returns: The hold; ``None`` when the upstream may get a request.
     """
     statements = state.statements
@@ -52,6 +60,8 @@
         return Hold(reason=HoldReason.OTHER_VERSION, until_s=math.inf)
     if statements.left_s is not None:
         return Hold(reason=HoldReason.LEAVING, until_s=math.inf)
+    if state.software_version in held_versions:
+        return Hold(reason=HoldReason.UNRECORDED_VERSION, until_s=now_s + RECORD_WAIT_S)
     wait, limit = statements.wait, statements.limit
     if wait is not None and now_s < wait.until_s:
         return Hold(reason=HoldReason.WAIT, until_s=wait.until_s)
--- a/jujubenotch/forwarding/source.py
+++ b/jujubenotch/forwarding/source.py
@@ -37,6 +37,7 @@
     :param store_time_s: The store's clock when it answered, in seconds.
     :param era: Counts how often the store was restored from a copy. Revisions of
         different eras can't be compared.
+    :param has_more: Whether the answer leaves out the last items or changes.
     """
 
     items: tuple[Item[Value], ...]
@@ -44,6 +45,7 @@
     store_time_s: float
     changed_revision: int = 0
     era: int = 0
+    has_more: bool = False
 
 
 class Source(Protocol[Value]):
--- a/jujubenotch/platform/errors.py
+++ b/jujubenotch/platform/errors.py
@@ -6,3 +6,7 @@
 
     The message names the file, and the field if one is invalid.
     """
+
+
+class DecodeError(Exception):
+    """What the store returned is not what this system writes there."""
--- a/jujubenotch/platform/parts.py
+++ b/jujubenotch/platform/parts.py
@@ -10,6 +10,7 @@
     make_upstream_source,
     open_store,
 )
+from jujubenotch.platform.stream_records import StoreStreamRecords
 from jujubenotch.settings.forwarder import ForwarderSettings
 
 
@@ -27,6 +28,7 @@
         crash_reports=StoreCrashReports(client=client),
         registry=StoreRegistry(client=client),
         directory=StoreDirectory(client=client),
+        stream_records=StoreStreamRecords(client=client),
         protocol=PLATFORM_PROTOCOL,
         decode_request=decode_request,
         set_store_address=client.move,
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -138,7 +138,7 @@
             "wait-ms": str(int(wait_s * MS_PER_S)),
         }
         page = await self._call("/v1/rows-feed", parameters, note_progress)
-        return self._make_page(page, page.rows)
+        return self._make_page(page, page.rows, has_more=page.has_more)
 
     async def _call(self, path, parameters, note_progress):
         parameters = {"table": self.table, **parameters}
@@ -173,13 +173,14 @@
             ) from error
         return document
 
-    def _make_page(self, document, rows):
+    def _make_page(self, document, rows, has_more=False):
         return Page(
             items=tuple(self._make_item(row) for row in rows if self.accepts(row.key)),
             revision=document.revision,
             store_time_s=document.now_ms / MS_PER_S,
             changed_revision=max((row.revision for row in rows), default=0),
             era=document.era,
+            has_more=has_more,
         )
 
     def _make_item(self, row):
--- a/jujubenotch/streams/__init__.py
+++ b/jujubenotch/streams/__init__.py
@@ -6,8 +6,9 @@
 
 from jujubenotch.streams.history import (
     VersionHistory,
-    find_sole_version,
+    find_recent_versions,
     has_many_versions,
+    has_seen_window,
     record_versions,
 )
 from jujubenotch.streams.origins import (
@@ -17,17 +18,57 @@
     find_origins_of,
     remember_origin,
 )
-from jujubenotch.streams.owners import choose_owners
+from jujubenotch.streams.owners import choose_keepers, choose_owners
+from jujubenotch.streams.records import (
+    BATCH_SPAN_S,
+    BatchName,
+    RecordBook,
+    StreamObjects,
+    StreamRecordStore,
+    VersionBasis,
+    VersionEvidence,
+    VersionRecord,
+    add_recorded_versions,
+    choose_batches,
+    choose_interval_s,
+    choose_record_span_s,
+    confirm_batch,
+    find_due_records,
+    find_held_versions,
+    find_removable,
+    judge_version,
+    take_batch,
+)
 
 __all__ = [
+    "BATCH_SPAN_S",
+    "BatchName",
     "OriginTable",
+    "RecordBook",
+    "StreamObjects",
     "StreamOrigin",
+    "StreamRecordStore",
+    "VersionBasis",
+    "VersionEvidence",
     "VersionHistory",
+    "VersionRecord",
+    "add_recorded_versions",
+    "choose_batches",
+    "choose_interval_s",
+    "choose_keepers",
     "choose_owners",
+    "choose_record_span_s",
+    "confirm_batch",
+    "find_due_records",
+    "find_held_versions",
     "find_origin",
     "find_origins_of",
-    "find_sole_version",
+    "find_recent_versions",
+    "find_removable",
     "has_many_versions",
+    "has_seen_window",
+    "judge_version",
     "record_versions",
     "remember_origin",
+    "take_batch",
 ]
--- a/jujubenotch/streams/history.py
+++ b/jujubenotch/streams/history.py
@@ -58,42 +58,34 @@
     :param window_s: The time before the present, in seconds.
     :param now_s: The present time, in seconds.
     """
-    return len(_find_recent(history, service, window_s, now_s)) > 1
+    recent = find_recent_versions(history, service, window_s=window_s, now_s=now_s)
+    return len(recent) > 1
 
 
-def find_sole_version(
-    history: VersionHistory,
-    service: str,
-    *,
-    window_s: float,
-    now_s: float,
-    newest_start_age_s: float,
-) -> str | None:
-    """Find the version of all upstreams that a service has had within a time.
-
-    An instance that has just started has seen too little. If no upstream has started
-    lately, none has been replaced lately either.
+def has_seen_window(history: VersionHistory, *, window_s: float, now_s: float) -> bool:
+    """Return whether an instance has seen the list for a whole time.
 
     :param history: The history.
-    :param service: The service.
     :param window_s: The time before the present, in seconds.
     :param now_s: The present time, in seconds.
-    :param newest_start_age_s: How long ago the youngest listed upstream of the service
-        started, in seconds.
-    :returns: The version; ``None`` when there may have been several.
     """
-    recent = _find_recent(history, service, window_s, now_s)
-    if len(recent) != 1 or history.began_s is None:
-        return None
-    has_seen_all = now_s - history.began_s >= window_s
-    if not has_seen_all and newest_start_age_s < window_s:
-        return None
-    return next(iter(recent))
+    return history.began_s is not None and now_s - history.began_s >= window_s
 
 
-def _find_recent(history, service, window_s, now_s):
-    recent = set(history.listed.get(service, ()))
+def find_recent_versions(
+    history: VersionHistory, service: str, *, window_s: float, now_s: float
+) -> dict[str, float]:
+    """Find the versions that a service had within a time.
+
+    :param history: The history.
+    :param service: The service.
+    :param window_s: The time before the present, in seconds.
+    :param now_s: The present time, in seconds.
+    :returns: For how long each version has left the list, in seconds; 0 while it is
+        listed.
+    """
+    recent = dict.fromkeys(history.listed.get(service, ()), 0.0)
     for (left_service, version), left_s in history.left_s.items():
         if left_service == service and now_s - left_s < window_s:
-            recent.add(version)
+            recent.setdefault(version, now_s - left_s)
     return recent
--- a/jujubenotch/streams/owners.py
+++ b/jujubenotch/streams/owners.py
@@ -7,6 +7,10 @@
 # The instance where the stream began knows it as well. All of them, and the message
 # to each, would have to be lost for a caller to be refused.
 OWNERS = 3
+# Instances that write origins and records to the store. Both write everything, so that
+# the loss of one loses nothing.
+KEEPERS = 2
+KEEPER_KEY = "stream-keepers"
 
 
 def choose_owners(request_id: str, addresses: Iterable[str]) -> list[str]:
@@ -18,3 +22,11 @@
     :param addresses: The addresses of all instances.
     """
     return choose_by_rendezvous(request_id, addresses, OWNERS)
+
+
+def choose_keepers(addresses: Iterable[str]) -> list[str]:
+    """Choose the instances that write what has to outlive all instances.
+
+    :param addresses: The addresses of all instances.
+    """
+    return choose_by_rendezvous(KEEPER_KEY, addresses, KEEPERS)
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -46,6 +46,8 @@
     :param prompt_tokens: Length of the prompt, in tokens; 0 when unknown.
     :param software_version: The only version of upstreams that may get the request,
         which continues a stream; ``None`` when any may.
+    :param is_resumable: Whether the request may begin a stream that other instances
+        can continue.
     """
 
     request_id: str
@@ -66,6 +68,7 @@
     is_idempotent: bool = True
     prompt_tokens: int = 0
     software_version: str | None = None
+    is_resumable: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
--- a/standins/store.py
+++ b/standins/store.py
@@ -17,6 +17,7 @@
 MS_PER_S = 1000
 OK = 200
 MAX_NAMES = 1000
+NOT_FOUND = 404
 SERVICE_UNAVAILABLE = 503
 GONE = 410
 ERA_HEADER = "Store-Era"
@@ -172,6 +173,12 @@
     async def serve_object(request):
         return await _handle_request(state, request, _put_object)
 
+    async def serve_content(request):
+        return await _handle_request(state, request, _get_object)
+
+    async def serve_removal(request):
+        return await _handle_request(state, request, _drop_object)
+
     async def serve_names(request):
         return await _handle_request(state, request, _list_names)
 
@@ -183,6 +190,8 @@
     app.router.add_get("/v1/rows-feed", serve_feed)
     app.router.add_post("/v1/rows-tx", serve_transaction)
     app.router.add_put("/v1/blob-put/{name}", serve_object)
+    app.router.add_get("/v1/blob-get/{name}", serve_content)
+    app.router.add_delete("/v1/blob-drop/{name}", serve_removal)
     app.router.add_get("/v1/blob-list", serve_names)
     return app
 
@@ -239,6 +248,19 @@
     return web.Response(status=OK)
 
 
+async def _get_object(state, request):
+    content = state.objects.get(request.match_info["name"])
+    if content is None:
+        return web.Response(status=NOT_FOUND)
+    return web.Response(body=content)
+
+
+async def _drop_object(state, request):
+    if state.objects.pop(request.match_info["name"], None) is None:
+        return web.Response(status=NOT_FOUND)
+    return web.Response(status=OK)
+
+
 async def _list_names(state, request):
     query = request.query
     names = sorted(
