--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -16,6 +16,7 @@
 )
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
+from jujubenotch.daemon.forward_records import keep_records
 from jujubenotch.daemon.forward_registration import run_relay
 from jujubenotch.daemon.forward_relay import (
     FollowedSource,
@@ -82,6 +83,7 @@
     stream_watch = instance.stream_watch
     stream_watch.neighbours = relay.neighbours
     stream_watch.send = functools.partial(send_message, relay)
+    stream_watch.store = components.stream_records
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
@@ -104,6 +106,7 @@
         send_origins(stream_watch),
         *lease_tasks,
         *_make_scaling_tasks(instance),
+        keep_records(stream_watch),
     )
 
 
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -27,6 +27,7 @@
 from jujubenotch.listeners import Listener
 from jujubenotch.neighbours import ListedInstance, Registry
 from jujubenotch.settings import Address, ForwarderSettings
+from jujubenotch.streams import StreamRecordStore
 from jujubenotch.upstreams import UpstreamConnections
 
 # Assumed until the instances have been counted; more than a small site has.
@@ -72,6 +73,7 @@
     :param leases: Where the lease on calls to the platform's API is kept; ``None``
         when nothing calls it.
     :param cloud: The platform's API; ``None`` when nothing calls it.
+    :param stream_records: Keeps the versions of services and the origins of streams.
     :param protocol: The protocol of the upstreams.
     :param decode_request: Decodes the method, target and headers of a caller's
         request.
@@ -85,6 +87,7 @@
     crash_reports: CrashReportStore
     registry: Registry
     directory: Directory
+    stream_records: StreamRecordStore
     protocol: UpstreamProtocol
     decode_request: Callable[[str, str, list[tuple[str, str]]], ArrivedRequest]
     set_store_address: Callable[[Address], None]
--- a/jujubenotch/work/core.py
+++ b/jujubenotch/work/core.py
@@ -48,6 +48,8 @@
         with the same prefix; 0 when unknown.
     :param software_version: The only version of upstreams that may get the request,
         which continues a stream; ``None`` when any may.
+    :param is_resumable: Whether the request may begin a stream that other instances
+        can continue.
     """
 
     request_id: str
@@ -69,6 +71,7 @@
     prompt_tokens: int = 0
     prefix_tokens: int = 0
     software_version: str | None = None
+    is_resumable: bool = False
 
 
 @dataclass(frozen=True, kw_only=True)
