Explain where a request would go, without sending it

Cause: operators asked for a command that tells where a given request would go now, and why; until now only requests that had been sent were explained.

Change: jujubenotch preview asks an instance on the users' platform, which decides on a copy of the state that decisions change (forwarding/preview.py), and answers on the listener for metrics.

--- a/jujubenotch/cli/program.py
+++ b/jujubenotch/cli/program.py
@@ -9,6 +9,7 @@
   jujubenotch upstreams [options]
   jujubenotch instances [options]
   jujubenotch explain [options] REQUEST-ID
+  jujubenotch preview [--header=HEADER]... [options] METHOD URL
   jujubenotch drain [--undo] [options] UPSTREAM
   jujubenotch (-h | --help)
   jujubenotch --version
@@ -23,6 +24,9 @@
   upstreams  Print the upstreams as the instance sees them.
   instances  Print the instances as the instance sees them.
   explain    Print why a request was queued, routed, retried or refused.
+  preview    Print where a request would go now, and why, without sending it. Works
+             with instances on the users' platform; --address is that of their
+             metrics, http://host:9464.
   drain      Send an upstream no new work.
 
 Options:
@@ -43,6 +47,8 @@
                       it a new one is drawn.
   --partial           The files are a part of the records, so that they may
                       name records of other files.
+  --header=HEADER     A header of the request, as NAME:VALUE, for instance
+                      X-Token-Count:1460,80; may be repeated.
   --undo              Send the upstream work again.
   -h --help           Show this text.
   --version           Show the version.
@@ -67,8 +73,10 @@
 import ssl
 import sys
 import uuid
+from dataclasses import replace
 from importlib import metadata
 from pathlib import Path
+from urllib.parse import urlsplit
 
 from docopt import DocoptExit, docopt
 from pydantic import ValidationError
@@ -76,7 +84,7 @@
 from jujubenotch.cli import commands, queries
 from jujubenotch.cli.client import OperatorClient
 from jujubenotch.cli.errors import CliError, ExitCode, UsageError
-from jujubenotch.operators import ApplyRequest, FileDocument
+from jujubenotch.operators import ApplyRequest, FileDocument, PreviewRequest
 
 KEY_VARIABLE = "JUJUBENOTCH_KEY"
 
@@ -129,6 +137,13 @@
         return queries.show_upstreams(client, is_json=is_json)
     if options["instances"]:
         return queries.show_instances(client, is_json=is_json)
+    if options["preview"]:
+        return queries.preview_request(
+            # The listener for metrics asks for no key.
+            replace(client, key=""),
+            _make_preview_request(options),
+            is_json=is_json,
+        )
     if options["explain"]:
         return queries.explain_request(client, options["REQUEST-ID"], is_json=is_json)
     return commands.drain_upstream(
@@ -139,6 +154,24 @@
     )
 
 
+def _make_preview_request(options):
+    parts = urlsplit(options["URL"])
+    headers = {"Host": parts.netloc}
+    for header in options["--header"]:
+        name, separator, value = header.partition(":")
+        if not separator or not name.strip():
+            raise UsageError(f"--header={header}: give NAME:VALUE")
+        headers[name.strip()] = value.strip()
+    target = parts.path or "/"
+    if parts.query:
+        target += f"?{parts.query}"
+    try:
+        return PreviewRequest(method=options["METHOD"], target=target, headers=headers)
+    except ValidationError as error:
+        first_error = error.errors(include_url=False)[0]
+        raise UsageError(f"{first_error['loc'][0]}: {first_error['msg']}") from error
+
+
 def _make_client(options):
     return OperatorClient(
         address=options["--address"],
--- a/jujubenotch/cli/queries.py
+++ b/jujubenotch/cli/queries.py
@@ -9,6 +9,8 @@
     ApplyRequest,
     ApplyResponse,
     InstancesDocument,
+    PreviewRequest,
+    PreviewResponse,
     RecordsDocument,
     StatusDocument,
     TraceDocument,
@@ -151,6 +153,23 @@
     return ExitCode.DONE
 
 
+async def preview_request(
+    client: OperatorClient, request: PreviewRequest, *, is_json: bool
+) -> ExitCode:
+    """Print where a request would go now, and why; it is not sent.
+
+    :param client: The instance to query, by the address of its metrics.
+    :param request: The request.
+    :param is_json: Whether to print JSON.
+    :returns: ``DONE`` when it would be sent, ``REFUSED`` when it would be refused.
+    """
+    response = await send_request(
+        client, "POST", "/v1/preview", PreviewResponse, body=request
+    )
+    _print_response(response, render.print_preview, is_json=is_json)
+    return ExitCode.DONE if response.upstream else ExitCode.REFUSED
+
+
 def _print_response(response, print_text, *, is_json):
     if is_json:
         render.print_json(response)
--- a/jujubenotch/cli/render.py
+++ b/jujubenotch/cli/render.py
@@ -11,6 +11,7 @@
     ApplyResponse,
     DifferenceDocument,
     DrainResponse,
+    PreviewResponse,
     RecordsDocument,
     TraceDocument,
 )
@@ -123,6 +124,16 @@
         print(f"{event.after_s:10.3f} s  {event.event} {fields}".rstrip())
 
 
+def print_preview(response: PreviewResponse) -> None:
+    """Print where a request would go, and the upstreams it could go to.
+
+    :param response: The response document.
+    """
+    print_fields(response.model_copy(update={"candidates": len(response.candidates)}))
+    print()
+    print_table(response.candidates)
+
+
 def print_drain(response: DrainResponse) -> None:
     """Print the state of a drain.
 
--- a/jujubenotch/daemon/forward_listeners.py
+++ b/jujubenotch/daemon/forward_listeners.py
@@ -11,6 +11,7 @@
     build_forward_app,
 )
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
+from jujubenotch.daemon.forward_preview import PREVIEW_PATH, answer_preview
 from jujubenotch.daemon.forward_state import attach_callers_app, is_ready
 from jujubenotch.daemon.forward_streams import is_listed
 from jujubenotch.detour import MAX_DOCUMENT_BYTES
@@ -64,6 +65,8 @@
         if address is None:
             continue
         app = _build_status_app(name, instance, make_response)
+        if name == "metrics":
+            _add_preview(app, instance, components.decode_request)
         bound_socket = bind_socket(address.host, address.port)
         instance.listeners.append(await start_listener(app, bound_socket))
 
@@ -107,6 +110,15 @@
     return app
 
 
+def _add_preview(app, instance, decode_request):
+    """Answer previews beside the metrics, where operators reach the instance."""
+
+    async def preview(request):
+        return await answer_preview(instance, decode_request, request)
+
+    app.add_route(preview, PREVIEW_PATH, methods=["POST"], name="preview")
+
+
 def _make_readiness_response(instance):
     accepts_callers = not instance.is_stopping() and is_ready(
         instance.state, instance.read_configuration_view()
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -37,8 +37,10 @@
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry, watch_exchange
+from jujubenotch.dispatch.work_request import make_work_request
 
 __all__ = [
+    "make_work_request",
     "STATUS_BY_REFUSAL",
     "Answer",
     "AnswerKind",
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -68,6 +68,7 @@
     UpstreamState,
     choose_upstream,
 )
+from jujubenotch.forwarding.preview import Candidate, Preview, preview_choice
 from jujubenotch.forwarding.priority import pair_priorities, rank_priorities
 from jujubenotch.forwarding.shared_paces import (
     PaceExchange,
@@ -86,6 +87,7 @@
     "take_totals",
     "ArrivedRequest",
     "CallerBounds",
+    "Candidate",
     "ConfigurationView",
     "DirectCapacity",
     "Division",
@@ -99,6 +101,7 @@
     "KnownUpstream",
     "ListedUpstream",
     "Page",
+    "Preview",
     "PromptPart",
     "RouteKind",
     "Service",
@@ -130,6 +133,7 @@
     "find_store_time_s",
     "measure_age_s",
     "pair_priorities",
+    "preview_choice",
     "rank_priorities",
     "read_boot_clock_s",
     "record_group_load",
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -1,5 +1,6 @@
 """Assigns upstreams to requests, using only the state of this instance."""
 
+import copy
 import itertools
 import random
 from collections.abc import Callable, Iterable
@@ -203,6 +204,32 @@
                 return refusal
         return self._create_grant(request, choice, observation, now_s)
 
+    def copy_state(self) -> "DirectCapacity":
+        """Return a copy on which a decision changes nothing of this capacity.
+
+        Grants of the copy must not be released, and reports not recorded there.
+        """
+        trial = copy.copy(self)
+        (
+            trial.states,
+            trial.learned,
+            trial._divisions,
+            trial._long_prompts,
+            trial._brittle,
+        ) = copy.deepcopy(
+            (
+                self.states,
+                self.learned,
+                self._divisions,
+                self._long_prompts,
+                self._brittle,
+            )
+        )
+        trial._outstanding = {}
+        trial._grant_numbers = itertools.count(1)
+        trial._report_limit = lambda: None
+        return trial
+
     def _choose(self, candidates, request, prefix_key, states, now_s):
         service = find_learned(self.learned, request.target, now_s)
         if service is not None:
--- a/jujubenotch/operators/documents.py
+++ b/jujubenotch/operators/documents.py
@@ -273,3 +273,56 @@
     is_lasting: bool = True
     revision: int = 0
     detail: str = ""
+
+
+class PreviewRequest(RequestDocument):
+    """A request whose way is to be explained; it is not sent.
+
+    :param method: The HTTP method.
+    :param target: The path with the query string.
+    :param headers: The headers that the request would have, ``Host`` among them.
+    """
+
+    method: Annotated[str, Field(min_length=1, max_length=20)]
+    target: Annotated[str, Field(pattern=r"^/", max_length=8000)]
+    headers: dict[str, str] = {}
+
+
+class PreviewCandidate(ResponseDocument):
+    """One upstream of the request's service.
+
+    :param excluded_by: What excludes it; empty when it could get the request.
+    :param held_s: For how long it is held, in seconds; ``None`` when no end is known.
+    """
+
+    name: str
+    data_centre: str
+    software_version: str
+    slots: int
+    load: float
+    report_age_s: float | None
+    excluded_by: str
+    held_s: float | None
+
+
+class PreviewResponse(ResponseDocument):
+    """Where a request would go now, and why.
+
+    :param upstream: The upstream that would get it; empty when it would be refused.
+    :param reason: Why it would be refused; empty when it would be sent.
+    :param basis: The figures that the choice is based on.
+    :param configuration_age_s: Time since the configuration was confirmed.
+    """
+
+    upstream: str = ""
+    reason: str = ""
+    detail: str = ""
+    retry_after_s: float = 0.0
+    route: str = ""
+    service: str = ""
+    team: str = ""
+    tier: int | None = None
+    basis: dict[str, float] = {}
+    configuration_version: int
+    configuration_age_s: float
+    candidates: tuple[PreviewCandidate, ...] = ()
