Read the lease's row when an instance becomes the reader

The new reader judged its list by a revision that the last reader had written just before it died, and read the lease's row only when its task next looked. Change: taking the role asks for a read, and a list is judged 0.3 s later while that read is due.

--- a/jujubenotch/daemon/forward_cloud.py
+++ b/jujubenotch/daemon/forward_cloud.py
@@ -9,6 +9,7 @@
     end_tenure,
     find_call_timeout_s,
     find_token,
+    is_lease_read_due,
     list_known_revisions,
     make_lease_watch,
     request_lease_read,
@@ -57,6 +58,7 @@
     watch.note_revisions = functools.partial(_add_revisions, instance.state)
     watch.api = GuardedApi(watch=watch, api=components.cloud)
     relay.request_lease_read = functools.partial(request_lease_read, watch)
+    relay.is_lease_read_due = functools.partial(is_lease_read_due, watch)
     relay.list_lease_revisions = functools.partial(
         _list_revisions, instance.state, watch
     )
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -53,6 +53,8 @@
 # When one source has reported a revision, the other source delivers the changes up
 # to that revision within this time.
 CHANGE_DELIVERY_S = 0.6
+# A read of the lease's row takes some tens of milliseconds.
+LEASE_READ_S = 0.3
 STALLED_EVENTS = {
     "upstreams": "upstream-list-stalled",
     "crash-reports": "crash-reports-stalled",
@@ -112,7 +114,9 @@
                 progress.retry_requested.set()
             if _is_behind(state, progress):
                 relay.request_lease_read()
-                loop.call_later(CHANGE_DELIVERY_S, _end_stalled_call, state, progress)
+                loop.call_later(
+                    CHANGE_DELIVERY_S, _judge_stalled_call, relay, state, progress
+                )
 
     return add_followed_source(
         relay,
@@ -207,6 +211,15 @@
     return is_source_behind(state.revisions, progress, state.configuration_progress)
 
 
+def _judge_stalled_call(relay, state, progress):
+    """End a call that seems stalled, once the lease's row could account for it."""
+    if relay.is_lease_read_due():
+        loop = asyncio.get_running_loop()
+        loop.call_later(LEASE_READ_S, _end_stalled_call, state, progress)
+        return
+    _end_stalled_call(state, progress)
+
+
 def _end_stalled_call(state, progress):
     if _is_behind(state, progress) and progress.call_timeout is not None:
         log_event(
--- a/jujubenotch/daemon/forward_leases.py
+++ b/jujubenotch/daemon/forward_leases.py
@@ -241,6 +241,17 @@
         watch.wake.set()
 
 
+def is_lease_read_due(watch: LeaseWatch) -> bool:
+    """Return whether this instance is about to read the lease's row.
+
+    :param watch: The state of the lease.
+    """
+    state = watch.state
+    if state.tenure is not None or not watch.is_candidate():
+        return False
+    return state.seen is None or state.is_read_wanted
+
+
 def list_known_revisions(watch: LeaseWatch) -> tuple[int, ...]:
     """Return the revisions of the latest writes of the table, the newest last.
 
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -66,6 +66,7 @@
         ``None`` before.
     :param request_lease_read: Called when a revision of the store may be a write of
         the lease.
+    :param is_lease_read_due: Tells whether such a write may not have been read yet.
     :param list_lease_revisions: Returns the revisions of the lease's latest writes.
     """
 
@@ -77,6 +78,7 @@
     endpoint: NeighbourEndpoint | None = None
     registered_era: int | None = None
     request_lease_read: Callable[[], None] = lambda: None
+    is_lease_read_due: Callable[[], bool] = lambda: False
     list_lease_revisions: Callable[[], tuple[int, ...]] = tuple
 
     @property
@@ -173,6 +175,8 @@
 
 def _take_role(relay, age_s):
     relay.role.is_reader = True
+    # The last reader may have died before it told of the latest writes.
+    relay.request_lease_read()
     log_event(logger, logging.INFO, "reader-role-taken", age_s=round(age_s, 3))
     for followed in relay.followed.values():
         followed.recheck.set()
