--- a/jujubenotch/daemon/forward_usage_reports.py
+++ b/jujubenotch/daemon/forward_usage_reports.py
@@ -41,7 +41,7 @@
 # With fewer processes a single wrong clock could decide which windows are over, so a
 # new holder waits for others, but not longer than they need to find it.
 MIN_PROCESSES = 3
-MAX_PROCESSES_WAIT_S = 2.5
+MAX_PROCESSES_WAIT_S = 1.5
 
 
 @dataclass(kw_only=True)
