--- a/features/neighbours/steps/codec_steps.py
+++ b/features/neighbours/steps/codec_steps.py
@@ -15,9 +15,11 @@
     join_datagram,
     split_message,
 )
+from jujubenotch.usage import ProcessReport, ServiceTotals
 
 SENDER = "10.0.0.1:7000"
 NUMBERS = st.integers(min_value=0, max_value=2**40)
+SECONDS = st.integers(0, 2**31).map(float)
 ITEMS = st.builds(
     MessageItem,
     key=st.text(max_size=20),
@@ -25,6 +27,20 @@
     is_removed=st.booleans(),
     revision=NUMBERS,
 )
+COUNTS = st.dictionaries(st.text(min_size=1, max_size=9), st.integers(1, 2**40))
+TOTALS = st.builds(
+    ServiceTotals, arrived=st.integers(1, 2**40), refused=NUMBERS, slot_s=SECONDS
+)
+REPORTS = st.builds(
+    ProcessReport,
+    process=st.text(max_size=20),
+    data_centre=st.text(max_size=20),
+    true_time_s=SECONDS,
+    up_s=SECONDS,
+    age_s=SECONDS,
+    windows=st.dictionaries(NUMBERS, COUNTS, max_size=3),
+    services=st.dictionaries(st.text(max_size=9), TOTALS, max_size=3),
+)
 MESSAGES = st.builds(
     Message,
     kind=st.sampled_from(MessageKind),
@@ -37,6 +53,7 @@
     follows_outage=st.booleans(),
     is_complete=st.booleans(),
     items=st.lists(ITEMS, max_size=6).map(tuple),
+    reports=st.lists(REPORTS, max_size=3).map(tuple),
     lease_revisions=st.lists(NUMBERS, max_size=4).map(tuple),
 )
 
