--- a/features/usage/reports.feature
+++ b/features/usage/reports.feature
@@ -27,6 +27,18 @@
     Then the other program reports that window with the same counts
     And no window was reported with different counts
 
+  # Guards against windows that are decided again, and against reports that end for good.
+  Scenario Outline: Reports go on after a fault, and none differs from an earlier one
+    Given a site of 2 programs that read for themselves, which report usage
+    When <fault> while callers send requests
+    Then further windows are reported
+    And no window was reported with different counts
+
+    Examples:
+      | fault                               |
+      | the holder is suspended for 4 s     |
+      | the store is restored from 3 s ago  |
+
   # Guards against messages of sites that don't report usage.
   Scenario: Without the API's address nothing is gathered
     Given a site of 2 programs that share a reader and report nothing
--- a/features/usage/steps/reports_steps.py
+++ b/features/usage/steps/reports_steps.py
@@ -1,4 +1,5 @@
 import http.client
+import signal
 import threading
 import time
 from types import SimpleNamespace
@@ -11,7 +12,9 @@
     START_TIMEOUT_S,
     open_lease_site,
     read_events,
+    restore_copy,
     start_instance,
+    take_copy,
     wait_for,
 )
 from features.platform.site import answer_correctly, send
@@ -193,10 +196,52 @@
     time.sleep(4)
 
 
-def send_for(context, length_s):
+@when("the holder is suspended for {length:g} s while callers send requests")
+def suspend_holder(context, length):
+    def suspend():
+        holder = find_holder(context).process
+        holder.send_signal(signal.SIGSTOP)
+        time.sleep(length)
+        holder.send_signal(signal.SIGCONT)
+
+    cause_fault(context, suspend)
+
+
+@when("the store is restored from {age:g} s ago while callers send requests")
+def restore_store(context, age):
+    def restore():
+        take_copy(context.lease_site)
+        time.sleep(age)
+        restore_copy(context.lease_site)
+
+    cause_fault(context, restore)
+
+
+def cause_fault(context, cause):
+    wait_for(lambda: len(find_reports(context)) >= 1, 15, "no window was reported")
+    instances = find_instances(context)
+    holder = find_holder(context)
+    others = [each for each in instances if each is not holder]
+    sender = threading.Thread(target=send_for, args=(context, 9.0, others))
+    sender.start()
+    cause()
+    context.last_window = max(find_reports(context))
+    sender.join()
+
+
+@then("further windows are reported")
+def check_further(context):
+    wait_for(
+        lambda: max(find_reports(context)) > context.last_window + 1,
+        15,
+        "no further window was reported",
+    )
+
+
+def send_for(context, length_s, instances=None):
     end_s = time.monotonic() + length_s
     while time.monotonic() < end_s:
-        for instance in find_instances(context):
+        for instance in instances or find_instances(context):
             call(instance, "/read/x")
         time.sleep(0.05)
 
