--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -43,7 +43,6 @@
     count_present,
     decode_orders,
     encode_orders,
-    find_slots,
     make_pacing,
     pause_calls,
     plan_service,
@@ -216,7 +215,8 @@
     if described is None or not watch.is_loaded:
         return 0.0, 0.0
     boot_s = described.scaling.boot_s
-    present = count_present(watch.state.listing, service, now_s)
+    listed = count_present(watch.state.listing, now_s)
+    present = listed.by_service.get(service, {})
     coming, first_s = 0, float("inf")
     for key, order in watch.orders.orders.items():
         missing = order.count - present.get(key, Presence()).ready
@@ -228,7 +228,7 @@
             first_s = min(first_s, max(0.0, boot_s - elapsed_s))
     if not coming:
         return 0.0, 0.0
-    return coming * _find_slots(watch, described), first_s
+    return coming * _find_slots(listed, described), first_s
 
 
 def _find_hold(watch, now_s):
@@ -324,13 +324,14 @@
 
 def _plan(watch, now_s) -> list[OrderChange]:
     figures = watch.read_demand(now_s)
+    listed = count_present(watch.state.listing, now_s)
     changes = []
     for name, service in sorted(_find_services(watch).items()):
         if not _record_demand(watch, name, figures, now_s):
             _set_doubt(watch, name, STALE_DEMAND)
             continue
-        present = count_present(watch.state.listing, name, now_s)
-        slots = _find_slots(watch, service)
+        present = listed.by_service.get(name, {})
+        slots = _find_slots(listed, service)
         changes.extend(plan_service(watch.orders, service, present, slots, now_s))
         _set_doubt(watch, name, watch.orders.plans[name].doubt)
         for key, order in watch.orders.orders.items():
@@ -364,9 +365,9 @@
     return not watch.orders.is_restored and not history.samples
 
 
-def _find_slots(watch, service):
+def _find_slots(listed, service):
     default = service.engine.slots if service.engine else 1
-    return find_slots(watch.state.listing, service.name, default)
+    return listed.slots.get(service.name) or max(1, default)
 
 
 async def _take_fresh_token(watch):
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -42,6 +42,7 @@
     apply_items,
     drop_expired,
     find_usable,
+    is_usable,
 )
 from jujubenotch.forwarding.match import (
     SiteIndex,
@@ -114,6 +115,7 @@
     "find_usable",
     "follow_source",
     "interrupt_call",
+    "is_usable",
     "measure_age_s",
     "pair_priorities",
     "rank_priorities",
--- a/jujubenotch/forwarding/listing.py
+++ b/jujubenotch/forwarding/listing.py
@@ -123,7 +123,16 @@
 
 
 def _is_usable(known, service, now_s):
-    if known.listed.service != service or known.listed.is_leaving:
+    return known.listed.service == service and is_usable(known, now_s)
+
+
+def is_usable(known: KnownUpstream, now_s: float) -> bool:
+    """Return whether an upstream may get new requests.
+
+    :param known: The upstream.
+    :param now_s: The present time, in seconds.
+    """
+    if known.listed.is_leaving:
         return False
     if now_s < known.usable_from_s:
         return False
--- a/jujubenotch/scaling/__init__.py
+++ b/jujubenotch/scaling/__init__.py
@@ -31,7 +31,7 @@
     record_success,
 )
 from jujubenotch.scaling.plan import plan_service
-from jujubenotch.scaling.present import count_present, find_slots
+from jujubenotch.scaling.present import count_present
 
 __all__ = [
     "LISTING_DELAY_S",
@@ -55,7 +55,6 @@
     "decode_orders",
     "encode_orders",
     "find_doubt",
-    "find_slots",
     "find_standard_floor",
     "make_pacing",
     "pause_calls",
--- a/jujubenotch/scaling/demand.py
+++ b/jujubenotch/scaling/demand.py
@@ -147,11 +147,10 @@
     recent = [each for each in samples if now_s - each.at_s <= DROP_WINDOW_S]
     if not recent:
         return True
-    for place in {place for each in samples for place in each.offered_by_place}:
-        usual = statistics.median(
-            each.offered_by_place.get(place, 0) for each in samples
-        )
-        level = statistics.fmean(each.offered_by_place.get(place, 0) for each in recent)
-        if level < DROP_SHARE * usual:
+    for place in samples[0].offered_by_place.keys() | samples[-1].offered_by_place:
+        levels = [each.offered_by_place.get(place, 0.0) for each in samples]
+        threshold = statistics.fmean(levels[-len(recent) :]) / DROP_SHARE
+        # The median is the costly part, and it is no higher than the highest level.
+        if threshold < max(levels) and threshold < statistics.median(levels):
             return True
     return False
--- a/jujubenotch/scaling/present.py
+++ b/jujubenotch/scaling/present.py
@@ -1,59 +1,57 @@
 """Counts the listed upstreams of each kind."""
 
-from collections import Counter
+from collections import Counter, defaultdict
+from dataclasses import dataclass, field
 
-from jujubenotch.forwarding import UpstreamListing, find_usable
+from jujubenotch.forwarding import UpstreamListing, is_usable
 from jujubenotch.scaling.model import CapacityKind, OrderKey, Presence
 
 
-def count_present(
-    listing: UpstreamListing, service: str, now_s: float
-) -> dict[OrderKey, Presence]:
-    """Count the upstreams of a service by data centre and kind.
+@dataclass(kw_only=True)
+class PresentUpstreams:
+    """The listed upstreams of all services.
 
-    An upstream that ends soon counts as leaving, whatever its state.
-
-    :param listing: The known upstreams.
-    :param service: The service's name.
-    :param now_s: The present time on the listing's clock, in seconds.
-    :returns: The numbers; data centres without an upstream are absent.
+    :param by_service: The numbers by service and key; keys without an upstream are
+        absent.
+    :param slots: The mean number of slots of an upstream, by service.
     """
-    usable = find_usable(listing, service, now_s)
-    ready = Counter(_make_key(listed) for listed in usable)
-    names = {listed.name for listed in usable}
-    leaving = Counter(
-        _make_key(known.listed)
-        for name, known in listing.upstreams.items()
-        if known.listed.service == service
-        and name not in names
-        and (known.listed.is_leaving or known.leaves_at_s is not None)
-    )
-    return {
-        key: Presence(ready=ready[key], leaving=leaving[key])
-        for key in ready.keys() | leaving.keys()
-    }
+
+    by_service: dict[str, dict[OrderKey, Presence]] = field(default_factory=dict)
+    slots: dict[str, float] = field(default_factory=dict)
 
 
-def find_slots(listing: UpstreamListing, service: str, default: int) -> float:
-    """Return the mean number of slots of a service's upstreams.
+def count_present(listing: UpstreamListing, now_s: float) -> PresentUpstreams:
+    """Count the listed upstreams by service, data centre and kind.
+
+    The list is read once for all services, as it may have thousands of entries. An
+    upstream that ends soon counts as leaving, whatever its state.
 
     :param listing: The known upstreams.
-    :param service: The service's name.
-    :param default: The number when no upstream is listed.
+    :param now_s: The present time on the listing's clock, in seconds.
     """
-    slots = [
-        known.listed.slots
-        for known in listing.upstreams.values()
-        if known.listed.service == service
-    ]
-    return sum(slots) / len(slots) if slots else max(1, default)
-
-
-def _make_key(listed):
-    return OrderKey(
-        service=listed.service,
-        data_centre=listed.data_centre,
-        kind=(
-            CapacityKind.PREEMPTIBLE if listed.is_preemptible else CapacityKind.STANDARD
-        ),
+    ready, leaving = Counter(), Counter()
+    slots, numbers = Counter(), Counter()
+    for known in listing.upstreams.values():
+        listed = known.listed
+        place = (listed.service, listed.data_centre, listed.is_preemptible)
+        slots[listed.service] += listed.slots
+        numbers[listed.service] += 1
+        if is_usable(known, now_s):
+            ready[place] += 1
+        elif listed.is_leaving or known.leaves_at_s is not None:
+            leaving[place] += 1
+    by_service = defaultdict(dict)
+    for place in ready.keys() | leaving.keys():
+        key = _make_key(*place)
+        by_service[key.service][key] = Presence(
+            ready=ready[place], leaving=leaving[place]
+        )
+    return PresentUpstreams(
+        by_service=dict(by_service),
+        slots={name: slots[name] / number for name, number in numbers.items()},
     )
+
+
+def _make_key(service, data_centre, is_preemptible):
+    kind = CapacityKind.PREEMPTIBLE if is_preemptible else CapacityKind.STANDARD
+    return OrderKey(service=service, data_centre=data_centre, kind=kind)
