Merge usage reports; hold decreases while a data centre is silent

Cause: a holder that some instances can't reach takes the rest of the demand for all of it, and without port-range it knows only its own. Change: no decrease until each data centre has reported; nothing is ordered without port-range.

--- a/features/scaling/orders.feature
+++ b/features/scaling/orders.feature
@@ -199,6 +199,15 @@
     And 60 s are played
     Then only changes were sent since the fault, at most 4
 
+  # Guards against a successor that takes the demand which reaches it for all.
+  Scenario: A data centre's instances can't reach the successor
+    Given a site with seed 19 whose demand swings by 27% with a period of 11 s
+    When 60 s are played
+    And the instances of "south" can't reach the holder
+    And another instance takes the lease
+    And 120 s are played
+    Then nothing was scaled in since the fault
+
   # Guards against a successor that orders before it knows the demand.
   Scenario: A successor has no demand yet
     Given a site with seed 12 whose demand swings by 27% with a period of 11 s
--- a/features/scaling/site.py
+++ b/features/scaling/site.py
@@ -84,6 +84,7 @@
         self.records, self.first_records = {}, {}
         self.era = 0
         self.cut_place = None
+        self.silent_place = None
         self.scaling = ServiceScaling(
             min_upstreams=min_upstreams,
             max_upstreams=max_upstreams,
@@ -126,6 +127,7 @@
             read_demand=self._read_demand,
             pacing=make_pacing(10.0),
             max_store_age_s=5.2,
+            data_centres=tuple(PRICES),
             read_clock_s=lambda: self.now_s,
             draw=self.random.random,
         )
@@ -295,6 +297,7 @@
             if place != self.cut_place
             else ServiceDemand(age_s=0.5, instances=math.ceil(self.instances / 3))
             for place in INITIAL
+            if place != self.silent_place
         }
 
     def find_demand(self):
--- a/features/scaling/steps/orders_steps.py
+++ b/features/scaling/steps/orders_steps.py
@@ -157,6 +157,12 @@
     context.site.cut_place = "south"
 
 
+@when('the instances of "{place}" can\'t reach the holder')
+def silence_place(context, place):
+    mark_fault(context)
+    context.site.silent_place = place
+
+
 @when("the demand falls by 60%")
 def lower_demand(context):
     mark_fault(context)
--- a/features/scaling_site/steps/orders_steps.py
+++ b/features/scaling_site/steps/orders_steps.py
@@ -22,6 +22,7 @@
     "spot-price": 0.22,
     "zone-prices": {"a": 1.0},
 }
+SETTINGS = LEASE_SETTINGS + "port-range=9300,9310\n"
 ORDERED = re.compile(
     r'^jujubenotch_upstreams_ordered\{[^}]*kind="(\w+)"[^}]*\} (\S+)$', re.MULTILINE
 )
@@ -34,7 +35,7 @@
     document = {"version": site.version + 10, "services": [service]}
     call_store(site, write_row, "op", "config", json.dumps(document).encode())
     list_more(context, "standard", 7)
-    start_instance(context.lease_site, "edge-1", LEASE_SETTINGS)
+    start_instance(context.lease_site, "edge-1", SETTINGS)
     context.instance = context.lease_site.instances["edge-1"]
 
 
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -128,16 +128,22 @@
 
 def _make_scaling_tasks(instance):
     """Make the task that orders upstreams, where the settings name the duty."""
+    settings = instance.settings
     lease, usage = instance.lease_watch, instance.usage_watch
-    if lease is None or Duty.AUTOSCALING not in instance.settings.cloud.duties:
+    if lease is None or Duty.AUTOSCALING not in settings.cloud.duties:
+        return ()
+    if settings.neighbours is None:
+        # The other instances can't send their demand, so too little would be ordered.
+        log_event(logger, logging.WARNING, "scaling-unavailable", needs="port-range")
         return ()
     watch = make_scaling_watch(
         instance.state,
         lease,
         instance.observer.metrics,
         functools.partial(read_demand, usage),
-        calls_per_s=instance.settings.cloud.calls_per_s,
-        max_key_age_s=instance.settings.max_key_age_s,
+        calls_per_s=settings.cloud.calls_per_s,
+        max_key_age_s=settings.max_key_age_s,
+        data_centres=settings.all_data_centres,
     )
     instance.scaling_watch = watch
     return (order_upstreams(watch),)
--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -3,7 +3,7 @@
 import asyncio
 import logging
 import random
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Collection, Mapping
 from dataclasses import dataclass, field
 
 from jujubenotch.daemon.forward_leases import (
@@ -86,6 +86,7 @@
     :param read_demand: Returns the demand by service and data centre at a time of the
         boot clock.
     :param max_store_age_s: The largest age of what is known from the store.
+    :param data_centres: The data centres with instances.
     :param read_clock_s: Reads the clock that counts suspended time, in seconds.
     :param is_loaded: Whether the orders of the present tenure have been taken up.
     :param token: The token under which they were.
@@ -103,6 +104,7 @@
     read_demand: ReadDemand
     pacing: CallPacing
     max_store_age_s: float
+    data_centres: Collection[str] = ()
     read_clock_s: Callable[[], float] = read_boot_clock_s
     draw: Callable[[], float] = random.random
     orders: ScalingState = field(default_factory=ScalingState)
@@ -123,6 +125,7 @@
     *,
     calls_per_s: float,
     max_key_age_s: float,
+    data_centres: Collection[str],
 ) -> ScalingWatch:
     """Make the state of ordering upstreams.
 
@@ -132,6 +135,7 @@
     :param read_demand: Returns the demand by service and data centre.
     :param calls_per_s: Calls a second that the API accepts from all instances.
     :param max_key_age_s: The bound on the age of keys, in seconds; 0 without one.
+    :param data_centres: The data centres with instances.
     """
     return ScalingWatch(
         state=state,
@@ -140,6 +144,7 @@
         read_demand=read_demand,
         pacing=make_pacing(calls_per_s),
         max_store_age_s=STORE_DELAY_S + choose_change_wait_s(max_key_age_s, 0),
+        data_centres=data_centres,
     )
 
 
@@ -332,7 +337,9 @@
             continue
         present = listed.by_service.get(name, {})
         slots = _find_slots(listed, service)
-        changes.extend(plan_service(watch.orders, service, present, slots, now_s))
+        changes += plan_service(
+            watch.orders, service, present, slots, now_s, places=watch.data_centres
+        )
         _set_doubt(watch, name, watch.orders.plans[name].doubt)
         for key, order in watch.orders.orders.items():
             if key.service == name:
