Compute the coming room once a cycle

Cause: each request that asks would read the whole list. Change: read_coming_room reads what the last cycle has computed; a token that another duty has refreshed needs no second refresh.

--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -72,6 +72,8 @@
 # A call must end before the lease does.
 CALL_TIMEOUT_S = 1.0
 MIN_CALL_TIMEOUT_S = 0.1
+# The list lacks changes that the store has, mostly for some tenths of a second.
+LIST_BEHIND = "list-behind"
 # Label of a service whose demand isn't known; nothing is ordered for it.
 STALE_DEMAND = "demand-stale"
 NOT_EXECUTED = frozenset({ApiResult.LIMITED, ApiResult.NOT_DONE})
@@ -92,6 +94,7 @@
     :param token: The token under which they were.
     :param needs_fresh_token: Whether a call without a response may still be executed.
     :param hold: Why nothing is ordered, for the log; empty while orders may be sent.
+    :param coming: The slots that are coming, and when the first serve, by service.
     :param doubts: Why the demand for a service can't be relied on, for the log; absent
         while it can.
     :param era: The last known era of the store.
@@ -112,6 +115,7 @@
     token: int | None = None
     needs_fresh_token: bool = False
     hold: str = ""
+    coming: dict[str, tuple[float, float]] = field(default_factory=dict)
     doubts: dict[str, str] = field(default_factory=dict)
     era: int | None = None
     era_changed_s: float = float("-inf")
@@ -173,6 +177,7 @@
     :param watch: The state; changed in place.
     """
     watch.is_loaded = False
+    watch.coming = {}
     for key in watch.orders.orders:
         observe_upstreams(
             watch.metrics, key.service, key.data_centre, key.kind, ordered=0, listed=0
@@ -196,8 +201,12 @@
         _load(watch, token, now_s)
     changes = _plan(watch, now_s)
     changes = changes[: count_available(watch.pacing, now_s)]
-    if not changes:
-        return
+    if changes:
+        await _order(watch, changes)
+    _record_coming(watch, watch.read_clock_s())
+
+
+async def _order(watch, changes):
     if watch.needs_fresh_token and not await _take_fresh_token(watch):
         return
     if await _store(watch, changes):
@@ -216,24 +225,29 @@
     :param now_s: The present time by the boot clock, in seconds.
     :returns: The slots, and the time until the first of them serve, in seconds.
     """
-    described = _find_services(watch).get(service)
-    if described is None or not watch.is_loaded:
-        return 0.0, 0.0
-    boot_s = described.scaling.boot_s
+    slots, ready_s = watch.coming.get(service, (0.0, 0.0))
+    return (slots, max(0.0, ready_s - now_s)) if slots else (0.0, 0.0)
+
+
+def _record_coming(watch, now_s):
+    """Compute the coming room once for the requests until the next cycle."""
+    watch.coming = {}
     listed = count_present(watch.state.listing, now_s)
-    present = listed.by_service.get(service, {})
-    coming, first_s = 0, float("inf")
+    services = _find_services(watch)
     for key, order in watch.orders.orders.items():
+        service = services.get(key.service)
+        present = listed.by_service.get(key.service, {})
         missing = order.count - present.get(key, Presence()).ready
-        elapsed_s = now_s - order.raised_s
-        if key.service != service or missing <= 0:
+        if service is None or missing <= 0:
+            continue
+        boot_s = service.scaling.boot_s
+        if now_s - order.raised_s > boot_s + LISTING_DELAY_S:
             continue
-        if elapsed_s <= boot_s + LISTING_DELAY_S:
-            coming += missing
-            first_s = min(first_s, max(0.0, boot_s - elapsed_s))
-    if not coming:
-        return 0.0, 0.0
-    return coming * _find_slots(listed, described), first_s
+        slots, ready_s = watch.coming.get(key.service, (0.0, float("inf")))
+        watch.coming[key.service] = (
+            slots + missing * _find_slots(listed, service),
+            min(ready_s, order.raised_s + boot_s),
+        )
 
 
 def _find_hold(watch, now_s):
@@ -259,15 +273,18 @@
     if is_source_behind(
         state.revisions, state.listing_progress, state.configuration_progress
     ):
-        return "list-behind"
+        return LIST_BEHIND
     return ""
 
 
 def _set_hold(watch, hold):
-    if hold != watch.hold:
-        watch.hold = hold
-        event = "scaling-held" if hold else "scaling-resumed"
-        log_event(logger, logging.INFO, event, reason=hold or "none")
+    if hold == watch.hold:
+        return
+    # Changes of the list are in transit several times a minute.
+    level = logging.DEBUG if LIST_BEHIND in (hold, watch.hold) else logging.INFO
+    watch.hold = hold
+    event = "scaling-held" if hold else "scaling-resumed"
+    log_event(logger, level, event, reason=hold or "none")
 
 
 def _set_doubt(watch, service, doubt):
@@ -303,6 +320,9 @@
             orders.orders[key].is_settled = False
     watch.orders = orders
     watch.is_loaded = True
+    if token != watch.token:
+        # Every call that may still be executed carries an earlier token.
+        watch.needs_fresh_token = False
     watch.token = token
     log_event(
         logger,
--- a/jujubenotch/scaling/__init__.py
+++ b/jujubenotch/scaling/__init__.py
@@ -4,8 +4,8 @@
 """
 
 from jujubenotch.scaling.codec import decode_orders, encode_orders
-from jujubenotch.scaling.demand import DemandDoubt, find_doubt, record_demand
-from jujubenotch.scaling.kinds import LISTING_DELAY_S, begin_order, find_standard_floor
+from jujubenotch.scaling.demand import DemandDoubt, record_demand
+from jujubenotch.scaling.kinds import LISTING_DELAY_S, begin_order
 from jujubenotch.scaling.model import (
     CapacityKind,
     ChangeReason,
@@ -54,8 +54,6 @@
     "count_present",
     "decode_orders",
     "encode_orders",
-    "find_doubt",
-    "find_standard_floor",
     "make_pacing",
     "pause_calls",
     "plan_service",
