--- a/features/scaling/site.py
+++ b/features/scaling/site.py
@@ -8,8 +8,9 @@
 from types import SimpleNamespace
 from unittest.mock import patch
 
-from jujubenotch.daemon import forward_scaling
-from jujubenotch.daemon.forward_scaling import ScalingWatch, end_scaling, run_cycle
+from jujubenotch.daemon import forward_orders, forward_scaling
+from jujubenotch.daemon.forward_orders import ScalingWatch
+from jujubenotch.daemon.forward_scaling import end_scaling, run_cycle
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.forwarding import (
     EngineLimits,
@@ -34,6 +35,15 @@
 LEAVING_S = 3.0
 STREAM_S = 2.0
 MAX_UPSTREAMS = 40
+PATCHED = {
+    forward_scaling: ("find_token",),
+    forward_orders: (
+        "find_token",
+        "find_call_timeout_s",
+        "refresh_token",
+        "write_records",
+    ),
+}
 
 
 @dataclass(kw_only=True)
@@ -153,13 +163,11 @@
     def play(self, duration_s):
         """Play some time; each half second there is a cycle."""
         with ExitStack() as stack:
-            for name in ("find_token", "find_call_timeout_s", "refresh_token"):
-                stack.enter_context(
-                    patch.object(forward_scaling, name, getattr(self, f"_{name}"))
-                )
-            stack.enter_context(
-                patch.object(forward_scaling, "write_records", self._write_records)
-            )
+            for module, names in PATCHED.items():
+                for name in names:
+                    stack.enter_context(
+                        patch.object(module, name, getattr(self, f"_{name}"))
+                    )
             asyncio.run(self._play(duration_s))
 
     async def _play(self, duration_s):
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -10,8 +10,8 @@
 from jujubenotch.daemon.forward_crashes import CrashWatch
 from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
+from jujubenotch.daemon.forward_orders import ScalingWatch
 from jujubenotch.daemon.forward_reach import DetourWatch
-from jujubenotch.daemon.forward_scaling import ScalingWatch
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.daemon.forward_streams import StreamWatch
 from jujubenotch.daemon.forward_usage import UsageWatch
