--- a/features/scaling/site.py
+++ b/features/scaling/site.py
@@ -8,8 +8,9 @@
 from types import SimpleNamespace
 from unittest.mock import patch
 
-from jujubenotch.daemon import forward_scaling
-from jujubenotch.daemon.forward_scaling import ScalingWatch, end_scaling, run_cycle
+from jujubenotch.daemon import forward_orders, forward_scaling
+from jujubenotch.daemon.forward_orders import ScalingWatch
+from jujubenotch.daemon.forward_scaling import end_scaling, run_cycle
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.forwarding import (
     EngineLimits,
@@ -34,6 +35,15 @@
 LEAVING_S = 3.0
 STREAM_S = 2.0
 MAX_UPSTREAMS = 40
+PATCHED = {
+    forward_scaling: ("find_token",),
+    forward_orders: (
+        "find_token",
+        "find_call_timeout_s",
+        "refresh_token",
+        "write_records",
+    ),
+}
 
 
 @dataclass(kw_only=True)
@@ -84,6 +94,7 @@
         self.records, self.first_records = {}, {}
         self.era = 0
         self.cut_place = None
+        self.silent_place = None
         self.scaling = ServiceScaling(
             min_upstreams=min_upstreams,
             max_upstreams=max_upstreams,
@@ -126,6 +137,7 @@
             read_demand=self._read_demand,
             pacing=make_pacing(10.0),
             max_store_age_s=5.2,
+            data_centres=tuple(PRICES),
             read_clock_s=lambda: self.now_s,
             draw=self.random.random,
             # The initial upstreams have been listed for long.
@@ -159,13 +171,11 @@
     def play(self, duration_s):
         """Play some time; each half second there is a cycle."""
         with ExitStack() as stack:
-            for name in ("find_token", "find_call_timeout_s", "refresh_token"):
-                stack.enter_context(
-                    patch.object(forward_scaling, name, getattr(self, f"_{name}"))
-                )
-            stack.enter_context(
-                patch.object(forward_scaling, "write_records", self._write_records)
-            )
+            for module, names in PATCHED.items():
+                for name in names:
+                    stack.enter_context(
+                        patch.object(module, name, getattr(self, f"_{name}"))
+                    )
             asyncio.run(self._play(duration_s))
 
     async def _play(self, duration_s):
@@ -303,6 +313,7 @@
             if place != self.cut_place
             else ServiceDemand(age_s=0.5, instances=math.ceil(self.instances / 3))
             for place in INITIAL
+            if place != self.silent_place
         }
 
     def find_demand(self):
--- a/jujubenotch/daemon/forward_scaling.py
+++ b/jujubenotch/daemon/forward_scaling.py
@@ -2,16 +2,17 @@
 
 import asyncio
 import logging
-import random
-from collections.abc import Callable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Collection
 
 from jujubenotch.daemon.forward_leases import (
     LeaseWatch,
-    find_call_timeout_s,
     find_token,
-    refresh_token,
-    write_records,
+)
+from jujubenotch.daemon.forward_orders import (
+    RECORD_KEY,
+    ReadDemand,
+    ScalingWatch,
+    send_orders,
 )
 from jujubenotch.daemon.forward_revisions import is_source_behind
 from jujubenotch.daemon.forward_state import ForwardState
@@ -19,43 +20,26 @@
     Service,
     choose_change_wait_s,
     measure_age_s,
-    read_boot_clock_s,
     was_recently_unavailable,
 )
-from jujubenotch.leases import ApiResult, UpstreamOrder
 from jujubenotch.logs import log_event
 from jujubenotch.metrics import Metrics, observe_upstreams
 from jujubenotch.scaling import (
     LISTING_DELAY_S,
-    CallPacing,
-    CapacityKind,
-    ChangeReason,
     DemandHistory,
     OrderChange,
     Presence,
     ScalingState,
-    begin_order,
-    block_reclaimed,
-    block_unavailable,
-    cancel_order,
-    confirm_order,
     count_available,
     count_present,
     decode_orders,
-    encode_orders,
-    find_slots,
     make_pacing,
-    pause_calls,
     plan_service,
-    record_call,
     record_demand,
-    record_success,
 )
-from jujubenotch.usage import ServiceDemand
 
 logger = logging.getLogger(__name__)
 
-RECORD_KEY = "orders"
 # Reports of demand come about once a second.
 CYCLE_S = 0.5
 # An error that was not expected is likely to occur again at once.
@@ -67,61 +51,16 @@
 MAX_DEMAND_AGE_S = 5.0
 # After an outage the entries of running upstreams are renewed within about 2 s.
 OUTAGE_HOLD_S = 6.0
-# After a restore, dead upstreams of the copy disappear within 5 s, and the holders'
-# neighbours report their demand again.
+# After a restore, dead upstreams of the copy disappear within 5 s, and the instances
+# report their demand to the new holder.
 RESTORE_HOLD_S = 10.0
 # When a deployment starts, its upstreams register over some seconds, with pauses below
 # two heartbeats of 1.2 s. A list that still grows would be taken for a small fleet.
 GROWTH_HOLD_S = 3.0
-# A call must end before the lease does.
-CALL_TIMEOUT_S = 1.0
-MIN_CALL_TIMEOUT_S = 0.1
+# The list lacks changes that the store has, mostly for some tenths of a second.
+LIST_BEHIND = "list-behind"
 # Label of a service whose demand isn't known; nothing is ordered for it.
 STALE_DEMAND = "demand-stale"
-NOT_EXECUTED = frozenset({ApiResult.LIMITED, ApiResult.NOT_DONE})
-
-ReadDemand = Callable[[float], Mapping[tuple[str, str], ServiceDemand]]
-
-
-@dataclass(kw_only=True)
-class ScalingWatch:
-    """The state of ordering upstreams.
-
-    :param read_demand: Returns the demand by service and data centre at a time of the
-        boot clock.
-    :param max_store_age_s: The largest age of what is known from the store.
-    :param read_clock_s: Reads the clock that counts suspended time, in seconds.
-    :param is_loaded: Whether the orders of the present tenure have been taken up.
-    :param token: The token under which they were.
-    :param needs_fresh_token: Whether a call without a response may still be executed.
-    :param hold: Why nothing is ordered, for the log; empty while orders may be sent.
-    :param doubts: Why the demand for a service can't be relied on, for the log; absent
-        while it can.
-    :param era: The last known era of the store.
-    :param era_changed_s: When it changed, in seconds.
-    :param listed: The largest number of listed upstreams that was seen while nothing
-        had been ordered.
-    :param grown_s: When that number last grew, in seconds.
-    """
-
-    state: ForwardState
-    leases: LeaseWatch
-    metrics: Metrics
-    read_demand: ReadDemand
-    pacing: CallPacing
-    max_store_age_s: float
-    read_clock_s: Callable[[], float] = read_boot_clock_s
-    draw: Callable[[], float] = random.random
-    orders: ScalingState = field(default_factory=ScalingState)
-    is_loaded: bool = False
-    token: int | None = None
-    needs_fresh_token: bool = False
-    hold: str = ""
-    doubts: dict[str, str] = field(default_factory=dict)
-    era: int | None = None
-    era_changed_s: float = float("-inf")
-    listed: int = 0
-    grown_s: float = float("-inf")
 
 
 def make_scaling_watch(
@@ -132,6 +71,7 @@
     *,
     calls_per_s: float,
     max_key_age_s: float,
+    data_centres: Collection[str],
 ) -> ScalingWatch:
     """Make the state of ordering upstreams.
 
@@ -141,6 +81,7 @@
     :param read_demand: Returns the demand by service and data centre.
     :param calls_per_s: Calls a second that the API accepts from all instances.
     :param max_key_age_s: The bound on the age of keys, in seconds; 0 without one.
+    :param data_centres: The data centres with instances.
     """
     return ScalingWatch(
         state=state,
@@ -149,6 +90,7 @@
         read_demand=read_demand,
         pacing=make_pacing(calls_per_s),
         max_store_age_s=STORE_DELAY_S + choose_change_wait_s(max_key_age_s, 0),
+        data_centres=data_centres,
     )
 
 
@@ -177,6 +119,7 @@
     :param watch: The state; changed in place.
     """
     watch.is_loaded = False
+    watch.coming = {}
     for key in watch.orders.orders:
         observe_upstreams(
             watch.metrics, key.service, key.data_centre, key.kind, ordered=0, listed=0
@@ -202,12 +145,9 @@
         _load(watch, token, now_s)
     changes = _plan(watch, now_s)
     changes = changes[: count_available(watch.pacing, now_s)]
-    if not changes:
-        return
-    if watch.needs_fresh_token and not await _take_fresh_token(watch):
-        return
-    if await _store(watch, changes):
-        await _send_all(watch, changes)
+    if changes:
+        await send_orders(watch, changes)
+    _record_coming(watch, watch.read_clock_s())
 
 
 def read_coming_room(
@@ -222,23 +162,29 @@
     :param now_s: The present time by the boot clock, in seconds.
     :returns: The slots, and the time until the first of them serve, in seconds.
     """
-    described = _find_services(watch).get(service)
-    if described is None or not watch.is_loaded:
-        return 0.0, 0.0
-    boot_s = described.scaling.boot_s
-    present = count_present(watch.state.listing, service, now_s)
-    coming, first_s = 0, float("inf")
+    slots, ready_s = watch.coming.get(service, (0.0, 0.0))
+    return (slots, max(0.0, ready_s - now_s)) if slots else (0.0, 0.0)
+
+
+def _record_coming(watch, now_s):
+    """Compute the coming room once for the requests until the next cycle."""
+    watch.coming = {}
+    listed = count_present(watch.state.listing, now_s)
+    services = _find_services(watch)
     for key, order in watch.orders.orders.items():
+        service = services.get(key.service)
+        present = listed.by_service.get(key.service, {})
         missing = order.count - present.get(key, Presence()).ready
-        elapsed_s = now_s - order.raised_s
-        if key.service != service or missing <= 0:
+        if service is None or missing <= 0:
+            continue
+        boot_s = service.scaling.boot_s
+        if now_s - order.raised_s > boot_s + LISTING_DELAY_S:
             continue
-        if elapsed_s <= boot_s + LISTING_DELAY_S:
-            coming += missing
-            first_s = min(first_s, max(0.0, boot_s - elapsed_s))
-    if not coming:
-        return 0.0, 0.0
-    return coming * _find_slots(watch, described), first_s
+        slots, ready_s = watch.coming.get(key.service, (0.0, float("inf")))
+        watch.coming[key.service] = (
+            slots + missing * _find_slots(listed, service),
+            min(ready_s, order.raised_s + boot_s),
+        )
 
 
 def _find_hold(watch, now_s):
@@ -264,7 +210,7 @@
     if is_source_behind(
         state.revisions, state.listing_progress, state.configuration_progress
     ):
-        return "list-behind"
+        return LIST_BEHIND
     return ""
 
 
@@ -280,10 +226,13 @@
 
 
 def _set_hold(watch, hold):
-    if hold != watch.hold:
-        watch.hold = hold
-        event = "scaling-held" if hold else "scaling-resumed"
-        log_event(logger, logging.INFO, event, reason=hold or "none")
+    if hold == watch.hold:
+        return
+    # Changes of the list are in transit several times a minute.
+    level = logging.DEBUG if LIST_BEHIND in (hold, watch.hold) else logging.INFO
+    watch.hold = hold
+    event = "scaling-held" if hold else "scaling-resumed"
+    log_event(logger, level, event, reason=hold or "none")
 
 
 def _set_doubt(watch, service, doubt):
@@ -319,6 +268,9 @@
             orders.orders[key].is_settled = False
     watch.orders = orders
     watch.is_loaded = True
+    if token != watch.token:
+        # Every call that may still be executed carries an earlier token.
+        watch.needs_fresh_token = False
     watch.token = token
     log_event(
         logger,
@@ -345,14 +297,17 @@
 
 def _plan(watch, now_s) -> list[OrderChange]:
     figures = watch.read_demand(now_s)
+    listed = count_present(watch.state.listing, now_s)
     changes = []
     for name, service in sorted(_find_services(watch).items()):
         if not _record_demand(watch, name, figures, now_s):
             _set_doubt(watch, name, STALE_DEMAND)
             continue
-        present = count_present(watch.state.listing, name, now_s)
-        slots = _find_slots(watch, service)
-        changes.extend(plan_service(watch.orders, service, present, slots, now_s))
+        present = listed.by_service.get(name, {})
+        slots = _find_slots(listed, service)
+        changes += plan_service(
+            watch.orders, service, present, slots, now_s, places=watch.data_centres
+        )
         _set_doubt(watch, name, watch.orders.plans[name].doubt)
         for key, order in watch.orders.orders.items():
             if key.service == name:
@@ -385,125 +340,6 @@
     return not watch.orders.is_restored and not history.samples
 
 
-def _find_slots(watch, service):
+def _find_slots(listed, service):
     default = service.engine.slots if service.engine else 1
-    return find_slots(watch.state.listing, service.name, default)
-
-
-async def _take_fresh_token(watch):
-    """Take a token that makes earlier calls stale; return whether it was confirmed."""
-    token = await refresh_token(watch.leases)
-    if token is None:
-        return False
-    watch.token = token
-    watch.needs_fresh_token = False
-    return True
-
-
-async def _store(watch, changes):
-    """Store the orders before they are sent; return whether that was confirmed."""
-    content = encode_orders(watch.orders, changes, watch.era)
-    if content == watch.leases.records.get(RECORD_KEY):
-        return True
-    if await write_records(watch.leases, {RECORD_KEY: content}):
-        return True
-    pause_s = pause_calls(watch.pacing, watch.draw(), watch.read_clock_s())
-    log_event(
-        logger,
-        logging.WARNING,
-        "orders-not-stored",
-        changes=len(changes),
-        pause_s=round(pause_s, 3),
-    )
-    return False
-
-
-async def _send_all(watch, changes):
-    for change in changes:
-        now_s = watch.read_clock_s()
-        token = find_token(watch.leases, now_s)
-        timeout_s = min(CALL_TIMEOUT_S, find_call_timeout_s(watch.leases, now_s))
-        # A token that another tenure took shows that other orders may have been sent.
-        if token is None or token != watch.token or timeout_s < MIN_CALL_TIMEOUT_S:
-            return
-        was_settled = watch.orders.orders[change.key].is_settled
-        result = await _send(watch, change, token, timeout_s, now_s)
-        if not await _record_result(watch, change, result, was_settled=was_settled):
-            return
-
-
-async def _send(watch, change, token, timeout_s, now_s):
-    key = change.key
-    begin_order(watch.orders.orders[key], change, now_s)
-    if change.reason is ChangeReason.RECLAIMED:
-        block_reclaimed(watch.orders, key, now_s)
-    record_call(watch.pacing)
-    result = await watch.leases.api.order_upstreams(
-        UpstreamOrder(
-            service=key.service,
-            data_centre=key.data_centre,
-            count=change.count,
-            is_preemptible=key.kind is CapacityKind.PREEMPTIBLE,
-        ),
-        watch.leases.name,
-        token,
-        timeout_s,
-    )
-    log_event(
-        logger,
-        logging.INFO if result is ApiResult.DONE else logging.WARNING,
-        "upstreams-ordered",
-        service=key.service,
-        data_centre=key.data_centre,
-        kind=key.kind,
-        count=change.count,
-        before=change.before,
-        reason=change.reason,
-        needed=watch.orders.plans[key.service].needed,
-        result=result,
-        token=token,
-        took_s=round(watch.read_clock_s() - now_s, 3),
-    )
-    return result
-
-
-async def _record_result(watch, change, result, *, was_settled):
-    """Record the result of a call; return whether the next call may follow it."""
-    order = watch.orders.orders[change.key]
-    if result is ApiResult.DONE:
-        confirm_order(watch.orders, change.key)
-        record_success(watch.pacing)
-        return True
-    if result is ApiResult.CONFLICT:
-        return await _handle_conflict(watch, change, order)
-    if result in NOT_EXECUTED:
-        # An earlier call for the same order may have been executed.
-        if was_settled:
-            cancel_order(order)
-    else:
-        watch.needs_fresh_token = True
-    pause_calls(watch.pacing, watch.draw(), watch.read_clock_s())
-    return False
-
-
-async def _handle_conflict(watch, change, order):
-    """Find out by a fresh token whether a refusal concerns the token or the order."""
-    if not await _take_fresh_token(watch):
-        return False
-    if change.count < order.previous:
-        # Fewer are always available, so the old token was refused.
-        pause_calls(watch.pacing, watch.draw(), watch.read_clock_s())
-        return False
-    cancel_order(order)
-    pause_s = block_unavailable(watch.orders, change.key, watch.read_clock_s())
-    log_event(
-        logger,
-        logging.WARNING,
-        "upstreams-unavailable",
-        service=change.key.service,
-        data_centre=change.key.data_centre,
-        kind=change.key.kind,
-        count=change.count,
-        pause_s=pause_s,
-    )
-    return True
+    return listed.slots.get(service.name) or max(1, default)
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -43,6 +43,7 @@
     apply_items,
     drop_expired,
     find_usable,
+    is_usable,
 )
 from jujubenotch.forwarding.match import (
     SiteIndex,
@@ -131,6 +132,7 @@
     "follow_source",
     "interrupt_call",
     "find_store_time_s",
+    "is_usable",
     "measure_age_s",
     "pair_priorities",
     "preview_choice",
--- a/jujubenotch/scaling/demand.py
+++ b/jujubenotch/scaling/demand.py
@@ -1,7 +1,7 @@
 """Estimates the slots that a service needs, and when its demand can't be trusted."""
 
 import statistics
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from enum import StrEnum
 
 from jujubenotch.scaling.model import DemandHistory, DemandSample
@@ -47,6 +47,7 @@
     YOUNG = "young-demand"
     INSTANCES_LOST = "instances-lost"
     DROPPED = "demand-dropped"
+    PARTIAL = "data-centre-silent"
 
 
 def record_demand(
@@ -122,11 +123,15 @@
     return min(predicted, MAX_EXTRAPOLATION * last.offered_slots)
 
 
-def find_doubt(history: DemandHistory, now_s: float) -> DemandDoubt | None:
+def find_doubt(
+    history: DemandHistory, now_s: float, places: Collection[str] = ()
+) -> DemandDoubt | None:
     """Return why the demand is no reason to order less; ``None`` when it is one.
 
     :param history: The service's history.
     :param now_s: The present time, in seconds.
+    :param places: The data centres with instances. One that has never reported may be
+        cut off from the holder of the lease, while its callers use the same upstreams.
     """
     samples = history.samples
     if not samples or not history.has_arrivals:
@@ -139,6 +144,8 @@
         return DemandDoubt.DROPPED
     if now_s - samples[0].at_s < PEAK_WINDOW_S:
         return DemandDoubt.YOUNG
+    if not samples[-1].offered_by_place.keys() >= set(places):
+        return DemandDoubt.PARTIAL
     return None
 
 
@@ -147,11 +154,10 @@
     recent = [each for each in samples if now_s - each.at_s <= DROP_WINDOW_S]
     if not recent:
         return True
-    for place in {place for each in samples for place in each.offered_by_place}:
-        usual = statistics.median(
-            each.offered_by_place.get(place, 0) for each in samples
-        )
-        level = statistics.fmean(each.offered_by_place.get(place, 0) for each in recent)
-        if level < DROP_SHARE * usual:
+    for place in samples[0].offered_by_place.keys() | samples[-1].offered_by_place:
+        levels = [each.offered_by_place.get(place, 0.0) for each in samples]
+        threshold = statistics.fmean(levels[-len(recent) :]) / DROP_SHARE
+        # The median is the costly part, and it is no higher than the highest level.
+        if threshold < max(levels) and threshold < statistics.median(levels):
             return True
     return False
--- a/jujubenotch/scaling/plan.py
+++ b/jujubenotch/scaling/plan.py
@@ -1,7 +1,7 @@
 """Decides the orders of one service from its list, its demand and earlier orders."""
 
 import math
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 
 from jujubenotch.forwarding import Service
 from jujubenotch.scaling.demand import DemandDoubt, find_doubt, find_needed_slots
@@ -30,7 +30,7 @@
 )
 from jujubenotch.scaling.total import clamp_totals, update_totals
 
-REPLACEABLE = frozenset({None, DemandDoubt.YOUNG})
+REPLACEABLE = frozenset({None, DemandDoubt.YOUNG, DemandDoubt.PARTIAL})
 
 
 def plan_service(
@@ -39,6 +39,8 @@
     present: Mapping[OrderKey, Presence],
     slots: float,
     now_s: float,
+    *,
+    places: Collection[str] = (),
 ) -> list[OrderChange]:
     """Decide the orders of a service, the most pressing ones first.
 
@@ -47,6 +49,7 @@
     :param present: The listed upstreams.
     :param slots: The slots of one upstream.
     :param now_s: The present time, in seconds.
+    :param places: The data centres with instances.
     """
     keys = _adopt(state, service, present)
     plan = state.plans[service.name]
@@ -54,7 +57,7 @@
     boot_s = service.scaling.boot_s
     for key in keys:
         record_presence(state, key, present.get(key, Presence()), now_s)
-    plan.doubt = doubt = find_doubt(history, now_s)
+    plan.doubt = doubt = find_doubt(history, now_s, places)
     needed_slots = find_needed_slots(history, boot_s, now_s)
     update_totals(
         plan,
