Pace: share what is learned by datagrams through the reader

Cause: each of 84 instances sees an 84th of the responses, 0.1 a second from an upstream, so alone it learns little and its load reports are many seconds old.

Change: message kind `paces`. Sums and reports out of range are ignored. Observations are relative to the median, so those of several instances can be added. Log line upstream-speed-changed, gauges jujubenotch_upstream_slowness and jujubenotch_upstream_limit.

--- a/features/neighbours/fleet.py
+++ b/features/neighbours/fleet.py
@@ -18,6 +18,7 @@
     share_page,
 )
 from jujubenotch.daemon.forward_observer import ForwardObserver
+from jujubenotch.daemon.forward_paces import PaceWatch
 from jujubenotch.daemon.forward_relay import (
     Relay,
     add_followed_source,
@@ -31,6 +32,7 @@
     apply_upstreams,
 )
 from jujubenotch.forwarding import (
+    DirectCapacity,
     HistoryLostError,
     Item,
     ListedUpstream,
@@ -241,7 +243,17 @@
     observer = ForwardObserver(
         metrics=make_metrics(), read_configuration_status=lambda: None
     )
-    instance = SimpleNamespace(settings=settings, state=state, observer=observer)
+    capacity = DirectCapacity(
+        listing=state.listing,
+        read_clock_s=lambda: 0.0,
+        read_listing_clock_s=lambda: 0.0,
+    )
+    instance = SimpleNamespace(
+        settings=settings,
+        state=state,
+        observer=observer,
+        pace_watch=PaceWatch(exchange=capacity.pace_exchange, metrics=observer.metrics),
+    )
     relay = make_relay(instance)
     relay.endpoint = FleetEndpoint(fleet=fleet, own_address=address.text)
     relay.is_registering = False
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -12,6 +12,7 @@
     send_message,
     share_page,
 )
+from jujubenotch.daemon.forward_paces import connect_paces, share_paces
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
 from jujubenotch.daemon.forward_registration import run_relay
@@ -71,6 +72,7 @@
     stream_watch = instance.stream_watch
     stream_watch.neighbours = relay.neighbours
     stream_watch.send = functools.partial(send_message, relay)
+    connect_paces(instance.pace_watch, relay, functools.partial(send_message, relay))
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
@@ -88,6 +90,7 @@
         keep_count(relay, components),
         keep_addresses(relay, components),
         send_origins(stream_watch),
+        share_paces(instance.pace_watch),
     )
 
 
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from jujubenotch.daemon.forward_paces import note_reader, receive_paces
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.daemon.forward_streams import receive_streams
 from jujubenotch.forwarding import (
@@ -121,6 +122,10 @@
     relay.neighbours.add(sender)
     if message.kind in (MessageKind.STREAMS, MessageKind.STREAM_QUERY):
         receive_streams(relay.instance.stream_watch, sender, message)
+    if message.kind is MessageKind.PACES:
+        receive_paces(relay.instance.pace_watch, sender, message)
+    elif message.kind is MessageKind.CONFIGURATION:
+        note_reader(relay.instance.pace_watch, sender)
     metrics = relay.instance.observer.metrics
     count_neighbour_message(metrics, message.kind, "received")
     if message.kind is MessageKind.OUTAGE:
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -9,6 +9,7 @@
 from jujubenotch.crashes import InstanceReports
 from jujubenotch.daemon.forward_crashes import CrashWatch
 from jujubenotch.daemon.forward_observer import ForwardObserver
+from jujubenotch.daemon.forward_paces import PaceWatch
 from jujubenotch.daemon.forward_reach import DetourWatch
 from jujubenotch.daemon.forward_state import KEY_AGE_SHARE, ForwardState
 from jujubenotch.daemon.forward_streams import StreamWatch
@@ -108,6 +109,7 @@
     :param stopping: Set when the instance has to stop.
     :param crash_watch: Watches for requests that crash upstreams.
     :param stream_watch: Knows at which software version each stream began.
+    :param pace_watch: Shares what is learned about upstreams.
     :param detour_watch: Knows which services this instance reaches, and who helps.
     :param helper_connections: The connections to the instances that help.
     :param instance_count: The number of instances that share the upstreams.
@@ -125,6 +127,7 @@
     stopping: asyncio.Event
     crash_watch: CrashWatch
     stream_watch: StreamWatch
+    pace_watch: PaceWatch
     detour_watch: DetourWatch
     helper_connections: UpstreamConnections
     instance_count: InstanceCount = field(default_factory=InstanceCount)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -24,6 +24,7 @@
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
 from jujubenotch.daemon.forward_origins import find_stream_origin
+from jujubenotch.daemon.forward_paces import PaceWatch
 from jujubenotch.daemon.forward_parts import (
     ForwardingInstance,
     InstanceCount,
@@ -193,6 +194,9 @@
         stopping=stopping,
         crash_watch=crash_watch,
         stream_watch=stream_watch,
+        pace_watch=PaceWatch(
+            exchange=dispatcher.capacity.pace_exchange, metrics=metrics
+        ),
         detour_watch=detour_watch,
         helper_connections=helper_connections,
         instance_count=instance_count,
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -69,6 +69,7 @@
 from jujubenotch.forwarding.priority import pair_priorities, rank_priorities
 from jujubenotch.forwarding.shared_paces import (
     PaceExchange,
+    describe_learned,
     list_own,
     list_totals,
     take_own,
@@ -77,6 +78,7 @@
 from jujubenotch.forwarding.source import Item, Page, Source
 
 __all__ = [
+    "describe_learned",
     "PaceExchange",
     "list_own",
     "list_totals",
--- a/jujubenotch/forwarding/learned.py
+++ b/jujubenotch/forwarding/learned.py
@@ -17,6 +17,7 @@
     Need,
     ServicePace,
     choose_by_wait,
+    clip_pace,
     is_credit,
     is_learned,
     rank_fastest_first,
@@ -213,6 +214,7 @@
             now_s,
         ),
     )
+    _log_changes(service, by_name, now_s)
     state = by_name[choice.name]
     reported_s = state.reported_s
     basis = ChoiceBasis(
@@ -231,6 +233,21 @@
     )
 
 
+def _log_changes(service, by_name, now_s):
+    """Log the upstreams whose speed class has changed."""
+    for name in service.changed & by_name.keys():
+        log_event(
+            logger,
+            logging.INFO,
+            "upstream-speed-changed",
+            upstream=name,
+            slowness=round(read_slowness(service, name, now_s), 2),
+            limit=round(read_limit(service, name, by_name[name].slots, now_s), 1),
+            speed_class=service.upstreams[name].speed_class,
+        )
+    service.changed.clear()
+
+
 def _make_candidate(state, loads):
     return Candidate(name=state.name, load=loads[state.name], slots=state.slots)
 
@@ -279,7 +296,7 @@
         load=state.reported,
         waiting=state.reported_waiting,
         slots=state.slots,
-        pace=state.reported_pace or 1.0,
+        pace=clip_pace(state.reported_pace or 1.0),
         target_s=request.first_token_by_s - request.arrived_s,
     )
     if is_credit(service, first, now_s):
--- a/jujubenotch/forwarding/shared_paces.py
+++ b/jujubenotch/forwarding/shared_paces.py
@@ -17,7 +17,9 @@
     apply_total,
     find_totals,
     mark_sent,
+    read_limit,
     read_own_sums,
+    read_slowness,
     read_sums,
     record_sender,
     take_reported_pace,
@@ -154,6 +156,26 @@
     return taken
 
 
+def describe_learned(
+    exchange: PaceExchange, now_s: float
+) -> dict[str, tuple[float, float]]:
+    """Return the slowness and the limit of each upstream, by name, for the metrics.
+
+    :param exchange: The exchange.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    figures = {}
+    for service in exchange.learned.services.values():
+        for name in service.upstreams:
+            state = exchange.states.find(name)
+            if state is not None:
+                figures[name] = (
+                    read_slowness(service, name, now_s),
+                    read_limit(service, name, state.slots, now_s),
+                )
+    return figures
+
+
 def _make_entry(service, name, sums, report, now_s):
     return SharedPace(
         service=service,
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -65,6 +65,8 @@
     peers_connected: Gauge
     revision: Gauge
     requests_in_progress: Gauge
+    upstream_slowness: Gauge
+    upstream_limit: Gauge
 
 
 def make_metrics() -> Metrics:
@@ -133,6 +135,8 @@
         "peers_connected": "Peers with a live session",
         "revision": "Revision of the records in force",
         "requests_in_progress": "Requests between arrival and last byte",
+        "upstream_slowness": "Learned slowness, 1 is the service's median, by upstream",
+        "upstream_limit": "Learned limit of concurrent requests, by upstream",
     }
     return {
         name: Gauge(f"jujubenotch_{name}", help_text, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -4,6 +4,8 @@
 for each chunk of a response.
 """
 
+from collections.abc import Mapping
+
 from jujubenotch.metrics.model import Metrics
 from jujubenotch.outcomes import (
     ChangeRefusalReason,
@@ -162,3 +164,19 @@
     :param result: ``sent``, ``received`` or ``missed``.
     """
     metrics.neighbour_messages.inc({"kind": str(kind), "result": result})
+
+
+def set_learned_capacity(
+    metrics: Metrics, figures: Mapping[str, tuple[float, float]]
+) -> None:
+    """Set what is learned about upstreams; others are no longer shown.
+
+    :param metrics: The metrics.
+    :param figures: The slowness, as a multiple of the service's median, and the limit
+        of concurrent requests of each upstream, by name.
+    """
+    metrics.upstream_slowness.values.clear()
+    metrics.upstream_limit.values.clear()
+    for upstream, (slowness, limit) in figures.items():
+        metrics.upstream_slowness.set({"upstream": upstream}, round(slowness, 3))
+        metrics.upstream_limit.set({"upstream": upstream}, round(limit, 2))
--- a/jujubenotch/neighbours/__init__.py
+++ b/jujubenotch/neighbours/__init__.py
@@ -23,6 +23,7 @@
     MessageItem,
     MessageKind,
     Neighbours,
+    PaceEntry,
     Registry,
     StreamEntry,
 )
@@ -47,6 +48,7 @@
     "MessageError",
     "MessageItem",
     "MessageKind",
+    "PaceEntry",
     "ReaderRole",
     "Reassembly",
     "Registry",
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -13,6 +13,7 @@
     Message,
     MessageItem,
     MessageKind,
+    PaceEntry,
     StreamEntry,
 )
 
@@ -27,7 +28,7 @@
 MAX_MESSAGE_BYTES = 1 << 20
 PART_LIFETIME_S = 2.0
 MAX_PARTIAL_MESSAGES = 64
-CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids"}
+CONVERTED_FIELDS = {"kind", "items", "streams", "request_ids", "paces"}
 
 Number = Annotated[int, Field(ge=0)]
 
@@ -53,6 +54,17 @@
     software_version: str
 
 
+class _PaceDocument(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    service: str
+    upstream: str
+    sums: list[float] = []
+    load: int | None = None
+    pace: float | None = None
+    age_s: float = 0.0
+
+
 class _MessageDocument(BaseModel):
     """A message; fields that a later release adds are ignored."""
 
@@ -71,6 +83,8 @@
     items: list[_ItemDocument] = []
     streams: list[_StreamDocument] = []
     request_ids: list[str] = []
+    paces: list[_PaceDocument] = []
+    has_totals: bool = False
 
 
 @dataclass(kw_only=True)
@@ -96,6 +110,9 @@
     document = asdict(message)
     for item in document["items"]:
         item["content"] = base64.b64encode(item["content"]).decode()
+    if message.kind is not MessageKind.PACES:
+        # Other messages stay as they are where no upstream reports its pace.
+        del document["paces"], document["has_totals"]
     content = zlib.compress(orjson.dumps(document))
     starts = range(0, len(content), MAX_PART_BYTES)
     if len(starts) > MAX_PARTS:
@@ -150,6 +167,7 @@
                 StreamEntry(**entry.model_dump()) for entry in document.streams
             ),
             request_ids=tuple(document.request_ids),
+            paces=tuple(_decode_pace(entry) for entry in document.paces),
         )
     except (ValidationError, ValueError, zlib.error) as error:
         raise MessageError(f"the message is invalid: {error}") from error
@@ -183,6 +201,10 @@
     return text
 
 
+def _decode_pace(document):
+    return PaceEntry(**document.model_dump(exclude={"sums"}), sums=tuple(document.sums))
+
+
 def _decode_item(document):
     return MessageItem(
         key=document.key,
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -18,6 +18,7 @@
     OUTAGE = "outage"
     STREAMS = "streams"
     STREAM_QUERY = "stream-query"
+    PACES = "paces"
 
 
 @dataclass(frozen=True, kw_only=True, slots=True)
@@ -39,6 +40,27 @@
     software_version: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class PaceEntry:
+    """What was observed of an upstream.
+
+    :param sums: Sums of observations and of their weights; their order is that of the
+        package ``pace``.
+    :param load: Running and waiting requests in the newest load report; ``None``
+        without a report.
+    :param pace: How long work takes on the upstream's machine by that report, as a
+        multiple of the usual time; ``None`` without a report.
+    :param age_s: The report's age, in seconds.
+    """
+
+    service: str
+    upstream: str
+    sums: tuple[float, ...] = ()
+    load: int | None = None
+    pace: float | None = None
+    age_s: float = 0.0
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class Message:
     """A message of an instance to its neighbours.
@@ -61,6 +83,9 @@
     :param streams: The origins of streams that the sender knows.
     :param request_ids: The streams that the sender asks for, or that it doesn't know
         after another instance has asked.
+    :param paces: What was observed of upstreams.
+    :param has_totals: Whether ``paces`` holds what all instances have observed, not the
+        sender alone.
     """
 
     kind: MessageKind
@@ -76,6 +101,8 @@
     items: tuple[MessageItem, ...] = ()
     streams: tuple[StreamEntry, ...] = ()
     request_ids: tuple[str, ...] = ()
+    paces: tuple[PaceEntry, ...] = ()
+    has_totals: bool = False
 
 
 @dataclass(kw_only=True)
--- a/jujubenotch/pace/__init__.py
+++ b/jujubenotch/pace/__init__.py
@@ -18,6 +18,7 @@
 )
 from jujubenotch.pace.learn import (
     FirstToken,
+    clip_pace,
     is_credit,
     is_learned,
     read_hold_s,
@@ -54,6 +55,7 @@
     "UpstreamPace",
     "apply_total",
     "choose_by_wait",
+    "clip_pace",
     "expect_first_s",
     "find_totals",
     "is_credit",
--- a/jujubenotch/pace/learn.py
+++ b/jujubenotch/pace/learn.py
@@ -49,6 +49,11 @@
 TOLERATED_RATIO = 2.0
 TOLERATED_SHARE = 0.5
 MIN_GRADIENT = 0.5
+MIN_TOOK_S = 1e-6
+# Reported paces outside of these bounds are taken for the nearest one. A wrong report
+# then can't attract all requests.
+MIN_PACE = 0.1
+MAX_PACE = 30.0
 LIMIT_PRIOR_WEIGHT = 2.0
 MIN_LIMIT_SHARE = 0.25
 HEADROOM_SHARE = 0.15
@@ -100,6 +105,7 @@
     :param reported_s: When the report was made, monotonic, in seconds.
     :param now_s: The present monotonic time, in seconds.
     """
+    pace = clip_pace(pace)
     service.paced_s = max(service.paced_s, reported_s)
     upstream = service.find(name)
     if reported_s >= upstream.reported_s:
@@ -108,6 +114,14 @@
     _add(upstream, PACE, math.log(pace), now_s)
 
 
+def clip_pace(pace: float) -> float:
+    """Return the nearest pace that is plausible.
+
+    :param pace: A reported pace.
+    """
+    return max(MIN_PACE, min(MAX_PACE, pace))
+
+
 def read_slowness(service: ServicePace, name: str, now_s: float) -> float:
     """Return how slow an upstream is, as a multiple of the service's median.
 
@@ -241,7 +255,7 @@
     expected_s = estimate_gap_s(service.usual, route, fill, now_s)
     record_gap(service.usual, route, fill, gap_s / (slowness * pace), now_s)
     if expected_s is not None:
-        log_ratio = math.log(gap_s / (expected_s * pace)) + service.median
+        log_ratio = math.log(gap_s / (expected_s * pace))
         _add(upstream, SLOWNESS, _clip(log_ratio), now_s)
 
 
@@ -260,18 +274,19 @@
         limit = combine(upstream, LIMIT, now_s)
         upstream.limit = limit.total, limit.weight
     service.median = statistics.median(each.log_slowness for each in upstreams)
-    for upstream in upstreams:
+    for name, upstream in service.upstreams.items():
         steps = (upstream.log_slowness - service.median) / CLASS_STEP
         if abs(steps - upstream.speed_class) > CLASS_HYSTERESIS:
             upstream.speed_class = max(-MAX_CLASS, min(MAX_CLASS, round(steps)))
+            service.changed.add(name)
 
 
 def _find_log_ratio(service, first, now_s):
     fill = first.load / max(1, first.slots)
     usual_s = estimate_first_s(service.usual, first.tokens, fill, now_s)
-    # The usual times are those of the median upstream.
-    log_ratio = math.log(max(first.took_s, 1e-6) / (usual_s * first.pace))
-    return _clip(log_ratio) + service.median
+    # The usual times are those of the median upstream, on each instance, so the ratios
+    # of several instances can be added up.
+    return _clip(math.log(max(first.took_s, MIN_TOOK_S) / (usual_s * first.pace)))
 
 
 def _add_limit_sample(service, upstream, first, now_s):
@@ -284,7 +299,7 @@
     factor = read_slowness(service, first.upstream, now_s) * first.pace
     idle_s = factor * estimate_first_s(service.usual, first.tokens, 0.0, now_s)
     tolerated_s = max(TOLERATED_RATIO * idle_s, TOLERATED_SHARE * first.target_s)
-    gradient = max(MIN_GRADIENT, min(1.0, tolerated_s / max(first.took_s, 1e-6)))
+    gradient = max(MIN_GRADIENT, min(1.0, tolerated_s / max(first.took_s, MIN_TOOK_S)))
     limit = read_limit(service, first.upstream, first.slots, now_s)
     sample = first.load * gradient
     if gradient == 1.0:
--- a/jujubenotch/pace/model.py
+++ b/jujubenotch/pace/model.py
@@ -63,6 +63,7 @@
     :param paced_s: When an upstream last reported the pace of its machine, monotonic,
         in seconds.
     :param median: The median logarithm of the upstreams' slowness.
+    :param changed: The upstreams whose speed class has changed and was not logged yet.
     :param median_s: When the estimates and the median were last found.
 
     >>> ServicePace().upstreams
@@ -74,6 +75,7 @@
     paced_s: float = float("-inf")
     median: float = 0.0
     median_s: float = float("-inf")
+    changed: set[str] = field(default_factory=set)
 
     def find(self, name: str) -> UpstreamPace:
         """Return what is learned about an upstream; a new one has no observations.
--- a/jujubenotch/pace/share.py
+++ b/jujubenotch/pace/share.py
@@ -9,7 +9,7 @@
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
-from jujubenotch.pace.learn import PACE_VALID_S
+from jujubenotch.pace.learn import PACE_VALID_S, clip_pace
 from jujubenotch.pace.means import DecayingMean, add_mean, decay
 from jujubenotch.pace.model import (
     LEARNING_TIME_S,
@@ -26,7 +26,10 @@
 MAX_UPSTREAMS = 2_000
 # Limits on what a message may claim, so that a wrong one can't displace all others.
 MAX_WEIGHT = 10_000.0
-MAX_VALUE = 10_000.0
+# The bounds of the means, in the order of ``Figures.means``: logarithms of ratios, and
+# a number of requests. Beyond them an exponential might overflow.
+MAX_VALUES = (5.0, 100_000.0, 7.0)
+ROUNDING = 0.01
 MEANS = 3
 
 
@@ -102,11 +105,10 @@
     if len(values) < 2 * MEANS:
         return None
     means = []
-    for total, weight in zip(
-        values[: 2 * MEANS : 2], values[1 : 2 * MEANS : 2], strict=True
-    ):
+    pairs = zip(values[: 2 * MEANS : 2], values[1 : 2 * MEANS : 2], strict=True)
+    for (total, weight), bound in zip(pairs, MAX_VALUES, strict=True):
         # The comparison is also false for values that aren't numbers.
-        if not (0 <= weight <= MAX_WEIGHT and abs(total) <= MAX_VALUE * weight + 1.0):
+        if not (0 <= weight <= MAX_WEIGHT and abs(total) <= bound * weight + ROUNDING):
             return None
         means.append(DecayingMean(total=total, weight=weight, updated_s=now_s))
     slowness, limit, pace = means
@@ -207,7 +209,7 @@
     upstream = service.find(name)
     if now_s - reported_s < PACE_VALID_S and reported_s > upstream.reported_s:
         service.paced_s = max(service.paced_s, reported_s)
-        upstream.reported_pace = pace
+        upstream.reported_pace = clip_pace(pace)
         upstream.reported_s = reported_s
 
 
