Forward at most 32 KiB of a stream at once

Cause: with 20 callers that read nothing of large streams the process grew by 63 MB. All that had arrived was forwarded at once, so each stalled stream held up to 256 KiB several times: as received, as whole events and as written.

Change: dispatch/attempt.py takes at most 32 KiB from the response at once.

--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -33,6 +33,9 @@
 FIRST_ERROR_STATUS = 500
 USAGE_TAIL_BYTES = 1024
 MAX_ERROR_LENGTH = 160
+# What is forwarded at once is held several times while a slow caller doesn't take it:
+# as received, as whole events, and as written.
+MAX_FORWARD_BYTES = 32 * 1024
 HOP_BY_HOP_HEADERS = frozenset(
     {
         "connection",
@@ -338,7 +341,7 @@
     send = receiver.sink.send
     resume_after_event_id = find_resume_point(receiver.call, receiver.progress)
     with translate_errors():
-        async for chunk in answer.response.content.iter_any():
+        async for chunk in answer.response.content.iter_chunked(MAX_FORWARD_BYTES):
             events = take_complete_events(buffer, chunk)
             if not events:
                 continue
