--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -14,6 +14,7 @@
     send_message,
     share_page,
 )
+from jujubenotch.daemon.forward_paces import connect_paces, share_paces
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
 from jujubenotch.daemon.forward_records import keep_records
@@ -86,6 +87,7 @@
     stream_watch.neighbours = relay.neighbours
     stream_watch.send = functools.partial(send_message, relay)
     stream_watch.store = components.stream_records
+    connect_paces(instance.pace_watch, relay, functools.partial(send_message, relay))
     configuration = add_configuration(relay, instance.state, components.configuration)
     upstreams = _add_upstreams(relay, instance, components.upstreams)
     crashes = _add_crashes(relay, instance, components.crashes)
@@ -109,6 +111,7 @@
         *lease_tasks,
         *_make_scaling_tasks(instance),
         keep_records(stream_watch),
+        share_paces(instance.pace_watch),
     )
 
 
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from jujubenotch.daemon.forward_paces import note_reader, receive_paces
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.daemon.forward_revisions import add_known
 from jujubenotch.daemon.forward_streams import receive_streams
@@ -128,17 +129,30 @@
         _receive_reports(relay, message)
         return
     relay.neighbours.add(sender)
-    if message.kind is MessageKind.CONFIGURATION:
-        relay.reader_address = sender
-    if message.kind in (MessageKind.STREAMS, MessageKind.STREAM_QUERY):
-        receive_streams(relay.instance.stream_watch, sender, message)
     metrics = relay.instance.observer.metrics
     count_neighbour_message(metrics, message.kind, "received")
-    if message.kind is MessageKind.OUTAGE:
-        _record_outage(relay, sender)
+    _receive_own_kind(relay, sender, message)
     followed = relay.followed.get(message.kind)
-    if followed is None:
-        return
+    if followed is not None:
+        _receive_page(relay, followed, sender, message)
+
+
+def _receive_own_kind(relay, sender, message):
+    """Pass a message on to the part that it belongs to."""
+    instance = relay.instance
+    match message.kind:
+        case MessageKind.STREAMS | MessageKind.STREAM_QUERY:
+            receive_streams(instance.stream_watch, sender, message)
+        case MessageKind.PACES:
+            receive_paces(instance.pace_watch, sender, message)
+        case MessageKind.CONFIGURATION:
+            relay.reader_address = sender
+            note_reader(instance.pace_watch, sender)
+        case MessageKind.OUTAGE:
+            _record_outage(relay, sender)
+
+
+def _receive_page(relay, followed, sender, message):
     progress = followed.progress
     if progress.era is None or message.era < progress.era:
         return
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -73,6 +73,7 @@
 from jujubenotch.forwarding.priority import pair_priorities, rank_priorities
 from jujubenotch.forwarding.shared_paces import (
     PaceExchange,
+    describe_learned,
     list_own,
     list_totals,
     take_own,
@@ -81,6 +82,7 @@
 from jujubenotch.forwarding.source import Item, Page, Source
 
 __all__ = [
+    "describe_learned",
     "PaceExchange",
     "list_own",
     "list_totals",
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -73,6 +73,8 @@
     lease_held: Gauge
     lease_token: Gauge
     lease_age: Gauge
+    upstream_slowness: Gauge
+    upstream_limit: Gauge
 
 
 def make_metrics() -> Metrics:
@@ -149,6 +151,8 @@
         "lease_held": "Whether this instance holds the lease on the platform's API",
         "lease_token": "The fencing token of the lease that this instance holds",
         "lease_age": "Seconds since the lease was last confirmed; 0 without it",
+        "upstream_slowness": "Learned slowness, 1 is the service's median, by upstream",
+        "upstream_limit": "Learned limit of concurrent requests, by upstream",
     }
     return {
         name: Gauge(f"jujubenotch_{name}", help_text, registry=registry)
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -4,6 +4,8 @@
 for each chunk of a response.
 """
 
+from collections.abc import Mapping
+
 from jujubenotch.metrics.model import Metrics
 from jujubenotch.outcomes import (
     ChangeRefusalReason,
@@ -226,3 +228,19 @@
     labels = {"service": service, "data_centre": data_centre, "kind": str(kind)}
     metrics.upstreams_ordered.set(labels, ordered)
     metrics.upstreams_listed.set(labels, listed)
+
+
+def set_learned_capacity(
+    metrics: Metrics, figures: Mapping[str, tuple[float, float]]
+) -> None:
+    """Set what is learned about upstreams; others are no longer shown.
+
+    :param metrics: The metrics.
+    :param figures: The slowness, as a multiple of the service's median, and the limit
+        of concurrent requests of each upstream, by name.
+    """
+    metrics.upstream_slowness.values.clear()
+    metrics.upstream_limit.values.clear()
+    for upstream, (slowness, limit) in figures.items():
+        metrics.upstream_slowness.set({"upstream": upstream}, round(slowness, 3))
+        metrics.upstream_limit.set({"upstream": upstream}, round(limit, 2))
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -13,6 +13,7 @@
     Message,
     MessageItem,
     MessageKind,
+    PaceEntry,
     StreamEntry,
 )
 from jujubenotch.neighbours.report_codec import (
@@ -38,6 +39,7 @@
     "streams",
     "request_ids",
     "lease_revisions",
+    "paces",
     "reports",
 }
 
@@ -65,6 +67,17 @@
     software_version: str
 
 
+class _PaceDocument(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    service: str
+    upstream: str
+    sums: list[float] = []
+    load: int | None = None
+    pace: float | None = None
+    age_s: float = 0.0
+
+
 class _MessageDocument(BaseModel):
     """A message; fields that a later release adds are ignored."""
 
@@ -85,6 +98,8 @@
     streams: list[_StreamDocument] = []
     request_ids: list[str] = []
     reports: ReportsDocument | None = None
+    paces: list[_PaceDocument] = []
+    has_totals: bool = False
 
 
 @dataclass(kw_only=True)
@@ -116,6 +131,9 @@
     if not message.lease_revisions:
         # A site without the lease sends what it sent before there was one.
         del document["lease_revisions"]
+    if message.kind is not MessageKind.PACES:
+        # Other messages stay as they are where no upstream reports its pace.
+        del document["paces"], document["has_totals"]
     content = zlib.compress(orjson.dumps(document))
     starts = range(0, len(content), MAX_PART_BYTES)
     if len(starts) > MAX_PARTS:
@@ -172,6 +190,7 @@
             request_ids=tuple(document.request_ids),
             reports=decode_reports(document.reports),
             lease_revisions=tuple(document.lease_revisions),
+            paces=tuple(_decode_pace(entry) for entry in document.paces),
         )
     except (ValidationError, ValueError, zlib.error) as error:
         raise MessageError(f"the message is invalid: {error}") from error
@@ -205,6 +224,10 @@
     return text
 
 
+def _decode_pace(document):
+    return PaceEntry(**document.model_dump(exclude={"sums"}), sums=tuple(document.sums))
+
+
 def _decode_item(document):
     return MessageItem(
         key=document.key,
