Let nothing malformed in the store end the program

Change: bounds in the platform's documents and responses, one check of addresses, errors of the source for lists that go back; a route without a service is refused as no-upstream.

--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -54,6 +54,7 @@
 CONFIRM_PAUSE_S = 1.0
 TRANSIT_S = (0.001, 0.02)
 START_PAUSE_S = 1.5
+MAX_ATTEMPTS = 4
 
 
 class VirtualSelector(selectors.SelectSelector):
@@ -546,7 +547,8 @@
 async def _run(fleet, instance, call, origin):
     """Run a stream; return its version and whether it is whole, or ``None``."""
     excluded = set()
-    while True:
+    # The same upstream may be chosen again if the others are held.
+    for _ in range(MAX_ATTEMPTS):
         grant = await instance.capacity.acquire(_make_request(call, origin, excluded))
         if isinstance(grant, Refusal):
             return None
@@ -555,8 +557,8 @@
             break
         _release(fleet, instance, grant, WorkResult.CONNECT_FAILED)
         excluded.add(upstream.name)
-        if len(excluded) > 3:
-            return None
+    else:
+        return None
     watch = instance.watch
     await asyncio.sleep(0.02)
     begun = origin or StreamOrigin(
--- a/jujubenotch/forwarding/match.py
+++ b/jujubenotch/forwarding/match.py
@@ -68,7 +68,7 @@
 
     :param route: The route.
     :param draw: A random number in [0, 1), drawn for this request.
-    :returns: The service's name.
+    :returns: The service's name; empty when the route has no service.
     """
     total = sum(share.weight for share in route.shares)
     remaining = draw * total
@@ -76,4 +76,4 @@
         remaining -= share.weight
         if remaining < 0:
             return share.service
-    return route.shares[-1].service
+    return route.shares[-1].service if route.shares else ""
--- a/jujubenotch/platform/directory.py
+++ b/jujubenotch/platform/directory.py
@@ -10,6 +10,7 @@
 
 from jujubenotch.forwarding import SourceError
 from jujubenotch.neighbours import ListedInstance
+from jujubenotch.platform.addresses import is_address
 from jujubenotch.platform.store import StoreClient, call_store
 
 NAME_PREFIX = "instance-"
@@ -65,6 +66,7 @@
             names += document.names
             if not document.has_more or not document.names:
                 return tuple(_read_name(name) for name in names)
+            _check_order(document.names, parameters.get("since-rev", ""))
             parameters["since-rev"] = document.names[-1]
 
     async def _read_names(self, parameters):
@@ -77,7 +79,16 @@
             raise SourceError(f"the list of names is invalid: {error}") from error
 
 
+def _check_order(names, after):
+    """Raise an error if a store that tells of more names doesn't go on."""
+    if names[-1] <= after:
+        raise SourceError(f"the list of names goes back from {after!r}")
+
+
 def _read_name(name):
     _, _, rest = name.partition(SEPARATOR)
     data_centre, _, address = rest.partition(SEPARATOR)
-    return ListedInstance(data_centre=data_centre, address=address)
+    # An instance without an endpoint is counted, but no message is sent to it.
+    return ListedInstance(
+        data_centre=data_centre, address=address if is_address(address) else ""
+    )
--- a/jujubenotch/platform/documents.py
+++ b/jujubenotch/platform/documents.py
@@ -3,7 +3,7 @@
 import hashlib
 from typing import Annotated, Literal
 
-from pydantic import BaseModel, ConfigDict, Field, ValidationError
+from pydantic import AfterValidator, BaseModel, ConfigDict, Field, ValidationError
 
 from jujubenotch.forwarding import (
     CallerBounds,
@@ -16,6 +16,7 @@
     SiteConfiguration,
     TeamKeys,
 )
+from jujubenotch.platform.addresses import is_address
 from jujubenotch.platform.units import MS_PER_S
 
 ROUTE_KINDS = {
@@ -27,9 +28,23 @@
 MAX_VERSION_LENGTH = 64
 
 Text = Annotated[str, Field(min_length=1)]
-AddressText = Annotated[str, Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$")]
-Count = Annotated[int, Field(ge=0)]
-Duration = Annotated[float, Field(ge=0)]
+
+
+def _check_address(text):
+    if not is_address(text):
+        raise ValueError("it is no IP address with a port")
+    return text
+
+
+AddressText = Annotated[
+    str,
+    Field(pattern=r"^\d{1,3}(\.\d{1,3}){3}:\d{1,5}$"),
+    AfterValidator(_check_address),
+]
+# Larger numbers overflow when they are divided or added up.
+MAX_NUMBER = 2**53
+Count = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
+Duration = Annotated[float, Field(ge=0, le=MAX_NUMBER, allow_inf_nan=False)]
 
 
 def _make_wire_name(name):
@@ -103,13 +118,13 @@
 
     name: Text
     api_keys: list[str] = []
-    priority: int | None = None
+    priority: Annotated[int, Field(ge=-MAX_NUMBER, le=MAX_NUMBER)] | None = None
 
 
 class ConfigurationDocument(WireDocument):
     """The complete configuration."""
 
-    version: int
+    version: Annotated[int, Field(ge=-MAX_NUMBER, le=MAX_NUMBER)]
     routes: list[RouteDocument] = []
     services: list[ServiceDocument] = []
     limits: LimitsDocument | None = None
@@ -127,7 +142,7 @@
     service: Text
     address: AddressText
     zone: Text
-    slots: Annotated[int, Field(ge=1)]
+    slots: Annotated[int, Field(ge=1, le=MAX_NUMBER)]
     state: Literal["ready", "draining"]
     cold_remaining_ms: Duration = 0
     born: Count = 0
--- a/jujubenotch/platform/registry.py
+++ b/jujubenotch/platform/registry.py
@@ -5,6 +5,7 @@
 import orjson
 
 from jujubenotch.forwarding import SourceError
+from jujubenotch.platform.addresses import is_address
 from jujubenotch.platform.rows import write_row
 from jujubenotch.platform.store import RowsDocument, StoreClient, call_store
 
@@ -37,7 +38,7 @@
             document = RowsDocument.model_validate(orjson.loads(content))
         except ValueError as error:
             raise SourceError(f"the list of instances is invalid: {error}") from error
-        return {row.key for row in document.rows if _is_address(row.key)}
+        return {row.key for row in document.rows if is_address(row.key)}
 
     async def add_instance(self, data_centre: str, address: str) -> None:
         """Register an endpoint.
@@ -49,8 +50,3 @@
         await write_row(
             self.client, INSTANCE_TABLE, address, ROW_CONTENT, part=data_centre
         )
-
-
-def _is_address(text):
-    host, _, port = text.rpartition(":")
-    return bool(host) and port.isdigit()
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -1,10 +1,9 @@
 """Reads the tables of the platform's store over HTTP, as sources of typed items."""
 
 import base64
-import binascii
 from collections.abc import Callable
 from dataclasses import dataclass
-from typing import Any
+from typing import Annotated, Any
 
 import aiohttp
 import orjson
@@ -33,6 +32,10 @@
 CONNECT_TIMEOUT_S = 0.5
 KEEPALIVE_S = 15.0
 CALL_TIMEOUT_S = 2.0
+# Larger numbers can't be sent to neighbours, nor be told apart as floating-point ones.
+MAX_NUMBER = 2**53
+
+Number = Annotated[int, Field(ge=0, le=MAX_NUMBER)]
 
 
 class RowDocument(BaseModel):
@@ -45,7 +48,7 @@
     key: str
     value: str = ""
     deleted: bool = False
-    revision: int = Field(alias="schema-version", default=0)
+    revision: Number = Field(alias="schema-version", default=0)
 
 
 class RowsDocument(BaseModel):
@@ -58,10 +61,10 @@
     model_config = ConfigDict(populate_by_name=True)
 
     rows: list[RowDocument]
-    revision: int = Field(alias="schema-version")
-    now_ms: float = Field(alias="now-ms")
+    revision: Number = Field(alias="schema-version")
+    now_ms: Annotated[float, Field(ge=0, le=MAX_NUMBER)] = Field(alias="now-ms")
     has_more: bool = Field(alias="has-more", default=False)
-    era: int = 0
+    era: Number = 0
 
 
 @dataclass(kw_only=True)
@@ -113,6 +116,11 @@
             # This is the smallest key that sorts after the last one read.
             after = rest.rows[-1].key + "\0"
             rest = await self._call("/v1/rows-get", {"from": after}, note_progress)
+            if rest.rows and rest.rows[0].key < after:
+                raise SourceError(
+                    f"/v1/rows-get: the rest of table {self.table} begins at "
+                    f"{rest.rows[0].key!r}, before the key that it was asked from"
+                )
             if rest.era != page.era:
                 raise EraChangedError(
                     f"/v1/rows-get: the store changed from era {page.era} to "
@@ -166,7 +174,7 @@
             )
         try:
             document = RowsDocument.model_validate(orjson.loads(content))
-            document.era = int(answer.headers.get(ERA_HEADER, 0))
+            document.era = _read_era(answer.headers.get(ERA_HEADER, "0"))
         except (ValidationError, ValueError) as error:
             raise SourceError(
                 f"{path}: the store returned an invalid response for table {self.table}"
@@ -188,7 +196,7 @@
             return Item(key=row.key, value=None, is_removed=True)
         try:
             content = base64.b64decode(row.value, validate=True)
-        except binascii.Error:
+        except ValueError:
             return Item(key=row.key, value=None, revision=row.revision)
         return self.make_item(row.key, content, row.revision)
 
@@ -204,6 +212,13 @@
         return Item(key=key, value=value, revision=revision, content=content)
 
 
+def _read_era(text):
+    era = int(text)
+    if not 0 <= era <= MAX_NUMBER:
+        raise ValueError(f"the era {text[:20]} is out of range")
+    return era
+
+
 def open_store(address: Address) -> StoreClient:
     """Create a client; requires a running event loop.
 
--- a/jujubenotch/platform/stream_records.py
+++ b/jujubenotch/platform/stream_records.py
@@ -87,6 +87,8 @@
             names += document.names
             if not document.has_more or not document.names:
                 return names
+            if document.names[-1] <= parameters.get("since-rev", ""):
+                raise SourceError("the list of names goes back")
             parameters["since-rev"] = document.names[-1]
 
     async def write_record(self, record: VersionRecord) -> None:
--- a/standins/store.py
+++ b/standins/store.py
@@ -49,6 +49,7 @@
     :param transfer_s: Time that the body of a response takes to transfer.
     :param silent_long_polls: Numbers of the long polls that never get a response.
     :param long_polls: The table of each long poll in progress, by its number.
+    :param spoilt_responses: Bodies that replace those of the next responses with rows.
     :param request_paths: The paths of all requests received, in order.
 
     >>> state = StoreState()
@@ -66,6 +67,7 @@
     transfer_s: float = 0.0
     silent_long_polls: set[int] = field(default_factory=set)
     long_polls: dict[int, str] = field(default_factory=dict)
+    spoilt_responses: list[bytes] = field(default_factory=list)
     request_paths: list[str] = field(default_factory=list)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -215,6 +217,10 @@
     if state.fault == "unavailable":
         return web.Response(status=SERVICE_UNAVAILABLE)
     response = await read(state, request)
+    if state.spoilt_responses and read in (_read_rows, _read_feed):
+        response = web.Response(
+            body=state.spoilt_responses.pop(0), content_type="application/json"
+        )
     response.headers[ERA_HEADER] = str(state.era)
     if state.transfer_s:
         return await _send_slowly(request, response, state.transfer_s)
