Wait for the first request of connections accepted just before a listener closes

Cause: a listener that stops closes its socket, then each connection that looks idle. Change: 0.2 s for the first request, and the event loop polls once more before the socket is closed.

--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -13,6 +13,10 @@
 from jujubenotch.listeners.bounds import BoundedProtocol, ListenerLimits
 
 BACKLOG_CONNECTIONS = 1024
+# The request of a connection that was just accepted arrives within this time. Before,
+# the connection looks idle, and closing it would cut the request off.
+FIRST_REQUEST_WAIT_S = 0.2
+ACCEPT_PAUSE_S = 0.005
 CLOSE_POLL_INTERVAL_S = 0.01
 
 
@@ -108,10 +112,16 @@
         waits without a limit.
     :returns: The number of connections still open at the time limit.
     """
+    if timeout_s != 0:
+        # Closing the socket resets the connections that wait to be accepted, which are
+        # fewest just after the event loop has polled it.
+        await asyncio.sleep(ACCEPT_PAUSE_S)
     listener.server.close()
     connections = listener.server.connections
     try:
         async with asyncio.timeout(timeout_s):
+            if connections:
+                await asyncio.sleep(FIRST_REQUEST_WAIT_S)
             while connections:
                 for connection in list(connections):
                     connection.close_if_idle()
