--- a/features/pace/fleet.py
+++ b/features/pace/fleet.py
@@ -18,8 +18,10 @@
     UpstreamListing,
     apply_items,
     list_own,
+    list_short_counts,
     list_totals,
     take_own,
+    take_short_counts,
     take_totals,
 )
 from jujubenotch.outcomes import Refusal
@@ -185,6 +187,7 @@
     totals = list_totals(reader, fleet.now_s)
     for exchange in others:
         take_totals(exchange, totals, fleet.now_s)
+        take_short_counts(exchange, list_short_counts(reader), fleet.now_s)
     fleet.at(fleet.now_s + 1.0, lambda: exchange_figures(fleet))
 
 
--- a/features/pace/sharing.feature
+++ b/features/pace/sharing.feature
@@ -10,6 +10,16 @@
     And the fourth knows the load that u-1 reported to the second
     And the metrics of the fourth show the slowness of u-1
 
+  # Guards against instances that divide the upstreams differently between long and short
+  # prompts, so that the same prompt is cached at several.
+  Scenario: The others divide the upstreams as the reader does
+    Given 4 instances of one data centre, of which the first is the reader
+    And the second has observed that upstream u-1 is slow
+    When requests come to the reader
+    And all have shared once, and the reader once more
+    Then the fourth gives as many upstreams to short prompts as the reader
+    And 6 s later it finds their number itself
+
   # Guards against messages where no upstream reports its pace.
   Scenario: Nothing is sent where no upstream reports its pace
     Given 4 instances of one data centre, of which the first is the reader
--- a/features/pace/steps/sharing_steps.py
+++ b/features/pace/steps/sharing_steps.py
@@ -18,6 +18,7 @@
     receive_paces,
     share_once,
 )
+from jujubenotch.forwarding.shared_paces import find_shared_count
 from jujubenotch.metrics import make_metrics
 from jujubenotch.neighbours import (
     Message,
@@ -177,6 +178,28 @@
         context.counts.append(len(context.sharing.sent) - before)
 
 
+@when("requests come to the reader")
+def send_to_reader(context):
+    fleet = context.sharing.fleet
+    capacities, fleet.capacities = fleet.capacities, fleet.capacities[:1]
+    send(fleet, SHORT_KIND, "a-key")
+    fleet.capacities = capacities
+
+
+@then("the fourth gives as many upstreams to short prompts as the reader")
+def check_division(context):
+    reader, *_, fourth = context.sharing.fleet.exchanges
+    found = find_shared_count(fourth, SERVICE, context.sharing.loop.time())
+    assert found == reader.read_own_counts()[SERVICE], found
+
+
+@then("6 s later it finds their number itself")
+def check_own_division(context):
+    fourth = context.sharing.fleet.exchanges[FOURTH]
+    later_s = context.sharing.loop.time() + 6.0
+    assert find_shared_count(fourth, SERVICE, later_s) is None
+
+
 def read_fourth(sharing, name):
     service = sharing.fleet.capacities[FOURTH].learned.services[SERVICE]
     return read_slowness(service, name, sharing.loop.time() + 1.0)
--- a/jujubenotch/daemon/forward_paces.py
+++ b/jujubenotch/daemon/forward_paces.py
@@ -16,8 +16,10 @@
     PaceExchange,
     describe_learned,
     list_own,
+    list_short_counts,
     list_totals,
     take_own,
+    take_short_counts,
     take_totals,
 )
 from jujubenotch.logs import log_event
@@ -113,6 +115,7 @@
     if message.has_totals:
         note_reader(watch, sender)
         take_totals(watch.exchange, entries, now_s)
+        take_short_counts(watch.exchange, message.short_counts, now_s)
     elif is_collecting(watch):
         take_own(watch.exchange, sender, entries, now_s)
 
@@ -173,6 +176,7 @@
         kind=MessageKind.PACES,
         paces=tuple(PaceEntry(**asdict(entry)) for entry in entries),
         has_totals=has_totals,
+        short_counts=list_short_counts(watch.exchange) if has_totals else {},
     )
     if watch.send(message, addresses):
         return
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -71,13 +71,17 @@
     PaceExchange,
     describe_learned,
     list_own,
+    list_short_counts,
     list_totals,
     take_own,
+    take_short_counts,
     take_totals,
 )
 from jujubenotch.forwarding.source import Item, Page, Source
 
 __all__ = [
+    "list_short_counts",
+    "take_short_counts",
     "describe_learned",
     "PaceExchange",
     "list_own",
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -38,7 +38,7 @@
     finish_prefill,
     start_prefill,
 )
-from jujubenotch.forwarding.shared_paces import PaceExchange
+from jujubenotch.forwarding.shared_paces import PaceExchange, find_shared_count
 from jujubenotch.forwarding.shedding import LongPrompts, shed_long_prompt
 from jujubenotch.forwarding.sparing import (
     BrittleServices,
@@ -121,6 +121,11 @@
             states=self.states,
             learned=self.learned,
             record_load=self._record_group_loads,
+            read_own_counts=lambda: {
+                service: division.short_count
+                for service, division in self._divisions.items()
+                if division.short_count
+            },
         )
         self._divisions: dict[str, Division] = {}
         self._long_prompts: dict[str, LongPrompts] = {}
@@ -391,6 +396,7 @@
             is_long=is_long,
             now_s=now_s,
             ranking=rank_for_short(self.learned, request.target, names, now_s),
+            shared_count=find_shared_count(self.pace_exchange, request.target, now_s),
         )
 
     def _find_division(self, request):
--- a/jujubenotch/forwarding/division.py
+++ b/jujubenotch/forwarding/division.py
@@ -114,6 +114,7 @@
     is_long: bool,
     now_s: float,
     ranking: Sequence[str] | None = None,
+    shared_count: int | None = None,
 ) -> set[str]:
     """Return the upstreams for long prompts or those for short prompts.
 
@@ -124,11 +125,16 @@
     :param now_s: The present monotonic time, in seconds.
     :param ranking: The names in the order in which short prompts get them; ``None``
         for an order by hash.
+    :param shared_count: The number of upstreams for short prompts that all instances
+        use; ``None`` when each finds its own.
     :returns: The upstreams' names; all names when there are fewer than two.
     """
     if len(names) < 2:
         return set(names)
-    _move_boundary(division, len(names), slots, now_s)
+    if shared_count is None:
+        _move_boundary(division, len(names), slots, now_s)
+    else:
+        division.short_count = _round_within(shared_count, len(names))
     ranking = rank_names(names) if ranking is None else ranking
     short = set(ranking[: division.short_count])
     division.names = frozenset(names)
--- a/jujubenotch/forwarding/shared_paces.py
+++ b/jujubenotch/forwarding/shared_paces.py
@@ -5,7 +5,7 @@
 so an instance that receives few responses still knows the present loads.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from dataclasses import dataclass, field
 
 from jujubenotch.forwarding.learned import LearnedServices
@@ -29,6 +29,8 @@
 # An older report tells no more than the mean of the service.
 MAX_REPORT_AGE_S = 3.0
 MAX_REPORTS = 5_000
+# Without totals for this time each instance divides the upstreams by itself again.
+SHARED_COUNT_VALID_S = 5.0
 # Limits on what a message may claim of one upstream.
 MAX_LOAD = 1_000_000
 MIN_PACE = 0.01
@@ -56,12 +58,17 @@
     :param shared: The sums of other instances, while this one is the reader.
     :param reports: The newest reports that other instances sent, by service and
         upstream.
+    :param shared_counts: How many upstreams of a service the reader gives to short
+        prompts, and when that was received, monotonic, in seconds.
+    :param read_own_counts: Returns the same numbers as this instance finds them.
     :param record_load: Called with the name and the load of each upstream of which a
         newer report was taken up, and with the present monotonic time in seconds.
     """
 
     states: UpstreamStates
     learned: LearnedServices
+    shared_counts: dict[str, tuple[int, float]] = field(default_factory=dict)
+    read_own_counts: Callable[[], dict[str, int]] = dict
     record_load: Callable[[str, int, float], None] = lambda name, load, now_s: None
     shared: SharedPaces = field(default_factory=SharedPaces)
     reports: dict[tuple[str, str], KnownReport] = field(default_factory=dict)
@@ -108,6 +115,47 @@
     return entries
 
 
+def list_short_counts(exchange: PaceExchange) -> dict[str, int]:
+    """Return, for the reader, how many upstreams of a service short prompts get.
+
+    :param exchange: The exchange.
+    """
+    counts = exchange.read_own_counts()
+    return {
+        service: counts[service]
+        for service in exchange.learned.services
+        if service in counts
+    }
+
+
+def take_short_counts(
+    exchange: PaceExchange, counts: Mapping[str, int], now_s: float
+) -> None:
+    """Take up the reader's division of upstreams.
+
+    Where instances divide them differently, the same prompt is cached at several.
+
+    :param exchange: The exchange; changed in place.
+    :param counts: The numbers of upstreams for short prompts, by service.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    for service, count in counts.items():
+        if service in exchange.learned.services and count > 0:
+            exchange.shared_counts[service] = (count, now_s)
+
+
+def find_shared_count(exchange: PaceExchange, service: str, now_s: float) -> int | None:
+    """Return how many upstreams short prompts get by the reader's division.
+
+    :param exchange: The exchange.
+    :param service: The service's name.
+    :param now_s: The present monotonic time, in seconds.
+    :returns: The number; ``None`` when this instance has to find it.
+    """
+    count, taken_s = exchange.shared_counts.get(service, (0, float("-inf")))
+    return count if now_s - taken_s < SHARED_COUNT_VALID_S else None
+
+
 def take_own(
     exchange: PaceExchange, sender: str, entries: Iterable[SharedPace], now_s: float
 ) -> None:
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -85,6 +85,7 @@
     request_ids: list[str] = []
     paces: list[_PaceDocument] = []
     has_totals: bool = False
+    short_counts: dict[str, Number] = {}
 
 
 @dataclass(kw_only=True)
@@ -112,7 +113,8 @@
         item["content"] = base64.b64encode(item["content"]).decode()
     if message.kind is not MessageKind.PACES:
         # Other messages stay as they are where no upstream reports its pace.
-        del document["paces"], document["has_totals"]
+        for name in ("paces", "has_totals", "short_counts"):
+            del document[name]
     content = zlib.compress(orjson.dumps(document))
     starts = range(0, len(content), MAX_PART_BYTES)
     if len(starts) > MAX_PARTS:
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -1,5 +1,6 @@
 """Data model of the messages between the instances of one data centre."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -86,6 +87,8 @@
     :param paces: What was observed of upstreams.
     :param has_totals: Whether ``paces`` holds what all instances have observed, not the
         sender alone.
+    :param short_counts: How many upstreams of each service the sender gives to short
+        prompts.
     """
 
     kind: MessageKind
@@ -103,6 +106,7 @@
     request_ids: tuple[str, ...] = ()
     paces: tuple[PaceEntry, ...] = ()
     has_totals: bool = False
+    short_counts: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True)
