--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -1,5 +1,6 @@
 """Data model of the messages between the instances of one data centre."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
@@ -92,6 +93,8 @@
     :param paces: What was observed of upstreams.
     :param has_totals: Whether ``paces`` holds what all instances have observed, not the
         sender alone.
+    :param short_counts: How many upstreams of each service the sender gives to short
+        prompts.
     """
 
     kind: MessageKind
@@ -111,6 +114,7 @@
     reports: tuple[ProcessReport, ...] = ()
     paces: tuple[PaceEntry, ...] = ()
     has_totals: bool = False
+    short_counts: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass(kw_only=True)
