End a stream whose upstream completes no event

Cause: the pause of a stream was measured from byte to byte, so that an upstream that sends a byte now and then, but no event, held its caller until the deadline.

The time that a slow caller needs to receive events doesn't count.

--- a/features/platform/silence.feature
+++ b/features/platform/silence.feature
@@ -15,6 +15,13 @@
     When a caller reads a stream that may be resumed
     Then it got the events 1 to 4 within 2.5 s
 
+  # Guards against a stalled stream that never ends because single bytes still arrive.
+  Scenario: A stream goes on elsewhere when its upstream completes no event
+    Given a site whose upstream sends a byte each 0.3 s after 2 of 4 events
+    And another upstream that resumes after the last event
+    When a caller reads a stream that may be resumed
+    Then it got the events 1 to 4 within 2.5 s
+
   Scenario: An idle connection outlives the silence of its upstream
     Given a site whose upstream is silent for 0 s after 2 of 4 events
     When a caller reads a stream, and another one 1.2 s later
--- a/features/platform/steps/silence_steps.py
+++ b/features/platform/steps/silence_steps.py
@@ -56,14 +56,40 @@
         writer.write(LAST_CHUNK)
 
 
+class TricklingUpstream(PausingUpstream):
+    """Sends single bytes that complete no event instead of pausing."""
+
+    async def stream(self, head, writer):
+        writer.write(STREAM_HEAD % read_id(head))
+        for number in range(1, self.before + 1):
+            event = b"id: %d\ndata: w%d\n\n" % (number, number)
+            writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        while not writer.is_closing():
+            writer.write(b"1\r\nx\r\n")
+            await asyncio.sleep(self.pause_s)
+
+
+@given(
+    "a site whose upstream sends a byte each {pause_s:g} s after {before:d} of "
+    "{events:d} events"
+)
+def open_trickling_site(context, pause_s, before, events):
+    upstream = TricklingUpstream(pause_s=pause_s, before=before, events=events)
+    open_site_of(context, upstream)
+
+
 @given(
     "a site whose upstream is silent for {pause_s:g} s after {before:d} of {events:d} "
     "events"
 )
 def open_pausing_site(context, pause_s, before, events):
+    upstream = PausingUpstream(pause_s=pause_s, before=before, events=events)
+    open_site_of(context, upstream)
+
+
+def open_site_of(context, upstream):
     site = context.site = context.stack.enter_context(open_site())
     put_configuration(site)
-    upstream = PausingUpstream(pause_s=pause_s, before=before, events=events)
 
     async def listen():
         server = await asyncio.start_server(upstream.serve, site.host, 0)
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -335,24 +335,42 @@
 
 
 async def _forward_events(receiver, answer, buffer):
+    """Forward the events of a stream as they arrive.
+
+    An upstream that sends bytes but completes no event has stalled. The time that a
+    slow caller takes to receive events doesn't count.
+    """
+    max_pause_s = receiver.call.silence_timeout_s
+    try:
+        async with asyncio.timeout(max_pause_s) as pause:
+            with translate_errors():
+                await _forward_while_events_come(receiver, answer, buffer, pause)
+    except TimeoutError as error:
+        raise SilentUpstreamError(f"no event for {max_pause_s} s") from error
+
+
+async def _forward_while_events_come(receiver, answer, buffer, pause):
     attempt = receiver.attempt
+    max_pause_s = receiver.call.silence_timeout_s
     read_time_s = asyncio.get_running_loop().time
     keeps_events = bool(receiver.call.idempotency_key)
     send = receiver.sink.send
     resume_after_event_id = find_resume_point(receiver.call, receiver.progress)
-    with translate_errors():
-        async for chunk in answer.response.content.iter_chunked(MAX_FORWARD_BYTES):
-            events = take_complete_events(buffer, chunk)
-            if not events:
-                continue
-            if resume_after_event_id and repeats_events(events, resume_after_event_id):
-                buffer.last_events = b""
-                raise StreamRestartedError
-            resume_after_event_id = ""
-            attempt.last_token_at_s = read_time_s()
-            if not attempt.first_token_at_s:
-                attempt.first_token_at_s = attempt.last_token_at_s
-            await _start_stream(receiver, answer)
-            if keeps_events:
-                receiver.progress.recorded_events.append(events)
-            await send(events)
+    async for chunk in answer.response.content.iter_chunked(MAX_FORWARD_BYTES):
+        events = take_complete_events(buffer, chunk)
+        if not events:
+            continue
+        if resume_after_event_id and repeats_events(events, resume_after_event_id):
+            buffer.last_events = b""
+            raise StreamRestartedError
+        resume_after_event_id = ""
+        pause.reschedule(None)
+        attempt.last_token_at_s = read_time_s()
+        if not attempt.first_token_at_s:
+            attempt.first_token_at_s = attempt.last_token_at_s
+        await _start_stream(receiver, answer)
+        if keeps_events:
+            receiver.progress.recorded_events.append(events)
+        await send(events)
+        if max_pause_s is not None:
+            pause.reschedule(read_time_s() + max_pause_s)
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -176,7 +176,7 @@
             )
         try:
             document = RowsDocument.model_validate(orjson.loads(content))
-            document.era = _read_era(answer.headers.get(ERA_HEADER, "0"))
+            document.era = _read_era(answer)
         except (ValidationError, ValueError) as error:
             raise SourceError(
                 f"{path}: the store returned an invalid response for table {self.table}"
@@ -214,13 +214,6 @@
         return Item(key=key, value=value, revision=revision, content=content)
 
 
-def _read_era(text):
-    era = int(text)
-    if not 0 <= era <= MAX_NUMBER:
-        raise ValueError(f"the era {text[:20]} is out of range")
-    return era
-
-
 def open_store(address: Address) -> StoreClient:
     """Create a client; requires a running event loop.
 
