Draw the histories of usage reports from their seeds only

Requests that began exactly at the end of a window were counted to either side by the rounding of a clock.

--- a/features/usage/fleet.py
+++ b/features/usage/fleet.py
@@ -141,6 +141,15 @@
         for module in CLOCKED:
             patch = mock.patch.object(module, "read_boot_clock_s", read_boot_clock_s)
             stack.enter_context(patch)
+        # Each history has its own draws, so that a seed always gives the same one.
+        stack.enter_context(
+            mock.patch.object(forward_leases, "random", random.Random(seed + 1))
+        )
+        names = SimpleNamespace(
+            token_hex=lambda size: random.Random(draws.random()).randbytes(size).hex()
+        )
+        for module in (forward_leases, forward_usage):
+            stack.enter_context(mock.patch.object(module, "secrets", names))
         clock = SimpleNamespace(time=read_wall_clock_s)
         stack.enter_context(mock.patch.object(forward_usage, "time", clock))
         for patch in patches:
@@ -159,6 +168,9 @@
         for _ in range(plan.fault_count):
             delay_s = fleet.draws.uniform(8.0, plan.length_s - 15.0)
             fleet.start(_cause_fault(fleet, kind, delay_s))
+    # No request begins exactly at the end of a window, where rounding of the instances'
+    # clocks decides to which one it belongs.
+    await asyncio.sleep(LOAD_STEP_S / 2)
     while fleet.loop.time() < plan.length_s:
         await asyncio.sleep(LOAD_STEP_S)
         for instance in list(fleet.instances.values()):
