--- a/jujubenotch/scaling/kinds.py
+++ b/jujubenotch/scaling/kinds.py
@@ -171,10 +171,12 @@
     missing = order.count - presence.ready
     if missing <= 0:
         return order.count
-    patience_s = boot_s + LISTING_DELAY_S
-    if now_s - order.raised_s <= patience_s:
+    boot_timeout_s = boot_s + LISTING_DELAY_S
+    if now_s - order.raised_s <= boot_timeout_s:
         return order.count
-    is_recent = order.differs_s is not None and now_s - order.differs_s <= patience_s
+    is_recent = (
+        order.differs_s is not None and now_s - order.differs_s <= boot_timeout_s
+    )
     if is_recent and missing <= max(1, CRASHED_SHARE * order.count):
         return order.count
     return presence.ready
--- a/jujubenotch/scaling/orders.py
+++ b/jujubenotch/scaling/orders.py
@@ -117,8 +117,8 @@
 def _is_overdue(order, boot_s, now_s):
     if order.differs_s is None:
         return False
-    patience_s = max(MIN_REPEAT_S, 2 * boot_s + LISTING_DELAY_S) * 2**order.repeats
-    return now_s - order.differs_s >= min(patience_s, MAX_REPEAT_S)
+    repeat_pause_s = max(MIN_REPEAT_S, 2 * boot_s + LISTING_DELAY_S) * 2**order.repeats
+    return now_s - order.differs_s >= min(repeat_pause_s, MAX_REPEAT_S)
 
 
 def count_missing(
