Say in comments of the new parts what each constant bounds

Cause: read again as a newcomer, 14 comments named a circumstance and left open what the constant or the condition beside it does.

Change: comments only.

--- a/jujubenotch/daemon/forward_paces.py
+++ b/jujubenotch/daemon/forward_paces.py
@@ -30,7 +30,7 @@
 logger = logging.getLogger(__name__)
 
 SHARE_INTERVAL_S = 1.0
-# The instances don't all send at the same time.
+# Random part of the interval, so that instances don't all send at the same time.
 INTERVAL_SPREAD = 0.2
 # About 3 KB compressed, three datagrams.
 MAX_ENTRIES = 60
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -33,8 +33,8 @@
 FIRST_ERROR_STATUS = 500
 USAGE_TAIL_BYTES = 1024
 MAX_ERROR_LENGTH = 160
-# What is forwarded at once is held several times while a slow caller doesn't take it:
-# as received, as whole events, and as written.
+# Largest part of a stream that is forwarded in one write. Up to three copies of a part
+# are in memory while its caller doesn't read.
 MAX_FORWARD_BYTES = 32 * 1024
 HOP_BY_HOP_HEADERS = frozenset(
     {
--- a/jujubenotch/forwarding/shared_paces.py
+++ b/jujubenotch/forwarding/shared_paces.py
@@ -26,7 +26,7 @@
     write_sums,
 )
 
-# An older report tells no more than the mean of the service.
+# Load reports that are older are not shared.
 MAX_REPORT_AGE_S = 3.0
 MAX_REPORTS = 5_000
 # Without totals for this time each instance divides the upstreams by itself again.
@@ -250,7 +250,7 @@
     """Return the report in an entry; ``None`` without one that is possible."""
     if entry.load is None or entry.pace is None:
         return None
-    # The comparisons are also false for values that aren't numbers.
+    # NaN fails each comparison, so it is rejected as well.
     is_possible = (
         0 <= entry.load <= MAX_LOAD
         and MIN_PACE <= entry.pace <= MAX_PACE
--- a/jujubenotch/leases/rules.py
+++ b/jujubenotch/leases/rules.py
@@ -127,8 +127,8 @@
         return math.inf
     if _was_never_held(row) or _is_released(row) or is_own(state, row):
         return 0.0
-    # Without a row, the holder of an earlier era may act until it learns of the
-    # restore.
+    # A restore may have removed the row of a holder that still acts, as it doesn't know
+    # of the restore. Its lease has ended one lease after the new era began.
     since_s = seen.unchanged_since_s if row.lease else seen.era_since_s
     share = 1 + TAKEOVER_MARGIN_SHARE + JITTER_SHARE * state.jitter
     return max(0.0, since_s + share * state.terms.lease_s - row.store_time_s)
--- a/jujubenotch/leases/update.py
+++ b/jujubenotch/leases/update.py
@@ -21,11 +21,11 @@
     may_act,
 )
 
-# The writes of some seconds, also when each changes records; a candidate reads the row
-# about once in half a lease.
+# A candidate reads the row about twice a lease. The row lists more writes than happen
+# between two reads, so that the candidate can account for each revision.
 MAX_REVISIONS = 64
-# A row that an older attempt wrote isn't recognised as a confirmation; the lease is
-# then taken again, with a fresh token.
+# Bounds the unconfirmed writes that are remembered. If an older one turns out to have
+# been executed, the tenure ends and the lease is taken with a fresh token.
 MAX_ATTEMPTS = 64
 FIRST_RETRY_SHARE = 0.05
 MAX_RETRY_SHARE = 0.5
--- a/jujubenotch/pace/learn.py
+++ b/jujubenotch/pace/learn.py
@@ -42,7 +42,7 @@
 # On a full upstream a delay may come from the load, which the limit is for, as well as
 # from the machine; on an idle one it shows the machine's speed.
 MIN_SLOWNESS_WEIGHT = 0.1
-# Loads below this share of the slots don't tell how many requests an upstream takes.
+# The concurrency limit is learned only from loads of at least this share of the slots.
 TELLING_FILL = 0.5
 # Delays up to this multiple of an idle upstream's time, or this share of the target,
 # are no reason to lower the limit.
--- a/jujubenotch/platform/stream_records.py
+++ b/jujubenotch/platform/stream_records.py
@@ -24,7 +24,7 @@
 NAME_PREFIX = "stream-"
 RECORD_PREFIX = "stream-version"
 BATCH_PREFIX = "stream-origins"
-# Times on the store's clock and eras are far below this number.
+# Bounds the times and eras in object names; valid ones are far smaller.
 MAX_NUMBER = 2**53
 
 
--- a/jujubenotch/scaling/demand.py
+++ b/jujubenotch/scaling/demand.py
@@ -16,8 +16,8 @@
 INSTANCE_WINDOW_S = 60.0
 # Until one period of such a swing has been seen, its peak is unknown.
 YOUNG_S = 12.0
-# The number of requests in progress varies by about its square root: twice that is 9%
-# of 500 slots. The rest of the slots absorbs it.
+# The free tenth of the slots absorbs random variation: two standard deviations of 500
+# requests in progress are 9%.
 TARGET_UTILISATION = 0.9
 # Refused callers come back several times, so their arrivals overstate the demand.
 MAX_REFUSED_RATIO = 2.0
@@ -36,7 +36,8 @@
 # A drop below this share of the median may mean that callers are cut off.
 DROP_SHARE = 0.5
 DROP_WINDOW_S = 5.0
-# With many instances single ones restart all the time, each with little of the demand.
+# Share of the recently reporting instances that must still report before upstreams are
+# scaled in. In a large fleet some instances are always restarting.
 INSTANCE_SHARE = 0.97
 
 
--- a/jujubenotch/scaling/orders.py
+++ b/jujubenotch/scaling/orders.py
@@ -15,8 +15,8 @@
     ScalingState,
 )
 
-# Reclaimed capacity returns after tens of seconds; an earlier attempt would be refused
-# or reclaimed again.
+# An order for preemptible upstreams soon after a reclaim would be refused, or reclaimed
+# as well.
 RECLAIM_PAUSE_S = 30.0
 # Where none were available they usually are again after some seconds.
 UNAVAILABLE_PAUSE_S = 5.0
--- a/jujubenotch/scaling/total.py
+++ b/jujubenotch/scaling/total.py
@@ -10,8 +10,8 @@
 MIN_EXCESS_SHARE = 0.04
 # The utilisation aimed at leaves room for smaller increases, which aren't worth a call.
 MIN_INCREASE_SHARE = 0.02
-# Each step removes this share of the excess, at most this share of all. The pause lets
-# the demand and the list show the effect of a step before the next one.
+# A scale-in step removes EXCESS_STEP_SHARE of the excess, but at most MAX_STEP_SHARE of
+# all upstreams. The pause lets demand and list show its effect before the next step.
 EXCESS_STEP_SHARE = 0.34
 MAX_STEP_SHARE = 0.1
 STEP_PAUSE_S = 5.0
--- a/jujubenotch/usage/gathering.py
+++ b/jujubenotch/usage/gathering.py
@@ -14,7 +14,8 @@
 MAX_LEAD_S = 10.0
 # A process that has sent nothing for this time is taken for ended.
 LIVE_AGE_S = 5.0
-# Enough for the span of the rates at one report a second.
+# Reports of a process from which rates are computed. One comes each second, so they
+# span 5 s.
 MAX_SAMPLES = 6
 
 
