Log the version with which a request was matched, its age, revision and source (CONFIG)

A request's lines named the version in force when the line was written, not the one that decided, and nothing told who brought it.

--- a/features/detour/steps/reach_steps.py
+++ b/features/detour/steps/reach_steps.py
@@ -20,7 +20,7 @@
     record_help,
     record_probe,
 )
-from jujubenotch.dispatch import Call, Progress
+from jujubenotch.dispatch import Call, ConfigurationBasis, Progress
 from jujubenotch.forwarding import ListedUpstream
 from jujubenotch.records import ServiceClass, Team
 from jujubenotch.streams import StreamOrigin
@@ -255,6 +255,9 @@
         is_stream=True,
         can_resume_elsewhere=True,
         max_runs=3,
+        basis=ConfigurationBasis(
+            version=4, age_s=0.2, revision=17, source="10.0.0.1:7000"
+        ),
     )
     context.progress = Progress(
         is_stream_started=True,
@@ -277,6 +280,7 @@
     assert decoded.max_runs == 1 and decoded.is_borrowed
     assert decoded.body == context.call.body
     assert decoded.headers == context.call.headers
+    assert decoded.basis == context.call.basis
 
 
 @then('it resumes its stream after the event "{event}" at "{version}"')
--- a/features/neighbours/fleet.py
+++ b/features/neighbours/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import math
 import random
 import time
 from dataclasses import dataclass, field
@@ -32,6 +33,7 @@
     apply_upstreams,
 )
 from jujubenotch.forwarding import (
+    ConfigurationView,
     DirectCapacity,
     HistoryLostError,
     Item,
@@ -184,6 +186,16 @@
     def age_s(self):
         return measure_age_s(self.state.freshness, read_boot_clock_s())
 
+    @property
+    def basis(self):
+        return ConfigurationView(
+            index=self.state.index,
+            age_s=self.age_s,
+            max_age_s=math.inf,
+            revision=self.state.configuration_revision,
+            source=self.state.configuration_source,
+        ).basis
+
 
 @dataclass(kw_only=True)
 class Fleet:
@@ -240,9 +252,7 @@
         max_change_delay_s=4.0,
     )
     state = ForwardState()
-    observer = ForwardObserver(
-        metrics=make_metrics(), read_configuration_status=lambda: None
-    )
+    observer = ForwardObserver(metrics=make_metrics(), read_basis=lambda: None)
     capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=lambda: 0.0,
--- a/features/neighbours/relay.feature
+++ b/features/neighbours/relay.feature
@@ -25,6 +25,15 @@
     And no instance uses the upstream "a"
     And the store was called at most 10 times in that time
 
+  # Guards against logs from which nobody can tell who brought the version that decided.
+  Scenario: Each instance can tell who brought the configuration
+    Given 10 instances that have read the store
+    When 2 s pass
+    And the configuration 2 is written
+    And 0.3 s pass
+    Then all instances but the reader name the reader as the source of the configuration 2
+    And the reader names the store
+
   Scenario: A configuration that is too large for a message is read from the store
     Given 20 instances that have read the store
     When 2 s pass
--- a/features/neighbours/steps/relay_steps.py
+++ b/features/neighbours/steps/relay_steps.py
@@ -194,6 +194,25 @@
     assert versions == {version}, versions
 
 
+@then(
+    "all instances but the reader name the reader as the source of the configuration "
+    "{version:d}"
+)
+def check_sources(context, version):
+    (reader,) = find_readers(context.fleet)
+    for name, member in context.fleet.members.items():
+        basis = member.basis
+        assert basis.version == version, (name, basis)
+        assert name == reader or basis.source == reader, (name, basis)
+        assert basis.revision == context.fleet.store.revision, (name, basis)
+
+
+@then("the reader names the store")
+def check_reader_source(context):
+    (reader,) = find_readers(context.fleet)
+    assert context.fleet.members[reader].basis.source == "store"
+
+
 @then('no instance uses the upstream "{name}"')
 def check_not_used(context, name):
     for member in context.fleet.members.values():
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -360,6 +360,7 @@
     ]
     assert [line["reason"] for line in lines] == [reason], read_log(context.site)
     assert lines[0]["version"] == 1 and lines[0]["version_age_s"] < 3
+    assert lines[0]["version_source"] == "store" and lines[0]["version_revision"] > 0
 
 
 @then("the metrics count {count:d} completed request")
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -162,7 +162,7 @@
         add_known(relay.instance.state.revisions, message.lease_revisions)
     _step_down_if_needed(relay, sender, message, progress)
     if is_usable_page(message, progress.era, progress.revision):
-        _apply_page(relay, followed, message)
+        _apply_page(relay, followed, sender, message)
     else:
         _schedule_catch_up(relay, followed, message.era, message.revision)
     _compare_revisions(relay, message)
@@ -196,7 +196,7 @@
         log_event(logger, logging.INFO, "reader-role-left", to=sender)
 
 
-def _apply_page(relay, followed, message):
+def _apply_page(relay, followed, sender, message):
     now_s = read_boot_clock_s()
     update = SourceUpdate(
         page=Page(
@@ -211,6 +211,7 @@
         after_revision=message.after_revision,
         follows_outage=message.follows_outage,
         is_relayed=True,
+        sender=sender,
     )
     ends_outage = followed.progress.failures > 0
     record_update(followed.progress, update)
--- a/jujubenotch/daemon/forward_observer.py
+++ b/jujubenotch/daemon/forward_observer.py
@@ -4,7 +4,13 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from jujubenotch.dispatch import Answer, Call, read_clock_s
+from jujubenotch.dispatch import (
+    Answer,
+    Call,
+    ConfigurationBasis,
+    describe_configuration,
+    read_clock_s,
+)
 from jujubenotch.logs import log_event
 from jujubenotch.metrics import (
     Metrics,
@@ -24,38 +30,20 @@
 UNLOGGED_EVENTS = frozenset({"arrived", "retried"})
 
 
-@dataclass(frozen=True, kw_only=True)
-class ConfigurationStatus:
-    """The configuration on which decisions are based.
-
-    :param version: The version of the configuration in force.
-    :param age_s: Time since the configuration was last confirmed to be the
-        newest one, in seconds.
-    """
-
-    version: int
-    age_s: float
-
-
 @dataclass(kw_only=True)
 class ForwardObserver:
     """Counts and logs the calls of one instance.
 
     :param metrics: The instance's metrics.
-    :param read_configuration_status: Returns the version and age of the
-        configuration in force.
-
-    >>> observer = ForwardObserver(
-    ...     metrics=make_metrics(),
-    ...     read_configuration_status=lambda: ConfigurationStatus(
-    ...         version=1, age_s=0.2
-    ...     ),
-    ... )
+    :param read_basis: Returns the configuration in force; ``None`` before the first
+        one. Lines of a call that was matched with another one name that.
+
+    >>> observer = ForwardObserver(metrics=make_metrics(), read_basis=lambda: None)
     >>> observer.count_retry("silent")
     """
 
     metrics: Metrics
-    read_configuration_status: Callable[[], ConfigurationStatus]
+    read_basis: Callable[[], ConfigurationBasis | None]
 
     def record(self, request_id: str, event: str, **fields) -> None:
         """Log a decision on a request.
@@ -67,14 +55,12 @@
         """
         if event in UNLOGGED_EVENTS:
             return
-        configuration = self.read_configuration_status()
+        fields = describe_configuration(self.read_basis()) | fields
         log_event(
             logger,
             logging.INFO,
             f"request-{event}",
             request_id=request_id,
-            version=configuration.version,
-            version_age_s=round(configuration.age_s, 3),
             **{name: value for name, value in fields.items() if value != ""},
         )
 
@@ -126,10 +112,11 @@
             priority=call.service_class.tier,
             took_s=round(now_s - call.arrived_s, 4),
             left_s=round(call.deadline_s - now_s, 4),
+            **describe_configuration(call.basis),
         )
 
     def _log_end(self, request_id, outcome, reason, retry_after_s, **fields):
-        configuration = self.read_configuration_status()
+        fields = describe_configuration(self.read_basis()) | fields
         log_event(
             logger,
             logging.INFO,
@@ -138,7 +125,5 @@
             outcome=outcome,
             reason=reason,
             retry_after_s=retry_after_s,
-            version=configuration.version,
-            version_age_s=round(configuration.age_s, 3),
             **fields,
         )
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -165,6 +165,8 @@
             index=self.state.index,
             age_s=measure_age_s(self.state.freshness, read_boot_clock_s()),
             max_age_s=max_age_s * KEY_AGE_SHARE if max_age_s else float("inf"),
+            revision=self.state.configuration_revision,
+            source=self.state.configuration_source,
         )
 
     async def wait_until_loaded(self, wait_s: float) -> None:
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import logging
+import math
 from dataclasses import dataclass, field
 
 from sanic import Sanic
@@ -22,6 +23,7 @@
     apply_items,
     build_index,
     drop_expired,
+    measure_age_s,
     record_relayed_page,
     record_store_response,
     was_recently_unavailable,
@@ -40,6 +42,8 @@
 # After an outage of the store, entries of running upstreams may be missing from
 # the list for this time.
 MISSING_ENTRY_GRACE_S = 2.5
+# Names the store in log lines, in place of the address of an instance.
+STORE_SOURCE = "store"
 
 
 @dataclass(kw_only=True)
@@ -48,6 +52,8 @@
 
     :param index: The configuration in force; ``None`` before the first one was
         read.
+    :param configuration_revision: The revision of the store at which that one was read.
+    :param configuration_source: The address of the instance that sent it, or ``store``.
     :param freshness: When the configuration was last confirmed to be the newest.
     :param listing: The upstreams on the platform's list.
     :param upstreams: The listed upstreams as records, for the dispatcher.
@@ -64,6 +70,8 @@
     """
 
     index: SiteIndex | None = None
+    configuration_revision: int = 0
+    configuration_source: str = ""
     freshness: Freshness = field(default_factory=Freshness)
     listing: UpstreamListing = field(default_factory=UpstreamListing)
     upstreams: Configuration = field(default_factory=Configuration)
@@ -135,6 +143,8 @@
     if configuration.version <= old_version:
         return
     state.index = build_index(configuration)
+    state.configuration_revision = update.page.revision
+    state.configuration_source = update.sender or STORE_SOURCE
     _set_limits(state)
     log_event(
         logger,
@@ -145,9 +155,15 @@
         routes=len(configuration.routes),
         teams=len(configuration.teams),
         revision=update.page.revision,
+        source=state.configuration_source,
+        unconfirmed_s=_round_finite(measure_age_s(state.freshness, update.received_s)),
     )
 
 
+def _round_finite(seconds):
+    return round(seconds, 3) if math.isfinite(seconds) else None
+
+
 def attach_callers_app(state: ForwardState, callers_app: Sanic) -> None:
     """Apply the limits on callers now and after each change of the configuration.
 
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -23,7 +23,7 @@
 from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_leases import hand_over
 from jujubenotch.daemon.forward_listeners import start_listeners
-from jujubenotch.daemon.forward_observer import ConfigurationStatus, ForwardObserver
+from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_origins import find_stream_origin
 from jujubenotch.daemon.forward_paces import PaceWatch
 from jujubenotch.daemon.forward_parts import (
@@ -46,11 +46,7 @@
     may_retry,
     record_success,
 )
-from jujubenotch.forwarding import (
-    DirectCapacity,
-    measure_age_s,
-    read_boot_clock_s,
-)
+from jujubenotch.forwarding import DirectCapacity, read_boot_clock_s
 from jujubenotch.listeners import (
     stop_listener,
 )
@@ -162,10 +158,7 @@
     metrics = make_metrics()
     observer = ForwardObserver(
         metrics=metrics,
-        read_configuration_status=lambda: ConfigurationStatus(
-            version=state.index.configuration.version if state.index else 0,
-            age_s=measure_age_s(state.freshness, read_boot_clock_s()),
-        ),
+        read_basis=lambda: instance.read_configuration_view().basis,
     )
     instance_count = InstanceCount()
     crash_watch = CrashWatch(name=settings.name, state=state)
--- a/jujubenotch/detour/borrowed.py
+++ b/jujubenotch/detour/borrowed.py
@@ -9,6 +9,7 @@
 from jujubenotch.dispatch import (
     AnswerKind,
     Call,
+    ConfigurationBasis,
     Progress,
     UpstreamProtocol,
     find_resume_point,
@@ -30,7 +31,10 @@
 
 
 class _CallDocument(BaseModel):
-    """A call as it travels; ``left_s`` is the time until its deadline."""
+    """A call as it travels; ``left_s`` is the time until its deadline.
+
+    ``basis`` is missing in the calls of earlier releases.
+    """
 
     model_config = ConfigDict(extra="ignore", strict=False)
 
@@ -54,6 +58,7 @@
     resumed_request_id: str
     silence_timeout_s: float | None
     origin: StreamOrigin | None
+    basis: ConfigurationBasis | None = None
 
 
 COPIED_FIELDS = tuple(
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -12,6 +12,37 @@
 MAX_ATTEMPTS = 4
 
 
+@dataclass(frozen=True, kw_only=True)
+class ConfigurationBasis:
+    """The configuration with which a request was matched, for the log.
+
+    :param version: The version of the configuration.
+    :param age_s: Time since it was last known to be the newest, in seconds.
+    :param revision: The revision of the store at which it was read.
+    :param source: The address of the instance that sent it, or ``store``.
+    """
+
+    version: int
+    age_s: float
+    revision: int
+    source: str
+
+
+def describe_configuration(basis: ConfigurationBasis | None) -> dict[str, object]:
+    """Return the fields of a log line that tell the configuration of a request.
+
+    :param basis: The configuration; ``None`` when there is none.
+    """
+    if basis is None:
+        return {}
+    return {
+        "version": basis.version,
+        "version_age_s": round(basis.age_s, 3),
+        "version_revision": basis.revision,
+        "version_source": basis.source,
+    }
+
+
 @dataclass(frozen=True, kw_only=True)
 class Call:
     """A caller's request after validation and classification.
@@ -52,6 +83,8 @@
         upstream; the call is not sent to a further instance.
     :param silence_timeout_s: How long an upstream may send nothing, in seconds;
         ``None`` uses the timeout of the connections.
+    :param basis: The configuration with which the request was matched; ``None`` when
+        that is not known.
     """
 
     request_id: str
@@ -81,6 +114,7 @@
     origin: StreamOrigin | None = None
     is_borrowed: bool = False
     silence_timeout_s: float | None = None
+    basis: ConfigurationBasis | None = None
 
     @property
     def deadline_s(self) -> float:
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -29,6 +29,7 @@
     CallerDisconnectedError,
     Progress,
     Sink,
+    describe_configuration,
     find_resume_point,
     find_target,
 )
@@ -196,6 +197,7 @@
             resumes=call.resumed_request_id,
             after_event=find_resume_point(call, progress),
             **describe_basis(grant.basis),
+            **describe_configuration(call.basis),
         )
         progress.must_finish = call.outlives_caller
         if call.idempotency_key and not progress.is_claimed:
@@ -375,6 +377,7 @@
         upstream=grant.upstream,
         error=attempt.error,
         took_s=round(read_clock_s() - attempt.sent_at_s, 4),
+        **describe_configuration(call.basis),
     )
     if attempt.is_broken_off:
         _log_broken_off(call, grant, attempt)
--- a/jujubenotch/forwarding/admit.py
+++ b/jujubenotch/forwarding/admit.py
@@ -3,7 +3,7 @@
 import math
 from dataclasses import dataclass
 
-from jujubenotch.dispatch import Call
+from jujubenotch.dispatch import Call, ConfigurationBasis
 from jujubenotch.forwarding.match import SiteIndex, choose_service, find_route
 from jujubenotch.forwarding.model import ArrivedRequest, HostRoute, RouteKind
 from jujubenotch.forwarding.priority import pair_priorities
@@ -30,11 +30,27 @@
         in seconds.
     :param max_age_s: The largest age at which keys may be checked with the
         configuration, in seconds.
+    :param revision: The revision of the store at which the configuration was read.
+    :param source: The address of the instance that sent it, or ``store``.
     """
 
     index: SiteIndex | None
     age_s: float
     max_age_s: float
+    revision: int = 0
+    source: str = ""
+
+    @property
+    def basis(self) -> ConfigurationBasis | None:
+        """What a log line tells of the configuration; ``None`` without one."""
+        if self.index is None:
+            return None
+        return ConfigurationBasis(
+            version=self.index.configuration.version,
+            age_s=self.age_s,
+            revision=self.revision,
+            source=self.source,
+        )
 
 
 def admit_request(
@@ -72,7 +88,9 @@
     if isinstance(team, Refusal):
         return team
     tier = index.ranks[pair_priorities(route, team)]
-    return _build_call(arrived, body, route, team, tier, draw, now_s)
+    return _build_call(
+        arrived, body, route, team, tier, draw, configuration_view.basis, now_s
+    )
 
 
 def _find_team(index, route, arrived, configuration_view):
@@ -96,7 +114,7 @@
     return team
 
 
-def _build_call(arrived, body, route, team, tier, draw, now_s):
+def _build_call(arrived, body, route, team, tier, draw, basis, now_s):
     wait_s = math.inf if arrived.wait_s is None else arrived.wait_s
     is_stream = route.kind is RouteKind.STREAM
     is_resumable = is_stream and route.is_resumable
@@ -125,6 +143,7 @@
         silence_timeout_s=choose_silence_timeout_s(route),
         resume_after_event_id=arrived.last_event_id if is_resumable else "",
         resumed_request_id=arrived.resumed_request_id if is_resumable else "",
+        basis=basis,
     )
 
 
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -40,6 +40,7 @@
         restored from a copy.
     :param is_relayed: Whether another instance read the page; ``sent_s`` is then
         the time of its arrival.
+    :param sender: The address of that instance; empty when this one read the page.
     """
 
     page: Page[Value]
@@ -49,6 +50,7 @@
     follows_outage: bool
     starts_era: bool = False
     is_relayed: bool = False
+    sender: str = ""
 
     @property
     def is_snapshot(self) -> bool:
