Show that changes are late where one instance's outage makes others wait (CONFIG, fails)

Drawn histories of 7, 22 and 60 instances in virtual time: changes amid the loss of messages, of the store's history, of connections, of instances and of their ways to the store. Five of six scenarios fail on: an undisturbed instance has a version that was replaced over 3 s ago.

--- a/features/neighbours/fleet.py
+++ b/features/neighbours/fleet.py
@@ -4,6 +4,7 @@
 """
 
 import asyncio
+import contextlib
 import math
 import random
 import time
@@ -53,18 +54,34 @@
     split_message,
 )
 from jujubenotch.neighbours.codec import Reassembly
+from jujubenotch.platform.store import KEEPALIVE_S
 from jujubenotch.settings import Address, ForwarderSettings
 
 MAX_KEY_AGE_S = 2.0
 STORE_CLOCK_OFFSET_S = 1234.5
+# Larger contents take a noticeable time on an instance's link, part by part.
+LARGE_BYTES = 10_000
+PART_S = 0.1
 CONFIGURATION = "configuration"
 UPSTREAMS = "upstreams"
 CRASHES = "crashes"
 
 
+@dataclass(kw_only=True)
+class Connection:
+    """A connection of one instance to the store; a silent one brings nothing."""
+
+    used_s: float = 0.0
+    is_silent: bool = False
+
+
 @dataclass(kw_only=True)
 class MemoryStore:
-    """The rows of the tables, as ``{table: {key: (revision, content)}}``."""
+    """The rows of the tables, as ``{table: {key: (revision, content)}}``.
+
+    Large contents take ``transfer_s``. Changes up to ``lost_revision`` are no longer in
+    the history. While ``hides_changes``, calls for changes bring none.
+    """
 
     rows: dict = field(
         default_factory=lambda: {CONFIGURATION: {}, UPSTREAMS: {}, CRASHES: {}}
@@ -74,8 +91,40 @@
     calls: int = 0
     is_down: bool = False
     turned_away: set = field(default_factory=set)
+    transfer_s: float = 0.0
+    lost_revision: int = 0
+    hides_changes: bool = False
+    cuts: int = 0
+    connections: list[Connection] = field(default_factory=list)
+    idle: dict[str, list[Connection]] = field(default_factory=dict)
     changed: asyncio.Event = field(default_factory=asyncio.Event)
 
+    @contextlib.asynccontextmanager
+    async def connect(self, caller):
+        """Use an idle connection, as the client of the store does, or a new one."""
+        idle = self.idle.setdefault(caller, [])
+        now_s = time.monotonic()
+        idle[:] = [each for each in idle if now_s - each.used_s < KEEPALIVE_S]
+        connection = idle.pop() if idle else Connection()
+        self.connections.append(connection)
+        yield connection
+        if connection.is_silent:
+            await asyncio.Event().wait()
+        connection.used_s = time.monotonic()
+        idle.append(connection)
+
+    def drop_history(self):
+        """Cut all calls that wait for changes, and keep no earlier ones."""
+        self.hides_changes = False
+        self.lost_revision = self.revision
+        self.cuts += 1
+        self._wake()
+
+    def silence_connections(self):
+        for connection in self.connections:
+            connection.is_silent = True
+        self.connections.clear()
+
     def write(self, table, key, content):
         self.revision += 1
         self.rows[table][key] = (self.revision, content)
@@ -104,37 +153,60 @@
     caller: str
 
     async def read_all(self, note_progress):
-        await self._call()
-        return self._make_page(0)
+        async with self.store.connect(self.caller) as connection:
+            await self._call(connection)
+            page = self._make_page(0)
+            await self._transfer(page, note_progress)
+        return page
 
     async def read_changes(self, after_revision, wait_s, note_progress):
-        await self._call()
-        era = self.store.era
+        async with self.store.connect(self.caller) as connection:
+            await self._call(connection)
+            page = await self._wait_for_changes(after_revision, wait_s)
+            await self._transfer(page, note_progress)
+        return page
+
+    async def _wait_for_changes(self, after_revision, wait_s):
+        before = (self.store.era, self.store.cuts)
         if after_revision > self.store.revision:
             raise HistoryLostError("the store has no such revision")
+        if after_revision < self.store.lost_revision:
+            raise HistoryLostError("the store has dropped its history")
         end_s = time.monotonic() + wait_s
-        while (
-            not self._find(after_revision) and (left_s := end_s - time.monotonic()) > 0
-        ):
+        while (self.store.hides_changes or not self._find(after_revision)) and (
+            left_s := end_s - time.monotonic()
+        ) > 0:
             try:
                 async with asyncio.timeout(left_s):
                     await self.store.changed.wait()
             except TimeoutError:
                 break
-            if self.store.era != era:
-                raise SourceError("the store was restored")
+            if (self.store.era, self.store.cuts) != before:
+                raise SourceError("the store was restored or has cut the call")
+        if self.store.hides_changes:
+            return self._make_empty_page(after_revision)
         return self._make_page(after_revision)
 
     def make_item(self, key, content, revision):
         value = decode(self.table, key, content)
         return Item(key=key, value=value, revision=revision, content=content)
 
-    async def _call(self):
+    async def _call(self, connection):
         self.store.calls += 1
+        if connection.is_silent:
+            await asyncio.Event().wait()
         await asyncio.sleep(0.001)
         if self.store.is_down or self.caller in self.store.turned_away:
             raise SourceError("the store does not answer")
 
+    async def _transfer(self, page, note_progress):
+        if all(len(item.content) < LARGE_BYTES for item in page.items):
+            return
+        end_s = time.monotonic() + self.store.transfer_s
+        while (left_s := end_s - time.monotonic()) > 0:
+            await asyncio.sleep(min(PART_S, left_s))
+            note_progress()
+
     def _find(self, after_revision):
         rows = self.store.rows[self.table]
         return [
@@ -143,6 +215,14 @@
             if revision > after_revision
         ]
 
+    def _make_empty_page(self, after_revision):
+        return Page(
+            items=(),
+            revision=after_revision,
+            store_time_s=read_boot_clock_s() - STORE_CLOCK_OFFSET_S,
+            era=self.store.era,
+        )
+
     def _make_page(self, after_revision):
         found = self._find(after_revision)
         return Page(
@@ -232,7 +312,8 @@
         reassembly = Reassembly()
         for datagram in datagrams:
             content = join_datagram(reassembly, self.own_address, datagram, 0.0)
-        for address in addresses:
+        # Sorted, so that a history depends on its seed alone.
+        for address in sorted(addresses):
             asyncio.get_running_loop().call_soon(
                 self.fleet.deliver, self.own_address, address, decode_message(content)
             )
