Take a neighbour's outage for the own one only after three failed calls (CONFIG)

What callers saw: an undisturbed instance handled requests by a version that had been replaced seconds before the limit. Cause: an instance that the store turns away tells its neighbours of an outage, and each of them that ranks behind it then paused for 1.75 to 3.25 s after any failed call of its own for the configuration, also the first one, and also after a lost history, which is an answer. One call on a silent connection or one feed that the store cuts was enough, while the store was well for it; twice in a row made changes up to 5 s late. The class of fault: another one's failure is believed in place of own evidence, with a pause that no bound on the change's delay limits. Mend: the long pause needs three failed calls in a row of the instance itself; before that its pauses double from 0.1 s.

--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -36,6 +36,8 @@
 LIST_WAIT_S = 20.0
 # Another instance calls more often and tells its neighbours when the store is back.
 REPORTED_OUTAGE_PAUSE_S = 2.5
+# Fewer failed calls may have another cause than the outage that a neighbour reports.
+OUTAGE_FAILURES = 3
 
 
 @dataclass(kw_only=True)
@@ -213,6 +215,6 @@
     :param now_s: The present monotonic time, in seconds.
     :returns: The pause in seconds.
     """
-    if is_outage_reported(relay.role, now_s):
+    if failures >= OUTAGE_FAILURES and is_outage_reported(relay.role, now_s):
         return REPORTED_OUTAGE_PAUSE_S
     return double_pause_s(failures)
