Use no connection to the store that was idle for over a second (CONFIG)

What callers saw: as before, requests handled by a replaced version, at instances that had been undisturbed for seconds. Cause: an instance that gets pages from its reader seldom calls the store itself, and kept its connections for 15 s. Mend: connections idle for 1 s are closed; calls that follow each other share one, as before. A new connection costs one round trip. Evidence: platform/idle_connections.feature, first scenario, failed (TimeoutError after 0.4 s) and passes; the new row of neighbours/changes.feature failed in 1 of 12 histories of 60 instances and passes.

--- a/features/neighbours/changes.feature
+++ b/features/neighbours/changes.feature
@@ -15,6 +15,8 @@
       | a small site has all of these                        | 7         | 0     | 59   | kill,turn-away,cut-off,silence,loss,drop |
       | a large data centre has all of these                 | 60        | 0     | 11   | kill,turn-away,cut-off,silence,loss,drop |
 
+      | connections of a large data centre go silent         | 60        | 2000  | 2011 | kill,turn-away,cut-off,loss,silence,drop |
+
   # Guards against changes that are late where each instance has to read them from the store.
   Scenario: Changes of a large configuration are in force in time
     Given drawn histories of 22 instances from seed 0 to 29
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -30,7 +30,9 @@
 HISTORY_GONE = 410
 ERA_HEADER = "Store-Era"
 CONNECT_TIMEOUT_S = 0.5
-KEEPALIVE_S = 15.0
+# An idle connection may have gone silent without an error, and a call on it would fail
+# only after its timeout. Calls that follow each other still share a connection.
+KEEPALIVE_S = 1.0
 CALL_TIMEOUT_S = 2.0
 # Fencing tokens contain the era in their upper bits, and have 64 bits.
 MAX_ERA = 2**28
