Give requests that come during a stop no more time than is left, and end them in time

A report of other operators: requests that came late in the grace period were passed on and cut without a response at its end.

--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -198,6 +198,10 @@
     :returns: The response; ``None`` when it was streamed.
     """
     sink = ForwardSink(request=request)
+    latest_s = forwarder.dispatcher.time_limit.at_s
+    if latest_s < call.caller_deadline_s:
+        # Upstreams are told the shorter deadline, too.
+        call = replace(call, caller_deadline_s=latest_s)
     answer = await dispatch(forwarder.dispatcher, call, sink)
     remaining_s = call.deadline_s - asyncio.get_running_loop().time()
     answer.retry_after_s = min(
--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -1,6 +1,5 @@
 """Sends calls by way of another instance while this one reaches no upstream."""
 
-import asyncio
 import logging
 import math
 import random
@@ -24,6 +23,7 @@
     Progress,
     Sink,
     find_target,
+    limit_wait,
     make_give_up,
     make_give_up_answer,
     make_refusal_answer,
@@ -158,7 +158,7 @@
     heads = []
     progress.must_finish = call.outlives_caller
     try:
-        async with asyncio.timeout_at(call.deadline_s):
+        async with limit_wait(watch.time_limit, call.deadline_s):
             await run_attempt(
                 connections,
                 HELPER_PROTOCOL,
--- a/jujubenotch/daemon/forward_reach.py
+++ b/jujubenotch/daemon/forward_reach.py
@@ -17,7 +17,7 @@
     record_failure,
     record_probe,
 )
-from jujubenotch.dispatch import Attempt, AttemptResult, read_clock_s
+from jujubenotch.dispatch import Attempt, AttemptResult, TimeLimit, read_clock_s
 from jujubenotch.forwarding import find_usable, read_boot_clock_s
 from jujubenotch.logs import log_event
 from jujubenotch.upstreams import keeps_connections
@@ -38,6 +38,7 @@
     :param streams: Knows the other instances.
     :param reaches: What is known of the paths to each service.
     :param tasks: The checks and probes in progress.
+    :param time_limit: The time by which all calls of this instance must have ended.
     """
 
     state: ForwardState
@@ -46,6 +47,7 @@
     reaches: dict[str, Reach] = field(default_factory=dict)
     helpers: Helpers = field(default_factory=Helpers)
     tasks: set[asyncio.Task] = field(default_factory=set)
+    time_limit: TimeLimit = field(default_factory=TimeLimit)
 
 
 def record_reach(watch: DetourWatch, attempt: Attempt) -> None:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -45,6 +45,7 @@
     RetryHistory,
     may_retry,
     record_success,
+    set_limit,
 )
 from jujubenotch.forwarding import DirectCapacity, read_boot_clock_s
 from jujubenotch.listeners import (
@@ -69,6 +70,8 @@
 LISTENER_CLOSE_DELAY_S = 2.6
 # Part of the grace period that is reserved for the exit of the process.
 EXIT_MARGIN_S = 1.0
+# Part of the rest in which the callers of requests in progress get a final response.
+LAST_ANSWERS_S = 0.3
 # Retries that each instance may make per budget window in addition to those that
 # the retry ratio allows.
 MIN_RETRIES_PER_WINDOW = 2
@@ -250,6 +253,7 @@
         record_attempt=functools.partial(
             _record_attempt, watches.crashes, watches.detours
         ),
+        time_limit=watches.detours.time_limit,
     )
 
 
@@ -296,6 +300,7 @@
 async def _stop(instance, components):
     loop = asyncio.get_running_loop()
     end_s = loop.time() + instance.settings.grace_s - EXIT_MARGIN_S
+    set_limit(instance.dispatcher.time_limit, end_s - LAST_ANSWERS_S)
     log_event(
         logger,
         logging.INFO,
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -39,6 +39,7 @@
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry, watch_exchange
+from jujubenotch.dispatch.time_limit import TimeLimit, limit_wait, set_limit
 from jujubenotch.dispatch.work_request import make_work_request
 
 __all__ = [
@@ -62,6 +63,9 @@
     "RetryBudget",
     "RetryHistory",
     "Sink",
+    "TimeLimit",
+    "limit_wait",
+    "set_limit",
     "UpstreamProtocol",
     "decide_next",
     "digest_call",
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -43,6 +43,7 @@
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.protocol import AnswerKind
 from jujubenotch.dispatch.silence import watch_exchange
+from jujubenotch.dispatch.time_limit import limit_wait
 from jujubenotch.dispatch.work_request import make_work_request
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
@@ -309,7 +310,7 @@
     dispatcher, grant, upstream, call, progress, attempt, sink
 ):
     try:
-        async with asyncio.timeout_at(call.deadline_s):
+        async with limit_wait(dispatcher.time_limit, call.deadline_s):
             work = run_attempt(
                 dispatcher.connections,
                 dispatcher.protocol,
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -10,6 +10,7 @@
 from jujubenotch.dispatch.meter import Meter, NoMeter
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
 from jujubenotch.dispatch.silence import ExchangeRegistry
+from jujubenotch.dispatch.time_limit import TimeLimit
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import Configuration
 from jujubenotch.streams import StreamOrigin
@@ -101,6 +102,7 @@
         ended.
     :param meter: Counts what calls ask of services.
     :param in_progress: The tasks of the calls that have not ended.
+    :param time_limit: The time by which all calls must have ended.
 
     >>> Dispatcher.__name__
     'Dispatcher'
@@ -131,3 +133,4 @@
     record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
     meter: Meter = field(default_factory=NoMeter)
     in_progress: set[asyncio.Task] = field(default_factory=set)
+    time_limit: TimeLimit = field(default_factory=TimeLimit)
