--- a/features/neighbours/changes.feature
+++ b/features/neighbours/changes.feature
@@ -6,6 +6,7 @@
     Given drawn histories of <instances> instances from seed <first> to <last>
     When changes come amid disturbances of the kinds <kinds>
     Then each undisturbed instance has each change in force in time
+    And none sends to an upstream that has said in time that it leaves
 
     Examples: drawn
       | what                                                 | instances | first | last | kinds                         |
@@ -23,3 +24,4 @@
     And a configuration that takes 0.4 s to read
     When changes come amid disturbances of the kinds kill,turn-away,cut-off,loss
     Then each undisturbed instance has each change in force in time
+    And none sends to an upstream that has said in time that it leaves
--- a/features/neighbours/histories.py
+++ b/features/neighbours/histories.py
@@ -20,6 +20,7 @@
     stop_member,
 )
 from features.neighbours.virtual_time import open_virtual_time
+from jujubenotch.forwarding import find_usable, read_boot_clock_s
 
 LENGTH_S = 24.0
 CHECK_INTERVAL_S = 0.05
@@ -30,13 +31,15 @@
 # The store's own disturbances allow this much more, until it has been calm as well.
 STORE_SLACK_S = 6.0
 LARGE_CONFIGURATION_BYTES = 300_000
+UPSTREAM_NAMES = ("a", "b", "c", "d", "e")
 
 
 @dataclass(kw_only=True)
 class History:
     """One history; ``disturbed_s`` holds when each instance's disturbances end.
 
-    ``late`` lists the instances that had an older version than allowed, with the time.
+    ``late`` lists the instances that had an older version than allowed, with the time,
+    and ``in_use`` those that still used an upstream which had said that it leaves.
     """
 
     fleet: Fleet
@@ -48,6 +51,8 @@
     store_disturbed_s: float = float("-inf")
     seen: dict[str, int] = field(default_factory=dict)
     late: list[tuple[float, str, int, int]] = field(default_factory=list)
+    left: list[tuple[float, str]] = field(default_factory=list)
+    in_use: list[tuple[float, str, str]] = field(default_factory=list)
     events: list[tuple[float, str, tuple[str, ...]]] = field(default_factory=list)
 
 
@@ -81,7 +86,7 @@
     fleet.draws = draws
     start_s = loop.time()
     write(history)
-    for name in ("a", "b"):
+    for name in UPSTREAM_NAMES:
         fleet.store.write(UPSTREAMS, name, b"ready")
     for number in range(instances):
         start_member(fleet, number)
@@ -90,6 +95,9 @@
     for _ in range(draws.randint(2, 5)):
         disturb = DISTURBANCES[draws.choice(kinds)]
         loop.call_at(start_s + draws.uniform(2.5, LENGTH_S - 6.0), disturb, history)
+    for name in UPSTREAM_NAMES[1:]:
+        leaves_s = start_s + draws.uniform(3.0, LENGTH_S - 4.0)
+        loop.call_at(leaves_s, leave, history, name)
     while loop.time() < start_s + LENGTH_S:
         await asyncio.sleep(CHECK_INTERVAL_S)
         check(history)
@@ -106,14 +114,21 @@
     history.written.append((history.loop.time(), version))
 
 
+def leave(history, name):
+    """Let an upstream say that it leaves, which the store confirms at once."""
+    history.fleet.store.write(UPSTREAMS, name, b"leaving")
+    history.left.append((history.loop.time(), name))
+
+
 def check(history):
-    """Note each undisturbed instance whose version was replaced too long ago."""
+    """Note each undisturbed instance that has not followed a change in time."""
     now_s = history.loop.time()
     allowed_s = MAX_DELAY_S
     if now_s - history.store_disturbed_s < CALM_S:
         allowed_s += STORE_SLACK_S
     confirmed = [each for at_s, each in history.written if now_s - at_s > allowed_s]
     due = max(confirmed, default=0)
+    gone = {name for at_s, name in history.left if now_s - at_s > allowed_s}
     for name, member in history.fleet.members.items():
         if member.state.index is None:
             continue
@@ -121,8 +136,13 @@
         assert version >= history.seen.get(name, 0), (name, version)
         history.seen[name] = version
         disturbed_s = history.disturbed_s.get(name, float("-inf"))
-        if version < due and now_s - disturbed_s >= CALM_S:
+        if now_s - disturbed_s < CALM_S:
+            continue
+        if version < due:
             history.late.append((now_s, name, version, due))
+        usable = find_usable(member.state.listing, "drafting", read_boot_clock_s())
+        for upstream in gone & {each.name for each in usable}:
+            history.in_use.append((now_s, name, upstream))
 
 
 def _choose_instances(history, share):
--- a/features/neighbours/steps/change_steps.py
+++ b/features/neighbours/steps/change_steps.py
@@ -31,3 +31,13 @@
         if history.late
     }
     assert not late, (len(late), late)
+
+
+@then("none sends to an upstream that has said in time that it leaves")
+def check_upstreams(context):
+    in_use = {
+        seed: (history.in_use[0], len(history.in_use), history.events)
+        for seed, history in context.histories.items()
+        if history.in_use
+    }
+    assert not in_use, (len(in_use), in_use)
