Let instances read a change of the list that their reader misses (DRAIN)

Cause: the reader's call for the list hung on a silent connection, and the store turned the reader away before it noticed. The others saw from the revision in its pages that the list lacked a change, but only an instance with a call in progress acted on that. Now an instance that still misses the change 0.5 to 0.8 s after the reader should have sent it reads it from the store itself.

--- a/features/neighbours/changes.feature
+++ b/features/neighbours/changes.feature
@@ -16,6 +16,7 @@
       | a small site has all of these                        | 7         | 0     | 59   | kill,turn-away,cut-off,silence,loss,drop |
       | a large data centre has all of these                 | 60        | 0     | 11   | kill,turn-away,cut-off,silence,loss,drop |
 
+      | the reader's call for the list hangs and it is lost  | 22        | 0     | 39   | turn-away,silence,kill        |
       | connections of a large data centre go silent         | 60        | 2000  | 2011 | kill,turn-away,cut-off,loss,silence,drop |
 
   # Guards against changes that are late where each instance has to read them from the store.
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -3,6 +3,7 @@
 import asyncio
 import functools
 import logging
+import random
 from collections.abc import Coroutine
 
 from jujubenotch.daemon.forward_cloud import follow_lease
@@ -65,6 +66,10 @@
 # When one source has reported a revision, the other source delivers the changes up
 # to that revision within this time.
 CHANGE_DELIVERY_S = 0.6
+# The reader calls the store at once when its call has stalled. Instances that still
+# miss the change after this time read it themselves, not all at the same time.
+OWN_READ_DELAY_S = 0.5
+OWN_READ_SPREAD_S = 0.3
 # A read of the lease's row takes some tens of milliseconds.
 LEASE_READ_S = 0.3
 STALLED_EVENTS = {
@@ -185,13 +190,14 @@
 
     def apply_and_compare(update):
         apply_configuration(state, update)
-        for progress in (state.listing_progress, state.crash_progress):
+        for kind in (MessageKind.UPSTREAMS, MessageKind.CRASHES):
+            progress = relay.followed[kind].progress
             if update.follows_outage:
                 progress.retry_requested.set()
             if _is_behind(state, progress):
                 relay.request_lease_read()
                 loop.call_later(
-                    CHANGE_DELIVERY_S, _judge_stalled_call, relay, state, progress
+                    CHANGE_DELIVERY_S, _judge_stalled_call, relay, state, kind
                 )
 
     return add_followed_source(
@@ -287,17 +293,24 @@
     return is_source_behind(state.revisions, progress, state.configuration_progress)
 
 
-def _judge_stalled_call(relay, state, progress):
+def _judge_stalled_call(relay, state, kind):
     """End a call that seems stalled, once the lease's row could account for it."""
     if relay.is_lease_read_due():
         loop = asyncio.get_running_loop()
-        loop.call_later(LEASE_READ_S, _end_stalled_call, state, progress)
+        loop.call_later(LEASE_READ_S, _end_stalled_call, relay, state, kind)
         return
-    _end_stalled_call(state, progress)
+    _end_stalled_call(relay, state, kind)
 
 
-def _end_stalled_call(state, progress):
-    if _is_behind(state, progress) and progress.call_timeout is not None:
+def _end_stalled_call(relay, state, kind):
+    progress = relay.followed[kind].progress
+    if not _is_behind(state, progress):
+        return
+    if not relay.is_reading:
+        delay_s = OWN_READ_DELAY_S + OWN_READ_SPREAD_S * random.random()
+        loop = asyncio.get_running_loop()
+        loop.call_later(delay_s, _read_missed_change, relay, state, kind)
+    if progress.call_timeout is not None:
         log_event(
             logger,
             logging.WARNING,
@@ -306,3 +319,21 @@
             newest=state.configuration_progress.revision,
         )
         interrupt_call(progress)
+
+
+def _read_missed_change(relay, state, kind):
+    """Read a change that the reader has not sent, as its own call may hang."""
+    followed = relay.followed[kind]
+    if not _is_behind(state, followed.progress) or followed.must_catch_up:
+        return
+    log_event(
+        logger,
+        logging.INFO,
+        "page-missed",
+        source=followed.progress.name,
+        revision=followed.progress.revision or 0,
+        newest=state.configuration_progress.revision,
+        era=followed.progress.era,
+    )
+    followed.must_catch_up = True
+    followed.recheck.set()
