--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -3,7 +3,6 @@
 import asyncio
 import functools
 import logging
-import random
 from collections.abc import Coroutine
 
 from jujubenotch.daemon.forward_cloud import follow_lease
@@ -15,6 +14,7 @@
     send_message,
     share_page,
 )
+from jujubenotch.daemon.forward_missed import expect_change, is_behind
 from jujubenotch.daemon.forward_paces import connect_paces, share_paces
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
@@ -29,7 +29,7 @@
     make_relay,
     wait_until_due,
 )
-from jujubenotch.daemon.forward_revisions import is_source_behind, record_revisions
+from jujubenotch.daemon.forward_revisions import record_revisions
 from jujubenotch.daemon.forward_scaling import make_scaling_watch, order_upstreams
 from jujubenotch.daemon.forward_state import (
     ForwardState,
@@ -49,7 +49,6 @@
     choose_list_delay_s,
     double_pause_s,
     follow_source,
-    interrupt_call,
 )
 from jujubenotch.leases import Duty
 from jujubenotch.logs import log_event
@@ -63,19 +62,6 @@
 LIST_MAX_PAUSE_S = 2.0
 # Reports of several instances about one crash arrive within this time.
 CRASH_PAGE_DELAY_S = 0.05
-# When one source has reported a revision, the other source delivers the changes up
-# to that revision within this time.
-CHANGE_DELIVERY_S = 0.6
-# The reader calls the store at once when its call has stalled. Instances that still
-# miss the change after this time read it themselves, not all at the same time.
-OWN_READ_DELAY_S = 0.5
-OWN_READ_SPREAD_S = 0.3
-# A read of the lease's row takes some tens of milliseconds.
-LEASE_READ_S = 0.3
-STALLED_EVENTS = {
-    "upstreams": "upstream-list-stalled",
-    "crash-reports": "crash-reports-stalled",
-}
 
 
 def make_followers(
@@ -186,7 +172,6 @@
     :param source: The source of the configuration.
     :returns: The followed source.
     """
-    loop = asyncio.get_running_loop()
 
     def apply_and_compare(update):
         apply_configuration(state, update)
@@ -194,11 +179,9 @@
             progress = relay.followed[kind].progress
             if update.follows_outage:
                 progress.retry_requested.set()
-            if _is_behind(state, progress):
+            if is_behind(state, progress):
                 relay.request_lease_read()
-                loop.call_later(
-                    CHANGE_DELIVERY_S, _judge_stalled_call, relay, state, kind
-                )
+                expect_change(relay, state, kind)
 
     return add_followed_source(
         relay,
@@ -287,53 +270,3 @@
         share_page(relay, kind, update)
 
     return apply
-
-
-def _is_behind(state, progress):
-    return is_source_behind(state.revisions, progress, state.configuration_progress)
-
-
-def _judge_stalled_call(relay, state, kind):
-    """End a call that seems stalled, once the lease's row could account for it."""
-    if relay.is_lease_read_due():
-        loop = asyncio.get_running_loop()
-        loop.call_later(LEASE_READ_S, _end_stalled_call, relay, state, kind)
-        return
-    _end_stalled_call(relay, state, kind)
-
-
-def _end_stalled_call(relay, state, kind):
-    progress = relay.followed[kind].progress
-    if not _is_behind(state, progress):
-        return
-    if not relay.is_reading:
-        delay_s = OWN_READ_DELAY_S + OWN_READ_SPREAD_S * random.random()
-        loop = asyncio.get_running_loop()
-        loop.call_later(delay_s, _read_missed_change, relay, state, kind)
-    if progress.call_timeout is not None:
-        log_event(
-            logger,
-            logging.WARNING,
-            STALLED_EVENTS[progress.name],
-            revision=progress.revision or 0,
-            newest=state.configuration_progress.revision,
-        )
-        interrupt_call(progress)
-
-
-def _read_missed_change(relay, state, kind):
-    """Read a change that the reader has not sent, as its own call may hang."""
-    followed = relay.followed[kind]
-    if not _is_behind(state, followed.progress) or followed.must_catch_up:
-        return
-    log_event(
-        logger,
-        logging.INFO,
-        "page-missed",
-        source=followed.progress.name,
-        revision=followed.progress.revision or 0,
-        newest=state.configuration_progress.revision,
-        era=followed.progress.era,
-    )
-    followed.must_catch_up = True
-    followed.recheck.set()
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from jujubenotch.daemon.forward_missed import start_catch_up
 from jujubenotch.daemon.forward_paces import note_reader, receive_paces
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.daemon.forward_revisions import add_known
@@ -266,17 +267,4 @@
 def _catch_up(relay, followed, era, revision):
     if is_known(followed.progress, era, revision) or followed.must_catch_up:
         return
-    log_event(
-        logger,
-        logging.INFO,
-        "page-missed",
-        source=followed.progress.name,
-        revision=followed.progress.revision,
-        newest=revision,
-        era=era,
-    )
-    count_neighbour_message(
-        relay.instance.observer.metrics, followed.progress.name, "missed"
-    )
-    followed.must_catch_up = True
-    followed.recheck.set()
+    start_catch_up(relay, followed, era=era, newest=revision)
