--- /dev/null
+++ b/review/common/worker.py
@@ -0,0 +1,124 @@
+"""A worker that speaks the platform's protocol: ``worker.py ID PORT MODE``.
+
+It writes a line for each request that it runs and for the end of each run. MODE is a
+list of words joined by commas:
+
+``stream``        answers with 40 events, 0.1 s apart, and resumes at ``Last-Event-Id``
+``resumed-open``  a resumed stream has no length and ends with its channel
+``open``          no answer has a length
+
+Requests for ``FAILING_PATH`` get the worker's own 500.
+"""
+
+import asyncio
+import sys
+
+EVENTS = 40
+EVENT_PAUSE_S = 0.1
+WORK_S = 0.05
+FAILING_PATH = "/failing"
+
+
+def say(*words):
+    """Write a line of the record."""
+    print(*words, flush=True)
+
+
+async def read_request(reader):
+    """Return the request line, the headers and the body of the next request."""
+    head = await reader.readuntil(b"\r\n\r\n")
+    first, *lines = head.decode("latin-1").split("\r\n")
+    pairs = (line.partition(":") for line in lines if line)
+    headers = {name.lower(): value.strip() for name, _, value in pairs}
+    body = await reader.readexactly(int(headers.get("content-length", "0")))
+    return first, headers, body
+
+
+class Worker:
+    """The behaviour of one worker."""
+
+    def __init__(self, name, modes):
+        self.name = name
+        self.modes = modes
+
+    async def serve(self, reader, writer):
+        """Serve one channel."""
+        try:
+            while await self.serve_request(reader, writer):
+                pass
+        except (OSError, EOFError):
+            pass
+        finally:
+            writer.close()
+
+    async def serve_request(self, reader, writer):
+        """Serve one request; return whether the channel is kept."""
+        first, headers, _ = await read_request(reader)
+        request_id = headers.get("x-attempt-id", "")
+        expected = headers.get("x-expect-instance", self.name)
+        if expected != self.name:
+            writer.write(
+                b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n"
+                b"X-Attempt-Id: %b\r\nX-Instance-Id: %b\r\n\r\n"
+                % (request_id.encode(), self.name.encode())
+            )
+            return True
+        after = int(headers.get("last-event-id") or 0)
+        path = first.split()[1]
+        say("runs", request_id, path, f"after={after}")
+        try:
+            is_error = path.endswith(FAILING_PATH)
+            return await self.answer(writer, request_id, after, is_error)
+        finally:
+            say("ended", request_id)
+
+    async def answer(self, writer, request_id, after, is_error):
+        """Send the answer; return whether the channel is kept."""
+        is_open = "open" in self.modes or (after and "resumed-open" in self.modes)
+        status = "500 Internal Server Error" if is_error else "200 OK"
+        lines = [
+            f"HTTP/1.1 {status}",
+            f"X-Attempt-Id: {request_id}",
+            f"X-Instance-Id: {self.name}",
+            "X-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1",
+            "X-Instance-Load: 1,0,8",
+        ]
+        if "stream" in self.modes:
+            lines.append("Content-Type: text/event-stream")
+        if is_open:
+            lines.append("Connection: close")
+        if "stream" not in self.modes:
+            await asyncio.sleep(WORK_S)
+            body = f"{self.name} {request_id} ".encode().ljust(800, b".")
+            if not is_open:
+                lines.append(f"Content-Length: {len(body)}")
+            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            await writer.drain()
+            return not is_open
+        if not is_open:
+            lines.append("Transfer-Encoding: chunked")
+        writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
+        for number in range(after + 1, EVENTS + 1):
+            await asyncio.sleep(EVENT_PAUSE_S)
+            event = f"id: {number}\ndata: piece {number}\n\n".encode()
+            writer.write(event if is_open else b"%x\r\n%b\r\n" % (len(event), event))
+            await writer.drain()
+            say("made", request_id, f"event={number}")
+        if not is_open:
+            writer.write(b"0\r\n\r\n")
+            await writer.drain()
+        return not is_open
+
+
+async def main():
+    """Serve until the process is killed."""
+    name, port, modes = sys.argv[1:4]
+    worker = Worker(name, modes.split(","))
+    server = await asyncio.start_server(worker.serve, "127.0.0.1", int(port))
+    say("listening")
+    async with server:
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main())
