--- a/review/4/case.py
+++ b/review/4/case.py
@@ -7,7 +7,7 @@
 from rig import CouldNotRunError, is_troubled, make_route, run_case, send
 
 WORKERS = 3
-CLIENTS_PER_INSTANCE = 8
+CLIENTS_PER_INSTANCE = 10
 CRASH_AFTER_S = 4.0
 DOWN_S = 2.0
 # An entry is removed after three heartbeats of silence.
@@ -18,7 +18,7 @@
 WINDOW_S = 5.0
 LEAST_UNSERVED = 10
 UNSERVED_SHARE = 1 / 12
-PAUSE_S = 0.2
+PAUSE_S = 0.05
 
 
 class Traffic:
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -15,7 +15,7 @@
 
 EVENTS = 40
 EVENT_PAUSE_S = 0.1
-WORK_S = 0.05
+WORK_S = 0.09
 FAILING_PATH = "/failing"
 
 
