--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -288,14 +288,17 @@
                 if worker.is_listed and is_missing and runs and not self.store.fault:
                     worker.write_entry()
 
-    def write_configuration(self, version, keys, routes, services):
+    def write_configuration(self, version, keys, routes, services, tenants=None):
         """Write a configuration as the operator.
 
         :param version: Its version.
         :param keys: The keys of the only tenant.
         :param routes: The routes.
         :param services: The names of the services.
+        :param tenants: The tenants instead of that one.
         """
+        if tenants is None:
+            tenants = [{"name": "farm", "api-keys": keys}]
         document = {
             "version": version,
             "routes": routes,
@@ -309,7 +312,7 @@
                 "header-timeout-ms": 3000,
                 "idle-timeout-ms": 15000,
             },
-            "tenants": [{"name": "farm", "api-keys": keys}],
+            "tenants": tenants,
         }
         write_row(self.store, "op", "config", json.dumps(document).encode())
         self.record.add("operator", f"version {version} confirmed, keys {keys}")
