--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -6,17 +6,25 @@
 ``stream``        answers with 40 events, 0.1 s apart, and resumes at ``Last-Event-Id``
 ``resumed-open``  a resumed stream has no length and ends with its channel
 ``open``          no answer has a length
+``resets``        each 20th answer is broken off after half of its body, by a reset
 
 Requests for ``FAILING_PATH`` get the worker's own 500.
 """
 
 import asyncio
+import itertools
+import socket
+import struct
 import sys
 
 EVENTS = 40
 EVENT_PAUSE_S = 0.1
 WORK_S = 0.09
 FAILING_PATH = "/failing"
+BODY_BYTES = 800
+RESET_EACH = 20
+# A socket that is closed with this value of SO_LINGER resets its channel.
+RESET_ON_CLOSE = struct.pack("ii", 1, 0)
 
 
 def say(*words):
@@ -34,12 +42,25 @@
     return first, headers, body
 
 
+def break_off(writer, content):
+    """Send a part of an answer and reset the channel.
+
+    :param writer: The channel.
+    :param content: The part.
+    """
+    writer.write(content)
+    channel = writer.get_extra_info("socket")
+    channel.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+
+
 class Worker:
     """The behaviour of one worker."""
 
     def __init__(self, name, modes):
         self.name = name
         self.modes = modes
+        self.numbers = itertools.count(1)
 
     async def serve(self, reader, writer):
         """Serve one channel."""
@@ -89,10 +110,15 @@
             lines.append("Connection: close")
         if "stream" not in self.modes:
             await asyncio.sleep(WORK_S)
-            body = f"{self.name} {request_id} ".encode().ljust(800, b".")
+            body = f"{self.name} {request_id} ".encode().ljust(BODY_BYTES, b".")
             if not is_open:
                 lines.append(f"Content-Length: {len(body)}")
-            writer.write("\r\n".join(lines).encode() + b"\r\n\r\n" + body)
+            head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+            if "resets" in self.modes and next(self.numbers) % RESET_EACH == 0:
+                say("resets", request_id)
+                break_off(writer, head + body[: BODY_BYTES // 2])
+                return False
+            writer.write(head + body)
             await writer.drain()
             return not is_open
         if not is_open:
