--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,121 +1,79 @@
-"""A key that was taken away works again at a process that starts after a restore."""
+"""A resumed stream whose answer has no length looks complete although it broke off."""
 
 import asyncio
-import signal
-import time
+import re
 from pathlib import Path
 
 from rig import CouldNotRunError, is_troubled, make_route, run_case, send
+from worker import EVENTS
 
-from standins.store import copy_store, restore_store, set_fault
+WORKERS = 5
+# The events after which the worker that streams is killed. In the time between, the
+# worker that crashed first is replaced, so that no more than one of five is down.
+FIRST_CRASH_AFTER = 5
+SECOND_CRASH_AFTER = 30
+DOWN_S = 2.0
+REQUEST = "stream-1"
 
-REVOKE_S = 5.0
-# The store comes back once the new process has called it, or after this time.
-MAX_AWAY_S = 4.0
-RESTART_DELAY_S = 0.5
-# The operator writes again as late as the pages allow the workers to.
-REWRITE_DELAY_S = 2.0
-END_S = 12.0
 
+async def wait_for_event(rig, number):
+    """Return the name of the worker that has made an event of the stream.
 
-async def play(rig):
-    """Take a key away, restore an earlier copy of the store, restart an instance."""
-    routes = [make_route("submit", "plain", "non_idempotent", timeout_ms=1500)]
-
-    def write(version, keys):
-        rig.write_configuration(version, keys, routes, ["plain"])
-
-    write(3, ["key-old", "key-kept"])
-    for number in range(3):
-        await rig.add_worker(f"i-{number}", "plain", "plain")
-    instances = [
-        await rig.add_instance(f"edge-{number}", f"zone-{zone}")
-        for number, zone in enumerate("ab", 1)
-    ]
-    for instance in instances:
-        await instance.wait_ready()
-    await check_key(rig, instances)
-    copy = copy_store(rig.store)
-    await asyncio.sleep(0.5)
-    write(5, ["key-kept"])
-    confirmed_s = time.monotonic()
-    await asyncio.sleep(2.5)
-    if is_troubled():
-        await restart_during_drill(rig, instances[1], copy)
-        rig.tasks.append(asyncio.create_task(rewrite(write)))
-    return await ask(rig, instances, confirmed_s)
-
+    :param rig: The deployment.
+    :param number: The event's id.
+    """
+    async with asyncio.timeout(15):
+        while True:
+            for name, *words in rig.events:
+                if words == ["made", REQUEST, f"event={number}"]:
+                    return name
+            await asyncio.sleep(0.002)
 
-async def check_key(rig, instances):
-    """Check that the key works before it is taken away."""
-    for instance in instances:
-        answer = await submit(rig, instance, "before")
-        if answer.status != 200:
-            raise CouldNotRunError(f"{instance.name} answered {answer.status}")
 
-
-async def submit(rig, instance, name):
-    """Send a request with the key that is taken away."""
-    return await send(
-        rig,
-        instance,
-        f"{name}-{instance.name}",
-        "POST",
-        "/submit/1",
-        key="key-old",
-        body=b"return",
-        deadline_ms=3000,
-    )
+async def crash(rig, name):
+    """Kill a worker; another one comes up in its place after ``DOWN_S``."""
+    worker = next(each for each in rig.workers if each.name == name)
+    await worker.kill()
+    rig.workers.remove(worker)
+    await asyncio.sleep(DOWN_S)
+    worker.unlist()
+    await rig.add_worker(f"{name}-new", "model", "stream,resumed-open")
 
 
-async def restart_during_drill(rig, instance, copy):
-    """Kill an instance, and restore the store from a copy while it starts again."""
-    instance.signal(signal.SIGKILL)
-    await instance.process.wait()
-    await asyncio.sleep(RESTART_DELAY_S)
-    rig.record.add("trouble", "the store is away")
-    set_fault(rig.store, "unavailable")
-    others = len(rig.store.request_paths)
-    await instance.start()
-    began_s = time.monotonic()
-    while time.monotonic() - began_s < MAX_AWAY_S:
-        # Only a process that starts reads whole tables.
-        if "/v1/rows-get" in rig.store.request_paths[others:]:
-            break
-        await asyncio.sleep(0.01)
-    restore_store(rig.store, copy)
-    set_fault(rig.store, "")
-    rig.record.add(
-        "trouble",
-        f"the store is back after {time.monotonic() - began_s:.1f} s, from the copy, "
-        f"era {rig.store.era}",
+async def play(rig):
+    """Stream to one client while two workers crash, one after the other."""
+    routes = [make_route("query", "model", "streaming", resume=True, attempts=2)]
+    rig.write_configuration(3, ["k1"], routes, ["model"])
+    for number in range(WORKERS):
+        await rig.add_worker(f"i-{number}", "model", "stream,resumed-open")
+    instance = await rig.add_instance("edge-1", "zone-a")
+    await instance.wait_ready()
+    stream = asyncio.create_task(
+        send(rig, instance, REQUEST, "POST", "/query/1", body=b"prompt")
     )
+    if is_troubled():
+        for number in (FIRST_CRASH_AFTER, SECOND_CRASH_AFTER):
+            task = crash(rig, await wait_for_event(rig, number))
+            rig.tasks.append(asyncio.create_task(task))
+    return judge(await stream)
 
 
-async def rewrite(write):
-    """Write the newest configuration again, as the operator does after a restore."""
-    await asyncio.sleep(REWRITE_DELAY_S)
-    write(5, ["key-kept"])
-
+def judge(answer):
+    """Return how the rule ORDER was broken.
 
-async def ask(rig, instances, confirmed_s):
-    """Send requests with the key, and return how the rule CONFIG was broken."""
+    :param answer: What the client has seen.
+    """
+    if answer.status != 200:
+        raise CouldNotRunError(f"the stream did not begin: {answer.status}")
+    ids = [int(each) for each in re.findall(rb"^id: (\d+)$", answer.body, re.MULTILINE)]
     reasons = []
-    while (after_s := time.monotonic() - confirmed_s) < END_S:
-        if after_s > REVOKE_S:
-            for instance in instances:
-                if not await instance.is_ready():
-                    continue
-                sent_s = time.monotonic() - confirmed_s
-                name = f"after-{sent_s:.3f}"
-                answer = await submit(rig, instance, name)
-                runs = [each for each in rig.events if each[1] == "runs"]
-                if any(each[2] == f"{name}-{instance.name}" for each in runs):
-                    reasons.append(
-                        f"CONFIG: a request sent to {instance.name} {sent_s:.1f} s "
-                        f"after its key was taken away ran ({answer.status})"
-                    )
-        await asyncio.sleep(0.1)
+    if ids != list(range(1, len(ids) + 1)):
+        reasons.append(f"ORDER: the client got the events {ids}")
+    if answer.end == "whole" and len(ids) < EVENTS:
+        reasons.append(
+            f"ORDER: the stream ended as complete (last chunk) after event {len(ids)} "
+            f"of {EVENTS}"
+        )
     return reasons
 
 
