--- a/review/4/case.py
+++ b/review/4/case.py
@@ -1,121 +1,136 @@
-"""A key that was taken away works again at a process that starts after a restore."""
+"""After all workers of a service crashed once, sound requests stay refused."""
 
 import asyncio
-import signal
 import time
 from pathlib import Path
 
 from rig import CouldNotRunError, is_troubled, make_route, run_case, send
 
-from standins.store import copy_store, restore_store, set_fault
-
-REVOKE_S = 5.0
-# The store comes back once the new process has called it, or after this time.
-MAX_AWAY_S = 4.0
-RESTART_DELAY_S = 0.5
-# The operator writes again as late as the pages allow the workers to.
-REWRITE_DELAY_S = 2.0
-END_S = 12.0
+WORKERS = 3
+CLIENTS_PER_INSTANCE = 10
+CRASH_AFTER_S = 4.0
+DOWN_S = 2.0
+# An entry is removed after three heartbeats of silence.
+EXPIRY_S = 3.6
+# The workers are back and their old entries gone; from then on nothing is disturbed.
+CALM_AFTER_S = CRASH_AFTER_S + EXPIRY_S + 3.0
+END_S = CALM_AFTER_S + 12.0
+WINDOW_S = 5.0
+LEAST_UNSERVED = 10
+UNSERVED_SHARE = 1 / 12
+PAUSE_S = 0.05
+
+
+class Traffic:
+    """The requests of all clients, with the times at which they were sent."""
+
+    def __init__(self):
+        self.begun_s = time.monotonic()
+        self.lookups = []
+        self.submits = []
+
+    @property
+    def now_s(self):
+        """The time since the first request, in seconds."""
+        return time.monotonic() - self.begun_s
+
+
+async def look_up(rig, instance, traffic, client):
+    """Ask for the status of one return again and again, as several clients do."""
+    number = 0
+    while traffic.now_s < END_S:
+        number += 1
+        sent_s = traffic.now_s
+        answer = await send(
+            rig,
+            instance,
+            f"lookup-{instance.name}-{client}-{number}",
+            "GET",
+            "/lookup/holding-1",
+            deadline_ms=3000,
+        )
+        traffic.lookups.append((sent_s, answer.status))
+        await asyncio.sleep(PAUSE_S)
+
+
+async def submit(rig, instance, traffic):
+    """Submit returns, each with a body of its own."""
+    number = 0
+    while traffic.now_s < END_S:
+        number += 1
+        sent_s = traffic.now_s
+        name = f"submit-{instance.name}-{number}"
+        body = name.encode().ljust(600, b".")
+        answer = await send(
+            rig, instance, name, "POST", "/submit/1", body=body, deadline_ms=3000
+        )
+        if answer.status == 200:
+            traffic.submits.append(sent_s)
+        await asyncio.sleep(PAUSE_S)
+
+
+async def crash_all(rig):
+    """Kill all workers at once; others come up in their place."""
+    await asyncio.sleep(CRASH_AFTER_S)
+    crashed = list(rig.workers)
+    for worker in crashed:
+        rig.record.add("trouble", f"worker {worker.name} crashes (SIGKILL)")
+        worker.process.kill()
+    await asyncio.sleep(DOWN_S)
+    for number in range(WORKERS):
+        await rig.add_worker(f"i-new-{number}", "returns", "plain")
+    await asyncio.sleep(EXPIRY_S - DOWN_S)
+    for worker in crashed:
+        worker.unlist()
+        rig.workers.remove(worker)
 
 
 async def play(rig):
-    """Take a key away, restore an earlier copy of the store, restart an instance."""
-    routes = [make_route("submit", "plain", "non_idempotent", timeout_ms=1500)]
-
-    def write(version, keys):
-        rig.write_configuration(version, keys, routes, ["plain"])
-
-    write(3, ["key-old", "key-kept"])
-    for number in range(3):
-        await rig.add_worker(f"i-{number}", "plain", "plain")
+    """Serve two kinds of requests while all workers crash once."""
+    lookup = make_route("lookup", "returns", "idempotent", attempts=2, timeout_ms=1500)
+    submit_route = make_route("submit", "returns", "non_idempotent", timeout_ms=1500)
+    submit_route["priority"] = 2
+    rig.write_configuration(3, ["k1"], [lookup, submit_route], ["returns"])
+    for number in range(WORKERS):
+        await rig.add_worker(f"i-{number}", "returns", "plain")
     instances = [
-        await rig.add_instance(f"edge-{number}", f"zone-{zone}")
-        for number, zone in enumerate("ab", 1)
+        await rig.add_instance(f"edge-{number}", "zone-a") for number in (1, 2)
     ]
     for instance in instances:
         await instance.wait_ready()
-    await check_key(rig, instances)
-    copy = copy_store(rig.store)
-    await asyncio.sleep(0.5)
-    write(5, ["key-kept"])
-    confirmed_s = time.monotonic()
-    await asyncio.sleep(2.5)
+    traffic = Traffic()
+    clients = [
+        look_up(rig, instance, traffic, client)
+        for instance in instances
+        for client in range(CLIENTS_PER_INSTANCE)
+    ]
+    clients += [submit(rig, instance, traffic) for instance in instances]
     if is_troubled():
-        await restart_during_drill(rig, instances[1], copy)
-        rig.tasks.append(asyncio.create_task(rewrite(write)))
-    return await ask(rig, instances, confirmed_s)
+        clients.append(crash_all(rig))
+    await asyncio.gather(*clients)
+    return judge(traffic)
 
 
-async def check_key(rig, instances):
-    """Check that the key works before it is taken away."""
-    for instance in instances:
-        answer = await submit(rig, instance, "before")
-        if answer.status != 200:
-            raise CouldNotRunError(f"{instance.name} answered {answer.status}")
-
-
-async def submit(rig, instance, name):
-    """Send a request with the key that is taken away."""
-    return await send(
-        rig,
-        instance,
-        f"{name}-{instance.name}",
-        "POST",
-        "/submit/1",
-        key="key-old",
-        body=b"return",
-        deadline_ms=3000,
-    )
-
-
-async def restart_during_drill(rig, instance, copy):
-    """Kill an instance, and restore the store from a copy while it starts again."""
-    instance.signal(signal.SIGKILL)
-    await instance.process.wait()
-    await asyncio.sleep(RESTART_DELAY_S)
-    rig.record.add("trouble", "the store is away")
-    set_fault(rig.store, "unavailable")
-    others = len(rig.store.request_paths)
-    await instance.start()
-    began_s = time.monotonic()
-    while time.monotonic() - began_s < MAX_AWAY_S:
-        # Only a process that starts reads whole tables.
-        if "/v1/rows-get" in rig.store.request_paths[others:]:
-            break
-        await asyncio.sleep(0.01)
-    restore_store(rig.store, copy)
-    set_fault(rig.store, "")
-    rig.record.add(
-        "trouble",
-        f"the store is back after {time.monotonic() - began_s:.1f} s, from the copy, "
-        f"era {rig.store.era}",
-    )
-
-
-async def rewrite(write):
-    """Write the newest configuration again, as the operator does after a restore."""
-    await asyncio.sleep(REWRITE_DELAY_S)
-    write(5, ["key-kept"])
-
-
-async def ask(rig, instances, confirmed_s):
-    """Send requests with the key, and return how the rule CONFIG was broken."""
+def judge(traffic):
+    """Return how the rule TIER was broken, in windows that begin each second."""
+    before = [status for at_s, status in traffic.lookups if at_s < CRASH_AFTER_S - 1]
+    if not before or set(before) != {200}:
+        raise CouldNotRunError(f"the lookups before the crash got {set(before)}")
     reasons = []
-    while (after_s := time.monotonic() - confirmed_s) < END_S:
-        if after_s > REVOKE_S:
-            for instance in instances:
-                if not await instance.is_ready():
-                    continue
-                sent_s = time.monotonic() - confirmed_s
-                name = f"after-{sent_s:.3f}"
-                answer = await submit(rig, instance, name)
-                runs = [each for each in rig.events if each[1] == "runs"]
-                if any(each[2] == f"{name}-{instance.name}" for each in runs):
-                    reasons.append(
-                        f"CONFIG: a request sent to {instance.name} {sent_s:.1f} s "
-                        f"after its key was taken away ran ({answer.status})"
-                    )
-        await asyncio.sleep(0.1)
+    start_s = CALM_AFTER_S
+    while start_s + WINDOW_S <= END_S - 1:
+        end_s = start_s + WINDOW_S
+        asked = [status for at_s, status in traffic.lookups if start_s <= at_s < end_s]
+        unserved = [status for status in asked if status != 200]
+        begun = [at_s for at_s in traffic.submits if start_s <= at_s < end_s]
+        is_many = len(unserved) >= LEAST_UNSERVED
+        if is_many and len(unserved) > UNSERVED_SHARE * len(asked) and begun:
+            reasons.append(
+                f"TIER: from {start_s:.1f} to {end_s:.1f} s, {len(unserved)} of "
+                f"{len(asked)} lookups got nothing ({sorted(set(unserved))}), while "
+                f"{len(begun)} less urgent submits ran at the same service"
+            )
+        start_s += 1.0
     return reasons
 
 
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -6,6 +6,8 @@
 ``stream``        answers with 40 events, 0.1 s apart, and resumes at ``Last-Event-Id``
 ``resumed-open``  a resumed stream has no length and ends with its channel
 ``open``          no answer has a length
+``paced``         tells how long work takes, as the fourth figure of its load
+``late``          begins its streams late, but for those of ``WARM_UP_PATH``
 ``resets``        each 20th answer is broken off after half of its body, by a reset
 
 Requests for ``FAILING_PATH`` get the worker's own 500.
@@ -21,6 +23,9 @@
 EVENT_PAUSE_S = 0.1
 WORK_S = 0.09
 FAILING_PATH = "/failing"
+WARM_UP_PATH = "/warm-up"
+WARM_UP_EVENTS = 2
+LATE_S = 0.8
 BODY_BYTES = 800
 RESET_EACH = 20
 # A socket that is closed with this value of SO_LINGER resets its channel.
@@ -88,21 +93,22 @@
         path = first.split()[1]
         say("runs", request_id, path, f"after={after}")
         try:
-            is_error = path.endswith(FAILING_PATH)
-            return await self.answer(writer, request_id, after, is_error)
+            return await self.answer(writer, request_id, after, path)
         finally:
             say("ended", request_id)
 
-    async def answer(self, writer, request_id, after, is_error):
+    async def answer(self, writer, request_id, after, path):
         """Send the answer; return whether the channel is kept."""
         is_open = "open" in self.modes or (after and "resumed-open" in self.modes)
+        is_error = path.endswith(FAILING_PATH)
+        is_warm_up = path.endswith(WARM_UP_PATH)
         status = "500 Internal Server Error" if is_error else "200 OK"
         lines = [
             f"HTTP/1.1 {status}",
             f"X-Attempt-Id: {request_id}",
             f"X-Instance-Id: {self.name}",
             "X-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1",
-            "X-Instance-Load: 1,0,8",
+            "X-Instance-Load: 1,0,8" + (",100" if "paced" in self.modes else ""),
         ]
         if "stream" in self.modes:
             lines.append("Content-Type: text/event-stream")
@@ -123,8 +129,10 @@
             return not is_open
         if not is_open:
             lines.append("Transfer-Encoding: chunked")
+        if "late" in self.modes and not is_warm_up:
+            await asyncio.sleep(LATE_S)
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(after + 1, EVENTS + 1):
+        for number in range(after + 1, (WARM_UP_EVENTS if is_warm_up else EVENTS) + 1):
             await asyncio.sleep(EVENT_PAUSE_S)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             writer.write(event if is_open else b"%x\r\n%b\r\n" % (len(event), event))
