--- a/review/1/case.py
+++ b/review/1/case.py
@@ -10,7 +10,7 @@
 WORKERS = 5
 WARM_UPS = 8
 STREAMS = 14
-# The worker that starts its streams late, and later loses the store for a while.
+# The worker that always starts its streams late, and loses the store for a while.
 AWAY = 3
 # Until the instance has noticed how late the streams of that worker began.
 NOTICE_S = 2.5
--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,6 +1,7 @@
 """An answer without a length that is reset on the way passes as a whole one."""
 
 import asyncio
+import time
 from pathlib import Path
 
 from rig import CouldNotRunError, is_troubled, make_route, run_case, send
@@ -10,7 +11,8 @@
 # Of five workers; largest dose on the site: 0.6.
 FAULTY_WORKERS = 3
 CLIENTS = 20
-REQUESTS_PER_CLIENT = 60
+# The site's disturbances of this kind last 5.0 to 5.5 s.
+TROUBLE_S = 5.0
 
 
 async def play(rig):
@@ -27,9 +29,12 @@
     for instance in instances:
         await instance.wait_ready()
     answers = {}
+    end_s = time.monotonic() + TROUBLE_S
 
     async def submit(client):
-        for number in range(REQUESTS_PER_CLIENT):
+        number = 0
+        while time.monotonic() < end_s:
+            number += 1
             name = f"submit-{client}-{number}"
             instance = instances[client % len(instances)]
             answers[name] = await send(
--- a/review/common/rig.py
+++ b/review/common/rig.py
@@ -16,6 +16,7 @@
 from pathlib import Path
 
 from aiohttp import web
+from worker import SLOTS
 
 from standins.store import StoreState, build_store_app, delete_row, write_row
 
@@ -100,6 +101,7 @@
         self.port = find_port()
         self.process = None
         self.is_listed = False
+        self.born_ms = 0
 
     async def start(self):
         """Start the process and wait until it listens."""
@@ -108,6 +110,7 @@
         self.process = await asyncio.create_subprocess_exec(
             *command, stdout=asyncio.subprocess.PIPE
         )
+        self.born_ms = int(time.time() * 1000)
         self.rig.processes.append(self.process)
         await asyncio.wait_for(self.process.stdout.readline(), START_TIMEOUT_S)
         task = asyncio.create_task(self._read())
@@ -136,7 +139,8 @@
             "address": f"{LOOPBACK}:{self.port}",
             "zone": "zone-a",
             "version": self.version,
-            "slots": 8,
+            "slots": SLOTS,
+            "born": self.born_ms,
             "state": state,
             "cold-remaining-ms": 0,
             "sequence": 1,
--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -7,7 +7,8 @@
 ``resumed-open``  a resumed stream has no length and ends with its channel
 ``open``          no answer has a length
 ``paced``         tells how long work takes, as the fourth figure of its load
-``late``          begins its streams late, but for those of ``WARM_UP_PATH``
+``late``          begins each of its streams later than the others do
+``quick``         answers with 16 events, 0.05 s apart, and doesn't record them
 ``resets``        each 20th answer is broken off after half of its body, by a reset
 
 Requests for ``FAILING_PATH`` get the worker's own 500.
@@ -25,7 +26,10 @@
 FAILING_PATH = "/failing"
 WARM_UP_PATH = "/warm-up"
 WARM_UP_EVENTS = 2
-LATE_S = 0.8
+LATE_S = 0.3
+QUICK_PAUSE_S = 0.05
+QUICK_EVENTS = 16
+SLOTS = 12
 BODY_BYTES = 800
 RESET_EACH = 20
 # A socket that is closed with this value of SO_LINGER resets its channel.
@@ -66,6 +70,7 @@
         self.name = name
         self.modes = modes
         self.numbers = itertools.count(1)
+        self.running = 0
 
     async def serve(self, reader, writer):
         """Serve one channel."""
@@ -92,56 +97,74 @@
         after = int(headers.get("last-event-id") or 0)
         path = first.split()[1]
         say("runs", request_id, path, f"after={after}")
+        self.running += 1
         try:
             return await self.answer(writer, request_id, after, path)
         finally:
+            self.running -= 1
             say("ended", request_id)
 
+    def describe_load(self):
+        """Return the header with the running and waiting requests and the slots."""
+        pace = ",100" if "paced" in self.modes else ""
+        return f"X-Instance-Load: {self.running},0,{SLOTS}{pace}"
+
     async def answer(self, writer, request_id, after, path):
         """Send the answer; return whether the channel is kept."""
         is_open = "open" in self.modes or (after and "resumed-open" in self.modes)
         is_error = path.endswith(FAILING_PATH)
-        is_warm_up = path.endswith(WARM_UP_PATH)
-        status = "500 Internal Server Error" if is_error else "200 OK"
         lines = [
-            f"HTTP/1.1 {status}",
+            f"HTTP/1.1 {'500 Internal Server Error' if is_error else '200 OK'}",
             f"X-Attempt-Id: {request_id}",
             f"X-Instance-Id: {self.name}",
             "X-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1",
-            "X-Instance-Load: 1,0,8" + (",100" if "paced" in self.modes else ""),
+            self.describe_load(),
         ]
-        if "stream" in self.modes:
-            lines.append("Content-Type: text/event-stream")
         if is_open:
             lines.append("Connection: close")
-        if "stream" not in self.modes:
-            await asyncio.sleep(WORK_S)
-            body = f"{self.name} {request_id} ".encode().ljust(BODY_BYTES, b".")
-            if not is_open:
-                lines.append(f"Content-Length: {len(body)}")
-            head = "\r\n".join(lines).encode() + b"\r\n\r\n"
-            if "resets" in self.modes and next(self.numbers) % RESET_EACH == 0:
-                say("resets", request_id)
-                break_off(writer, head + body[: BODY_BYTES // 2])
-                return False
-            writer.write(head + body)
-            await writer.drain()
-            return not is_open
+        if "stream" in self.modes:
+            await self.send_stream(writer, lines, request_id, after, path, is_open)
+        elif not await self.send_body(writer, lines, request_id, is_open):
+            return False
+        return not is_open
+
+    async def send_body(self, writer, lines, request_id, is_open):
+        """Send a whole answer; return whether it was not broken off."""
+        await asyncio.sleep(WORK_S)
+        body = f"{self.name} {request_id} ".encode().ljust(BODY_BYTES, b".")
+        if not is_open:
+            lines.append(f"Content-Length: {len(body)}")
+        head = "\r\n".join(lines).encode() + b"\r\n\r\n"
+        if "resets" in self.modes and next(self.numbers) % RESET_EACH == 0:
+            say("resets", request_id)
+            break_off(writer, head + body[: BODY_BYTES // 2])
+            return False
+        writer.write(head + body)
+        await writer.drain()
+        return True
+
+    async def send_stream(self, writer, lines, request_id, after, path, is_open):
+        """Send the events of a stream after a given one."""
+        is_quick = "quick" in self.modes
+        last = QUICK_EVENTS if is_quick else EVENTS
+        if path.endswith(WARM_UP_PATH):
+            last = WARM_UP_EVENTS
+        lines.append("Content-Type: text/event-stream")
         if not is_open:
             lines.append("Transfer-Encoding: chunked")
-        if "late" in self.modes and not is_warm_up:
+        if "late" in self.modes:
             await asyncio.sleep(LATE_S)
         writer.write("\r\n".join(lines).encode() + b"\r\n\r\n")
-        for number in range(after + 1, (WARM_UP_EVENTS if is_warm_up else EVENTS) + 1):
-            await asyncio.sleep(EVENT_PAUSE_S)
+        for number in range(after + 1, last + 1):
+            await asyncio.sleep(QUICK_PAUSE_S if is_quick else EVENT_PAUSE_S)
             event = f"id: {number}\ndata: piece {number}\n\n".encode()
             writer.write(event if is_open else b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
-            say("made", request_id, f"event={number}")
+            if not is_quick:
+                say("made", request_id, f"event={number}")
         if not is_open:
             writer.write(b"0\r\n\r\n")
             await writer.drain()
-        return not is_open
 
 
 async def main():
