--- a/review/common/worker.py
+++ b/review/common/worker.py
@@ -4,14 +4,11 @@
 list of words joined by commas:
 
 ``stream``        answers with 40 events, 0.1 s apart, and resumes at ``Last-Event-Id``
-``resumed-open``  a resumed stream has no length and ends with its channel
 ``open``          no answer has a length
 ``paced``         tells how long work takes, as the fourth figure of its load
 ``late``          begins each of its streams later than the others do
 ``quick``         answers with 16 events, 0.05 s apart, and doesn't record them
 ``resets``        each 20th answer is broken off after half of its body, by a reset
-
-Requests for ``FAILING_PATH`` get the worker's own 500.
 """
 
 import asyncio
@@ -23,7 +20,6 @@
 EVENTS = 40
 EVENT_PAUSE_S = 0.1
 WORK_S = 0.09
-FAILING_PATH = "/failing"
 WARM_UP_PATH = "/warm-up"
 WARM_UP_EVENTS = 2
 LATE_S = 0.3
@@ -111,10 +107,9 @@
 
     async def answer(self, writer, request_id, after, path):
         """Send the answer; return whether the channel is kept."""
-        is_open = "open" in self.modes or (after and "resumed-open" in self.modes)
-        is_error = path.endswith(FAILING_PATH)
+        is_open = "open" in self.modes
         lines = [
-            f"HTTP/1.1 {'500 Internal Server Error' if is_error else '200 OK'}",
+            "HTTP/1.1 200 OK",
             f"X-Attempt-Id: {request_id}",
             f"X-Instance-Id: {self.name}",
             "X-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1",
