Keep the logged speed class of an upstream beside what is learned of it

A request that had not begun got 500, and a stream whose upstream crashed was not continued elsewhere.

Cause: the names of upstreams whose speed class had changed stood in a set beside the table of upstreams. Unlisting removed a name from the table only, so once the name was listed again, the log line read a row that was not there.

Why it works: the class that was logged last is a field of the upstream's own row, so there is no second table to keep in step.

--- a/features/pace/fleet.py
+++ b/features/pace/fleet.py
@@ -89,6 +89,7 @@
     has_waited_needlessly: bool = False
     read_again: int = 0
     is_refused: bool = False
+    listed: int = 0
 
     @property
     def is_in_time(self):
@@ -153,6 +154,13 @@
 def add_upstream(fleet, name, speed, *, has_noise=True):
     """Add an upstream to the list of all instances."""
     fleet.upstreams[name] = Upstream(name=name, speed=speed)
+    list_upstream(fleet, name)
+    if has_noise:
+        change_pace(fleet, fleet.upstreams[name])
+
+
+def list_upstream(fleet, name):
+    """List an upstream that exists at all instances."""
     listed = ListedUpstream(
         name=name,
         service=SERVICE,
@@ -160,16 +168,25 @@
         data_centre="north",
         slots=SLOTS,
     )
+    _apply(fleet, [Item(key=name, value=listed)])
+
+
+def unlist_upstreams(fleet, names):
+    """Remove upstreams from the list of all instances, in one update."""
+    _apply(fleet, [Item(key=name, value=None, is_removed=True) for name in names])
+    for capacity in fleet.capacities:
+        capacity.forget(set(names))
+
+
+def _apply(fleet, items):
     for listing in fleet.listings:
         apply_items(
             listing,
-            (Item(key=name, value=listed),),
+            tuple(items),
             is_snapshot=False,
             follows_outage=False,
             now_s=fleet.now_s,
         )
-    if has_noise:
-        change_pace(fleet, fleet.upstreams[name])
 
 
 def change_pace(fleet, upstream):
@@ -227,7 +244,8 @@
         prefix_tokens=kind.prefix_tokens,
         prefix_key=key,
     )
-    result = Result(at_s=now_s, kind=kind, key=key)
+    listed = len(fleet.listings[0].upstreams)
+    result = Result(at_s=now_s, kind=kind, key=key, listed=listed)
     fleet.results.append(result)
     grant = run(capacity.acquire(request))
     if isinstance(grant, Refusal):
--- a/jujubenotch/forwarding/learned.py
+++ b/jujubenotch/forwarding/learned.py
@@ -234,18 +234,24 @@
 
 
 def _log_changes(service, by_name, now_s):
-    """Log the upstreams whose speed class has changed."""
-    for name in service.changed & by_name.keys():
+    """Log the candidates whose speed class has changed since it was logged last."""
+    if not service.has_class_changes:
+        return
+    service.has_class_changes = False
+    for name, state in by_name.items():
+        upstream = service.upstreams.get(name)
+        if upstream is None or upstream.speed_class == upstream.logged_class:
+            continue
+        upstream.logged_class = upstream.speed_class
         log_event(
             logger,
             logging.INFO,
             "upstream-speed-changed",
             upstream=name,
             slowness=round(read_slowness(service, name, now_s), 2),
-            limit=round(read_limit(service, name, by_name[name].slots, now_s), 1),
-            speed_class=service.upstreams[name].speed_class,
+            limit=round(read_limit(service, name, state.slots, now_s), 1),
+            speed_class=upstream.speed_class,
         )
-    service.changed.clear()
 
 
 def _make_candidate(state, loads):
--- a/jujubenotch/pace/learn.py
+++ b/jujubenotch/pace/learn.py
@@ -274,11 +274,11 @@
         limit = combine(upstream, LIMIT, now_s)
         upstream.limit = limit.total, limit.weight
     service.median = statistics.median(each.log_slowness for each in upstreams)
-    for name, upstream in service.upstreams.items():
+    for upstream in upstreams:
         steps = (upstream.log_slowness - service.median) / CLASS_STEP
         if abs(steps - upstream.speed_class) > CLASS_HYSTERESIS:
             upstream.speed_class = max(-MAX_CLASS, min(MAX_CLASS, round(steps)))
-            service.changed.add(name)
+            service.has_class_changes = True
 
 
 def _find_log_ratio(service, first, now_s):
--- a/jujubenotch/pace/model.py
+++ b/jujubenotch/pace/model.py
@@ -43,6 +43,7 @@
     :param log_slowness: The estimate of the slowness when it was last found.
     :param limit: The limit's sum and weight at that time.
     :param speed_class: Slowness in steps, changed with hysteresis.
+    :param logged_class: The speed class that was logged last.
     """
 
     own: Figures = field(default_factory=Figures)
@@ -54,6 +55,7 @@
     log_slowness: float = 0.0
     limit: tuple[float, float] = (0.0, 0.0)
     speed_class: int = 0
+    logged_class: int = 0
 
 
 @dataclass(kw_only=True, slots=True)
@@ -63,7 +65,8 @@
     :param paced_s: When an upstream last reported the pace of its machine, monotonic,
         in seconds.
     :param median: The median logarithm of the upstreams' slowness.
-    :param changed: The upstreams whose speed class has changed and was not logged yet.
+    :param has_class_changes: Whether a speed class has changed since the last log
+        lines about speed classes.
     :param median_s: When the estimates and the median were last found.
 
     >>> ServicePace().upstreams
@@ -75,7 +78,7 @@
     paced_s: float = float("-inf")
     median: float = 0.0
     median_s: float = float("-inf")
-    changed: set[str] = field(default_factory=set)
+    has_class_changes: bool = False
 
     def find(self, name: str) -> UpstreamPace:
         """Return what is learned about an upstream; a new one has no observations.
