End a streamed response as complete only when its handler has finished it

Cause: the HTTP server library ends each response that is open once its handler has returned or raised. Only the planned ways out closed the connection before.

The mend: the listener writes the final chunk only after finish_response, which is called where the outcome is known to be complete. Each other way out (an error in any line, a return, a cancellation) leaves the final chunk out and closes the connection. This holds for all listeners, so also for the calls of other instances, whose listener had the library's plain protocol. The error is logged with the request's id (dispatch-failed, response-not-finished).

--- a/jujubenotch/callers/answers.py
+++ b/jujubenotch/callers/answers.py
@@ -85,7 +85,7 @@
         if answer.body:
             await sink.send(answer.body)
         await sink.send(build_final_event(answer, sink.request_id))
-        await sink.response.eof()
+        await sink.request.stream.finish_response()
         return None
     return build_response(answer, sink.request_id)
 
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -202,7 +202,19 @@
     if latest_s < call.caller_deadline_s:
         # Upstreams are told the shorter deadline, too.
         call = replace(call, caller_deadline_s=latest_s)
-    answer = await dispatch(forwarder.dispatcher, call, sink)
+    try:
+        answer = await dispatch(forwarder.dispatcher, call, sink)
+    except Exception as error:
+        # The listener cuts a response that has begun.
+        log_event(
+            logger,
+            logging.ERROR,
+            "dispatch-failed",
+            request_id=call.request_id,
+            has_begun=sink.response is not None,
+            error=f"{type(error).__name__}: {error}",
+        )
+        raise
     remaining_s = call.deadline_s - asyncio.get_running_loop().time()
     answer.retry_after_s = min(
         answer.retry_after_s, max(0, remaining_s * MAX_DELAY_SHARE)
@@ -253,11 +265,9 @@
     if sink.response is None:
         return _build_response(answer)
     if answer.outcome is Outcome.COMPLETED:
-        await sink.response.eof()
+        await sink.request.stream.finish_response()
     elif sink.is_framed:
-        # Closing the transport omits the final chunk, so the caller can tell that
-        # the stream is incomplete. The bytes already written are still delivered.
-        sink.request.transport.close()
+        sink.request.stream.cut_response()
     else:
         # A body that isn't framed ends with its connection, so only a reset tells the
         # caller that the stream is incomplete.
--- a/jujubenotch/daemon/start.py
+++ b/jujubenotch/daemon/start.py
@@ -41,6 +41,7 @@
     record_success,
 )
 from jujubenotch.listeners import (
+    NO_LIMITS,
     bind_socket,
     start_listener,
 )
@@ -247,7 +248,7 @@
     )
     limits = read_connection_bounds(instance)
     for app, bound_socket, section, listener_limits in (
-        (operators, operators_socket, settings.operators, None),
+        (operators, operators_socket, settings.operators, NO_LIMITS),
         (callers, callers_socket, settings.callers, limits),
     ):
         tls = make_server_context(section.tls) if section.tls else None
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -3,7 +3,7 @@
 Errors: ``ListenerError``. Features: ``features/listeners``.
 """
 
-from jujubenotch.listeners.bounds import ListenerLimits, is_well_formed
+from jujubenotch.listeners.bounds import NO_LIMITS, ListenerLimits, is_well_formed
 from jujubenotch.listeners.core import (
     Listener,
     RequestLimits,
@@ -15,6 +15,7 @@
 from jujubenotch.sockets import ListenerError, bind_socket
 
 __all__ = [
+    "NO_LIMITS",
     "Listener",
     "ListenerError",
     "ListenerLimits",
--- a/jujubenotch/listeners/bounds.py
+++ b/jujubenotch/listeners/bounds.py
@@ -6,15 +6,18 @@
 
 import asyncio
 import re
+import sys
 from collections.abc import Callable
 from dataclasses import dataclass
 
 from sanic import HTTPResponse
 from sanic.exceptions import BadRequest, SanicException
 from sanic.headers import format_http1_response
-from sanic.http import Http, Stage
+from sanic.http import Stage
 from sanic.server.protocols.http_protocol import HttpProtocol
 
+from jujubenotch.listeners.endings import ExplicitEndHttp
+
 REQUEST_TIMEOUT = 408
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
 CONTENT_LENGTH = re.compile(rb"content-length:[\t ]*([^\r]*?)[\t ]*", re.IGNORECASE)
@@ -35,9 +38,9 @@
     :param max_connections: The largest number of open connections; the listener
         closes each further connection immediately.
     :param header_timeout_s: Time limit from a request's first byte to the end of
-        its head.
+        its head; ``None`` without a limit.
     :param body_timeout_s: Time limit from the end of the head to the end of the
-        body.
+        body; ``None`` without a limit.
     :param count_refused_connection: Counts a connection that is closed because of
         ``max_connections``.
 
@@ -52,11 +55,19 @@
     """
 
     max_connections: int
-    header_timeout_s: float
-    body_timeout_s: float
+    header_timeout_s: float | None
+    body_timeout_s: float | None
     count_refused_connection: Callable[[], None]
 
 
+NO_LIMITS = ListenerLimits(
+    max_connections=sys.maxsize,
+    header_timeout_s=None,
+    body_timeout_s=None,
+    count_refused_connection=lambda: None,
+)
+
+
 def is_well_formed(head: bytes) -> bool:
     """Check that all HTTP parsers interpret a request's head in the same way.
 
@@ -80,7 +91,7 @@
     return True
 
 
-class BoundedHttp(Http):
+class BoundedHttp(ExplicitEndHttp):
     """Reads the requests of one connection and enforces their time limits."""
 
     async def http1_request_header(self) -> None:
@@ -104,8 +115,9 @@
             self.keep_alive = False
             self.request_body = None
             raise
-        now_s = asyncio.get_running_loop().time()
-        self.protocol.body_deadline_s = now_s + limits.body_timeout_s
+        if limits.body_timeout_s is not None:
+            now_s = asyncio.get_running_loop().time()
+            self.protocol.body_deadline_s = now_s + limits.body_timeout_s
 
     async def read(self) -> bytes | None:
         """Read a part of a request's body.
@@ -148,7 +160,7 @@
 
 
 class BoundedProtocol(HttpProtocol):
-    """One connection of a listener that has connection limits.
+    """One connection of a listener.
 
     :param limits: The limits.
     """
@@ -159,7 +171,7 @@
     def __init__(self, *, limits: ListenerLimits, **options):
         super().__init__(**options)
         self.limits = limits
-        self.body_deadline_s = 0.0
+        self.body_deadline_s: float | None = None
         self.is_refused = False
 
     def connection_made(self, transport: asyncio.Transport) -> None:
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -10,7 +10,11 @@
 from sanic import Sanic
 from sanic.server.async_server import AsyncioServer
 
-from jujubenotch.listeners.bounds import BoundedProtocol, ListenerLimits
+from jujubenotch.listeners.bounds import (
+    NO_LIMITS,
+    BoundedProtocol,
+    ListenerLimits,
+)
 from jujubenotch.logs import log_event
 
 logger = logging.getLogger(__name__)
@@ -32,7 +36,7 @@
     :param port: The port that the server listens on.
     :param bound_socket: The listening socket.
     :param tls: The TLS context; ``None`` for plain HTTP.
-    :param limits: Limits on the connections; ``None`` without limits.
+    :param limits: Limits on the connections.
     :param protocol_options: What the server makes each connection's protocol with;
         empty before the first connection.
 
@@ -46,7 +50,7 @@
     port: int
     bound_socket: socket.socket | None = None
     tls: ssl.SSLContext | None = None
-    limits: ListenerLimits | None = None
+    limits: ListenerLimits = NO_LIMITS
     protocol_options: dict[str, Any] = field(default_factory=dict)
 
 
@@ -85,15 +89,14 @@
     app: Sanic,
     bound_socket: socket.socket,
     tls: ssl.SSLContext | None = None,
-    limits: ListenerLimits | None = None,
+    limits: ListenerLimits = NO_LIMITS,
 ) -> Listener:
     """Serve an application on a bound socket, in the running event loop.
 
     :param app: The application.
     :param bound_socket: The bound socket.
     :param tls: The TLS context; ``None`` serves plain HTTP.
-    :param limits: Limits on the listener's connections; with ``None``, only
-        Sanic's own limits apply.
+    :param limits: Limits on the listener's connections, beside Sanic's own ones.
     :returns: The listener.
     """
     host, port = bound_socket.getsockname()[:2]
@@ -112,7 +115,7 @@
         backlog=BACKLOG_CONNECTIONS,
         access_log=False,
         return_asyncio_server=True,
-        protocol=make_protocol if limits else None,
+        protocol=make_protocol,
     )
     await server.startup()
     await server.start_serving()
