Ask the socket whether a connection to an upstream ended by a reset

Cause: libuv, below the program's event loop, reports the regular end of a connection when the hang-up is polled together with a partial read, and makes no further read that would return the reset. So the HTTP library keeps no error. The busier an instance, the more often bytes and reset arrive in one turn.

The mend: the protocol of a connection reads SO_ERROR at the moment at which the end is reported. The socket still holds ECONNRESET then. EPIPE means that the peer closed the connection before it reset it; such a response is whole. One system call for each end; nothing for connections that this side closes. Responses with a length or chunks need it not, nor do the store's answers: a truncated document is invalid.

Evidence: upstreams/endings.feature puts the rest and the end into one turn of a loop that stands still (with uvloop and a reset it failed before, with a close and in asyncio's own loop it held); platform/stream_endings.feature stops the program (SIGSTOP) while its upstream sends the last event and resets: failed before. The older scenarios, which let time pass in between, stay.

The log line of an attempt that was lost now has the connection's error.

--- a/features/platform/steps/endless_steps.py
+++ b/features/platform/steps/endless_steps.py
@@ -1,5 +1,7 @@
 import itertools
+import signal
 import socket
+import threading
 import time
 from pathlib import Path
 
@@ -14,6 +16,7 @@
     put_configuration,
     read_log,
     send,
+    signal_program,
     start_program,
     wait_until_ready,
 )
@@ -21,6 +24,7 @@
 from features.scripted_upstream import ScriptedUpstream
 
 BYTES_PER_MIB = 1 << 20
+STANDSTILL_S = 0.3
 PART = b"x" * 262144
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
@@ -91,6 +95,23 @@
     open_site_of(context, make_parts, "reset" if how == "by a reset" else "close")
 
 
+@given(
+    "a site whose upstream ends a stream without a length {how} while the instance "
+    "stands still"
+)
+def open_paused_site(context, how):
+    def make_parts(head):
+        yield UNFRAMED_STREAM % read_id(head) + b"id: 1\ndata: w1\n\n"
+        signal_program(context.site, signal.SIGSTOP)
+        wake = threading.Timer(
+            STANDSTILL_S, signal_program, (context.site, signal.SIGCONT)
+        )
+        wake.start()
+        yield b"id: 2\ndata: w2\n\n"
+
+    open_site_of(context, make_parts, "reset" if how == "by a reset" else "close")
+
+
 @given("a site whose upstream breaks off each stream before its first event")
 def open_empty_stream_site(context):
     def make_parts(head):
--- a/features/platform/stream_endings.feature
+++ b/features/platform/stream_endings.feature
@@ -18,6 +18,18 @@
     When a caller requests a stream and reads to the end of the connection
     Then the connection ended by a reset
 
+  # Guards against truncated streams that look whole: the event loop reports a regular end
+  # when a reset arrives together with the last bytes, as at an instance that stood still.
+  Scenario Outline: A reset arrives together with the last events
+    Given a site whose upstream ends a stream without a length <how> while the instance stands still
+    When a caller requests a stream and reads to the end of the connection
+    Then the connection ended <verdict>
+
+    Examples:
+      | how        | verdict    |
+      | by closing | regularly  |
+      | by a reset | by a reset |
+
   # Guards against the end of a chunked stream that is taken for whole.
   Scenario: A chunked stream that ends inside an event is cut
     Given a site whose upstream ends a chunked stream inside its third event
--- a/features/upstreams/endings.feature
+++ b/features/upstreams/endings.feature
@@ -10,6 +10,21 @@
       | close  | whole   |
       | reset  | lost    |
 
+  # Guards against truncated responses that pass for whole ones: a reset that arrives
+  # together with the last bytes is reported as a regular end by the event loop.
+  Scenario Outline: The last bytes and the end arrive in one turn of the event loop
+    Given an upstream that sends the rest of a response without a length, then a <ending>
+    When the response is read by <loop>, which stands still meanwhile
+    Then the response is <verdict>
+
+    Examples:
+      | ending                 | loop    | verdict |
+      | close                  | uvloop  | whole   |
+      | reset                  | uvloop  | lost    |
+      | close and then a reset | uvloop  | whole   |
+      | close                  | asyncio | whole   |
+      | reset                  | asyncio | lost    |
+
   Scenario: A response that is shorter than its length is lost
     Given an upstream whose response is shorter than its length
     When the response is read
--- a/features/upstreams/steps/endings_steps.py
+++ b/features/upstreams/steps/endings_steps.py
@@ -1,8 +1,17 @@
 import asyncio
+import socket
+import threading
+import time
 
+import uvloop
 from behave import given, then, when
 
-from features.scripted_upstream import ScriptedUpstream, serve_scripted_upstream
+from features.scripted_upstream import (
+    END_OF_HEAD,
+    RESET_ON_CLOSE,
+    ScriptedUpstream,
+    serve_scripted_upstream,
+)
 from jujubenotch.upstreams import (
     ConnectionLimits,
     ConnectionLostError,
@@ -13,6 +22,10 @@
     read_body,
 )
 
+LOOPS = {"uvloop": uvloop.new_event_loop, "asyncio": asyncio.new_event_loop}
+TIMEOUT_S = 5.0
+# Both the bytes and the end have arrived after this time.
+PAUSE_S = 0.1
 COMPLETE_RESPONSE = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone"
 
 
@@ -63,6 +76,62 @@
     asyncio.run(run())
 
 
+@given(
+    "an upstream that sends the rest of a response without a length, then a {ending}"
+)
+def prepare_rest(context, ending):
+    context.ending = ending
+
+
+@when("the response is read by {loop:w}, which stands still meanwhile")
+def read_in_one_turn(context, loop):
+    with asyncio.Runner(loop_factory=LOOPS[loop]) as runner:
+        context.body = runner.run(_read_rest(context.ending))
+
+
+async def _read_rest(ending):
+    loop = asyncio.get_running_loop()
+    listener = socket.create_server(("127.0.0.1", 0))
+    accepted = loop.run_in_executor(None, _accept, listener)
+    connections = open_connections(ConnectionLimits())
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    try:
+        async with (
+            asyncio.timeout(TIMEOUT_S),
+            open_exchange(connections, write_request(url)) as answer,
+        ):
+            # The thread ends while the loop stands still.
+            thread = threading.Thread(target=_end, args=(await accepted, ending))
+            thread.start()
+            time.sleep(PAUSE_S)
+            thread.join()
+            return await read_body(answer, 1000)
+    except ConnectionLostError:
+        return None
+    finally:
+        await close_connections(connections)
+        listener.close()
+
+
+def _accept(listener):
+    connection, _ = listener.accept()
+    connection.settimeout(TIMEOUT_S)
+    head = b""
+    while END_OF_HEAD not in head:
+        head += connection.recv(4096)
+    connection.sendall(b"HTTP/1.1 200 OK\r\n\r\n")
+    return connection
+
+
+def _end(connection, ending):
+    connection.sendall(b"first second")
+    if ending.startswith("close"):
+        connection.shutdown(socket.SHUT_WR)
+    if ending.endswith("reset"):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    connection.close()
+
+
 @when("two requests are sent one after the other")
 def send_two_requests(context):
     async def run():
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -134,8 +134,9 @@
         attempt.error = str(error)[:MAX_ERROR_LENGTH]
     except SilentUpstreamError:
         attempt.end = AttemptResult.SILENT
-    except ConnectionLostError:
+    except ConnectionLostError as error:
         attempt.end = AttemptResult.LOST
+        attempt.error = str(error)[:MAX_ERROR_LENGTH]
         attempt.is_broken_off = True
     except StreamRestartedError:
         attempt.end = AttemptResult.RESTARTED
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -1,13 +1,51 @@
 """Responses that tell how they ended, and safe reuse of connections."""
 
+import asyncio
+import errno
+import functools
+import logging
+import socket
+
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
 
+from jujubenotch.logs import log_event
+
+logger = logging.getLogger(__name__)
+
+
+class EndObserver(ResponseHandler):
+    """A connection's protocol that reads the socket's error when the connection ends.
+
+    libuv reports the regular end of a connection when it learns of the end together
+    with the last bytes, also if a reset was the end. The socket still holds the error.
+
+    :param end_error: The error number of the socket at the end; 0 without an error.
+    """
+
+    end_error = 0
+
+    def eof_received(self):
+        """Handle the end of the data that the peer sends."""
+        self.end_error = _read_pending_error(self.transport)
+        return super().eof_received()
+
+
+def _read_pending_error(transport: asyncio.Transport | None) -> int:
+    if transport is None:
+        return 0
+    connection = transport.get_extra_info("socket")
+    try:
+        return connection.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+    except OSError as error:
+        log_event(logger, logging.INFO, "end-unknown", error=str(error))
+        return errno.ECONNRESET
+
 
 class UpstreamResponse(aiohttp.ClientResponse):
     """A response that keeps its connection's protocol object after its end."""
 
-    protocol: ResponseHandler | None = None
+    protocol: EndObserver | None = None
 
     async def start(self, connection):
         """Read the status and headers of the response.
@@ -37,6 +75,10 @@
         """
         if self.protocol is None:
             return False
+        # A peer that closed the connection and reset it afterwards has sent everything;
+        # the error is EPIPE then.
+        if self.protocol.end_error not in (0, errno.EPIPE):
+            return True
         error = self.protocol.exception()
         is_clean = isinstance(error, aiohttp.ServerDisconnectedError)
         return isinstance(error, OSError) and not is_clean
@@ -45,6 +87,11 @@
 class CleanConnector(aiohttp.TCPConnector):
     """Reuses only connections that received nothing after their last response."""
 
+    def __init__(self, **options):
+        super().__init__(**options)
+        # The HTTP library has no public option for the protocol of its connections.
+        self._factory = functools.partial(EndObserver, loop=self._loop)
+
     async def _get(self, key, traces):
         # The HTTP library checks only whether the connection is open. It would
         # treat bytes that arrived after the last response as the response to the
