Let the kernel reset an unfinished response without a length

Cause: such a response ends with its connection, and the kernel ends the connections of a process regularly, whatever it was doing. The instance reset a connection only where it saw the upstream break off.

The mend: SO_LINGER with zero seconds is set before the head of such a response is sent, and removed only when the response is finished and the kernel has all of it. In between each end of the connection is a reset: a kill, an exit, an error, the library's abort of a caller that reads slowly. Two system calls a response. Weighed against passing such a response on in chunks: showed that this gives an upstream's early regular end a mark of completeness that the upstream didn't give.

By way of another instance: the listener for other instances had the library's plain protocol, so each response without a length ended there with 500, also that of a request that had run.

--- a/features/platform/cut_off.feature
+++ b/features/platform/cut_off.feature
@@ -52,6 +52,25 @@
     And a caller of an instance that is cut off leaves a long stream after 2 events
     Then the upstream's connection for that stream is closed within 0.5 s
 
+  # Guards against responses without a length that are lost on the way by another instance,
+  # and against truncated ones that look whole after the second connection.
+  Scenario Outline: A response without a length goes by way of another instance
+    Given a site of 2 instances with paths to 4 upstreams
+    And the responses of the upstreams have no length
+    When the paths of 1 instance are cut so that a connection hangs
+    And callers send 20 requests a second to each instance for 4 s
+    And a caller of the instance that is cut off requests <what>
+    Then the caller got the status <status> and <events> events
+    And the connection ended <verdict>
+
+    Examples:
+      | what                                           | status | events | verdict    |
+      | /stream/x, which is complete                   | 200    | 5      | regularly  |
+      | /send/x, which is complete                     | 200    | 5      | regularly  |
+      | /stream/x, which its upstream resets           | 200    | 2      | by a reset |
+      | /stream/x, and the other instance is killed    | 200    | 1      | by a reset |
+      | /send/x, which its upstream resets             | 502    | 0      | regularly  |
+
   # Guards against anybody who can connect using an instance without a key.
   Scenario: A stranger asks an instance for help
     Given a site of 2 instances with paths to 4 upstreams
--- a/features/platform/paths.py
+++ b/features/platform/paths.py
@@ -13,7 +13,7 @@
 
 from features.platform.site import list_upstream
 from features.platform.upstream_kinds import LAST_CHUNK, STREAM_HEAD, read_id
-from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD
+from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD, RESET_ON_CLOSE
 from standins.store import StoreState, build_store_app
 
 BACKLOG_FILL = 4
@@ -27,6 +27,8 @@
     """An upstream that records the requests it ran.
 
     ``ran`` has the ids, and ``left`` the ids whose connection closed before the end.
+    With ``is_unframed`` its responses have no length; it resets the connection of one
+    whose request has the body ``reset``, after the second event or part.
     """
 
     name: str
@@ -37,6 +39,7 @@
     heads: list[bytes] = field(default_factory=list)
     server: asyncio.Server | None = None
     port: int = 0
+    is_unframed: bool = False
 
 
 async def start_recording_upstream(host, upstream):
@@ -57,6 +60,9 @@
         request_id = read_id(head).decode()
         upstream.ran.append(request_id)
         upstream.heads.append(head)
+        if upstream.is_unframed:
+            await _write_unframed(head, writer, body)
+            return
         if b"/resume/" in head.split(b"\r\n", 1)[0]:
             await _write_stream(upstream, head, request_id, writer, body)
             continue
@@ -67,6 +73,23 @@
         )
 
 
+async def _write_unframed(head, writer, body):
+    is_stream = b"/stream/" in head.split(b"\r\n", 1)[0]
+    kind = b"text/event-stream" if is_stream else b"text/plain"
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+        b"Content-Type: %b\r\nConnection: close\r\n\r\n" % (read_id(head), kind)
+    )
+    for number in range(1, EVENTS + 1):
+        await asyncio.sleep(WORK_S)
+        writer.write(b"id: %d\ndata: w%d\n\n" % (number, number))
+        await writer.drain()
+        if body == b"reset" and number == 2:
+            connection = writer.get_extra_info("socket")
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+            return
+
+
 async def _write_stream(upstream, head, request_id, writer, body):
     writer.write(STREAM_HEAD % read_id(head))
     events = 100 if body == b"long" else EVENTS
@@ -123,11 +146,16 @@
 
 
 async def _copy(path, reader, writer):
-    with contextlib.suppress(ConnectionError):
+    try:
         while content := await reader.read(CHUNK_BYTES):
             await path.is_open.wait()
             writer.write(content)
             await writer.drain()
+    except ConnectionError:
+        # A reset is passed on as a reset.
+        connection = writer.get_extra_info("socket")
+        with contextlib.suppress(OSError):
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
     writer.close()
 
 
--- a/features/platform/site.py
+++ b/features/platform/site.py
@@ -8,6 +8,7 @@
 import random
 import re
 import signal
+import socket
 import subprocess
 import sys
 import tempfile
@@ -294,6 +295,29 @@
     )
 
 
+def read_to_end(host, path, body=b"{}", *, note_received=lambda received: None):
+    """Request a path, and read to the end of the connection.
+
+    :param note_received: Called with all bytes received so far, after each part.
+    :returns: The bytes, and whether the connection ended by a reset.
+    """
+    received = b""
+    with socket.create_connection((host, 8000), timeout=CALL_TIMEOUT_S) as connection:
+        connection.sendall(
+            f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n"
+            f"Authorization: Bearer {KEY}\r\nConnection: close\r\n"
+            f"Content-Length: {len(body)}\r\n\r\n".encode()
+            + body
+        )
+        try:
+            while part := connection.recv(65536):
+                received += part
+                note_received(received)
+        except ConnectionResetError:
+            return received, True
+    return received, False
+
+
 async def _start_store(site):
     runner = web.AppRunner(build_store_app(site.state), shutdown_timeout=0.1)
     await runner.setup()
--- a/features/platform/steps/cut_off_steps.py
+++ b/features/platform/steps/cut_off_steps.py
@@ -25,6 +25,7 @@
     open_site,
     put_configuration,
     read_log,
+    read_to_end,
     run,
     wait_until_ready,
 )
@@ -288,6 +289,38 @@
     assert context.left_id in left, left
 
 
+@given("the responses of the upstreams have no length")
+def remove_lengths(context):
+    for upstream in context.upstreams:
+        upstream.is_unframed = True
+
+
+@when("a caller of the instance that is cut off requests {path:S}, {what}")
+def request_unframed(context, path, what):
+    helper = context.instances[1].process
+    is_killed = what.endswith("is killed")
+
+    def note_received(received):
+        if is_killed and b"id: 1" in received:
+            helper.kill()
+
+    context.received, context.was_reset = read_to_end(
+        context.instances[0].host,
+        path,
+        b"reset" if what.endswith("resets") else b"all",
+        note_received=note_received,
+    )
+
+
+@then("the caller got the status {status:d} and {count:d} events")
+def check_unframed(context, status, count):
+    log = read_log(context.instances[0])[-3000:]
+    received = context.received
+    assert received.startswith(b"HTTP/1.1 %d " % status), (received, log)
+    events = received.count(b"data: w")
+    assert events == count or context.was_reset and events >= count, (received, log)
+
+
 @when("a stranger sends a borrowed request to the other instance")
 def send_as_stranger(context):
     context.stranger_id = "00000000000000ee"
--- a/features/platform/steps/endless_steps.py
+++ b/features/platform/steps/endless_steps.py
@@ -1,6 +1,5 @@
 import itertools
 import signal
-import socket
 import threading
 import time
 from pathlib import Path
@@ -8,13 +7,11 @@
 from behave import given, then, when
 
 from features.platform.site import (
-    CALL_TIMEOUT_S,
-    HOST,
-    KEY,
     add_upstream,
     open_site,
     put_configuration,
     read_log,
+    read_to_end,
     send,
     signal_program,
     start_program,
@@ -25,6 +22,8 @@
 
 BYTES_PER_MIB = 1 << 20
 STANDSTILL_S = 0.3
+SIGNALS = {"is killed": signal.SIGKILL, "is told to stop": signal.SIGTERM}
+FIFTH_EVENT = b"data: w5\n\n"
 PART = b"x" * 262144
 HEAD = (
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
@@ -95,6 +94,18 @@
     open_site_of(context, make_parts, "reset" if how == "by a reset" else "close")
 
 
+@given(
+    "a site whose upstream streams {count:d} events without a length, one each 20 ms"
+)
+def open_slow_unframed_site(context, count):
+    def make_parts(head):
+        yield UNFRAMED_STREAM % read_id(head)
+        for number in range(1, count + 1):
+            yield b"id: %d\ndata: w%d\n\n" % (number, number)
+
+    open_site_of(context, make_parts)
+
+
 @given(
     "a site whose upstream ends a stream without a length {how} while the instance "
     "stands still"
@@ -140,20 +151,23 @@
 
 
 @when("a caller requests a stream and reads to the end of the connection")
-def read_to_end(context):
-    address = (context.site.host, 8000)
-    with socket.create_connection(address, timeout=CALL_TIMEOUT_S) as connection:
-        connection.sendall(
-            f"POST /stream/x HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n"
-            f"Authorization: Bearer {KEY}\r\nContent-Length: 2\r\n\r\n{{}}".encode()
-        )
-        context.received = b""
-        context.was_reset = False
-        try:
-            while part := connection.recv(65536):
-                context.received += part
-        except ConnectionResetError:
-            context.was_reset = True
+def read_stream(context, number=None):
+    """Read a stream; after 5 events, send a signal to the instance."""
+    numbers = [number] if number else []
+
+    def note_received(received):
+        if numbers and FIFTH_EVENT in received:
+            signal_program(context.site, numbers.pop())
+
+    context.received, context.was_reset = read_to_end(
+        context.site.host, "/stream/x", note_received=note_received
+    )
+
+
+@when("a caller requests a stream, and after 5 events the instance {what}")
+def interrupt(context, what):
+    # Without a signal, the route's deadline ends the stream.
+    read_stream(context, SIGNALS.get(what))
 
 
 @then("the upstream's connection is closed")
--- a/features/platform/stream_endings.feature
+++ b/features/platform/stream_endings.feature
@@ -30,6 +30,20 @@
       | by closing | regularly  |
       | by a reset | by a reset |
 
+  # Guards against truncated streams that look whole because the instance ends: the kernel
+  # closes the connections of a process that was killed.
+  Scenario Outline: A stream without a length is interrupted at the instance
+    Given a site whose upstream streams 1000 events without a length, one each 20 ms
+    When a caller requests a stream, and after 5 events the instance <what>
+    Then the connection ended by a reset
+    And the caller received the 5 events
+
+    Examples:
+      | what                     |
+      | is killed                |
+      | is told to stop          |
+      | is only left to go on    |
+
   # Guards against the end of a chunked stream that is taken for whole.
   Scenario: A chunked stream that ends inside an event is cut
     Given a site whose upstream ends a chunked stream inside its third event
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -25,7 +25,7 @@
     ConfigurationView,
     admit_request,
 )
-from jujubenotch.listeners import reset_connection, set_request_limits
+from jujubenotch.listeners import set_request_limits
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import (
     OUTCOME_HEADER,
@@ -103,7 +103,6 @@
 
     :param request: The caller's request.
     :param response: The response whose head has been sent; ``None`` before that.
-    :param is_framed: Whether that response marks the end of its body.
 
     >>> ForwardSink(request=None).response is None
     True
@@ -111,7 +110,6 @@
 
     request: Request
     response: HTTPResponse | None = None
-    is_framed: bool = True
 
     async def start(self, status, headers, *, is_framed=True):
         """Send the head of a response.
@@ -122,7 +120,6 @@
             the body ends when the connection is closed.
         :raises CallerDisconnectedError: The caller has closed its connection.
         """
-        self.is_framed = is_framed
         head = HTTPResponse(status=status, content_type=None)
         for name, value in headers:
             head.headers.add(name, value)
@@ -266,12 +263,8 @@
         return _build_response(answer)
     if answer.outcome is Outcome.COMPLETED:
         await sink.request.stream.finish_response()
-    elif sink.is_framed:
-        sink.request.stream.cut_response()
     else:
-        # A body that isn't framed ends with its connection, so only a reset tells the
-        # caller that the stream is incomplete.
-        reset_connection(sink.request.transport)
+        sink.request.stream.cut_response()
     return None
 
 
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -11,7 +11,6 @@
     start_listener,
     stop_listener,
 )
-from jujubenotch.listeners.reset import reset_connection
 from jujubenotch.sockets import ListenerError, bind_socket
 
 __all__ = [
@@ -22,7 +21,6 @@
     "RequestLimits",
     "bind_socket",
     "is_well_formed",
-    "reset_connection",
     "set_request_limits",
     "start_listener",
     "stop_listener",
--- a/jujubenotch/listeners/bounds.py
+++ b/jujubenotch/listeners/bounds.py
@@ -10,10 +10,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sanic import HTTPResponse
 from sanic.exceptions import BadRequest, SanicException
-from sanic.headers import format_http1_response
-from sanic.http import Stage
 from sanic.server.protocols.http_protocol import HttpProtocol
 
 from jujubenotch.listeners.endings import ExplicitEndHttp
@@ -134,30 +131,6 @@
             bound_s = self.protocol.limits.body_timeout_s
             raise _build_timeout_error("body", bound_s) from error
 
-    async def respond_unframed(self, response: HTTPResponse) -> None:
-        """Send the head of a response whose body ends when the connection closes.
-
-        A proxy that forwards a body of unknown length cannot tell whether the
-        body is complete, so the response must not mark its body as complete.
-
-        :param response: The response; its ``send`` method then sends the body.
-        """
-        self.keep_alive = False
-        self.response = response
-        response.stream = self
-        response.headers["connection"] = "close"
-        self.response_func = self._send_unframed
-        head = format_http1_response(response.status, response.processed_headers)
-        await self._send(head)
-        self.stage = Stage.RESPONSE
-
-    async def _send_unframed(self, data, end_stream):
-        if data:
-            await self._send(data)
-        if end_stream:
-            self.response_func = None
-            self.stage = Stage.IDLE
-
 
 class BoundedProtocol(HttpProtocol):
     """One connection of a listener.
@@ -186,6 +159,11 @@
             return
         super().connection_made(transport)
 
+    async def wait_until_written(self) -> None:
+        """Wait until all bytes have been handed to the kernel."""
+        self.transport.set_write_buffer_limits(high=0)
+        await self._can_write.wait()
+
     def data_received(self, data: bytes) -> None:
         """Process received bytes; discard those of a refused connection.
 
