Let a stream go on only at a version that is known as of its resumption

Shown here: features/streams/histories.feature draws one or two instances that are cut off from the store and all others, or stand still, for 1 to 6 s around a rollout, with 7, 60 and 195 instances.

Cause: an instance that has seen one version only takes it for the stream's if its list was confirmed in the last 3 s, and without any bound if the caller names no first request. The stream may have begun after that confirmation.

The mend: the versions have to be known as of the arrival of the call, by a newer confirmation of the list, else by one read of the store's changes that callers who come at once share, else, while the store doesn't answer, by a majority of all instances. Without a proof the call is refused at once as before, without a time to come back. An instance that finds that it missed a version has seen the list from then on only, so it reads the saved origins. Nothing is sent or read until a caller resumes a stream that this instance and its owners don't know.

Messages: two fields are new (wants_versions, versions).

--- a/features/neighbours/codec.feature
+++ b/features/neighbours/codec.feature
@@ -3,6 +3,11 @@
   Scenario: Each message arrives as it was sent, whatever the order of its datagrams
     Then random messages are decoded as they were encoded
 
+  # Guards against instances of two releases that don't understand each other.
+  Scenario: The versions in a message don't concern earlier releases
+    Then a message without versions has the fields that earlier releases know
+    And an answer of an earlier release, which has no versions, is decoded without them
+
   Scenario: A page that is too large for a message is not sent
     Given a message with an item of 100000 random bytes
     Then it can't be sent
--- a/features/neighbours/steps/codec_steps.py
+++ b/features/neighbours/steps/codec_steps.py
@@ -1,5 +1,7 @@
 import random
+import zlib
 
+import orjson
 from behave import given, then, when
 from hypothesis import given as given_examples
 from hypothesis import settings
@@ -11,6 +13,7 @@
     MessageItem,
     MessageKind,
     Reassembly,
+    VersionEntry,
     decode_message,
     join_datagram,
     split_message,
@@ -41,6 +44,7 @@
     windows=st.dictionaries(NUMBERS, COUNTS, max_size=3),
     services=st.dictionaries(st.text(max_size=9), TOTALS, max_size=3),
 )
+VERSIONS = st.builds(VersionEntry, service=st.text(), software_version=st.text())
 MESSAGES = st.builds(
     Message,
     kind=st.sampled_from(MessageKind),
@@ -55,6 +59,8 @@
     items=st.lists(ITEMS, max_size=6).map(tuple),
     reports=st.lists(REPORTS, max_size=3).map(tuple),
     lease_revisions=st.lists(NUMBERS, max_size=4).map(tuple),
+    wants_versions=st.booleans(),
+    versions=st.none() | st.lists(VERSIONS, max_size=3).map(tuple),
 )
 
 
@@ -85,6 +91,21 @@
     check_one()
 
 
+@then("a message without versions has the fields that earlier releases know")
+def check_fields(context):
+    message = Message(kind=MessageKind.STREAM_QUERY, request_ids=("8f3a",))
+    (content,) = join(split_message(message, 1))
+    fields = set(orjson.loads(zlib.decompress(content)))
+    assert not fields & {"wants_versions", "versions"}, fields
+
+
+@then("an answer of an earlier release, which has no versions, is decoded without them")
+def check_earlier(context):
+    document = {"kind": "streams", "request_ids": ["8f3a"], "streams": []}
+    message = decode_message(zlib.compress(orjson.dumps(document)))
+    assert message.versions is None and message.request_ids == ("8f3a",), message
+
+
 @given("a message with an item of {size:d} random bytes")
 def make_message(context, size):
     context.message = make_large_message(size)
--- a/features/platform/steps/versions_steps.py
+++ b/features/platform/steps/versions_steps.py
@@ -1,18 +1,24 @@
 import random
+import signal
+import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
 from behave import given, then, when
 
+from features.platform.paths import start_own_store
 from features.platform.site import (
     ROUTES,
     SETTINGS,
     call_store,
+    list_upstream,
     open_site,
     put_configuration,
     read_events,
     read_log,
+    run,
+    signal_program,
     start_program,
     unlist_upstream,
     wait_until_ready,
@@ -27,6 +33,7 @@
 )
 from jujubenotch.platform.stream_records import decode_name
 from jujubenotch.streams import VersionRecord
+from standins.store import set_fault
 
 ONCE = write_route(
     "once", "/once/", "streaming", **{"stream-resume": True, "max-attempts": 1}
@@ -34,6 +41,10 @@
 NEIGHBOUR_PORTS = "port-range=7340,7355\n"
 CALLER_PAUSE_S = 0.05
 MAX_RETURNS = 3
+# Until the running instance knows and has recorded the second version.
+LEARNING_S = 0.5
+KILL_AFTER_S = 0.8
+WAKE_AFTER_S = 0.3
 
 
 def add_instance(site, number):
@@ -72,7 +83,9 @@
 
 
 @given('a site of {count:d} instances with the upstreams "{entries}"')
-def open_versioned_site(context, count, entries, delay_s=0.0, **entry):
+def open_versioned_site(
+    context, count, entries, *, delay_s=0.0, has_own_stores=False, **entry
+):
     site = context.stack.enter_context(open_site())
     put_configuration(site, routes=(*ROUTES, ONCE))
     context.site = site
@@ -82,7 +95,9 @@
     context.instances = [site, *others]
     for number, view in enumerate(context.instances, 1):
         context.stack.callback(stop_instance, view)
-        start_instance(view, number, site.host)
+        if has_own_stores and number > 1:
+            open_own_store(context, view)
+        start_instance(view, number, view.host if has_own_stores else site.host)
         if number == 1 and delay_s:
             wait_until_ready(view)
             time.sleep(delay_s)
@@ -92,6 +107,29 @@
     time.sleep(1.0)
 
 
+@given(
+    "a site of {count:d} instances with stores of their own and the upstreams "
+    '"{entries}"'
+)
+def open_site_of_own_stores(context, count, entries):
+    open_versioned_site(context, count, entries, has_own_stores=True)
+
+
+def open_own_store(context, view):
+    """Give an instance a store that lists the present upstreams."""
+    run(context.site, start_own_store(view))
+    context.site.resources.extend(view.resources)
+    put_configuration(view, routes=(*ROUTES, ONCE))
+    for upstream in context.upstreams.values():
+        list_upstream(
+            view,
+            upstream.name,
+            version=upstream.version,
+            born=1_700_000_000_000,
+            slots=48,
+        )
+
+
 def start_listed(context, entries, **fields):
     for entry in entries.split(","):
         name, _, version = entry.partition("=")
@@ -152,6 +190,54 @@
     )
 
 
+@when(
+    'the other instance stands still while the upstreams "{entries}" come and callers '
+    'read {count:d} streams of "{path}", until the first instance is killed'
+)
+def read_beside_standstill(context, entries, count, path):
+    signal_program(context.instances[-1], signal.SIGSTOP)
+    start_listed(context, entries)
+    time.sleep(LEARNING_S)
+    read_while_instance_ends(context, count, path, KILL_AFTER_S)
+
+
+@when("{seconds:d} s pass, after which the instances judge by what they have seen")
+def wait_for_window(context, seconds):
+    time.sleep(seconds)
+
+
+@when(
+    'the other instance loses its store while the upstreams "{entries}" come and callers '
+    'read {count:d} streams of "{path}", until the first instance is killed'
+)
+def read_beside_cut(context, entries, count, path):
+    call_store(context.instances[-1], set_fault, "silent")
+    start_listed(context, entries)
+    time.sleep(LEARNING_S)
+    read_while_instance_ends(context, count, path, KILL_AFTER_S)
+
+
+@when("the callers take up their streams at the other instance as it goes on")
+def take_up_at_wake(context):
+    wake_soon(context)
+    take_up(context)
+
+
+@when(
+    "the callers take up their streams as it goes on, without naming their first request"
+)
+def take_up_unnamed_at_wake(context):
+    wake_soon(context)
+    take_up_all_unnamed(context)
+
+
+def wake_soon(context):
+    """Let the instance go on once its callers have connected."""
+    threading.Timer(
+        WAKE_AFTER_S, signal_program, (context.instances[-1], signal.SIGCONT)
+    ).start()
+
+
 @when(
     'callers read {count:d} streams of "{path}" while "{name}" leaves the list and ends '
     "after {at_s:g} s"
--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -12,7 +12,12 @@
 from types import SimpleNamespace
 from unittest import mock
 
-from jujubenotch.daemon import forward_origins, forward_records, forward_streams
+from jujubenotch.daemon import (
+    forward_list_checks,
+    forward_origins,
+    forward_records,
+    forward_streams,
+)
 from jujubenotch.daemon.forward_count import keep_addresses
 from jujubenotch.daemon.forward_origins import find_stream_origin
 from jujubenotch.daemon.forward_records import find_held, keep_records
@@ -30,6 +35,7 @@
     HostRoute,
     Item,
     ListedUpstream,
+    Page,
     RouteKind,
     ServiceShare,
     SiteConfiguration,
@@ -54,6 +60,12 @@
 CONFIRM_PAUSE_S = 1.0
 TRANSIT_S = (0.001, 0.02)
 START_PAUSE_S = 1.5
+HANGING_CALL_S = 10.0
+# Of the callers that come back, to instances that are out of step.
+OUT_OF_STEP_SHARE = 0.5
+STEP_S = (1.0, 6.0)
+# Until an instance that stood still has received what was sent meanwhile.
+CATCH_UP_S = (0.02, 0.2)
 MAX_ATTEMPTS = 4
 
 
@@ -75,6 +87,8 @@
     """What is drawn in a history; times in seconds.
 
     ``rollouts`` are times of a change to the next version, in upstreams a second.
+    ``isolations`` and ``pauses`` are how often one or two instances are cut off from the
+    store and from all others, or stand still, for 1 to 6 s at a time around a rollout.
     ``power_losses`` are times at which all instances end at once. ``store_faults`` are
     spans in which no call to the store succeeds, ``restores`` times and ages of copies.
     """
@@ -91,6 +105,8 @@
     loss: float = 0.01
     list_delay_s: float = 0.4
     cut_share: float = 0.0
+    isolations: int = 0
+    pauses: int = 0
     knows_origins: bool = True
     power_losses: tuple = ()
     named_share: float = 1.0
@@ -117,6 +133,8 @@
     tasks: list = field(default_factory=list)
     is_up: bool = True
     is_cut: bool = False
+    is_isolated: bool = False
+    runs_from_s: float = 0.0
 
 
 @dataclass(kw_only=True)
@@ -130,6 +148,7 @@
     mixed: int = 0
     messages: int = 0
     store_calls: int = 0
+    list_reads: int = 0
     objects_left: int = 0
 
 
@@ -139,6 +158,7 @@
 
     objects: dict = field(default_factory=dict)
     era: int = 0
+    revision: int = 0
     has_lost_upstreams: bool = False
 
 
@@ -151,7 +171,10 @@
 
     async def _call(self):
         self.fleet.counts.store_calls += 1
-        await asyncio.sleep(0.025)
+        return await self._answer()
+
+    async def _answer(self):
+        await asyncio.sleep(HANGING_CALL_S if self.instance.is_isolated else 0.025)
         now_s = self.fleet.now_s()
         if self.instance.is_cut or any(
             from_s <= now_s < until_s
@@ -160,6 +183,17 @@
             raise SourceError("the store doesn't answer")
         return self.fleet.store
 
+    async def read_list(self):
+        """Return all entries of the list, as the changes since any revision."""
+        self.fleet.counts.list_reads += 1
+        store = await self._answer()
+        return Page(
+            items=_make_items(self.fleet),
+            revision=store.revision,
+            store_time_s=self.fleet.now_s(),
+            era=store.era,
+        )
+
     async def list_objects(self):
         objects = (await self._call()).objects
         return StreamObjects(
@@ -210,6 +244,7 @@
         mock.patch.object(forward_streams, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_origins, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_origins, "time", clock),
+        mock.patch.object(forward_list_checks, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_records, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_records, "time", clock),
         mock.patch.object(forward_records, "random", random.Random(seed)),
@@ -239,6 +274,10 @@
     _start(fleet, _kill_upstreams(fleet))
     _start(fleet, _kill_instances(fleet))
     _start(fleet, _cut_instances(fleet))
+    for _ in range(plan.isolations):
+        _start(fleet, _isolate(fleet))
+    for _ in range(plan.pauses):
+        _start(fleet, _pause(fleet))
     for at_s in plan.power_losses:
         _start(fleet, _lose_power(fleet, at_s))
     for at_s, age_s in plan.restores:
@@ -278,6 +317,7 @@
         send=lambda message, addresses: _send(fleet, instance, message, addresses),
         store=InstanceStore(fleet=fleet, instance=instance),
     )
+    instance.watch.read_unseen = instance.watch.store.read_list
     instance.capacity = DirectCapacity(
         listing=state.listing,
         read_clock_s=fleet.loop.time,
@@ -317,9 +357,16 @@
         if fleet.draws.random() < fleet.plan.loss:
             continue
         receiver = next(each for each in fleet.instances if each.address == address)
-        fleet.loop.call_later(
-            fleet.draws.uniform(*TRANSIT_S), _receive, sender, receiver, message
-        )
+        if sender.is_isolated or receiver.is_isolated:
+            continue
+        delay_s = fleet.draws.uniform(*TRANSIT_S) + _find_rest_s(fleet, receiver)
+        fleet.loop.call_later(delay_s, _receive, sender, receiver, message)
+
+
+def _find_rest_s(fleet, instance):
+    """Return for how long an instance still stands still, and catches up."""
+    rest_s = instance.runs_from_s - fleet.now_s()
+    return rest_s + fleet.draws.uniform(*CATCH_UP_S) if rest_s > 0 else 0.0
 
 
 def _receive(sender, receiver, message):
@@ -336,6 +383,7 @@
 
 def _publish(fleet):
     """Tell the list to all instances, each after a delay of its own."""
+    fleet.store.revision += 1
     for instance in fleet.instances:
         if not instance.is_cut:
             delay_s = fleet.draws.uniform(0.05, fleet.plan.list_delay_s)
@@ -345,7 +393,23 @@
 def _apply_list(fleet, instance, watch):
     if instance.watch is not watch or instance.is_cut:
         return
-    items = tuple(
+    rest_s = _find_rest_s(fleet, instance)
+    if rest_s:
+        fleet.loop.call_later(rest_s, _apply_list, fleet, instance, watch)
+        return
+    apply_items(
+        watch.state.listing,
+        _make_items(fleet),
+        is_snapshot=True,
+        follows_outage=False,
+        now_s=fleet.now_s(),
+    )
+    watch.state.listing_progress.revision = fleet.store.revision
+    record_listing(watch)
+
+
+def _make_items(fleet):
+    return tuple(
         Item(
             key=each.name,
             value=ListedUpstream(
@@ -361,14 +425,6 @@
         for each in fleet.upstreams.values()
         if each.is_listed
     )
-    apply_items(
-        watch.state.listing,
-        items,
-        is_snapshot=True,
-        follows_outage=False,
-        now_s=fleet.now_s(),
-    )
-    record_listing(watch)
 
 
 async def _confirm(fleet):
@@ -379,8 +435,9 @@
 
 
 def _confirm_one(fleet, instance):
-    if not instance.is_cut:
+    if not instance.is_cut and not _find_rest_s(fleet, instance):
         now_s = fleet.now_s()
+        instance.watch.state.revisions.unattributed = fleet.store.revision
         freshness = instance.watch.state.freshness
         freshness.offset_s = 0.0
         freshness.offset_since_s = now_s
@@ -480,6 +537,31 @@
         _publish(fleet)
 
 
+async def _isolate(fleet):
+    """Cut one or two instances off from the store and from all others."""
+    instances = await _draw_out_of_step(fleet)
+    for instance in instances:
+        instance.is_cut = instance.is_isolated = True
+    await asyncio.sleep(fleet.draws.uniform(*STEP_S))
+    for instance in instances:
+        instance.is_cut = instance.is_isolated = False
+    _publish(fleet)
+
+
+async def _pause(fleet):
+    """Let one or two instances stand still."""
+    for instance in await _draw_out_of_step(fleet):
+        duration_s = fleet.draws.uniform(*STEP_S)
+        instance.runs_from_s = fleet.now_s() + duration_s
+
+
+async def _draw_out_of_step(fleet):
+    plan = fleet.plan
+    rollout_s = plan.pace_s * plan.upstreams
+    await asyncio.sleep(plan.rollouts[0] + fleet.draws.uniform(-1.0, rollout_s))
+    return fleet.draws.sample(fleet.instances, fleet.draws.choice((1, 2)))
+
+
 async def _send_streams(fleet):
     while fleet.now_s() < fleet.plan.length_s:
         await asyncio.sleep(fleet.draws.expovariate(fleet.plan.streams_per_s))
@@ -528,10 +610,27 @@
         # A caller may come back up to the longest stream later.
         await asyncio.sleep(fleet.draws.uniform(0.0, TIMEOUT_S - 0.5))
         return _choose_instance(fleet, None)
+    out_of_step = [
+        each
+        for each in fleet.instances
+        if each is not instance and (each.is_isolated or _is_paused(fleet, each))
+    ]
+    if out_of_step and fleet.draws.random() < OUT_OF_STEP_SHARE:
+        return fleet.draws.choice(out_of_step)
     return _choose_instance(fleet, instance)
 
 
+def _is_paused(fleet, instance):
+    return fleet.now_s() < instance.runs_from_s
+
+
+async def _wait_while_paused(fleet, instance):
+    """Wait until an instance runs, which then serves callers first."""
+    await asyncio.sleep(max(0.0, instance.runs_from_s - fleet.now_s()))
+
+
 async def _take_up(fleet, instance, first_id):
+    await _wait_while_paused(fleet, instance)
     fleet.numbers += 1
     call = _make_call(f"s-{fleet.numbers}", first_id, is_resumed=True)
     origin = None
@@ -549,6 +648,7 @@
 
 async def _run(fleet, instance, call, origin):
     """Run a stream; return its version and whether it is whole, or ``None``."""
+    await _wait_while_paused(fleet, instance)
     excluded = set()
     # The same upstream may be chosen again if the others are held.
     for _ in range(MAX_ATTEMPTS):
--- a/features/streams/histories.feature
+++ b/features/streams/histories.feature
@@ -25,6 +25,25 @@
       | 195       | 37        | 150  | 1     | instances and upstreams are killed during a fast rollout |
       | 195       | 37        | 150  | 1     | some instances are cut off from the store               |
 
+  # Guards against streams that began at upstreams of a new version and go on at an old one
+  # by way of an instance that was cut off, or stood still, as the new version came.
+  Scenario Outline: Instances are out of step during a rollout
+    Given histories of <instances> instances and <upstreams> upstreams with <rate> streams a second in which <what>
+    When the histories of <count> seeds are played
+    Then in each no stream went on at another version
+    And of the streams that were taken up, while two upstreams of their version served, at least half as many went on as of the new ones began
+
+    Examples:
+      | instances | upstreams | rate | count | what                                                        |
+      | 7         | 9         | 80   | 4     | instances are cut off from all others                       |
+      | 7         | 9         | 80   | 4     | instances are cut off from all others during a fast rollout |
+      | 7         | 9         | 80   | 4     | instances stand still                                       |
+      | 7         | 9         | 80   | 4     | instances stand still during a slow rollout                 |
+      | 60        | 30        | 120  | 2     | instances are cut off from all others                       |
+      | 60        | 30        | 120  | 2     | instances stand still                                       |
+      | 195       | 37        | 150  | 1     | instances are cut off from all others                       |
+      | 195       | 37        | 150  | 1     | instances stand still                                       |
+
   # Shows that the histories would break the rule.
   Scenario: Streams go on anywhere if nothing is known
     Given histories of 7 instances and 9 upstreams with 80 streams a second in which nothing is known
--- a/features/streams/steps/histories_steps.py
+++ b/features/streams/steps/histories_steps.py
@@ -32,6 +32,29 @@
     },
     "some instances are cut off from the store": {"cut_share": 0.4},
     "lists come late": {"list_delay_s": 3.0, "instance_kills": 2},
+    # Few callers come to an instance that is out of step, so many upstreams end.
+    "instances are cut off from all others": {
+        "isolations": 4,
+        "upstream_kills": 14,
+        "named_share": 0.5,
+    },
+    "instances are cut off from all others during a fast rollout": {
+        "isolations": 4,
+        "upstream_kills": 14,
+        "pace_s": 0.1,
+        "named_share": 0.5,
+    },
+    "instances stand still": {
+        "pauses": 4,
+        "upstream_kills": 14,
+        "named_share": 0.5,
+    },
+    "instances stand still during a slow rollout": {
+        "pauses": 4,
+        "upstream_kills": 14,
+        "pace_s": 1.5,
+        "named_share": 0.5,
+    },
     "nothing is known": {"knows_origins": False},
     # The streams that were cut off before the rollout come back after it.
     "all instances end before a fast rollout": {
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -49,6 +49,7 @@
     choose_list_delay_s,
     double_pause_s,
     follow_source,
+    read_unseen,
 )
 from jujubenotch.leases import Duty
 from jujubenotch.logs import log_event
@@ -195,6 +196,9 @@
 def _add_upstreams(relay, instance, source):
     state = instance.state
     capacity = instance.dispatcher.capacity
+    instance.stream_watch.read_unseen = functools.partial(
+        read_unseen, state.listing_progress, source
+    )
 
     def apply(update):
         capacity.forget(apply_upstreams(state, update))
--- a/jujubenotch/daemon/forward_origins.py
+++ b/jujubenotch/daemon/forward_origins.py
@@ -5,12 +5,12 @@
 import logging
 import time
 
+from jujubenotch.daemon.forward_list_checks import knows_versions
 from jujubenotch.daemon.forward_records import (
     find_proved_version,
     needs_records,
     read_saved_origins,
 )
-from jujubenotch.daemon.forward_revisions import is_source_behind
 from jujubenotch.daemon.forward_streams import (
     LIST_AGE_S,
     Question,
@@ -38,9 +38,6 @@
 QUESTIONS = 3
 # Bounds the datagrams that one question causes at large sites.
 MAX_ASKED = 64
-# The list is known to be up to date for at least as long as an instance is said to be
-# in contact with the store.
-MAX_LIST_AGE_S = 3.0
 
 
 async def find_stream_origin(
@@ -49,8 +46,8 @@
     """Find where the stream began that a call resumes.
 
     This instance may have begun it, or was told; else the instances that are told of
-    the stream are asked, then all others. Where one version has served for long
-    enough, the stream began there.
+    the stream are asked, then all others. Where one version alone has served for long
+    enough, until the present, the stream began there.
 
     :param watch: The state of the watch; changed in place.
     :param call: The call.
@@ -69,7 +66,7 @@
         service=origin.service if origin else call.target,
         software_version=origin.software_version if origin else "",
         versions=sorted(watch.history.listed.get(call.target, ())),
-        list_age_s=round(_measure_list_age_s(watch), 3),
+        list_age_s=round(measure_age_s(watch.state.freshness, read_boot_clock_s()), 3),
         took_s=round(time.monotonic() - started_s, 4),
     )
     if origin is None or (call.services and origin.service not in call.services):
@@ -83,6 +80,7 @@
 
 
 async def _search(watch, call):
+    arrived_s = read_boot_clock_s()
     request_id = call.resumed_request_id
     if request_id:
         origin = _find_known(watch, request_id)
@@ -93,7 +91,7 @@
         origin = await _ask(watch, request_id, owners)
         if origin is not None:
             return origin, "owner"
-    origin, basis = await _find_sole_origin(watch, call)
+    origin, basis = await _find_sole_origin(watch, call, arrived_s)
     if origin is not None or not request_id:
         return origin, f"only-version: {basis}"
     others = sorted(watch.neighbours.addresses.difference(owners))[:MAX_ASKED]
@@ -129,25 +127,13 @@
     return _find_known(watch, request_id)
 
 
-async def _find_sole_origin(watch, call):
+async def _find_sole_origin(watch, call, arrived_s):
+    """Find the only version that may have begun a stream before its call arrived."""
     if len(call.services) > 1:
         return None, VersionBasis.SEVERAL_VERSIONS
-    # Of a stream whose first request isn't named no other instance can know more, so
-    # an old list is refused only where it is all that this instance has seen.
-    must_be_fresh = call.resumed_request_id or needs_records(watch)
-    if must_be_fresh and _measure_list_age_s(watch) > MAX_LIST_AGE_S:
+    if not await knows_versions(watch, arrived_s):
         return None, VersionBasis.LIST_TOO_OLD
     version, basis = await find_proved_version(watch, call.target)
     if version is None:
         return None, basis
     return StreamOrigin(service=call.target, software_version=version), basis
-
-
-def _measure_list_age_s(watch):
-    """Return for how long the list of upstreams may have been outdated."""
-    state = watch.state
-    if is_source_behind(
-        state.revisions, state.listing_progress, state.configuration_progress
-    ):
-        return float("inf")
-    return measure_age_s(state.freshness, read_boot_clock_s())
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -8,16 +8,20 @@
 import contextlib
 import logging
 import math
-from collections.abc import Callable, Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import dataclass, field
 
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.dispatch import Call
-from jujubenotch.forwarding import (
-    read_boot_clock_s,
-)
+from jujubenotch.forwarding import Page, read_boot_clock_s
 from jujubenotch.logs import log_event
-from jujubenotch.neighbours import Message, MessageKind, Neighbours, StreamEntry
+from jujubenotch.neighbours import (
+    Message,
+    MessageKind,
+    Neighbours,
+    StreamEntry,
+    VersionEntry,
+)
 from jujubenotch.streams import (
     OriginTable,
     RecordBook,
@@ -30,7 +34,9 @@
     choose_record_span_s,
     find_origin,
     find_origins_of,
+    find_recent_versions,
     has_many_versions,
+    note_versions,
     record_versions,
     remember_origin,
 )
@@ -62,6 +68,7 @@
     """A question to other instances that waits for their answers.
 
     :param pending: The instances that have not answered.
+    :param is_answered: Set once no further answer is needed.
     """
 
     pending: set[str] = field(default_factory=set)
@@ -88,6 +95,23 @@
     lock: asyncio.Lock = field(default_factory=asyncio.Lock)
 
 
+@dataclass(kw_only=True)
+class ListCheck:
+    """The last proof that this instance knows all versions in the list of upstreams.
+
+    :param started_s: When it was begun, in seconds.
+    :param is_proved: Whether it succeeded.
+    :param lock: Held during a check, so that callers that come meanwhile share one.
+    :param question: The question to other instances that is part of it; ``None``
+        without one.
+    """
+
+    started_s: float = -math.inf
+    is_proved: bool = False
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    question: Question | None = None
+
+
 @dataclass(kw_only=True)
 class StreamWatch:
     """What an instance knows about the origins of streams.
@@ -107,6 +131,8 @@
     :param book: What this instance has written there.
     :param reader: What this instance has read there.
     :param must_record: Set when a service gets upstreams of a second version.
+    :param read_unseen: Reads the changes of the list that were not applied yet.
+    :param list_check: The last proof that no version is missing.
     """
 
     state: ForwardState
@@ -126,6 +152,8 @@
     book: RecordBook = field(default_factory=RecordBook)
     reader: RecordReader = field(default_factory=RecordReader)
     must_record: asyncio.Event = field(default_factory=asyncio.Event)
+    read_unseen: Callable[[], Awaitable[Page]] | None = None
+    list_check: ListCheck = field(default_factory=ListCheck)
 
 
 def record_listing(watch: StreamWatch) -> None:
@@ -290,7 +318,17 @@
     return any(each.rpartition(":")[0] == host for each in watch.neighbours.listed)
 
 
-def _send_entries(watch, request_ids, address, unknown=()):
+def add_versions(watch: StreamWatch, seen: Iterable[tuple[str, str]]) -> None:
+    """Add versions that are not in this instance's list, or not yet.
+
+    :param watch: The state of the watch; changed in place.
+    :param seen: Services and software versions.
+    """
+    if note_versions(watch.history, seen, now_s=read_boot_clock_s()):
+        record_listing(watch)
+
+
+def _send_entries(watch, request_ids, address, unknown=(), versions=None):
     now_s = read_boot_clock_s()
     known = {
         each: find_origin(watch.origins, each, now_s=now_s) for each in request_ids
@@ -305,7 +343,10 @@
         if found is not None
     )
     message = Message(
-        kind=MessageKind.STREAMS, streams=entries, request_ids=tuple(unknown)
+        kind=MessageKind.STREAMS,
+        streams=entries,
+        request_ids=tuple(unknown),
+        versions=versions,
     )
     watch.send(message, (address,))
 
@@ -325,7 +366,8 @@
             for each in asked
             if find_origin(watch.origins, each, now_s=now_s) is None
         ]
-        _send_entries(watch, asked, sender, unknown)
+        versions = _list_versions(watch, now_s) if message.wants_versions else None
+        _send_entries(watch, asked, sender, unknown, versions)
         return
     for entry in message.streams:
         origin = StreamOrigin(
@@ -339,6 +381,29 @@
             question.is_answered.set()
     for request_id in message.request_ids:
         _end_wait(watch.questions.get(request_id), sender)
+    if message.versions is not None:
+        _take_versions(watch, sender, message.versions)
+
+
+def _list_versions(watch, now_s):
+    history = watch.history
+    window_s = find_window_s(watch.state)
+    return tuple(
+        VersionEntry(service=service, software_version=version)
+        for service in sorted(history.listed)
+        for version in find_recent_versions(
+            history, service, window_s=window_s, now_s=now_s
+        )
+    )
+
+
+def _take_versions(watch, sender, versions):
+    """Take up the versions that another instance knows, if it was asked for them."""
+    question = watch.list_check.question
+    if question is None or sender not in question.pending:
+        return
+    add_versions(watch, ((each.service, each.software_version) for each in versions))
+    _end_wait(question, sender)
 
 
 def _end_wait(question, sender):
--- a/jujubenotch/forwarding/__init__.py
+++ b/jujubenotch/forwarding/__init__.py
@@ -22,6 +22,7 @@
     follow_source,
     interrupt_call,
     read_boot_clock_s,
+    read_unseen,
     record_update,
     was_recently_unavailable,
 )
@@ -144,6 +145,7 @@
     "preview_choice",
     "rank_priorities",
     "read_boot_clock_s",
+    "read_unseen",
     "record_group_load",
     "record_relayed_page",
     "record_store_response",
--- a/jujubenotch/forwarding/follow.py
+++ b/jujubenotch/forwarding/follow.py
@@ -187,6 +187,33 @@
             await asyncio.sleep(choose_delay_s())
 
 
+async def read_unseen(progress: FollowProgress, source: Source[Value]) -> Page[Value]:
+    """Read what a source has that was not read yet, beside the call in progress.
+
+    :param progress: The progress of the source; not changed.
+    :param source: The source.
+    :returns: The changes since the progress, or all items if nothing is known.
+    :raises SourceError: The store did not return a valid response, or its response
+        leaves changes out.
+    """
+    revision = progress.revision
+    if revision is None:
+        page = await source.read_all(_ignore_progress)
+    else:
+        page = await source.read_changes(revision, 0.0, _ignore_progress)
+    if progress.era is not None and page.era != progress.era:
+        raise EraChangedError(
+            f"the store changed from era {progress.era} to {page.era}"
+        )
+    if page.has_more:
+        raise SourceError(f"the changes after revision {revision} are incomplete")
+    return page
+
+
+def _ignore_progress():
+    """Note nothing; the caller bounds the duration of the whole call."""
+
+
 async def _read_update(progress, source, change_wait_s):
     sent_s = read_boot_clock_s()
     after_revision = progress.revision
--- a/jujubenotch/neighbours/__init__.py
+++ b/jujubenotch/neighbours/__init__.py
@@ -26,6 +26,7 @@
     PaceEntry,
     Registry,
     StreamEntry,
+    VersionEntry,
 )
 from jujubenotch.neighbours.role import (
     DEFAULT_MAX_AGE_S,
@@ -53,6 +54,7 @@
     "Reassembly",
     "Registry",
     "StreamEntry",
+    "VersionEntry",
     "allows_single_reader",
     "choose_read_wait_s",
     "decode_message",
--- a/jujubenotch/neighbours/codec.py
+++ b/jujubenotch/neighbours/codec.py
@@ -15,6 +15,7 @@
     MessageKind,
     PaceEntry,
     StreamEntry,
+    VersionEntry,
 )
 from jujubenotch.neighbours.report_codec import (
     ReportsDocument,
@@ -41,6 +42,7 @@
     "lease_revisions",
     "paces",
     "reports",
+    "versions",
 }
 
 Number = Annotated[int, Field(ge=0)]
@@ -67,6 +69,13 @@
     software_version: str
 
 
+class _VersionDocument(BaseModel):
+    model_config = ConfigDict(extra="ignore", strict=True)
+
+    service: str
+    software_version: str
+
+
 class _PaceDocument(BaseModel):
     model_config = ConfigDict(extra="ignore", strict=True)
 
@@ -97,6 +106,8 @@
     items: list[_ItemDocument] = []
     streams: list[_StreamDocument] = []
     request_ids: list[str] = []
+    wants_versions: bool = False
+    versions: list[_VersionDocument] | None = None
     reports: ReportsDocument | None = None
     paces: list[_PaceDocument] = []
     has_totals: bool = False
@@ -132,6 +143,10 @@
     if not message.lease_revisions:
         # A site without the lease sends what it sent before there was one.
         del document["lease_revisions"]
+    if not message.wants_versions:
+        del document["wants_versions"]
+    if message.versions is None:
+        del document["versions"]
     if message.kind is not MessageKind.PACES:
         # Other messages stay as they are where no upstream reports its pace.
         for name in ("paces", "has_totals", "short_counts"):
@@ -190,6 +205,7 @@
                 StreamEntry(**entry.model_dump()) for entry in document.streams
             ),
             request_ids=tuple(document.request_ids),
+            versions=_decode_versions(document.versions),
             reports=decode_reports(document.reports),
             lease_revisions=tuple(document.lease_revisions),
             paces=tuple(_decode_pace(entry) for entry in document.paces),
@@ -226,6 +242,12 @@
     return text
 
 
+def _decode_versions(documents):
+    if documents is None:
+        return None
+    return tuple(VersionEntry(**each.model_dump()) for each in documents)
+
+
 def _decode_pace(document):
     return PaceEntry(**document.model_dump(exclude={"sums"}), sums=tuple(document.sums))
 
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -44,6 +44,14 @@
     software_version: str
 
 
+@dataclass(frozen=True, kw_only=True, slots=True)
+class VersionEntry:
+    """A software version that a service has, or had lately, by the sender's list."""
+
+    service: str
+    software_version: str
+
+
 @dataclass(frozen=True, kw_only=True, slots=True)
 class PaceEntry:
     """What was observed of an upstream.
@@ -89,6 +97,9 @@
     :param streams: The origins of streams that the sender knows.
     :param request_ids: The streams that the sender asks for, or that it doesn't know
         after another instance has asked.
+    :param wants_versions: Whether the sender asks for ``versions``.
+    :param versions: The software versions of all services that the sender knows;
+        ``None`` in other messages, and from earlier releases.
     :param reports: The counts of processes, of which the sender may be one.
     :param paces: What was observed of upstreams.
     :param has_totals: Whether ``paces`` holds what all instances have observed, not the
@@ -111,6 +122,8 @@
     items: tuple[MessageItem, ...] = ()
     streams: tuple[StreamEntry, ...] = ()
     request_ids: tuple[str, ...] = ()
+    wants_versions: bool = False
+    versions: tuple[VersionEntry, ...] | None = None
     reports: tuple[ProcessReport, ...] = ()
     paces: tuple[PaceEntry, ...] = ()
     has_totals: bool = False
--- a/jujubenotch/streams/__init__.py
+++ b/jujubenotch/streams/__init__.py
@@ -9,6 +9,7 @@
     find_recent_versions,
     has_many_versions,
     has_seen_window,
+    note_versions,
     record_versions,
 )
 from jujubenotch.streams.origins import (
@@ -68,6 +69,7 @@
     "has_many_versions",
     "has_seen_window",
     "judge_version",
+    "note_versions",
     "record_versions",
     "remember_origin",
     "take_batch",
--- a/jujubenotch/streams/history.py
+++ b/jujubenotch/streams/history.py
@@ -48,6 +48,32 @@
         del history.left_s[next(iter(history.left_s))]
 
 
+def note_versions(
+    history: VersionHistory, seen: Iterable[tuple[str, str]], *, now_s: float
+) -> bool:
+    """Add versions that are or were listed lately, but not in this instance's list.
+
+    An instance that has missed one may have missed others, so what it has seen of the
+    list begins anew.
+
+    :param history: The history; changed in place.
+    :param seen: Services and software versions.
+    :param now_s: The present time, in seconds.
+    :returns: Whether one of them was missed.
+    """
+    missed = [
+        (service, version)
+        for service, version in seen
+        if version not in history.listed.get(service, ())
+        and (service, version) not in history.left_s
+    ]
+    for key in missed:
+        history.left_s[key] = now_s
+    if missed:
+        history.began_s = now_s
+    return bool(missed)
+
+
 def has_many_versions(
     history: VersionHistory, service: str, *, window_s: float, now_s: float
 ) -> bool:
