Count a version that is listed again as recent, though it left long ago

An instance that learns from the store's changes, or from others, of a version that it saw leave long ago kept the old time, so the version did not count.

--- a/features/streams/histories.feature
+++ b/features/streams/histories.feature
@@ -105,3 +105,16 @@
       | what                                                |
       | all instances end while one version serves          |
       | all instances end soon after the deployment's start |
+
+  # Guards against a version that counts as one that left long ago although it serves again.
+  Scenario: A version that an instance saw long ago is listed again
+    Given an instance that saw "v1" leave 100 s ago and lists "v2"
+    When it learns that "v1" is listed
+    Then within the last 20 s it knows "v1,v2"
+    And it has seen the list for longer than 50 s
+
+  Scenario: A version that an instance has never seen is listed
+    Given an instance that saw "v1" leave 100 s ago and lists "v2"
+    When it learns that "v3" is listed
+    Then within the last 20 s it knows "v2,v3"
+    And it has seen the list from now on only
--- a/features/streams/steps/histories_steps.py
+++ b/features/streams/steps/histories_steps.py
@@ -2,9 +2,17 @@
 
 from behave import given, then, when
 
-from features.streams.fleet import Plan, play
+from features.streams.fleet import SERVICE, Plan, play
+from jujubenotch.streams import (
+    VersionHistory,
+    find_recent_versions,
+    has_seen_window,
+    note_versions,
+    record_versions,
+)
 
 FIRST_SEED = 300
+NOW_S = 200.0
 KINDS = {
     "upstreams are killed during a rollout": {},
     "instances and upstreams are killed during a fast rollout": {
@@ -219,3 +227,33 @@
     for each in context.counts:
         assert each.store_calls <= count * context.plan.instances, each
         assert not each.objects_left, each
+
+
+@given('an instance that saw "{old}" leave {ago_s:d} s ago and lists "{new}"')
+def make_history(context, old, ago_s, new):
+    context.history = VersionHistory()
+    record_versions(context.history, [(SERVICE, old)], now_s=0.0)
+    record_versions(context.history, [(SERVICE, new)], now_s=NOW_S - ago_s)
+
+
+@when('it learns that "{version}" is listed')
+def learn_version(context, version):
+    note_versions(context.history, [(SERVICE, version)], now_s=NOW_S)
+
+
+@then('within the last {window_s:d} s it knows "{versions}"')
+def check_known(context, window_s, versions):
+    recent = find_recent_versions(
+        context.history, SERVICE, window_s=window_s, now_s=NOW_S
+    )
+    assert sorted(recent) == versions.split(","), recent
+
+
+@then("it has seen the list for longer than {window_s:d} s")
+def check_seen(context, window_s):
+    assert has_seen_window(context.history, window_s=window_s, now_s=NOW_S)
+
+
+@then("it has seen the list from now on only")
+def check_not_seen(context):
+    assert not has_seen_window(context.history, window_s=1.0, now_s=NOW_S)
--- a/jujubenotch/streams/history.py
+++ b/jujubenotch/streams/history.py
@@ -61,17 +61,18 @@
     :param now_s: The present time, in seconds.
     :returns: Whether one of them was missed.
     """
-    missed = [
+    unlisted = [
         (service, version)
         for service, version in seen
         if version not in history.listed.get(service, ())
-        and (service, version) not in history.left_s
     ]
-    for key in missed:
+    has_missed = any(key not in history.left_s for key in unlisted)
+    for key in unlisted:
+        history.left_s.pop(key, None)
         history.left_s[key] = now_s
-    if missed:
+    if has_missed:
         history.began_s = now_s
-    return bool(missed)
+    return has_missed
 
 
 def has_many_versions(
