--- a/benchmarks/site/callers.py
+++ b/benchmarks/site/callers.py
@@ -24,6 +24,7 @@
 POLL_INTERVAL_S = 1.0
 FAILED_CHECKS_UNTIL_CLOSED = 2
 END_OF_HEAD = b"\r\n\r\n"
+READ_BYTES = 65536
 FIRST_SUCCESS = 200
 FIRST_REDIRECT = 300
 KINDS = (RouteKind.READ, RouteKind.SEND, RouteKind.STREAM, RouteKind.RESUME)
@@ -298,12 +299,19 @@
             int(fields["content-length"])
         )
     else:
-        request.body = await connection.reader.read()
+        await _read_to_end(connection, request)
         will_close = True
     request.is_whole = True
     return not will_close
 
 
+async def _read_to_end(connection, request):
+    """Read an answer that has no length; a reset raises an error."""
+    while part := await connection.reader.read(READ_BYTES):
+        request.body += part
+        _note_events(request)
+
+
 async def _read_chunks(connection, request):
     while True:
         size = int(await connection.reader.readuntil(b"\r\n"), 16)
@@ -311,6 +319,10 @@
         if not size:
             return
         request.body += chunk[:-2]
-        is_success = FIRST_SUCCESS <= request.status < FIRST_REDIRECT
-        if request.kind in STREAMING_KINDS and is_success:
-            request.events = tuple(int(each) for each in _ID_LINE.findall(request.body))
+        _note_events(request)
+
+
+def _note_events(request):
+    is_success = FIRST_SUCCESS <= request.status < FIRST_REDIRECT
+    if request.kind in STREAMING_KINDS and is_success:
+        request.events = tuple(int(each) for each in _ID_LINE.findall(request.body))
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -49,6 +49,8 @@
 # Of the new upstreams: those that bring a version on, and those of the one before.
 NEXT_VERSION_RATIO = 0.1
 OLD_VERSION_RATIO = 0.4
+# The shares of upstreams whose answers have no length, of which a run has one.
+UNFRAMED_RATIOS = (0.0, 0.3, 1.0)
 
 
 @dataclass(kw_only=True)
@@ -91,6 +93,7 @@
     """A running site: its instances, its stand-ins and the journal of the run.
 
     :param newest_version: The number of the newest software version of upstreams.
+    :param unframed_ratio: The share of the upstreams whose answers have no length.
     """
 
     directory: Path
@@ -103,6 +106,7 @@
     upstream_endpoints: dict[str, UpstreamEndpoint] = field(default_factory=dict)
     restarts: set[asyncio.Task] = field(default_factory=set)
     newest_version: int = 2
+    unframed_ratio: float = 0.0
 
 
 @asynccontextmanager
@@ -288,6 +292,8 @@
         callers=Callers(
             endpoints=[], journal=journal, keys=list(keys), generator=generator
         ),
+        # A generator of its own leaves the other draws of a seed as they are.
+        unframed_ratio=random.Random(f"unframed {seed}").choice(UNFRAMED_RATIOS),
     )
 
 
@@ -326,6 +332,8 @@
 
 
 def _make_upstream(site, endpoint, service, port):
+    version = _draw_version(site)
+    seed = site.generator.getrandbits(32)
     return Upstream(
         name=f"i-{endpoint.name}-{endpoint.number}",
         service=service,
@@ -334,10 +342,11 @@
         slots=SLOTS,
         record=site.journal.arrivals.append,
         record_statement=site.journal.statements.append,
-        version=_draw_version(site),
+        version=version,
         record_part=site.journal.stream_parts.append,
         crash=lambda upstream, content: _crash(site, endpoint, upstream, content),
-        generator=random.Random(site.generator.getrandbits(32)),
+        is_unframed=random.Random(seed).random() < site.unframed_ratio,
+        generator=random.Random(seed),
     )
 
 
--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -3,12 +3,15 @@
 import asyncio
 import random
 import re
+import socket
 import time
 from collections.abc import Callable
+from contextlib import suppress
 from dataclasses import dataclass, field
 from enum import StrEnum
 
 from benchmarks.site.model import Arrival, SiteFault, Statement, StreamPart
+from standins.relay_core import RESET_ON_CLOSE
 
 END_OF_HEAD = b"\r\n\r\n"
 MAX_QUEUED = 24
@@ -53,6 +56,8 @@
     :param says_leaving: Whether all responses say that the upstream is leaving.
     :param limit_per_s: The limit that all responses name; ``None`` for none.
     :param turn_away_s: Some requests are turned away for so long; ``None`` for none.
+    :param is_unframed: Whether its answers have no length and end with the connection;
+        an answer that is cut ends by a reset, which comes together with its last bytes.
     :param episode: The number of times that it has begun to make statements.
     :param queued: The number of requests that wait or run.
     :param slot_semaphore: Limits the running requests to the slots.
@@ -74,6 +79,7 @@
     says_leaving: bool = False
     limit_per_s: float | None = None
     turn_away_s: float | None = None
+    is_unframed: bool = False
     episode: int = 0
     queued: int = 0
     generator: random.Random = field(default_factory=random.Random)
@@ -136,7 +142,7 @@
     """
     upstream.server.close()
     for writer in list(upstream.writers):
-        writer.transport.abort()
+        _reset(writer)
     for task in list(upstream.tasks):
         task.cancel()
     await asyncio.sleep(0)
@@ -281,23 +287,26 @@
         await _send(writer, _write_head(upstream, head, status, b"", length=0))
         return True
     body = make_body(head.request_id, head.path)
-    answer = _write_head(upstream, head, b"200 OK", b"", length=len(body))
+    length = None if upstream.is_unframed else len(body)
+    answer = _write_head(upstream, head, b"200 OK", b"", length=length)
     answer = _spoil_head(answer, head, spoiling) + body
     if spoiling is Spoiling.CUT:
         await _send(writer, answer[: -len(body) // 2])
-        return False
+        return _cut(upstream, writer)
     await _send(writer, answer)
     if spoiling is Spoiling.EXTRA:
         await asyncio.sleep(LATE_EXTRA_S)
         await _send(writer, answer)
-    return True
+    return not upstream.is_unframed
 
 
 async def _stream(upstream, head, writer, spoiling):
     last = count_events(head.path)
     first = int(head.fields.get("last-event-id", "0")) + 1
     stop = (first + last) // 2 if spoiling is Spoiling.CUT else last
-    extra = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n"
+    extra = b"Content-Type: text/event-stream\r\n"
+    if not upstream.is_unframed:
+        extra += b"Transfer-Encoding: chunked\r\n"
     await asyncio.sleep(FIRST_EVENT_S * upstream.slowdown)
     start = _write_head(upstream, head, b"200 OK", extra, length=None)
     await _send(writer, _spoil_head(start, head, spoiling))
@@ -308,14 +317,33 @@
         _record_part(upstream, head, first)
     for number in range(first, stop + 1):
         event = make_event(head.request_id, number)
-        await _send(writer, b"%x\r\n%b\r\n" % (len(event), event))
-        await asyncio.sleep(EVENT_GAP_S * upstream.slowdown)
+        chunk = b"%x\r\n%b\r\n" % (len(event), event)
+        await _send(writer, event if upstream.is_unframed else chunk)
+        if number < stop or not upstream.is_unframed:
+            await asyncio.sleep(EVENT_GAP_S * upstream.slowdown)
     if stop < last:
-        # The stream is cut in the middle of an event.
-        await _send(writer, b"40\r\nid: %d\nda" % (stop + 1))
-        return False
-    await _send(writer, b"0\r\n\r\n")
-    return True
+        if not upstream.is_unframed:
+            # The stream is cut in the middle of an event.
+            await _send(writer, b"40\r\nid: %d\nda" % (stop + 1))
+        return _cut(upstream, writer)
+    if not upstream.is_unframed:
+        await _send(writer, b"0\r\n\r\n")
+    return not upstream.is_unframed
+
+
+def _cut(upstream, writer):
+    """End an answer early; the connection can take no other request."""
+    if upstream.is_unframed:
+        _reset(writer)
+    return False
+
+
+def _reset(writer):
+    """Reset a connection; what was written before still arrives."""
+    connection = writer.get_extra_info("socket")
+    with suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
 
 
 def _record_part(upstream, head, first):
@@ -337,7 +365,7 @@
 def _write_head(upstream, head, status, extra, *, length):
     if length is not None:
         extra += b"Content-Length: %d\r\n" % length
-    if upstream.is_leaving:
+    if upstream.is_leaving or upstream.is_unframed and length is None:
         extra += b"Connection: close\r\n"
     if upstream.says_leaving:
         _state(upstream, head, SiteFault.SAY_LEAVING, 1.0)
--- a/features/soak/site.feature
+++ b/features/soak/site.feature
@@ -17,6 +17,7 @@
       | a success that no upstream ran                        | each success is the upstream's own whole answer |
       | a success without a signature                         | each success is the upstream's own whole answer |
       | the body of another request                           | each success is the upstream's own whole answer |
+      | a stream that ends regularly after one event          | each success is the upstream's own whole answer |
       | a stream with an event twice                          | the events of a stream come once and in order   |
       | a stream with an event missing                        | the events of a stream come once and in order   |
       | a request without an answer                           | one final answer by the deadline                |
--- a/features/soak/steps/site_steps.py
+++ b/features/soak/steps/site_steps.py
@@ -326,6 +326,9 @@
     "a stream with an event missing": answer(
         RouteKind.STREAM, events=(1, 3), is_whole=False
     ),
+    "a stream that ends regularly after one event": answer(
+        RouteKind.STREAM, events=(1,), body=b"id: 1\ndata: x\n\n", is_whole=True
+    ),
     "a request without an answer": answer(RouteKind.SEND, status=0, is_whole=False),
     "an answer 1 s after the deadline": answer(RouteKind.SEND, ended_s=54.0),
     "a run 5.1 s after its key was revoked": revoke_and_run,
