--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -16,18 +16,21 @@
     forward_list_checks,
     forward_origins,
     forward_records,
+    forward_stream_messages,
     forward_streams,
 )
 from jujubenotch.daemon.forward_count import keep_addresses
 from jujubenotch.daemon.forward_origins import find_stream_origin
 from jujubenotch.daemon.forward_records import find_held, keep_records
 from jujubenotch.daemon.forward_state import ForwardState
+from jujubenotch.daemon.forward_stream_messages import (
+    receive_streams,
+    send_origins,
+)
 from jujubenotch.daemon.forward_streams import (
     StreamWatch,
-    receive_streams,
     record_listing,
     record_stream_start,
-    send_origins,
 )
 from jujubenotch.dispatch import Call
 from jujubenotch.forwarding import (
@@ -242,6 +245,7 @@
     )
     with (
         mock.patch.object(forward_streams, "read_boot_clock_s", loop.time),
+        mock.patch.object(forward_stream_messages, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_origins, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_origins, "time", clock),
         mock.patch.object(forward_list_checks, "read_boot_clock_s", loop.time),
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -36,7 +36,8 @@
     apply_configuration,
     apply_upstreams,
 )
-from jujubenotch.daemon.forward_streams import record_listing, send_origins
+from jujubenotch.daemon.forward_stream_messages import send_origins
+from jujubenotch.daemon.forward_streams import record_listing
 from jujubenotch.daemon.forward_usage import (
     UsageMeter,
     gather_reports,
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -10,7 +10,7 @@
 from jujubenotch.daemon.forward_paces import note_reader, receive_paces
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.daemon.forward_revisions import add_known
-from jujubenotch.daemon.forward_streams import receive_streams
+from jujubenotch.daemon.forward_stream_messages import receive_streams
 from jujubenotch.daemon.forward_usage import receive_reports
 from jujubenotch.forwarding import (
     FollowProgress,
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -17,10 +17,7 @@
 from jujubenotch.logs import log_event
 from jujubenotch.neighbours import (
     Message,
-    MessageKind,
     Neighbours,
-    StreamEntry,
-    VersionEntry,
 )
 from jujubenotch.streams import (
     OriginTable,
@@ -29,12 +26,8 @@
     StreamOrigin,
     StreamRecordStore,
     VersionHistory,
-    choose_keepers,
-    choose_owners,
     choose_record_span_s,
-    find_origin,
     find_origins_of,
-    find_recent_versions,
     has_many_versions,
     note_versions,
     record_versions,
@@ -43,10 +36,6 @@
 
 logger = logging.getLogger(__name__)
 
-# Origins are sent together; a caller needs longer to come back to another instance.
-FLUSH_DELAY_S = 0.05
-# About 3 KB compressed, three datagrams.
-MAX_ENTRIES = 100
 # The instances are listed by the store.
 ADDRESSES_TIMEOUT_S = 0.3
 # How old the list of instances may be when a stream began.
@@ -236,15 +225,20 @@
     if not is_new or origin.service not in watch.split:
         return
     if is_split(watch, origin.service):
-        _save_later(watch, request_id, origin)
+        save_later(watch, request_id, origin)
         _send_later(watch, (request_id,))
     else:
         # The list may not change for long after the other versions have left.
         watch.split.discard(origin.service)
 
 
-def _save_later(watch, request_id, origin):
-    """Keep an origin for the next batch; the oldest are given up for want of room."""
+def save_later(watch: StreamWatch, request_id: str, origin: StreamOrigin) -> None:
+    """Keep an origin for the next batch; the oldest are given up for want of room.
+
+    :param watch: The state of the watch; changed in place.
+    :param request_id: The request that brought the first event.
+    :param origin: Where the stream began.
+    """
     unsaved = watch.book.unsaved
     unsaved[request_id] = origin
     while len(unsaved) > MAX_UNSAVED:
@@ -257,29 +251,6 @@
         watch.must_send.set()
 
 
-async def send_origins(watch: StreamWatch) -> None:
-    """Send the origins of streams to other instances; runs until it is cancelled.
-
-    :param watch: The state of the watch; changed in place.
-    """
-    while True:
-        await watch.must_send.wait()
-        await wait_for_instances(watch, LIST_AGE_S)
-        await asyncio.sleep(FLUSH_DELAY_S)
-        watch.must_send.clear()
-        request_ids, watch.unsent = watch.unsent, []
-        by_owner = {}
-        for request_id in request_ids:
-            instances = list_instances(watch)
-            owners = {*choose_owners(request_id, instances), *choose_keepers(instances)}
-            for owner in sorted(owners):
-                by_owner.setdefault(owner, []).append(request_id)
-        by_owner.pop(watch.neighbours.own_address, None)
-        for owner, owned in by_owner.items():
-            for start in range(0, len(owned), MAX_ENTRIES):
-                _send_entries(watch, owned[start : start + MAX_ENTRIES], owner)
-
-
 def list_instances(watch: StreamWatch) -> set[str]:
     """Return the addresses of all known instances, this one's included.
 
@@ -326,90 +297,3 @@
     """
     if note_versions(watch.history, seen, now_s=read_boot_clock_s()):
         record_listing(watch)
-
-
-def _send_entries(watch, request_ids, address, unknown=(), versions=None):
-    now_s = read_boot_clock_s()
-    known = {
-        each: find_origin(watch.origins, each, now_s=now_s) for each in request_ids
-    }
-    entries = tuple(
-        StreamEntry(
-            request_id=request_id,
-            service=found.origin.service,
-            software_version=found.origin.software_version,
-        )
-        for request_id, found in known.items()
-        if found is not None
-    )
-    message = Message(
-        kind=MessageKind.STREAMS,
-        streams=entries,
-        request_ids=tuple(unknown),
-        versions=versions,
-    )
-    watch.send(message, (address,))
-
-
-def receive_streams(watch: StreamWatch, sender: str, message: Message) -> None:
-    """Take up the origins that another instance tells, or answer its question.
-
-    :param watch: The state of the watch; changed in place.
-    :param sender: The address of the other instance.
-    :param message: The message.
-    """
-    now_s = read_boot_clock_s()
-    if message.kind is MessageKind.STREAM_QUERY:
-        asked = message.request_ids[:MAX_ENTRIES]
-        unknown = [
-            each
-            for each in asked
-            if find_origin(watch.origins, each, now_s=now_s) is None
-        ]
-        versions = _list_versions(watch, now_s) if message.wants_versions else None
-        _send_entries(watch, asked, sender, unknown, versions)
-        return
-    for entry in message.streams:
-        origin = StreamOrigin(
-            service=entry.service, software_version=entry.software_version
-        )
-        is_new = remember_origin(watch.origins, entry.request_id, origin, now_s=now_s)
-        if is_new:
-            _save_later(watch, entry.request_id, origin)
-        question = watch.questions.get(entry.request_id)
-        if question is not None:
-            question.is_answered.set()
-    for request_id in message.request_ids:
-        _end_wait(watch.questions.get(request_id), sender)
-    if message.versions is not None:
-        _take_versions(watch, sender, message.versions)
-
-
-def _list_versions(watch, now_s):
-    history = watch.history
-    window_s = find_window_s(watch.state)
-    return tuple(
-        VersionEntry(service=service, software_version=version)
-        for service in sorted(history.listed)
-        for version in find_recent_versions(
-            history, service, window_s=window_s, now_s=now_s
-        )
-    )
-
-
-def _take_versions(watch, sender, versions):
-    """Take up the versions that another instance knows, if it was asked for them."""
-    question = watch.list_check.question
-    if question is None or sender not in question.pending:
-        return
-    add_versions(watch, ((each.service, each.software_version) for each in versions))
-    _end_wait(question, sender)
-
-
-def _end_wait(question, sender):
-    """Record that an instance doesn't know the stream that was asked for."""
-    if question is None:
-        return
-    question.pending.discard(sender)
-    if not question.pending:
-        question.is_answered.set()
