--- a/features/platform/failing_program.py
+++ b/features/fault_sites/failing_program.py
@@ -1,6 +1,6 @@
 """Runs the router with one function that raises an error at its n-th call.
 
-Usage: ``python -m features.platform.failing_program MODULE.FUNCTION N OPTIONS...``.
+Usage: ``python -m features.fault_sites.failing_program MODULE.FUNCTION N OPTIONS...``.
 """
 
 import importlib
--- a/features/platform/steps/unexpected_errors_steps.py
+++ b/features/fault_sites/steps/unexpected_errors_steps.py
@@ -13,7 +13,10 @@
     wait_until_ready,
     write_settings,
 )
+from features.platform.steps import site_steps, versions_steps
 
+# The other steps of these features are those of the platform's features.
+STEPS = (site_steps, versions_steps)
 FIRST_ERROR_STATUS = 500
 
 
@@ -22,7 +25,7 @@
     site = context.site
     site.process.kill()
     site.process.wait()
-    command = [sys.executable, "-m", "features.platform.failing_program"]
+    command = [sys.executable, "-m", "features.fault_sites.failing_program"]
     command += [path, str(number), f"--settings={write_settings(site)}"]
     with (site.directory / "log").open("ab") as log:
         site.process = subprocess.Popen(
