--- a/features/platform/site.py
+++ b/features/platform/site.py
@@ -295,9 +295,12 @@
     )
 
 
-def read_to_end(host, path, body=b"{}", *, note_received=lambda received: None):
+def read_to_end(
+    host, path, body=b"{}", *, note_received=lambda received: None, extra_head=""
+):
     """Request a path, and read to the end of the connection.
 
+    :param extra_head: Further header lines, each with its line end.
     :param note_received: Called with all bytes received so far, after each part.
     :returns: The bytes, and whether the connection ended by a reset.
     """
@@ -305,7 +308,7 @@
     with socket.create_connection((host, 8000), timeout=CALL_TIMEOUT_S) as connection:
         connection.sendall(
             f"POST {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Attempt-Id: id-1\r\n"
-            f"Authorization: Bearer {KEY}\r\nConnection: close\r\n"
+            f"Authorization: Bearer {KEY}\r\n{extra_head}"
             f"Content-Length: {len(body)}\r\n\r\n".encode()
             + body
         )
--- a/features/platform/steps/cut_off_steps.py
+++ b/features/platform/steps/cut_off_steps.py
@@ -309,6 +309,8 @@
         path,
         b"reset" if what.endswith("resets") else b"all",
         note_received=note_received,
+        # An error response has a length, so the connection would stay open after it.
+        extra_head="Connection: close\r\n" if path == ONCE else "",
     )
 
 
--- a/jujubenotch/daemon/forward_stream_messages.py
+++ b/jujubenotch/daemon/forward_stream_messages.py
@@ -130,7 +130,7 @@
 
 
 def _end_wait(question, sender):
-    """Record that an instance doesn't know the stream that was asked for."""
+    """Record that an instance has answered; the last answer ends the wait."""
     if question is None:
         return
     question.pending.discard(sender)
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -15,10 +15,7 @@
 from jujubenotch.dispatch import Call
 from jujubenotch.forwarding import Page, read_boot_clock_s
 from jujubenotch.logs import log_event
-from jujubenotch.neighbours import (
-    Message,
-    Neighbours,
-)
+from jujubenotch.neighbours import Message, Neighbours
 from jujubenotch.streams import (
     OriginTable,
     RecordBook,
