Divide the bound on repeats by the instances, over any window and restart (BUDGET)

What callers saw: on machines of the users' own, repeats at a service beyond what all instances together may send.

Cause: each instance allowed itself 0.2 of its successes and 2 repeats in 10 s. bounds.retry-extra and bounds.retry-window-s were not read, the 2 were not related to the number of instances, repeats of 9.5 s ago were forgotten, a new process began with a new allowance, successes were counted at both instances that had a request, and a repeat was counted when it was decided, not when it arrived.

Change: a credit for each service that starts empty. The callers' own requests and time add to it, by the instance's share of the number, and it expires after half a window. Spent in a window is at most what was earned in one and a half, and that is scaled to the bound; so the sum holds whatever the number of instances, restarts, or builds of this design side by side. A repeat that has not arrived takes the place of credit; one that was never sent gives it back. Instances count each other at the start, and again when they repeat.

repeats.feature named the former allowance of 2; its scenario now names the number that is divided, with the same total. Lines of a repeat and of a refused one tell the credit and what it is made of, and a counter by service tells requests and repeats, whose sums the bound relates.

--- a/features/platform/repeats.feature
+++ b/features/platform/repeats.feature
@@ -26,7 +26,7 @@
     And the response has a Retry-After header
 
   Scenario: Retries stay within the budget
-    Given a site whose upstream fails
+    Given a site that may repeat 6 requests in 10 s, whose upstream fails
     And another upstream that fails
     When 12 callers send idempotent requests
     Then the upstreams received 14 requests in total
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -38,6 +38,7 @@
     write_row,
 )
 
+CREDIT_LIFETIME_S = 5.0
 RESERVED_HEADERS = {
     "X-Tenant": "other",
     "X-Expect-Instance": "i-other",
@@ -56,6 +57,21 @@
     add_upstream(context.site, "i-first", make_upstream(kind))
     start_program(context.site)
     wait_until_ready(context.site)
+    # An instance that doesn't know how many there are repeats less.
+    wait_until_logged(context.site, "instances-counted")
+
+
+@given("a site that may repeat {extra:d} requests in 10 s, whose upstream {kind}")
+def open_site_with_few_repeats(context, extra, kind):
+    context.site = context.stack.enter_context(open_site())
+    put_configuration(context.site)
+    add_upstream(context.site, "i-first", make_upstream(kind))
+    settings = SETTINGS.replace("retry-ratio=0.2", "retry-ratio=0")
+    start_program(context.site, settings=settings + f"bounds.retry-extra={extra}\n")
+    wait_until_ready(context.site)
+    wait_until_logged(context.site, "instances-counted")
+    # The credit of the time before is earned.
+    time.sleep(CREDIT_LIFETIME_S)
 
 
 @given("another upstream that {kind}")
--- /dev/null
+++ b/features/retries/fleet.py
@@ -0,0 +1,149 @@
+"""Several instances, and upstreams in processes of their own."""
+
+import collections
+import json
+import subprocess
+import sys
+import time
+from concurrent.futures import Future, ThreadPoolExecutor
+from dataclasses import dataclass, field
+from pathlib import Path
+
+from features.platform.site import (
+    ROOT,
+    ROUTES,
+    SETTINGS,
+    Site,
+    call_store,
+    list_upstream,
+    send,
+    start_program,
+    wait_until_logged,
+    wait_until_ready,
+    write_route,
+)
+from features.platform.steps.versions_steps import NEIGHBOUR_PORTS, add_instance
+from standins.store import write_row
+
+BOUNDS = "bounds.retry-extra={extra:g}\nbounds.retry-window-s={window_s:g}\n"
+WAIT_S = 15.0
+
+
+@dataclass(kw_only=True)
+class UpstreamProcess:
+    """An upstream that can be stopped; ``journal`` has a line for each arrival."""
+
+    journal: Path
+    process: subprocess.Popen
+    url: str
+
+
+@dataclass(kw_only=True)
+class RetryFleet:
+    """Instances and upstreams, and the calls that were sent to them."""
+
+    site: Site
+    instances: list[Site] = field(default_factory=list)
+    upstreams: list[UpstreamProcess] = field(default_factory=list)
+    executor: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
+    calls: list[Future] = field(default_factory=list)
+    idle_timeout_ms: int = 15000
+    routes: tuple = ROUTES
+
+
+def start_upstream(fleet, name):
+    journal = fleet.site.directory / name
+    process = subprocess.Popen(
+        [sys.executable, "-m", "features.retries.upstream", fleet.site.host, journal],
+        cwd=ROOT,
+        stdout=subprocess.PIPE,
+        text=True,
+    )
+    port = int(process.stdout.readline())
+    upstream = UpstreamProcess(
+        journal=journal, process=process, url=f"http://{fleet.site.host}:{port}"
+    )
+    fleet.upstreams.append(upstream)
+    fleet.site.upstreams[name] = upstream
+    list_upstream(fleet.site, name, slots=48)
+
+
+def start_instances(fleet, count, *, extra, window_s=10.0):
+    for number in range(1, count + 1):
+        view = add_instance(fleet.site, number)
+        settings = SETTINGS.replace(
+            "{host}:{store_port}", f"{fleet.site.host}:{{store_port}}"
+        )
+        settings = settings.replace("edge-a-1", f"edge-a-{number}")
+        bounds = BOUNDS.format(extra=extra, window_s=window_s)
+        start_program(view, settings=settings + NEIGHBOUR_PORTS + bounds)
+        fleet.instances.append(view)
+    for view in fleet.instances:
+        wait_until_ready(view)
+
+
+def put_routes(fleet):
+    """Write the configuration, as the fleet has it, in a new version."""
+    document = {
+        "version": fleet.site.version,
+        "routes": list(fleet.routes),
+        "services": [{"name": "plain", "health-path": "/h", "max-conns": 100}],
+        "limits": {
+            "max-header-bytes": 16384,
+            "max-body-bytes": 100000,
+            "header-timeout-ms": 3000,
+            "idle-timeout-ms": fleet.idle_timeout_ms,
+        },
+        "tenants": [{"name": "agents", "api-keys": ["a-key"]}],
+    }
+    fleet.site.version += 1
+    call_store(fleet.site, write_row, "op", "config", json.dumps(document).encode())
+
+
+def change_configuration(fleet, change):
+    if change == "idle timeout":
+        fleet.idle_timeout_ms -= 3000
+    elif change == "route timeout":
+        fleet.routes = tuple(
+            {**each, "timeout-ms": each["timeout-ms"] - 500} for each in fleet.routes
+        )
+    else:
+        added = write_route("added", "/added/", "idempotent")
+        fleet.routes = (*fleet.routes, added)
+    put_routes(fleet)
+
+
+def send_streams(fleet, count):
+    for view in fleet.instances:
+        for _ in range(count):
+            call = fleet.executor.submit(
+                send, view, "/resume/x", method="POST", body=b"{}"
+            )
+            fleet.calls.append(call)
+
+
+def count_arrivals(fleet):
+    """Count how often each request arrived at any upstream."""
+    return collections.Counter(
+        line for each in fleet.upstreams for line in each.journal.read_text().split()
+    )
+
+
+def wait_for_arrivals(fleet, count):
+    end_s = time.monotonic() + WAIT_S
+    while len(count_arrivals(fleet)) < count:
+        assert time.monotonic() < end_s, "requests did not arrive"
+        time.sleep(0.02)
+
+
+def wait_until_counted(fleet):
+    for view in fleet.instances:
+        wait_until_logged(view, "instances-counted")
+
+
+def close_fleet(fleet):
+    fleet.executor.shutdown(cancel_futures=True)
+    for each in [*fleet.upstreams, *fleet.instances]:
+        if each.process is not None:
+            each.process.kill()
+            each.process.wait()
--- /dev/null
+++ b/features/retries/upstream.py
@@ -0,0 +1,64 @@
+"""An upstream in a process of its own, which can be stopped by a signal.
+
+It writes a line with the id of each request that arrives to its journal, and its port
+to standard output.
+"""
+
+import asyncio
+import contextlib
+import re
+import sys
+
+END_OF_HEAD = b"\r\n\r\n"
+CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
+REQUEST_ID = re.compile(rb"x-attempt-id: *(\S+)", re.IGNORECASE)
+LAST_EVENT = re.compile(rb"last-event-id: *(\d+)", re.IGNORECASE)
+EVENTS = 20
+EVENT_INTERVAL_S = 0.1
+WORK_S = 0.03
+
+
+async def serve(journal, reader, writer):
+    with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
+        while True:
+            head = await reader.readuntil(END_OF_HEAD)
+            length = CONTENT_LENGTH.search(head)
+            await reader.readexactly(int(length[1]) if length else 0)
+            request_id = REQUEST_ID.search(head)[1]
+            journal.write(request_id.decode() + "\n")
+            await answer(head, request_id, writer)
+    writer.close()
+
+
+async def answer(head, request_id, writer):
+    writer.write(
+        b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+        % request_id
+    )
+    if b"/resume/" not in head.split(b"\r\n", 1)[0]:
+        await asyncio.sleep(WORK_S)
+        writer.write(b"Content-Length: 4\r\n\r\ndone")
+        return
+    writer.write(
+        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    )
+    after = LAST_EVENT.search(head)
+    for number in range(int(after[1]) + 1 if after else 1, EVENTS + 1):
+        event = b"id: %d\ndata: w%d\n\n" % (number, number)
+        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
+        await writer.drain()
+        await asyncio.sleep(EVENT_INTERVAL_S)
+    writer.write(b"0\r\n\r\n")
+
+
+async def main(host, journal_path):
+    with open(journal_path, "a", buffering=1) as journal:
+        server = await asyncio.start_server(
+            lambda reader, writer: serve(journal, reader, writer), host, 0
+        )
+        print(server.sockets[0].getsockname()[1], flush=True)
+        await server.serve_forever()
+
+
+if __name__ == "__main__":
+    asyncio.run(main(*sys.argv[1:]))
--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -16,6 +16,8 @@
 logger = logging.getLogger(__name__)
 
 COUNT_INTERVAL_S = 10.0
+# Instances that start together find each other within some seconds.
+FIRST_COUNT_INTERVAL_S = 1.0
 MIN_LIST_INTERVAL_S = 1.0
 
 
@@ -44,35 +46,45 @@
 
 
 async def keep_count(relay: Relay, components: PlatformComponents) -> None:
-    """Count the instances when an upstream names a limit, and while it does.
+    """Count the instances at the start, and again while their number is wanted.
 
     :param relay: The relay; the instance's count is changed in place.
     :param components: The components that are specific to the platform.
     """
     count = relay.instance.instance_count
+    interval_s = FIRST_COUNT_INTERVAL_S
+    await relay.instance.state.loaded.wait()
     while True:
-        await count.wanted.wait()
-        before = count.value
-        try:
-            count.value = await _count_instances(relay, components.directory)
-        except SourceError as error:
-            log_event(
-                logger,
-                logging.WARNING,
-                "instances-not-counted",
-                instances=count.value,
-                error=str(error),
-            )
-        if count.value != before:
-            log_event(
-                logger,
-                logging.INFO,
-                "instances-counted",
-                instances=count.value,
-                before=before,
-            )
-        await asyncio.sleep(COUNT_INTERVAL_S)
-        count.wanted.clear()
+        await _count(relay, components, count)
+        await asyncio.sleep(interval_s)
+        interval_s = min(2 * interval_s, COUNT_INTERVAL_S)
+        # Instances that share pages are counted without a call.
+        if count.is_known and not relay.is_active:
+            count.wanted.clear()
+            await count.wanted.wait()
+
+
+async def _count(relay, components, count):
+    before = count.value if count.is_known else None
+    try:
+        count.value = await _count_instances(relay, components.directory)
+        count.is_known = True
+    except SourceError as error:
+        log_event(
+            logger,
+            logging.WARNING,
+            "instances-not-counted",
+            instances=count.value,
+            error=str(error),
+        )
+    if count.is_known and count.value != before:
+        log_event(
+            logger,
+            logging.INFO,
+            "instances-counted",
+            instances=count.value,
+            before=before,
+        )
 
 
 async def _count_instances(relay: Relay, directory: Directory) -> int:
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -102,10 +102,12 @@
     """The number of instances of all data centres, as this instance knows it.
 
     :param value: The number.
-    :param wanted: Set when an upstream has named a limit.
+    :param is_known: Whether the instances were counted; the number is a guess before.
+    :param wanted: Set when an upstream has named a limit, or a retry is to be made.
     """
 
     value: int = UNKNOWN_COUNT
+    is_known: bool = False
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
 
 
--- a/jujubenotch/daemon/forward_settings.py
+++ b/jujubenotch/daemon/forward_settings.py
@@ -15,7 +15,9 @@
 CHECK_INTERVAL_S = 2.0
 # The other settings, such as the listeners' addresses and the instance's name, take
 # effect at the next start.
-RELOADABLE_SETTINGS = frozenset({"store", "max_key_age_s", "grace_s", "retry_ratio"})
+RELOADABLE_SETTINGS = frozenset(
+    {"store", "max_key_age_s", "grace_s", "retry_ratio", "retry_extra"}
+)
 
 
 async def watch_settings(
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -33,6 +33,7 @@
 )
 from jujubenotch.daemon.forward_reach import DetourWatch, record_reach
 from jujubenotch.daemon.forward_records import find_held
+from jujubenotch.daemon.forward_retries import make_retry_budget
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
@@ -41,10 +42,6 @@
 from jujubenotch.dispatch import (
     Dispatcher,
     ExchangeRegistry,
-    RetryBudget,
-    RetryHistory,
-    may_retry,
-    record_success,
     set_limit,
 )
 from jujubenotch.forwarding import DirectCapacity, read_boot_clock_s
@@ -53,7 +50,6 @@
 )
 from jujubenotch.logs import configure_logging, log_event, open_bounded_output
 from jujubenotch.metrics import make_metrics
-from jujubenotch.records import Limits
 from jujubenotch.settings import ForwarderSettings
 from jujubenotch.upstreams import (
     ConnectionLimits,
@@ -72,9 +68,6 @@
 EXIT_MARGIN_S = 1.0
 # Part of the rest in which the callers of requests in progress get a final response.
 LAST_ANSWERS_S = 0.3
-# Retries that each instance may make per budget window in addition to those that
-# the retry ratio allows.
-MIN_RETRIES_PER_WINDOW = 2
 UPSTREAM_LIMITS = ConnectionLimits(
     connect_timeout_s=0.5,
     idle_timeout_s=10.0,
@@ -181,7 +174,12 @@
         instance_count,
         _Watches(crashes=crash_watch, streams=stream_watch, detours=detour_watch),
         helper_connections,
-        lambda: instance.settings.retry_ratio,
+        make_retry_budget(
+            lambda: instance.settings,
+            instance_count,
+            metrics,
+            asyncio.get_running_loop().time(),
+        ),
     )
     instance = ForwardingInstance(
         settings=settings,
@@ -218,7 +216,7 @@
     instance_count,
     watches,
     helper_connections,
-    read_retry_ratio,
+    retry_budget,
 ):
     capacity = DirectCapacity(
         listing=state.listing,
@@ -235,7 +233,7 @@
         record_notice=capacity.record_notice,
         connections=open_connections(UPSTREAM_LIMITS),
         observer=observer,
-        retry_budget=_make_retry_budget(read_retry_ratio),
+        retry_budget=retry_budget,
         read_configuration=lambda: state.upstreams,
         exchange_registry=ExchangeRegistry(
             idle_timeout_s=UPSTREAM_LIMITS.idle_timeout_s
@@ -262,27 +260,6 @@
     record_reach(detour_watch, attempt)
 
 
-def _make_retry_budget(read_ratio):
-    histories = {}
-
-    def read_limits():
-        return Limits(
-            retry_budget_ratio=read_ratio(), retry_budget_min=MIN_RETRIES_PER_WINDOW
-        )
-
-    def find_history(target):
-        return histories.setdefault(target, RetryHistory())
-
-    return RetryBudget(
-        may_retry=lambda target, now_s: may_retry(
-            find_history(target), read_limits(), now_s
-        ),
-        record_success=lambda target, now_s: record_success(
-            find_history(target), now_s
-        ),
-    )
-
-
 def _start_background_task(instance, coroutine):
     task = asyncio.create_task(coroutine)
     task.add_done_callback(_exit_on_failure)
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -38,6 +38,16 @@
 from jujubenotch.dispatch.dispatcher import digest_call, dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
+from jujubenotch.dispatch.shared_budget import (
+    RetryBounds,
+    RetryCredit,
+    RetryEnd,
+    make_credit,
+    record_request,
+    record_retry_end,
+    spend_retry,
+    update_credit,
+)
 from jujubenotch.dispatch.silence import ExchangeRegistry, watch_exchange
 from jujubenotch.dispatch.time_limit import TimeLimit, limit_wait, set_limit
 from jujubenotch.dispatch.work_request import make_work_request
@@ -60,7 +70,10 @@
     "Observer",
     "Progress",
     "Retry",
+    "RetryBounds",
     "RetryBudget",
+    "RetryCredit",
+    "RetryEnd",
     "RetryHistory",
     "Sink",
     "TimeLimit",
@@ -72,15 +85,20 @@
     "dispatch",
     "find_resume_point",
     "find_target",
+    "make_credit",
     "make_give_up",
     "make_give_up_answer",
     "make_refusal_answer",
     "may_retry",
     "read_clock_s",
     "record_attempt",
+    "record_request",
+    "record_retry_end",
     "record_success",
     "remove_hop_by_hop_headers",
     "run_attempt",
+    "spend_retry",
+    "update_credit",
     "wait_until_idle",
     "watch_exchange",
 ]
--- a/jujubenotch/dispatch/budget.py
+++ b/jujubenotch/dispatch/budget.py
@@ -7,27 +7,20 @@
 
 from dataclasses import dataclass, field
 
+from jujubenotch.dispatch.recent_count import (
+    BUCKETS,
+    RecentCount,
+    count_event,
+    drop_old_events,
+)
 from jujubenotch.records import Limits
 
 WINDOW_S = 10.0
-BUCKETS = 20
 BUCKET_S = WINDOW_S / BUCKETS
 
 
-@dataclass(kw_only=True)
-class RecentCount:
-    """The number of events in the last window.
-
-    Events are counted in a ring of buckets, which bounds the memory used.
-
-    :param counts: The number of events in each bucket of the ring.
-    :param last_bucket: The number of the newest bucket, counted from time 0.
-    :param total: The sum of the counts.
-    """
-
-    counts: list[int] = field(default_factory=lambda: [0] * BUCKETS)
-    last_bucket: int = 0
-    total: int = 0
+def _count_recent():
+    return RecentCount(bucket_s=BUCKET_S)
 
 
 @dataclass(kw_only=True)
@@ -38,8 +31,8 @@
     True
     """
 
-    successes: RecentCount = field(default_factory=RecentCount)
-    retries: RecentCount = field(default_factory=RecentCount)
+    successes: RecentCount = field(default_factory=_count_recent)
+    retries: RecentCount = field(default_factory=_count_recent)
 
 
 def record_success(history: RetryHistory, now_s: float) -> None:
@@ -48,8 +41,7 @@
     :param history: The recent successes and retries.
     :param now_s: The present monotonic time, in seconds.
     """
-    _advance(history.successes, now_s)
-    _add_one(history.successes)
+    count_event(history.successes, now_s)
 
 
 def may_retry(history: RetryHistory, limits: Limits, now_s: float) -> bool:
@@ -60,25 +52,10 @@
     :param now_s: The present monotonic time, in seconds.
     :returns: Whether the retry may be made; if so, it has been spent.
     """
-    _advance(history.successes, now_s)
-    _advance(history.retries, now_s)
+    drop_old_events(history.successes, now_s)
+    drop_old_events(history.retries, now_s)
     earned = limits.retry_budget_ratio * history.successes.total
     if history.retries.total + 1 > limits.retry_budget_min + earned:
         return False
-    _add_one(history.retries)
+    count_event(history.retries, now_s)
     return True
-
-
-def _advance(recent, now_s):
-    bucket = int(now_s // BUCKET_S)
-    passed = min(bucket - recent.last_bucket, BUCKETS)
-    for step in range(1, passed + 1):
-        index = (bucket - passed + step) % BUCKETS
-        recent.total -= recent.counts[index]
-        recent.counts[index] = 0
-    recent.last_bucket = max(bucket, recent.last_bucket)
-
-
-def _add_one(recent):
-    recent.counts[recent.last_bucket % BUCKETS] += 1
-    recent.total += 1
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -201,6 +201,8 @@
     :param attempts: The number of attempts made.
     :param runs: The number of attempts that may have run.
     :param failed_upstreams: The names of the upstreams on which attempts failed.
+    :param retry_target: The target whose retry budget the next or present attempt has
+        spent; empty once its end is recorded.
     :param recorded_events: The events that were forwarded; filled only for a call
         with an idempotency key.
     """
@@ -216,6 +218,7 @@
     attempts: int = 0
     runs: int = 0
     failed_upstreams: frozenset[str] = frozenset()
+    retry_target: str = ""
     recorded_events: list[bytes] = field(default_factory=list)
 
 
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -42,6 +42,7 @@
 )
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.protocol import AnswerKind
+from jujubenotch.dispatch.shared_budget import RetryEnd
 from jujubenotch.dispatch.silence import watch_exchange
 from jujubenotch.dispatch.time_limit import limit_wait
 from jujubenotch.dispatch.work_request import make_work_request
@@ -129,11 +130,15 @@
     finally:
         if answer is None:
             answer = make_failure_answer(progress, FailureReason.UPSTREAM_ERROR)
+        _end_retry(dispatcher, progress, RetryEnd.NOT_SENT)
         _finish(dispatcher, call, progress, answer, reports)
     return answer
 
 
 def _record_arrival(dispatcher, call):
+    if not call.is_borrowed:
+        # The request of a caller earns retries at the instance that it came to.
+        dispatcher.retry_budget.record_request(call.target, read_clock_s())
     dispatcher.observer.record(
         call.request_id,
         "arrived",
@@ -183,7 +188,7 @@
         block = dispatcher.find_block(call)
         if block is not None:
             return make_block_answer(progress, block)
-        answer = await dispatcher.send_elsewhere(call, progress, sink)
+        answer = await _send_elsewhere(dispatcher, call, progress, sink)
         if answer is not None:
             return answer
         grant = await dispatcher.capacity.acquire(make_work_request(call, progress))
@@ -214,6 +219,18 @@
             return answer
 
 
+async def _send_elsewhere(dispatcher, call, progress, sink):
+    is_passed_on = True
+    try:
+        answer = await dispatcher.send_elsewhere(call, progress, sink)
+        is_passed_on = answer is not None
+        return answer
+    finally:
+        if is_passed_on:
+            # The other instance may have sent it, whatever it answered.
+            _end_retry(dispatcher, progress, RetryEnd.UNCONFIRMED)
+
+
 async def _find_origin(dispatcher, call, progress):
     """Find where the stream began that a call resumes, or return a refusal."""
     origin = call.origin
@@ -298,6 +315,7 @@
         raise
     finally:
         dispatcher.meter.record_attempt_end(attempt.origin.service, attempt.tokens)
+        _end_retry(dispatcher, progress, _find_retry_end(attempt))
         if attempt.end is None:
             _release_slot(dispatcher, grant, WorkResult.CANCELLED)
         else:
@@ -306,6 +324,21 @@
     return attempt
 
 
+def _find_retry_end(attempt):
+    if attempt.head_at_s:
+        return RetryEnd.ARRIVED
+    if attempt.end is AttemptResult.CONNECT_FAILED:
+        return RetryEnd.NOT_SENT
+    return RetryEnd.UNCONFIRMED
+
+
+def _end_retry(dispatcher, progress, end):
+    """Record what became of a retry, unless that is recorded already."""
+    if progress.retry_target:
+        target, progress.retry_target = progress.retry_target, ""
+        dispatcher.retry_budget.record_retry_end(target, end, read_clock_s())
+
+
 async def _run_attempt_until_deadline(
     dispatcher, grant, upstream, call, progress, attempt, sink
 ):
@@ -346,6 +379,7 @@
 def _record_head(dispatcher, grant, call, progress, head):
     now_s = read_clock_s()
     dispatcher.record_response_start(grant, now_s)
+    _end_retry(dispatcher, progress, RetryEnd.ARRIVED)
     if dispatcher.protocol.is_for_other(call, head):
         log_event(
             logger,
@@ -394,11 +428,7 @@
         decide_next, call, progress, end, can_resume=can_resume, now_s=now_s
     )
     decision = decide(has_budget=True)
-    # Asking for budget spends it, so the budget is asked only when a retry would
-    # otherwise be made.
-    target = find_target(call, progress)
-    may_retry = dispatcher.retry_budget.may_retry
-    if isinstance(decision, Retry) and not may_retry(target, now_s):
+    if isinstance(decision, Retry) and not _spend_retry(dispatcher, call, progress):
         decision = decide(has_budget=False)
     if isinstance(decision, GiveUp):
         return make_give_up_answer(progress, attempt, decision)
@@ -411,10 +441,30 @@
         request_id=call.request_id,
         reason=decision.reason,
         upstream=grant.upstream,
+        **dispatcher.retry_budget.describe(progress.retry_target, now_s),
     )
     return None
 
 
+def _spend_retry(dispatcher, call, progress):
+    """Spend the budget for a retry that would otherwise be made."""
+    budget = dispatcher.retry_budget
+    target = find_target(call, progress)
+    now_s = read_clock_s()
+    if budget.may_retry(target, now_s):
+        progress.retry_target = target
+        return True
+    log_event(
+        logger,
+        logging.WARNING,
+        "retry-budget-spent",
+        request_id=call.request_id,
+        service=target,
+        **budget.describe(target, now_s),
+    )
+    return False
+
+
 def _log_broken_off(call, grant, attempt):
     now_s = read_clock_s()
     begun_s = now_s - attempt.head_at_s if attempt.head_at_s else None
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -9,6 +9,7 @@
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
 from jujubenotch.dispatch.meter import Meter, NoMeter
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
+from jujubenotch.dispatch.shared_budget import RetryEnd
 from jujubenotch.dispatch.silence import ExchangeRegistry
 from jujubenotch.dispatch.time_limit import TimeLimit
 from jujubenotch.outcomes import Refusal
@@ -54,15 +55,36 @@
         """Count the outcome of a call."""
 
 
+def _ignore(target, now_s):
+    """Ignore a request that earns no retry."""
+
+
+def _ignore_retry(target, end, now_s):
+    """Ignore what became of a retry."""
+
+
+def _describe_nothing(target, now_s):
+    return {}
+
+
 @dataclass(frozen=True, kw_only=True)
 class RetryBudget:
     """The retry budget's operations.
 
-    Both take the target and the present monotonic time in seconds.
+    All take the target and the present monotonic time in seconds.
+
+    :param may_retry: Spends one retry, if the budget allows it.
+    :param record_request: Called for each request of a caller.
+    :param record_success: Called for each request that was completed.
+    :param record_retry_end: Called once for each retry that was allowed.
+    :param describe: Returns the figures of the budget, for the log.
     """
 
     may_retry: Callable[[str, float], bool]
-    record_success: Callable[[str, float], None]
+    record_request: Callable[[str, float], None] = _ignore
+    record_success: Callable[[str, float], None] = _ignore
+    record_retry_end: Callable[[str, RetryEnd, float], None] = _ignore_retry
+    describe: Callable[[str, float], dict[str, float]] = _describe_nothing
 
 
 async def _find_no_origin(call):
--- a/jujubenotch/metrics/model.py
+++ b/jujubenotch/metrics/model.py
@@ -52,6 +52,7 @@
     outcomes: Counter
     refusals: Counter
     retries: Counter
+    retry_budget: Counter
     failures: Counter
     invariant_violations: Counter
     configuration_rejections: Counter
@@ -106,6 +107,7 @@
         "outcomes": "Requests answered, by outcome and class",
         "refusals": "Requests refused, by reason and tier",
         "retries": "Requests sent once more, by reason",
+        "retry_budget": "Requests and retries counted in the budget, by service",
         "failures": "Requests sent that have no whole answer, by reason",
         "invariant_violations": "Invariants found violated, by name",
         "configuration_rejections": "Changes of the records rejected, by reason",
--- a/jujubenotch/metrics/record.py
+++ b/jujubenotch/metrics/record.py
@@ -12,6 +12,7 @@
     FailureReason,
     Outcome,
     RefusalReason,
+    RetryBudgetEvent,
     RetryReason,
 )
 
@@ -49,6 +50,16 @@
     metrics.retries.inc({"reason": reason.value})
 
 
+def count_retry_budget(metrics: Metrics, service: str, event: RetryBudgetEvent) -> None:
+    """Count what adds to the retry budget of a service or spends it.
+
+    :param metrics: The metrics.
+    :param service: The service's name.
+    :param event: The kind of event.
+    """
+    metrics.retry_budget.inc({"service": service, "event": event.value})
+
+
 def count_failure(metrics: Metrics, reason: FailureReason) -> None:
     """Count a request that was sent but got no complete response.
 
--- a/jujubenotch/outcomes/__init__.py
+++ b/jujubenotch/outcomes/__init__.py
@@ -11,6 +11,7 @@
     Outcome,
     Refusal,
     RefusalReason,
+    RetryBudgetEvent,
     RetryReason,
 )
 
@@ -22,5 +23,6 @@
     "Outcome",
     "Refusal",
     "RefusalReason",
+    "RetryBudgetEvent",
     "RetryReason",
 ]
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -54,6 +54,18 @@
     VERSION_UNAVAILABLE = "version-unavailable"
 
 
+class RetryBudgetEvent(StrEnum):
+    """What is counted of the retry budget.
+
+    The sum of retries over all instances is bounded by a ratio of the sum of requests.
+    """
+
+    REQUEST = "request"
+    RETRY = "retry"
+    RETURNED = "returned"
+    DENIED = "denied"
+
+
 class RetryReason(StrEnum):
     """Why a request is sent again."""
 
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -80,6 +80,8 @@
             for name in ("config-ms", "drain-ms")
         ),
         retry_ratio=_read_number(fields, "bounds.retry-ratio", 0.1),
+        retry_extra=_read_number(fields, "bounds.retry-extra", 50.0),
+        retry_window_s=_read_number(fields, "bounds.retry-window-s", 10.0),
         cloud=_read_cloud(fields),
     )
 
--- a/jujubenotch/settings/forwarder.py
+++ b/jujubenotch/settings/forwarder.py
@@ -70,8 +70,11 @@
     :param max_key_age_s: The longest time that an API key may still be accepted
         after its removal, in seconds; 0 means no limit.
     :param grace_s: The longest time that a graceful shutdown may take, in seconds.
-    :param retry_ratio: The number of retries allowed per request, over all
-        instances together.
+    :param retry_ratio: The number of retries allowed per request within a window,
+        over all instances together.
+    :param retry_extra: The number of retries allowed in each window in addition to
+        those, over all instances together.
+    :param retry_window_s: The length of these windows, in seconds.
     :param cloud: How the platform's API is called; ``None`` switches off all calls
         to it and the lease on them.
     :param log_level: The name of a log level, for instance ``INFO``.
@@ -91,6 +94,8 @@
     max_key_age_s: float = Field(default=0.0, ge=0)
     grace_s: PositiveFloat = 8.0
     retry_ratio: float = Field(default=0.1, ge=0)
+    retry_extra: float = Field(default=50.0, ge=0)
+    retry_window_s: PositiveFloat = 10.0
     cloud: CloudSettings | None = None
     log_level: str = "INFO"
 
