Stay at a silent upstream that can't be left for a better one (LOST)

What callers saw: streams that end early though their upstream is sound and only silent for a second or two. Found while the repeats were bounded: with no repeat left, the silence still ended the first send.

Cause: the silence timeout closed the exchange before anything asked whether the request could be sent again, whether the route allows a further run, and whether another upstream would answer sooner. When all upstreams of a service fall silent each request was sent to a second one that is as silent.

Change: the timeout asks first. A request leaves its silent upstream only if the route and the budget allow one more send, which is then spent, and unless the service is silent as a whole: two upstreams or more have requests of this instance, and none has sent anything for half of the timeout. Else it waits on, and is looked at again each 0.5 s. Each decision to wait is logged with its reason.

The site of features/platform states a number of repeats that is not reached, so that its scenarios don't depend on how long the program has run.

--- a/features/platform/site.py
+++ b/features/platform/site.py
@@ -39,6 +39,7 @@
 bounds.revoke-ms={revoke_ms}
 bounds.grace-s=4
 bounds.retry-ratio=0.2
+bounds.retry-extra=600
 a-name-that-is-not-known=1
 """
 
--- a/features/retries/fleet.py
+++ b/features/retries/fleet.py
@@ -25,7 +25,6 @@
 from features.platform.steps.versions_steps import NEIGHBOUR_PORTS, add_instance
 from standins.store import write_row
 
-BOUNDS = "bounds.retry-extra={extra:g}\nbounds.retry-window-s={window_s:g}\n"
 WAIT_S = 15.0
 
 
@@ -68,18 +67,18 @@
     list_upstream(fleet.site, name, slots=48)
 
 
-def start_instances(fleet, count, *, extra, window_s=10.0):
+def start_instances(fleet, count, bounds):
     for number in range(1, count + 1):
         view = add_instance(fleet.site, number)
         settings = SETTINGS.replace(
             "{host}:{store_port}", f"{fleet.site.host}:{{store_port}}"
         )
         settings = settings.replace("edge-a-1", f"edge-a-{number}")
-        bounds = BOUNDS.format(extra=extra, window_s=window_s)
         start_program(view, settings=settings + NEIGHBOUR_PORTS + bounds)
         fleet.instances.append(view)
     for view in fleet.instances:
         wait_until_ready(view)
+        wait_until_logged(view, "instances-counted")
 
 
 def put_routes(fleet):
@@ -122,10 +121,15 @@
             fleet.calls.append(call)
 
 
+def read_journal(upstream):
+    """Return the ids of the requests that arrived at an upstream, in their order."""
+    return upstream.journal.read_text().split()
+
+
 def count_arrivals(fleet):
     """Count how often each request arrived at any upstream."""
     return collections.Counter(
-        line for each in fleet.upstreams for line in each.journal.read_text().split()
+        request_id for each in fleet.upstreams for request_id in read_journal(each)
     )
 
 
@@ -136,11 +140,6 @@
         time.sleep(0.02)
 
 
-def wait_until_counted(fleet):
-    for view in fleet.instances:
-        wait_until_logged(view, "instances-counted")
-
-
 def close_fleet(fleet):
     fleet.executor.shutdown(cancel_futures=True)
     for each in [*fleet.upstreams, *fleet.instances]:
--- a/features/retries/silence.feature
+++ b/features/retries/silence.feature
@@ -14,3 +14,28 @@
       | idle timeout  |
       | route timeout |
       | routes        |
+
+  # Guards against a stream that is cut at an upstream that is only silent, as it can't be
+  # sent to another one (LOST).
+  Scenario: Streams that may not be repeated wait for their silent upstreams
+    Given a site of 3 instances and 3 upstreams, which may repeat nothing
+    When each instance forwards 4 streams that may be resumed
+    And all upstreams are stopped for 1.9 s
+    Then all callers got their streams whole
+    And no request has arrived twice
+
+  # Guards against a second send to an upstream that is as silent as the first one.
+  Scenario: Streams wait while all upstreams are silent
+    Given a site of 3 instances and 3 upstreams, which may repeat 600 requests in 10 s
+    When each instance forwards 8 streams that may be resumed
+    And all upstreams are stopped for 1.9 s
+    Then all callers got their streams whole
+    And no request has arrived twice
+
+  # Guards against callers that wait for an upstream that is silent by itself.
+  Scenario: Streams leave the one upstream that is silent
+    Given a site of 3 instances and 3 upstreams, which may repeat 600 requests in 10 s
+    When each instance forwards 8 streams that may be resumed
+    And one upstream is stopped for 6 s
+    Then all callers got their streams whole
+    And the streams of the stopped upstream have arrived twice
--- a/features/retries/steps/silence_steps.py
+++ b/features/retries/steps/silence_steps.py
@@ -1,3 +1,4 @@
+import re
 import signal
 import time
 
@@ -10,13 +11,16 @@
     close_fleet,
     count_arrivals,
     put_routes,
+    read_journal,
     send_streams,
     start_instances,
     start_upstream,
     wait_for_arrivals,
 )
+from features.retries.upstream import EVENTS
 
 CHANGE_LEAD_S = 0.6
+EVENT_ID = re.compile(rb"id: (\d+)")
 
 
 @given(
@@ -24,13 +28,26 @@
     "{extra:d} requests in 10 s"
 )
 def open_fleet(context, instances, upstreams, extra):
+    _open_fleet(context, instances, upstreams, f"bounds.retry-extra={extra}\n")
+
+
+@given(
+    "a site of {instances:d} instances and {upstreams:d} upstreams, which may repeat "
+    "nothing"
+)
+def open_fleet_without_repeats(context, instances, upstreams):
+    bounds = "bounds.retry-extra=0\nbounds.retry-ratio=0\n"
+    _open_fleet(context, instances, upstreams, bounds)
+
+
+def _open_fleet(context, instances, upstreams, bounds):
     site = context.stack.enter_context(open_site())
     fleet = context.fleet = RetryFleet(site=site)
     context.stack.callback(close_fleet, fleet)
     put_routes(fleet)
     for number in range(upstreams):
         start_upstream(fleet, f"u-{number}")
-    start_instances(fleet, instances, extra=extra)
+    start_instances(fleet, instances, bounds)
 
 
 @when("each instance forwards {count:d} streams that may be resumed")
@@ -46,11 +63,23 @@
 
 
 @when("all upstreams are stopped for {seconds:g} s")
-def stop_upstreams(context, seconds):
-    for each in context.fleet.upstreams:
+def stop_all(context, seconds):
+    _stop(context, context.fleet.upstreams, seconds)
+
+
+@when("one upstream is stopped for {seconds:g} s")
+def stop_one(context, seconds):
+    # One that has requests of all instances.
+    busiest = max(context.fleet.upstreams, key=lambda each: len(read_journal(each)))
+    context.stopped_ids = read_journal(busiest)
+    _stop(context, [busiest], seconds)
+
+
+def _stop(context, upstreams, seconds):
+    for each in upstreams:
         each.process.send_signal(signal.SIGSTOP)
     time.sleep(seconds)
-    for each in context.fleet.upstreams:
+    for each in upstreams:
         each.process.send_signal(signal.SIGCONT)
     context.replies = [call.result() for call in context.fleet.calls]
 
@@ -60,3 +89,22 @@
     arrivals = count_arrivals(context.fleet)
     repeats = arrivals.total() - len(arrivals)
     assert repeats <= ratio * len(arrivals) + extra, (repeats, len(arrivals))
+
+
+@then("all callers got their streams whole")
+def check_streams(context):
+    for reply in context.replies:
+        numbers = [int(each) for each in EVENT_ID.findall(reply.body)]
+        assert reply.is_whole and numbers == list(range(1, EVENTS + 1)), reply
+
+
+@then("no request has arrived twice")
+def check_arrivals(context):
+    arrivals = count_arrivals(context.fleet)
+    assert max(arrivals.values()) == 1, arrivals
+
+
+@then("the streams of the stopped upstream have arrived twice")
+def check_left(context):
+    arrivals = count_arrivals(context.fleet)
+    assert {arrivals[each] for each in context.stopped_ids} == {2}, arrivals
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -8,6 +8,7 @@
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink, find_resume_point
 from jujubenotch.dispatch.decide import WORK_RESULTS, AttemptResult
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
+from jujubenotch.dispatch.silence_limit import SilenceLimit, limit_silence
 from jujubenotch.outcomes import Outcome
 from jujubenotch.records import Upstream
 from jujubenotch.streams import StreamOrigin
@@ -89,6 +90,11 @@
     error: str = ""
     is_broken_off: bool = False
 
+    @property
+    def heard_s(self) -> float:
+        """When the upstream last sent something, monotonic, in seconds; 0 before."""
+        return max(self.head_at_s, self.last_token_at_s)
+
 
 async def run_attempt(
     connections: UpstreamConnections,
@@ -100,6 +106,7 @@
     sink: Sink,
     record_head: Callable[[UpstreamAnswer], None],
     record_stream_start: Callable[[], None],
+    may_leave: Callable[[], bool] = lambda: True,
 ) -> None:
     """Send a call to an upstream and forward the response.
 
@@ -112,12 +119,17 @@
     :param sink: Receives the events of a stream.
     :param record_head: Called when the head of the response arrives.
     :param record_stream_start: Called before the head of a stream is forwarded.
+    :param may_leave: Called when the upstream has been silent for the call's limit;
+        returns whether the attempt ends for that.
     :raises CallerDisconnectedError: The caller has disconnected.
     """
     request = make_upstream_request(protocol, upstream, call, progress)
     try:
-        async with open_exchange(connections, request) as answer:
-            attempt.head_at_s = read_clock_s()
+        async with (
+            limit_silence(call.silence_timeout_s, may_leave) as silence,
+            open_exchange(connections, request) as answer,
+        ):
+            attempt.head_at_s = silence.heard_s = read_clock_s()
             record_head(answer)
             receiver = _Receiver(
                 connections=connections,
@@ -126,6 +138,7 @@
                 progress=progress,
                 attempt=attempt,
                 sink=sink,
+                silence=silence,
                 record_stream_start=record_stream_start,
             )
             await _receive(receiver, answer)
@@ -168,7 +181,6 @@
         body=call.body,
         is_repeatable=may_repeat and not has_failed,
         is_stream=call.is_stream,
-        silence_timeout_s=call.silence_timeout_s,
     )
 
 
@@ -213,6 +225,7 @@
     progress: Progress
     attempt: Attempt
     sink: Sink
+    silence: SilenceLimit
     record_stream_start: Callable[[], None]
 
 
@@ -232,7 +245,11 @@
     if receiver.call.is_stream and has_event_stream(answer):
         await _forward_stream(receiver, answer)
         return
-    body = await read_body(answer, receiver.connections.limits.max_answer_bytes)
+    body = await read_body(
+        answer,
+        receiver.connections.limits.max_answer_bytes,
+        lambda: _note_heard(receiver.silence),
+    )
     if receiver.progress.is_stream_started:
         # A stream can only be resumed by another stream.
         attempt.end = AttemptResult.UPSTREAM_ERROR
@@ -240,6 +257,10 @@
     _set_complete_answer(attempt, answer, body)
 
 
+def _note_heard(silence):
+    silence.heard_s = read_clock_s()
+
+
 def _set_complete_answer(attempt, answer, body):
     attempt.first_token_at_s = read_clock_s()
     attempt.last_token_at_s = attempt.first_token_at_s
@@ -345,18 +366,13 @@
     An upstream that sends bytes but completes no event has stalled. The time that a
     slow caller takes to receive events doesn't count.
     """
-    max_pause_s = receiver.call.silence_timeout_s
-    try:
-        async with asyncio.timeout(max_pause_s) as pause:
-            with translate_errors():
-                await _forward_while_events_come(receiver, answer, buffer, pause)
-    except TimeoutError as error:
-        raise SilentUpstreamError(f"no event for {max_pause_s} s") from error
+    with translate_errors():
+        await _forward_while_events_come(receiver, answer, buffer)
 
 
-async def _forward_while_events_come(receiver, answer, buffer, pause):
+async def _forward_while_events_come(receiver, answer, buffer):
     attempt = receiver.attempt
-    max_pause_s = receiver.call.silence_timeout_s
+    silence = receiver.silence
     read_time_s = asyncio.get_running_loop().time
     keeps_events = bool(receiver.call.idempotency_key)
     send = receiver.sink.send
@@ -369,7 +385,7 @@
             buffer.last_events = b""
             raise StreamRestartedError
         resume_after_event_id = ""
-        pause.reschedule(None)
+        silence.is_paused = True
         attempt.last_token_at_s = read_time_s()
         if not attempt.first_token_at_s:
             attempt.first_token_at_s = attempt.last_token_at_s
@@ -377,5 +393,5 @@
         if keeps_events:
             receiver.progress.recorded_events.append(events)
         await send(events)
-        if max_pause_s is not None:
-            pause.reschedule(read_time_s() + max_pause_s)
+        silence.is_paused = False
+        silence.heard_s = read_time_s()
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -81,8 +81,8 @@
         still to be found.
     :param is_borrowed: Whether another instance has sent the call, as it reaches no
         upstream; the call is not sent to a further instance.
-    :param silence_timeout_s: How long an upstream may send nothing, in seconds;
-        ``None`` uses the timeout of the connections.
+    :param silence_timeout_s: How long an upstream may send nothing before the call is
+        sent to another one, in seconds; with ``None`` it never is for that.
     :param basis: The configuration with which the request was matched; ``None`` when
         that is not known.
     """
@@ -201,8 +201,10 @@
     :param attempts: The number of attempts made.
     :param runs: The number of attempts that may have run.
     :param failed_upstreams: The names of the upstreams on which attempts failed.
-    :param retry_target: The target whose retry budget the next or present attempt has
-        spent; empty once its end is recorded.
+    :param allowed_retry_target: The target whose retry budget was spent for the next
+        attempt; empty without one.
+    :param retry_target: The target whose retry budget was spent for the present
+        attempt; empty once its end is recorded.
     :param recorded_events: The events that were forwarded; filled only for a call
         with an idempotency key.
     """
@@ -218,6 +220,7 @@
     attempts: int = 0
     runs: int = 0
     failed_upstreams: frozenset[str] = frozenset()
+    allowed_retry_target: str = ""
     retry_target: str = ""
     recorded_events: list[bytes] = field(default_factory=list)
 
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 import functools
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jujubenotch.crashes import digest_part, digest_request
 from jujubenotch.dispatch.answers import (
@@ -42,6 +42,7 @@
 )
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.protocol import AnswerKind
+from jujubenotch.dispatch.service_silence import is_silent, watch_attempt
 from jujubenotch.dispatch.shared_budget import RetryEnd
 from jujubenotch.dispatch.silence import watch_exchange
 from jujubenotch.dispatch.time_limit import limit_wait
@@ -130,6 +131,7 @@
     finally:
         if answer is None:
             answer = make_failure_answer(progress, FailureReason.UPSTREAM_ERROR)
+        _start_retry(progress)
         _end_retry(dispatcher, progress, RetryEnd.NOT_SENT)
         _finish(dispatcher, call, progress, answer, reports)
     return answer
@@ -221,6 +223,7 @@
 
 async def _send_elsewhere(dispatcher, call, progress, sink):
     is_passed_on = True
+    _start_retry(progress)
     try:
         answer = await dispatcher.send_elsewhere(call, progress, sink)
         is_passed_on = answer is not None
@@ -300,14 +303,16 @@
     )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
     progress.attempts += 1
+    _start_retry(progress)
     dispatcher.meter.record_attempt_start(attempt.origin.service)
     try:
         if upstream is None:
             attempt.end = AttemptResult.CONNECT_FAILED
         else:
-            await _run_attempt_until_deadline(
-                dispatcher, grant, upstream, call, progress, attempt, sink
-            )
+            with watch_attempt(dispatcher.service_silence, attempt):
+                await _run_attempt_until_deadline(
+                    dispatcher, grant, upstream, call, progress, attempt, sink
+                )
     except BaseException:
         # The caller disconnected or the call was cancelled while the attempt
         # was in progress, so the upstream may have run the request.
@@ -332,6 +337,13 @@
     return RetryEnd.UNCONFIRMED
 
 
+def _start_retry(progress):
+    """Let the budget that was spent for the next attempt be that of the present one."""
+    if progress.allowed_retry_target:
+        progress.retry_target = progress.allowed_retry_target
+        progress.allowed_retry_target = ""
+
+
 def _end_retry(dispatcher, progress, end):
     """Record what became of a retry, unless that is recorded already."""
     if progress.retry_target:
@@ -354,6 +366,7 @@
                 sink,
                 lambda head: _record_head(dispatcher, grant, call, progress, head),
                 lambda: _record_stream_start(dispatcher, grant, call, progress),
+                lambda: _may_leave(dispatcher, upstream, call, progress, attempt),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -422,8 +435,7 @@
     progress.failed_upstreams |= {grant.upstream}
     now_s = read_clock_s()
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
-    resumes = call.can_resume_elsewhere or bool(upstream and upstream.resumes_streams)
-    can_resume = resumes and bool(progress.last_event_id)
+    can_resume = _can_resume(call, upstream) and bool(progress.last_event_id)
     decide = functools.partial(
         decide_next, call, progress, end, can_resume=can_resume, now_s=now_s
     )
@@ -441,18 +453,67 @@
         request_id=call.request_id,
         reason=decision.reason,
         upstream=grant.upstream,
-        **dispatcher.retry_budget.describe(progress.retry_target, now_s),
+        **dispatcher.retry_budget.describe(progress.allowed_retry_target, now_s),
     )
     return None
 
 
+def _can_resume(call, upstream):
+    return call.can_resume_elsewhere or bool(upstream and upstream.resumes_streams)
+
+
+def _may_leave(dispatcher, upstream, call, progress, attempt):
+    """Return whether a call leaves its silent upstream for another one.
+
+    One that can't be sent again waits on: a late response is worth more than none. So
+    does one whose service is silent as a whole, as no upstream would answer sooner.
+    """
+    now_s = read_clock_s()
+    if is_silent(
+        dispatcher.service_silence,
+        attempt.origin.service,
+        silence_s=call.silence_timeout_s,
+        now_s=now_s,
+    ):
+        _log_wait(call, upstream, attempt, "service-silent", now_s)
+        return False
+    left = replace(progress)
+    record_attempt(left, AttemptResult.SILENT)
+    decision = decide_next(
+        call,
+        left,
+        AttemptResult.SILENT,
+        can_resume=_can_resume(call, upstream),
+        has_budget=True,
+        now_s=now_s,
+    )
+    if isinstance(decision, Retry):
+        return _spend_retry(dispatcher, call, progress)
+    _log_wait(call, upstream, attempt, decision.reason, now_s)
+    return False
+
+
+def _log_wait(call, upstream, attempt, reason, now_s):
+    log_event(
+        logger,
+        logging.INFO,
+        "silent-upstream-kept",
+        request_id=call.request_id,
+        upstream=upstream.name,
+        reason=reason,
+        silent_s=round(now_s - max(attempt.heard_s, attempt.sent_at_s), 3),
+    )
+
+
 def _spend_retry(dispatcher, call, progress):
     """Spend the budget for a retry that would otherwise be made."""
+    if progress.allowed_retry_target:
+        return True
     budget = dispatcher.retry_budget
     target = find_target(call, progress)
     now_s = read_clock_s()
     if budget.may_retry(target, now_s):
-        progress.retry_target = target
+        progress.allowed_retry_target = target
         return True
     log_event(
         logger,
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -9,6 +9,7 @@
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
 from jujubenotch.dispatch.meter import Meter, NoMeter
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
+from jujubenotch.dispatch.service_silence import ServiceSilence
 from jujubenotch.dispatch.shared_budget import RetryEnd
 from jujubenotch.dispatch.silence import ExchangeRegistry
 from jujubenotch.dispatch.time_limit import TimeLimit
@@ -122,6 +123,7 @@
         the first event is forwarded.
     :param record_attempt: Called with the call and its attempt when the attempt has
         ended.
+    :param service_silence: When each service was last heard of.
     :param meter: Counts what calls ask of services.
     :param in_progress: The tasks of the calls that have not ended.
     :param time_limit: The time by which all calls must have ended.
@@ -153,6 +155,7 @@
         None
     )
     record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
+    service_silence: ServiceSilence = field(default_factory=ServiceSilence)
     meter: Meter = field(default_factory=NoMeter)
     in_progress: set[asyncio.Task] = field(default_factory=set)
     time_limit: TimeLimit = field(default_factory=TimeLimit)
--- /dev/null
+++ b/jujubenotch/dispatch/silence_limit.py
@@ -0,0 +1,69 @@
+"""Ends an exchange whose upstream is silent, unless it is better to wait on."""
+
+import asyncio
+from collections.abc import AsyncIterator, Callable
+from contextlib import asynccontextmanager
+from dataclasses import dataclass
+
+from jujubenotch.upstreams import SilentUpstreamError
+
+# The time until an exchange that waits on is looked at again. It is also the time that
+# upstreams have to go on after all of them were silent.
+RECHECK_S = 0.5
+
+
+@dataclass(kw_only=True)
+class SilenceLimit:
+    """How long an upstream has been silent.
+
+    :param heard_s: The monotonic time at which the upstream last sent something, or
+        was sent the request, in seconds.
+    :param is_paused: Whether the caller receives what the upstream has sent, which
+        takes as long as the caller takes.
+    """
+
+    heard_s: float
+    is_paused: bool = False
+
+
+@asynccontextmanager
+async def limit_silence(
+    max_silence_s: float | None, may_leave: Callable[[], bool]
+) -> AsyncIterator[SilenceLimit]:
+    """End the enclosed exchange when its upstream is silent for too long.
+
+    :param max_silence_s: The longest silence, in seconds; ``None`` means no limit.
+    :param may_leave: Called when the limit has passed; when it returns false the
+        exchange goes on, and this is called again later.
+    :returns: A context manager that yields what the exchange has to keep up to date.
+    :raises SilentUpstreamError: The upstream was silent for too long.
+    """
+    loop = asyncio.get_running_loop()
+    limit = SilenceLimit(heard_s=loop.time())
+    if max_silence_s is None:
+        yield limit
+        return
+    try:
+        async with asyncio.timeout(None) as timeout:
+            timer = None
+
+            def check():
+                nonlocal timer
+                now_s = loop.time()
+                next_s = limit.heard_s + max_silence_s
+                if limit.is_paused:
+                    next_s = now_s + max_silence_s
+                elif next_s <= now_s:
+                    if may_leave():
+                        timeout.reschedule(now_s)
+                        return
+                    next_s = now_s + RECHECK_S
+                timer = loop.call_at(next_s, check)
+
+            timer = loop.call_at(limit.heard_s + max_silence_s, check)
+            try:
+                yield limit
+            finally:
+                timer.cancel()
+    except TimeoutError as error:
+        raise SilentUpstreamError(f"nothing for {max_silence_s} s") from error
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -1,13 +1,13 @@
 """Sends one request to one upstream and reads the response."""
 
-from collections.abc import AsyncIterator, Iterator
+from collections.abc import AsyncIterator, Callable, Iterator
 from contextlib import asynccontextmanager, contextmanager
 from dataclasses import dataclass
 
 import aiohttp
 from yarl import URL
 
-from jujubenotch.upstreams.connections import UpstreamConnections, make_timeout
+from jujubenotch.upstreams.connections import UpstreamConnections
 from jujubenotch.upstreams.errors import (
     AnswerTooLargeError,
     ConnectFailedError,
@@ -28,8 +28,6 @@
     :param headers: Names and values, in order.
     :param is_repeatable: Whether the request may be sent on a reused connection.
     :param is_stream: Whether the expected response is a stream of events.
-    :param silence_timeout_s: How long the upstream may send nothing, in seconds;
-        ``None`` uses the timeout of the connections.
     """
 
     method: str
@@ -38,7 +36,6 @@
     body: bytes
     is_repeatable: bool
     is_stream: bool = False
-    silence_timeout_s: float | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -102,11 +99,16 @@
         response.close()
 
 
-async def read_body(answer: UpstreamAnswer, max_size_bytes: int) -> bytes:
+async def read_body(
+    answer: UpstreamAnswer,
+    max_size_bytes: int,
+    note_part: Callable[[], None] = lambda: None,
+) -> bytes:
     """Read the complete body of a response.
 
     :param answer: The response.
     :param max_size_bytes: The maximum size of the body.
+    :param note_part: Called when a part of the body has arrived.
     :returns: The body.
     :raises AnswerTooLargeError: The body is larger than ``max_size_bytes``.
     :raises SilentUpstreamError: No data arrived within the timeout.
@@ -116,6 +118,7 @@
     size_bytes = 0
     with translate_errors():
         async for part in answer.response.content.iter_any():
+            note_part()
             size_bytes += len(part)
             if size_bytes > max_size_bytes:
                 raise AnswerTooLargeError(
@@ -165,7 +168,4 @@
 
 
 def _choose_timeout(connections, request):
-    if request.silence_timeout_s is not None:
-        timeout = make_timeout(connections.limits, request.silence_timeout_s)
-        return {"timeout": timeout}
     return {"timeout": connections.stream_timeout} if request.is_stream else {}
