--- a/features/platform/paths.py
+++ b/features/platform/paths.py
@@ -20,6 +20,9 @@
 WORK_S = 0.03
 EVENTS = 5
 CHUNK_BYTES = 65536
+TURNED_AWAY = (
+    b"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %b\r\nContent-Length: 0\r\n\r\n"
+)
 
 
 @dataclass(kw_only=True)
@@ -28,7 +31,8 @@
 
     ``ran`` has the ids, and ``left`` the ids whose connection closed before the end.
     With ``is_unframed`` its responses have no length; it resets the connection of one
-    whose request has the body ``reset``, after the second event or part.
+    whose request has the body ``reset``, after the second event or part. With
+    ``turns_away`` it runs no request, and answers as another process than the one expected.
     """
 
     name: str
@@ -40,6 +44,7 @@
     server: asyncio.Server | None = None
     port: int = 0
     is_unframed: bool = False
+    turns_away: bool = False
 
 
 async def start_recording_upstream(host, upstream):
@@ -58,6 +63,10 @@
         length = CONTENT_LENGTH.search(head)
         body = await reader.readexactly(int(length[1])) if length else b""
         request_id = read_id(head).decode()
+        if upstream.turns_away:
+            upstream.heads.append(head)
+            writer.write(TURNED_AWAY % read_id(head))
+            continue
         upstream.ran.append(request_id)
         upstream.heads.append(head)
         if upstream.is_unframed:
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -28,6 +28,7 @@
 from jujubenotch.listeners import set_request_limits
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import (
+    ATTEMPTS_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     Outcome,
@@ -306,6 +307,8 @@
     response.headers.add(OUTCOME_HEADER, str(answer.outcome))
     if answer.reason:
         response.headers.add(REASON_HEADER, str(answer.reason))
+    if answer.attempts:
+        response.headers.add(ATTEMPTS_HEADER, str(answer.attempts))
     if answer.retry_after_s > 0:
         response.headers.add("Retry-After", f"{answer.retry_after_s:.3f}")
 
--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -3,7 +3,7 @@
 import logging
 import math
 import random
-from dataclasses import replace
+from dataclasses import dataclass, replace
 
 from jujubenotch.daemon.forward_reach import DetourWatch
 from jujubenotch.daemon.forward_streams import MIN_LIST_AGE_S, wait_for_instances
@@ -21,6 +21,8 @@
     AttemptResult,
     Call,
     Progress,
+    RetryBudget,
+    RetryEnd,
     Sink,
     find_target,
     limit_wait,
@@ -32,7 +34,12 @@
     run_attempt,
 )
 from jujubenotch.logs import log_event
-from jujubenotch.outcomes import REASON_HEADER, Refusal, RefusalReason
+from jujubenotch.outcomes import (
+    ATTEMPTS_HEADER,
+    REASON_HEADER,
+    Refusal,
+    RefusalReason,
+)
 from jujubenotch.records import Upstream, UpstreamKind
 from jujubenotch.upstreams import UpstreamConnections
 
@@ -59,6 +66,7 @@
 async def send_elsewhere(
     watch: DetourWatch,
     connections: UpstreamConnections,
+    retry_budget: RetryBudget,
     call: Call,
     progress: Progress,
     sink: Sink,
@@ -70,6 +78,7 @@
 
     :param watch: The state of the watch; changed in place.
     :param connections: The connections to upstreams and instances.
+    :param retry_budget: Bounds how often a call arrives again at its service.
     :param call: The call.
     :param progress: The call's progress; changed in place.
     :param sink: Receives the events of a stream.
@@ -87,19 +96,27 @@
     if call.is_borrowed or is_begun_elsewhere:
         return make_refusal_answer(progress, _refuse(service))
     await _wait_for_helpers(watch.streams)
-    return await _ask_in_turn(watch, connections, call, progress, sink, lost_for_s)
+    return await _ask_in_turn(
+        watch, connections, retry_budget, call, progress, sink, lost_for_s
+    )
 
 
-async def _ask_in_turn(watch, connections, call, progress, sink, lost_for_s):
+async def _ask_in_turn(
+    watch, connections, retry_budget, call, progress, sink, lost_for_s
+):
     """Ask one instance after the other until one has sent the call on."""
     service = find_target(call, progress)
     draws = {each: random.random() for each in watch.streams.neighbours.listed}
     started_s = read_clock_s()
     asked = []
+    result = _HelperResult()
     while read_clock_s() - started_s < ASKING_TIME_S:
         address = _choose(watch, asked, draws)
         if address is None:
             break
+        is_retry = result.has_sent
+        if is_retry and not retry_budget.may_retry(service, read_clock_s()):
+            break
         asked.append(address)
         _log(
             call,
@@ -109,9 +126,17 @@
             data_centre=watch.streams.neighbours.listed.get(address, ""),
             lost_for_s=round(lost_for_s, 3),
         )
-        answer = await _try_helper(watch, connections, address, call, progress, sink)
-        if answer is not None:
-            return answer
+        try:
+            result = await _try_helper(
+                watch, connections, address, call, progress, sink
+            )
+        finally:
+            if is_retry:
+                retry_budget.record_retry_end(
+                    service, RetryEnd.UNCONFIRMED, read_clock_s()
+                )
+        if result.answer is not None:
+            return result.answer
     _log(
         call,
         "detour-unavailable",
@@ -125,6 +150,20 @@
     return make_refusal_answer(progress, _refuse(service))
 
 
+@dataclass(frozen=True, kw_only=True)
+class _HelperResult:
+    """What became of a call that another instance was asked to send on.
+
+    :param answer: The response for the caller; ``None`` when a further instance may be
+        asked.
+    :param has_sent: Whether that instance sent the call to an upstream, which refused
+        it.
+    """
+
+    answer: Answer | None = None
+    has_sent: bool = False
+
+
 async def _wait_for_helpers(streams):
     """Wait until the other instances are listed, again if that has failed before."""
     is_listed = bool(streams.neighbours.listed)
@@ -153,7 +192,7 @@
 
 
 async def _try_helper(watch, connections, address, call, progress, sink):
-    """Send a call to another instance; return ``None`` to try a further one."""
+    """Send a call to another instance."""
     attempt = Attempt(sent_at_s=read_clock_s())
     heads = []
     progress.must_finish = call.outlives_caller
@@ -186,7 +225,10 @@
         error=attempt.error,
         took_s=round(read_clock_s() - attempt.sent_at_s, 4),
     )
-    return _interpret(watch, address, attempt, reason, heads, progress)
+    return _HelperResult(
+        answer=_interpret(watch, address, attempt, reason, heads, progress),
+        has_sent=bool(heads and heads[0].find_header(ATTEMPTS_HEADER)),
+    )
 
 
 def _interpret(watch, address, attempt, reason, heads, progress):
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -246,7 +246,7 @@
             watches.streams, call, origin
         ),
         send_elsewhere=functools.partial(
-            send_elsewhere, watches.detours, helper_connections
+            send_elsewhere, watches.detours, helper_connections, retry_budget
         ),
         record_attempt=functools.partial(
             _record_attempt, watches.crashes, watches.detours
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -139,6 +139,8 @@
         seconds; 0 when a retry is not suggested.
     :param is_framed: Whether the response has a length or is chunked. A response
         that is not framed ends when its connection closes.
+    :param attempts: How often a call of another instance was sent to an upstream; 0 for
+        all other calls.
     :param is_streamed: Whether the response is a stream of events. ``body`` is
         empty when the events were forwarded as they arrived, and holds all events
         of a recorded stream.
@@ -152,6 +154,7 @@
     headers: Headers = ()
     body: bytes = b""
     is_framed: bool = True
+    attempts: int = 0
     is_streamed: bool = False
 
 
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -131,6 +131,8 @@
     finally:
         if answer is None:
             answer = make_failure_answer(progress, FailureReason.UPSTREAM_ERROR)
+        if call.is_borrowed:
+            answer.attempts = progress.attempts
         _start_retry(progress)
         _end_retry(dispatcher, progress, RetryEnd.NOT_SENT)
         _finish(dispatcher, call, progress, answer, reports)
--- a/jujubenotch/outcomes/__init__.py
+++ b/jujubenotch/outcomes/__init__.py
@@ -4,6 +4,7 @@
 """
 
 from jujubenotch.outcomes.core import (
+    ATTEMPTS_HEADER,
     OUTCOME_HEADER,
     REASON_HEADER,
     ChangeRefusalReason,
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "ATTEMPTS_HEADER",
     "OUTCOME_HEADER",
     "REASON_HEADER",
     "ChangeRefusalReason",
