--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -5,7 +5,7 @@
 import functools
 import logging
 from collections.abc import Callable
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 from jujubenotch.crashes import digest_part, digest_request
 from jujubenotch.dispatch.answers import (
@@ -42,7 +42,15 @@
 )
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.protocol import AnswerKind
-from jujubenotch.dispatch.service_silence import is_silent, watch_attempt
+from jujubenotch.dispatch.retries import (
+    can_resume_elsewhere,
+    end_retry,
+    find_retry_end,
+    may_leave,
+    spend_retry_budget,
+    start_retry,
+)
+from jujubenotch.dispatch.service_silence import watch_attempt
 from jujubenotch.dispatch.shared_budget import RetryEnd
 from jujubenotch.dispatch.silence import watch_exchange
 from jujubenotch.dispatch.time_limit import limit_wait
@@ -133,8 +141,8 @@
             answer = make_failure_answer(progress, FailureReason.UPSTREAM_ERROR)
         if call.is_borrowed:
             answer.attempts = progress.attempts
-        _start_retry(progress)
-        _end_retry(dispatcher, progress, RetryEnd.NOT_SENT)
+        start_retry(progress)
+        end_retry(dispatcher, progress, RetryEnd.NOT_SENT)
         _finish(dispatcher, call, progress, answer, reports)
     return answer
 
@@ -225,7 +233,7 @@
 
 async def _send_elsewhere(dispatcher, call, progress, sink):
     is_passed_on = True
-    _start_retry(progress)
+    start_retry(progress)
     try:
         answer = await dispatcher.send_elsewhere(call, progress, sink)
         is_passed_on = answer is not None
@@ -233,7 +241,7 @@
     finally:
         if is_passed_on:
             # The other instance may have sent it, whatever it answered.
-            _end_retry(dispatcher, progress, RetryEnd.UNCONFIRMED)
+            end_retry(dispatcher, progress, RetryEnd.UNCONFIRMED)
 
 
 async def _find_origin(dispatcher, call, progress):
@@ -305,7 +313,7 @@
     )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
     progress.attempts += 1
-    _start_retry(progress)
+    start_retry(progress)
     dispatcher.meter.record_attempt_start(attempt.origin.service)
     try:
         if upstream is None:
@@ -322,7 +330,7 @@
         raise
     finally:
         dispatcher.meter.record_attempt_end(attempt.origin.service, attempt.tokens)
-        _end_retry(dispatcher, progress, _find_retry_end(attempt))
+        end_retry(dispatcher, progress, find_retry_end(attempt))
         if attempt.end is None:
             _release_slot(dispatcher, grant, WorkResult.CANCELLED)
         else:
@@ -331,28 +339,6 @@
     return attempt
 
 
-def _find_retry_end(attempt):
-    if attempt.head_at_s:
-        return RetryEnd.ARRIVED
-    if attempt.end is AttemptResult.CONNECT_FAILED:
-        return RetryEnd.NOT_SENT
-    return RetryEnd.UNCONFIRMED
-
-
-def _start_retry(progress):
-    """Let the budget that was spent for the next attempt be that of the present one."""
-    if progress.allowed_retry_target:
-        progress.retry_target = progress.allowed_retry_target
-        progress.allowed_retry_target = ""
-
-
-def _end_retry(dispatcher, progress, end):
-    """Record what became of a retry, unless that is recorded already."""
-    if progress.retry_target:
-        target, progress.retry_target = progress.retry_target, ""
-        dispatcher.retry_budget.record_retry_end(target, end, read_clock_s())
-
-
 async def _run_attempt_until_deadline(
     dispatcher, grant, upstream, call, progress, attempt, sink
 ):
@@ -368,7 +354,7 @@
                 sink,
                 lambda head: _record_head(dispatcher, grant, call, progress, head),
                 lambda: _record_stream_start(dispatcher, grant, call, progress),
-                lambda: _may_leave(dispatcher, upstream, call, progress, attempt),
+                lambda: may_leave(dispatcher, upstream, call, progress, attempt),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
@@ -394,7 +380,7 @@
 def _record_head(dispatcher, grant, call, progress, head):
     now_s = read_clock_s()
     dispatcher.record_response_start(grant, now_s)
-    _end_retry(dispatcher, progress, RetryEnd.ARRIVED)
+    end_retry(dispatcher, progress, RetryEnd.ARRIVED)
     if dispatcher.protocol.is_for_other(call, head):
         log_event(
             logger,
@@ -437,12 +423,14 @@
     progress.failed_upstreams |= {grant.upstream}
     now_s = read_clock_s()
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
-    can_resume = _can_resume(call, upstream) and bool(progress.last_event_id)
+    can_resume = can_resume_elsewhere(call, upstream) and bool(progress.last_event_id)
     decide = functools.partial(
         decide_next, call, progress, end, can_resume=can_resume, now_s=now_s
     )
     decision = decide(has_budget=True)
-    if isinstance(decision, Retry) and not _spend_retry(dispatcher, call, progress):
+    if isinstance(decision, Retry) and not spend_retry_budget(
+        dispatcher, call, progress
+    ):
         decision = decide(has_budget=False)
     if isinstance(decision, GiveUp):
         return make_give_up_answer(progress, attempt, decision)
@@ -460,74 +448,6 @@
     return None
 
 
-def _can_resume(call, upstream):
-    return call.can_resume_elsewhere or bool(upstream and upstream.resumes_streams)
-
-
-def _may_leave(dispatcher, upstream, call, progress, attempt):
-    """Return whether a call leaves its silent upstream for another one.
-
-    One that can't be sent again waits on: a late response is worth more than none. So
-    does one whose service is silent as a whole, as no upstream would answer sooner.
-    """
-    now_s = read_clock_s()
-    if is_silent(
-        dispatcher.service_silence,
-        attempt.origin.service,
-        silence_s=call.silence_timeout_s,
-        now_s=now_s,
-    ):
-        _log_wait(call, upstream, attempt, "service-silent", now_s)
-        return False
-    left = replace(progress)
-    record_attempt(left, AttemptResult.SILENT)
-    decision = decide_next(
-        call,
-        left,
-        AttemptResult.SILENT,
-        can_resume=_can_resume(call, upstream),
-        has_budget=True,
-        now_s=now_s,
-    )
-    if isinstance(decision, Retry):
-        return _spend_retry(dispatcher, call, progress)
-    _log_wait(call, upstream, attempt, decision.reason, now_s)
-    return False
-
-
-def _log_wait(call, upstream, attempt, reason, now_s):
-    log_event(
-        logger,
-        logging.INFO,
-        "silent-upstream-kept",
-        request_id=call.request_id,
-        upstream=upstream.name,
-        reason=reason,
-        silent_s=round(now_s - max(attempt.heard_s, attempt.sent_at_s), 3),
-    )
-
-
-def _spend_retry(dispatcher, call, progress):
-    """Spend the budget for a retry that would otherwise be made."""
-    if progress.allowed_retry_target:
-        return True
-    budget = dispatcher.retry_budget
-    target = find_target(call, progress)
-    now_s = read_clock_s()
-    if budget.may_retry(target, now_s):
-        progress.allowed_retry_target = target
-        return True
-    log_event(
-        logger,
-        logging.WARNING,
-        "retry-budget-spent",
-        request_id=call.request_id,
-        service=target,
-        **budget.describe(target, now_s),
-    )
-    return False
-
-
 def _log_broken_off(call, grant, attempt):
     now_s = read_clock_s()
     begun_s = now_s - attempt.head_at_s if attempt.head_at_s else None
