--- a/features/platform/steps/cut_off_steps.py
+++ b/features/cut_off/steps/cut_off_steps.py
@@ -29,6 +29,7 @@
     run,
     wait_until_ready,
 )
+from features.platform.steps import endless_steps, site_steps
 from features.platform.steps.versions_steps import (
     add_instance,
     start_instance,
@@ -36,6 +37,8 @@
 )
 from standins.store import set_fault
 
+# The other steps of these features are those of the platform's features.
+STEPS = (endless_steps, site_steps)
 CALLERS = 48
 PATHS = ("/send/x", "/read/x", "/resume/x")
 ONCE = "/send/x"
