Count the instances that share pages only after registration (BUDGET)

Cause: an instance of a site whose instances share pages is in no directory, and knows the others from its registration. It counted as soon as its configuration was there, found none but itself, and had the whole number of repeats as its share for the first second or two: at a rollout that sums to more than the bound.

Evidence: features/retries/count.feature, a restarted instance of four: the first count was 1 where pages are shared (1 of 2 scenarios failed), now 4.

Change: such an instance counts once it has registered, and has no share before. Where instances read the store themselves nothing changes.

--- a/features/retries/fleet.py
+++ b/features/retries/fleet.py
@@ -39,10 +39,14 @@
 
 @dataclass(kw_only=True)
 class RetryFleet:
-    """Instances and upstreams, and the calls that were sent to them."""
+    """Instances and upstreams, and the calls that were sent to them.
+
+    ``settings`` has the settings of each instance, by its host.
+    """
 
     site: Site
     instances: list[Site] = field(default_factory=list)
+    settings: dict[str, str] = field(default_factory=dict)
     upstreams: list[UpstreamProcess] = field(default_factory=list)
     executor: ThreadPoolExecutor = field(default_factory=lambda: ThreadPoolExecutor(64))
     calls: list[Future] = field(default_factory=list)
@@ -74,13 +78,23 @@
             "{host}:{store_port}", f"{fleet.site.host}:{{store_port}}"
         )
         settings = settings.replace("edge-a-1", f"edge-a-{number}")
-        start_program(view, settings=settings + NEIGHBOUR_PORTS + bounds)
+        fleet.settings[view.host] = settings + NEIGHBOUR_PORTS + bounds
+        start_program(view, settings=fleet.settings[view.host])
         fleet.instances.append(view)
     for view in fleet.instances:
         wait_until_ready(view)
         wait_until_logged(view, "instances-counted")
 
 
+def restart_instance(fleet, view):
+    """Kill an instance, and start it again with an empty log."""
+    view.process.kill()
+    view.process.wait()
+    (view.directory / "log").unlink()
+    start_program(view, settings=fleet.settings[view.host])
+    wait_until_ready(view)
+
+
 def put_routes(fleet):
     """Write the configuration, as the fleet has it, in a new version."""
     document = {
--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -18,6 +18,7 @@
 COUNT_INTERVAL_S = 10.0
 # Instances that start together find each other within some seconds.
 FIRST_COUNT_INTERVAL_S = 1.0
+REGISTRATION_CHECK_S = 0.1
 MIN_LIST_INTERVAL_S = 1.0
 
 
@@ -52,14 +53,17 @@
     :param components: The components that are specific to the platform.
     """
     count = relay.instance.instance_count
+    shares_pages = relay.is_registering
     interval_s = FIRST_COUNT_INTERVAL_S
     await relay.instance.state.loaded.wait()
     while True:
+        # One that shares pages is in no directory, and finds the others by registering.
+        while shares_pages and not relay.neighbours.is_registered:
+            await asyncio.sleep(REGISTRATION_CHECK_S)
         await _count(relay, components, count)
         await asyncio.sleep(interval_s)
         interval_s = min(2 * interval_s, COUNT_INTERVAL_S)
-        # Instances that share pages are counted without a call.
-        if count.is_known and not relay.is_active:
+        if count.is_known and not shares_pages:
             count.wanted.clear()
             await count.wanted.wait()
 
@@ -88,7 +92,7 @@
 
 
 async def _count_instances(relay: Relay, directory: Directory) -> int:
-    if relay.is_active:
+    if relay.neighbours.is_registered:
         data_centres = relay.instance.settings.all_data_centres
         return (len(relay.neighbours.addresses) + 1) * len(data_centres)
     return max(1, len(await directory.list_instances()))
