--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -8,7 +8,12 @@
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink, find_resume_point
 from jujubenotch.dispatch.decide import WORK_RESULTS, AttemptResult
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
-from jujubenotch.dispatch.silence_limit import SilenceLimit, limit_silence
+from jujubenotch.dispatch.silence_limit import (
+    SilenceLimit,
+    limit_silence,
+    pause_limit,
+    resume_limit,
+)
 from jujubenotch.outcomes import Outcome
 from jujubenotch.records import Upstream
 from jujubenotch.streams import StreamOrigin
@@ -368,6 +373,7 @@
     """
     with translate_errors():
         await _forward_while_events_come(receiver, answer, buffer)
+    pause_limit(receiver.silence)
 
 
 async def _forward_while_events_come(receiver, answer, buffer):
@@ -385,7 +391,7 @@
             buffer.last_events = b""
             raise StreamRestartedError
         resume_after_event_id = ""
-        silence.is_paused = True
+        pause_limit(silence)
         attempt.last_token_at_s = read_time_s()
         if not attempt.first_token_at_s:
             attempt.first_token_at_s = attempt.last_token_at_s
@@ -393,5 +399,4 @@
         if keeps_events:
             receiver.progress.recorded_events.append(events)
         await send(events)
-        silence.is_paused = False
-        silence.heard_s = read_time_s()
+        resume_limit(silence, read_time_s())
--- a/jujubenotch/dispatch/silence_limit.py
+++ b/jujubenotch/dispatch/silence_limit.py
@@ -20,10 +20,35 @@
         was sent the request, in seconds.
     :param is_paused: Whether the caller receives what the upstream has sent, which
         takes as long as the caller takes.
+    :param timeout: Ends the exchange; ``None`` without a limit.
     """
 
     heard_s: float
     is_paused: bool = False
+    timeout: asyncio.Timeout | None = None
+
+
+def pause_limit(limit: SilenceLimit) -> None:
+    """Let the limit not end the exchange from now on, also if it has just passed.
+
+    What is sent to the caller must not be interrupted: a part of it may have been
+    sent, and would be sent again.
+
+    :param limit: The limit; changed in place.
+    """
+    limit.is_paused = True
+    if limit.timeout is not None and not limit.timeout.expired():
+        limit.timeout.reschedule(None)
+
+
+def resume_limit(limit: SilenceLimit, now_s: float) -> None:
+    """Let the limit count from now on.
+
+    :param limit: The limit; changed in place.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    limit.is_paused = False
+    limit.heard_s = now_s
 
 
 @asynccontextmanager
@@ -45,6 +70,7 @@
         return
     try:
         async with asyncio.timeout(None) as timeout:
+            limit.timeout = timeout
             timer = None
 
             def check():
@@ -54,10 +80,9 @@
                 if limit.is_paused:
                     next_s = now_s + max_silence_s
                 elif next_s <= now_s:
+                    next_s = now_s + RECHECK_S
                     if may_leave():
                         timeout.reschedule(now_s)
-                        return
-                    next_s = now_s + RECHECK_S
                 timer = loop.call_at(next_s, check)
 
             timer = loop.call_at(limit.heard_s + max_silence_s, check)
