Tell upstreams the end of a stop in repeats of requests that came before it (BUDGET)

What callers saw: nothing; upstreams could be told a time limit beyond the grace period of the instance that sends, so they work on for nobody.

Cause: a stop bounds the deadline of calls that come during it. A call that had come before kept its own, and its second send told it.

Change: the deadline is bounded before each attempt, by one function that new calls use as well.

--- a/features/platform/late_stop.feature
+++ b/features/platform/late_stop.feature
@@ -20,3 +20,11 @@
     When requests of each kind are in progress and the program is stopped
     Then each request that reached the upstream got a response that does not promise that it has not run
     And the program exited with 0
+
+  # Guards against a request that came before the stop and is sent once more during it with
+  # the time limit that it had before.
+  Scenario: A request in progress is sent again while the program stops
+    Given a site whose upstream answers nothing, on routes that allow 6 s
+    When an idempotent request is in progress and the program is stopped
+    Then the upstream got the request twice
+    And each upstream was told no deadline after the end of the grace period
--- a/features/platform/steps/late_stop_steps.py
+++ b/features/platform/steps/late_stop_steps.py
@@ -11,11 +11,13 @@
     HOST,
     ID_LINE,
     KEY,
+    ROUTES,
     add_upstream,
     open_site,
     put_configuration,
     signal_program,
     start_program,
+    wait_until_logged,
     wait_until_ready,
 )
 from features.scripted_upstream import ScriptedUpstream
@@ -23,6 +25,7 @@
 GRACE_S = 4.0
 TENTHS = 10
 TIMEOUT_S = 6.0
+IN_PROGRESS_S = 0.2
 REQUESTS = (
     ("GET", "/read/x"),
     ("POST", "/send/x"),
@@ -66,6 +69,19 @@
     context.outcomes = []
 
 
+@given("a site whose upstream answers nothing, on routes that allow {timeout_s:d} s")
+def open_patient_site(context, timeout_s):
+    context.site = context.stack.enter_context(open_site())
+    routes = [{**each, "timeout-ms": timeout_s * 1000} for each in ROUTES]
+    put_configuration(context.site, routes=routes)
+    upstream = ScriptedUpstream(make_parts=lambda head: (), connection_ending="silent")
+    add_upstream(context.site, "i-first", upstream)
+    start_program(context.site)
+    wait_until_ready(context.site)
+    wait_until_logged(context.site, "instances-counted")
+    context.outcomes = []
+
+
 def connect(context):
     connection = http.client.HTTPConnection(context.site.host, 8000, timeout=TIMEOUT_S)
     connection.connect()
@@ -137,6 +153,21 @@
     return {ID_LINE.search(head)[1].decode() for head in heads}
 
 
+@when("an idempotent request is in progress and the program is stopped")
+def stop_one_in_progress(context):
+    threads = start_all(context, [("GET", "/read/x")], IN_PROGRESS_S)
+    signal_program(context.site)
+    context.stopped_s = time.monotonic()
+    for thread in threads:
+        thread.join()
+
+
+@then("the upstream got the request twice")
+def check_sent_again(context):
+    heads = context.site.upstreams["i-first"].requests
+    assert len(heads) == 2 and len(find_reached(context)) == 1, heads
+
+
 @then(
     "each request that reached the upstream got a response that does not promise that "
     "it has not run"
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -18,6 +18,7 @@
     Call,
     CallerDisconnectedError,
     Dispatcher,
+    bound_deadline,
     dispatch,
 )
 from jujubenotch.forwarding import (
@@ -196,10 +197,7 @@
     :returns: The response; ``None`` when it was streamed.
     """
     sink = ForwardSink(request=request)
-    latest_s = forwarder.dispatcher.time_limit.at_s
-    if latest_s < call.caller_deadline_s:
-        # Upstreams are told the shorter deadline, too.
-        call = replace(call, caller_deadline_s=latest_s)
+    call = bound_deadline(forwarder.dispatcher.time_limit, call)
     try:
         answer = await dispatch(forwarder.dispatcher, call, sink)
     except Exception as error:
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -49,7 +49,12 @@
     update_credit,
 )
 from jujubenotch.dispatch.silence import ExchangeRegistry, watch_exchange
-from jujubenotch.dispatch.time_limit import TimeLimit, limit_wait, set_limit
+from jujubenotch.dispatch.time_limit import (
+    TimeLimit,
+    bound_deadline,
+    limit_wait,
+    set_limit,
+)
 from jujubenotch.dispatch.work_request import make_work_request
 
 __all__ = [
@@ -80,6 +85,7 @@
     "limit_wait",
     "set_limit",
     "UpstreamProtocol",
+    "bound_deadline",
     "decide_next",
     "digest_call",
     "dispatch",
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -53,7 +53,7 @@
 from jujubenotch.dispatch.service_silence import watch_attempt
 from jujubenotch.dispatch.shared_budget import RetryEnd
 from jujubenotch.dispatch.silence import watch_exchange
-from jujubenotch.dispatch.time_limit import limit_wait
+from jujubenotch.dispatch.time_limit import bound_deadline, limit_wait
 from jujubenotch.dispatch.work_request import make_work_request
 from jujubenotch.invariants import assert_invariant
 from jujubenotch.logs import log_event
@@ -197,6 +197,8 @@
     if refusal is not None:
         return make_refusal_answer(progress, refusal)
     while True:
+        # A stop may have begun since the call came, or since its last attempt.
+        call = bound_deadline(dispatcher.time_limit, call)
         block = dispatcher.find_block(call)
         if block is not None:
             return make_block_answer(progress, block)
--- a/jujubenotch/dispatch/time_limit.py
+++ b/jujubenotch/dispatch/time_limit.py
@@ -3,7 +3,9 @@
 import asyncio
 import contextlib
 import math
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+
+from jujubenotch.dispatch.call import Call
 
 
 @dataclass(kw_only=True)
@@ -47,3 +49,14 @@
     for timeout in limit.timeouts:
         if not timeout.expired() and timeout.when() > at_s:
             timeout.reschedule(at_s)
+
+
+def bound_deadline(limit: TimeLimit, call: Call) -> Call:
+    """Return a call whose deadline, which upstreams are told, is within the limit.
+
+    :param limit: The limit.
+    :param call: The call.
+    """
+    if limit.at_s >= call.caller_deadline_s:
+        return call
+    return replace(call, caller_deadline_s=limit.at_s)
