Don't wait at upstreams that this instance no longer reaches (LOST)

What callers saw: streams that end early at an instance whose paths to all upstreams are cut, though another instance could send the rest.

Cause: since a request stays while all upstreams of its service are silent. From an instance that is cut off they are silent too.

Change: a service that the check of connections has found out of reach does not count as silent; its requests leave, and go by way of another instance.

--- a/features/cut_off/cut_off.feature
+++ b/features/cut_off/cut_off.feature
@@ -25,6 +25,13 @@
     And callers send 20 requests a second to each instance for 7 s
     Then at least 95 in 100 first tries sent later than 4 s after the cut were served
 
+  # Guards against streams that wait at upstreams which their instance no longer reaches, as
+  # if those were silent.
+  Scenario: Streams are in progress when the paths are cut
+    Given a site of 2 instances with paths to 4 upstreams
+    When callers read 6 streams at 1 instance whose paths are cut so that a connection hangs
+    Then each of these streams is whole
+
   # Guards against instances that keep using others when their own paths are back.
   Scenario: The paths are back
     Given a site of 3 instances with paths to 4 upstreams
--- a/features/cut_off/steps/cut_off_steps.py
+++ b/features/cut_off/steps/cut_off_steps.py
@@ -1,5 +1,6 @@
 import http.client
 import random
+import re
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
@@ -8,6 +9,7 @@
 from behave import given, then, when
 
 from features.platform.paths import (
+    MANY_EVENTS,
     Path,
     RecordingUpstream,
     count_runs,
@@ -27,6 +29,7 @@
     read_log,
     read_to_end,
     run,
+    send,
     wait_until_ready,
 )
 from features.platform.steps import endless_steps, site_steps
@@ -43,6 +46,7 @@
 PATHS = ("/send/x", "/read/x", "/resume/x")
 ONCE = "/send/x"
 HELP_PORT = 7340
+EVENT_ID = re.compile(rb"id: (\d+)")
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -123,6 +127,35 @@
     context.stack.callback(timer.join)
 
 
+@when(
+    "callers read {streams:d} streams at {count:d} instance whose paths are cut so "
+    "that a connection {how:w}"
+)
+def read_streams(context, streams, count, how):
+    view = context.instances[0]
+    _send_at_rate(context, 20, 1.0)
+    with ThreadPoolExecutor(streams) as executor:
+        reading = [
+            executor.submit(send, view, "/resume/x", method="POST", body=b"many events")
+            for _ in range(streams)
+        ]
+        # The streams have begun.
+        time.sleep(0.5)
+        for path in context.paths[0]:
+            run(context.site, cut_path(path, how))
+        _send_at_rate(context, 20, 4.0)
+        context.stream_replies = [each.result() for each in reading]
+
+
+@then("each of these streams is whole")
+def check_whole_streams(context):
+    expected = [str(number).encode() for number in range(1, MANY_EVENTS + 1)]
+    for reply in context.stream_replies:
+        numbers = EVENT_ID.findall(reply.body)
+        log = read_log(context.instances[0])[-2000:]
+        assert reply.is_whole and numbers == expected, (reply, log)
+
+
 @when("the paths are back")
 def restore_paths(context):
     for paths in context.paths[: context.cut]:
--- a/features/platform/paths.py
+++ b/features/platform/paths.py
@@ -12,13 +12,20 @@
 from aiohttp import web
 
 from features.platform.site import list_upstream
-from features.platform.upstream_kinds import LAST_CHUNK, STREAM_HEAD, read_id
+from features.platform.upstream_kinds import (
+    LAST_CHUNK,
+    LAST_EVENT,
+    STREAM_HEAD,
+    read_id,
+)
 from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD, RESET_ON_CLOSE
 from standins.store import StoreState, build_store_app
 
 BACKLOG_FILL = 4
 WORK_S = 0.03
 EVENTS = 5
+MANY_EVENTS = 40
+EVENTS_BY_BODY = {b"long": 100, b"many events": MANY_EVENTS}
 CHUNK_BYTES = 65536
 TURNED_AWAY = (
     b"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %b\r\nContent-Length: 0\r\n\r\n"
@@ -101,8 +108,9 @@
 
 async def _write_stream(upstream, head, request_id, writer, body):
     writer.write(STREAM_HEAD % read_id(head))
-    events = 100 if body == b"long" else EVENTS
-    for number in range(1, events + 1):
+    events = EVENTS_BY_BODY.get(body, EVENTS)
+    after = LAST_EVENT.search(head)
+    for number in range(int(after[1]) + 1 if after else 1, events + 1):
         await asyncio.sleep(WORK_S)
         if writer.transport.is_closing():
             upstream.left.append(request_id)
--- a/jujubenotch/daemon/forward_reach.py
+++ b/jujubenotch/daemon/forward_reach.py
@@ -70,6 +70,16 @@
             _start(watch, _check(watch, service))
 
 
+def is_out_of_reach(watch: DetourWatch, service: str) -> bool:
+    """Return whether this instance reaches no upstream of a service.
+
+    :param watch: The state of the watch.
+    :param service: The service.
+    """
+    reach = watch.reaches.get(service)
+    return reach is not None and reach.is_lost
+
+
 def _start(watch, coroutine):
     task = asyncio.create_task(coroutine)
     watch.tasks.add(task)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -31,7 +31,7 @@
     InstanceCount,
     PlatformComponents,
 )
-from jujubenotch.daemon.forward_reach import DetourWatch, record_reach
+from jujubenotch.daemon.forward_reach import DetourWatch, is_out_of_reach, record_reach
 from jujubenotch.daemon.forward_records import find_held
 from jujubenotch.daemon.forward_retries import make_retry_budget
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
@@ -245,6 +245,7 @@
         record_stream_start=lambda call, origin: record_stream_start(
             watches.streams, call, origin
         ),
+        is_out_of_reach=functools.partial(is_out_of_reach, watches.detours),
         send_elsewhere=functools.partial(
             send_elsewhere, watches.detours, helper_connections, retry_budget
         ),
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -123,6 +123,8 @@
         the first event is forwarded.
     :param record_attempt: Called with the call and its attempt when the attempt has
         ended.
+    :param is_out_of_reach: Tells whether this instance reaches no upstream of a
+        service.
     :param service_silence: When each service was last heard of.
     :param meter: Counts what calls ask of services.
     :param in_progress: The tasks of the calls that have not ended.
@@ -155,6 +157,7 @@
         None
     )
     record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
+    is_out_of_reach: Callable[[str], bool] = lambda service: False
     service_silence: ServiceSilence = field(default_factory=ServiceSilence)
     meter: Meter = field(default_factory=NoMeter)
     in_progress: set[asyncio.Task] = field(default_factory=set)
--- a/jujubenotch/dispatch/retries.py
+++ b/jujubenotch/dispatch/retries.py
@@ -100,7 +100,8 @@
     """Return whether a call leaves its silent upstream for another one.
 
     One that can't be sent again waits on: a late response is worth more than none. So
-    does one whose service is silent as a whole, as no upstream would answer sooner.
+    does one whose service is silent as a whole, as no upstream would answer sooner,
+    unless this instance reaches none and another instance does.
 
     :param dispatcher: The dispatcher.
     :param upstream: The upstream, which has been silent for the call's limit.
@@ -109,12 +110,14 @@
     :param attempt: The attempt in progress.
     """
     now_s = read_clock_s()
-    if is_silent(
+    service = attempt.origin.service
+    is_service_silent = is_silent(
         dispatcher.service_silence,
-        attempt.origin.service,
+        service,
         silence_s=call.silence_timeout_s,
         now_s=now_s,
-    ):
+    )
+    if is_service_silent and not dispatcher.is_out_of_reach(service):
         _log_wait(call, upstream, attempt, "service-silent", now_s)
         return False
     left = replace(progress)
