Ask the budget for each instance that is asked after a call was sent (BUDGET)

Cause: since the budget was asked only if the instance asked last had sent the call. After one that sent nothing in between, the next was free.

Change: that the call was sent is kept for the whole of the asking. What the asking needs stands in one data class, so that its steps are short functions.

--- a/features/retries/detour.feature
+++ b/features/retries/detour.feature
@@ -7,3 +7,10 @@
     When the paths of 1 instance are cut
     And 60 requests come to that instance within 6 s
     Then requests have arrived, and none has arrived twice
+
+  # Guards against a further send that no budget counts because the instance that was asked
+  # last, in between, sent nothing (BUDGET).
+  Scenario: An instance that sends nothing is asked between two that do
+    Given a call, and instances that have it sent, not sent and sent when they are asked
+    When the instances are asked in turn
+    Then the budget was asked before the second and before the third one
--- a/features/retries/steps/detour_steps.py
+++ b/features/retries/steps/detour_steps.py
@@ -1,7 +1,9 @@
+import asyncio
 import collections
 import contextlib
 import time
 from concurrent.futures import ThreadPoolExecutor
+from unittest import mock
 
 from behave import given, then, when
 
@@ -30,6 +32,8 @@
     stop_instance,
 )
 from features.platform.upstream_kinds import read_id
+from jujubenotch.daemon import forward_detour
+from jujubenotch.dispatch import RetryBudget
 
 NO_REPEATS = "bounds.retry-extra=0\nbounds.retry-ratio=0\n"
 
@@ -99,3 +103,49 @@
     )
     assert arrivals, "none arrived"
     assert max(arrivals.values()) == 1, arrivals.most_common(5)
+
+
+@given("a call, and instances that have it sent, not sent and sent when they are asked")
+def make_detour(context):
+    context.results = [
+        forward_detour._HelperResult(has_sent=has_sent)
+        for has_sent in (True, False, True)
+    ]
+    context.steps = []
+
+    def may_retry(service, now_s):
+        context.steps.append("budget")
+        return True
+
+    context.detour = forward_detour._Detour(
+        watch=mock.MagicMock(),
+        connections=None,
+        retry_budget=RetryBudget(may_retry=may_retry),
+        call=mock.Mock(),
+        progress=mock.Mock(),
+        sink=None,
+        lost_for_s=1.0,
+    )
+
+
+@when("the instances are asked in turn")
+def ask_in_turn(context):
+    addresses = ["first", "second", "third", None]
+
+    async def try_helper(detour, address):
+        context.steps.append(address)
+        return context.results.pop(0)
+
+    with (
+        mock.patch.object(forward_detour, "_choose", side_effect=addresses),
+        mock.patch.object(forward_detour, "_try_helper", try_helper),
+        mock.patch.object(forward_detour, "_log"),
+        mock.patch.object(forward_detour, "make_refusal_answer"),
+    ):
+        asyncio.run(forward_detour._ask_in_turn(context.detour))
+
+
+@then("the budget was asked before the second and before the third one")
+def check_steps(context):
+    expected = ["first", "budget", "second", "budget", "third"]
+    assert context.steps == expected, context.steps
--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -3,7 +3,7 @@
 import logging
 import math
 import random
-from dataclasses import dataclass, replace
+from dataclasses import dataclass, field, replace
 
 from jujubenotch.daemon.forward_reach import DetourWatch
 from jujubenotch.daemon.forward_streams import MIN_LIST_AGE_S, wait_for_instances
@@ -89,65 +89,102 @@
     reach = watch.reaches.get(service)
     if reach is None or not reach.is_lost:
         return None
-    lost_for_s = read_clock_s() - reach.lost_s
+    detour = _Detour(
+        watch=watch,
+        connections=connections,
+        retry_budget=retry_budget,
+        call=call,
+        progress=progress,
+        sink=sink,
+        lost_for_s=read_clock_s() - reach.lost_s,
+    )
     # Only the instance that sent the start of a stream on knows at which version it
     # began, so no further one can continue it.
     is_begun_elsewhere = progress.is_stream_started and progress.origin is None
     if call.is_borrowed or is_begun_elsewhere:
         return make_refusal_answer(progress, _refuse(service))
     await _wait_for_helpers(watch.streams)
-    return await _ask_in_turn(
-        watch, connections, retry_budget, call, progress, sink, lost_for_s
-    )
+    return await _ask_in_turn(detour)
+
 
+@dataclass(kw_only=True)
+class _Detour:
+    """The way of one call by way of other instances.
 
-async def _ask_in_turn(
-    watch, connections, retry_budget, call, progress, sink, lost_for_s
-):
+    :param lost_for_s: For how long this instance has reached no upstream, in seconds.
+    :param asked: The addresses of the instances that were asked.
+    :param has_sent: Whether one of them has sent the call to an upstream.
+    """
+
+    watch: DetourWatch
+    connections: UpstreamConnections
+    retry_budget: RetryBudget
+    call: Call
+    progress: Progress
+    sink: Sink
+    lost_for_s: float
+    asked: list[str] = field(default_factory=list)
+    has_sent: bool = False
+
+    @property
+    def service(self) -> str:
+        """The service that the call goes to."""
+        return find_target(self.call, self.progress)
+
+
+async def _ask_in_turn(detour):
     """Ask one instance after the other until one has sent the call on."""
-    service = find_target(call, progress)
-    draws = {each: random.random() for each in watch.streams.neighbours.listed}
+    listed = detour.watch.streams.neighbours.listed
+    draws = {each: random.random() for each in listed}
     started_s = read_clock_s()
-    asked = []
-    result = _HelperResult()
     while read_clock_s() - started_s < ASKING_TIME_S:
-        address = _choose(watch, asked, draws)
-        if address is None:
-            break
-        is_retry = result.has_sent
-        if is_retry and not retry_budget.may_retry(service, read_clock_s()):
+        address = _choose(detour.watch, detour.asked, draws)
+        if address is None or not _may_ask(detour):
             break
-        asked.append(address)
-        _log(
-            call,
-            "detour-begun",
-            service,
-            address,
-            data_centre=watch.streams.neighbours.listed.get(address, ""),
-            lost_for_s=round(lost_for_s, 3),
-        )
-        try:
-            result = await _try_helper(
-                watch, connections, address, call, progress, sink
-            )
-        finally:
-            if is_retry:
-                retry_budget.record_retry_end(
-                    service, RetryEnd.UNCONFIRMED, read_clock_s()
-                )
-        if result.answer is not None:
-            return result.answer
+        answer = await _ask(detour, address)
+        if answer is not None:
+            return answer
     _log(
-        call,
+        detour.call,
         "detour-unavailable",
-        service,
+        detour.service,
         "",
-        asked=len(asked),
-        listed=len(watch.streams.neighbours.listed),
-        avoided=len(watch.helpers.avoided_until_s),
-        lost_for_s=round(lost_for_s, 3),
+        asked=len(detour.asked),
+        listed=len(detour.watch.streams.neighbours.listed),
+        avoided=len(detour.watch.helpers.avoided_until_s),
+        lost_for_s=round(detour.lost_for_s, 3),
     )
-    return make_refusal_answer(progress, _refuse(service))
+    return make_refusal_answer(detour.progress, _refuse(detour.service))
+
+
+def _may_ask(detour):
+    """Spend the retry budget if the call has been sent to an upstream already."""
+    if not detour.has_sent:
+        return True
+    return detour.retry_budget.may_retry(detour.service, read_clock_s())
+
+
+async def _ask(detour, address):
+    """Ask one instance; return ``None`` when a further one may be asked."""
+    detour.asked.append(address)
+    _log(
+        detour.call,
+        "detour-begun",
+        detour.service,
+        address,
+        data_centre=detour.watch.streams.neighbours.listed.get(address, ""),
+        lost_for_s=round(detour.lost_for_s, 3),
+    )
+    is_retry = detour.has_sent
+    try:
+        result = await _try_helper(detour, address)
+    finally:
+        if is_retry:
+            detour.retry_budget.record_retry_end(
+                detour.service, RetryEnd.UNCONFIRMED, read_clock_s()
+            )
+    detour.has_sent = detour.has_sent or result.has_sent
+    return result.answer
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -191,21 +228,22 @@
     )
 
 
-async def _try_helper(watch, connections, address, call, progress, sink):
+async def _try_helper(detour, address):
     """Send a call to another instance."""
+    watch, call, progress = detour.watch, detour.call, detour.progress
     attempt = Attempt(sent_at_s=read_clock_s())
     heads = []
     progress.must_finish = call.outlives_caller
     try:
         async with limit_wait(watch.time_limit, call.deadline_s):
             await run_attempt(
-                connections,
+                detour.connections,
                 HELPER_PROTOCOL,
                 _make_upstream(address),
                 _make_borrowed(call, progress),
                 progress,
                 attempt,
-                sink,
+                detour.sink,
                 heads.append,
                 lambda: None,
             )
