--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -41,8 +41,8 @@
 RESET_MARGIN_S = 0.05
 DRAIN_S = 3.0
 CONFIGURATION_BOUND_S = 3.0
-# The windows whose requests count for the retries of one, by how many windows earlier
-# they begin.
+# The retries of a window may be a ratio of its own requests, or of those of a window
+# that begins half a window or a whole one earlier.
 EARLIER_WINDOWS = (0.0, 0.5, 1.0)
 RECOVERY_S = 4.0
 MIN_SERVED_SHARE = 0.9
--- a/features/dispatch/steps/silence_limit_steps.py
+++ b/features/dispatch/steps/silence_limit_steps.py
@@ -35,12 +35,12 @@
     async def exchange():
         heard = asyncio.Event()
 
-        def may_leave():
+        def try_to_leave():
             if context.is_heard:
                 heard.set()
             return True
 
-        async with limit_silence(context.limit_s, may_leave) as limit:
+        async with limit_silence(context.limit_s, try_to_leave) as limit:
             await heard.wait()
             pause_limit(limit)
             await asyncio.sleep(send_s)
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -57,7 +57,7 @@
     add_upstream(context.site, "i-first", make_upstream(kind))
     start_program(context.site)
     wait_until_ready(context.site)
-    # An instance that doesn't know how many there are repeats less.
+    # Before, it has no share of the repeats of all instances.
     wait_until_logged(context.site, "instances-counted")
 
 
@@ -70,7 +70,7 @@
     start_program(context.site, settings=settings + f"bounds.retry-extra={extra}\n")
     wait_until_ready(context.site)
     wait_until_logged(context.site, "instances-counted")
-    # The credit of the time before is earned.
+    # Time adds no more credit after this.
     time.sleep(CREDIT_LIFETIME_S)
 
 
--- a/features/retries/drawn_history.py
+++ b/features/retries/drawn_history.py
@@ -14,7 +14,7 @@
     spend_retry,
 )
 
-# The disturbance begins here. Instances serve for some time before it.
+# When the disturbance begins, and for how long instances have served by then.
 START_S = 96.0
 LEAD_S = 15.0
 REACTION_S = 0.1
--- a/features/retries/steps/count_steps.py
+++ b/features/retries/steps/count_steps.py
@@ -12,7 +12,7 @@
     start_upstream,
 )
 
-# The instances of a new site find each other within this time.
+# The instances of a new site know of each other after this time.
 SETTLING_S = 2.0
 
 
--- a/features/retries/steps/resend_steps.py
+++ b/features/retries/steps/resend_steps.py
@@ -22,7 +22,7 @@
 
 NO_REPEATS = "bounds.retry-extra=0\nbounds.retry-ratio=0\n"
 TIME_LEFT = re.compile(rb"x-deadline-ms: *(\d+)", re.IGNORECASE)
-# Upstreams are told whole milliseconds, and the send takes some of them.
+# For rounding to milliseconds, and for the time that a send takes.
 TOLERANCE_S = 0.05
 
 
--- a/features/retries/steps/silence_steps.py
+++ b/features/retries/steps/silence_steps.py
@@ -69,7 +69,6 @@
 
 @when("one upstream is stopped for {seconds:g} s")
 def stop_one(context, seconds):
-    # One that has requests of all instances.
     busiest = max(context.fleet.upstreams, key=lambda each: len(read_journal(each)))
     context.stopped_ids = read_journal(busiest)
     _stop(context, [busiest], seconds)
--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -16,7 +16,7 @@
 logger = logging.getLogger(__name__)
 
 COUNT_INTERVAL_S = 10.0
-# Instances that start together find each other within some seconds.
+# Instances that start together see few of the others at first.
 FIRST_COUNT_INTERVAL_S = 1.0
 REGISTRATION_CHECK_S = 0.1
 MIN_LIST_INTERVAL_S = 1.0
@@ -57,7 +57,8 @@
     interval_s = FIRST_COUNT_INTERVAL_S
     await relay.instance.state.loaded.wait()
     while True:
-        # One that shares pages is in no directory, and finds the others by registering.
+        # An instance that shares pages isn't in the directory. It learns of the others
+        # when it registers.
         while shares_pages and not relay.neighbours.is_registered:
             await asyncio.sleep(REGISTRATION_CHECK_S)
         await _count(relay, components, count)
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -33,7 +33,7 @@
 )
 from jujubenotch.daemon.forward_reach import DetourWatch, is_out_of_reach, record_reach
 from jujubenotch.daemon.forward_records import find_held
-from jujubenotch.daemon.forward_retries import make_retry_budget
+from jujubenotch.daemon.forward_retries import ServiceCredits, make_retry_budget
 from jujubenotch.daemon.forward_settings import reload_now, watch_settings
 from jujubenotch.daemon.forward_state import (
     ForwardState,
@@ -162,10 +162,12 @@
     detour_watch = DetourWatch(
         state=state, streams=stream_watch, data_centre=settings.data_centre
     )
-    # Another instance knows this one by the address of its endpoint.
-    endpoint = settings.neighbours
-    helper_connections = open_connections(
-        HELPER_LIMITS, endpoint.host if endpoint else None
+    helper_connections = _open_helper_connections(settings)
+    credits = ServiceCredits(
+        read_settings=lambda: instance.settings,
+        count=instance_count,
+        metrics=metrics,
+        started_s=asyncio.get_running_loop().time(),
     )
     dispatcher = _make_dispatcher(
         state,
@@ -174,12 +176,7 @@
         instance_count,
         _Watches(crashes=crash_watch, streams=stream_watch, detours=detour_watch),
         helper_connections,
-        make_retry_budget(
-            lambda: instance.settings,
-            instance_count,
-            metrics,
-            asyncio.get_running_loop().time(),
-        ),
+        make_retry_budget(credits),
     )
     instance = ForwardingInstance(
         settings=settings,
@@ -200,6 +197,12 @@
     return instance
 
 
+def _open_helper_connections(settings):
+    # Another instance knows this one by the address of its endpoint.
+    endpoint = settings.neighbours
+    return open_connections(HELPER_LIMITS, endpoint.host if endpoint else None)
+
+
 @dataclass(frozen=True, kw_only=True)
 class _Watches:
     """What an instance watches in the requests that it sends."""
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -9,7 +9,6 @@
 from jujubenotch.dispatch.decide import WORK_RESULTS, AttemptResult
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.dispatch.silence_limit import (
-    SilenceLimit,
     limit_silence,
     pause_limit,
     resume_limit,
@@ -111,7 +110,7 @@
     sink: Sink,
     record_head: Callable[[UpstreamAnswer], None],
     record_stream_start: Callable[[], None],
-    may_leave: Callable[[], bool] = lambda: True,
+    try_to_leave: Callable[[], bool] = lambda: True,
 ) -> None:
     """Send a call to an upstream and forward the response.
 
@@ -124,29 +123,22 @@
     :param sink: Receives the events of a stream.
     :param record_head: Called when the head of the response arrives.
     :param record_stream_start: Called before the head of a stream is forwarded.
-    :param may_leave: Called when the upstream has been silent for the call's limit;
+    :param try_to_leave: Called when the upstream has been silent for the call's limit;
         returns whether the attempt ends for that.
     :raises CallerDisconnectedError: The caller has disconnected.
     """
-    request = make_upstream_request(protocol, upstream, call, progress)
+    receiver = _Receiver(
+        connections=connections,
+        protocol=protocol,
+        call=call,
+        progress=progress,
+        attempt=attempt,
+        sink=sink,
+        record_head=record_head,
+        record_stream_start=record_stream_start,
+    )
     try:
-        async with (
-            limit_silence(call.silence_timeout_s, may_leave) as silence,
-            open_exchange(connections, request) as answer,
-        ):
-            attempt.head_at_s = silence.heard_s = read_clock_s()
-            record_head(answer)
-            receiver = _Receiver(
-                connections=connections,
-                protocol=protocol,
-                call=call,
-                progress=progress,
-                attempt=attempt,
-                sink=sink,
-                silence=silence,
-                record_stream_start=record_stream_start,
-            )
-            await _receive(receiver, answer)
+        await _exchange(receiver, upstream, try_to_leave)
     except ConnectFailedError as error:
         attempt.end = AttemptResult.CONNECT_FAILED
         attempt.error = str(error)[:MAX_ERROR_LENGTH]
@@ -164,6 +156,21 @@
         attempt.end = AttemptResult.TRUNCATED
 
 
+async def _exchange(receiver, upstream, try_to_leave):
+    """Send the request and receive its response, within the limit on silence."""
+    call = receiver.call
+    request = make_upstream_request(
+        receiver.protocol, upstream, call, receiver.progress
+    )
+    async with (
+        limit_silence(call.silence_timeout_s, try_to_leave) as silence,
+        open_exchange(receiver.connections, request) as answer,
+    ):
+        receiver.attempt.head_at_s = silence.heard_s = read_clock_s()
+        receiver.record_head(answer)
+        await _receive(receiver, answer, silence)
+
+
 def make_upstream_request(
     protocol: UpstreamProtocol, upstream: Upstream, call: Call, progress: Progress
 ) -> UpstreamRequest:
@@ -230,7 +237,7 @@
     progress: Progress
     attempt: Attempt
     sink: Sink
-    silence: SilenceLimit
+    record_head: Callable[[UpstreamAnswer], None]
     record_stream_start: Callable[[], None]
 
 
@@ -241,19 +248,19 @@
 }
 
 
-async def _receive(receiver, answer):
+async def _receive(receiver, answer, silence):
     attempt = receiver.attempt
     kind = receiver.protocol.classify_answer(receiver.call, answer)
     if kind is not AnswerKind.OWN:
         attempt.end = _ENDS_BY_KIND[kind]
         return
     if receiver.call.is_stream and has_event_stream(answer):
-        await _forward_stream(receiver, answer)
+        await _forward_stream(receiver, answer, silence)
         return
     body = await read_body(
         answer,
         receiver.connections.limits.max_answer_bytes,
-        lambda: _note_heard(receiver.silence),
+        lambda: _note_heard(silence),
     )
     if receiver.progress.is_stream_started:
         # A stream can only be resumed by another stream.
@@ -307,12 +314,12 @@
     return asyncio.get_running_loop().time()
 
 
-async def _forward_stream(receiver, answer):
+async def _forward_stream(receiver, answer, silence):
     progress = receiver.progress
     attempt = receiver.attempt
     buffer = EventBuffer(end_marker=receiver.protocol.end_marker)
     try:
-        await _forward_events(receiver, answer, buffer)
+        await _forward_events(receiver, answer, buffer, silence)
         check_not_truncated(answer)
         if _is_complete(buffer, answer):
             await _start_stream(receiver, answer)
@@ -365,20 +372,19 @@
         await receiver.sink.send(buffer.partial)
 
 
-async def _forward_events(receiver, answer, buffer):
+async def _forward_events(receiver, answer, buffer, silence):
     """Forward the events of a stream as they arrive.
 
     An upstream that sends bytes but completes no event has stalled. The time that a
     slow caller takes to receive events doesn't count.
     """
     with translate_errors():
-        await _forward_while_events_come(receiver, answer, buffer)
-    pause_limit(receiver.silence)
+        await _forward_while_events_come(receiver, answer, buffer, silence)
+    pause_limit(silence)
 
 
-async def _forward_while_events_come(receiver, answer, buffer):
+async def _forward_while_events_come(receiver, answer, buffer, silence):
     attempt = receiver.attempt
-    silence = receiver.silence
     read_time_s = asyncio.get_running_loop().time
     keeps_events = bool(receiver.call.idempotency_key)
     send = receiver.sink.send
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -46,9 +46,9 @@
     can_resume_elsewhere,
     end_retry,
     find_retry_end,
-    may_leave,
     spend_retry_budget,
     start_retry,
+    try_to_leave,
 )
 from jujubenotch.dispatch.service_silence import watch_attempt
 from jujubenotch.dispatch.shared_budget import RetryEnd
@@ -356,7 +356,7 @@
                 sink,
                 lambda head: _record_head(dispatcher, grant, call, progress, head),
                 lambda: _record_stream_start(dispatcher, grant, call, progress),
-                lambda: may_leave(dispatcher, upstream, call, progress, attempt),
+                lambda: try_to_leave(dispatcher, upstream, call, progress, attempt),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
--- a/jujubenotch/dispatch/retries.py
+++ b/jujubenotch/dispatch/retries.py
@@ -90,17 +90,17 @@
     return call.can_resume_elsewhere or bool(upstream and upstream.resumes_streams)
 
 
-def may_leave(
+def try_to_leave(
     dispatcher: Dispatcher,
     upstream: Upstream,
     call: Call,
     progress: Progress,
     attempt: Attempt,
 ) -> bool:
-    """Return whether a call leaves its silent upstream for another one.
+    """Spend the budget for leaving a silent upstream, if a call is to leave it.
 
-    One that can't be sent again waits on: a late response is worth more than none. So
-    does one whose service is silent as a whole, as no upstream would answer sooner,
+    A call that can't be sent again waits on: a late response is worth more than none.
+    So does one whose service is silent as a whole, as no upstream would answer sooner,
     unless this instance reaches none and another instance does.
 
     :param dispatcher: The dispatcher.
@@ -108,6 +108,7 @@
     :param call: The call.
     :param progress: The call's progress; changed in place when it leaves.
     :param attempt: The attempt in progress.
+    :returns: Whether the call leaves the upstream for another one.
     """
     now_s = read_clock_s()
     service = attempt.origin.service
--- a/jujubenotch/dispatch/service_silence.py
+++ b/jujubenotch/dispatch/service_silence.py
@@ -8,9 +8,10 @@
 
 # A single silent upstream tells nothing about the others of its service.
 MIN_SILENT_UPSTREAMS = 2
-# An upstream that got its only request more recently need not have answered yet.
+# A younger request may only not have been answered yet.
 MIN_WAIT_S = 0.5
-# Upstreams that fall silent together were not heard for the last time together.
+# For this share of one upstream's silence, none of the others has sent anything. It is
+# below 1, as upstreams that stop together sent their last events at different times.
 COMMON_SHARE = 0.5
 
 
--- a/jujubenotch/dispatch/shared_budget.py
+++ b/jujubenotch/dispatch/shared_budget.py
@@ -24,7 +24,7 @@
 
 CREDIT_LIFETIME_WINDOWS = 0.5
 WINDOWS_SPENT_FROM = 1 + CREDIT_LIFETIME_WINDOWS
-# Sums of credit are compared with this tolerance.
+# The tolerance for rounding errors in sums of credit.
 ROUNDING = 1e-9
 
 
--- a/jujubenotch/dispatch/silence_limit.py
+++ b/jujubenotch/dispatch/silence_limit.py
@@ -7,8 +7,8 @@
 
 from jujubenotch.upstreams import SilentUpstreamError
 
-# The time until an exchange that waits on is looked at again. It is also the time that
-# upstreams have to go on after all of them were silent.
+# How often an exchange that stays at a silent upstream is checked again. After all
+# upstreams were silent, each has this long to send its next event.
 RECHECK_S = 0.5
 
 
@@ -53,12 +53,12 @@
 
 @asynccontextmanager
 async def limit_silence(
-    max_silence_s: float | None, may_leave: Callable[[], bool]
+    max_silence_s: float | None, try_to_leave: Callable[[], bool]
 ) -> AsyncIterator[SilenceLimit]:
     """End the enclosed exchange when its upstream is silent for too long.
 
     :param max_silence_s: The longest silence, in seconds; ``None`` means no limit.
-    :param may_leave: Called when the limit has passed; when it returns false the
+    :param try_to_leave: Called when the limit has passed; when it returns false the
         exchange goes on, and this is called again later.
     :returns: A context manager that yields what the exchange has to keep up to date.
     :raises SilentUpstreamError: The upstream was silent for too long.
@@ -81,7 +81,7 @@
                     next_s = now_s + max_silence_s
                 elif next_s <= now_s:
                     next_s = now_s + RECHECK_S
-                    if may_leave():
+                    if try_to_leave():
                         timeout.reschedule(now_s)
                 timer = loop.call_at(next_s, check)
 
--- a/jujubenotch/outcomes/core.py
+++ b/jujubenotch/outcomes/core.py
@@ -6,7 +6,7 @@
 # Headers of the responses that this system makes itself.
 OUTCOME_HEADER = "X-Jujubenotch-Outcome"
 REASON_HEADER = "X-Jujubenotch-Reason"
-# In responses to other instances: how often the request was sent to an upstream.
+# The number of times that a request of another instance was sent to an upstream.
 ATTEMPTS_HEADER = "X-Jujubenotch-Attempts"
 
 
