--- a/features/retries/histories.feature
+++ b/features/retries/histories.feature
@@ -31,6 +31,28 @@
       | 60        | 2    | 10    | all failing and each instance crashing each 3 s   |
       | 60        | 1    | 10    | all failing in two bursts of requests 9.7 s apart |
 
+  # Guards against a bound that two builds break which each keep it.
+  Scenario Outline: <builds> the build before this one, <instances> instances, <disturbance>
+    Given <instances> instances with <rate> requests a second each, which may repeat 0.2 of them and <extra> in 10 s
+    And <builds> the build before this one
+    When 60 s pass with <disturbance>
+    Then no window has more repeats than the bound
+
+    Examples: side by side, and replaced
+      | builds                    | instances | rate | extra | disturbance                                             |
+      | half of the instances run | 7         | 12   | 54    | 0.3 of all sends failing                                |
+      | half of the instances run | 7         | 12   | 54    | all upstreams silent for 1.6 s each 6 s                 |
+      | all instances run         | 7         | 12   | 54    | 0.3 of all sends failing and each instance replaced in turn |
+      | all instances run         | 7         | 12   | 54    | all failing and each instance replaced in turn              |
+      | half of the instances run | 60        | 4    | 174   | 0.3 of all sends failing                                |
+      | half of the instances run | 60        | 4    | 174   | all upstreams silent for 1.6 s each 6 s                 |
+      | all instances run         | 60        | 4    | 174   | 0.3 of all sends failing and each instance replaced in turn |
+      | all instances run         | 60        | 4    | 174   | all failing and each instance replaced in turn              |
+      | half of the instances run | 195       | 5    | 430   | 0.3 of all sends failing                                |
+      | half of the instances run | 195       | 5    | 430   | all upstreams silent for 1.6 s each 6 s                 |
+      | all instances run         | 195       | 5    | 430   | 0.3 of all sends failing and each instance replaced in turn |
+      | all instances run         | 195       | 5    | 430   | all failing and each instance replaced in turn              |
+
   # Guards against a budget that keeps its bound by repeating nothing.
   Scenario Outline: Most failures are repeated while few sends fail, at <instances> instances
     Given <instances> instances with <rate> requests a second each, which may repeat 0.2 of them and <extra> in 10 s
--- a/features/retries/steps/history_steps.py
+++ b/features/retries/steps/history_steps.py
@@ -6,6 +6,7 @@
 from features.retries.drawn_history import BoundedSite, play
 
 SEEDS = (1, 2, 3)
+REPLACED_WITHIN_S = 10.0
 
 
 @given(
@@ -26,6 +27,18 @@
     ]
 
 
+@given("half of the instances run the build before this one")
+def run_earlier_build_at_half(context):
+    for site in context.sites:
+        site.earlier = set(range(0, site.instances, 2))
+
+
+@given("all instances run the build before this one")
+def run_earlier_build(context):
+    for site in context.sites:
+        site.earlier = set(range(site.instances))
+
+
 @when("{seconds:g} s pass with {share:g} of all sends failing")
 def fail_share(context, seconds, share):
     for site in context.sites:
@@ -47,8 +60,16 @@
 
 @when("{seconds:g} s pass with all failing and each instance replaced in turn")
 def replace_all(context, seconds):
+    replace_while_failing(context, seconds, 1.0)
+
+
+@when(
+    "{seconds:g} s pass with {share:g} of all sends failing and each instance replaced in "
+    "turn"
+)
+def replace_while_failing(context, seconds, share):
     for site in context.sites:
-        play(site, seconds, fails=lambda now_s: 1.0, lives_s=10.0)
+        play(site, seconds, fails=lambda now_s: share, lives_s=REPLACED_WITHIN_S)
 
 
 @when(
