--- a/features/dispatch/steps/silence_limit_steps.py
+++ b/features/dispatch/steps/silence_limit_steps.py
@@ -2,7 +2,11 @@
 
 from behave import given, then, when
 
-from jujubenotch.dispatch.silence_limit import limit_silence, pause_limit
+from jujubenotch.dispatch.silence_limit import (
+    Leaving,
+    limit_silence,
+    pause_limit,
+)
 from jujubenotch.upstreams import SilentUpstreamError
 
 
@@ -40,7 +44,9 @@
                 heard.set()
             return True
 
-        async with limit_silence(context.limit_s, try_to_leave) as limit:
+        async with limit_silence(
+            context.limit_s, Leaving(decide=try_to_leave)
+        ) as limit:
             await heard.wait()
             pause_limit(limit)
             await asyncio.sleep(send_s)
--- a/features/retries/fleet.py
+++ b/features/retries/fleet.py
@@ -23,6 +23,7 @@
     write_route,
 )
 from features.platform.steps.versions_steps import NEIGHBOUR_PORTS, add_instance
+from features.retries.upstream import RUNS_SUFFIX
 from standins.store import write_row
 
 WAIT_S = 15.0
@@ -54,10 +55,11 @@
     routes: tuple = ROUTES
 
 
-def start_upstream(fleet, name):
+def start_upstream(fleet, name, *options):
     journal = fleet.site.directory / name
+    command = [sys.executable, "-m", "features.retries.upstream"]
     process = subprocess.Popen(
-        [sys.executable, "-m", "features.retries.upstream", fleet.site.host, journal],
+        [*command, fleet.site.host, journal, *options],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         text=True,
@@ -140,6 +142,40 @@
     return upstream.journal.read_text().split()
 
 
+@dataclass(frozen=True, kw_only=True)
+class Run:
+    """When an upstream held a request, by the monotonic clock of all processes."""
+
+    request_id: str
+    begin_s: float
+    end_s: float
+
+
+def read_runs(fleet):
+    """Return the runs of each request at all upstreams, the earliest first."""
+    runs = collections.defaultdict(list)
+    for upstream in fleet.upstreams:
+        for line in Path(f"{upstream.journal}{RUNS_SUFFIX}").read_text().splitlines():
+            request_id, begin_s, end_s = line.split()
+            run = Run(request_id=request_id, begin_s=float(begin_s), end_s=float(end_s))
+            runs[request_id].append(run)
+    return {
+        request_id: sorted(each, key=lambda run: run.begin_s)
+        for request_id, each in runs.items()
+    }
+
+
+def wait_for_runs(fleet):
+    """Wait until each run that has begun has ended, and return all runs."""
+    end_s = time.monotonic() + WAIT_S
+    while True:
+        runs = read_runs(fleet)
+        if sum(map(len, runs.values())) == count_arrivals(fleet).total():
+            return runs
+        assert time.monotonic() < end_s, "runs did not end"
+        time.sleep(0.02)
+
+
 def count_arrivals(fleet):
     """Count how often each request arrived at any upstream."""
     return collections.Counter(
--- a/features/retries/silence.feature
+++ b/features/retries/silence.feature
@@ -33,9 +33,9 @@
     And no request has arrived twice
 
   # Guards against callers that wait for an upstream that is silent by itself.
-  Scenario: Streams leave the one upstream that is silent
+  Scenario: Streams leave the one upstream that is silent and no longer listed
     Given a site of 3 instances and 3 upstreams, which may repeat 600 requests in 10 s
     When each instance forwards 8 streams that may be resumed
-    And one upstream is stopped for 6 s
+    And one upstream is stopped for 6 s, and leaves the list after 1 s
     Then all callers got their streams whole
     And the streams of the stopped upstream have arrived twice
--- a/features/retries/steps/silence_steps.py
+++ b/features/retries/steps/silence_steps.py
@@ -4,7 +4,7 @@
 
 from behave import given, then, when
 
-from features.platform.site import open_site
+from features.platform.site import open_site, unlist_upstream
 from features.retries.fleet import (
     RetryFleet,
     change_configuration,
@@ -69,18 +69,38 @@
 
 @when("one upstream is stopped for {seconds:g} s")
 def stop_one(context, seconds):
+    _stop(context, [_find_busiest(context)], seconds)
+
+
+@when(
+    "one upstream is stopped for {seconds:g} s, and leaves the list after {listed_s:g} s"
+)
+def stop_and_unlist(context, seconds, listed_s):
+    busiest = _find_busiest(context)
+
+    def unlist():
+        time.sleep(listed_s)
+        unlist_upstream(context.fleet.site, busiest.journal.name)
+
+    _stop(context, [busiest], seconds, unlist)
+
+
+def _find_busiest(context):
     busiest = max(context.fleet.upstreams, key=lambda each: len(read_journal(each)))
     context.stopped_ids = read_journal(busiest)
-    _stop(context, [busiest], seconds)
+    return busiest
 
 
-def _stop(context, upstreams, seconds):
+def _stop(context, upstreams, seconds, work=lambda: None):
     for each in upstreams:
         each.process.send_signal(signal.SIGSTOP)
-    time.sleep(seconds)
+    begin_s = time.monotonic()
+    work()
+    time.sleep(begin_s + seconds - time.monotonic())
     for each in upstreams:
         each.process.send_signal(signal.SIGCONT)
-    context.replies = [call.result() for call in context.fleet.calls]
+    for call in context.fleet.calls:
+        call.result()
 
 
 @then("at most {ratio:g} repeats for each request and {extra:d} more have arrived")
@@ -92,7 +112,8 @@
 
 @then("all callers got their streams whole")
 def check_streams(context):
-    for reply in context.replies:
+    for call in context.fleet.calls:
+        reply = call.result()
         numbers = [int(each) for each in EVENT_ID.findall(reply.body)]
         assert reply.is_whole and numbers == list(range(1, EVENTS + 1)), reply
 
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -42,6 +42,7 @@
 from jujubenotch.dispatch import (
     Dispatcher,
     ExchangeRegistry,
+    ProcessChecks,
     set_limit,
 )
 from jujubenotch.forwarding import DirectCapacity, read_boot_clock_s
@@ -53,6 +54,7 @@
 from jujubenotch.settings import ForwarderSettings
 from jujubenotch.upstreams import (
     ConnectionLimits,
+    check_process,
     close_connections,
     open_connections,
 )
@@ -249,6 +251,10 @@
             watches.streams, call, origin
         ),
         is_out_of_reach=functools.partial(is_out_of_reach, watches.detours),
+        process_checks=ProcessChecks(
+            check=lambda upstream: check_process(upstream.url, protocol.status_path)
+        ),
+        record_standstill=capacity.record_standstill,
         send_elsewhere=functools.partial(
             send_elsewhere, watches.detours, helper_connections, retry_budget
         ),
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -37,6 +37,7 @@
 )
 from jujubenotch.dispatch.dispatcher import digest_call, dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
+from jujubenotch.dispatch.process_check import ProcessChecks
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.dispatch.shared_budget import (
     RetryBounds,
@@ -73,6 +74,7 @@
     "ExchangeRegistry",
     "GiveUp",
     "Observer",
+    "ProcessChecks",
     "Progress",
     "Retry",
     "RetryBounds",
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -9,6 +9,7 @@
 from jujubenotch.dispatch.decide import WORK_RESULTS, AttemptResult
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
 from jujubenotch.dispatch.silence_limit import (
+    Leaving,
     limit_silence,
     pause_limit,
     resume_limit,
@@ -110,7 +111,7 @@
     sink: Sink,
     record_head: Callable[[UpstreamAnswer], None],
     record_stream_start: Callable[[], None],
-    try_to_leave: Callable[[], bool] = lambda: True,
+    leaving: Leaving | None = None,
 ) -> None:
     """Send a call to an upstream and forward the response.
 
@@ -123,8 +124,8 @@
     :param sink: Receives the events of a stream.
     :param record_head: Called when the head of the response arrives.
     :param record_stream_start: Called before the head of a stream is forwarded.
-    :param try_to_leave: Called when the upstream has been silent for the call's limit;
-        returns whether the attempt ends for that.
+    :param leaving: What happens when the upstream has been silent for the call's
+        limit; ``None`` ends the attempt.
     :raises CallerDisconnectedError: The caller has disconnected.
     """
     receiver = _Receiver(
@@ -138,7 +139,7 @@
         record_stream_start=record_stream_start,
     )
     try:
-        await _exchange(receiver, upstream, try_to_leave)
+        await _exchange(receiver, upstream, leaving or Leaving())
     except ConnectFailedError as error:
         attempt.end = AttemptResult.CONNECT_FAILED
         attempt.error = str(error)[:MAX_ERROR_LENGTH]
@@ -156,14 +157,14 @@
         attempt.end = AttemptResult.TRUNCATED
 
 
-async def _exchange(receiver, upstream, try_to_leave):
+async def _exchange(receiver, upstream, leaving):
     """Send the request and receive its response, within the limit on silence."""
     call = receiver.call
     request = make_upstream_request(
         receiver.protocol, upstream, call, receiver.progress
     )
     async with (
-        limit_silence(call.silence_timeout_s, try_to_leave) as silence,
+        limit_silence(call.silence_timeout_s, leaving) as silence,
         open_exchange(receiver.connections, request) as answer,
     ):
         receiver.attempt.head_at_s = silence.heard_s = read_clock_s()
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -40,6 +40,7 @@
     decide_next,
     record_attempt,
 )
+from jujubenotch.dispatch.leaving import make_leaving
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.protocol import AnswerKind
 from jujubenotch.dispatch.retries import (
@@ -48,7 +49,6 @@
     find_retry_end,
     spend_retry_budget,
     start_retry,
-    try_to_leave,
 )
 from jujubenotch.dispatch.service_silence import watch_attempt
 from jujubenotch.dispatch.shared_budget import RetryEnd
@@ -356,7 +356,7 @@
                 sink,
                 lambda head: _record_head(dispatcher, grant, call, progress, head),
                 lambda: _record_stream_start(dispatcher, grant, call, progress),
-                lambda: try_to_leave(dispatcher, upstream, call, progress, attempt),
+                make_leaving(dispatcher, upstream, grant, call, progress, attempt),
             )
             await watch_exchange(
                 dispatcher.exchange_registry, upstream.name, call, attempt, work
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -8,6 +8,7 @@
 from jujubenotch.dispatch.attempt import Attempt
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
 from jujubenotch.dispatch.meter import Meter, NoMeter
+from jujubenotch.dispatch.process_check import ProcessChecks
 from jujubenotch.dispatch.protocol import OPENAI_PROTOCOL, UpstreamProtocol
 from jujubenotch.dispatch.service_silence import ServiceSilence
 from jujubenotch.dispatch.shared_budget import RetryEnd
@@ -126,6 +127,10 @@
     :param is_out_of_reach: Tells whether this instance reaches no upstream of a
         service.
     :param service_silence: When each service was last heard of.
+    :param process_checks: Tells processes that stand still; ``None`` where silent
+        streams are left without a check.
+    :param record_standstill: Called with the grant of a stream whose upstream's process
+        stands still, and the present monotonic time in seconds.
     :param meter: Counts what calls ask of services.
     :param in_progress: The tasks of the calls that have not ended.
     :param time_limit: The time by which all calls must have ended.
@@ -159,6 +164,8 @@
     record_attempt: Callable[[Call, Attempt], None] = lambda call, attempt: None
     is_out_of_reach: Callable[[str], bool] = lambda service: False
     service_silence: ServiceSilence = field(default_factory=ServiceSilence)
+    process_checks: ProcessChecks | None = None
+    record_standstill: Callable[[Grant, float], None] = lambda grant, now_s: None
     meter: Meter = field(default_factory=NoMeter)
     in_progress: set[asyncio.Task] = field(default_factory=set)
     time_limit: TimeLimit = field(default_factory=TimeLimit)
--- a/jujubenotch/dispatch/protocol.py
+++ b/jujubenotch/dispatch/protocol.py
@@ -42,6 +42,7 @@
         ``None`` when the response is another process's.
     :param end_marker: The event that ends a complete stream; empty when the
         end of the body marks the end of the stream.
+    :param status_path: A path that upstreams answer without running a request.
     """
 
     write_headers: Callable[[Upstream, Call, Progress, float], Headers]
@@ -50,6 +51,7 @@
     read_load: Callable[[UpstreamAnswer], LoadReport | None] = lambda answer: None
     read_notice: Callable[[UpstreamAnswer], UpstreamNotice | None] = lambda answer: None
     end_marker: bytes = b""
+    status_path: str = "/"
 
 
 def _write_openai_headers(upstream, call, progress, now_s):
--- a/jujubenotch/dispatch/service_silence.py
+++ b/jujubenotch/dispatch/service_silence.py
@@ -68,3 +68,16 @@
         return False
     waiting = {each.process for each in attempts if each.sent_at_s < now_s - MIN_WAIT_S}
     return len(waiting) >= MIN_SILENT_UPSTREAMS
+
+
+def is_process_heard(silence: ServiceSilence, process: str, since_s: float) -> bool:
+    """Return whether a process has sent something to an attempt in progress.
+
+    :param silence: What was heard.
+    :param process: The name of the process.
+    :param since_s: Since when, monotonic, in seconds.
+    """
+    return any(
+        each.process == process and each.heard_s >= since_s
+        for each in silence.attempts.values()
+    )
--- a/jujubenotch/dispatch/silence_limit.py
+++ b/jujubenotch/dispatch/silence_limit.py
@@ -10,6 +10,8 @@
 # How often an exchange that stays at a silent upstream is checked again. After all
 # upstreams were silent, each has this long to send its next event.
 RECHECK_S = 0.5
+# How long before the limit an exchange is prepared to end.
+PREPARATION_S = 0.5
 
 
 @dataclass(kw_only=True)
@@ -28,6 +30,19 @@
     timeout: asyncio.Timeout | None = None
 
 
+@dataclass(frozen=True, kw_only=True)
+class Leaving:
+    """How an exchange leaves its upstream for silence.
+
+    :param prepare: Called shortly before the limit passes.
+    :param decide: Called when the limit has passed, and again later if the exchange
+        goes on; returns whether it ends.
+    """
+
+    prepare: Callable[[], None] = lambda: None
+    decide: Callable[[], bool] = lambda: True
+
+
 def pause_limit(limit: SilenceLimit) -> None:
     """Let the limit not end the exchange from now on, also if it has just passed.
 
@@ -53,13 +68,12 @@
 
 @asynccontextmanager
 async def limit_silence(
-    max_silence_s: float | None, try_to_leave: Callable[[], bool]
+    max_silence_s: float | None, leaving: Leaving
 ) -> AsyncIterator[SilenceLimit]:
     """End the enclosed exchange when its upstream is silent for too long.
 
     :param max_silence_s: The longest silence, in seconds; ``None`` means no limit.
-    :param try_to_leave: Called when the limit has passed; when it returns false the
-        exchange goes on, and this is called again later.
+    :param leaving: What happens at the limit.
     :returns: A context manager that yields what the exchange has to keep up to date.
     :raises SilentUpstreamError: The upstream was silent for too long.
     """
@@ -76,16 +90,21 @@
             def check():
                 nonlocal timer
                 now_s = loop.time()
-                next_s = limit.heard_s + max_silence_s
+                limit_s = limit.heard_s + max_silence_s
                 if limit.is_paused:
                     next_s = now_s + max_silence_s
-                elif next_s <= now_s:
+                elif now_s < limit_s - PREPARATION_S:
+                    next_s = limit_s - PREPARATION_S
+                elif now_s < limit_s:
+                    leaving.prepare()
+                    next_s = limit_s
+                else:
                     next_s = now_s + RECHECK_S
-                    if try_to_leave():
+                    if leaving.decide():
                         timeout.reschedule(now_s)
                 timer = loop.call_at(next_s, check)
 
-            timer = loop.call_at(limit.heard_s + max_silence_s, check)
+            timer = loop.call_at(limit.heard_s + max_silence_s - PREPARATION_S, check)
             try:
                 yield limit
             finally:
--- a/jujubenotch/forwarding/capacity.py
+++ b/jujubenotch/forwarding/capacity.py
@@ -50,7 +50,13 @@
 )
 from jujubenotch.forwarding.states import UpstreamStates
 from jujubenotch.outcomes import Refusal, RefusalReason
-from jujubenotch.routing import is_ejected, may_probe, record_result, start_probe
+from jujubenotch.routing import (
+    is_ejected,
+    may_probe,
+    record_result,
+    record_standstill,
+    start_probe,
+)
 from jujubenotch.work import (
     Grant,
     LoadReport,
@@ -284,6 +290,20 @@
             is_probe=outstanding.is_probe,
         )
 
+    def record_standstill(self, grant: Grant, now_s: float) -> None:
+        """Record that the process of a granted request's upstream stands still.
+
+        :param grant: The grant.
+        :param now_s: The present monotonic time, in seconds.
+        """
+        outstanding = self._outstanding[grant.grant_id]
+        record_standstill(
+            outstanding.state.health,
+            started_s=outstanding.granted_s,
+            now_s=now_s,
+            is_probe=outstanding.is_probe,
+        )
+
     def record_response_start(self, grant: Grant, now_s: float) -> None:
         """Record that the response to a granted request has begun.
 
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -30,6 +30,7 @@
 # No upstream has as many slots; a larger number is an error.
 MAX_COUNT_DIGITS = 9
 PERCENT = 100
+REPORT_PATH = "/v1/report"
 # A higher pace can't be told from a stalled upstream.
 MAX_PACE_PERCENT = 100_000
 
@@ -212,4 +213,5 @@
     is_for_other=_is_for_other,
     read_load=_read_load,
     read_notice=read_notice,
+    status_path=REPORT_PATH,
 )
--- a/jujubenotch/routing/__init__.py
+++ b/jujubenotch/routing/__init__.py
@@ -19,6 +19,7 @@
     is_ejected,
     may_probe,
     record_result,
+    record_standstill,
     start_probe,
 )
 from jujubenotch.routing.overflow import (
@@ -64,6 +65,7 @@
     "record_own_running",
     "record_prefix",
     "record_result",
+    "record_standstill",
     "start_probe",
     "subtract_restored_request",
 ]
--- a/jujubenotch/routing/health.py
+++ b/jujubenotch/routing/health.py
@@ -78,6 +78,21 @@
         _recover(health)
 
 
+def record_standstill(
+    health: Health, *, started_s: float, now_s: float, is_probe: bool
+) -> None:
+    """Eject an upstream whose process stands still, although its requests go on.
+
+    :param health: The upstream's health; changed in place.
+    :param started_s: When the request that shows it was granted, monotonic, in seconds.
+    :param now_s: The present monotonic time, in seconds.
+    :param is_probe: Whether that request was a probe.
+    """
+    is_current = is_probe and health.probe_started_s == started_s
+    if health.ejected_until_s is None or is_current:
+        _eject(health, now_s)
+
+
 def is_ejected(health: Health, now_s: float) -> bool:
     """Return whether an upstream gets no requests except probes.
 
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -32,7 +32,11 @@
     translate_errors,
 )
 from jujubenotch.upstreams.load import read_load
-from jujubenotch.upstreams.probe import keeps_connections
+from jujubenotch.upstreams.probe import (
+    ProcessState,
+    check_process,
+    keeps_connections,
+)
 
 __all__ = [
     "END_MARKER",
@@ -41,12 +45,14 @@
     "ConnectionLimits",
     "ConnectionLostError",
     "EventBuffer",
+    "ProcessState",
     "SilentUpstreamError",
     "UpstreamAnswer",
     "UpstreamConnections",
     "UpstreamError",
     "UpstreamRequest",
     "check_not_truncated",
+    "check_process",
     "close_connections",
     "keeps_connections",
     "open_connections",
--- a/jujubenotch/upstreams/probe.py
+++ b/jujubenotch/upstreams/probe.py
@@ -1,11 +1,57 @@
-"""Tells whether an upstream accepts connections."""
+"""Tells whether an upstream accepts connections, and whether its process works."""
 
 import asyncio
+from enum import StrEnum
 from urllib.parse import urlsplit
 
 CONNECT_TIMEOUT_S = 0.5
 # A proxy in front of an upstream that has ended accepts connections and closes them.
 KEPT_OPEN_S = 0.1
+# A working process reacts to a new connection within this time.
+REACTION_TIMEOUT_S = 0.4
+
+
+class ProcessState(StrEnum):
+    """What a new connection shows about the process of an upstream.
+
+    ``STANDS_STILL`` means that its host accepts connections and the process reacts to
+    nothing, so it doesn't learn that a connection was closed either.
+    """
+
+    WORKS = "works"
+    UNREACHED = "unreached"
+    STANDS_STILL = "stands-still"
+
+
+async def check_process(url: str, path: str) -> ProcessState:
+    """Find out whether the process of an upstream reacts to a new connection.
+
+    The request is followed by the end of this side of the connection, so that also a
+    process that answers nothing reacts, by closing its side.
+
+    :param url: The upstream's base URL.
+    :param path: A path that the upstream answers without running a request.
+    """
+    address = urlsplit(url)
+    writer = None
+    try:
+        async with asyncio.timeout(REACTION_TIMEOUT_S):
+            reader, writer = await asyncio.open_connection(
+                address.hostname, address.port
+            )
+            head = f"GET {path} HTTP/1.1\r\nHost: {address.netloc}\r\n"
+            writer.write(f"{head}Connection: close\r\n\r\n".encode())
+            writer.write_eof()
+            await reader.read(1)
+    except TimeoutError:
+        return ProcessState.UNREACHED if writer is None else ProcessState.STANDS_STILL
+    except OSError:
+        # A reset is a reaction, of the process or of its host after the process's end.
+        return ProcessState.UNREACHED if writer is None else ProcessState.WORKS
+    finally:
+        if writer is not None:
+            writer.transport.abort()
+    return ProcessState.WORKS
 
 
 async def keeps_connections(url: str) -> bool:
