Don't promise "not run" for a request that may have run and is refused its next upstream (REFUSED)

What callers saw: 503 with a time to come back for a request that an upstream had got, beside the outcome "unknown".

Cause: the status came from the refusal's reason alone, whatever became of the request before. Only requests that may be repeated get there, as others are given up after a send without a proof; the status promises the same of all.

Evidence: features/platform/repeats.feature, "A request that may have run is refused a further upstream": 503 on, 502 with the change. The time to come back stays.

--- a/features/platform/repeats.feature
+++ b/features/platform/repeats.feature
@@ -25,6 +25,14 @@
     Then the caller gets the status 503
     And the response has a Retry-After header
 
+  # Guards against the promise that a request has not run, made for one that may have: it
+  # was sent once, and is refused when it is to be sent again (REFUSED).
+  Scenario: A request that may have run is refused a further upstream
+    Given a site whose upstream wants a rest and doesn't say that it ran nothing
+    When 1 callers send idempotent requests
+    Then the upstreams received 1 request in total
+    And the caller gets the status 502
+
   Scenario: Retries stay within the budget
     Given a site that may repeat 6 requests in 10 s, whose upstream fails
     And another upstream that fails
--- a/features/platform/upstream_kinds.py
+++ b/features/platform/upstream_kinds.py
@@ -75,6 +75,10 @@
         lambda head: write_status(head, b"503 Busy"),
         "keep",
     ),
+    "wants a rest and doesn't say that it ran nothing": (
+        lambda head: write_status(head, b"503 Busy", b"Retry-After: 2\r\n"),
+        "keep",
+    ),
     "answers without a length": (answer_unframed, "close"),
     "fails": (
         lambda head: write_status(head, b"500 Error", b"X-Response-Signature: s.1\r\n"),
--- a/jujubenotch/dispatch/answers.py
+++ b/jujubenotch/dispatch/answers.py
@@ -26,14 +26,20 @@
 def make_refusal_answer(progress: Progress, refusal: Refusal) -> Answer:
     """Make the response of a call that was refused a slot.
 
+    The status of a refusal promises that the call was not run, so a call of which that
+    isn't proved gets another one.
+
     :param progress: The call's progress; an earlier attempt may have run.
     :param refusal: The reason, and when the caller may retry.
     :returns: The response.
     """
     outcome = determine_outcome(progress)
+    status = BAD_GATEWAY
+    if outcome is Outcome.NOT_RUN:
+        status = STATUS_BY_REFUSAL.get(refusal.reason, SERVICE_UNAVAILABLE)
     return Answer(
         outcome=outcome,
-        status=STATUS_BY_REFUSAL.get(refusal.reason, SERVICE_UNAVAILABLE),
+        status=status,
         reason=refusal.reason,
         detail=refusal.detail,
         retry_after_s=refusal.retry_after_s,
