Take each request for one that may have run from before its send, until a proof takes that back

Cause: whether a request may have run started as "no" and was set where an attempt ended or raised, in four places. A path that forgets it promises "not run" and sends the request again (TWICE, REFUSED). No such path was found.

Change: a send is recorded before its first byte can leave, here or by way of another instance. Only accept_proof takes it back, which needs a NotRunProof: no connection, a refusal that names the request, or 421 from another process. The handlers of exceptions that set the doubt are gone.

The steps of features/dispatch/decide.feature record the send as the dispatcher does.

--- a/features/dispatch/steps/decide_steps.py
+++ b/features/dispatch/steps/decide_steps.py
@@ -2,7 +2,7 @@
 
 from jujubenotch.dispatch import AttemptResult, Call, GiveUp, decide_next
 from jujubenotch.dispatch.call import Progress
-from jujubenotch.dispatch.decide import record_attempt
+from jujubenotch.dispatch.decide import record_attempt, record_send
 from jujubenotch.records import ServiceClass, Team
 
 
@@ -39,6 +39,7 @@
 
 @given("an earlier attempt that ended as {end}")
 def give_attempt(context, end):
+    record_send(context.progress)
     record_attempt(context.progress, AttemptResult(end))
     context.progress.attempts += 1
 
@@ -61,6 +62,7 @@
 
 @when("an attempt ends as {end}")
 def end_attempt(context, end):
+    record_send(context.progress)
     record_attempt(context.progress, AttemptResult(end))
     context.decision = decide_next(
         context.call,
--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -31,6 +31,7 @@
     make_refusal_answer,
     read_clock_s,
     record_attempt,
+    record_send,
     run_attempt,
 )
 from jujubenotch.logs import log_event
@@ -234,6 +235,7 @@
     attempt = Attempt(sent_at_s=read_clock_s())
     heads = []
     progress.must_finish = call.outlives_caller
+    record_send(progress)
     try:
         async with limit_wait(watch.time_limit, call.deadline_s):
             await run_attempt(
@@ -249,9 +251,6 @@
             )
     except TimeoutError:
         attempt.end = AttemptResult.DEADLINE
-    except BaseException:
-        progress.may_have_run = True
-        raise
     reason = heads[0].find_header(REASON_HEADER) if heads else ""
     _log(
         call,
@@ -274,11 +273,11 @@
     if end is AttemptResult.COMPLETED:
         record_help(watch.helpers, address, read_clock_s())
         return attempt.answer
+    record_attempt(progress, end)
     if end is AttemptResult.CONNECT_FAILED:
         avoid_helper(watch.helpers, address, read_clock_s(), avoid_s=UNREACHED_AVOID_S)
         return None
     if end is not AttemptResult.REFUSED:
-        record_attempt(progress, end)
         return make_give_up_answer(progress, attempt, make_give_up(progress, end))
     if reason == RefusalReason.UPSTREAM_UNREACHABLE:
         avoid_helper(watch.helpers, address, read_clock_s(), avoid_s=CUT_OFF_AVOID_S)
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -34,6 +34,7 @@
     decide_next,
     make_give_up,
     record_attempt,
+    record_send,
 )
 from jujubenotch.dispatch.dispatcher import digest_call, dispatch, wait_until_idle
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
@@ -102,6 +103,7 @@
     "record_attempt",
     "record_request",
     "record_retry_end",
+    "record_send",
     "record_success",
     "remove_hop_by_hop_headers",
     "run_attempt",
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -188,8 +188,8 @@
 class Progress:
     """The state of a call, accumulated over all its attempts.
 
-    :param may_have_run: Whether the request was sent at least once without proof
-        that the upstream did not start it.
+    :param unproved_sends: How often the request was sent, or was about to be, without
+        proof that it was not run for that.
     :param has_run: Whether an upstream has proved by its response that it ran
         the request.
     :param is_claimed: Whether this call holds the claim of its idempotency key.
@@ -212,7 +212,7 @@
         with an idempotency key.
     """
 
-    may_have_run: bool = False
+    unproved_sends: int = 0
     has_run: bool = False
     is_claimed: bool = False
     must_finish: bool = False
@@ -227,6 +227,11 @@
     retry_target: str = ""
     recorded_events: list[bytes] = field(default_factory=list)
 
+    @property
+    def may_have_run(self) -> bool:
+        """Whether nothing proves that the request was not run."""
+        return self.unproved_sends > 0
+
 
 def find_resume_point(call: Call, progress: Progress) -> str:
     """Find the event after which an upstream has to resume a stream.
--- a/jujubenotch/dispatch/decide.py
+++ b/jujubenotch/dispatch/decide.py
@@ -47,9 +47,25 @@
     AttemptResult.DEADLINE: WorkResult.CANCELLED,
 }
 
-_ENDS_PROVING_NOT_RUN = frozenset(
-    {AttemptResult.CONNECT_FAILED, AttemptResult.REFUSED, AttemptResult.MISDIRECTED}
-)
+
+class NotRunProof(StrEnum):
+    """What proves that a request was not run, although it was about to be sent.
+
+    ``NOT_SENT`` is the failure to establish a connection; ``REFUSED`` a response that
+    names the request and says that it was not started; ``MISDIRECTED`` a response that
+    names it and comes from another process than the expected one.
+    """
+
+    NOT_SENT = "not-sent"
+    REFUSED = "refused"
+    MISDIRECTED = "misdirected"
+
+
+_PROOF_BY_END = {
+    AttemptResult.CONNECT_FAILED: NotRunProof.NOT_SENT,
+    AttemptResult.REFUSED: NotRunProof.REFUSED,
+    AttemptResult.MISDIRECTED: NotRunProof.MISDIRECTED,
+}
 
 _ENDS_PROVING_RUN = frozenset(
     {AttemptResult.UPSTREAM_ERROR, AttemptResult.TRUNCATED, AttemptResult.RESTARTED}
@@ -89,19 +105,48 @@
     reason: FailureReason | RefusalReason
 
 
+def record_send(progress: Progress) -> None:
+    """Record that a call is about to be sent, before its first byte can leave.
+
+    From now on it may have run, unless :func:`record_attempt` finds a proof.
+
+    :param progress: The call's progress; changed in place.
+    """
+    progress.unproved_sends += 1
+
+
 def record_attempt(progress: Progress, end: AttemptResult) -> None:
     """Update a call's progress with what the end of an attempt proves.
 
-    :param progress: The call's progress; changed in place.
+    :param progress: The call's progress, with the send recorded; changed in place.
     :param end: How the attempt ended.
     """
-    if end not in _ENDS_PROVING_NOT_RUN:
-        progress.may_have_run = True
+    proof = find_proof(end)
+    if proof is not None:
+        accept_proof(progress, proof)
+    else:
         progress.runs += 1
     if end in _ENDS_PROVING_RUN:
         progress.has_run = True
 
 
+def find_proof(end: AttemptResult) -> NotRunProof | None:
+    """Return what the end of an attempt proves, or ``None`` if the call may have run.
+
+    :param end: How the attempt ended.
+    """
+    return _PROOF_BY_END.get(end)
+
+
+def accept_proof(progress: Progress, proof: NotRunProof) -> None:
+    """Take back that a call may have run for its last send.
+
+    :param progress: The call's progress; changed in place.
+    :param proof: What proves it; there is no other way to take it back.
+    """
+    progress.unproved_sends -= 1
+
+
 def decide_next(
     call: Call,
     progress: Progress,
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -39,6 +39,7 @@
     Retry,
     decide_next,
     record_attempt,
+    record_send,
 )
 from jujubenotch.dispatch.leaving import make_leaving
 from jujubenotch.dispatch.model import Dispatcher
@@ -315,6 +316,7 @@
     )
     upstream = dispatcher.read_configuration().upstreams.get(grant.upstream)
     progress.attempts += 1
+    record_send(progress)
     start_retry(progress)
     dispatcher.meter.record_attempt_start(attempt.origin.service)
     try:
@@ -325,11 +327,6 @@
                 await _run_attempt_until_deadline(
                     dispatcher, grant, upstream, call, progress, attempt, sink
                 )
-    except BaseException:
-        # The caller disconnected or the call was cancelled while the attempt
-        # was in progress, so the upstream may have run the request.
-        progress.may_have_run = True
-        raise
     finally:
         dispatcher.meter.record_attempt_end(attempt.origin.service, attempt.tokens)
         end_retry(dispatcher, progress, find_retry_end(attempt))
