Bound what is read from the platform's store and API, as from upstreams

The same cause elsewhere: bodies of the store were read to their end whatever their size, and its connections had no bound on heads, chunk sizes and idle bytes. A body over 16 MiB is an error of the source, and one over 1 MiB of the API an unknown result. No test of its own: features/platform/malformed and stream_records, features/leases and lease_sites hold with it.

--- a/jujubenotch/platform/cloud.py
+++ b/jujubenotch/platform/cloud.py
@@ -10,6 +10,7 @@
 from jujubenotch.forwarding import read_boot_clock_s
 from jujubenotch.leases import ApiResult, UpstreamOrder
 from jujubenotch.settings.forwarder import Address
+from jujubenotch.upstreams import AnswerTooLargeError, CleanConnector, read_bounded
 
 HOLDER = "X-Lease-Holder"
 TOKEN = "X-Fencing-Token"
@@ -19,6 +20,8 @@
 CONFLICT = 409
 LIMITED = 429
 UNAVAILABLE = 503
+# Nothing in the body is used.
+MAX_ANSWER_BYTES = 1024 * 1024
 
 
 class _CallOverdueError(Exception):
@@ -92,7 +95,7 @@
                     allow_redirects=False,
                     trace_request_ctx=end_s,
                 ) as answer:
-                    await answer.read()
+                    await read_bounded(answer, MAX_ANSWER_BYTES)
         except (
             _CallOverdueError,
             aiohttp.ClientConnectorError,
@@ -101,7 +104,13 @@
             return ApiResult.NOT_DONE
         # The event loop raises RuntimeError for a connection whose file descriptor
         # was closed by a cancelled call.
-        except (aiohttp.ClientError, OSError, RuntimeError, TimeoutError):
+        except (
+            aiohttp.ClientError,
+            OSError,
+            RuntimeError,
+            TimeoutError,
+            AnswerTooLargeError,
+        ):
             return ApiResult.UNKNOWN
         return classify_status(answer.status)
 
@@ -117,7 +126,7 @@
     session = aiohttp.ClientSession(
         # The API may close an idle connection at any time, and a call on it would then
         # have an unknown result.
-        connector=aiohttp.TCPConnector(limit=0, force_close=True),
+        connector=CleanConnector(limit=0, force_close=True),
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
         cookie_jar=aiohttp.DummyCookieJar(),
         trace_configs=[trace],
--- a/jujubenotch/platform/store.py
+++ b/jujubenotch/platform/store.py
@@ -22,10 +22,14 @@
 )
 from jujubenotch.platform.units import MS_PER_S
 from jujubenotch.settings.forwarder import Address
+from jujubenotch.upstreams import AnswerTooLargeError, CleanConnector, read_bounded
 
 CONFIGURATION_TABLE = "op"
 CONFIGURATION_KEY = "config"
 UPSTREAM_TABLE = "servers"
+# The store sends 1 MB of rows at most, and objects of 8 MiB.
+MAX_PAGE_BYTES = 16 * 1024 * 1024
+MAX_OBJECT_BYTES = 16 * 1024 * 1024
 OK = 200
 HISTORY_GONE = 410
 ERA_HEADER = "Store-Era"
@@ -158,13 +162,17 @@
             async with self.client.session.get(
                 f"http://{self.client.address.text}{path}", params=parameters
             ) as answer:
-                content = bytearray()
-                async for part in answer.content.iter_any():
-                    content += part
-                    note_progress()
+                content = await read_bounded(
+                    answer, MAX_PAGE_BYTES, lambda size_bytes: note_progress()
+                )
         # The event loop raises RuntimeError for a connection whose file descriptor
         # was closed by a cancelled call.
-        except (aiohttp.ClientError, OSError, RuntimeError) as error:
+        except (
+            aiohttp.ClientError,
+            OSError,
+            RuntimeError,
+            AnswerTooLargeError,
+        ) as error:
             raise SourceError(f"the store did not answer {path}: {error!r}") from error
         if answer.status == HISTORY_GONE:
             raise HistoryLostError(
@@ -223,7 +231,7 @@
     :returns: The client; close its session when it is no longer needed.
     """
     session = aiohttp.ClientSession(
-        connector=aiohttp.TCPConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
+        connector=CleanConnector(limit=0, keepalive_timeout=KEEPALIVE_S),
         # The code that reads a source limits the duration of each call, so no total
         # timeout is set here.
         timeout=aiohttp.ClientTimeout(total=None, sock_connect=CONNECT_TIMEOUT_S),
@@ -278,7 +286,7 @@
         async with client.session.request(
             method, url, timeout=timeout, **arguments
         ) as answer:
-            content = await answer.read()
+            content = await read_bounded(answer, MAX_OBJECT_BYTES)
         return answer.status, _read_era(answer), content
     except (
         aiohttp.ClientError,
@@ -286,6 +294,7 @@
         RuntimeError,
         TimeoutError,
         ValueError,
+        AnswerTooLargeError,
     ) as error:
         raise SourceError(f"the store did not answer {path}: {error!r}") from error
 
