--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -24,6 +24,15 @@
 BAD_MARK = "bad-"
 CRASH_DELAY_S = 0.03
 MS_PER_S = 1000
+REPORT_PATH = "/v1/report"
+ENDLESS_PART_BYTES = 65536
+# What follows the head of an answer without an end; the last is no head at all.
+ENDLESS_ANSWERS = (
+    (b"Transfer-Encoding: chunked\r\n", b"0"),
+    (b"Transfer-Encoding: chunked\r\n", b"4000\r\n" + b"x" * 0x4000 + b"\r\n"),
+    (b"Content-Type: text/event-stream\r\n", b"x"),
+    (None, b"HTTP/1.1 102 Processing\r\n\r\n"),
+)
 _FIELD = re.compile(rb"^([^:\r\n]+):[ \t]*([^\r\n]*)\r$", re.MULTILINE)
 
 
@@ -38,6 +47,7 @@
     REFUSE = "refuse"
     EXTRA = "extra"
     MUTE = "mute"
+    ENDLESS = "endless"
 
 
 @dataclass(kw_only=True)
@@ -219,6 +229,9 @@
 
     :returns: Whether the connection can take another request.
     """
+    if head.path == REPORT_PATH:
+        await _send(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        return True
     if head.fields.get("x-expect-instance", upstream.name) != upstream.name:
         return await _refuse(upstream, head, writer, b"421 Misdirected Request")
     spoiling = _draw_spoiling(upstream)
@@ -281,6 +294,8 @@
     if spoiling is Spoiling.GARBAGE:
         await _send(writer, b"\x00\x01 what\r\n\r\n")
         return False
+    if spoiling is Spoiling.ENDLESS:
+        return await _send_without_end(upstream, head, writer)
     if upstream.service == "model":
         return await _stream(upstream, head, writer, spoiling)
     await asyncio.sleep(PLAIN_WORK_S * upstream.slowdown)
@@ -290,6 +305,17 @@
     return await _send_plain(upstream, head, writer, spoiling)
 
 
+async def _send_without_end(upstream, head, writer):
+    """Send bytes that are no answer until the connection is closed."""
+    extra, part = upstream.generator.choice(ENDLESS_ANSWERS)
+    if extra is not None:
+        start = _write_head(upstream, head, b"200 OK", extra, length=None)
+        await _send(writer, start)
+    part *= max(1, ENDLESS_PART_BYTES // len(part))
+    while True:
+        await _send(writer, part)
+
+
 async def _send_plain(upstream, head, writer, spoiling):
     if spoiling is Spoiling.ERROR:
         status = b"500 Internal Server Error"
--- a/features/routing/health.feature
+++ b/features/routing/health.feature
@@ -49,3 +49,16 @@
     And no probe may be sent
     When 5 seconds pass
     Then the upstream is not ejected
+
+  # Guards against an upstream that gets new requests while its process stands still, as
+  # the streams that it holds go on and end nothing.
+  Scenario: An upstream whose process stands still is ejected while its requests go on
+    When a request shows that the process stands still
+    Then the upstream is ejected
+    When 1 seconds pass
+    Then a probe may be sent
+    When a probe starts
+    And the probe shows that the process stands still
+    And 1.5 seconds pass
+    Then the upstream is ejected
+    And no probe may be sent
--- a/features/routing/steps/health_steps.py
+++ b/features/routing/steps/health_steps.py
@@ -7,6 +7,7 @@
     is_ejected,
     may_probe,
     record_result,
+    record_standstill,
     start_probe,
 )
 from jujubenotch.work import WorkResult
@@ -51,6 +52,24 @@
     accept_running_probe(context.health, context.now_s)
 
 
+@when("a request shows that the process stands still")
+def show_standstill(context):
+    record_standstill(
+        get_health(context), started_s=STARTED_S, now_s=context.now_s, is_probe=False
+    )
+
+
+@when("the probe shows that the process stands still")
+def show_standstill_by_probe(context):
+    health = context.health
+    record_standstill(
+        health,
+        started_s=health.probe_started_s,
+        now_s=context.now_s,
+        is_probe=True,
+    )
+
+
 @when("a probe starts")
 def begin_probe(context):
     start_probe(context.health, context.now_s)
