Take an error of the event loop for a process that isn't reached

A check that raised would have left no result, so that streams at a silent upstream waited to their deadline. Found by reading. features/upstreams/process_check.feature names what each kind of process shows; the row of the error failed before, by reading.

--- a/jujubenotch/upstreams/probe.py
+++ b/jujubenotch/upstreams/probe.py
@@ -45,8 +45,10 @@
             await reader.read(1)
     except TimeoutError:
         return ProcessState.UNREACHED if writer is None else ProcessState.STANDS_STILL
-    except OSError:
-        # A reset is a reaction, of the process or of its host after the process's end.
+    # A reset is a reaction, of the process or of its host after the process's end. The
+    # event loop raises RuntimeError for a connection whose file descriptor was closed
+    # by a cancelled call.
+    except (OSError, RuntimeError):
         return ProcessState.UNREACHED if writer is None else ProcessState.WORKS
     finally:
         if writer is not None:
