Don't blame a request that ended well before for upstreams that all crash at once (TIER)

Cause: crashes at the same moment count once for a prompt part, but each for a whole request, as if it could not be at several upstreams at once. Equal requests of many callers have one digest.

Change: instances remember for 60 s which requests (4,096, up to 16 KiB) ended well, as they do for parts. Such a request is trusted: crashes at the same moment count once, and five are needed. One that never ended well is judged as before.

Evidence: features/crashes/evidence.feature, "A request was in progress at many upstreams that crashed at once": with r1 sound before, 9 crashes at once blocked it by the former count (nine of three needed). features/crashes and platform/crashing_request, crashing_prompt hold.

--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -125,6 +125,23 @@
       | 4     | sent    |
       | 5     | blocked |
 
+  # Guards against a sound request that many callers send and that stays blocked, as all
+  # upstreams crashed at the same moment while they ran it (TIER).
+  Scenario Outline: A request was in progress at many upstreams that crashed at once
+    Given an instance that saw a good response with "<sound>"
+    When 9 processes end at once while they run "r1"
+    Then a request with "r1" is <verdict>
+
+    Examples:
+      | sound | verdict |
+      | r1    | sent    |
+      | r2    | blocked |
+
+  Scenario: A request that ended well before is blamed when it crashes one after the other
+    Given an instance that saw a good response with "r1"
+    When 5 processes end one after the other while they run "r1"
+    Then a request with "r1" is blocked
+
   Scenario: An instance reports which suspects it trusts
     Given an instance that saw a good response with "f"
     When a process ends while it runs "r1,f,g"
--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -144,6 +144,21 @@
     )
 
 
+@when('{count:d} processes end {spaced} while they run "{suspect}"')
+def end_processes(context, count, spaced, suspect):
+    for number in range(count):
+        record_break(
+            context.evidence,
+            f"engine-{number}@1",
+            [suspect],
+            now_s=context.now_s,
+            now_unix_s=context.now_unix_s,
+        )
+        if spaced == "one after the other":
+            context.now_s += SPACING_S
+            context.now_unix_s += SPACING_S
+
+
 @then('it publishes the trusted part "{part}" and the suspects "{suspects}"')
 def check_trusted(context, part, suspects):
     (crash,) = take_own_reports(context.evidence).crashes
--- a/jujubenotch/crashes/blame.py
+++ b/jujubenotch/crashes/blame.py
@@ -43,6 +43,9 @@
     weight: float
 
 
+DEFAULT_STANDING = Standing(min_crashes=MIN_CRASHES, weight=1.0)
+
+
 def choose_blocks(
     accusers: Mapping[str, CrashTimes],
     acquitted: Collection[str],
@@ -66,7 +69,8 @@
     while ranks := {
         suspect: _rank(suspect, times, standings[suspect])
         for suspect, times in remaining.items()
-        if _count_causes(suspect, times, causes) >= standings[suspect].min_crashes
+        if _count_causes(suspect, times, causes, standings[suspect])
+        >= standings[suspect].min_crashes
     }:
         best = max(ranks.values())
         leaders = [suspect for suspect, rank in ranks.items() if rank == best]
@@ -82,7 +86,7 @@
         return Standing(min_crashes=MIN_CRASHES_ACQUITTED, weight=ACQUITTED_WEIGHT)
     if suspect in trusted:
         return Standing(min_crashes=MIN_CRASHES_TRUSTED, weight=TRUSTED_WEIGHT)
-    return Standing(min_crashes=MIN_CRASHES, weight=1.0)
+    return DEFAULT_STANDING
 
 
 def _rank(suspect, times, standing):
@@ -94,9 +98,10 @@
     return standing.weight * len(times), standing.weight, is_request_digest(suspect)
 
 
-def _count_causes(suspect, times, causes):
-    if is_request_digest(suspect):
-        # One request isn't at several upstreams at the same time, as parts may be.
+def _count_causes(suspect, times, causes, standing):
+    if is_request_digest(suspect) and standing == DEFAULT_STANDING:
+        # A request that crashes upstreams may be repeated at several of them at once.
+        # One that has ended well is more likely to have been there when all crashed.
         return len(times)
     return len({causes[process] for process in times})
 
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -5,6 +5,7 @@
 """
 
 import logging
+import math
 from collections.abc import Iterable, Sequence
 from dataclasses import dataclass, field
 
@@ -26,9 +27,11 @@
 MAX_ACQUITTALS = 256
 # Acquittals of suspects with fewer crashes decide nothing yet and are not shared.
 MIN_SHARED_CRASHES = 2
-# A part is trusted for this time after a good response.
+# A part, or a request, is trusted for this time after a good response.
 TRUST_S = 300.0
+TRUST_REQUEST_S = 60.0
 MAX_SOUND_PARTS = 4096
+MAX_SOUND_REQUESTS = 4096
 
 
 @dataclass(kw_only=True)
@@ -57,6 +60,7 @@
         monotonic, in seconds.
     :param sound_s: When this instance last saw a good response with each prompt part,
         monotonic, in seconds; the latest last.
+    :param sound_requests_s: The same for whole requests.
     :param blocks: The blocks in force.
     :param published: The own acquittals that the other instances know.
     :param is_unpublished: Whether the other instances don't know all own reports.
@@ -72,6 +76,7 @@
     accusers: dict[str, dict[str, float]] = field(default_factory=dict)
     learned_s: dict[tuple[str, str], float] = field(default_factory=dict)
     sound_s: dict[str, float] = field(default_factory=dict)
+    sound_requests_s: dict[str, float] = field(default_factory=dict)
     blocks: list[Block] = field(default_factory=list)
     published: frozenset[tuple[str, str]] = frozenset()
     is_unpublished: bool = False
@@ -128,8 +133,7 @@
         _drop_oldest(evidence.own_crashes, MAX_CRASHES)
     for suspect in suspects:
         if len(crash.suspects) < MAX_SUSPECTS_PER_CRASH:
-            seen_s = evidence.sound_s.get(suspect, float("-inf"))
-            crash.suspects.setdefault(suspect, now_s - seen_s <= TRUST_S)
+            crash.suspects.setdefault(suspect, _is_trusted(evidence, suspect, now_s))
     evidence.is_unpublished = True
     evidence.is_stale = True
 
@@ -173,11 +177,19 @@
 
 
 def _remember_sound(evidence, suspect, now_s):
+    sound_s, most = evidence.sound_s, MAX_SOUND_PARTS
     if is_request_digest(suspect):
-        return
-    evidence.sound_s.pop(suspect, None)
-    evidence.sound_s[suspect] = now_s
-    _drop_oldest(evidence.sound_s, MAX_SOUND_PARTS)
+        sound_s, most = evidence.sound_requests_s, MAX_SOUND_REQUESTS
+    sound_s.pop(suspect, None)
+    sound_s[suspect] = now_s
+    _drop_oldest(sound_s, most)
+
+
+def _is_trusted(evidence, suspect, now_s):
+    sound_s, trust_s = evidence.sound_s, TRUST_S
+    if is_request_digest(suspect):
+        sound_s, trust_s = evidence.sound_requests_s, TRUST_REQUEST_S
+    return now_s - sound_s.get(suspect, -math.inf) <= trust_s
 
 
 def apply_reports(
--- a/jujubenotch/daemon/forward_crashes.py
+++ b/jujubenotch/daemon/forward_crashes.py
@@ -34,6 +34,7 @@
 
 # A response whose events came for this time did not crash its upstream.
 MIN_SOUND_S = 0.5
+MAX_TRUSTED_BODY_BYTES = 16 * 1024
 
 
 @dataclass(kw_only=True)
@@ -150,8 +151,9 @@
 
 
 def _acquit_request(watch, call, attempt):
-    # The digest of a body takes time and is needed only if something is accused.
-    if watch.evidence.accusers or watch.evidence.is_stale:
+    # The digest of a large body takes time.
+    is_small = len(call.body) <= MAX_TRUSTED_BODY_BYTES
+    if is_small or watch.evidence.accusers or watch.evidence.is_stale:
         _record_sound(watch, [digest_call(call)], attempt.sent_at_s)
 
 
