Part the receiving of a response from the attempt that it belongs to

It runs an attempt now; receive.py receives the response and forwards streams, attempt_state.py has the measurements. The features of unexpected errors and of silence name the new modules.

--- a/features/dispatch/steps/silence_steps.py
+++ b/features/dispatch/steps/silence_steps.py
@@ -6,7 +6,7 @@
 
 from features.claims.virtual_loop import VirtualLoop
 from jujubenotch.dispatch import AttemptResult, ExchangeRegistry, watch_exchange
-from jujubenotch.dispatch.attempt import Attempt
+from jujubenotch.dispatch.attempt_state import Attempt
 
 STREAM = replace(make_call(is_idempotent=True), is_stream=True)
 
--- a/features/fault_sites/unexpected_errors.feature
+++ b/features/fault_sites/unexpected_errors.feature
@@ -11,11 +11,11 @@
 
     Examples: the steps of forwarding
       | step                                          | call |
-      | jujubenotch.dispatch.attempt.take_complete_events | 1 |
-      | jujubenotch.dispatch.attempt.take_complete_events | 2 |
-      | jujubenotch.dispatch.attempt.take_complete_events | 3 |
-      | jujubenotch.dispatch.attempt.read_last_id         | 1 |
-      | jujubenotch.dispatch.attempt.check_not_truncated  | 1 |
+      | jujubenotch.dispatch.receive.take_complete_events | 1 |
+      | jujubenotch.dispatch.receive.take_complete_events | 2 |
+      | jujubenotch.dispatch.receive.take_complete_events | 3 |
+      | jujubenotch.dispatch.receive.read_last_id         | 1 |
+      | jujubenotch.dispatch.receive.check_not_truncated  | 1 |
       | jujubenotch.dispatch.dispatcher.report_attempt    | 1 |
       | jujubenotch.dispatch.dispatcher.report_attempt    | 2 |
       | jujubenotch.forwarding.capacity.spare_after       | 1 |
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -9,12 +9,8 @@
     make_give_up_answer,
     make_refusal_answer,
 )
-from jujubenotch.dispatch.attempt import (
-    Attempt,
-    read_clock_s,
-    remove_hop_by_hop_headers,
-    run_attempt,
-)
+from jujubenotch.dispatch.attempt import run_attempt
+from jujubenotch.dispatch.attempt_state import Attempt, read_clock_s
 from jujubenotch.dispatch.budget import RetryHistory, may_retry, record_success
 from jujubenotch.dispatch.call import (
     Answer,
@@ -40,6 +36,7 @@
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.process_check import ProcessChecks
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
+from jujubenotch.dispatch.receive import remove_hop_by_hop_headers
 from jujubenotch.dispatch.shared_budget import (
     RetryBounds,
     RetryCredit,
--- a/jujubenotch/dispatch/answers.py
+++ b/jujubenotch/dispatch/answers.py
@@ -1,6 +1,6 @@
 """Makes the responses of calls that have no complete response of an upstream."""
 
-from jujubenotch.dispatch.attempt import Attempt
+from jujubenotch.dispatch.attempt_state import Attempt
 from jujubenotch.dispatch.call import Answer, Progress
 from jujubenotch.dispatch.decide import GiveUp, determine_outcome
 from jujubenotch.outcomes import FailureReason, Outcome, Refusal, RefusalReason
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -16,13 +16,8 @@
     make_look_up_timeout_answer,
     make_refusal_answer,
 )
-from jujubenotch.dispatch.attempt import (
-    Attempt,
-    has_event_stream,
-    read_clock_s,
-    report_attempt,
-    run_attempt,
-)
+from jujubenotch.dispatch.attempt import run_attempt
+from jujubenotch.dispatch.attempt_state import Attempt, read_clock_s, report_attempt
 from jujubenotch.dispatch.call import (
     Answer,
     Call,
@@ -44,6 +39,7 @@
 from jujubenotch.dispatch.leaving import make_leaving
 from jujubenotch.dispatch.model import Dispatcher
 from jujubenotch.dispatch.protocol import AnswerKind
+from jujubenotch.dispatch.receive import has_event_stream
 from jujubenotch.dispatch.retries import (
     can_resume_elsewhere,
     end_retry,
--- a/jujubenotch/dispatch/leaving.py
+++ b/jujubenotch/dispatch/leaving.py
@@ -3,7 +3,7 @@
 import logging
 from dataclasses import dataclass, replace
 
-from jujubenotch.dispatch.attempt import Attempt, read_clock_s
+from jujubenotch.dispatch.attempt_state import Attempt, read_clock_s
 from jujubenotch.dispatch.call import Call, Progress
 from jujubenotch.dispatch.decide import (
     AttemptResult,
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Protocol
 
-from jujubenotch.dispatch.attempt import Attempt
+from jujubenotch.dispatch.attempt_state import Attempt
 from jujubenotch.dispatch.call import Answer, Call, Progress, Sink
 from jujubenotch.dispatch.meter import Meter, NoMeter
 from jujubenotch.dispatch.process_check import ProcessChecks
--- a/jujubenotch/dispatch/retries.py
+++ b/jujubenotch/dispatch/retries.py
@@ -2,7 +2,7 @@
 
 import logging
 
-from jujubenotch.dispatch.attempt import Attempt, read_clock_s
+from jujubenotch.dispatch.attempt_state import Attempt, read_clock_s
 from jujubenotch.dispatch.call import Call, Progress, find_target
 from jujubenotch.dispatch.decide import AttemptResult
 from jujubenotch.dispatch.model import Dispatcher
--- a/jujubenotch/dispatch/service_silence.py
+++ b/jujubenotch/dispatch/service_silence.py
@@ -4,7 +4,7 @@
 from contextlib import contextmanager
 from dataclasses import dataclass, field
 
-from jujubenotch.dispatch.attempt import Attempt
+from jujubenotch.dispatch.attempt_state import Attempt
 
 # A single silent upstream tells nothing about the others of its service.
 MIN_SILENT_UPSTREAMS = 2
--- a/jujubenotch/dispatch/silence.py
+++ b/jujubenotch/dispatch/silence.py
@@ -10,7 +10,7 @@
 from collections.abc import Awaitable
 from dataclasses import dataclass, field
 
-from jujubenotch.dispatch.attempt import Attempt, read_clock_s
+from jujubenotch.dispatch.attempt_state import Attempt, read_clock_s
 from jujubenotch.dispatch.call import Call
 from jujubenotch.dispatch.decide import AttemptResult
 
