Count the bytes of a response without those of the one before on its connection

The bound on bytes that make no progress grows with the body, and until the next head the reader of the last body stood in.

--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -52,6 +52,8 @@
         self.is_idle = False
         self.received_bytes = 0
         self.heads = 0
+        # The reader of the last response's body.
+        self._payload = None
         super().set_response_params(**options)
 
     def data_received(self, data):
