--- a/features/platform/steps/endless_many_steps.py
+++ b/features/endless/steps/endless_many_steps.py
@@ -38,7 +38,7 @@
 def start_upstream(context, name, *what, **entry):
     site = context.site
     process = subprocess.Popen(
-        [sys.executable, "-m", "features.platform.endless_upstream", site.host, *what],
+        [sys.executable, "-m", "features.endless.upstream", site.host, *what],
         cwd=ROOT,
         stdout=subprocess.PIPE,
         text=True,
--- a/features/platform/steps/endless_steps.py
+++ b/features/platform/steps/endless_steps.py
@@ -6,7 +6,7 @@
 
 from behave import given, then, when
 
-from features.platform.endless_upstream import ENDLESS, UNFRAMED_STREAM
+from features.endless.upstream import ENDLESS, UNFRAMED_STREAM
 from features.platform.site import (
     add_upstream,
     open_site,
