--- a/features/endless/endless_many.feature
+++ b/features/endless/endless_many.feature
@@ -8,7 +8,7 @@
     Then at least 19 of 20 sound requests were served
     And the instance runs, and has needed at most 250 MB of memory
 
-    Examples:
+    Examples: what has no end
       | what                         | count |
       | a body                       | 40    |
       | a body                       | 150   |
