--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -26,7 +26,8 @@
 MS_PER_S = 1000
 REPORT_PATH = "/v1/report"
 ENDLESS_PART_BYTES = 65536
-# What follows the head of an answer without an end; the last is no head at all.
+# Answers without an end: header lines, or none for an answer without a head, and the
+# bytes that are repeated.
 ENDLESS_ANSWERS = (
     (b"Transfer-Encoding: chunked\r\n", b"0"),
     (b"Transfer-Encoding: chunked\r\n", b"4000\r\n" + b"x" * 0x4000 + b"\r\n"),
--- a/features/endless/steps/endless_many_steps.py
+++ b/features/endless/steps/endless_many_steps.py
@@ -99,5 +99,4 @@
 def check_instance(context, size):
     assert context.site.process.poll() is None, read_log(context.site)[-3000:]
     peak_mb = read_memory_bytes(context.site) / BYTES_PER_MB
-    print(f"peak: {peak_mb:.0f} MB")
     assert peak_mb <= size, peak_mb
--- a/features/endless/upstream.py
+++ b/features/endless/upstream.py
@@ -1,7 +1,7 @@
 """Bytes without an end, and an upstream in a process of its own that sends them.
 
-Its arguments are an address and a name in ``ENDLESS``; without a name it is sound. It
-writes its port to standard output.
+Its arguments are an address and a name in ``ENDLESS``; without a name it answers each
+request with ``done``. It writes its port to standard output.
 """
 
 import asyncio
--- a/jujubenotch/callers/borrowed.py
+++ b/jujubenotch/callers/borrowed.py
@@ -72,9 +72,9 @@
 
 def _name_request(request, response):
     """Name the request in a response that this instance made itself."""
-    if request is not None and response is not None:
-        if OUTCOME_HEADER in response.headers:
-            response.headers[REQUEST_HEADER] = request.headers.get(REQUEST_HEADER, "")
+    is_own = response is not None and OUTCOME_HEADER in response.headers
+    if is_own and request is not None:
+        response.headers[REQUEST_HEADER] = request.headers.get(REQUEST_HEADER, "")
     return response
 
 
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -320,7 +320,7 @@
     :param request: The request; ``None`` when its head could not be read.
     :param error: The error.
     """
-    is_dispatched = getattr(request and request.ctx, "is_dispatched", False)
+    is_dispatched = request is not None and hasattr(request.ctx, "is_dispatched")
     status = choose_error_status(error, is_dispatched=is_dispatched)
     if status >= INTERNAL_SERVER_ERROR and not isinstance(error, RequestCancelled):
         log_event(
--- a/jujubenotch/crashes/blame.py
+++ b/jujubenotch/crashes/blame.py
@@ -100,8 +100,8 @@
 
 def _count_causes(suspect, times, causes, standing):
     if is_request_digest(suspect) and standing == DEFAULT_STANDING:
-        # A request that crashes upstreams may be repeated at several of them at once.
-        # One that has ended well is more likely to have been there when all crashed.
+        # A request that crashes upstreams may be at several of them at once. If one has
+        # ended well before, another cause is more likely, as it is for parts.
         return len(times)
     return len({causes[process] for process in times})
 
--- a/jujubenotch/detour/borrowed.py
+++ b/jujubenotch/detour/borrowed.py
@@ -128,8 +128,8 @@
     if outcome == Outcome.NOT_RUN and _names_request(call, answer):
         return AnswerKind.NOT_STARTED
     if outcome or answer.status in STATUSES_IMPLYING_NOT_RUN:
-        # No upstream's response with such a status is passed on as its own, so this one
-        # is the HTTP server's.
+        # Instances pass on no upstream's response with such a status. Without an
+        # outcome it comes from the HTTP server of the other instance.
         return AnswerKind.UNPROVED
     return AnswerKind.OWN
 
--- a/jujubenotch/platform/cloud.py
+++ b/jujubenotch/platform/cloud.py
@@ -20,7 +20,7 @@
 CONFLICT = 409
 LIMITED = 429
 UNAVAILABLE = 503
-# Nothing in the body is used.
+# The body is read only to its end.
 MAX_ANSWER_BYTES = 1024 * 1024
 
 
--- a/jujubenotch/upstreams/held_bytes.py
+++ b/jujubenotch/upstreams/held_bytes.py
@@ -83,9 +83,7 @@
     memory.total_bytes += size_bytes - answer.size_bytes
     answer.size_bytes = size_bytes
     while memory.total_bytes > memory.max_bytes:
-        largest = max(
-            memory.held, key=lambda each: (not each.has_length, each.size_bytes)
-        )
+        largest = max(memory.held, key=_rank)
         error = _make_error(memory, largest)
         _release(memory, largest)
         if largest is answer:
@@ -94,6 +92,7 @@
 
 
 def _rank(answer):
+    """Rank a response; the one with the highest rank is ended first."""
     return not answer.has_length, answer.size_bytes
 
 
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -15,11 +15,10 @@
 logger = logging.getLogger(__name__)
 
 
-# The HTTP library parses and queues so much at a time before its result is looked at:
-# heads, which are slow to parse, and parts of a body.
+# How much the HTTP library parses before the bounds are checked; heads take longer.
 PARSED_HEAD_BYTES = 2 * 1024
 PARSED_BODY_BYTES = 16 * 1024
-# The head of a response, and more informational ones before it than are usual.
+# The head of a response and the informational ones before it.
 MAX_HEADS = 16
 
 
@@ -52,7 +51,7 @@
         self.is_idle = False
         self.received_bytes = 0
         self.heads = 0
-        # The reader of the last response's body.
+        # Otherwise the last response's body would count as received for this request.
         self._payload = None
         super().set_response_params(**options)
 
@@ -65,7 +64,7 @@
             self._end("bytes on a connection without a request")
             return
         if not data:
-            # The HTTP library asks for what it has kept back.
+            # With no data the HTTP library goes on with what it has kept back.
             super().data_received(data)
         position = 0
         while position < len(data) and self.transport is not None:
