--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -9,6 +9,7 @@
     close_connections,
     open_connections,
 )
+from jujubenotch.upstreams.connector import CleanConnector
 from jujubenotch.upstreams.errors import (
     AnswerTooLargeError,
     ConnectFailedError,
@@ -40,7 +41,6 @@
     check_process,
     keeps_connections,
 )
-from jujubenotch.upstreams.response import CleanConnector
 
 __all__ = [
     "END_MARKER",
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -5,8 +5,9 @@
 
 import aiohttp
 
+from jujubenotch.upstreams.connector import CleanConnector
 from jujubenotch.upstreams.held_bytes import AnswerMemory
-from jujubenotch.upstreams.response import CleanConnector, UpstreamResponse
+from jujubenotch.upstreams.response import UpstreamResponse
 
 KEEPALIVE_PROBE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
--- /dev/null
+++ b/jujubenotch/upstreams/connector.py
@@ -0,0 +1,80 @@
+"""Opens and reuses connections to upstreams."""
+
+import asyncio
+import functools
+
+import aiohappyeyeballs
+import aiohttp
+
+from jujubenotch.upstreams.response import BoundedHandler
+
+
+class CleanConnector(aiohttp.TCPConnector):
+    """Reuses only connections that received nothing after their last response."""
+
+    def __init__(self, **options):
+        super().__init__(**options)
+        # The HTTP library has no public option for the protocol of its connections.
+        self._factory = functools.partial(BoundedHandler, loop=self._loop)
+
+    async def _wrap_create_connection(
+        self,
+        *arguments,
+        addr_infos,
+        req,
+        timeout,
+        client_error=aiohttp.ClientConnectorError,
+        **options,
+    ):
+        # The HTTP library's method may be cancelled while the event loop takes the
+        # socket over, and then both close its descriptor.
+        try:
+            async with asyncio.timeout(timeout.sock_connect):
+                connection = await aiohappyeyeballs.start_connection(
+                    addr_infos=addr_infos,
+                    local_addr_infos=self._local_addr_infos,
+                    loop=self._loop,
+                    socket_factory=self._socket_factory,
+                )
+            return await self._hand_over(*arguments, sock=connection, **options)
+        except TimeoutError:
+            raise
+        except OSError as error:
+            raise client_error(req.connection_key, error) from error
+
+    async def _hand_over(self, *arguments, **options):
+        """Hand a connected socket over to the event loop, even if this is cancelled."""
+        handover = self._loop.create_task(
+            self._loop.create_connection(*arguments, **options)
+        )
+        try:
+            return await asyncio.shield(handover)
+        except asyncio.CancelledError:
+            handover.add_done_callback(_abort_unused)
+            raise
+
+    async def _get(self, key, traces):
+        # The HTTP library checks only whether the connection is open. It would
+        # treat bytes that arrived after the last response as the response to the
+        # next request.
+        waiting = self._conns.get(key)
+        if waiting:
+            for entry in [each for each in waiting if each[0].should_close]:
+                waiting.remove(entry)
+                entry[0].close()
+            if not waiting:
+                del self._conns[key]
+        return await super()._get(key, traces)
+
+    def _release(self, key, protocol, **options):
+        super()._release(key, protocol, **options)
+        # A connection that is not kept has lost its transport.
+        protocol.is_idle = protocol.transport is not None
+
+
+def _abort_unused(handover):
+    """Abort a connection that nobody waits for any more."""
+    if handover.cancelled() or handover.exception() is not None:
+        return
+    transport, _ = handover.result()
+    transport.abort()
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -1,8 +1,7 @@
-"""Responses that tell how they ended, and connections that are bounded and reused."""
+"""Responses and connections that tell how they ended, and are bounded."""
 
 import asyncio
 import errno
-import functools
 import logging
 import socket
 
@@ -166,30 +165,3 @@
         error = self.protocol.exception()
         is_clean = isinstance(error, aiohttp.ServerDisconnectedError)
         return isinstance(error, OSError) and not is_clean
-
-
-class CleanConnector(aiohttp.TCPConnector):
-    """Reuses only connections that received nothing after their last response."""
-
-    def __init__(self, **options):
-        super().__init__(**options)
-        # The HTTP library has no public option for the protocol of its connections.
-        self._factory = functools.partial(BoundedHandler, loop=self._loop)
-
-    async def _get(self, key, traces):
-        # The HTTP library checks only whether the connection is open. It would
-        # treat bytes that arrived after the last response as the response to the
-        # next request.
-        waiting = self._conns.get(key)
-        if waiting:
-            for entry in [each for each in waiting if each[0].should_close]:
-                waiting.remove(entry)
-                entry[0].close()
-            if not waiting:
-                del self._conns[key]
-        return await super()._get(key, traces)
-
-    def _release(self, key, protocol, **options):
-        super()._release(key, protocol, **options)
-        # A connection that is not kept has lost its transport.
-        protocol.is_idle = protocol.transport is not None
