--- a/features/retries/silence.feature
+++ b/features/retries/silence.feature
@@ -19,6 +19,7 @@
   # sent to another one (LOST).
   Scenario: Streams that may not be repeated wait for their silent upstreams
     Given a site of 3 instances and 3 upstreams, which may repeat nothing
+    And routes that allow 9 s for a response
     When each instance forwards 4 streams that may be resumed
     And all upstreams are stopped for 1.9 s
     Then all callers got their streams whole
@@ -27,6 +28,7 @@
   # Guards against a second send to an upstream that is as silent as the first one.
   Scenario: Streams wait while all upstreams are silent
     Given a site of 3 instances and 3 upstreams, which may repeat 600 requests in 10 s
+    And routes that allow 9 s for a response
     When each instance forwards 8 streams that may be resumed
     And all upstreams are stopped for 1.9 s
     Then all callers got their streams whole
