Take only a response, or the end of the connection, for a sign that a silent upstream works (TWICE)

What callers saw: nothing; found by a test of several causes at once.

Cause: the check ended its own side of the connection, so that any reaction showed a working process. A relay in between that ends both sides when one ends reacts in the place of an upstream that stands still, and its streams went on elsewhere.

Change: the check asks for the report of the upstream and waits for a response, or for the end of the connection, which only the process or its host sends. The scripted upstreams answer that report, as the platform's do; one that answers nothing at all counts as standing still (upstreams/process_check).

--- a/features/platform/paths.py
+++ b/features/platform/paths.py
@@ -18,7 +18,13 @@
     STREAM_HEAD,
     read_id,
 )
-from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD, RESET_ON_CLOSE
+from features.scripted_upstream import (
+    CONTENT_LENGTH,
+    END_OF_HEAD,
+    REPORT,
+    REPORT_REQUEST,
+    RESET_ON_CLOSE,
+)
 from standins.store import StoreState, build_store_app
 
 BACKLOG_FILL = 4
@@ -69,6 +75,9 @@
         head = await reader.readuntil(END_OF_HEAD)
         length = CONTENT_LENGTH.search(head)
         body = await reader.readexactly(int(length[1])) if length else b""
+        if head.startswith(REPORT_REQUEST):
+            writer.write(REPORT)
+            continue
         request_id = read_id(head).decode()
         if upstream.turns_away:
             upstream.heads.append(head)
--- a/features/platform/steps/silence_steps.py
+++ b/features/platform/steps/silence_steps.py
@@ -16,7 +16,12 @@
     wait_until_ready,
 )
 from features.platform.upstream_kinds import LAST_CHUNK, STREAM_HEAD, read_id
-from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD
+from features.scripted_upstream import (
+    CONTENT_LENGTH,
+    END_OF_HEAD,
+    REPORT,
+    REPORT_REQUEST,
+)
 from jujubenotch.daemon.forwarder import UPSTREAM_LIMITS
 from jujubenotch.upstreams import close_connections, open_connections
 
@@ -42,6 +47,9 @@
                 head = await reader.readuntil(END_OF_HEAD)
                 length = CONTENT_LENGTH.search(head)
                 await reader.readexactly(int(length[1]) if length else 0)
+                if head.startswith(REPORT_REQUEST):
+                    writer.write(REPORT)
+                    continue
                 self.requests += 1
                 await self.stream(head, writer)
         writer.close()
--- a/features/retries/fleet.py
+++ b/features/retries/fleet.py
@@ -56,6 +56,13 @@
 
 
 def start_upstream(fleet, name, *options):
+    upstream = start_process(fleet, name, *options)
+    fleet.upstreams.append(upstream)
+    fleet.site.upstreams[name] = upstream
+    list_upstream(fleet.site, name, slots=48)
+
+
+def start_process(fleet, name, *options):
     journal = fleet.site.directory / name
     command = [sys.executable, "-m", "features.retries.upstream"]
     process = subprocess.Popen(
@@ -65,12 +72,9 @@
         text=True,
     )
     port = int(process.stdout.readline())
-    upstream = UpstreamProcess(
+    return UpstreamProcess(
         journal=journal, process=process, url=f"http://{fleet.site.host}:{port}"
     )
-    fleet.upstreams.append(upstream)
-    fleet.site.upstreams[name] = upstream
-    list_upstream(fleet.site, name, slots=48)
 
 
 def start_instances(fleet, count, bounds):
--- a/features/retries/upstream.py
+++ b/features/retries/upstream.py
@@ -12,6 +12,8 @@
 import sys
 import time
 
+from features.scripted_upstream import REPORT, REPORT_REQUEST
+
 END_OF_HEAD = b"\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 REQUEST_ID = re.compile(rb"x-attempt-id: *(\S+)", re.IGNORECASE)
@@ -20,8 +22,6 @@
 EVENT_INTERVAL_S = 0.1
 WORK_S = 0.03
 RUNS_SUFFIX = ".runs"
-REPORT_REQUEST = b"GET /v1/report "
-REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 # With this argument the process is sound, but sends no event of any stream.
 HOLDS_STREAMS = "holds-streams"
 
--- /dev/null
+++ b/features/run_once/run_once.feature
@@ -0,0 +1,18 @@
+Feature: Requests run once, and are told truly, while paths are cut and processes stand still
+
+  # Guards against a second run of a request that may run once, a request that runs although
+  # its caller was told that it doesn't, and a stream that two upstreams work on, when
+  # several of their causes meet (TWICE, REFUSED).
+  Scenario Outline: Paths are cut, and upstreams and instances are stopped, in a drawn order
+    Given a site of 4 instances with paths to 3 upstreams in processes of their own
+    When 6 requests a second come to each instance for 18 s
+    And faults are drawn with the seed <seed> and made meanwhile
+    Then at least 100 requests ran that may run once, and none ran twice
+    And no request that was told as not run has run
+    And no stream was held by two upstreams for more than 0.4 s that its instance reached
+
+    Examples: seeds
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/scripted_upstream.py
+++ b/features/scripted_upstream.py
@@ -12,6 +12,8 @@
 END_OF_HEAD = b"\r\n\r\n"
 # The value of SO_LINGER with which closing a socket resets its connection.
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)
+REPORT_REQUEST = b"GET /v1/report "
+REPORT = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
 
 
@@ -24,12 +26,14 @@
     part. ``connection_ending`` determines what follows: ``close`` closes the
     connection, ``reset`` resets it, ``keep`` waits for the next request, and
     ``silent`` sends nothing more until the client closes the connection, which
-    ``client_disconnects`` counts.
+    ``client_disconnects`` counts. Unless ``reports`` is false, it reports on itself as
+    the platform's upstreams do, whatever its script.
     """
 
     response_parts: tuple[bytes, ...] = ()
     make_parts: Callable[[bytes], tuple[bytes, ...]] | None = None
     connection_ending: str = "close"
+    reports: bool = True
     requests: list[bytes] = field(default_factory=list)
     connections: list[int] = field(default_factory=list)
     arrivals_s: list[float] = field(default_factory=list)
@@ -68,6 +72,9 @@
         length = CONTENT_LENGTH.search(head)
         if length:
             await reader.readexactly(int(length[1]))
+        if upstream.reports and head.startswith(REPORT_REQUEST):
+            writer.write(REPORT)
+            continue
         upstream.requests.append(head)
         upstream.arrivals_s.append(time.monotonic())
         upstream.connections.append(id(writer))
--- a/features/upstreams/process_check.feature
+++ b/features/upstreams/process_check.feature
@@ -12,7 +12,7 @@
       | answers                                | works        |
       | closes each connection                 | works        |
       | resets each connection                 | works        |
-      | answers nothing, but reads all         | works        |
+      | answers nothing, but reads all         | stands-still |
       | stands still                           | stands-still |
       | has ended                              | unreached    |
       | is behind a path that takes no packets | unreached    |
--- a/features/upstreams/steps/process_check_steps.py
+++ b/features/upstreams/steps/process_check_steps.py
@@ -11,9 +11,13 @@
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 SCRIPTS = {
     "answers": ScriptedUpstream(response_parts=(ANSWER,), connection_ending="keep"),
-    "closes each connection": ScriptedUpstream(),
-    "resets each connection": ScriptedUpstream(connection_ending="reset"),
-    "answers nothing, but reads all": ScriptedUpstream(connection_ending="silent"),
+    "closes each connection": ScriptedUpstream(reports=False),
+    "resets each connection": ScriptedUpstream(
+        reports=False, connection_ending="reset"
+    ),
+    "answers nothing, but reads all": ScriptedUpstream(
+        reports=False, connection_ending="silent"
+    ),
 }
 # Enough connections to fill the shortest queue of those that wait to be accepted.
 FILLERS = 8
--- a/jujubenotch/upstreams/probe.py
+++ b/jujubenotch/upstreams/probe.py
@@ -26,8 +26,8 @@
 async def check_process(url: str, path: str) -> ProcessState:
     """Find out whether the process of an upstream reacts to a new connection.
 
-    The request is followed by the end of this side of the connection, so that also a
-    process that answers nothing reacts, by closing its side.
+    A response counts, and the end of the connection. This side isn't ended, as a proxy
+    in between would answer that in the place of the process.
 
     :param url: The upstream's base URL.
     :param path: A path that the upstream answers without running a request.
@@ -41,7 +41,6 @@
             )
             head = f"GET {path} HTTP/1.1\r\nHost: {address.netloc}\r\n"
             writer.write(f"{head}Connection: close\r\n\r\n".encode())
-            writer.write_eof()
             await reader.read(1)
     except TimeoutError:
         return ProcessState.UNREACHED if writer is None else ProcessState.STANDS_STILL
