--- a/review/common-2/harness.py
+++ b/review/common-2/harness.py
@@ -96,7 +96,7 @@
     host: str
     version: str = "v1"
     slots: int = 48
-    born: int = 0
+    born: int = field(default_factory=lambda: int(time.time() * 1000) - 60000)
     port: int = 0
     read_bytes_per_s: float = 0.0
     arrivals: list = field(default_factory=list)
@@ -145,6 +145,7 @@
                     "kv-used": 0,
                     "kv-total": 444000,
                     "handles": 0,
+                    "born": self.born,
                 }
             )
         head = (
@@ -431,7 +432,7 @@
             "stage": "colocated",
             "models": [{"name": "m", "version": 1, "adapters": []}],
             "sequence": sequence,
-            "born": server.born or int(time.time() * 1000) - 60000,
+            "born": server.born,
         }
         write_row(self.store, "servers", server.name, orjson.dumps(entry))
 
