--- a/review/6/case.py
+++ b/review/6/case.py
@@ -1,4 +1,4 @@
-"""Bodies of requests in progress take more memory than the process has."""
+"""A part that crashes servers makes sound requests with the same first part refused."""
 
 import asyncio
 import signal
@@ -10,21 +10,18 @@
 FOLDER = Path(__file__).resolve().parent
 sys.path[:0] = [str(FOLDER.parent / "common-2"), str(FOLDER.parents[1])]
 
-from harness import TROUBLE, Client, configuration, route, run, send  # noqa: E402
+from harness import TROUBLE, Client, configuration, route, run  # noqa: E402
 
 KEY = "key-agents-1"
-MEMORY_MB = 300
-# Within the configuration's bound on a body, 4,194,304 bytes.
-BODY = b"x" * 4_000_000
-USUAL_PER_S = 4
-HOT_X = 7
-HOT_FROM_S, HOT_FOR_S, PLAY_S = 3.0, 6.5, 12.0
-EVENTS, PAUSE_S = 30, 0.1
-STREAM_WAIT_S, SMALL_WAIT_S = 10.0, 3.0
-WORK_S = 0.09
-SMALL_CLIENTS = 16
-MOST_LOST = 3
-CHECK_S = 0.02
+FIRST_PART = "5c1e07a2"
+BAD_PART = "b4d0b4d0"
+SERVERS = 9
+FIRST_EVENT_S, EVENTS, PAUSE_S = 1.0, 10, 0.1
+AWAY_S = 3.0
+CONTACT_S = 3.0
+GROUP, GROUP_S, GROUPS = 4, 3.0, 6
+BAD, BAD_GAP_S = 10, 0.12
+WAIT_S = 8.0
 
 
 class Case:
@@ -32,27 +29,31 @@
 
     def __init__(self, site):
         self.site = site
-        self.machine = None
-        self.arrived = {}
-        self.ends = Counter()
-        self.lost = []
-        self.is_over = asyncio.Event()
-
-    async def answer(self, server, request, reader, writer):
-        """Answer a small request as a server."""
-        self.arrived[request.id] = server.name
-        await asyncio.sleep(WORK_S)
-        await send(writer, 200, request.id, b"booked " * 100)
-
-    async def stream(self, server, request, reader, writer):
-        """Answer a prompt as a server."""
-        self.arrived[request.id] = server.name
+        self.machines = []
+        self.began = set()
+        self.writers = {}
+        self.crashes = []
+        self.sent = Counter()
+        self.tasks = []
+
+    async def serve(self, server, request, reader, writer):
+        """Answer a prompt as a server, or crash on the bad part."""
+        writers = self.writers.setdefault(server.name, set())
+        writers.add(writer)
+        await asyncio.sleep(FIRST_EVENT_S)
         head = (
             f"HTTP/1.1 200 OK\r\nX-Attempt-Id: {request.id}\r\n"
             "X-Response-Signature: s\r\nContent-Type: text/event-stream\r\n"
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
+        await writer.drain()
+        self.began.add(request.id)
+        if TROUBLE and BAD_PART in request.headers.get("x-prompt-prefix", ""):
+            # The head has left; the process ends before the first event.
+            await asyncio.sleep(0.02)
+            self.tasks.append(asyncio.create_task(self.crash(server)))
+            return False
         for number in range(EVENTS):
             event = f"id: {number}\ndata: {'x' * 60}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
@@ -60,105 +61,110 @@
             await asyncio.sleep(PAUSE_S)
         writer.write(b"0\r\n\r\n")
         await writer.drain()
+        return True
+
+    async def crash(self, server):
+        """End a server with all that it runs; it is back after some seconds."""
+        if server.listener is None:
+            return
+        server.listener.close()
+        server.listener = None
+        self.crashes.append(time.monotonic())
+        self.site.note("crashed", server.name)
+        for writer in self.writers.pop(server.name, ()):
+            writer.transport.abort()
+        await asyncio.sleep(AWAY_S)
+        server.born = int(time.time() * 1000)
+        await server.open()
+        self.site.publish(server, sequence=2)
 
     async def open(self):
-        """Start the servers and the machine."""
+        """Start the servers and two machines."""
         site = self.site
         await site.open_store()
-        for number in range(3):
-            model = site.add_server(f"i-m{number}", "jn-models", self.stream)
-            booking = site.add_server(f"i-d{number}", "dispatch-app", self.answer)
-            for server in (model, booking):
-                await server.open()
-                site.publish(server)
-        routes = [
-            route("fault-history", "streaming", "jn-models"),
-            route("dispatch-book", "non_idempotent", "dispatch-app"),
-        ]
+        for number in range(SERVERS):
+            server = site.add_server(f"i-{number}", "jn-models", self.serve)
+            await server.open()
+            site.publish(server)
+        aim = {"target-latency-ms": 1500}
+        routes = [route("fault-history", "streaming", "jn-models", **aim)]
         site.configure(configuration(1, routes, {"agents": [KEY]}))
-        self.machine = site.add_machine(**{"limits.memory-mb": str(MEMORY_MB)})
-        await self.machine.start()
-        await self.machine.wait_ready()
-        before_mb = self.machine.read_memory_mb()
-        site.note(f"{before_mb:.1f} MB before the traffic")
-
-    async def watch_memory(self):
-        """Do as the platform does: kill the process over its memory."""
-        peak_mb = 0.0
-        while not self.is_over.is_set():
-            memory_mb = self.machine.read_memory_mb()
-            peak_mb = max(peak_mb, memory_mb)
-            if memory_mb > MEMORY_MB:
-                self.site.note(f"killed, over its memory: {memory_mb:.1f} MB")
-                self.machine.signal(signal.SIGKILL)
-                await self.machine.process.wait()
-                self.is_over.set()
-            await asyncio.sleep(CHECK_S)
-        return peak_mb
-
-    def take(self, request_id, answer, is_kept):
-        """Take up an answer."""
-        self.ends[answer.status, answer.end] += 1
-        took_s = round(answer.took_s, 2)
-        if answer.end in ("complete", "time-limit"):
-            return
-        where = self.arrived.get(request_id)
-        self.site.note(request_id, answer.status, answer.end, took_s, where)
-        if is_kept and where:
-            self.lost.append(request_id)
-
-    async def book(self, number):
-        """Send small requests on a kept channel until the end."""
-        client, count = Client(self.machine.address), 0
-        while not self.is_over.is_set():
-            is_kept = client.writer is not None
-            count += 1
-            request_id = f"b{number}-{count}"
-            answer = await client.ask(
-                "/dispatch-book/x", request_id, KEY, wait_s=SMALL_WAIT_S, body=b"{}"
-            )
-            self.take(request_id, answer, is_kept)
-
-    async def prompt(self, number):
-        """Send a prompt on a channel that has had an answer before."""
-        client = Client(self.machine.address)
-        await client.ask("/dispatch-book/x", f"k-{number}", KEY, body=b"{}")
-        is_kept = client.writer is not None
-        answer = await client.ask(
-            "/fault-history/x", f"p-{number}", KEY, wait_s=STREAM_WAIT_S, body=BODY
+        for _ in range(2):
+            machine = site.add_machine()
+            self.machines.append(machine)
+            await machine.start()
+        for machine in self.machines:
+            await machine.wait_ready()
+
+    async def ask(self, phase, machine, *, is_bad):
+        """Send one prompt; no two are alike."""
+        self.sent[phase, is_bad] += 1
+        number = self.sent[phase, is_bad]
+        name = f"{phase}-{'bad' if is_bad else 'sound'}-{number}"
+        parts = [f"{FIRST_PART}:512"]
+        parts += [f"{BAD_PART}:4870"] if is_bad else [f"{number:x}a:4870"]
+        parts.append(f"{number:x}{'b' if is_bad else 'c'}{len(phase)}:1200")
+        headers = [
+            "X-Model: m",
+            "X-Token-Count: 6582,100",
+            f"X-Prompt-Prefix: {','.join(parts)}",
+        ]
+        answer = await Client(machine.address).ask(
+            "/fault-history/x",
+            name,
+            KEY,
+            wait_s=WAIT_S,
+            body=name.encode(),
+            headers=headers,
         )
-        client.close()
-        self.take(f"p-{number}", answer, is_kept)
+        self.site.note(name, machine.name, answer.status, answer.end, answer.body[:48])
+
+    def send(self, phase, machine, *, is_bad=False):
+        """Send one prompt without waiting for its answer."""
+        task = asyncio.create_task(self.ask(phase, machine, is_bad=is_bad))
+        self.tasks.append(task)
+
+    async def send_groups(self, phase, *, with_bad):
+        """Send groups of sound prompts, half of them to each machine."""
+        for _ in range(GROUPS):
+            for number in range(GROUP):
+                self.send(phase, self.machines[number % 2])
+            if with_bad:
+                self.send(phase, self.machines[0], is_bad=True)
+            await asyncio.sleep(GROUP_S)
 
-    async def send_prompts(self):
-        """Send prompts at the usual rate, and at the hot tenant's for a while."""
-        prompts, begun_s = [], time.monotonic()
-        while (now_s := time.monotonic() - begun_s) < PLAY_S:
-            if self.is_over.is_set():
-                break
-            is_hot = TROUBLE and HOT_FROM_S <= now_s < HOT_FROM_S + HOT_FOR_S
-            prompts.append(asyncio.create_task(self.prompt(len(prompts))))
-            await asyncio.sleep(1 / (USUAL_PER_S * (HOT_X if is_hot else 1)))
-        await asyncio.gather(*prompts)
+    def count_begun(self, phase):
+        """Return how many sound prompts of a phase have begun at their first try."""
+        return sum(each.startswith(f"{phase}-sound-") for each in self.began)
 
 
 async def play(site):
-    """Return whether more than three requests were lost on kept channels."""
+    """Return whether sound prompts begin less than half as often as before."""
     case = Case(site)
     await case.open()
-    watch = asyncio.create_task(case.watch_memory())
-    books = [asyncio.create_task(case.book(each)) for each in range(SMALL_CLIENTS)]
-    await case.send_prompts()
-    case.is_over.set()
-    peak_mb = await watch
-    await asyncio.gather(*books)
-    site.note("answers", dict(case.ends))
-    site.note(f"peak {peak_mb:.1f} MB of {MEMORY_MB}")
-    count = len(case.lost)
+    await case.send_groups("before", with_bad=False)
+    site.note("SIGTERM to", case.machines[0].name)
+    case.machines[0].signal(signal.SIGTERM)
+    await case.machines[0].process.wait()
+    await case.machines[0].start()
+    await case.machines[0].wait_ready()
+    site.note("back", case.machines[0].name)
+    for _ in range(BAD):
+        case.send("crash", case.machines[0], is_bad=True)
+        await asyncio.sleep(BAD_GAP_S)
+    await asyncio.sleep(2 * CONTACT_S + FIRST_EVENT_S)
+    if TROUBLE:
+        judged_from_s = case.crashes[:5][-1] + 2 * CONTACT_S
+        await asyncio.sleep(max(0.0, judged_from_s - time.monotonic()))
+    await case.send_groups("after", with_bad=True)
+    await asyncio.gather(*case.tasks)
+    before, after = case.count_begun("before"), case.count_begun("after")
+    sent = GROUP * GROUPS
+    site.note(f"{len(case.crashes)} crashes")
     site.note(
-        f"{count} lost on kept channels, at most {MOST_LOST} allowed:", *case.lost
+        f"sound prompts begun: before {before} of {sent}, after {after} of {sent}"
     )
-    return count > MOST_LOST
+    return after < before / 2
 
 
 run(FOLDER, play)
