--- a/review/9/case.py
+++ b/review/9/case.py
@@ -12,13 +12,11 @@
 from harness import TROUBLE, Client, configuration, route, run  # noqa: E402
 
 KEY = "key-agents-1"
-SERVERS = 4
-EVENTS, PAUSE_S = 12, 0.03
-STREAMS_PER_S, PLAY_S = 160, 20.0
-# Half of the servers break off each twentieth of their answers, in the middle.
-BROKEN_EACH, BREAK_AFTER = 20, 6
-# The spells in which they do so, in seconds after the first request.
-SPELLS = ((2.0, 7.5), (11.0, 16.5))
+SERVERS = 6
+EVENTS, PAUSE_S = 36, 0.05
+STREAMS_PER_S, PLAY_S = 80, 14.0
+# One server at a time crashes, in seconds after the first request, and is away so long.
+CRASHES_S, AWAY_S = (4.0, 9.0), 3.0
 # Each server fails each seventh of its requests by itself, calm or not.
 FAILS_EACH = 7
 WAIT_S = 10.0
@@ -35,14 +33,27 @@
         self.ends = Counter()
         self.false = []
         self.begun_s = 0.0
+        self.writers = {}
 
-    def is_in_spell(self):
-        """Return whether the disruption is in force."""
-        now_s = time.monotonic() - self.begun_s
-        return TROUBLE and any(begin <= now_s < end for begin, end in SPELLS)
+    async def crash(self):
+        """Crash one server after the other; each comes back with a new id."""
+        for number, at_s in enumerate(CRASHES_S):
+            await asyncio.sleep(max(0.0, self.begun_s + at_s - time.monotonic()))
+            server = self.site.servers[number]
+            self.site.note("crashes", server.name)
+            server.listener.close()
+            for writer in self.writers.pop(server.name, ()):
+                writer.transport.abort()
+            await asyncio.sleep(AWAY_S)
+            self.site.unpublish(server)
+            server.name = f"{server.name}-again"
+            server.born = int(time.time() * 1000)
+            await server.open()
+            self.site.publish(server)
 
     async def serve(self, server, request, reader, writer):
         """Send a stream, or the rest of it; fail or break it off at times."""
+        self.writers.setdefault(server.name, set()).add(writer)
         self.counts[server.name] += 1
         number = self.counts[server.name]
         first = int(request.headers.get("last-event-id", "-1")) + 1
@@ -59,13 +70,7 @@
             return True
         head = f"HTTP/1.1 200 OK\r\n{head}Transfer-Encoding: chunked\r\n\r\n"
         writer.write(head.encode())
-        is_spoiling = server.name in ("i-0", "i-1") and self.is_in_spell()
-        is_broken = is_spoiling and number % BROKEN_EACH == 1
         for piece in range(first, EVENTS):
-            if is_broken and piece == max(first + 1, BREAK_AFTER):
-                self.site.note("breaks off", request.id, "at", server.name)
-                writer.transport.abort()
-                return False
             event = f"id: {piece}\ndata: {piece}\n\n".encode()
             writer.write(b"%x\r\n%b\r\n" % (len(event), event))
             await writer.drain()
@@ -79,7 +84,7 @@
         site = self.site
         await site.open_store()
         for number in range(SERVERS):
-            server = site.add_server(f"i-{number}", "jn-models", self.serve, slots=16)
+            server = site.add_server(f"i-{number}", "jn-models", self.serve)
             await server.open()
             site.publish(server)
         fields = {"stream-resume": True, "max-attempts": 2}
@@ -112,8 +117,8 @@
     """Return whether a stream ended as complete before its last piece."""
     case = Case(site)
     await case.open()
-    tasks = []
     case.begun_s = time.monotonic()
+    tasks = [asyncio.create_task(case.crash())] if TROUBLE else []
     for number in range(int(PLAY_S * STREAMS_PER_S)):
         tasks.append(asyncio.create_task(case.ask(number)))
         await asyncio.sleep(1 / STREAMS_PER_S)
