Never send a request on a connection that has carried it (TWICE, REFUSED)

What callers saw: a stream that may not be resumed ran twice, or its caller got 503 although it ran.

Cause: an upstream may send its refusal of a request once more, later. The copy has the id of the request, so when the request is under way again on the same connection nothing tells the copy from its own response. The dispatcher avoided that by the name of the upstream, while the pool of connections goes by its address; and a call that another instance asks for again begins with no names.

Change: each connection remembers the ids that it has carried, and the pool gives none of them out for the same id again (upstreams/carried.py). The check by name goes. A connection closes after 1,000 requests, which bounds what it remembers.

The scripted upstream tells connections by port now: objects that have ended shared an id.

--- a/features/scripted_upstream.py
+++ b/features/scripted_upstream.py
@@ -77,7 +77,7 @@
             continue
         upstream.requests.append(head)
         upstream.arrivals_s.append(time.monotonic())
-        upstream.connections.append(id(writer))
+        upstream.connections.append(writer.get_extra_info("peername")[1])
         parts = (
             upstream.make_parts(head)
             if upstream.make_parts
--- a/jujubenotch/detour/borrowed.py
+++ b/jujubenotch/detour/borrowed.py
@@ -140,5 +140,7 @@
 
 
 HELPER_PROTOCOL = UpstreamProtocol(
-    write_headers=_write_headers, classify_answer=_classify_answer
+    write_headers=_write_headers,
+    classify_answer=_classify_answer,
+    request_id_header=REQUEST_HEADER,
 )
--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -13,6 +13,7 @@
     AnswerTooLargeError,
     ConnectFailedError,
     ConnectionLostError,
+    RequestName,
     SilentUpstreamError,
     UpstreamAnswer,
     UpstreamConnections,
@@ -105,15 +106,16 @@
     :param progress: The call's progress; a started stream is resumed.
     :returns: The request.
     """
-    # After a first attempt there, its response may be repeated on the connection, and
-    # has the same request id as the response to this attempt.
-    has_failed = upstream.name in progress.failed_upstreams
-    may_repeat = call.is_idempotent or call.is_cancelled_on_disconnect
+    name = None
+    if call.request_id:
+        header = protocol.request_id_header
+        name = RequestName(request_id=call.request_id, header=header)
     return UpstreamRequest(
         method=call.method,
         url=upstream.url + call.path,
         headers=protocol.write_headers(upstream, call, progress, read_clock_s()),
         body=call.body,
-        is_repeatable=may_repeat and not has_failed,
+        is_repeatable=call.is_idempotent or call.is_cancelled_on_disconnect,
         is_stream=call.is_stream,
+        name=name,
     )
--- a/jujubenotch/dispatch/protocol.py
+++ b/jujubenotch/dispatch/protocol.py
@@ -43,6 +43,8 @@
     :param end_marker: The event that ends a complete stream; empty when the
         end of the body marks the end of the stream.
     :param status_path: A path that upstreams answer without running a request.
+    :param request_id_header: The header in which a response names its request; empty
+        when responses name none.
     """
 
     write_headers: Callable[[Upstream, Call, Progress, float], Headers]
@@ -52,6 +54,7 @@
     read_notice: Callable[[UpstreamAnswer], UpstreamNotice | None] = lambda answer: None
     end_marker: bytes = b""
     status_path: str = "/"
+    request_id_header: str = ""
 
 
 def _write_openai_headers(upstream, call, progress, now_s):
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -212,4 +212,5 @@
     read_load=_read_load,
     read_notice=read_notice,
     status_path=REPORT_PATH,
+    request_id_header=REQUEST_ID,
 )
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -3,6 +3,7 @@
 Errors: ``UpstreamError`` and its subclasses. Features: ``features/upstreams``.
 """
 
+from jujubenotch.upstreams.carried import RequestName
 from jujubenotch.upstreams.connections import (
     ConnectionLimits,
     UpstreamConnections,
@@ -52,6 +53,7 @@
     "ConnectionLostError",
     "EventBuffer",
     "ProcessState",
+    "RequestName",
     "SilentUpstreamError",
     "UpstreamAnswer",
     "UpstreamConnections",
--- /dev/null
+++ b/jujubenotch/upstreams/carried.py
@@ -0,0 +1,96 @@
+"""The requests that a connection to an upstream has carried.
+
+An upstream may send a response again, later, on the same connection. The id of its
+request is all that tells it from the response to another request, and nothing tells it
+from the response to the same request. So a request never comes twice to a connection.
+"""
+
+from collections.abc import Iterator
+from contextlib import contextmanager
+from contextvars import ContextVar
+from dataclasses import dataclass, field
+
+# Bounds the ids that a connection remembers; it is closed after as many requests.
+MAX_CARRIED_REQUESTS = 1000
+
+
+@dataclass(frozen=True, kw_only=True)
+class RequestName:
+    """How a request and the responses to it are told from others.
+
+    :param request_id: The id of the request.
+    :param header: The header in which a response repeats the id; empty when responses
+        name no request.
+
+    >>> RequestName(request_id="9c41", header="X-Attempt-Id").request_id
+    '9c41'
+    """
+
+    request_id: str
+    header: str = ""
+
+
+@dataclass(kw_only=True)
+class CarriedRequests:
+    """What one connection has carried.
+
+    :param count: The number of requests.
+    :param current: The request that it carries or has carried last; ``None`` when that
+        one has no name.
+    :param sent_s: When each named request was sent, by its id, monotonic, in seconds.
+
+    >>> CarriedRequests().count
+    0
+    """
+
+    count: int = 0
+    current: RequestName | None = None
+    sent_s: dict[str, float] = field(default_factory=dict)
+
+
+# The HTTP library chooses the connection in the task that sends the request, and has no
+# other way to tell the choice which request that is.
+_name_of_request: ContextVar[RequestName | None] = ContextVar("name", default=None)
+
+
+@contextmanager
+def name_request(name: RequestName | None) -> Iterator[None]:
+    """Name the request that is sent in this context.
+
+    :param name: The name; ``None`` when the request has none.
+    :returns: A context manager.
+    """
+    token = _name_of_request.set(name)
+    try:
+        yield
+    finally:
+        _name_of_request.reset(token)
+
+
+def may_carry_request(carried: CarriedRequests) -> bool:
+    """Return whether a connection may carry the request that is being sent.
+
+    :param carried: What the connection has carried.
+    """
+    name = _name_of_request.get()
+    return name is None or name.request_id not in carried.sent_s
+
+
+def record_request(carried: CarriedRequests, now_s: float) -> None:
+    """Record that a connection carries the request that is being sent.
+
+    :param carried: What the connection has carried; changed in place.
+    :param now_s: The present monotonic time, in seconds.
+    """
+    carried.count += 1
+    carried.current = _name_of_request.get()
+    if carried.current is not None:
+        carried.sent_s[carried.current.request_id] = now_s
+
+
+def is_used_up(carried: CarriedRequests) -> bool:
+    """Return whether a connection has carried as many requests as it may.
+
+    :param carried: What the connection has carried.
+    """
+    return carried.count >= MAX_CARRIED_REQUESTS
--- a/jujubenotch/upstreams/connector.py
+++ b/jujubenotch/upstreams/connector.py
@@ -6,11 +6,15 @@
 import aiohappyeyeballs
 import aiohttp
 
+from jujubenotch.upstreams.carried import is_used_up, may_carry_request
 from jujubenotch.upstreams.response import BoundedHandler
 
 
 class CleanConnector(aiohttp.TCPConnector):
-    """Reuses only connections that received nothing after their last response."""
+    """Reuses only connections that received nothing after their last response.
+
+    A request is never sent on a connection that has carried it before.
+    """
 
     def __init__(self, **options):
         super().__init__(**options)
@@ -64,10 +68,26 @@
                 entry[0].close()
             if not waiting:
                 del self._conns[key]
-        return await super()._get(key, traces)
+        kept_back = self._take_out_carriers(key)
+        try:
+            return await super()._get(key, traces)
+        finally:
+            if kept_back:
+                self._conns[key].extendleft(reversed(kept_back))
+
+    def _take_out_carriers(self, key):
+        """Take out the connections that have carried the request before."""
+        waiting = self._conns.get(key, ())
+        carriers = [each for each in waiting if not may_carry_request(each[0].carried)]
+        for entry in carriers:
+            waiting.remove(entry)
+        if carriers and not waiting:
+            del self._conns[key]
+        return carriers
 
-    def _release(self, key, protocol, **options):
-        super()._release(key, protocol, **options)
+    def _release(self, key, protocol, *, should_close=False):
+        should_close = should_close or is_used_up(protocol.carried)
+        super()._release(key, protocol, should_close=should_close)
         # A connection that is not kept has lost its transport.
         protocol.is_idle = protocol.transport is not None
 
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -7,6 +7,7 @@
 import aiohttp
 from yarl import URL
 
+from jujubenotch.upstreams.carried import RequestName, name_request
 from jujubenotch.upstreams.connections import UpstreamConnections
 from jujubenotch.upstreams.errors import (
     AnswerTooLargeError,
@@ -29,6 +30,7 @@
     :param headers: Names and values, in order.
     :param is_repeatable: Whether the request may be sent on a reused connection.
     :param is_stream: Whether the expected response is a stream of events.
+    :param name: How the request is told from others; ``None`` when it has no id.
     """
 
     method: str
@@ -37,6 +39,7 @@
     body: bytes
     is_repeatable: bool
     is_stream: bool = False
+    name: RequestName | None = None
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -78,7 +81,7 @@
     if request.is_repeatable:
         session = connections.reusable
     options = _choose_timeout(connections, request)
-    with translate_errors():
+    with translate_errors(), name_request(request.name):
         response = await session.request(
             request.method,
             URL(request.url, encoded=True),
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -9,6 +9,7 @@
 from aiohttp.client_proto import ResponseHandler
 
 from jujubenotch.logs import log_event
+from jujubenotch.upstreams.carried import CarriedRequests, record_request
 from jujubenotch.upstreams.overhead import is_overhead_too_large
 
 logger = logging.getLogger(__name__)
@@ -35,6 +36,7 @@
     :param received_bytes: The bytes received since the last request was sent.
     :param heads: The heads received since then.
     :param is_idle: Whether the connection waits for its next request.
+    :param carried: The requests that the connection has carried.
     """
 
     end_error = 0
@@ -42,6 +44,10 @@
     heads = 0
     is_idle = False
 
+    def __init__(self, loop):
+        super().__init__(loop)
+        self.carried = CarriedRequests()
+
     def set_response_params(self, **options):
         """Prepare for the response to a request that is about to be sent.
 
@@ -50,6 +56,7 @@
         self.is_idle = False
         self.received_bytes = 0
         self.heads = 0
+        record_request(self.carried, self._loop.time())
         # Otherwise the last response's body would count as received for this request.
         self._payload = None
         super().set_response_params(**options)
