Skip copies of earlier responses and wait on for the own one (TWICE, BUDGET)

What callers saw: 502 for a stream that its upstream was working on, requests that were repeated without need, and streams that two upstreams worked on.

Cause: a response that named another request ended the exchange as lost, although the upstream went on with the request. Each copy cost one attempt, and a repeat.

Change: the connection knows the ids it has carried. A response that names an earlier one is read to its end, logged (both ids, status, connection, time since the copied request was sent) and skipped; at most 8 of at most 1 MiB, and only with a length or chunks. The time limit on silence goes on. A response that names a request which never came there is not skipped.

--- a/features/copies/copies.feature
+++ b/features/copies/copies.feature
@@ -1,5 +1,22 @@
 Feature: Copies of responses don't end or double the requests under way
 
+  # Guards against a request that ends or is sent again, while its upstream works on it,
+  # because a copy of an earlier response comes before its own (TWICE, BUDGET).
+  Scenario Outline: A copy of the last <copied> comes before the own response
+    Given a site whose upstream sends a copy of the last <copied> before each response
+    When callers send 6 <kind> requests in turn
+    Then each request that the upstream ran has arrived once and got its own response
+    And no caller is told that a request has not run which the upstream ran
+
+    Examples:
+      | copied  | kind             |
+      | answer  | idempotent       |
+      | answer  | stream           |
+      | answer  | resumable stream |
+      | refusal | idempotent       |
+      | refusal | stream           |
+      | refusal | resumable stream |
+
   # Guards against a copy of a refusal that is believed for the same request, which is
   # under way again on the connection: its address has got another name (TWICE, REFUSED).
   Scenario Outline: A refused request comes again to its address under another name
--- a/jujubenotch/upstreams/carried.py
+++ b/jujubenotch/upstreams/carried.py
@@ -1,17 +1,21 @@
 """The requests that a connection to an upstream has carried.
 
 An upstream may send a response again, later, on the same connection. The id of its
-request is all that tells it from the response to another request, and nothing tells it
-from the response to the same request. So a request never comes twice to a connection.
+request is all that tells it from the response to another request, so such a copy is
+skipped. Nothing tells it from the response to the same request, so a request never
+comes twice to a connection.
 """
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 from contextlib import contextmanager
 from contextvars import ContextVar
 from dataclasses import dataclass, field
 
 # Bounds the ids that a connection remembers; it is closed after as many requests.
 MAX_CARRIED_REQUESTS = 1000
+# An upstream that sends more copies before a response is not waited for.
+MAX_COPIES = 8
+MAX_COPY_BYTES = 1024 * 1024
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -38,6 +42,8 @@
     :param current: The request that it carries or has carried last; ``None`` when that
         one has no name.
     :param sent_s: When each named request was sent, by its id, monotonic, in seconds.
+    :param header: The header in which its responses name their requests.
+    :param copies: The copies that came since the current request was sent.
 
     >>> CarriedRequests().count
     0
@@ -46,6 +52,8 @@
     count: int = 0
     current: RequestName | None = None
     sent_s: dict[str, float] = field(default_factory=dict)
+    header: str = ""
+    copies: int = 0
 
 
 # The HTTP library chooses the connection in the task that sends the request, and has no
@@ -83,11 +91,26 @@
     :param now_s: The present monotonic time, in seconds.
     """
     carried.count += 1
+    carried.copies = 0
     carried.current = _name_of_request.get()
     if carried.current is not None:
+        carried.header = carried.current.header
         carried.sent_s[carried.current.request_id] = now_s
 
 
+def find_copied_id(carried: CarriedRequests, headers: Mapping[str, str]) -> str:
+    """Find the earlier request of the connection that a response names.
+
+    :param carried: What the connection has carried.
+    :param headers: The headers of the response; their names have no case.
+    :returns: The id of that request; empty when the response isn't a copy.
+    """
+    named_id = headers.get(carried.header, "") if carried.header else ""
+    current_id = carried.current.request_id if carried.current else ""
+    is_earlier = named_id in carried.sent_s and named_id != current_id
+    return named_id if is_earlier else ""
+
+
 def is_used_up(carried: CarriedRequests) -> bool:
     """Return whether a connection has carried as many requests as it may.
 
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import errno
+import itertools
 import logging
 import socket
 
@@ -9,7 +10,13 @@
 from aiohttp.client_proto import ResponseHandler
 
 from jujubenotch.logs import log_event
-from jujubenotch.upstreams.carried import CarriedRequests, record_request
+from jujubenotch.upstreams.carried import (
+    MAX_COPIES,
+    MAX_COPY_BYTES,
+    CarriedRequests,
+    find_copied_id,
+    record_request,
+)
 from jujubenotch.upstreams.overhead import is_overhead_too_large
 
 logger = logging.getLogger(__name__)
@@ -36,9 +43,12 @@
     :param received_bytes: The bytes received since the last request was sent.
     :param heads: The heads received since then.
     :param is_idle: Whether the connection waits for its next request.
+    :param number: The number of the connection, for the log.
     :param carried: The requests that the connection has carried.
     """
 
+    _numbers = itertools.count(1)
+
     end_error = 0
     received_bytes = 0
     heads = 0
@@ -46,7 +56,10 @@
 
     def __init__(self, loop):
         super().__init__(loop)
+        self.number = next(self._numbers)
         self.carried = CarriedRequests()
+        self._last_body = None
+        self._earlier_body_bytes = 0
 
     def set_response_params(self, **options):
         """Prepare for the response to a request that is about to be sent.
@@ -59,6 +72,8 @@
         record_request(self.carried, self._loop.time())
         # Otherwise the last response's body would count as received for this request.
         self._payload = None
+        self._last_body = None
+        self._earlier_body_bytes = 0
         super().set_response_params(**options)
 
     def data_received(self, data):
@@ -87,14 +102,61 @@
         :param size_bytes: Not used.
         """
         self.heads += 1
+        self._earlier_body_bytes += getattr(self._last_body, "total_bytes", 0)
+        _, self._last_body = message
         super().feed_data(message, size_bytes)
 
+    async def read(self):
+        """Wait for the head of the next response that is no copy of an earlier one.
+
+        :returns: The head, and the reader of its body.
+        :raises OverheadError: The copies are too many or too large.
+        """
+        while True:
+            message, body = await super().read()
+            copied_id = find_copied_id(self.carried, message.headers)
+            if not copied_id:
+                return message, body
+            self._log_copy(message, copied_id)
+            await self._skip_copy(message, body)
+
+    def _log_copy(self, message, copied_id):
+        current = self.carried.current
+        sent_s = self.carried.sent_s[copied_id]
+        log_event(
+            logger,
+            logging.WARNING,
+            "response-copy-skipped",
+            request_id=current.request_id if current else "",
+            copied_request_id=copied_id,
+            status=message.code,
+            connection=self.number,
+            requests_carried=self.carried.count,
+            sent_before_s=round(self._loop.time() - sent_s, 3),
+        )
+
+    async def _skip_copy(self, message, body):
+        """Read a copy to its end; without a length that is the connection's end."""
+        self.carried.copies += 1
+        size_bytes = 0
+        can_skip = self.carried.copies <= MAX_COPIES and _is_framed(message.headers)
+        while can_skip and size_bytes <= MAX_COPY_BYTES:
+            if body.at_eof():
+                # The end of a body stops the time limit on the upstream's silence.
+                self.start_timeout()
+                return
+            size_bytes += len(await body.readany())
+        reason = f"copies of earlier responses can't be skipped: {self.carried.copies}"
+        self._end(f"{reason}, the last of {size_bytes} bytes or more")
+        raise OverheadError(reason)
+
     def _choose_part_bytes(self):
         return PARSED_BODY_BYTES if self._body_bytes else PARSED_HEAD_BYTES
 
     @property
     def _body_bytes(self):
-        return getattr(self._payload, "total_bytes", 0)
+        present_bytes = getattr(self._payload, "total_bytes", 0)
+        return self._earlier_body_bytes + present_bytes
 
     def _receive_part(self, data):
         super().data_received(data)
@@ -132,6 +194,12 @@
         return errno.ECONNRESET
 
 
+def _is_framed(headers):
+    if "Content-Length" in headers:
+        return True
+    return "chunked" in headers.get("Transfer-Encoding", "").lower()
+
+
 class UpstreamResponse(aiohttp.ClientResponse):
     """A response that keeps its connection's protocol object after its end."""
 
@@ -152,9 +220,7 @@
 
         A body with neither ends when its connection closes.
         """
-        if "Content-Length" in self.headers:
-            return True
-        return "chunked" in self.headers.get("Transfer-Encoding", "").lower()
+        return _is_framed(self.headers)
 
     @property
     def was_reset(self) -> bool:
