--- a/features/copies/copies.feature
+++ b/features/copies/copies.feature
@@ -31,3 +31,16 @@
       | idempotent       |
       | stream           |
       | resumable stream |
+
+  # Guards against a request that is sent on a connection whose upstream may still work on
+  # the one before, and gets that one's response.
+  Scenario Outline: A response that proves nothing ends its connection
+    Given a site whose upstream <fault> and keeps the connection
+    When callers send 4 idempotent requests in turn
+    Then each request has arrived on a connection of its own
+
+    Examples:
+      | fault                                 |
+      | leaves the signature out              |
+      | answers with another request's id     |
+      | answers 503 without a proof           |
--- a/jujubenotch/dispatch/receive.py
+++ b/jujubenotch/dispatch/receive.py
@@ -101,6 +101,8 @@
     attempt = receiver.attempt
     kind = receiver.protocol.classify_answer(receiver.call, answer)
     if kind is not AnswerKind.OWN:
+        if kind is AnswerKind.UNPROVED:
+            answer.close_connection()
         attempt.end = _ENDS_BY_KIND[kind]
         return
     if receiver.call.is_stream and has_event_stream(answer):
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -60,6 +60,13 @@
         """
         return self.response.headers.get(name, "")
 
+    def close_connection(self) -> None:
+        """Close the connection, also if the response was read to its end.
+
+        The upstream may still work on the request, and another one must not follow.
+        """
+        self.response.abort_connection()
+
 
 @asynccontextmanager
 async def open_exchange(
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -201,9 +201,14 @@
 
 
 class UpstreamResponse(aiohttp.ClientResponse):
-    """A response that keeps its connection's protocol object after its end."""
+    """A response that keeps its connection's protocol object after its end.
+
+    :param protocol: The protocol object; ``None`` before the head was awaited.
+    :param carried: The number of the request among those that the connection carried.
+    """
 
     protocol: BoundedHandler | None = None
+    carried = 0
 
     async def start(self, connection):
         """Read the status and headers of the response.
@@ -212,8 +217,14 @@
         :returns: The response.
         """
         self.protocol = connection.protocol
+        self.carried = connection.protocol.carried.count
         return await super().start(connection)
 
+    def abort_connection(self) -> None:
+        """Abort the connection, unless it carries another request already."""
+        if self.protocol is not None and self.protocol.carried.count == self.carried:
+            self.protocol.abort()
+
     @property
     def is_framed(self) -> bool:
         """Whether the body has a length or is chunked.
