--- a/features/platform/site.py
+++ b/features/platform/site.py
@@ -270,8 +270,18 @@
     is_whole: bool
 
 
-def send(site, path, *, port=8000, method="GET", key=KEY, body=None, **headers):
-    connection = http.client.HTTPConnection(site.host, port, timeout=CALL_TIMEOUT_S)
+def send(
+    site,
+    path,
+    *,
+    port=8000,
+    method="GET",
+    key=KEY,
+    body=None,
+    wait_s=CALL_TIMEOUT_S,
+    **headers,
+):
+    connection = http.client.HTTPConnection(site.host, port, timeout=wait_s)
     fields = {"Host": HOST, "X-Attempt-Id": f"{random.getrandbits(64):016x}"}
     if key:
         fields["Authorization"] = f"Bearer {key}"
--- a/features/run_checks.py
+++ b/features/run_checks.py
@@ -1,7 +1,8 @@
 """Runs the formatter, the linter and all features, and prints the overall result.
 
 Each directory below ``features`` that contains a feature file is run by a separate
-``behave`` process; several processes run in parallel. Failed scenarios that
+``behave`` process; several processes run in parallel, and after them, one at a time,
+those of the directories whose features need the machine for themselves. Failed scenarios that
 ``KNOWN-RED.txt`` lists are printed but do not fail the run.
 """
 
@@ -17,6 +18,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
 PARALLEL_DIRECTORIES = 4
+DIRECTORIES_RUN_ALONE = frozenset({"crowds", "endless"})
 DIRECTORY_TIMEOUT_S = 900
 
 
@@ -82,6 +84,11 @@
     return results
 
 
+def run_in_parallel(directories, count):
+    with ThreadPoolExecutor(count) as executor:
+        return list(executor.map(run_directory, directories))
+
+
 def read_known_red():
     if not KNOWN_RED_FILE.exists():
         return frozenset()
@@ -113,11 +120,14 @@
 def main():
     results = [run_command("ruff", "format", "--check", ".")]
     results.append(run_command("ruff", "check", "."))
-    with ThreadPoolExecutor(PARALLEL_DIRECTORIES) as executor:
-        for directory_results in executor.map(
-            run_directory, find_feature_directories()
-        ):
-            results.extend(directory_results)
+    directories = find_feature_directories()
+    alone = [each for each in directories if each.name in DIRECTORIES_RUN_ALONE]
+    together = [each for each in directories if each not in alone]
+    for directory_results in (
+        *run_in_parallel(together, PARALLEL_DIRECTORIES),
+        *run_in_parallel(alone, 1),
+    ):
+        results.extend(directory_results)
     return report(results)
 
 
