Decode many chunks of a body in one step, and bodies of small chunks in turn

What callers saw: while some callers sent bodies in chunks of a few bytes, ordinary requests got 503 (the instance no longer read the store in time), also afterwards.

Cause: the HTTP library runs several coroutines for each chunk and keeps an object of each, so a body of small chunks takes the processor and many times its size.

Change: listeners/chunks.py decodes what has been received in one step, up to 64 chunks; a body with more is decoded 2,048 chunks at a time, by one connection of the listener at a time, and all that is ready beside it comes before the next. The body grows in one buffer. Trailers, signs and long size lines are refused as before.

--- a/jujubenotch/listeners/bounds.py
+++ b/jujubenotch/listeners/bounds.py
@@ -10,15 +10,27 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
-from sanic.exceptions import BadRequest, SanicException
+from sanic import Request
+from sanic.exceptions import BadRequest, PayloadTooLarge, SanicException
+from sanic.http.http1 import HTTP_CONTINUE
 from sanic.server.protocols.http_protocol import HttpProtocol
 
+from jujubenotch.listeners.chunks import (
+    BadChunkError,
+    ChunkDecoder,
+    ChunksTooLargeError,
+    decode_chunks,
+)
 from jujubenotch.listeners.endings import ExplicitEndHttp
 
 REQUEST_TIMEOUT = 408
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
 CONTENT_LENGTH = re.compile(rb"content-length:[\t ]*([^\r]*?)[\t ]*", re.IGNORECASE)
 DIGITS = re.compile(rb"[0-9]{1,18}")
+CHUNKED = "chunked"
+# Bodies with more chunks than this in what was received are decoded one at a time.
+CHUNKS_WITHOUT_TURN = 64
+CHUNKS_PER_TURN = 2048
 
 
 class SlowRequestError(BadRequest):
@@ -88,8 +100,31 @@
     return True
 
 
+class BoundedRequest(Request):
+    """A request whose body is received into one buffer, however many parts it has."""
+
+    async def receive_body(self) -> None:
+        """Receive the whole body."""
+        if self.body:
+            return
+        body = bytearray()
+        async for part in self.stream:
+            body += part
+        self.body = bytes(body)
+
+
 class BoundedHttp(ExplicitEndHttp):
-    """Reads the requests of one connection and enforces their time limits."""
+    """Reads the requests of one connection and enforces their limits.
+
+    :param chunks: The state of decoding a chunked body; ``None`` before it begins.
+    """
+
+    __slots__ = ("chunks",)
+
+    def init_for_request(self) -> None:
+        """Reset the state of the previous request."""
+        super().init_for_request()
+        self.chunks: ChunkDecoder | None = None
 
     async def http1_request_header(self) -> None:
         """Read a request's head and check that it is well formed.
@@ -124,6 +159,8 @@
         """
         try:
             async with asyncio.timeout_at(self.protocol.body_deadline_s):
+                if self.request_body == CHUNKED:
+                    return await self._read_chunks()
                 return await super().read()
         except TimeoutError as error:
             self.keep_alive = False
@@ -131,19 +168,54 @@
             bound_s = self.protocol.limits.body_timeout_s
             raise _build_timeout_error("body", bound_s) from error
 
+    async def _read_chunks(self):
+        if self.expecting_continue:
+            self.expecting_continue = False
+            await self._send(HTTP_CONTINUE)
+        if self.chunks is None:
+            self.chunks = ChunkDecoder(max_bytes=self.request_max_size)
+        part = b""
+        while not part and not self.chunks.is_complete:
+            if not self.recv_buffer or not self.chunks.is_interrupted:
+                await self._receive_more()
+            part = await self._decode()
+        if self.chunks.is_complete:
+            self.request_body = None
+        return bytes(part) or None
+
+    async def _decode(self):
+        try:
+            if not self.chunks.is_interrupted:
+                return decode_chunks(self.chunks, self.recv_buffer, CHUNKS_WITHOUT_TURN)
+            async with self.protocol.turns:
+                part = decode_chunks(self.chunks, self.recv_buffer, CHUNKS_PER_TURN)
+                # All that is ready beside it comes before the next turn.
+                await asyncio.sleep(0)
+            return part
+        except BadChunkError as error:
+            self.keep_alive = False
+            raise BadRequest("Bad chunked encoding") from error
+        except ChunksTooLargeError as error:
+            self.keep_alive = False
+            raise PayloadTooLarge("Request body exceeds the size limit") from error
+
 
 class BoundedProtocol(HttpProtocol):
     """One connection of a listener.
 
     :param limits: The limits.
+    :param turns: Held while a part of a body with many chunks is decoded; shared by
+        the connections of a listener.
     """
 
     HTTP_CLASS = BoundedHttp
-    __slots__ = ("body_deadline_s", "limits", "is_refused")
+    __slots__ = ("body_deadline_s", "limits", "is_refused", "turns")
 
-    def __init__(self, *, limits: ListenerLimits, **options):
+    def __init__(self, *, limits: ListenerLimits, turns: asyncio.Lock, **options):
         super().__init__(**options)
         self.limits = limits
+        self.turns = turns
+        self.request_class = BoundedRequest
         self.body_deadline_s: float | None = None
         self.is_refused = False
 
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -4,6 +4,7 @@
 import logging
 import socket
 import ssl
+from collections.abc import Callable
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -36,7 +37,7 @@
     :param port: The port that the server listens on.
     :param bound_socket: The listening socket.
     :param tls: The TLS context; ``None`` for plain HTTP.
-    :param limits: Limits on the connections.
+    :param make_protocol: Makes the protocol of a connection.
     :param protocol_options: What the server makes each connection's protocol with;
         empty before the first connection.
 
@@ -50,7 +51,7 @@
     port: int
     bound_socket: socket.socket | None = None
     tls: ssl.SSLContext | None = None
-    limits: ListenerLimits = NO_LIMITS
+    make_protocol: Callable[..., BoundedProtocol] | None = None
     protocol_options: dict[str, Any] = field(default_factory=dict)
 
 
@@ -104,10 +105,11 @@
     # fails if it does so again for a second application in the same process.
     app.config.TOUCHUP = not getattr(Sanic, "__touched__", False)
     protocol_options = {}
+    turns = asyncio.Lock()
 
     def make_protocol(**options):
         protocol_options.update(options)
-        return BoundedProtocol(limits=limits, **options)
+        return BoundedProtocol(limits=limits, turns=turns, **options)
 
     server = await app.create_server(
         sock=bound_socket,
@@ -126,7 +128,7 @@
         port=port,
         bound_socket=bound_socket,
         tls=tls,
-        limits=limits,
+        make_protocol=make_protocol,
         protocol_options=protocol_options,
     )
 
@@ -181,7 +183,7 @@
 
 async def _serve_accepted(listener, connection):
     def make_protocol():
-        return BoundedProtocol(limits=listener.limits, **listener.protocol_options)
+        return listener.make_protocol(**listener.protocol_options)
 
     loop = asyncio.get_running_loop()
     try:
