Free what an exchange held when it ends, not at the next garbage collection

What the users saw: a process that ran out of memory.

Change: the reference ends with the exchange.

Evidence: features/dispatch/silence_limit.feature, the last scenario, fails before.

--- a/features/dispatch/silence_limit.feature
+++ b/features/dispatch/silence_limit.feature
@@ -11,3 +11,9 @@
     Given an exchange that is not heard
     When its limit of 0.05 s passes
     Then the exchange ended for the silence
+
+  # Guards against requests and responses that stay in memory until a garbage collection.
+  Scenario: An exchange has ended
+    Given an exchange that holds an object and ends by itself
+    When no garbage is collected
+    Then the object is freed
--- a/features/dispatch/steps/silence_limit_steps.py
+++ b/features/dispatch/steps/silence_limit_steps.py
@@ -1,4 +1,6 @@
 import asyncio
+import gc
+import weakref
 
 from behave import given, then, when
 
@@ -66,3 +68,30 @@
 @then("the exchange ended for the silence")
 def check_silence(context):
     assert not context.sent and context.error is not None
+
+
+class Held:
+    """An object that an exchange holds."""
+
+
+@given("an exchange that holds an object and ends by itself")
+def prepare_end(context):
+    context.add_cleanup(gc.enable)
+
+
+@when("no garbage is collected")
+def end_without_collection(context):
+    gc.disable()
+    context.reference = asyncio.run(hold_and_end())
+
+
+async def hold_and_end():
+    held = Held()
+    async with limit_silence(60.0, Leaving(decide=lambda: bool(held))):
+        await asyncio.sleep(0)
+    return weakref.ref(held)
+
+
+@then("the object is freed")
+def check_freed(context):
+    assert context.reference() is None
--- a/jujubenotch/dispatch/silence_limit.py
+++ b/jujubenotch/dispatch/silence_limit.py
@@ -109,5 +109,8 @@
                 yield limit
             finally:
                 timer.cancel()
+                # The function refers to itself, and to all that the exchange holds,
+                # which otherwise only a garbage collection would free.
+                check = None
     except TimeoutError as error:
         raise SilentUpstreamError(f"nothing for {max_silence_s} s") from error
