Bound what requests and responses in progress hold together, from the first byte

What the users saw: a process that ran out of memory beside callers that don't keep the limits, and was killed with all that it served.

Cause: only the responses of upstreams were on an account while they arrived. Nothing bounded what callers' bodies, the bytes received ahead and the responses that callers don't read hold, each within its own limit but many at once; and a body was received before anything asked whether its key and route are allowed.

Change: one account (jujubenotch/memory), a quarter of the memory beyond 70 MB, for bodies, received bytes, responses being received, complete ones until they are sent, and what callers have not read. A request that is worked on keeps its place. A body that isn't at hand is received once the request is admitted.

--- a/features/upstreams/steps/held_bytes_steps.py
+++ b/features/upstreams/steps/held_bytes_steps.py
@@ -2,23 +2,28 @@
 
 from behave import given, then, when
 
+from jujubenotch.memory import MemoryAccount
 from jujubenotch.upstreams.errors import AnswerTooLargeError
-from jujubenotch.upstreams.held_bytes import AnswerMemory, HeldAnswer, record_held
+from jujubenotch.upstreams.held_bytes import make_answer_use, record_held
 
 
 @given("responses that may hold {size:d} bytes together")
 def make_memory(context, size):
-    context.memory = AnswerMemory(max_bytes=size)
+    context.memory = MemoryAccount(max_bytes=size)
     context.ended = []
 
 
+def record_held_first(memory, answer):
+    memory.uses.add(answer)
+
+
 def hold(context, size, *, has_length):
-    answer = HeldAnswer(has_length=has_length, cut=lambda error: None)
-    context.memory.held.add(answer)
-    before = set(context.memory.held)
+    answer = make_answer_use(has_length=has_length, cut=lambda error: None)
+    record_held_first(context.memory, answer)
+    before = set(context.memory.uses)
     with suppress(AnswerTooLargeError):
         record_held(context.memory, answer, size)
-    context.ended += [each.size_bytes for each in before - context.memory.held]
+    context.ended += [each.size_bytes for each in before - context.memory.uses]
 
 
 @given("a response with a length that holds {size:d} bytes")
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -26,7 +26,7 @@
     ConfigurationView,
     admit_request,
 )
-from jujubenotch.listeners import set_request_limits
+from jujubenotch.listeners import is_body_at_hand, set_request_limits
 from jujubenotch.logs import log_event
 from jujubenotch.outcomes import (
     ATTEMPTS_HEADER,
@@ -165,7 +165,8 @@
     async def forward(request):
         return await _forward(forwarder, decode_request, request)
 
-    app.add_route(forward, "/", name="forward")
+    # The handler receives the body, once it knows that the request is allowed.
+    app.add_route(forward, "/", name="forward", ignore_body=True)
     app.exception(Exception)(handle_error)
     return app
 
@@ -176,7 +177,7 @@
     )
     if forwarder.read_configuration_view().index is None:
         await forwarder.wait_until_loaded(_choose_startup_wait_s(arrived))
-    call_or_refusal = _admit(forwarder, arrived, request)
+    call_or_refusal = await _receive(forwarder, arrived, request)
     if isinstance(call_or_refusal, Refusal):
         forwarder.record_refusal(arrived.request_id, call_or_refusal)
         refusal = _limit_retry_after(call_or_refusal, arrived.wait_s)
@@ -231,6 +232,16 @@
     return replace(refusal, retry_after_s=retry_after_s)
 
 
+async def _receive(forwarder, arrived, request):
+    """Receive the body of a request, unless it is refused before."""
+    if not is_body_at_hand(request):
+        call_or_refusal = _admit(forwarder, arrived, request)
+        if isinstance(call_or_refusal, Refusal):
+            return call_or_refusal
+    await request.receive_body()
+    return _admit(forwarder, arrived, request)
+
+
 def _admit(forwarder, arrived, request):
     if forwarder.is_refusing_requests():
         return Refusal(
@@ -334,7 +345,7 @@
     return HTTPResponse(
         _build_error_body(type(error).__name__, ""),
         status=status,
-        headers={OUTCOME_HEADER: str(outcome)},
+        headers={OUTCOME_HEADER: str(outcome), **getattr(error, "headers", {})},
         content_type="application/json",
     )
 
--- a/jujubenotch/daemon/forward_listeners.py
+++ b/jujubenotch/daemon/forward_listeners.py
@@ -46,6 +46,7 @@
         header_timeout_s=instance.state.bounds.header_timeout_s,
         body_timeout_s=instance.state.bounds.idle_timeout_s,
         count_refused_connection=lambda: count_refused_connection(metrics, "callers"),
+        memory=instance.memory,
     )
     callers = build_forward_app(
         "callers",
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -26,6 +26,7 @@
 )
 from jujubenotch.leases import CloudApi, LeaseStore
 from jujubenotch.listeners import Listener
+from jujubenotch.memory import MemoryAccount
 from jujubenotch.neighbours import ListedInstance, Registry
 from jujubenotch.settings import Address, ForwarderSettings
 from jujubenotch.streams import StreamRecordStore
@@ -127,6 +128,7 @@
     :param detour_watch: Knows which services this instance reaches, and who helps.
     :param helper_connections: The connections to the instances that help.
     :param instance_count: The number of instances that share the upstreams.
+    :param memory: The account of what requests and responses in progress hold.
     :param borrowed: The number of calls of other instances that are in progress.
     :param help_listener: The listener for such calls; ``None`` without one.
     :param lease_watch: Holds or watches the lease on calls to the platform's API;
@@ -150,6 +152,7 @@
     detour_watch: DetourWatch
     helper_connections: UpstreamConnections
     instance_count: InstanceCount = field(default_factory=InstanceCount)
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
     borrowed: int = 0
     help_listener: Listener | None = None
     lease_watch: LeaseWatch | None = None
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -50,10 +50,10 @@
     stop_listener,
 )
 from jujubenotch.logs import configure_logging, log_event, open_bounded_output
+from jujubenotch.memory import MemoryAccount
 from jujubenotch.metrics import make_metrics
 from jujubenotch.settings import ForwarderSettings
 from jujubenotch.upstreams import (
-    AnswerMemory,
     ConnectionLimits,
     check_process,
     close_connections,
@@ -85,9 +85,12 @@
 )
 
 BYTES_PER_MB = 1_000_000
-# The share of the process's memory that responses in progress may hold. Each of them is
-# copied once when it is complete.
-ANSWER_MEMORY_SHARE = 0.2
+# What the process needs by itself.
+BASE_MEMORY_MB = 70
+# The share of the rest that requests and responses in progress may hold. Each of them is
+# copied once when it is complete, and what arrives next is not counted yet.
+IN_PROGRESS_MEMORY_SHARE = 0.25
+MIN_IN_PROGRESS_MB = 8
 
 # The timeouts of the instance that sends a request on are those of its upstream.
 HELPER_LIMITS = replace(UPSTREAM_LIMITS, connect_timeout_s=0.3)
@@ -170,9 +173,7 @@
     detour_watch = DetourWatch(
         state=state, streams=stream_watch, data_centre=settings.data_centre
     )
-    memory = AnswerMemory(
-        max_bytes=int(settings.memory_mb * BYTES_PER_MB * ANSWER_MEMORY_SHARE)
-    )
+    memory = MemoryAccount(max_bytes=_choose_in_progress_bytes(settings.memory_mb))
     helper_connections = _open_helper_connections(settings, memory)
     credits = ServiceCredits(
         read_settings=lambda: instance.settings,
@@ -205,10 +206,16 @@
         detour_watch=detour_watch,
         helper_connections=helper_connections,
         instance_count=instance_count,
+        memory=memory,
     )
     return instance
 
 
+def _choose_in_progress_bytes(memory_mb):
+    share_mb = (memory_mb - BASE_MEMORY_MB) * IN_PROGRESS_MEMORY_SHARE
+    return int(max(MIN_IN_PROGRESS_MB, share_mb) * BYTES_PER_MB)
+
+
 def _open_helper_connections(settings, memory):
     # Another instance knows this one by the address of its endpoint.
     endpoint = settings.neighbours
--- a/jujubenotch/dispatch/receive.py
+++ b/jujubenotch/dispatch/receive.py
@@ -21,6 +21,7 @@
     UpstreamConnections,
     check_not_truncated,
     hold_response,
+    hold_while_alive,
     read_body,
     read_last_id,
     record_held,
@@ -114,6 +115,7 @@
         attempt.end = AttemptResult.UPSTREAM_ERROR
         return
     _set_complete_answer(attempt, answer, body)
+    hold_while_alive(receiver.connections.memory, attempt.answer, len(body))
 
 
 def _note_heard(silence):
--- a/jujubenotch/listeners/__init__.py
+++ b/jujubenotch/listeners/__init__.py
@@ -11,6 +11,7 @@
     start_listener,
     stop_listener,
 )
+from jujubenotch.listeners.http import is_body_at_hand
 from jujubenotch.sockets import ListenerError, bind_socket
 
 __all__ = [
@@ -20,6 +21,7 @@
     "ListenerLimits",
     "RequestLimits",
     "bind_socket",
+    "is_body_at_hand",
     "is_well_formed",
     "set_request_limits",
     "start_listener",
--- /dev/null
+++ b/jujubenotch/listeners/connection.py
@@ -0,0 +1,170 @@
+"""One connection of a listener: its place, what it holds, and when it gives way."""
+
+import asyncio
+import logging
+
+from sanic.server.protocols.http_protocol import HttpProtocol
+
+from jujubenotch.listeners.body import BodyBuffer
+from jujubenotch.listeners.bounds import ListenerLimits, OverloadedError
+from jujubenotch.listeners.http import BoundedHttp, BoundedRequest
+from jujubenotch.logs import log_event
+from jujubenotch.memory import MemoryUse, Rank, record_size, release_use
+
+logger = logging.getLogger(__name__)
+
+# Connections that hold less are not on the account, as most hold little.
+MIN_RECORDED_BYTES = 1024
+
+
+class BoundedProtocol(HttpProtocol):
+    """One connection of a listener.
+
+    :param limits: The limits.
+    :param turns: Held while a part of a body with many chunks is decoded; shared by
+        the connections of a listener.
+    """
+
+    HTTP_CLASS = BoundedHttp
+    __slots__ = (
+        "begun_s",
+        "body",
+        "body_deadline_s",
+        "is_refused",
+        "is_turned_away",
+        "limits",
+        "received_bytes",
+        "turns",
+        "unsent_bytes",
+        "use",
+    )
+
+    def __init__(self, *, limits: ListenerLimits, turns: asyncio.Lock, **options):
+        super().__init__(**options)
+        self.limits = limits
+        self.turns = turns
+        self.request_class = BoundedRequest
+        self.body_deadline_s: float | None = None
+        self.is_refused = False
+        self.is_turned_away = False
+        self.begun_s = 0.0
+        self.body = BodyBuffer()
+        self.received_bytes = 0
+        self.unsent_bytes = 0
+        self.use = MemoryUse(rank=self._rank, end=self._turn_away)
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Accept the connection, or abort it if the limit is reached.
+
+        :param transport: The connection's transport.
+        """
+        if len(self.connections) >= self.limits.max_connections:
+            self.is_refused = True
+            self.limits.count_refused_connection()
+            transport.abort()
+            return
+        super().connection_made(transport)
+
+    async def wait_until_written(self) -> None:
+        """Wait until all bytes have been handed to the kernel."""
+        self.transport.set_write_buffer_limits(high=0)
+        await self._can_write.wait()
+
+    def data_received(self, data: bytes) -> None:
+        """Process received bytes; discard those of a refused connection.
+
+        :param data: The bytes.
+        """
+        if self.is_refused or self.is_turned_away:
+            return
+        super().data_received(data)
+        self.record_memory()
+
+    async def receive_more(self) -> None:
+        """Wait for more bytes.
+
+        :raises OverloadedError: The request has to make room for others.
+        """
+        self.check_room()
+        await super().receive_more()
+        self.check_room()
+
+    def check_room(self) -> None:
+        """Check that the request need not make room for others.
+
+        :raises OverloadedError: It has to.
+        """
+        if self.is_turned_away:
+            raise OverloadedError
+
+    def pause_writing(self) -> None:
+        """Record how much of a response the caller has not taken yet."""
+        super().pause_writing()
+        self.begun_s = self.loop.time()
+        self.unsent_bytes = self.transport.get_write_buffer_size()
+        self.record_memory()
+
+    def resume_writing(self) -> None:
+        """Record that the caller has taken the response."""
+        super().resume_writing()
+        self.unsent_bytes = 0
+        self.record_memory()
+
+    def record_memory(self) -> None:
+        """Record what the connection holds; that may end others, or its own request."""
+        memory = self.limits.memory
+        if memory is None or self.is_refused or self.is_turned_away:
+            return
+        size_bytes = self._count_held_bytes()
+        if size_bytes >= MIN_RECORDED_BYTES:
+            record_size(memory, self.use, size_bytes, self.loop.time())
+        else:
+            release_use(memory, self.use)
+
+    def _count_held_bytes(self):
+        body_bytes = self.body.size_bytes + self.received_bytes
+        return len(self.recv_buffer) + body_bytes + self.unsent_bytes
+
+    def _rank(self, use, now_s):
+        """Rank the connection by what it holds and for how long.
+
+        A request that has arrived is worked on, and keeps what it holds.
+        """
+        is_receiving = self._http is not None and self._http.is_receiving
+        if not self.unsent_bytes and not is_receiving:
+            return None
+        weight = use.size_bytes * (now_s - self.begun_s)
+        return Rank(is_unbounded=False, weight=weight)
+
+    def _turn_away(self):
+        log_event(
+            logger,
+            logging.WARNING,
+            "caller-turned-away",
+            held_bytes=self._count_held_bytes(),
+            unsent_bytes=self.unsent_bytes,
+            after_s=round(self.loop.time() - self.begun_s, 3),
+        )
+        self.is_turned_away = True
+        if self.unsent_bytes:
+            # The caller reads too little of its response.
+            self.transport.abort()
+        else:
+            self.recv_buffer.clear()
+            self.body.clear()
+            self._data_received.set()
+
+    def connection_lost(self, exc: Exception | None) -> None:
+        """Clean up after the connection has ended.
+
+        :param exc: The error that ended the connection; ``None`` if it was closed
+            without an error.
+        """
+        if self.is_refused:
+            return
+        self.is_turned_away = True
+        if self.limits.memory is not None:
+            release_use(self.limits.memory, self.use)
+        # The two refer to each other.
+        self.use = None
+        super().connection_lost(exc)
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -11,11 +11,8 @@
 from sanic import Sanic
 from sanic.server.async_server import AsyncioServer
 
-from jujubenotch.listeners.bounds import (
-    NO_LIMITS,
-    BoundedProtocol,
-    ListenerLimits,
-)
+from jujubenotch.listeners.bounds import NO_LIMITS, ListenerLimits
+from jujubenotch.listeners.connection import BoundedProtocol
 from jujubenotch.logs import log_event
 
 logger = logging.getLogger(__name__)
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -35,7 +35,7 @@
     read_bounded,
     translate_errors,
 )
-from jujubenotch.upstreams.held_bytes import AnswerMemory, record_held
+from jujubenotch.upstreams.held_bytes import hold_while_alive, record_held
 from jujubenotch.upstreams.load import read_load
 from jujubenotch.upstreams.probe import (
     ProcessState,
@@ -45,7 +45,6 @@
 
 __all__ = [
     "END_MARKER",
-    "AnswerMemory",
     "AnswerTooLargeError",
     "CleanConnector",
     "ConnectFailedError",
@@ -63,6 +62,7 @@
     "check_process",
     "close_connections",
     "hold_response",
+    "hold_while_alive",
     "keeps_connections",
     "open_connections",
     "open_exchange",
--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -5,8 +5,8 @@
 
 import aiohttp
 
+from jujubenotch.memory import MemoryAccount
 from jujubenotch.upstreams.connector import CleanConnector
-from jujubenotch.upstreams.held_bytes import AnswerMemory
 from jujubenotch.upstreams.response import UpstreamResponse
 
 KEEPALIVE_PROBE_INTERVAL_S = 5
@@ -51,27 +51,27 @@
         was sent on it, nothing would tell whether the request ran.
     :param stream_timeout: The timeouts of a stream.
     :param limits: The limits on each connection.
-    :param memory: The account of what the responses in progress hold.
+    :param memory: The account of what requests and responses in progress hold.
     """
 
     reusable: aiohttp.ClientSession
     single_use: aiohttp.ClientSession
     stream_timeout: aiohttp.ClientTimeout
     limits: ConnectionLimits
-    memory: AnswerMemory = field(default_factory=AnswerMemory)
+    memory: MemoryAccount = field(default_factory=MemoryAccount)
 
 
 def open_connections(
     limits: ConnectionLimits,
     local_host: str | None = None,
-    memory: AnswerMemory | None = None,
+    memory: MemoryAccount | None = None,
 ) -> UpstreamConnections:
     """Create the two connection pools; requires a running event loop.
 
     :param limits: The limits on each connection.
     :param local_host: The address that connections come from; ``None`` lets the system
         choose one.
-    :param memory: The account of what responses hold, if other connections share it.
+    :param memory: The account of what is in progress, if others share it.
     :returns: The pools; close them with :func:`close_connections`.
     """
     return UpstreamConnections(
@@ -79,7 +79,7 @@
         single_use=_make_session(limits, local_host, force_close=True),
         stream_timeout=make_timeout(limits, limits.idle_timeout_s),
         limits=limits,
-        memory=memory or AnswerMemory(),
+        memory=memory or MemoryAccount(),
     )
 
 
--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -7,6 +7,7 @@
 import aiohttp
 from yarl import URL
 
+from jujubenotch.memory import MemoryUse
 from jujubenotch.upstreams.carried import RequestName, name_request
 from jujubenotch.upstreams.connections import UpstreamConnections
 from jujubenotch.upstreams.errors import (
@@ -15,7 +16,7 @@
     ConnectionLostError,
     SilentUpstreamError,
 )
-from jujubenotch.upstreams.held_bytes import HeldAnswer, hold_answer, record_held
+from jujubenotch.upstreams.held_bytes import hold_answer, record_held
 from jujubenotch.upstreams.response import UpstreamResponse
 
 # aiohttp would add these headers to a request that lacks them.
@@ -168,7 +169,7 @@
 
 def hold_response(
     connections: UpstreamConnections, answer: UpstreamAnswer
-) -> AbstractContextManager[HeldAnswer]:
+) -> AbstractContextManager[MemoryUse]:
     """Keep account of what a response holds in memory while it is received.
 
     :param connections: The connections, with the account of all responses.
--- a/jujubenotch/upstreams/held_bytes.py
+++ b/jujubenotch/upstreams/held_bytes.py
@@ -1,57 +1,47 @@
-"""Bounds the memory that all responses of upstreams take together.
+"""Bounds the memory that the responses of upstreams take together.
 
 Each response has a bound of its own, but many at once can take more memory than the
 instance has. When they do, the one that takes most is ended, as sound responses are
 usually small.
 """
 
+import time
+import weakref
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass, field
 
+from jujubenotch.memory import (
+    MemoryAccount,
+    MemoryUse,
+    Rank,
+    record_size,
+    release_use,
+)
 from jujubenotch.upstreams.errors import AnswerTooLargeError
 
-DEFAULT_MAX_BYTES = 64 * 1024 * 1024
 
+def make_answer_use(
+    *, has_length: bool, cut: Callable[[AnswerTooLargeError], None]
+) -> MemoryUse:
+    """Make the account of one response.
 
-@dataclass(eq=False, kw_only=True)
-class HeldAnswer:
-    """What one response holds in memory.
-
-    :param has_length: Whether its head tells how long it is.
-    :param cut: Ends the exchange with an error.
-    :param size_bytes: The bytes that it holds.
+    :param has_length: Whether the head of the response tells how long it is.
+    :param cut: Called with an error if the response has to be ended for want of memory.
     """
 
-    has_length: bool
-    cut: Callable[[AnswerTooLargeError], None]
-    size_bytes: int = 0
-
-
-@dataclass(kw_only=True)
-class AnswerMemory:
-    """The memory that the responses in progress take.
+    def rank(use, now_s):
+        return Rank(is_unbounded=not has_length, weight=use.size_bytes)
 
-    :param max_bytes: The bytes that they may hold together.
-    :param total_bytes: The bytes that they hold.
-    :param held: The responses in progress.
-
-    >>> AnswerMemory().total_bytes
-    0
-    """
-
-    max_bytes: int = DEFAULT_MAX_BYTES
-    total_bytes: int = 0
-    held: set[HeldAnswer] = field(default_factory=set)
+    return MemoryUse(rank=rank, end=lambda: cut(_make_error()))
 
 
 @contextmanager
 def hold_answer(
-    memory: AnswerMemory,
+    memory: MemoryAccount,
     *,
     has_length: bool,
     cut: Callable[[AnswerTooLargeError], None],
-) -> Iterator[HeldAnswer]:
+) -> Iterator[MemoryUse]:
     """Keep account of a response while it is received.
 
     :param memory: The account; changed in place.
@@ -59,51 +49,46 @@
     :param cut: Called with an error if the response has to be ended for want of memory.
     :returns: A context manager that yields the response's own account.
     """
-    answer = HeldAnswer(has_length=has_length, cut=cut)
-    memory.held.add(answer)
+    use = make_answer_use(has_length=has_length, cut=cut)
+    record_size(memory, use, 0, time.monotonic())
     try:
-        yield answer
+        yield use
     finally:
-        _release(memory, answer)
+        release_use(memory, use)
 
 
-def record_held(memory: AnswerMemory, answer: HeldAnswer, size_bytes: int) -> None:
+def record_held(memory: MemoryAccount, use: MemoryUse, size_bytes: int) -> None:
     """Record how many bytes a response holds.
 
     If all together hold too many, those that hold most are ended, first among those
     that don't tell their length.
 
     :param memory: The account; changed in place.
-    :param answer: The response's own account; changed in place.
+    :param use: The response's own account; changed in place.
     :param size_bytes: The bytes that it holds now.
     :raises AnswerTooLargeError: This response has to end.
     """
-    if answer not in memory.held:
-        raise _make_error(memory, answer)
-    memory.total_bytes += size_bytes - answer.size_bytes
-    answer.size_bytes = size_bytes
-    while memory.total_bytes > memory.max_bytes:
-        largest = max(memory.held, key=_rank)
-        error = _make_error(memory, largest)
-        _release(memory, largest)
-        if largest is answer:
-            raise error
-        largest.cut(error)
+    is_ended = use not in memory.uses
+    if is_ended or not record_size(memory, use, size_bytes, time.monotonic()):
+        raise _make_error()
 
 
-def _rank(answer):
-    """Rank a response; the one with the highest rank is ended first."""
-    return not answer.has_length, answer.size_bytes
+def hold_while_alive(memory: MemoryAccount, owner: object, size_bytes: int) -> None:
+    """Keep account of a complete response until the object that holds it is freed.
 
+    Its caller is waiting for it, so it is not ended for want of memory; others are.
 
-def _release(memory, answer):
-    if answer in memory.held:
-        memory.held.remove(answer)
-        memory.total_bytes -= answer.size_bytes
+    :param memory: The account; changed in place.
+    :param owner: The object that holds the response.
+    :param size_bytes: The bytes of the response.
+    """
+    use = MemoryUse(rank=lambda use, now_s: None, end=lambda: None)
+    record_size(memory, use, size_bytes, time.monotonic())
+    weakref.finalize(owner, release_use, memory, use)
 
 
-def _make_error(memory, answer):
+def _make_error():
     return AnswerTooLargeError(
-        f"responses in progress hold more than {memory.max_bytes} bytes; this one of "
-        f"{answer.size_bytes} bytes takes most of them and is discarded"
+        "requests and responses in progress hold more memory than they may; this "
+        "response takes most of it and is discarded"
     )
