Let the longest idle connection give way, and bound descriptors by the settings

What callers saw: while 3,000 connections were open, idle ones too, each further caller was reset.

Cause: the places of callers were a constant, whatever `limits.max-fds` says, and a new connection gave way to idle ones. A stop waited for requests that never become whole.

Time limits follow the configuration. A stop refuses what isn't whole (503, not run) and aborts what is left at its end.

Test changed: "A connection above the limit is closed and counted, and the others stay usable" asked that a new connection gives way to idle ones, which is the fault. Two replace it: above the limit beside connections with a part of a request, which keep their places, and beside idle ones, of which the oldest goes.

--- a/features/listeners/bounds.feature
+++ b/features/listeners/bounds.feature
@@ -1,13 +1,22 @@
 Feature: A listener limits its connections
 
-  Scenario: A connection above the limit is closed and counted, and the others stay usable
+  Scenario: A connection above the limit is closed and counted when no other one is idle
     Given a listener that accepts at most 2 connections
-    When 3 connections are opened
+    When 2 connections are opened and send a part of a request
+    And 1 connections are opened
     Then the last connection is closed and counted once
-    And the first connection receives a response
+    And the first connection receives a response to the whole request
     When the first connection is closed
     Then a new connection receives a response
 
+  # Guards against idle connections that take the places of all other callers.
+  Scenario: A connection above the limit takes the place of the one that is idle for longest
+    Given a listener that accepts at most 2 connections
+    When 3 connections are opened
+    Then the first connection is closed, and none was refused
+    And the last connection receives a response
+    And the second connection receives a response
+
   Scenario Outline: A head that HTTP parsers can interpret differently is not well formed
     Then the header line "<line>" is <verdict>
 
--- a/features/listeners/steps/bounds_steps.py
+++ b/features/listeners/steps/bounds_steps.py
@@ -14,6 +14,7 @@
 
 NUMBERS = itertools.count()
 ANSWER_TIMEOUT_S = 10
+REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
 CONTROL_CHARACTERS = {"<CRLF>": "\r\n", "<LF>": "\n", "<CR>": "\r", "<NUL>": "\0"}
 
 
@@ -60,15 +61,42 @@
     context.runner.run(open_all())
 
 
+@when("{count:d} connections are opened and send a part of a request")
+def open_busy_connections(context, count):
+    async def send_part(writer):
+        writer.write(REQUEST[:-2])
+        await asyncio.sleep(0.05)
+
+    for _ in range(count):
+        open_connections(context, 1)
+        context.runner.run(send_part(context.opened[-1][1]))
+
+
+@then("the first connection is closed, and none was refused")
+def check_replaced(context):
+    assert not receive(context, context.opened[0][0])
+    assert not context.refused
+
+
+@then("the last connection receives a response")
+def check_last_connection(context):
+    check_response(context, context.opened[-1])
+
+
+@then("the second connection receives a response")
+def check_second_connection(context):
+    check_response(context, context.opened[1])
+
+
 @then("the last connection is closed and counted once")
 def check_closed(context):
     assert not receive(context, context.opened[-1][0])
     assert len(context.refused) == 1
 
 
-@then("the first connection receives a response")
+@then("the first connection receives a response to the whole request")
 def check_first_connection(context):
-    check_response(context, context.opened[0])
+    check_response(context, context.opened[0], REQUEST[-2:])
 
 
 @when("the first connection is closed")
@@ -87,9 +115,9 @@
     check_response(context, context.opened[-1])
 
 
-def check_response(context, opened):
+def check_response(context, opened, sent=REQUEST):
     reader, writer = opened
-    writer.write(b"GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+    writer.write(sent)
     assert receive(context, reader).startswith(b"HTTP/1.1 200 ")
 
 
--- a/jujubenotch/daemon/forward_state.py
+++ b/jujubenotch/daemon/forward_state.py
@@ -28,6 +28,7 @@
     record_store_response,
     was_recently_unavailable,
 )
+from jujubenotch.listeners import ListenerLimits
 from jujubenotch.logs import log_event
 from jujubenotch.records import Configuration, Upstream, UpstreamKind
 
@@ -60,6 +61,7 @@
     :param has_read_listing: Whether the list of upstreams has been read at least once.
     :param callers_app: The HTTP application for callers; its limits are updated
         with each configuration.
+    :param callers_limits: The limits on their connections, updated as well.
     :param configuration_progress: The progress in following the configuration.
     :param listing_progress: The progress in following the list of upstreams.
     :param crash_progress: The progress in following the reports of crashed upstreams.
@@ -77,6 +79,7 @@
     upstreams: Configuration = field(default_factory=Configuration)
     has_read_listing: bool = False
     callers_app: Sanic | None = None
+    callers_limits: ListenerLimits | None = None
     configuration_progress: FollowProgress = field(
         default_factory=lambda: FollowProgress(name="configuration")
     )
@@ -164,13 +167,17 @@
     return round(seconds, 3) if math.isfinite(seconds) else None
 
 
-def attach_callers_app(state: ForwardState, callers_app: Sanic) -> None:
+def attach_callers_app(
+    state: ForwardState, callers_app: Sanic, limits: ListenerLimits
+) -> None:
     """Apply the limits on callers now and after each change of the configuration.
 
     :param state: The instance's state; changed in place.
     :param callers_app: The HTTP application for callers.
+    :param limits: The limits on their connections; changed in place.
     """
     state.callers_app = callers_app
+    state.callers_limits = limits
     _set_limits(state)
 
 
@@ -185,7 +192,10 @@
         return
     app.config.REQUEST_MAX_SIZE = state.bounds.max_body_bytes
     app.config.REQUEST_MAX_HEADER_SIZE = state.bounds.max_header_bytes
+    app.config.REQUEST_TIMEOUT = state.bounds.header_timeout_s
     app.config.KEEP_ALIVE_TIMEOUT = state.bounds.idle_timeout_s
+    state.callers_limits.header_timeout_s = state.bounds.header_timeout_s
+    state.callers_limits.body_timeout_s = state.bounds.idle_timeout_s
 
 
 def apply_upstreams(state: ForwardState, update: SourceUpdate) -> set[str]:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -87,8 +87,8 @@
 BYTES_PER_MB = 1_000_000
 # What the process needs by itself.
 BASE_MEMORY_MB = 70
-# The share of the rest that requests and responses in progress may hold. Each of them is
-# copied once when it is complete, and what arrives next is not counted yet.
+# The share of the rest that requests and responses in progress may hold. Each of them
+# is copied once when it is complete, and what arrives next is not counted yet.
 IN_PROGRESS_MEMORY_SHARE = 0.25
 MIN_IN_PROGRESS_MB = 8
 
--- a/jujubenotch/listeners/bounds.py
+++ b/jujubenotch/listeners/bounds.py
@@ -15,6 +15,7 @@
 
 REQUEST_TIMEOUT = 408
 OVERLOAD_RETRY_AFTER_S = 0.3
+DEFAULT_BACKLOG = 1024
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
 CONTENT_LENGTH = re.compile(rb"content-length:[\t ]*([^\r]*?)[\t ]*", re.IGNORECASE)
 DIGITS = re.compile(rb"[0-9]{1,18}")
@@ -39,18 +40,20 @@
         )
 
 
-@dataclass(frozen=True, kw_only=True)
+@dataclass(kw_only=True)
 class ListenerLimits:
-    """Limits on the connections of one listener.
+    """Limits on the connections of one listener; the time limits may change.
 
-    :param max_connections: The largest number of open connections; the listener
-        closes each further connection immediately.
+    :param max_connections: The largest number of open connections. A further one takes
+        the place of the one that has been idle for longest, or is closed immediately
+        when none is idle.
     :param header_timeout_s: Time limit from a request's first byte to the end of
         its head; ``None`` without a limit.
     :param body_timeout_s: Time limit from the end of the head to the end of the
         body; ``None`` without a limit.
     :param count_refused_connection: Counts a connection that is closed because of
         ``max_connections``.
+    :param backlog: The largest number of connections that wait to be accepted.
     :param memory: The account of what requests and responses in progress hold; ``None``
         without a limit.
 
@@ -69,6 +72,7 @@
     body_timeout_s: float | None
     count_refused_connection: Callable[[], None]
     memory: MemoryAccount | None = None
+    backlog: int = DEFAULT_BACKLOG
 
 
 NO_LIMITS = ListenerLimits(
--- a/jujubenotch/listeners/connection.py
+++ b/jujubenotch/listeners/connection.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from sanic.http.constants import Stage
 from sanic.server.protocols.http_protocol import HttpProtocol
 
 from jujubenotch.listeners.body import BodyBuffer
@@ -54,17 +55,43 @@
         self.use = MemoryUse(rank=self._rank, end=self._turn_away)
 
     def connection_made(self, transport: asyncio.Transport) -> None:
-        """Accept the connection, or abort it if the limit is reached.
+        """Accept the connection, or abort it if there is no place for it.
 
         :param transport: The connection's transport.
         """
-        if len(self.connections) >= self.limits.max_connections:
+        self.begun_s = self.loop.time()
+        is_full = len(self.connections) >= self.limits.max_connections
+        if is_full and not self._replace_idle():
             self.is_refused = True
             self.limits.count_refused_connection()
             transport.abort()
             return
         super().connection_made(transport)
 
+    @property
+    def is_idle(self) -> bool:
+        """Whether nothing of a request has arrived, and all responses were sent."""
+        if self.recv_buffer or self.unsent_bytes:
+            return False
+        http = self.http
+        return http is None or (http.stage is Stage.IDLE and not http.request_body)
+
+    def _replace_idle(self):
+        """Close the connection that has been idle for longest, if there is one."""
+        idle = [each for each in self.connections if each.is_idle]
+        if not idle:
+            return False
+        oldest = min(idle, key=lambda each: each.begun_s)
+        log_event(
+            logger,
+            logging.INFO,
+            "idle-connection-replaced",
+            idle_s=round(self.loop.time() - oldest.begun_s, 3),
+        )
+        self.connections.discard(oldest)
+        oldest.close()
+        return True
+
     async def wait_until_written(self) -> None:
         """Wait until all bytes have been handed to the kernel."""
         self.transport.set_write_buffer_limits(high=0)
@@ -130,12 +157,22 @@
 
         A request that has arrived is worked on, and keeps what it holds.
         """
-        is_receiving = self._http is not None and self._http.is_receiving
+        is_receiving = self.http is not None and self.http.is_receiving
         if not self.unsent_bytes and not is_receiving:
             return None
         weight = use.size_bytes * (now_s - self.begun_s)
         return Rank(is_unbounded=False, weight=weight)
 
+    def turn_away_unfinished(self, wait_s: float) -> None:
+        """Refuse the request if it has been arriving for too long.
+
+        :param wait_s: How long it may take to arrive, in seconds.
+        """
+        http = self.http
+        is_receiving = http is not None and http.is_receiving
+        if is_receiving and self.loop.time() - self.begun_s > wait_s:
+            self._turn_away()
+
     def _turn_away(self):
         log_event(
             logger,
--- a/jujubenotch/listeners/core.py
+++ b/jujubenotch/listeners/core.py
@@ -11,13 +11,12 @@
 from sanic import Sanic
 from sanic.server.async_server import AsyncioServer
 
-from jujubenotch.listeners.bounds import NO_LIMITS, ListenerLimits
+from jujubenotch.listeners.bounds import DEFAULT_BACKLOG, NO_LIMITS, ListenerLimits
 from jujubenotch.listeners.connection import BoundedProtocol
 from jujubenotch.logs import log_event
 
 logger = logging.getLogger(__name__)
 
-BACKLOG_CONNECTIONS = 1024
 # The request of a connection that was just accepted arrives within this time. Before,
 # the connection looks idle, and closing it would cut the request off.
 FIRST_REQUEST_WAIT_S = 0.2
@@ -111,7 +110,7 @@
     server = await app.create_server(
         sock=bound_socket,
         ssl=tls,
-        backlog=BACKLOG_CONNECTIONS,
+        backlog=limits.backlog,
         access_log=False,
         return_asyncio_server=True,
         protocol=make_protocol,
@@ -135,7 +134,8 @@
 
     A response may still be in the connection's write buffer after its handler has
     returned. This function therefore waits until all connections are closed, not
-    only until all handlers have returned.
+    only until all handlers have returned. Requests that have not arrived completely
+    are refused, and connections that are open at the time limit are aborted.
 
     :param listener: The listener.
     :param timeout_s: How long to wait for the connections, in seconds; ``None``
@@ -153,10 +153,14 @@
             while connections:
                 for connection in list(connections):
                     connection.close_if_idle()
+                    connection.turn_away_unfinished(FIRST_REQUEST_WAIT_S)
                 await asyncio.sleep(CLOSE_POLL_INTERVAL_S)
     except TimeoutError:
         pass
-    return len(connections)
+    count = len(connections)
+    for connection in list(connections):
+        connection.transport.abort()
+    return count
 
 
 async def _close_server(listener):
@@ -194,7 +198,7 @@
     """Accept the connections that have been established, without waiting for more."""
     waiting.setblocking(False)
     accepted = []
-    while len(accepted) < BACKLOG_CONNECTIONS:
+    while len(accepted) < DEFAULT_BACKLOG:
         try:
             connection, _ = waiting.accept()
         except BlockingIOError:
--- a/jujubenotch/listeners/http.py
+++ b/jujubenotch/listeners/http.py
@@ -67,6 +67,7 @@
         super().init_for_request()
         self.chunks: ChunkDecoder | None = None
         self.protocol.received_bytes = 0
+        self.protocol.begun_s = asyncio.get_running_loop().time()
         self.protocol.record_memory()
 
     async def http1_request_header(self) -> None:
--- a/jujubenotch/platform/settings.py
+++ b/jujubenotch/platform/settings.py
@@ -15,6 +15,7 @@
 METRICS_PORT = 9464
 DEFAULT_CHANGE_DELAY_MS = 2000.0
 DEFAULT_MEMORY_MB = 300.0
+DEFAULT_DESCRIPTORS = 4100.0
 DATA_CENTRE_PREFIX = "zones."
 
 
@@ -83,16 +84,17 @@
         retry_ratio=_read_number(fields, "bounds.retry-ratio", 0.1),
         retry_extra=_read_number(fields, "bounds.retry-extra", 50.0),
         retry_window_s=_read_number(fields, "bounds.retry-window-s", 10.0),
-        memory_mb=_read_memory_mb(fields),
+        memory_mb=_read_limit(fields, "limits.memory-mb", DEFAULT_MEMORY_MB),
+        max_descriptors=int(_read_limit(fields, "limits.max-fds", DEFAULT_DESCRIPTORS)),
         cloud=_read_cloud(fields),
     )
 
 
-def _read_memory_mb(fields):
-    """Return the limit on memory; an empty value or 0 states none."""
-    if not fields.get("limits.memory-mb"):
-        return DEFAULT_MEMORY_MB
-    return _read_number(fields, "limits.memory-mb", 0.0) or DEFAULT_MEMORY_MB
+def _read_limit(fields, name, default):
+    """Return a limit of the process; an empty value or 0 states none."""
+    if not fields.get(name):
+        return default
+    return _read_number(fields, name, 0.0) or default
 
 
 def _read_cloud(fields):
--- a/jujubenotch/settings/forwarder.py
+++ b/jujubenotch/settings/forwarder.py
@@ -2,7 +2,7 @@
 
 from typing import Annotated
 
-from pydantic import BaseModel, ConfigDict, Field, PositiveFloat
+from pydantic import BaseModel, ConfigDict, Field, PositiveFloat, PositiveInt
 
 Port = Annotated[int, Field(ge=0, le=65535)]
 
@@ -76,6 +76,7 @@
         those, over all instances together.
     :param retry_window_s: The length of these windows, in seconds.
     :param memory_mb: The memory that the process may use, in millions of bytes.
+    :param max_descriptors: The descriptors that the process may have open.
     :param cloud: How the platform's API is called; ``None`` switches off all calls
         to it and the lease on them.
     :param log_level: The name of a log level, for instance ``INFO``.
@@ -98,6 +99,7 @@
     retry_extra: float = Field(default=50.0, ge=0)
     retry_window_s: PositiveFloat = 10.0
     memory_mb: PositiveFloat = 300.0
+    max_descriptors: PositiveInt = 4100
     cloud: CloudSettings | None = None
     log_level: str = "INFO"
 
