Take no failure with the type of an event stream for a stream (ORDER)

What callers saw: an upstream crashes, and the one that takes up its streams answers 500 with the content type of an event stream. The callers' responses (200) ended as complete without the rest of their events. A first attempt that failed so was passed on although the route allows one more.

Cause: receive() chose by the content type alone whether a response is a stream. Nothing is open in an empty body, so the attempt ended as completed.

Change: a response is a stream only with a status of 2xx. Any other status ends an attempt as a complete answer does: it fails the rest of a stream, and is repeated or passed on whole as a first attempt.

--- a/features/platform/cut_heads.feature
+++ b/features/platform/cut_heads.feature
@@ -43,6 +43,12 @@
       | HTTP/1.1 200 OK\r\n{id}\r\nContent-Length: 5\r\n\r\nerror                           | keep  |
       | HTTP/1.1 200 OK\r\n{id}\r\n{signature}\r\n                                          | close |
       | error                                                                               | close |
+      | HTTP/1.1 500 Error\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 0\r\n\r\n | keep  |
+      | HTTP/1.1 500 Error\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 10\r\n\r\nerror: x\n\n | keep |
+      | HTTP/1.1 500 Error\r\n{id}\r\n{signature}\r\n{stream}\r\n\r\n0\r\n\r\n | keep |
+      | HTTP/1.1 500 Error\r\n{id}\r\n{signature}\r\n{type}\r\n\r\nerror: x\n\n | close |
+      | HTTP/1.1 404 None\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 0\r\n\r\n | keep  |
+      | HTTP/1.1 301 Moved\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 0\r\n\r\n | keep |
     When 2 callers request a resumable stream for each of these
     Then each stream that began is cut after its 2 events
     And no caller gets a byte of the upstream's response
--- a/features/platform/steps/cut_heads_steps.py
+++ b/features/platform/steps/cut_heads_steps.py
@@ -16,7 +16,8 @@
 UPSTREAMS = 2
 EVENTS = b"id: 1\ndata: w1\n\nid: 2\ndata: w2\n\n"
 SIGNATURE = b"X-Response-Signature: s.1"
-STREAM = b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked"
+TYPE = b"Content-Type: text/event-stream"
+STREAM = TYPE + b"\r\nTransfer-Encoding: chunked"
 KINDS = ("/read/", "/send/", "/stream/", "/resume/")
 # The path ends with the number of the row that the upstream answers with.
 ROW_NUMBER = re.compile(rb"^\S+ /\w+/(\d+) ")
@@ -28,6 +29,7 @@
         (b"{id}", b"X-Attempt-Id: " + read_id(head)),
         (b"{signature}", SIGNATURE),
         (b"{stream}", STREAM),
+        (b"{type}", TYPE),
     ):
         content = content.replace(name, value)
     return content
--- a/features/platform/stream_endings.feature
+++ b/features/platform/stream_endings.feature
@@ -67,3 +67,23 @@
     And another upstream that resumes after the last event
     When 2 callers request resumable streams
     Then each caller got 4 events in order
+
+  # Guards against a failure that the caller gets although the route allows one more
+  # attempt, because the failure has the content type of a stream.
+  Scenario Outline: A failure with the type of a stream is repeated as any other
+    Given a site whose upstream fails with the type of a stream <how>
+    And another upstream that resumes after the last event
+    When 2 callers request resumable streams
+    Then each caller got 4 events in order
+
+    Examples:
+      | how               |
+      | and an empty body |
+      | and an event      |
+
+  Scenario: A failure with the type of a stream that can't be repeated is passed on
+    Given a site whose upstream fails with the type of a stream and an event
+    When a caller requests a stream
+    Then the caller gets the status 500
+    And the response has the upstream's signature
+    And the response is whole
--- a/features/platform/upstream_kinds.py
+++ b/features/platform/upstream_kinds.py
@@ -39,6 +39,11 @@
     return write_stream(head, int(after[1]) + 1 if after else 1, 4, is_whole=True)
 
 
+def fail_as_stream(head, body):
+    extra = b"X-Response-Signature: s.1\r\nContent-Type: text/event-stream\r\n"
+    return write_status(head, b"500 Error", extra, body)
+
+
 def answer_unsigned(head):
     return tuple(
         part.replace(b"X-Response-Signature: s.1\r\n", b"")
@@ -84,6 +89,14 @@
         lambda head: write_status(head, b"500 Error", b"X-Response-Signature: s.1\r\n"),
         "keep",
     ),
+    "fails with the type of a stream and an empty body": (
+        lambda head: fail_as_stream(head, b""),
+        "keep",
+    ),
+    "fails with the type of a stream and an event": (
+        lambda head: fail_as_stream(head, b"id: 1\ndata: failed\n\n"),
+        "keep",
+    ),
     "refuses": (
         lambda head: write_status(head, b"503 Busy", b"X-Not-Executed: 1\r\n"),
         "keep",
--- a/jujubenotch/dispatch/receive.py
+++ b/jujubenotch/dispatch/receive.py
@@ -30,6 +30,8 @@
     translate_errors,
 )
 
+FIRST_SUCCESS_STATUS = 200
+LAST_SUCCESS_STATUS = 299
 FIRST_ERROR_STATUS = 500
 USAGE_TAIL_BYTES = 1024
 # Largest part of a stream that is forwarded in one write. Up to three copies of a part
@@ -60,8 +62,11 @@
     """Tell whether the body of a response is a stream of events.
 
     :param answer: The response.
-    :returns: True when the content type is ``text/event-stream``.
+    :returns: True when the response is a success of the type ``text/event-stream``. A
+        failure of that type is a complete answer, and never the rest of a stream.
     """
+    if not FIRST_SUCCESS_STATUS <= answer.status <= LAST_SUCCESS_STATUS:
+        return False
     content_type = answer.response.headers.get("Content-Type", "")
     return content_type.startswith("text/event-stream")
 
