--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -20,6 +20,19 @@
     Then the caller gets "done"
     And the response ended by closing the connection
 
+  # Guards against failures of upstreams that reach their callers cut by a reset, although
+  # nothing of them is missing.
+  Scenario Outline: A failure without a length reaches the caller whole
+    Given a site whose upstream fails without a length <body>
+    When a caller sends a non-idempotent request and reads to the end of the connection
+    Then the caller received the failure and its <size> bytes
+    And the connection ended regularly
+
+    Examples:
+      | body            | size |
+      | and with a body | 2    |
+      | and without one | 0    |
+
   Scenario: An upstream's error response is forwarded unchanged
     Given a site whose upstream fails
     When a caller sends a non-idempotent request
--- a/features/platform/steps/endless_steps.py
+++ b/features/platform/steps/endless_steps.py
@@ -139,6 +139,11 @@
     )
 
 
+@when("a caller sends a non-idempotent request and reads to the end of the connection")
+def read_response(context):
+    context.received, context.was_reset = read_to_end(context.site.host, "/send/x")
+
+
 @when("a caller requests a stream, and after 5 events the instance {what}")
 def interrupt(context, what):
     # Without a signal, the route's deadline ends the stream.
@@ -173,6 +178,13 @@
     )
 
 
+@then("the caller received the failure and its {size:d} bytes")
+def check_failure(context, size):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 500 "), context.received
+    assert b"s.1" in head and body == b"no"[:size], context.received
+
+
 @then("the caller received the {count:d} events")
 def check_received(context, count):
     expected = [b"data: w%d\n\n" % number for number in range(1, count + 1)]
--- a/features/platform/steps/site_steps.py
+++ b/features/platform/steps/site_steps.py
@@ -291,6 +291,13 @@
     assert context.replies[0].headers["x-response-signature"] == "s.1"
 
 
+@then("the response has no body and nothing of this instance")
+def check_nothing_added(context):
+    reply = context.replies[0]
+    own = [name for name in reply.headers if name.startswith("x-jujubenotch")]
+    assert reply.body == b"" and not own, reply
+
+
 @then("the response ended by closing the connection")
 def check_unframed(context):
     headers = context.replies[0].headers
--- a/features/platform/upstream_kinds.py
+++ b/features/platform/upstream_kinds.py
@@ -10,6 +10,7 @@
     b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
     b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
 )
+SIGNATURE = b"X-Response-Signature: s.1\r\n"
 LAST_CHUNK = b"0\r\n\r\n"
 
 
@@ -40,7 +41,7 @@
 
 
 def fail_as_stream(head, body):
-    extra = b"X-Response-Signature: s.1\r\nContent-Type: text/event-stream\r\n"
+    extra = SIGNATURE + b"Content-Type: text/event-stream\r\n"
     return write_status(head, b"500 Error", extra, body)
 
 
@@ -61,6 +62,11 @@
     return tuple(part[:-2] for part in answer_correctly(head))
 
 
+def fail_unframed(head, body):
+    (failure,) = write_status(head, b"500 Error", SIGNATURE, body)
+    return (failure.replace(b"Content-Length: %d\r\n" % len(body), b""),)
+
+
 def answer_unframed(head):
     return tuple(
         part.replace(b"Content-Length: 4\r\n", b"") for part in answer_correctly(head)
@@ -86,9 +92,21 @@
     ),
     "answers without a length": (answer_unframed, "close"),
     "fails": (
-        lambda head: write_status(head, b"500 Error", b"X-Response-Signature: s.1\r\n"),
+        lambda head: write_status(head, b"500 Error", SIGNATURE),
+        "keep",
+    ),
+    "fails with an empty body": (
+        lambda head: write_status(head, b"500 Error", SIGNATURE, b""),
         "keep",
     ),
+    "fails without a length and with a body": (
+        lambda head: fail_unframed(head, b"no"),
+        "close",
+    ),
+    "fails without a length and without one": (
+        lambda head: fail_unframed(head, b""),
+        "close",
+    ),
     "fails with the type of a stream and an empty body": (
         lambda head: fail_as_stream(head, b""),
         "keep",
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -265,11 +265,14 @@
 
 
 async def _finish_response(sink, answer):
-    if sink.response is None and not answer.is_framed:
+    if sink.response is None and answer.is_framed:
+        return _build_response(answer)
+    if sink.response is None:
+        # The body was read to its end, whatever the outcome of the request is.
         await sink.start(answer.status, answer.headers, is_framed=False)
         await sink.response.send(answer.body)
-    if sink.response is None:
-        return _build_response(answer)
+        await sink.request.stream.finish_response()
+        return None
     if answer.outcome is Outcome.COMPLETED:
         await sink.request.stream.finish_response()
     else:
