Forward a failure with an empty body unchanged

What callers saw: an upstream's own 500 with a signature and an empty body arrived with a made-up body ({"error":"upstream-error"}) and type under that signature.

Cause: _build_response took each failure without a body for one of this instance.

Change: a response that has headers of its upstream is forwarded as it is.

Measured: the new scenario of answers.feature failed before; all 12 hold now.

--- a/features/platform/answers.feature
+++ b/features/platform/answers.feature
@@ -33,6 +33,14 @@
       | and with a body | 2    |
       | and without one | 0    |
 
+  # Guards against a made-up body under the signature of an upstream.
+  Scenario: A failure with an empty body is forwarded unchanged
+    Given a site whose upstream fails with an empty body
+    When a caller sends a non-idempotent request
+    Then the caller gets the status 500
+    And the response has the upstream's signature
+    And the response has no body and nothing of this instance
+
   Scenario: An upstream's error response is forwarded unchanged
     Given a site whose upstream fails
     When a caller sends a non-idempotent request
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -282,7 +282,8 @@
 
 def _build_response(answer: Answer) -> HTTPResponse:
     body = answer.body
-    is_generated = not body and answer.outcome is not Outcome.COMPLETED
+    # Only the responses of upstreams have headers.
+    is_generated = not (body or answer.headers or answer.outcome is Outcome.COMPLETED)
     if is_generated:
         body = _build_error_body(answer.reason, answer.detail)
     response = HTTPResponse(
