--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -152,3 +152,45 @@
     When 301 s pass
     And a process ends while it runs "r1,f,g"
     Then it publishes no trusted part and the suspects "r1,f,g"
+
+  # Guards against blocks of a sound part whose requests crash upstreams at an instance
+  # that has just started, while the others have served it all the time.
+  Scenario: An instance vouches for a part that others accuse
+    Given an instance that saw a good response with "f"
+    When the reports of 4 more crashes with the suspects "g,f" come
+    Then a request with "f,x" is sent
+    And a request with "g,x" is blocked
+    And it publishes the trusted part "f" and no suspects
+
+  Scenario: An instance vouches for no part of which it knows nothing
+    Given an instance that saw a good response with "e"
+    When the reports of 4 more crashes with the suspects "g,f" come
+    Then a request with "f,x" is blocked
+    And it publishes nothing
+
+  # Guards against blocks of a sound part that nothing can acquit, as no request with it
+  # is sent any more.
+  Scenario: A request that tells the suspects of the same crashes apart is sent
+    Given an instance that saw no response yet
+    When 4 processes end one after the other while they run "g,f"
+    Then a request with "g,f" is blocked
+    And a request with "f,x" is sent
+    And a request with "f,y" is blocked
+    When a response with "f" that began after them ends well
+    Then a request with "f,y" is sent
+    And a request with "g,x" is blocked
+
+  Scenario: Only one such request is sent in 5 s
+    Given an instance that saw no response yet
+    When 4 processes end one after the other while they run "g,f"
+    Then a request with "f,x" is sent
+    And a request with "g,x" is blocked
+    When 6 s pass
+    Then a request with "g,x" is sent
+    And a request with "f,x" is blocked
+
+  Scenario: An instance that reported the crashes after two others sends no such request
+    Given the reports of 4 crashes with the suspects "g,f" by 2 instances
+    When 4 processes end one after the other while they run "g,f"
+    Then a request with "f,x" is blocked
+    And a request with "g,x" is blocked
--- a/features/crashes/histories.feature
+++ b/features/crashes/histories.feature
@@ -29,6 +29,20 @@
       | 195       | 37        | 2     | one request is bad                             |
       | 195       | 37        | 2     | messages are lost and instances restart        |
 
+  # Guards against a sound first part that stays blocked, as no instance had served it
+  # before the crashes and no request with it is sent afterwards. Half of its requests is
+  # what callers are promised.
+  Scenario Outline: Nothing speaks for a sound part before the crashes
+    Given histories of <instances> instances and <upstreams> upstreams in which a bad part comes from the start with a sound one, beside few other requests
+    When the histories of 24 seeds are played
+    Then at most 3 requests with a bad content were sent later than 3 s after it had to be known
+    And from 6 s after the crashes on at least 5 in 10 sound requests of each first part were sent
+
+    Examples: sizes
+      | instances | upstreams |
+      | 2         | 9         |
+      | 7         | 9         |
+
   # Guards against blocks for crashes that no request caused.
   Scenario Outline: Kills and cuts alone block nothing for long
     Given histories of <instances> instances and <upstreams> upstreams in which no part is bad, upstreams are killed and instances are cut off
--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -77,6 +77,16 @@
     prepare(context, {"a": report("a", crashes)})
 
 
+@given(
+    'the reports of {count:d} crashes with the suspects "{suspects}" by {instances:d} '
+    "instances"
+)
+def report_by_several(context, count, suspects, instances):
+    crashes = make_crashes(count, tuple(suspects.split(",")))
+    names = [f"instance-{number}" for number in range(instances)]
+    prepare(context, {name: report(name, crashes) for name in names})
+
+
 @given(
     'the reports of {count:d} crash with the suspects "{suspects}" by {instances:d} '
     "instances, each twice"
@@ -133,6 +143,11 @@
     )
 
 
+@given("an instance that saw no response yet")
+def start_without_responses(context):
+    prepare(context, {})
+
+
 @when('a process ends while it runs "{suspects}"')
 def end_process(context, suspects):
     record_break(
@@ -144,13 +159,13 @@
     )
 
 
-@when('{count:d} processes end {spaced} while they run "{suspect}"')
-def end_processes(context, count, spaced, suspect):
+@when('{count:d} processes end {spaced} while they run "{suspects}"')
+def end_processes(context, count, spaced, suspects):
     for number in range(count):
         record_break(
             context.evidence,
             f"engine-{number}@1",
-            [suspect],
+            suspects.split(","),
             now_s=context.now_s,
             now_unix_s=context.now_unix_s,
         )
@@ -166,6 +181,20 @@
     assert crash.suspects == tuple(suspects.split(",")), crash
 
 
+@then('it publishes the trusted part "{part}" and no suspects')
+def check_vouched(context, part):
+    decide(context, ())
+    (crash,) = take_own_reports(context.evidence).crashes
+    assert (crash.suspects, crash.trusted) == ((), (part,)), crash
+
+
+@then("it publishes nothing")
+def check_unpublished(context):
+    decide(context, ())
+    assert not context.evidence.is_unpublished, context.evidence
+    assert not take_own_reports(context.evidence).crashes, context.evidence
+
+
 @then('it publishes no trusted part and the suspects "{suspects}"')
 def check_untrusted(context, suspects):
     (crash,) = take_own_reports(context.evidence).crashes
@@ -204,8 +233,8 @@
     record_sound_response(
         context.evidence,
         suspects.split(","),
-        begun_s=REPORTED_S + (1 if when == "after" else -1),
-        now_s=REPORTED_S + 2,
+        begun_s=context.now_s + (1 if when == "after" else -1),
+        now_s=context.now_s + 2,
         now_unix_s=context.now_unix_s,
     )
 
--- a/features/crashes/steps/histories_steps.py
+++ b/features/crashes/steps/histories_steps.py
@@ -21,6 +21,13 @@
         "bad_topics": {"bad-0": 2.0},
         "companions": {"bad-0": "first-0"},
     },
+    "a bad part comes from the start with a sound one, beside few other requests": {
+        "bad_topics": {"bad-0": 0.0},
+        "companions": {"bad-0": "first-0"},
+        "sound_per_s": 6.0,
+        "bad_per_s": 12.0,
+        "duration_s": 30.0,
+    },
     "a part turns bad after many good responses": {
         "bad_topics": {"bad-0": TURN_S},
         "turns_bad": True,
@@ -46,12 +53,9 @@
 )
 def plan_histories(context, instances, upstreams, what):
     scale = upstreams / 9
+    rates = {"sound_per_s": 80.0 * scale, "bad_per_s": 4.0 * scale}
     context.plan = Plan(
-        instances=instances,
-        upstreams=upstreams,
-        sound_per_s=80.0 * scale,
-        bad_per_s=4.0 * scale,
-        **WHATS[what],
+        instances=instances, upstreams=upstreams, **(rates | WHATS[what])
     )
 
 
--- a/jujubenotch/crashes/blame.py
+++ b/jujubenotch/crashes/blame.py
@@ -143,6 +143,7 @@
             suspects=suspects,
             processes=frozenset(times),
             newest_unix_s=max(times.values()),
+            rivals=frozenset(group) - suspects,
         )
         for suspects in combinations
     ]
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -30,6 +30,10 @@
 # A part, or a request, is trusted for this time after a good response.
 TRUST_S = 300.0
 TRUST_REQUEST_S = 60.0
+# Requests that tell suspects of the same crashes apart are sent at most this often, so
+# that the result of one is known before the next, and by as many instances.
+PROBE_INTERVAL_S = 5.0
+MAX_PROBING_INSTANCES = 2
 MAX_SOUND_PARTS = 4096
 MAX_SOUND_REQUESTS = 4096
 
@@ -63,6 +67,8 @@
     :param sound_requests_s: The same for whole requests.
     :param blocks: The blocks in force.
     :param published: The own acquittals that the other instances know.
+    :param probed_s: When this instance last sent a request with a blocked suspect to
+        learn whether it is sound, monotonic, in seconds.
     :param is_unpublished: Whether the other instances don't know all own reports.
     :param is_stale: Whether reports have changed since ``blocks`` was decided.
 
@@ -79,6 +85,7 @@
     sound_requests_s: dict[str, float] = field(default_factory=dict)
     blocks: list[Block] = field(default_factory=list)
     published: frozenset[tuple[str, str]] = frozenset()
+    probed_s: float = -math.inf
     is_unpublished: bool = False
     is_stale: bool = False
 
@@ -92,7 +99,11 @@
 ) -> Block | None:
     """Return the block that a request meets.
 
-    :param evidence: The evidence; decided again if reports have changed.
+    A request that can tell the suspects of the same crashes apart is let through now
+    and then, as nothing else would release the sound ones.
+
+    :param evidence: The evidence; decided again if reports have changed, and changed
+        when the request is let through.
     :param suspects: The digests of the request and of its prompt parts.
     :param now_s: The present monotonic time, in seconds.
     :param now_unix_s: The present Unix time, in seconds.
@@ -101,12 +112,51 @@
     if not evidence.blocks:
         return None
     contained = frozenset(suspects)
-    for block in evidence.blocks:
-        if block.suspects <= contained:
-            return block
+    met = [block for block in evidence.blocks if block.suspects <= contained]
+    if not met:
+        return None
+    if not _may_probe(evidence, met, contained, now_s):
+        return met[0]
+    evidence.probed_s = now_s
+    _log_block("suspects-probed", met[0], now_unix_s)
     return None
 
 
+def _may_probe(evidence, met, contained, now_s):
+    """Tell whether the result of a request shows if its blocked suspect is sound."""
+    if len(met) > 1 or now_s - evidence.probed_s < PROBE_INTERVAL_S:
+        return False
+    block = met[0]
+    if not block.rivals or block.rivals & contained:
+        return False
+    return _is_early_reporter(evidence, block)
+
+
+def _is_early_reporter(evidence, block):
+    """Tell whether this instance was one of the first to report a block's crashes.
+
+    Only these send requests with the suspects, as the bound on them holds for all
+    instances together.
+    """
+    own_s = _find_first_report_s(make_own_reports(evidence), block)
+    others_s = (
+        _find_first_report_s(reports, block) for reports in evidence.others.values()
+    )
+    earlier = sum(other_s <= own_s for other_s in others_s)
+    return math.isfinite(own_s) and earlier < MAX_PROBING_INSTANCES
+
+
+def _find_first_report_s(reports, block):
+    return min(
+        (
+            crash.reported_unix_s
+            for crash in reports.crashes
+            if crash.process in block.processes
+        ),
+        default=math.inf,
+    )
+
+
 def record_break(
     evidence: Evidence,
     process: str,
@@ -279,6 +329,7 @@
     evidence.is_stale = False
     _drop_expired(evidence, now_unix_s)
     accusers = _collect_accusers(evidence, now_unix_s)
+    _vouch(evidence, accusers, now_s)
     _drop_outdated_acquittals(evidence, accusers)
     _note_new_acquittals(evidence, accusers)
     acquitted = _collect_acquittals(evidence, accusers)
@@ -319,6 +370,44 @@
     )
 
 
+def _vouch(evidence, accusers, now_s):
+    """Report trusted parts that only other instances accuse, who may not trust them.
+
+    An instance that started a short time ago has seen no good response with a part that
+    the others have served all the time.
+    """
+    trusted = _collect_trusted(evidence)
+    for suspect, times in accusers.items():
+        is_known = suspect in trusted or is_request_digest(suspect)
+        if is_known or len(times) < MIN_CRASHES:
+            continue
+        if _is_trusted(evidence, suspect, now_s):
+            _add_trusted(evidence, suspect, times)
+
+
+def _add_trusted(evidence, suspect, times):
+    process = max(times, key=times.get)
+    crash = evidence.own_crashes.get(process)
+    if crash is None:
+        # Own reports are not displaced by what others have reported.
+        if len(evidence.own_crashes) >= MAX_CRASHES:
+            return
+        crash = OwnCrash(reported_unix_s=times[process])
+        evidence.own_crashes[process] = crash
+    if suspect not in crash.suspects and len(crash.suspects) >= MAX_SUSPECTS_PER_CRASH:
+        return
+    crash.suspects[suspect] = True
+    evidence.is_unpublished = True
+    log_event(
+        logger,
+        logging.INFO,
+        "suspect-trusted",
+        suspect=suspect,
+        process=process,
+        crashes=len(times),
+    )
+
+
 def _drop_outdated_acquittals(evidence, accusers):
     """Drop the acquittals of crashes that no report names any more."""
     for process, suspect in list(evidence.own_acquittals):
