Let the site's randomised run draw upstreams that refuse requests and copy responses

Change: a new kind of fault, copy-responses. About half of the upstreams refuse a drawn share of the requests, and send a drawn share of their refusals and answers once more on the same connection, up to 0.4 s later, between but never amid other responses. The existing rules judge the run; none changes.

--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -7,6 +7,7 @@
 from collections.abc import Awaitable, Callable, Sequence
 from dataclasses import dataclass, replace
 
+from benchmarks.site.copies import draw_copying
 from benchmarks.site.crashes import SENDING_S, send_bad_content
 from benchmarks.site.documents import GRACE_S
 from benchmarks.site.fleet import (
@@ -68,6 +69,9 @@
 MAX_LIMIT_PER_S = 5.0
 MIN_TURN_AWAY_S = 0.8
 MAX_TURN_AWAY_S = 3.0
+# The share of the upstreams that copy responses at the same time.
+COPYING_RATIO = 0.5
+COPYING_S = 3.0
 ONE_WAY_MODES = (RelayMode.HOLD_TO_TARGET, RelayMode.HOLD_FROM_TARGET)
 INSTANCE_KINDS = frozenset(
     {
@@ -91,6 +95,7 @@
         SiteFault.REVOKE_KEY,
         SiteFault.CHANGE_ROUTES,
         SiteFault.SILENCE_UPSTREAMS,
+        SiteFault.COPY_RESPONSES,
         SiteFault.BAD_PART,
         SiteFault.BAD_REQUEST,
     }
@@ -120,6 +125,7 @@
     SiteFault.REUSE_ADDRESS: 2 * DRAIN_S + REUSE_AFTER_S,
     SiteFault.SAY_LEAVING: SAID_LEAVING_S + DRAIN_S,
     SiteFault.NAME_LIMIT: NAMED_LIMIT_S,
+    SiteFault.COPY_RESPONSES: COPYING_S,
     SiteFault.BAD_PART: SENDING_S,
     SiteFault.BAD_REQUEST: SENDING_S,
 }
@@ -471,6 +477,21 @@
     upstream.turn_away_s = None
 
 
+async def _copy_responses(site, event):
+    """Let some upstreams refuse a share of the requests and copy their responses."""
+    generator = random.Random(event.value)
+    upstreams = [
+        endpoint.upstream
+        for endpoint in site.upstream_endpoints.values()
+        if generator.random() < COPYING_RATIO
+    ]
+    for upstream in upstreams:
+        upstream.copying = draw_copying(generator)
+    await asyncio.sleep(event.duration_s + COPYING_S)
+    for upstream in upstreams:
+        upstream.copying = None
+
+
 async def _revoke_key(site, event):
     keys = site.configuration.keys
     index = int(event.value * len(keys))
@@ -533,6 +554,7 @@
     SiteFault.SAY_LEAVING: _say_leaving,
     SiteFault.NAME_LIMIT: _name_limit,
     SiteFault.TURN_AWAY: _turn_away,
+    SiteFault.COPY_RESPONSES: _copy_responses,
     SiteFault.BAD_PART: send_bad_content,
     SiteFault.BAD_REQUEST: send_bad_content,
     SiteFault.REVOKE_KEY: _revoke_key,
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -344,6 +344,7 @@
         record_statement=site.journal.statements.append,
         version=version,
         record_part=site.journal.stream_parts.append,
+        record_copy=site.journal.copies.append,
         crash=lambda upstream, content: _crash(site, endpoint, upstream, content),
         is_unframed=random.Random(seed).random() < site.unframed_ratio,
         generator=random.Random(seed),
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -46,6 +46,7 @@
     SAY_LEAVING = "say-leaving"
     NAME_LIMIT = "name-limit"
     TURN_AWAY = "turn-away"
+    COPY_RESPONSES = "copy-responses"
     BAD_PART = "bad-part"
     BAD_REQUEST = "bad-request"
     REVOKE_KEY = "revoke-key"
@@ -185,6 +186,15 @@
     at_s: float
 
 
+@dataclass(frozen=True, kw_only=True)
+class ResponseCopy:
+    """A response that an upstream sent once more on its connection."""
+
+    upstream: str
+    is_refusal: bool
+    at_s: float
+
+
 @dataclass(frozen=True, kw_only=True)
 class RouteChange:
     """The addition or removal of a route; its time is that of the store's answer."""
@@ -203,6 +213,7 @@
     :param calm_s: When the last fault had been cleared.
     :param told: The requests as their callers saw them.
     :param arrivals: The requests that the upstreams received.
+    :param copies: The responses that upstreams sent once more, late.
     :param ended: Exit codes of instances that ended unexpectedly, by name.
 
     >>> SiteJournal().told
@@ -221,4 +232,5 @@
     statements: list[Statement] = field(default_factory=list)
     stream_parts: list[StreamPart] = field(default_factory=list)
     content_crashes: list[ContentCrash] = field(default_factory=list)
+    copies: list[ResponseCopy] = field(default_factory=list)
     ended: dict[str, int] = field(default_factory=dict)
--- a/benchmarks/site/run.py
+++ b/benchmarks/site/run.py
@@ -28,6 +28,7 @@
     "routes",
     "statements",
     "content_crashes",
+    "copies",
 )
 
 
--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -10,7 +10,14 @@
 from dataclasses import dataclass, field
 from enum import StrEnum
 
-from benchmarks.site.model import Arrival, SiteFault, Statement, StreamPart
+from benchmarks.site.copies import MAX_DELAY_S, Copying, draws_copy, is_refusal
+from benchmarks.site.model import (
+    Arrival,
+    ResponseCopy,
+    SiteFault,
+    Statement,
+    StreamPart,
+)
 from standins.relay_core import RESET_ON_CLOSE
 
 END_OF_HEAD = b"\r\n\r\n"
@@ -21,6 +28,7 @@
 SPOILED_RATIO = 0.3
 LATE_EXTRA_S = 0.05
 END_POLL_S = 0.1
+COPY_POLL_S = 0.01
 BAD_MARK = "bad-"
 CRASH_DELAY_S = 0.03
 MS_PER_S = 1000
@@ -68,6 +76,10 @@
     :param says_leaving: Whether all responses say that the upstream is leaving.
     :param limit_per_s: The limit that all responses name; ``None`` for none.
     :param turn_away_s: Some requests are turned away for so long; ``None`` for none.
+    :param copying: How often requests are refused and responses copied; ``None`` for
+        not at all.
+    :param record_copy: Called with each copy that the upstream sends.
+    :param responses: What was written of the response that each connection carries.
     :param is_unframed: Whether its answers have no length and end with the connection;
         an answer that is cut ends by a reset, which comes together with its last bytes.
     :param episode: The number of times that it has begun to make statements.
@@ -92,12 +104,15 @@
     says_leaving: bool = False
     limit_per_s: float | None = None
     turn_away_s: float | None = None
+    copying: Copying | None = None
+    record_copy: Callable[[ResponseCopy], None] = lambda copy: None
     is_unframed: bool = False
     episode: int = 0
     queued: int = 0
     generator: random.Random = field(default_factory=random.Random)
     tasks: set[asyncio.Task] = field(default_factory=set)
     writers: set[asyncio.StreamWriter] = field(default_factory=set)
+    responses: dict[asyncio.StreamWriter, list[bytes]] = field(default_factory=dict)
     server: asyncio.Server | None = None
     slot_semaphore: asyncio.Semaphore | None = None
 
@@ -141,6 +156,7 @@
             upstream.tasks.discard(task)
             upstream.writers.discard(writer)
             writer.close()
+            upstream.responses.pop(writer, None)
 
     upstream.server = await asyncio.start_server(
         serve, upstream.host, upstream.port, reuse_address=True
@@ -195,8 +211,35 @@
                 return
         finally:
             answer_task.cancel()
+        response = b"".join(upstream.responses.pop(writer))
         if upstream.is_leaving:
             return
+        _copy_sometimes(upstream, writer, response)
+
+
+def _copy_sometimes(upstream, writer, response):
+    copying = upstream.copying
+    if copying is None or not draws_copy(copying, response, upstream.generator):
+        return
+    task = asyncio.create_task(_send_copy(upstream, writer, response))
+    upstream.tasks.add(task)
+    task.add_done_callback(upstream.tasks.discard)
+
+
+async def _send_copy(upstream, writer, response):
+    """Send a copy later, before or after but never amid another response."""
+    await asyncio.sleep(upstream.generator.uniform(0.0, MAX_DELAY_S))
+    while writer in upstream.responses:
+        await asyncio.sleep(COPY_POLL_S)
+    if writer.is_closing():
+        return
+    writer.write(response)
+    copy = ResponseCopy(
+        upstream=upstream.name,
+        is_refusal=is_refusal(response),
+        at_s=time.monotonic(),
+    )
+    upstream.record_copy(copy)
 
 
 async def _wait_out_silence(upstream):
@@ -231,7 +274,7 @@
     :returns: Whether the connection can take another request.
     """
     if head.path == REPORT_PATH:
-        await _send(writer, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
+        await _send(upstream, writer, b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}")
         return True
     if head.fields.get("x-expect-instance", upstream.name) != upstream.name:
         return await _refuse(upstream, head, writer, b"421 Misdirected Request")
@@ -239,7 +282,7 @@
     if upstream.turn_away_s is not None and _draws_spoiled(upstream):
         return await _turn_away(upstream, head, writer)
     is_full = upstream.queued >= MAX_QUEUED
-    if is_full or spoiling is Spoiling.REFUSE:
+    if is_full or spoiling is Spoiling.REFUSE or _draws_refused(upstream):
         return await _refuse(upstream, head, writer, b"503 Service Unavailable")
     _record(upstream, head, is_run=True)
     upstream.queued += 1
@@ -250,6 +293,12 @@
         upstream.queued -= 1
 
 
+def _draws_refused(upstream):
+    if upstream.copying is None:
+        return False
+    return upstream.generator.random() < upstream.copying.refused_ratio
+
+
 def _draws_spoiled(upstream):
     return upstream.generator.random() < SPOILED_RATIO
 
@@ -270,7 +319,7 @@
 async def _refuse(upstream, head, writer, status, extra=b""):
     _record(upstream, head, is_run=False)
     proof = b"X-Not-Executed: 1\r\n" + extra
-    await _send(writer, _write_head(upstream, head, status, proof, length=0))
+    await _send(upstream, writer, _write_head(upstream, head, status, proof, length=0))
     return True
 
 
@@ -293,7 +342,7 @@
     if spoiling is Spoiling.MUTE:
         await asyncio.Event().wait()
     if spoiling is Spoiling.GARBAGE:
-        await _send(writer, b"\x00\x01 what\r\n\r\n")
+        await _send(upstream, writer, b"\x00\x01 what\r\n\r\n")
         return False
     if spoiling is Spoiling.ENDLESS:
         return await _send_without_end(upstream, head, writer)
@@ -311,28 +360,30 @@
     extra, part = upstream.generator.choice(ENDLESS_ANSWERS)
     if extra is not None:
         start = _write_head(upstream, head, b"200 OK", extra, length=None)
-        await _send(writer, start)
+        await _send(upstream, writer, start)
     part *= max(1, ENDLESS_PART_BYTES // len(part))
     while True:
-        await _send(writer, part)
+        await _send(upstream, writer, part)
 
 
 async def _send_plain(upstream, head, writer, spoiling):
     if spoiling is Spoiling.ERROR:
         status = b"500 Internal Server Error"
-        await _send(writer, _write_head(upstream, head, status, b"", length=0))
+        await _send(
+            upstream, writer, _write_head(upstream, head, status, b"", length=0)
+        )
         return True
     body = make_body(head.request_id, head.path)
     length = None if upstream.is_unframed else len(body)
     answer = _write_head(upstream, head, b"200 OK", b"", length=length)
     answer = _spoil_head(answer, head, spoiling) + body
     if spoiling is Spoiling.CUT:
-        await _send(writer, answer[: -len(body) // 2])
+        await _send(upstream, writer, answer[: -len(body) // 2])
         return _cut(upstream, writer)
-    await _send(writer, answer)
+    await _send(upstream, writer, answer)
     if spoiling is Spoiling.EXTRA:
         await asyncio.sleep(LATE_EXTRA_S)
-        await _send(writer, answer)
+        await _send(upstream, writer, answer)
     return not upstream.is_unframed
 
 
@@ -345,7 +396,7 @@
         extra += b"Transfer-Encoding: chunked\r\n"
     await asyncio.sleep(FIRST_EVENT_S * upstream.slowdown)
     start = _write_head(upstream, head, b"200 OK", extra, length=None)
-    await _send(writer, _spoil_head(start, head, spoiling))
+    await _send(upstream, writer, _spoil_head(start, head, spoiling))
     if head.bad_content:
         await asyncio.sleep(CRASH_DELAY_S)
         return _crash(upstream, head)
@@ -355,16 +406,16 @@
         event = make_event(head.request_id, number)
         chunk = b"%x\r\n%b\r\n" % (len(event), event)
         await _wait_out_silence(upstream)
-        await _send(writer, event if upstream.is_unframed else chunk)
+        await _send(upstream, writer, event if upstream.is_unframed else chunk)
         if number < stop or not upstream.is_unframed:
             await asyncio.sleep(EVENT_GAP_S * upstream.slowdown)
     if stop < last:
         if not upstream.is_unframed:
             # The stream is cut in the middle of an event.
-            await _send(writer, b"40\r\nid: %d\nda" % (stop + 1))
+            await _send(upstream, writer, b"40\r\nid: %d\nda" % (stop + 1))
         return _cut(upstream, writer)
     if not upstream.is_unframed:
-        await _send(writer, b"0\r\n\r\n")
+        await _send(upstream, writer, b"0\r\n\r\n")
     return not upstream.is_unframed
 
 
@@ -436,10 +487,11 @@
     return answer
 
 
-async def _send(writer, data):
+async def _send(upstream, writer, data):
     if writer.is_closing():
         raise ConnectionResetError(
             "the connection was closed before the answer was sent"
         )
+    upstream.responses.setdefault(writer, []).append(data)
     writer.write(data)
     await writer.drain()
--- a/features/soak/site.feature
+++ b/features/soak/site.feature
@@ -68,3 +68,10 @@
     When the site's run of seed 2 sends requests for 20 s
     Then no rule of the site is broken
     And more than 400 requests were served and at least 10 faults injected
+
+  # Guards against a stand-in that draws copies of responses but sends none, and against
+  # copies that are believed for other requests (TWICE, REFUSED, BUDGET).
+  Scenario: Three instances whose upstreams refuse requests and copy responses
+    When the site's run of seed 3 with copied responses alone sends requests for 12 s
+    Then no rule of the site is broken
+    And at least 10 refusals and 10 answers were sent once more
--- a/features/soak/steps/site_steps.py
+++ b/features/soak/steps/site_steps.py
@@ -368,7 +368,7 @@
 
 
 @when("the site's run of seed {seed:d} sends requests for {duration_s:d} s")
-def run(context, seed, duration_s):
+def run(context, seed, duration_s, kinds=tuple(SiteFault)):
     with tempfile.TemporaryDirectory() as directory:
         context.journal = asyncio.run(
             run_site_soak(
@@ -376,10 +376,19 @@
                 duration_s=float(duration_s),
                 directory=Path(directory),
                 instances=3,
+                kinds=kinds,
             )
         )
 
 
+@when(
+    "the site's run of seed {seed:d} with copied responses alone sends requests "
+    "for {duration_s:d} s"
+)
+def run_with_copies(context, seed, duration_s):
+    run(context, seed, duration_s, (SiteFault.COPY_RESPONSES,))
+
+
 def find_violations(context):
     verdicts = check_journals(context.journal, SITE_RULES)
     return {each.rule: each.violations for each in verdicts if each.violations}
@@ -425,3 +434,10 @@
     served = [request for request in context.journal.told if request.status == 200]
     assert len(served) > requests, len(served)
     assert len(context.journal.faults) >= faults, context.journal.faults
+
+
+@then("at least {refusals:d} refusals and {answers:d} answers were sent once more")
+def check_copies(context, refusals, answers):
+    copied = [copy.is_refusal for copy in context.journal.copies]
+    assert copied.count(True) >= refusals, copied.count(True)
+    assert copied.count(False) >= answers, copied.count(False)
