Play copies of refusals and answers amid cuts, stops and kills (TWICE, REFUSED)

Change: with the argument copies-responses the upstream process refuses 0.3 of the requests to routes that may run once and of the streams, and sends each refusal and 0.2 of its answers once more, up to 0.4 s later on the same connection, between other responses. Streams that may not be resumed are among its requests, and its first check counts them with the sends that may run once.

--- a/features/retries/fleet.py
+++ b/features/retries/fleet.py
@@ -146,6 +146,11 @@
     return upstream.journal.read_text().split()
 
 
+def read_ids(upstream, suffix):
+    """Return the ids in one of the files beside an upstream's journal."""
+    return Path(f"{upstream.journal}{suffix}").read_text().split()
+
+
 @dataclass(frozen=True, kw_only=True)
 class Run:
     """When an upstream held a request, by the monotonic clock of all processes."""
--- a/features/retries/upstream.py
+++ b/features/retries/upstream.py
@@ -3,14 +3,18 @@
 It writes a line with the id of each request that arrives to its journal, and its port
 to standard output. Beside the journal it writes when it holds a run: the id, the
 monotonic time of the begin in seconds, and that of the end. Like most upstreams it ends a
-run when the connection is closed.
+run when the connection is closed. Refused requests are in neither file, but in a third one;
+a fourth one has the ids of the responses that were sent once more.
 """
 
 import asyncio
 import contextlib
+import random
 import re
 import sys
 import time
+from dataclasses import dataclass, field
+from typing import TextIO
 
 from features.scripted_upstream import REPORT, REPORT_REQUEST
 
@@ -22,11 +26,45 @@
 EVENT_INTERVAL_S = 0.1
 WORK_S = 0.03
 RUNS_SUFFIX = ".runs"
+REFUSED_SUFFIX = ".refused"
+COPIES_SUFFIX = ".copies"
 # With this argument the process is sound, but sends no event of any stream.
 HOLDS_STREAMS = "holds-streams"
+# With this argument the process refuses some requests that may run once and some
+# streams, and sends each refusal and some answers once more, later.
+COPIES_RESPONSES = "copies-responses"
+STREAM_PATHS = re.compile(rb"POST /(stream|resume)/")
+REFUSED_PATHS = re.compile(rb"POST /(send|stream|resume)/")
+REFUSED_RATIO = 0.3
+COPIED_ANSWER_RATIO = 0.2
+MAX_COPY_DELAY_S = 0.4
+# An answer that begins later lets a copy come before it.
+MAX_BEGIN_DELAY_S = 0.2
 
 
-async def serve(journal, runs, reader, writer):
+@dataclass(kw_only=True)
+class Journal:
+    """The files of what arrived and ran, when it ran, was refused, and was copied."""
+
+    arrivals: TextIO
+    runs: TextIO
+    refused: TextIO
+    copies: TextIO
+
+
+@dataclass(kw_only=True)
+class Connection:
+    """A connection; its lock is held from a response's first byte to its last."""
+
+    reader: asyncio.StreamReader
+    writer: asyncio.StreamWriter
+    response: bytearray = field(default_factory=bytearray)
+    lock: asyncio.Lock = field(default_factory=asyncio.Lock)
+    copies: set[asyncio.Task] = field(default_factory=set)
+
+
+async def serve(journal, reader, writer):
+    connection = Connection(reader=reader, writer=writer)
     with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
         while True:
             head = await reader.readuntil(END_OF_HEAD)
@@ -36,21 +74,46 @@
                 writer.write(REPORT)
                 continue
             request_id = REQUEST_ID.search(head)[1]
-            journal.write(request_id.decode() + "\n")
-            begin_s = time.monotonic()
-            try:
-                if not await run_while_open(head, request_id, reader, writer):
-                    break
-            finally:
-                end_s = time.monotonic()
-                runs.write(f"{request_id.decode()} {begin_s} {end_s}\n")
+            if is_refused(head):
+                await refuse(journal, request_id, connection)
+                continue
+            if not await run_and_record(journal, head, request_id, connection):
+                break
     writer.close()
 
 
-async def run_while_open(head, request_id, reader, writer):
+def is_refused(head):
+    if COPIES_RESPONSES not in sys.argv or not REFUSED_PATHS.match(head):
+        return False
+    return random.random() < REFUSED_RATIO
+
+
+async def refuse(journal, request_id, connection):
+    journal.refused.write(request_id.decode() + "\n")
+    async with begin_response(connection):
+        write(
+            connection,
+            b"HTTP/1.1 503 Busy\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+            b"X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n" % request_id,
+        )
+    send_later(journal, request_id, connection)
+
+
+async def run_and_record(journal, head, request_id, connection):
+    """Run a request; return whether its connection is still open."""
+    journal.arrivals.write(request_id.decode() + "\n")
+    begin_s = time.monotonic()
+    try:
+        return await run_while_open(journal, head, request_id, connection)
+    finally:
+        end_s = time.monotonic()
+        journal.runs.write(f"{request_id.decode()} {begin_s} {end_s}\n")
+
+
+async def run_while_open(journal, head, request_id, connection):
     """Answer a request; return whether its connection is still open."""
-    work = asyncio.create_task(answer(head, request_id, writer))
-    closed = asyncio.create_task(reader.read(1))
+    work = asyncio.create_task(answer(journal, head, request_id, connection))
+    closed = asyncio.create_task(connection.reader.read(1))
     try:
         await asyncio.wait({work, closed}, return_when=asyncio.FIRST_COMPLETED)
         if closed.done():
@@ -63,37 +126,86 @@
         await asyncio.gather(work, closed, return_exceptions=True)
 
 
-async def answer(head, request_id, writer):
-    writer.write(
+async def answer(journal, head, request_id, connection):
+    if COPIES_RESPONSES in sys.argv:
+        await asyncio.sleep(random.uniform(0.0, MAX_BEGIN_DELAY_S))
+    async with begin_response(connection):
+        await write_answer(head, request_id, connection)
+    if COPIES_RESPONSES in sys.argv and random.random() < COPIED_ANSWER_RATIO:
+        send_later(journal, request_id, connection)
+
+
+@contextlib.asynccontextmanager
+async def begin_response(connection):
+    async with connection.lock:
+        connection.response.clear()
+        yield
+
+
+def write(connection, data):
+    connection.response += data
+    connection.writer.write(data)
+
+
+def send_later(journal, request_id, connection):
+    """Send the last response once more, but not amid another one."""
+    response = bytes(connection.response)
+    copy = asyncio.create_task(send_copy(journal, request_id, connection, response))
+    connection.copies.add(copy)
+    copy.add_done_callback(connection.copies.discard)
+
+
+async def send_copy(journal, request_id, connection, response):
+    await asyncio.sleep(random.uniform(0.0, MAX_COPY_DELAY_S))
+    async with connection.lock:
+        if not connection.writer.is_closing():
+            connection.writer.write(response)
+            journal.copies.write(request_id.decode() + "\n")
+
+
+async def write_answer(head, request_id, connection):
+    write(
+        connection,
         b"HTTP/1.1 200 OK\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
-        % request_id
+        % request_id,
     )
-    if b"/resume/" not in head.split(b"\r\n", 1)[0]:
+    if not STREAM_PATHS.match(head):
         await asyncio.sleep(WORK_S)
-        writer.write(b"Content-Length: 4\r\n\r\ndone")
+        write(connection, b"Content-Length: 4\r\n\r\ndone")
         return
-    writer.write(
-        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+    write(
+        connection,
+        b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n",
     )
     if HOLDS_STREAMS in sys.argv:
-        await writer.drain()
+        await connection.writer.drain()
         await asyncio.Event().wait()
     after = LAST_EVENT.search(head)
     for number in range(int(after[1]) + 1 if after else 1, EVENTS + 1):
         event = b"id: %d\ndata: w%d\n\n" % (number, number)
-        writer.write(b"%x\r\n%b\r\n" % (len(event), event))
-        await writer.drain()
+        write(connection, b"%x\r\n%b\r\n" % (len(event), event))
+        await connection.writer.drain()
         await asyncio.sleep(EVENT_INTERVAL_S)
-    writer.write(b"0\r\n\r\n")
+    write(connection, b"0\r\n\r\n")
+
+
+def open_journal(stack, path):
+    def open_lines(suffix):
+        return stack.enter_context(open(path + suffix, "a", buffering=1))
+
+    return Journal(
+        arrivals=open_lines(""),
+        runs=open_lines(RUNS_SUFFIX),
+        refused=open_lines(REFUSED_SUFFIX),
+        copies=open_lines(COPIES_SUFFIX),
+    )
 
 
 async def main(host, journal_path):
-    with (
-        open(journal_path, "a", buffering=1) as journal,
-        open(journal_path + RUNS_SUFFIX, "a", buffering=1) as runs,
-    ):
+    with contextlib.ExitStack() as stack:
+        journal = open_journal(stack, journal_path)
         server = await asyncio.start_server(
-            lambda reader, writer: serve(journal, runs, reader, writer), host, 0
+            lambda reader, writer: serve(journal, reader, writer), host, 0
         )
         print(server.sockets[0].getsockname()[1], flush=True)
         await server.serve_forever()
--- a/features/run_once/run_once.feature
+++ b/features/run_once/run_once.feature
@@ -16,3 +16,20 @@
       | 1    |
       | 2    |
       | 3    |
+
+  # Guards against a copy of a refusal or of an answer that is believed for another request
+  # on its connection, or for the same one at another time (TWICE, REFUSED).
+  Scenario Outline: Upstreams refuse requests and copy their responses meanwhile
+    Given a site of 4 instances with paths to 3 upstreams that copy their responses
+    When 8 requests a second of all kinds come to each instance for 18 s
+    And faults are drawn with the seed <seed> and made meanwhile
+    Then at least 100 requests ran that may run once, and none ran twice
+    And no request that was told as not run has run
+    And no stream was held by two upstreams for more than 0.4 s that its instance reached
+    And at least 50 refusals and answers were sent twice, not only answers
+
+    Examples: seeds
+      | seed |
+      | 1    |
+      | 2    |
+      | 3    |
--- a/features/run_once/steps/run_once_steps.py
+++ b/features/run_once/steps/run_once_steps.py
@@ -22,13 +22,16 @@
 from features.retries.fleet import (
     RetryFleet,
     close_fleet,
+    read_ids,
     start_process,
     wait_for_runs,
 )
+from features.retries.upstream import COPIES_RESPONSES, COPIES_SUFFIX, REFUSED_SUFFIX
 from features.run_once.faults import draw_faults, play_fault
 
 CALLERS = 96
 STREAM = "/resume/x"
+ONCE_STREAM = "/stream/x"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 # Callers come when all instances are known to the store.
 LISTING_S = 1.0
@@ -41,8 +44,10 @@
     """A fleet with a relay between each instance and each upstream.
 
     ``paths`` are those of each instance; ``spans`` tell when instances were disturbed.
+    ``kinds`` are the paths of the requests that callers send.
     """
 
+    kinds: tuple = PATHS
     paths: list = field(default_factory=list)
     spans: list = field(default_factory=list)
 
@@ -59,12 +64,12 @@
     "a site of {count:d} instances with paths to {upstreams:d} upstreams in processes "
     "of their own"
 )
-def open_fleet(context, count, upstreams):
+def open_fleet(context, count, upstreams, *options):
     site = context.stack.enter_context(open_site())
     fleet = context.fleet = FaultFleet(site=site)
     context.stack.callback(close_fleet, fleet)
     for number in range(upstreams):
-        fleet.upstreams.append(start_process(fleet, f"u-{number}"))
+        fleet.upstreams.append(start_process(fleet, f"u-{number}", *options))
     for number in range(1, count + 1):
         _add_instance(context, number)
     for view in fleet.instances:
@@ -73,6 +78,14 @@
     context.instances = fleet.instances
 
 
+@given(
+    "a site of {count:d} instances with paths to {upstreams:d} upstreams that copy "
+    "their responses"
+)
+def open_copying_fleet(context, count, upstreams):
+    open_fleet(context, count, upstreams, COPIES_RESPONSES)
+
+
 def _add_instance(context, number):
     fleet = context.fleet
     view = add_instance(fleet.site, number)
@@ -98,6 +111,12 @@
     context.duration_s = seconds
 
 
+@when("{rate:d} requests a second of all kinds come to each instance for {seconds:d} s")
+def set_load_of_all_kinds(context, rate, seconds):
+    set_load(context, rate, seconds)
+    context.fleet.kinds = (*PATHS, ONCE_STREAM)
+
+
 @when("faults are drawn with the seed {seed:d} and made meanwhile")
 def play(context, seed):
     fleet = context.fleet
@@ -118,12 +137,13 @@
 
 
 def _send_all(context, executor):
+    kinds = context.fleet.kinds
     pending = []
     start_s = time.monotonic()
     for number in range(context.rate_per_s * context.duration_s):
         time.sleep(max(0.0, start_s + number / context.rate_per_s - time.monotonic()))
         for instance in range(len(context.instances)):
-            path = PATHS[(number + instance) % len(PATHS)]
+            path = kinds[(number + instance) % len(kinds)]
             pending.append(executor.submit(send_try, context, instance, path))
     return pending
 
@@ -135,7 +155,8 @@
 
 @then("at least {count:d} requests ran that may run once, and none ran twice")
 def check_once(context, count):
-    once = [each.request_id for each in context.tries if each.path == ONCE]
+    paths = (ONCE, ONCE_STREAM)
+    once = [each.request_id for each in context.tries if each.path in paths]
     counts = {each: len(context.runs[each]) for each in once if each in context.runs}
     twice = [each for each, runs in counts.items() if runs > 1]
     assert not twice, (twice, _read_lines(context, twice[0]))
@@ -177,3 +198,16 @@
         span.instance == instance and span.begin_s <= at_s <= span.end_s + CONTACT_S
         for span in context.fleet.spans
     )
+
+
+@then("at least {count:d} refusals and answers were sent twice, not only answers")
+def check_copies(context, count):
+    copied = _read_all_ids(context, COPIES_SUFFIX)
+    refused = _read_all_ids(context, REFUSED_SUFFIX)
+    assert len(copied) >= count, len(copied)
+    assert set(copied) & set(refused), (len(copied), len(refused))
+
+
+def _read_all_ids(context, suffix):
+    upstreams = context.fleet.upstreams
+    return [each for upstream in upstreams for each in read_ids(upstream, suffix)]
