--- a/jujubenotch/memory/account.py
+++ b/jujubenotch/memory/account.py
@@ -9,6 +9,8 @@
 from dataclasses import dataclass, field
 
 DEFAULT_MAX_BYTES = 64 * 1024 * 1024
+# Ending a use that holds a smaller share of all makes no room.
+MIN_ENDED_SHARE = 1 / 10_000
 
 
 @dataclass(frozen=True, kw_only=True, order=True)
@@ -95,8 +97,9 @@
     """Find the use with the highest rank, or ``None`` when none may be ended."""
     last = None
     last_rank = None
+    min_bytes = account.max_bytes * MIN_ENDED_SHARE
     for use in account.uses:
-        rank = use.rank(use, now_s)
+        rank = use.rank(use, now_s) if use.size_bytes > min_bytes else None
         if rank is not None and (last_rank is None or rank > last_rank):
             last, last_rank = use, rank
     return last
--- a/jujubenotch/upstreams/held_bytes.py
+++ b/jujubenotch/upstreams/held_bytes.py
@@ -19,18 +19,27 @@
 )
 from jujubenotch.upstreams.errors import AnswerTooLargeError
 
+# Streams hold less at any time.
+LARGE_SHARE = 1 / 200
+
 
 def make_answer_use(
-    *, has_length: bool, cut: Callable[[AnswerTooLargeError], None]
+    *,
+    has_length: bool,
+    cut: Callable[[AnswerTooLargeError], None],
+    large_bytes: float = 0,
 ) -> MemoryUse:
     """Make the account of one response.
 
     :param has_length: Whether the head of the response tells how long it is.
     :param cut: Called with an error if the response has to be ended for want of memory.
+    :param large_bytes: The size from which a response without a length is suspected to
+        have no end.
     """
 
     def rank(use, now_s):
-        return Rank(is_unbounded=not has_length, weight=use.size_bytes)
+        is_unbounded = not has_length and use.size_bytes > large_bytes
+        return Rank(is_unbounded=is_unbounded, weight=use.size_bytes)
 
     return MemoryUse(rank=rank, end=lambda: cut(_make_error()))
 
@@ -49,7 +58,11 @@
     :param cut: Called with an error if the response has to be ended for want of memory.
     :returns: A context manager that yields the response's own account.
     """
-    use = make_answer_use(has_length=has_length, cut=cut)
+    use = make_answer_use(
+        has_length=has_length,
+        cut=cut,
+        large_bytes=memory.max_bytes * LARGE_SHARE,
+    )
     record_size(memory, use, 0, time.monotonic())
     try:
         yield use
