Decode a chunked body that has arrived whole, before waiting for more

An own fault of: a chunked body that came together with its head was waited for until its time limit (408), as the first step waited for bytes.

Change: what has been received is decoded first. Besides, complete responses below 16 KiB are not put on the account of memory.

--- a/features/crowds/crowds.feature
+++ b/features/crowds/crowds.feature
@@ -54,3 +54,5 @@
       | 2097152 | in chunks of 65536 |
       | 1000000 | in chunks of 16    |
       | 300000  | in chunks of 1     |
+      | 10      | in chunks of 10    |
+      | 10      | in chunks of 1     |
--- a/jujubenotch/listeners/http.py
+++ b/jujubenotch/listeners/http.py
@@ -150,9 +150,9 @@
             await self._send(HTTP_CONTINUE)
         if self.chunks is None:
             self.chunks = ChunkDecoder(max_bytes=self.request_max_size)
-        part = b""
+        part = await self._decode()
         while not part and not self.chunks.is_complete:
-            if not self.recv_buffer or not self.chunks.is_interrupted:
+            if not self.chunks.is_interrupted:
                 await self._receive_more()
             part = await self._decode()
         if self.chunks.is_complete:
--- a/jujubenotch/upstreams/held_bytes.py
+++ b/jujubenotch/upstreams/held_bytes.py
@@ -19,6 +19,8 @@
 )
 from jujubenotch.upstreams.errors import AnswerTooLargeError
 
+# Smaller complete responses are not on the account, as they are sent at once.
+MIN_HELD_BYTES = 16 * 1024
 # Streams hold less at any time.
 LARGE_SHARE = 1 / 200
 
@@ -95,6 +97,8 @@
     :param owner: The object that holds the response.
     :param size_bytes: The bytes of the response.
     """
+    if size_bytes < MIN_HELD_BYTES:
+        return
     use = MemoryUse(rank=lambda use, now_s: None, end=lambda: None)
     record_size(memory, use, size_bytes, time.monotonic())
     weakref.finalize(owner, release_use, memory, use)
