--- a/jujubenotch/dispatch/attempt.py
+++ b/jujubenotch/dispatch/attempt.py
@@ -110,12 +110,14 @@
     if call.request_id:
         header = protocol.request_id_header
         name = RequestName(request_id=call.request_id, header=header)
+    may_repeat = call.is_idempotent or call.is_cancelled_on_disconnect
     return UpstreamRequest(
         method=call.method,
         url=upstream.url + call.path,
         headers=protocol.write_headers(upstream, call, progress, read_clock_s()),
         body=call.body,
-        is_repeatable=call.is_idempotent or call.is_cancelled_on_disconnect,
+        # A copy of another response would be taken to have no body.
+        is_repeatable=may_repeat and call.method != "HEAD",
         is_stream=call.is_stream,
         name=name,
     )
--- a/jujubenotch/listeners/connection.py
+++ b/jujubenotch/listeners/connection.py
@@ -197,11 +197,12 @@
         :param exc: The error that ended the connection; ``None`` if it was closed
             without an error.
         """
+        use = self.use
+        # The two refer to each other.
+        self.use = None
         if self.is_refused:
             return
         self.is_turned_away = True
         if self.limits.memory is not None:
-            release_use(self.limits.memory, self.use)
-        # The two refer to each other.
-        self.use = None
+            release_use(self.limits.memory, use)
         super().connection_lost(exc)
--- a/jujubenotch/listeners/http.py
+++ b/jujubenotch/listeners/http.py
@@ -135,7 +135,8 @@
         transport = self.protocol.transport
         if transport is None or transport.is_closing():
             return
-        transport.write_eof()
+        if transport.can_write_eof():
+            transport.write_eof()
         transport.resume_reading()
         await asyncio.sleep(LINGER_S)
 
--- a/jujubenotch/upstreams/connector.py
+++ b/jujubenotch/upstreams/connector.py
@@ -63,7 +63,7 @@
         # next request.
         waiting = self._conns.get(key)
         if waiting:
-            for entry in [each for each in waiting if each[0].should_close]:
+            for entry in [each for each in waiting if _is_unfit(each[0])]:
                 waiting.remove(entry)
                 entry[0].close()
             if not waiting:
@@ -92,6 +92,10 @@
         protocol.is_idle = protocol.transport is not None
 
 
+def _is_unfit(protocol):
+    return protocol.should_close or protocol.has_rest()
+
+
 def _abort_unused(handover):
     """Abort a connection that nobody waits for any more."""
     if handover.cancelled() or handover.exception() is not None:
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -75,6 +75,9 @@
         self._last_body = None
         self._earlier_body_bytes = 0
         super().set_response_params(**options)
+        if options.get("skip_payload"):
+            # A copy of the response to HEAD tells the length of a body it doesn't have.
+            self.force_close()
 
     def data_received(self, data):
         """Process received bytes; end a connection on which they make no progress.
@@ -139,17 +142,35 @@
         """Read a copy to its end; without a length that is the connection's end."""
         self.carried.copies += 1
         size_bytes = 0
-        can_skip = self.carried.copies <= MAX_COPIES and _is_framed(message.headers)
+        is_framed = body.at_eof() or _is_framed(message.headers)
+        can_skip = self.carried.copies <= MAX_COPIES and is_framed
         while can_skip and size_bytes <= MAX_COPY_BYTES:
             if body.at_eof():
-                # The end of a body stops the time limit on the upstream's silence.
-                self.start_timeout()
+                self._restart_timeout()
                 return
             size_bytes += len(await body.readany())
         reason = f"copies of earlier responses can't be skipped: {self.carried.copies}"
         self._end(f"{reason}, the last of {size_bytes} bytes or more")
         raise OverheadError(reason)
 
+    def _restart_timeout(self):
+        """Limit the silence again, which the end of the copy's body has stopped.
+
+        If the next response has arrived already, its own end has stopped it.
+        """
+        if not len(self):
+            self.start_timeout()
+
+    def has_rest(self) -> bool:
+        """Return whether a part of a further response has arrived; ends the parser."""
+        if self._parser is None:
+            return False
+        try:
+            return self._parser.feed_eof() is not None
+        except Exception as error:
+            log_event(logger, logging.INFO, "rest-not-parsed", error=str(error))
+            return True
+
     def _choose_part_bytes(self):
         return PARSED_BODY_BYTES if self._body_bytes else PARSED_HEAD_BYTES
 
