Count heads, bound ids that are kept, and let unread connections give way

What callers would have seen: a process of 473 MB where 300 are allowed, beside heads of 2,200 short headers; connections whose callers read nothing, or whose requests never become whole, in all places, and ordinary callers reset as long as they stayed; 210 MB of 120 beside ids of 7,500 bytes.

Causes: a parsed head takes many times its bytes and was not on the account; only idle connections gave way to new ones; ids that callers choose were kept whole.

Change: a head counts with 300 bytes a header, and more than 500 headers are refused (431). When all places are taken, idle connections give way first, then those whose callers haven't read for longest, then those whose request has been arriving for longest (503), from 1 s on. A connection keeps hashes of ids, a trace 256 characters of them.

--- a/jujubenotch/listeners/bounds.py
+++ b/jujubenotch/listeners/bounds.py
@@ -14,6 +14,9 @@
 from jujubenotch.memory import MemoryAccount
 
 REQUEST_TIMEOUT = 408
+TOO_LARGE_HEADERS = 431
+# Each takes some hundred bytes beside its own, however short it is.
+MAX_HEADERS = 500
 OVERLOAD_RETRY_AFTER_S = 0.3
 DEFAULT_BACKLOG = 1024
 HEADER_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t\x20-\x7e\x80-\xff]*")
@@ -28,6 +31,13 @@
     quiet = True
 
 
+class TooManyHeadersError(BadRequest):
+    """A request has more headers than any sound caller sends."""
+
+    status_code = TOO_LARGE_HEADERS
+    quiet = True
+
+
 class OverloadedError(ServiceUnavailable):
     """A request that has not arrived completely takes memory that others need."""
 
--- a/jujubenotch/listeners/connection.py
+++ b/jujubenotch/listeners/connection.py
@@ -2,7 +2,9 @@
 
 import asyncio
 import logging
+from enum import IntEnum
 
+from sanic import Request
 from sanic.http.constants import Stage
 from sanic.server.protocols.http_protocol import HttpProtocol
 
@@ -16,6 +18,22 @@
 
 # Connections that hold less are not on the account, as most hold little.
 MIN_RECORDED_BYTES = 1024
+# What a parsed header takes beside its bytes.
+HEADER_BYTES = 300
+# A connection whose request or response takes longer may give way to a new one.
+STALLED_S = 1.0
+
+
+class PlaceRank(IntEnum):
+    """How soon a connection gives way to a new one; the lowest value first.
+
+    ``IDLE`` has no request, ``UNREAD`` a response that its caller doesn't read,
+    ``UNFINISHED`` a request that has not arrived completely.
+    """
+
+    IDLE = 0
+    UNREAD = 1
+    UNFINISHED = 2
 
 
 class BoundedProtocol(HttpProtocol):
@@ -31,6 +49,7 @@
         "begun_s",
         "body",
         "body_deadline_s",
+        "head_bytes",
         "is_refused",
         "is_turned_away",
         "limits",
@@ -50,6 +69,7 @@
         self.is_turned_away = False
         self.begun_s = 0.0
         self.body = BodyBuffer()
+        self.head_bytes = 0
         self.received_bytes = 0
         self.unsent_bytes = 0
         self.use = MemoryUse(rank=self._rank, end=self._turn_away)
@@ -61,37 +81,63 @@
         """
         self.begun_s = self.loop.time()
         is_full = len(self.connections) >= self.limits.max_connections
-        if is_full and not self._replace_idle():
+        if is_full and not self._take_place():
             self.is_refused = True
             self.limits.count_refused_connection()
             transport.abort()
             return
         super().connection_made(transport)
 
-    @property
-    def is_idle(self) -> bool:
-        """Whether nothing of a request has arrived, and all responses were sent."""
-        if self.recv_buffer or self.unsent_bytes:
+    def _take_place(self):
+        """Take the place of a connection that moves nothing, if there is one."""
+        now_s = self.loop.time()
+        ranks = [
+            (each.rank_place(now_s), each.begun_s, each) for each in self.connections
+        ]
+        replaceable = [each for each in ranks if each[0] is not None]
+        if not replaceable:
             return False
-        http = self.http
-        return http is None or (http.stage is Stage.IDLE and not http.request_body)
-
-    def _replace_idle(self):
-        """Close the connection that has been idle for longest, if there is one."""
-        idle = [each for each in self.connections if each.is_idle]
-        if not idle:
-            return False
-        oldest = min(idle, key=lambda each: each.begun_s)
+        rank, begun_s, connection = min(replaceable, key=lambda each: each[:2])
         log_event(
             logger,
             logging.INFO,
-            "idle-connection-replaced",
-            idle_s=round(self.loop.time() - oldest.begun_s, 3),
+            "connection-replaced",
+            rank=rank.name.lower(),
+            after_s=round(now_s - begun_s, 3),
         )
-        self.connections.discard(oldest)
-        oldest.close()
+        self.connections.discard(connection)
+        connection.give_way(rank)
         return True
 
+    def rank_place(self, now_s: float) -> PlaceRank | None:
+        """Rank the connection among those that may give way to a new one.
+
+        :param now_s: The present monotonic time, in seconds.
+        :returns: The lowest gives way first; ``None`` when its request is worked on, or
+            it has not been there for long.
+        """
+        http = self.http
+        is_between = http is None or (
+            http.stage is Stage.IDLE and not http.request_body
+        )
+        if is_between and not self.recv_buffer and not self.unsent_bytes:
+            return PlaceRank.IDLE
+        if now_s - self.begun_s < STALLED_S:
+            return None
+        if self.unsent_bytes:
+            return PlaceRank.UNREAD
+        return PlaceRank.UNFINISHED if http is not None and http.is_receiving else None
+
+    def give_way(self, rank: PlaceRank) -> None:
+        """End the connection, for a new one.
+
+        :param rank: Its rank, which tells how it may end.
+        """
+        if rank is PlaceRank.IDLE:
+            self.close()
+        else:
+            self._turn_away()
+
     async def wait_until_written(self) -> None:
         """Wait until all bytes have been handed to the kernel."""
         self.transport.set_write_buffer_limits(high=0)
@@ -137,6 +183,17 @@
         self.unsent_bytes = 0
         self.record_memory()
 
+    def record_head(self, request: Request) -> None:
+        """Record what the parsed head of a request takes.
+
+        :param request: The request.
+        :raises OverloadedError: It has to make room for others.
+        """
+        header_bytes = HEADER_BYTES * len(request.headers)
+        self.head_bytes = len(request.head) + header_bytes
+        self.record_memory()
+        self.check_room()
+
     def record_memory(self) -> None:
         """Record what the connection holds; that may end others, or its own request."""
         memory = self.limits.memory
@@ -149,8 +206,8 @@
             release_use(memory, self.use)
 
     def _count_held_bytes(self):
-        body_bytes = self.body.size_bytes + self.received_bytes
-        return len(self.recv_buffer) + body_bytes + self.unsent_bytes
+        request_bytes = self.head_bytes + self.body.size_bytes + self.received_bytes
+        return len(self.recv_buffer) + request_bytes + self.unsent_bytes
 
     def _rank(self, use, now_s):
         """Rank the connection by what it holds and for how long.
--- a/jujubenotch/listeners/http.py
+++ b/jujubenotch/listeners/http.py
@@ -8,7 +8,9 @@
 from sanic.http.http1 import HTTP_CONTINUE
 
 from jujubenotch.listeners.bounds import (
+    MAX_HEADERS,
     OverloadedError,
+    TooManyHeadersError,
     build_timeout_error,
     is_well_formed,
 )
@@ -67,6 +69,7 @@
         super().init_for_request()
         self.chunks: ChunkDecoder | None = None
         self.protocol.received_bytes = 0
+        self.protocol.head_bytes = 0
         self.protocol.begun_s = asyncio.get_running_loop().time()
         self.protocol.record_memory()
 
@@ -81,6 +84,9 @@
         try:
             async with asyncio.timeout(limits.header_timeout_s):
                 await super().http1_request_header()
+            if len(self.request.headers) > MAX_HEADERS:
+                raise TooManyHeadersError(f"more than {MAX_HEADERS} headers")
+            self.protocol.record_head(self.request)
             if not is_well_formed(self.request.head):
                 raise BadRequest("the request's head is not well formed")
         except TimeoutError as error:
@@ -135,6 +141,10 @@
         transport = self.protocol.transport
         if transport is None or transport.is_closing():
             return
+        # The context of this task refers to the request as well.
+        self.request = None
+        self.response = None
+        self.protocol.request_class._current.set(None)
         if transport.can_write_eof():
             transport.write_eof()
         transport.resume_reading()
--- a/jujubenotch/traces/model.py
+++ b/jujubenotch/traces/model.py
@@ -5,6 +5,7 @@
 
 MAX_REQUESTS = 4096
 MAX_EVENTS = 64
+MAX_ID_CHARACTERS = 256
 MAX_VALUE_CHARACTERS = 128
 
 TRACE_FIELDS = frozenset(
@@ -110,3 +111,11 @@
     :returns: The buffer.
     """
     return Traces(max_requests=max_requests, max_events=max_events)
+
+
+def limit_id(request_id: str) -> str:
+    """Return the part of a request's id that is kept, as callers choose its length.
+
+    :param request_id: The id.
+    """
+    return request_id[:MAX_ID_CHARACTERS]
--- a/jujubenotch/traces/read.py
+++ b/jujubenotch/traces/read.py
@@ -1,6 +1,6 @@
 """Reads traces from the buffer."""
 
-from jujubenotch.traces.model import Trace, Traces
+from jujubenotch.traces.model import Trace, Traces, limit_id
 
 
 def read_trace(traces: Traces, request_id: str) -> Trace | None:
@@ -10,7 +10,7 @@
     :param request_id: The request's id.
     :returns: The trace; ``None`` when none was recorded or it was discarded.
     """
-    buffer = traces.buffers.get(request_id)
+    buffer = traces.buffers.get(limit_id(request_id))
     if buffer is None:
         return None
     return Trace(
--- a/jujubenotch/traces/record.py
+++ b/jujubenotch/traces/record.py
@@ -8,6 +8,7 @@
     TraceBuffer,
     TraceEvent,
     Traces,
+    limit_id,
 )
 
 WITHHELD = "(withheld)"
@@ -27,6 +28,7 @@
     :param now_s: The present monotonic time, in seconds.
     :param fields: The event's fields.
     """
+    request_id = limit_id(request_id)
     buffer = traces.buffers.get(request_id)
     if buffer is None:
         buffer = _add_buffer(traces, request_id, now_s)
--- a/jujubenotch/upstreams/carried.py
+++ b/jujubenotch/upstreams/carried.py
@@ -41,7 +41,8 @@
     :param count: The number of requests.
     :param current: The request that it carries or has carried last; ``None`` when that
         one has no name.
-    :param sent_s: When each named request was sent, by its id, monotonic, in seconds.
+    :param sent_s: When each named request was sent, monotonic, in seconds, by the hash
+        of its id, as callers choose how long ids are.
     :param header: The header in which its responses name their requests.
     :param copies: The copies that came since the current request was sent.
 
@@ -51,7 +52,7 @@
 
     count: int = 0
     current: RequestName | None = None
-    sent_s: dict[str, float] = field(default_factory=dict)
+    sent_s: dict[int, float] = field(default_factory=dict)
     header: str = ""
     copies: int = 0
 
@@ -81,7 +82,7 @@
     :param carried: What the connection has carried.
     """
     name = _name_of_request.get()
-    return name is None or name.request_id not in carried.sent_s
+    return name is None or hash(name.request_id) not in carried.sent_s
 
 
 def record_request(carried: CarriedRequests, now_s: float) -> None:
@@ -95,7 +96,7 @@
     carried.current = _name_of_request.get()
     if carried.current is not None:
         carried.header = carried.current.header
-        carried.sent_s[carried.current.request_id] = now_s
+        carried.sent_s[hash(carried.current.request_id)] = now_s
 
 
 def find_copied_id(carried: CarriedRequests, headers: Mapping[str, str]) -> str:
@@ -107,7 +108,7 @@
     """
     named_id = headers.get(carried.header, "") if carried.header else ""
     current_id = carried.current.request_id if carried.current else ""
-    is_earlier = named_id in carried.sent_s and named_id != current_id
+    is_earlier = hash(named_id) in carried.sent_s and named_id != current_id
     return named_id if is_earlier else ""
 
 
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -125,7 +125,7 @@
 
     def _log_copy(self, message, copied_id):
         current = self.carried.current
-        sent_s = self.carried.sent_s[copied_id]
+        sent_s = self.carried.sent_s[hash(copied_id)]
         log_event(
             logger,
             logging.WARNING,
