--- a/jujubenotch/upstreams/carried.py
+++ b/jujubenotch/upstreams/carried.py
@@ -26,7 +26,7 @@
     :param header: The header in which a response repeats the id; empty when responses
         name no request.
 
-    >>> RequestName(request_id="9c41", header="X-Attempt-Id").request_id
+    >>> RequestName(request_id="9c41", header="X-Request-Id").request_id
     '9c41'
     """
 
