--- a/features/platform/steps/versions_steps.py
+++ b/features/platform/steps/versions_steps.py
@@ -29,6 +29,7 @@
     ReadStream,
     end_upstream,
     read_stream,
+    replace_upstream,
     start_upstream,
 )
 from jujubenotch.platform.stream_records import decode_name
@@ -152,6 +153,11 @@
             act()
 
 
+@when('the upstream "{name}" is replaced by one of "{version}" that the list omits')
+def replace_unlisted(context, name, version):
+    replace_upstream(context.site, context.upstreams[name], version)
+
+
 @when(
     'callers read {count:d} streams of "{path}" and the upstream "{names}" ends after '
     "{at_s:g} s"
--- a/features/platform/versions.feature
+++ b/features/platform/versions.feature
@@ -9,6 +9,15 @@
     Then no stream has events of two versions
     And at least 22 streams are whole
 
+  # Guards against streams that go on at a new process in the place of a crashed one, which
+  # has another version, while the list shows the former one (as in an outage of the store).
+  Scenario: An upstream was replaced under its name, and the list doesn't tell
+    Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v1"
+    When the upstream "a" is replaced by one of "v2" that the list omits
+    And callers read 24 streams of "/resume/x" and the upstream "b" ends after 0.4 s
+    Then no stream has events of two versions
+    And at least 22 streams are whole
+
   # Guards against a second instance that doesn't know at which version a stream began.
   Scenario: Callers take their streams up at the other instance
     Given a site of 2 instances with the upstreams "a=v1,b=v1,c=v2,d=v2,e=v2"
--- a/features/platform/versions.py
+++ b/features/platform/versions.py
@@ -8,6 +8,7 @@
 import http.client
 import random
 import re
+import time
 from dataclasses import dataclass, field
 
 from features.platform.site import CALL_TIMEOUT_S, HOST, KEY, list_upstream, run
@@ -17,8 +18,9 @@
     STREAM_HEAD,
     read_id,
 )
-from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD
+from features.scripted_upstream import CONTENT_LENGTH, END_OF_HEAD, REPORT_REQUEST
 
+STARTED_MS = 1_700_000_000_000
 EVENTS = 30
 EVENT_PAUSE_S = 0.03
 EVENT = re.compile(rb"id: (\d+)\ndata: (\S+)\n\n")
@@ -37,6 +39,7 @@
     writers: set = field(default_factory=set)
     arrivals: list[str] = field(default_factory=list)
     is_down: bool = False
+    started_ms: int = STARTED_MS
     url: str = ""
 
 
@@ -44,7 +47,8 @@
     upstream = VersionedUpstream(name=name, version=version)
     run(site, _listen(site, upstream))
     site.upstreams[name] = upstream
-    fields = {"born": 1_700_000_000_000, "version": version, **entry}
+    fields = {"born": STARTED_MS, "version": version, **entry}
+    upstream.started_ms = fields["born"]
     list_upstream(site, name, **fields)
     return upstream
 
@@ -61,7 +65,17 @@
     run(site, end())
 
 
-async def _listen(site, upstream):
+def replace_upstream(site, upstream, version):
+    """End the process and start another one in its place, which the list doesn't show."""
+    end_upstream(site, upstream)
+    port = int(upstream.url.rpartition(":")[2])
+    upstream.version = version
+    upstream.started_ms = int(time.time() * 1000)
+    upstream.is_down = False
+    run(site, _listen(site, upstream, port))
+
+
+async def _listen(site, upstream, port=0):
     async def serve(reader, writer):
         upstream.writers.add(writer)
         with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
@@ -69,7 +83,7 @@
         upstream.writers.discard(writer)
         writer.close()
 
-    upstream.server = await asyncio.start_server(serve, site.host, 0)
+    upstream.server = await asyncio.start_server(serve, site.host, port)
     port = upstream.server.sockets[0].getsockname()[1]
     upstream.url = f"http://{site.host}:{port}"
 
@@ -80,6 +94,9 @@
         length = CONTENT_LENGTH.search(head)
         if length:
             await reader.readexactly(int(length[1]))
+        if head.startswith(REPORT_REQUEST):
+            writer.write(_write_report(upstream))
+            continue
         upstream.arrivals.append(read_id(head).decode())
         resumed = LAST_EVENT.search(head)
         writer.write(STREAM_HEAD % read_id(head))
@@ -92,6 +109,11 @@
         writer.write(LAST_CHUNK)
 
 
+def _write_report(upstream):
+    body = b'{"busy":false,"born":%d}' % upstream.started_ms
+    return b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+
+
 @dataclass(kw_only=True)
 class ReadStream:
     """What a caller got of one stream, over all its requests.
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -31,6 +31,7 @@
     InstanceCount,
     PlatformComponents,
 )
+from jujubenotch.daemon.forward_processes import is_replaced
 from jujubenotch.daemon.forward_reach import DetourWatch, is_out_of_reach, record_reach
 from jujubenotch.daemon.forward_records import find_held
 from jujubenotch.daemon.forward_retries import ServiceCredits, make_retry_budget
@@ -264,6 +265,7 @@
         ),
         protocol=protocol,
         identify_process=lambda upstream: identify_process(watches.crashes, upstream),
+        is_replaced=functools.partial(is_replaced, state, protocol),
         find_block=lambda call: refuse_blocked(watches.crashes, call),
         find_stream_origin=lambda call: find_stream_origin(watches.streams, call),
         record_stream_start=lambda call, origin: record_stream_start(
--- a/jujubenotch/dispatch/dispatcher.py
+++ b/jujubenotch/dispatch/dispatcher.py
@@ -202,7 +202,7 @@
         answer = await _send_elsewhere(dispatcher, call, progress, sink)
         if answer is not None:
             return answer
-        grant = await dispatcher.capacity.acquire(make_work_request(call, progress))
+        grant = await _acquire(dispatcher, call, progress)
         if isinstance(grant, Refusal):
             return make_refusal_answer(progress, grant)
         dispatcher.observer.record(
@@ -254,6 +254,32 @@
     return None
 
 
+async def _acquire(dispatcher, call, progress):
+    """Acquire a slot for an attempt; for the rest of a stream at a listed process."""
+    while True:
+        grant = await dispatcher.capacity.acquire(make_work_request(call, progress))
+        if isinstance(grant, Refusal):
+            return grant
+        if not await _is_replaced(dispatcher, call, progress, grant):
+            return grant
+        _release_slot(dispatcher, grant, WorkResult.CANCELLED)
+        progress.failed_upstreams |= {grant.upstream}
+
+
+async def _is_replaced(dispatcher, call, progress, grant):
+    """Tell whether a stream can't go on at an upstream, as another process is there.
+
+    That one may have another software version, which the list doesn't show yet.
+    """
+    if progress.origin is None or not find_resume_point(call, progress):
+        return False
+    try:
+        return await dispatcher.is_replaced(grant.upstream)
+    except asyncio.CancelledError:
+        _release_slot(dispatcher, grant, WorkResult.CANCELLED)
+        raise
+
+
 async def _claim_call(dispatcher, call, progress, grant):
     """Claim a call whose slot was granted.
 
--- a/jujubenotch/dispatch/model.py
+++ b/jujubenotch/dispatch/model.py
@@ -89,6 +89,10 @@
     describe: Callable[[str, float], dict[str, float]] = _describe_nothing
 
 
+async def _is_never_replaced(upstream):
+    return False
+
+
 async def _find_no_origin(call):
     return None
 
@@ -114,6 +118,8 @@
         itself in the head of a response.
     :param identify_process: Returns a name for the process that an upstream's name
         stands for at present.
+    :param is_replaced: Asks an upstream whether another process has its name now than
+        the one that the list shows.
     :param find_block: Returns a refusal for a call that may not be sent to any
         upstream, although upstreams are available.
     :param find_stream_origin: Finds where the stream began that a call resumes; returns
@@ -151,6 +157,7 @@
     record_first_event: Callable[[Grant, float], None] = lambda grant, now_s: None
     record_notice: Callable[[str, UpstreamNotice], None] = lambda upstream, notice: None
     identify_process: Callable[[str], str] = lambda upstream: upstream
+    is_replaced: Callable[[str], Awaitable[bool]] = _is_never_replaced
     find_block: Callable[[Call], Refusal | None] = lambda call: None
     find_stream_origin: Callable[[Call], Awaitable[StreamOrigin | Refusal | None]] = (
         _find_no_origin
--- a/jujubenotch/dispatch/protocol.py
+++ b/jujubenotch/dispatch/protocol.py
@@ -43,6 +43,8 @@
     :param end_marker: The event that ends a complete stream; empty when the
         end of the body marks the end of the stream.
     :param status_path: A path that upstreams answer without running a request.
+    :param read_started_ms: Returns when the process that answered at ``status_path``
+        started, as Unix time in milliseconds; ``None`` when the answer doesn't tell.
     :param request_id_header: The header in which a response names its request; empty
         when responses name none.
     """
@@ -54,6 +56,7 @@
     read_notice: Callable[[UpstreamAnswer], UpstreamNotice | None] = lambda answer: None
     end_marker: bytes = b""
     status_path: str = "/"
+    read_started_ms: Callable[[bytes], int | None] = lambda report: None
     request_id_header: str = ""
 
 
--- a/jujubenotch/platform/requests.py
+++ b/jujubenotch/platform/requests.py
@@ -1,5 +1,7 @@
 """Decodes callers' requests and implements the platform's upstream protocol."""
 
+import orjson
+
 from jujubenotch.dispatch import AnswerKind, UpstreamProtocol, find_resume_point
 from jujubenotch.forwarding import ArrivedRequest, PromptPart
 from jujubenotch.outcomes import STATUSES_IMPLYING_NOT_RUN
@@ -205,6 +207,19 @@
     return percent / PERCENT
 
 
+def read_started_ms(report: bytes) -> int | None:
+    """Read when an upstream's process started from what it says of itself.
+
+    :param report: The report.
+    :returns: The Unix time in milliseconds; ``None`` when the report doesn't tell.
+    """
+    try:
+        started_ms = orjson.loads(report)["born"]
+    except (orjson.JSONDecodeError, KeyError, TypeError):
+        return None
+    return started_ms if type(started_ms) is int and started_ms > 0 else None
+
+
 PLATFORM_PROTOCOL = UpstreamProtocol(
     write_headers=_write_headers,
     classify_answer=_classify_answer,
@@ -212,5 +227,6 @@
     read_load=_read_load,
     read_notice=read_notice,
     status_path=REPORT_PATH,
+    read_started_ms=read_started_ms,
     request_id_header=REQUEST_ID,
 )
--- a/jujubenotch/upstreams/__init__.py
+++ b/jujubenotch/upstreams/__init__.py
@@ -41,6 +41,7 @@
     ProcessState,
     check_process,
     keeps_connections,
+    read_report,
 )
 
 __all__ = [
@@ -69,6 +70,7 @@
     "read_body",
     "read_bounded",
     "read_last_id",
+    "read_report",
     "read_load",
     "record_held",
     "repeats_events",
--- a/jujubenotch/upstreams/probe.py
+++ b/jujubenotch/upstreams/probe.py
@@ -4,11 +4,14 @@
 from enum import StrEnum
 from urllib.parse import urlsplit
 
+import aiohttp
+
 CONNECT_TIMEOUT_S = 0.5
 # A proxy in front of an upstream that has ended accepts connections and closes them.
 KEPT_OPEN_S = 0.1
 # A working process reacts to a new connection within this time.
 REACTION_TIMEOUT_S = 0.4
+MAX_REPORT_BYTES = 64 * 1024
 
 
 class ProcessState(StrEnum):
@@ -78,3 +81,20 @@
     finally:
         writer.close()
     return False
+
+
+async def read_report(url: str) -> bytes:
+    """Return what an upstream says of itself at present.
+
+    :param url: The URL of the report.
+    :returns: The report; empty when the upstream doesn't answer in time.
+    """
+    timeout = aiohttp.ClientTimeout(total=REACTION_TIMEOUT_S)
+    try:
+        async with (
+            aiohttp.ClientSession(timeout=timeout) as session,
+            session.get(url, allow_redirects=False) as response,
+        ):
+            return await response.content.read(MAX_REPORT_BYTES)
+    except (aiohttp.ClientError, OSError, TimeoutError, RuntimeError):
+        return b""
