--- a/jujubenotch/upstreams/connections.py
+++ b/jujubenotch/upstreams/connections.py
@@ -9,6 +9,8 @@
 from jujubenotch.upstreams.connector import CleanConnector
 from jujubenotch.upstreams.response import UpstreamResponse
 
+# What is read ahead of each response isn't on the account of memory.
+READ_BUFFER_BYTES = 16 * 1024
 KEEPALIVE_PROBE_INTERVAL_S = 5
 KEEPALIVE_PROBES = 3
 MS_PER_S = 1000
@@ -112,6 +114,7 @@
         timeout=make_timeout(limits, limits.answer_timeout_s),
         auto_decompress=False,
         response_class=UpstreamResponse,
+        read_bufsize=READ_BUFFER_BYTES,
         cookie_jar=aiohttp.DummyCookieJar(),
     )
     # By default aiohttp resends GET, PUT, DELETE and other idempotent methods
