Part the limits of an instance and the error responses from files that have grown

No behaviour changes: daemon/forward_limits.py holds the limits on memory and connections that forwarder.py and forward_listeners.py had, callers/forward_errors.py the responses to requests whose handling raised an error. The connection's attributes are described.

--- a/features/outcomes/steps/promises_steps.py
+++ b/features/outcomes/steps/promises_steps.py
@@ -4,7 +4,7 @@
 from behave import given, then, when
 from sanic.exceptions import SanicException
 
-from jujubenotch.callers.forward import choose_error_status
+from jujubenotch.callers.forward_errors import choose_error_status
 from jujubenotch.detour import HELPER_PROTOCOL
 from jujubenotch.outcomes import OUTCOME_HEADER, REQUEST_HEADER
 
--- a/jujubenotch/callers/borrowed.py
+++ b/jujubenotch/callers/borrowed.py
@@ -14,8 +14,8 @@
     Forwarder,
     answer_call,
     build_refusal_response,
-    handle_error,
 )
+from jujubenotch.callers.forward_errors import handle_error
 from jujubenotch.detour import BorrowedCallError, decode_call
 from jujubenotch.listeners import set_request_limits
 from jujubenotch.logs import log_event
--- a/jujubenotch/callers/forward.py
+++ b/jujubenotch/callers/forward.py
@@ -7,12 +7,12 @@
 from dataclasses import dataclass, replace
 from typing import Protocol
 
-import orjson
 from sanic import HTTPResponse, Request, Sanic
-from sanic.exceptions import RequestCancelled, SanicException, ServerError
+from sanic.exceptions import RequestCancelled, ServerError
 from sanic.router import Router
 
 from jujubenotch.callers.app import UNLIMITED_RESPONSE_TIMEOUT_S, CallerLimits
+from jujubenotch.callers.forward_errors import build_error_body, handle_error
 from jujubenotch.dispatch import (
     Answer,
     Call,
@@ -43,8 +43,6 @@
 FORBIDDEN = 403
 NOT_FOUND = 404
 SERVICE_UNAVAILABLE = 503
-INTERNAL_SERVER_ERROR = 500
-BAD_GATEWAY = 502
 STOPPING_RETRY_AFTER_S = 0.1
 # The largest share of a caller's remaining time that a delay may take: a caller
 # does not retry if the Retry-After time exceeds this share.
@@ -285,7 +283,7 @@
     # Only the responses of upstreams have headers.
     is_generated = not (body or answer.headers or answer.outcome is Outcome.COMPLETED)
     if is_generated:
-        body = _build_error_body(answer.reason, answer.detail)
+        body = build_error_body(answer.reason, answer.detail)
     response = HTTPResponse(
         body,
         status=answer.status,
@@ -323,44 +321,3 @@
         response.headers.add(ATTEMPTS_HEADER, str(answer.attempts))
     if answer.retry_after_s > 0:
         response.headers.add("Retry-After", f"{answer.retry_after_s:.3f}")
-
-
-def _build_error_body(reason, detail):
-    return orjson.dumps({"error": str(reason or "unknown"), "detail": detail})
-
-
-async def handle_error(request: Request | None, error: Exception) -> HTTPResponse:
-    """Build the response to a request whose handling raised an error.
-
-    :param request: The request; ``None`` when its head could not be read.
-    :param error: The error.
-    """
-    is_dispatched = request is not None and hasattr(request.ctx, "is_dispatched")
-    status = choose_error_status(error, is_dispatched=is_dispatched)
-    if status >= INTERNAL_SERVER_ERROR and not isinstance(error, RequestCancelled):
-        log_event(
-            logger,
-            logging.ERROR,
-            "request-failed",
-            error=f"{type(error).__name__}: {error}",
-        )
-        logger.debug("traceback", exc_info=error)
-    outcome = Outcome.UNKNOWN if is_dispatched else Outcome.NOT_RUN
-    return HTTPResponse(
-        _build_error_body(type(error).__name__, ""),
-        status=status,
-        headers={OUTCOME_HEADER: str(outcome), **getattr(error, "headers", {})},
-        content_type="application/json",
-    )
-
-
-def choose_error_status(error: Exception, *, is_dispatched: bool) -> int:
-    """Choose the HTTP status for a request whose handling raised an error.
-
-    :param error: The error.
-    :param is_dispatched: Whether the request may have been sent to an upstream. Then
-        the HTTP server's status, which may promise that it was not run, isn't used.
-    """
-    if not isinstance(error, SanicException):
-        return INTERNAL_SERVER_ERROR
-    return BAD_GATEWAY if is_dispatched else error.status_code
--- a/jujubenotch/daemon/forward_listeners.py
+++ b/jujubenotch/daemon/forward_listeners.py
@@ -10,36 +10,27 @@
     build_borrowed_app,
     build_forward_app,
 )
+from jujubenotch.daemon.forward_limits import (
+    STATUS_TIMEOUT_S,
+    make_caller_limits,
+    make_help_limits,
+    make_status_limits,
+)
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_preview import PREVIEW_PATH, answer_preview
 from jujubenotch.daemon.forward_state import attach_callers_app, is_ready
 from jujubenotch.daemon.forward_streams import is_listed
 from jujubenotch.detour import MAX_DOCUMENT_BYTES
-from jujubenotch.listeners import (
-    ListenerLimits,
-    bind_socket,
-    set_request_limits,
-    start_listener,
-)
+from jujubenotch.listeners import bind_socket, set_request_limits, start_listener
 from jujubenotch.logs import log_event
-from jujubenotch.metrics import count_refused_connection, render
+from jujubenotch.metrics import render
 from jujubenotch.sockets import ListenerError
 
 logger = logging.getLogger(__name__)
 
 SERVICE_UNAVAILABLE = 503
-# Files, and the connections to the store and for the instance's own status.
-RESERVED_DESCRIPTORS = 200
-# The shares of the other descriptors for callers, and for those that are accepted
-# before idle ones have given way; the rest is for upstreams.
-CALLER_DESCRIPTOR_SHARE = 0.5
-BACKLOG_DESCRIPTOR_SHARE = 0.1
 # The largest body that the interfaces for readiness, metrics and previews accept.
 MAX_STATUS_BODY_BYTES = 64 * 1024
-MAX_STATUS_CONNECTIONS = 64
-# Twice the calls of other instances that are in progress at once.
-MAX_HELP_CONNECTIONS = 512
-STATUS_TIMEOUT_S = 5.0
 
 
 async def start_listeners(
@@ -56,12 +47,7 @@
     :raises ListenerError: A listener can't bind its address.
     """
     settings = instance.settings
-    limits = _make_listener_limits(
-        instance,
-        "callers",
-        max_connections=_count_descriptors(settings, CALLER_DESCRIPTOR_SHARE),
-        backlog=_count_descriptors(settings, BACKLOG_DESCRIPTOR_SHARE),
-    )
+    limits = make_caller_limits(instance)
     callers = build_forward_app(
         "callers",
         instance,
@@ -83,38 +69,11 @@
         if name == "metrics":
             _add_preview(app, instance, components.decode_request)
         bound_socket = bind_socket(address.host, address.port)
-        limits = ListenerLimits(
-            max_connections=MAX_STATUS_CONNECTIONS,
-            header_timeout_s=STATUS_TIMEOUT_S,
-            body_timeout_s=STATUS_TIMEOUT_S,
-            count_refused_connection=_make_count(instance, name),
-            memory=instance.memory,
-        )
+        limits = make_status_limits(instance, name)
         listener = await start_listener(app, bound_socket, None, limits)
         instance.listeners.append(listener)
 
 
-def _count_descriptors(settings, share):
-    descriptors = max(0, settings.max_descriptors - RESERVED_DESCRIPTORS)
-    return max(1, int(descriptors * share))
-
-
-def _make_count(instance, name):
-    metrics = instance.observer.metrics
-    return lambda: count_refused_connection(metrics, name)
-
-
-def _make_listener_limits(instance, name, **counts):
-    bounds = instance.state.bounds
-    return ListenerLimits(
-        **counts,
-        header_timeout_s=bounds.header_timeout_s,
-        body_timeout_s=bounds.idle_timeout_s,
-        count_refused_connection=_make_count(instance, name),
-        memory=instance.memory,
-    )
-
-
 async def _start_help_listener(instance):
     """Start the listener for other instances, at the address of the endpoint."""
     address = instance.settings.neighbours
@@ -132,9 +91,7 @@
     except ListenerError as error:
         log_event(logger, logging.ERROR, "help-unavailable", error=str(error))
         return
-    listener_limits = _make_listener_limits(
-        instance, "instances", max_connections=MAX_HELP_CONNECTIONS
-    )
+    listener_limits = make_help_limits(instance)
     instance.help_listener = await start_listener(
         app, bound_socket, None, listener_limits
     )
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -22,6 +22,7 @@
 from jujubenotch.daemon.forward_detour import send_elsewhere
 from jujubenotch.daemon.forward_followers import make_followers
 from jujubenotch.daemon.forward_leases import hand_over
+from jujubenotch.daemon.forward_limits import choose_in_progress_bytes
 from jujubenotch.daemon.forward_listeners import start_listeners
 from jujubenotch.daemon.forward_observer import ForwardObserver
 from jujubenotch.daemon.forward_origins import find_stream_origin
@@ -85,14 +86,6 @@
     max_answer_bytes=16 * 1024 * 1024,
 )
 
-BYTES_PER_MB = 1_000_000
-# What the process needs by itself.
-BASE_MEMORY_MB = 70
-# The share of the rest that requests and responses in progress may hold. Each of them
-# is copied once when it is complete, and what arrives next is not counted yet.
-IN_PROGRESS_MEMORY_SHARE = 0.25
-MIN_IN_PROGRESS_MB = 8
-
 # The timeouts of the instance that sends a request on are those of its upstream.
 HELPER_LIMITS = replace(UPSTREAM_LIMITS, connect_timeout_s=0.3)
 
@@ -174,7 +167,7 @@
     detour_watch = DetourWatch(
         state=state, streams=stream_watch, data_centre=settings.data_centre
     )
-    memory = MemoryAccount(max_bytes=_choose_in_progress_bytes(settings.memory_mb))
+    memory = MemoryAccount(max_bytes=choose_in_progress_bytes(settings.memory_mb))
     helper_connections = _open_helper_connections(settings, memory)
     credits = ServiceCredits(
         read_settings=lambda: instance.settings,
@@ -212,11 +205,6 @@
     return instance
 
 
-def _choose_in_progress_bytes(memory_mb):
-    share_mb = (memory_mb - BASE_MEMORY_MB) * IN_PROGRESS_MEMORY_SHARE
-    return int(max(MIN_IN_PROGRESS_MB, share_mb) * BYTES_PER_MB)
-
-
 def _open_helper_connections(settings, memory):
     # Another instance knows this one by the address of its endpoint.
     endpoint = settings.neighbours
--- a/jujubenotch/listeners/connection.py
+++ b/jujubenotch/listeners/connection.py
@@ -42,6 +42,15 @@
     :param limits: The limits.
     :param turns: Held while a part of a body with many chunks is decoded; shared by
         the connections of a listener.
+    :param begun_s: When the connection became idle, its request began to arrive, or its
+        caller stopped reading, monotonic, in seconds.
+    :param body: The parts of the body that is arriving.
+    :param head_bytes: What the head of the request takes.
+    :param received_bytes: The bytes of the complete body.
+    :param unsent_bytes: What the caller has not read of a response.
+    :param use: The connection's use of memory; ``None`` once it has ended.
+    :param is_refused: Whether there was no place for the connection.
+    :param is_turned_away: Whether it had to make room for others, or has ended.
     """
 
     HTTP_CLASS = BoundedHttp
