--- a/jujubenotch/listeners/http.py
+++ b/jujubenotch/listeners/http.py
@@ -31,7 +31,7 @@
 
 
 class BoundedRequest(Request):
-    """A request whose body counts towards the memory of its connection as it arrives."""
+    """A request whose body counts as memory of its connection as it arrives."""
 
     async def receive_body(self) -> None:
         """Receive the whole body."""
