--- a/features/platform/steps/cut_heads_steps.py
+++ b/features/platform/steps/cut_heads_steps.py
@@ -6,6 +6,7 @@
     add_upstream,
     open_site,
     put_configuration,
+    read_events,
     send,
     start_program,
     wait_until_ready,
@@ -110,6 +111,15 @@
         assert has_signature == (reply.status == 200), reply
 
 
+@then("no attempt has ended as completed")
+def check_attempts(context):
+    ends = read_events(context.site, "request-attempt-ended")
+    reasons = {each["reason"] for each in ends}
+    # Upstreams that have failed are ejected meanwhile.
+    assert len(ends) >= len(context.rows), len(ends)
+    assert "completed" not in reasons, reasons
+
+
 @then("each stream that began is cut after its 2 events")
 def check_streams(context):
     begun = [reply for reply in context.replies if reply.status == 200]
--- a/features/platform/upstream_kinds.py
+++ b/features/platform/upstream_kinds.py
@@ -115,6 +115,10 @@
         lambda head: fail_as_stream(head, b"id: 1\ndata: failed\n\n"),
         "keep",
     ),
+    "sends the status 000": (
+        lambda head: write_status(head, b"000 None", SIGNATURE),
+        "keep",
+    ),
     "refuses": (
         lambda head: write_status(head, b"503 Busy", b"X-Not-Executed: 1\r\n"),
         "keep",
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -27,12 +27,19 @@
 PARSED_BODY_BYTES = 16 * 1024
 # The head of a response and the informational ones before it.
 MAX_HEADS = 16
+MIN_STATUS = 100
+MAX_STATUS = 599
+SWITCHING_PROTOCOLS = 101
 
 
 class OverheadError(aiohttp.ClientError):
     """A response has too many bytes that aren't its body's."""
 
 
+class InvalidStatusError(aiohttp.ClientError):
+    """A head has a status that no response to a request of this program has."""
+
+
 class BoundedHandler(ResponseHandler):
     """A connection's protocol that bounds what it receives, and knows how it ended.
 
@@ -113,16 +120,26 @@
         """Wait for the head of the next response that is no copy of an earlier one.
 
         :returns: The head, and the reader of its body.
+        :raises InvalidStatusError: The head is no response; the connection is aborted.
         :raises OverheadError: The copies are too many or too large.
         """
         while True:
             message, body = await super().read()
+            self._check_status(message.code)
             copied_id = find_copied_id(self.carried, message.headers)
             if not copied_id:
                 return message, body
             self._log_copy(message, copied_id)
             await self._skip_copy(message, body)
 
+    def _check_status(self, status):
+        # This program never asks for another protocol.
+        is_valid = MIN_STATUS <= status <= MAX_STATUS and status != SWITCHING_PROTOCOLS
+        if not is_valid:
+            reason = f"a head with the status {status:03} is no response"
+            self._end(reason)
+            raise InvalidStatusError(reason)
+
     def _log_copy(self, message, copied_id):
         current = self.carried.current
         sent_s = self.carried.sent_s[hash(copied_id)]
