--- a/jujubenotch/upstreams/exchange.py
+++ b/jujubenotch/upstreams/exchange.py
@@ -187,16 +187,16 @@
 
 
 def check_not_truncated(answer: UpstreamAnswer) -> None:
-    """Check that a body that was read to its end was not truncated by a reset.
+    """Check that a body that was read to its end was not truncated.
 
     :param answer: The response.
     :raises ConnectionLostError: The body has no length, and its connection was
-        reset.
+        reset, or ended before the request was sent completely.
     """
-    if not answer.response.is_framed and answer.response.was_reset:
+    if not answer.response.is_framed and answer.response.was_cut:
         raise ConnectionLostError(
-            "connection reset while reading a response body without a length; "
-            "the body may be truncated"
+            "connection reset, or ended amid the request, while reading a response "
+            "body without a length; the body may be truncated"
         )
 
 
--- a/jujubenotch/upstreams/response.py
+++ b/jujubenotch/upstreams/response.py
@@ -2,9 +2,12 @@
 
 import asyncio
 import errno
+import fcntl
 import itertools
 import logging
 import socket
+import struct
+import termios
 
 import aiohttp
 from aiohttp.client_proto import ResponseHandler
@@ -30,6 +33,7 @@
 MIN_STATUS = 100
 MAX_STATUS = 599
 SWITCHING_PROTOCOLS = 101
+INT = struct.Struct("i")
 
 
 class OverheadError(aiohttp.ClientError):
@@ -47,6 +51,7 @@
     with the last bytes, also if a reset was the end. The socket still holds the error.
 
     :param end_error: The error number of the socket at the end; 0 without an error.
+    :param is_request_cut: Whether the peer ended before it had all of the request.
     :param received_bytes: The bytes received since the last request was sent.
     :param heads: The heads received since then.
     :param is_idle: Whether the connection waits for its next request.
@@ -57,6 +62,7 @@
     _numbers = itertools.count(1)
 
     end_error = 0
+    is_request_cut = False
     received_bytes = 0
     heads = 0
     is_idle = False
@@ -218,9 +224,27 @@
     def eof_received(self):
         """Handle the end of the data that the peer sends."""
         self.end_error = _read_pending_error(self.transport)
+        if not self.is_idle and _count_unsent_bytes(self.transport):
+            self.is_request_cut = True
+            # Otherwise the connection would wait until the peer has read the rest.
+            self.transport.abort()
         return super().eof_received()
 
 
+def _count_unsent_bytes(transport: asyncio.Transport | None) -> int:
+    """Return how many written bytes the peer's host has not acknowledged."""
+    if transport is None:
+        return 0
+    waiting_bytes = transport.get_write_buffer_size()
+    connection = transport.get_extra_info("socket")
+    try:
+        queued = fcntl.ioctl(connection.fileno(), termios.TIOCOUTQ, bytes(INT.size))
+    except OSError as error:
+        log_event(logger, logging.INFO, "unsent-bytes-unknown", error=str(error))
+        return waiting_bytes
+    return waiting_bytes + INT.unpack(queued)[0]
+
+
 def _read_pending_error(transport: asyncio.Transport | None) -> int:
     if transport is None:
         return 0
@@ -272,14 +296,17 @@
         return _is_framed(self.headers)
 
     @property
-    def was_reset(self) -> bool:
-        """Whether the connection ended by an error, such as a reset.
+    def was_cut(self) -> bool:
+        """Whether the connection ended by an error, or amid the request.
 
         The HTTP library treats every end of a connection as the end of a body
-        that has no length, although a reset truncates the body.
+        that has no length, although a reset truncates the body, and an upstream that
+        has not received its request can't have responded to all of it.
         """
         if self.protocol is None:
             return False
+        if self.protocol.is_request_cut:
+            return True
         # A peer that closed the connection and reset it afterwards has sent everything;
         # the error is EPIPE then.
         if self.protocol.end_error not in (0, errno.EPIPE):
