--- a/features/platform/cut_heads.feature
+++ b/features/platform/cut_heads.feature
@@ -84,6 +84,9 @@
       | HTTP/1.1 500 Error\r\n{id}\r\n{signature}\r\n{type}\r\n\r\nerror: x\n\n | close |
       | HTTP/1.1 404 None\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 0\r\n\r\n | keep  |
       | HTTP/1.1 000 None\r\n{id}\r\n{signature}\r\n{stream}\r\n\r\n0\r\n\r\n | keep  |
+      | HTTP/1.1 202 Soon\r\n{id}\r\n{signature}\r\n{stream}\r\n\r\n0\r\n\r\n | keep |
+      | HTTP/1.1 204 None\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 0\r\n\r\n | keep |
+      | HTTP/1.1 206 Part\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 10\r\n\r\nerror: x\n\n | keep |
       | HTTP/1.1 301 Moved\r\n{id}\r\n{signature}\r\n{type}\r\nContent-Length: 0\r\n\r\n | keep |
     When 2 callers request a resumable stream for each of these
     Then each stream that began is cut after its 2 events
--- a/jujubenotch/dispatch/call.py
+++ b/jujubenotch/dispatch/call.py
@@ -198,6 +198,7 @@
     :param has_begun: Whether the meter has counted the call as begun.
     :param is_stream_started: Whether the status and headers of a stream were
         forwarded to the caller.
+    :param stream_status: The status that was forwarded; 0 before.
     :param origin: Where the stream began, which may have been in an earlier request;
         ``None`` before its first event.
     :param last_event_id: The id of the last event that was forwarded.
@@ -218,6 +219,7 @@
     must_finish: bool = False
     has_begun: bool = False
     is_stream_started: bool = False
+    stream_status: int = 0
     origin: StreamOrigin | None = None
     last_event_id: str = ""
     attempts: int = 0
--- a/jujubenotch/dispatch/receive.py
+++ b/jujubenotch/dispatch/receive.py
@@ -111,7 +111,7 @@
             answer.close_connection()
         attempt.end = _ENDS_BY_KIND[kind]
         return
-    if receiver.call.is_stream and has_event_stream(answer):
+    if receiver.call.is_stream and _can_forward_events(receiver.progress, answer):
         await _forward_stream(receiver, answer, silence)
         return
     body = await read_body(receiver.connections, answer, lambda: _note_heard(silence))
@@ -123,6 +123,11 @@
     hold_while_alive(receiver.connections.memory, attempt.answer, len(body))
 
 
+def _can_forward_events(progress, answer):
+    is_same_stream = progress.stream_status in (0, answer.status)
+    return is_same_stream and has_event_stream(answer)
+
+
 def _note_heard(silence):
     silence.heard_s = read_clock_s()
 
@@ -200,6 +205,7 @@
         is_framed=answer.response.is_framed,
     )
     progress.is_stream_started = True
+    progress.stream_status = answer.status
 
 
 def _is_complete(buffer, answer):
