--- a/features/upstreams/process_check.feature
+++ b/features/upstreams/process_check.feature
@@ -22,3 +22,18 @@
     Given an upstream whose process answers
     When its process is checked by an event loop that raises RuntimeError
     Then its state is "unreached"
+
+  # Guards against streams that are sent on or held back by what a failure says.
+  Scenario Outline: Only a report with the status 200 tells of its process
+    Given an upstream that answers the request of its report with the status <status>
+    When its report is read
+    Then the report has <bytes> bytes
+
+    Examples:
+      | status | bytes |
+      | 200    | 10    |
+      | 000    | 0     |
+      | 206    | 0     |
+      | 404    | 0     |
+      | 500    | 0     |
+      | 999    | 0     |
--- a/features/upstreams/steps/process_check_steps.py
+++ b/features/upstreams/steps/process_check_steps.py
@@ -6,7 +6,7 @@
 from behave import given, then, when
 
 from features.scripted_upstream import ScriptedUpstream, serve_scripted_upstream
-from jujubenotch.upstreams import check_process
+from jujubenotch.upstreams import check_process, read_report
 
 ANSWER = b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\n{}"
 SCRIPTS = {
@@ -70,3 +70,25 @@
 @then('its state is "{state}"')
 def check_state(context, state):
     assert context.state == state, context.state
+
+
+@given("an upstream that answers the request of its report with the status {status}")
+def script_report(context, status):
+    head = f"HTTP/1.1 {status} Any\r\nContent-Length: 10\r\n\r\n"
+    context.upstream = ScriptedUpstream(
+        response_parts=(head.encode() + b'{"born":1}',), reports=False
+    )
+
+
+@when("its report is read")
+def read_its_report(context):
+    async def run():
+        async with serve_scripted_upstream(context.upstream) as upstream:
+            return await read_report(upstream.url + "/v1/report")
+
+    context.report = asyncio.run(run())
+
+
+@then("the report has {size_bytes:d} bytes")
+def check_report(context, size_bytes):
+    assert len(context.report) == size_bytes, context.report
--- a/jujubenotch/upstreams/probe.py
+++ b/jujubenotch/upstreams/probe.py
@@ -12,6 +12,7 @@
 # A working process reacts to a new connection within this time.
 REACTION_TIMEOUT_S = 0.4
 MAX_REPORT_BYTES = 64 * 1024
+OK = 200
 
 
 class ProcessState(StrEnum):
@@ -87,7 +88,7 @@
     """Return what an upstream says of itself at present.
 
     :param url: The URL of the report.
-    :returns: The report; empty when the upstream doesn't answer in time.
+    :returns: The report; empty when the upstream doesn't answer with one in time.
     """
     timeout = aiohttp.ClientTimeout(total=REACTION_TIMEOUT_S)
     try:
@@ -95,6 +96,8 @@
             aiohttp.ClientSession(timeout=timeout) as session,
             session.get(url, allow_redirects=False) as response,
         ):
+            if response.status != OK:
+                return b""
             return await response.content.read(MAX_REPORT_BYTES)
     except (aiohttp.ClientError, OSError, TimeoutError, RuntimeError):
         return b""
