--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -194,3 +194,32 @@
     When 4 processes end one after the other while they run "g,f"
     Then a request with "f,x" is blocked
     And a request with "g,x" is blocked
+
+  # Guards against a sound part that stays blocked because it is accused of one crash
+  # more than the bad part, which has another cause.
+  Scenario: A sound part has the crashes of a bad one and one more
+    Given an instance that saw no response yet
+    When 4 processes end one after the other while they run "g,f"
+    And 1 further process ends while it runs "f"
+    Then a request with "g,f" is blocked
+    And a request with "f,x" is sent
+    When a response with "f" that began after them ends well
+    Then a request with "f,y" is sent
+    And a request with "g,x" is blocked
+
+  Scenario: A part that crashes upstreams without the others is not sent again
+    Given an instance that saw no response yet
+    When 4 processes end one after the other while they run "g,f"
+    And 1 further process ends while it runs "f"
+    Then a request with "f,x" is sent
+    When 1 further process ends while it runs "f"
+    And 6 s pass
+    Then a request with "f,y" is blocked
+
+  # Guards against requests with a bad part that are sent because a few of its crashes
+  # can be explained without it.
+  Scenario: A part with two more crashes than the others is not sent
+    Given an instance that saw no response yet
+    When 4 processes end one after the other while they run "g,f"
+    And 2 further processes end while they run "f"
+    Then a request with "f,x" is blocked
--- a/features/crashes/histories.feature
+++ b/features/crashes/histories.feature
@@ -43,6 +43,21 @@
       | 2         | 9         |
       | 7         | 9         |
 
+  # Guards against a sound first part that stays blocked because one crash more than
+  # those of the bad part accuses it, such as that of a killed upstream.
+  Scenario Outline: Nothing speaks for a sound part, and upstreams end for other reasons
+    Given histories of <instances> instances and <upstreams> upstreams in which a bad part comes from the start with a sound one, beside few other requests, and <what>
+    When the histories of 24 seeds are played
+    Then at most 3 requests with a bad content were sent later than 3 s after it had to be known
+    And from 6 s after the crashes on at least 5 in 10 sound requests of each first part were sent
+
+    Examples: faults
+      | instances | upstreams | what                                            |
+      | 2         | 9         | upstreams are killed                            |
+      | 7         | 9         | upstreams are killed                            |
+      | 2         | 9         | instances are cut off                           |
+      | 7         | 9         | upstreams are killed and instances start again  |
+
   # Guards against blocks for crashes that no request caused.
   Scenario Outline: Kills and cuts alone block nothing for long
     Given histories of <instances> instances and <upstreams> upstreams in which no part is bad, upstreams are killed and instances are cut off
--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -159,6 +159,21 @@
     )
 
 
+@when('{count:d} further process ends while it runs "{suspects}"')
+@when('{count:d} further processes end while they run "{suspects}"')
+def end_further_processes(context, count, suspects):
+    for _ in range(count):
+        record_break(
+            context.evidence,
+            f"engine-at-{context.now_s}@1",
+            suspects.split(","),
+            now_s=context.now_s,
+            now_unix_s=context.now_unix_s,
+        )
+        context.now_s += SPACING_S
+        context.now_unix_s += SPACING_S
+
+
 @when('{count:d} processes end {spaced} while they run "{suspects}"')
 def end_processes(context, count, spaced, suspects):
     for number in range(count):
--- a/features/crashes/steps/histories_steps.py
+++ b/features/crashes/steps/histories_steps.py
@@ -8,6 +8,15 @@
     "kills_s": (3.0, 4.0, 4.5, 5.2, 6.1, 7.0),
     "cuts_s": (3.3, 5.0, 6.5),
 }
+FEW_REQUESTS = {
+    "bad_topics": {"bad-0": 0.0},
+    "companions": {"bad-0": "first-0"},
+    "sound_per_s": 6.0,
+    "bad_per_s": 12.0,
+    "duration_s": 30.0,
+}
+FEW = "a bad part comes from the start with a sound one, beside few other requests"
+EARLY_KILLS_S = (0.5, 1.0, 1.5, 2.0, 2.5)
 WHATS = {
     "one part is bad": {"bad_topics": {"bad-0": 2.0}},
     "one request is bad": {"bad_topics": {}, "bad_requests": {"r-bad-0": 2.0}},
@@ -21,12 +30,13 @@
         "bad_topics": {"bad-0": 2.0},
         "companions": {"bad-0": "first-0"},
     },
-    "a bad part comes from the start with a sound one, beside few other requests": {
-        "bad_topics": {"bad-0": 0.0},
-        "companions": {"bad-0": "first-0"},
-        "sound_per_s": 6.0,
-        "bad_per_s": 12.0,
-        "duration_s": 30.0,
+    FEW: FEW_REQUESTS,
+    f"{FEW}, and upstreams are killed": {**FEW_REQUESTS, "kills_s": EARLY_KILLS_S},
+    f"{FEW}, and instances are cut off": {**FEW_REQUESTS, "cuts_s": (1.0, 2.0, 3.0)},
+    f"{FEW}, and upstreams are killed and instances start again": {
+        **FEW_REQUESTS,
+        "kills_s": EARLY_KILLS_S,
+        "restarts_s": (1.0, 2.0, 3.0),
     },
     "a part turns bad after many good responses": {
         "bad_topics": {"bad-0": TURN_S},
--- a/jujubenotch/crashes/blame.py
+++ b/jujubenotch/crashes/blame.py
@@ -6,7 +6,7 @@
 """
 
 from collections.abc import Collection, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from jujubenotch.crashes.digest import is_request_digest
 from jujubenotch.crashes.model import Block
@@ -24,6 +24,8 @@
 # With fewer crashes, only requests that contain all suspects of the same crashes are
 # blocked. Requests with some of them show which one is at fault.
 MIN_CRASHES_EACH = 4
+# A crash more may have another cause, such as a killed upstream.
+MAX_UNEXPLAINED_CRASHES = 1
 # Crashes within this time count once: a failure of the network breaks the connections
 # to several upstreams at the same time.
 SAME_CAUSE_S = 0.1
@@ -60,11 +62,20 @@
     :param trusted: Suspects of which responses had ended well shortly before a crash.
     :returns: The blocks, strongest evidence first.
     """
-    blocks = []
     causes = find_causes(accusers)
     standings = {
         suspect: _find_standing(suspect, acquitted, trusted) for suspect in accusers
     }
+    blocks = _explain(accusers, causes, standings)
+    return [
+        replace(block, rivals=_find_rivals(block, accusers, causes, standings))
+        for block in blocks
+    ]
+
+
+def _explain(accusers, causes, standings):
+    """Block the fewest suspects that explain the crashes."""
+    blocks = []
     remaining = {suspect: dict(times) for suspect, times in accusers.items()}
     while ranks := {
         suspect: _rank(suspect, times, standings[suspect])
@@ -143,12 +154,30 @@
             suspects=suspects,
             processes=frozenset(times),
             newest_unix_s=max(times.values()),
-            rivals=frozenset(group) - suspects,
         )
         for suspects in combinations
     ]
 
 
+def _find_rivals(block, accusers, causes, standings):
+    """Return the suspects that explain a block's crashes if its own suspect is sound.
+
+    There are none unless they explain nearly all of them.
+    """
+    if len(block.suspects) > 1:
+        return frozenset()
+    others = {
+        suspect: {name: at_s for name, at_s in times.items() if name in block.processes}
+        for suspect, times in accusers.items()
+        if suspect not in block.suspects
+    }
+    blocks = _explain(others, causes, standings)
+    explained = frozenset().union(*(each.processes for each in blocks))
+    if len(block.processes - explained) > MAX_UNEXPLAINED_CRASHES:
+        return frozenset()
+    return frozenset().union(*(each.suspects for each in blocks))
+
+
 def _remove_processes(accusers, explained):
     remaining = {}
     for suspect, times in accusers.items():
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -67,7 +67,7 @@
     :param sound_requests_s: The same for whole requests.
     :param blocks: The blocks in force.
     :param published: The own acquittals that the other instances know.
-    :param probed_s: When this instance last sent a request with a blocked suspect to
+    :param probed_s: When this instance last sent a request with each blocked suspect to
         learn whether it is sound, monotonic, in seconds.
     :param is_unpublished: Whether the other instances don't know all own reports.
     :param is_stale: Whether reports have changed since ``blocks`` was decided.
@@ -85,7 +85,7 @@
     sound_requests_s: dict[str, float] = field(default_factory=dict)
     blocks: list[Block] = field(default_factory=list)
     published: frozenset[tuple[str, str]] = frozenset()
-    probed_s: float = -math.inf
+    probed_s: dict[str, float] = field(default_factory=dict)
     is_unpublished: bool = False
     is_stale: bool = False
 
@@ -117,21 +117,33 @@
         return None
     if not _may_probe(evidence, met, contained, now_s):
         return met[0]
-    evidence.probed_s = now_s
+    evidence.probed_s.update(dict.fromkeys(met[0].suspects, now_s))
     _log_block("suspects-probed", met[0], now_unix_s)
     return None
 
 
 def _may_probe(evidence, met, contained, now_s):
     """Tell whether the result of a request shows if its blocked suspect is sound."""
-    if len(met) > 1 or now_s - evidence.probed_s < PROBE_INTERVAL_S:
+    last_s = max(evidence.probed_s.values(), default=-math.inf)
+    if len(met) > 1 or now_s - last_s < PROBE_INTERVAL_S:
         return False
     block = met[0]
     if not block.rivals or block.rivals & contained:
         return False
+    if _has_crashed_again(evidence, block):
+        return False
     return _is_early_reporter(evidence, block)
 
 
+def _has_crashed_again(evidence, block):
+    """Tell whether a suspect was accused of a crash since it was probed."""
+    return any(
+        evidence.learned_s[process, suspect] > evidence.probed_s[suspect]
+        for suspect in block.suspects & evidence.probed_s.keys()
+        for process in evidence.accusers[suspect]
+    )
+
+
 def _is_early_reporter(evidence, block):
     """Tell whether this instance was one of the first to report a block's crashes.
 
@@ -341,6 +353,8 @@
     for process, suspect in acquitted:
         del accusers[suspect][process]
     evidence.accusers = {suspect: times for suspect, times in accusers.items() if times}
+    for suspect in evidence.probed_s.keys() - evidence.accusers.keys():
+        del evidence.probed_s[suspect]
     blocks = choose_blocks(
         evidence.accusers,
         {suspect for _, suspect in acquitted},
--- a/jujubenotch/crashes/model.py
+++ b/jujubenotch/crashes/model.py
@@ -48,8 +48,8 @@
     :param suspects: The digests.
     :param processes: The processes that crashed on them.
     :param newest_unix_s: When the last of these crashes was reported, in seconds.
-    :param rivals: The suspects of other blocks that explain the same crashes. At least
-        one of them all is at fault, and the others may be sound.
+    :param rivals: The suspects that would explain the same crashes. At least one of
+        them all is at fault, and the others may be sound.
     """
 
     suspects: frozenset[str]
