--- a/features/crashes/evidence.feature
+++ b/features/crashes/evidence.feature
@@ -195,6 +195,20 @@
     Then a request with "f,x" is blocked
     And a request with "g,x" is blocked
 
+  # Guards against a sound part that stays blocked because the instances that might let
+  # a request through have ended.
+  Scenario: The next instances send such requests when the first had time for it
+    Given the reports of 4 crashes with the suspects "g,f" by 2 instances
+    When 4 processes end one after the other while they run "g,f"
+    Then a request with "f,x" is blocked
+    When 20 s pass
+    Then a request with "f,x" is sent
+    And a request with "g,x" is blocked
+    When 20 s pass
+    Then a request with "f,x" is blocked
+    When 20 s pass
+    Then a request with "f,x" is sent
+
   # Guards against a sound part that stays blocked because it is accused of one crash
   # more than the bad part, which has another cause.
   Scenario: A sound part has the crashes of a bad one and one more
--- a/jujubenotch/crashes/evidence.py
+++ b/jujubenotch/crashes/evidence.py
@@ -31,9 +31,10 @@
 TRUST_S = 300.0
 TRUST_REQUEST_S = 60.0
 # Requests that tell suspects of the same crashes apart are sent at most this often, so
-# that the result of one is known before the next, and by as many instances.
+# that the result of one is known before the next, and by as many instances in turn.
 PROBE_INTERVAL_S = 5.0
-MAX_PROBING_INSTANCES = 2
+PROBE_TURN_S = 20.0
+PROBING_INSTANCES = 2
 MAX_SOUND_PARTS = 4096
 MAX_SOUND_REQUESTS = 4096
 
@@ -115,14 +116,14 @@
     met = [block for block in evidence.blocks if block.suspects <= contained]
     if not met:
         return None
-    if not _may_probe(evidence, met, contained, now_s):
+    if not _may_probe(evidence, met, contained, now_s, now_unix_s):
         return met[0]
     evidence.probed_s.update(dict.fromkeys(met[0].suspects, now_s))
     _log_block("suspects-probed", met[0], now_unix_s)
     return None
 
 
-def _may_probe(evidence, met, contained, now_s):
+def _may_probe(evidence, met, contained, now_s, now_unix_s):
     """Tell whether the result of a request shows if its blocked suspect is sound."""
     last_s = max(evidence.probed_s.values(), default=-math.inf)
     if len(met) > 1 or now_s - last_s < PROBE_INTERVAL_S:
@@ -132,7 +133,7 @@
         return False
     if _has_crashed_again(evidence, block):
         return False
-    return _is_early_reporter(evidence, block)
+    return _is_probing(evidence, block, now_unix_s)
 
 
 def _has_crashed_again(evidence, block):
@@ -144,18 +145,24 @@
     )
 
 
-def _is_early_reporter(evidence, block):
-    """Tell whether this instance was one of the first to report a block's crashes.
+def _is_probing(evidence, block, now_unix_s):
+    """Tell whether it is this instance's turn to send requests with the suspects.
 
-    Only these send requests with the suspects, as the bound on them holds for all
+    The first to report a block's crashes begin, the next follow in case these have
+    ended. Only a few at a time do so, as the bound on such requests holds for all
     instances together.
     """
     own_s = _find_first_report_s(make_own_reports(evidence), block)
-    others_s = (
+    if not math.isfinite(own_s):
+        return False
+    others_s = [
         _find_first_report_s(reports, block) for reports in evidence.others.values()
-    )
+    ]
+    reporters = 1 + sum(map(math.isfinite, others_s))
     earlier = sum(other_s <= own_s for other_s in others_s)
-    return math.isfinite(own_s) and earlier < MAX_PROBING_INSTANCES
+    turns = math.ceil(reporters / PROBING_INSTANCES)
+    turn = int(max(0.0, now_unix_s - block.newest_unix_s) / PROBE_TURN_S)
+    return earlier // PROBING_INSTANCES == turn % turns
 
 
 def _find_first_report_s(reports, block):
