Part the evidence on crashes into state, trust, probes and decisions

Functions moved unchanged, but for their visibility and doc comments; the steps record the log lines of all three modules that write some.

--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -43,8 +43,9 @@
     def record(logger, level, event, **fields):
         context.logged.append((event, fields))
 
-    patch = mock.patch("jujubenotch.crashes.evidence.log_event", record)
-    context.stack.enter_context(patch)
+    for module in ("decide", "evidence", "trust"):
+        patch = mock.patch(f"jujubenotch.crashes.{module}.log_event", record)
+        context.stack.enter_context(patch)
 
 
 def prepare(context, reports, copies=1):
--- a/jujubenotch/crashes/__init__.py
+++ b/jujubenotch/crashes/__init__.py
@@ -5,16 +5,14 @@
 
 from jujubenotch.crashes.blame import choose_blocks
 from jujubenotch.crashes.codec import decode_reports, encode_reports
+from jujubenotch.crashes.decide import refresh_if_stale
 from jujubenotch.crashes.digest import digest_part, digest_request
 from jujubenotch.crashes.evidence import (
-    Evidence,
     adopt_reports,
     apply_reports,
     find_block,
-    make_own_reports,
     record_break,
     record_sound_response,
-    refresh_if_stale,
     take_own_reports,
 )
 from jujubenotch.crashes.model import (
@@ -23,6 +21,7 @@
     CrashReport,
     InstanceReports,
 )
+from jujubenotch.crashes.state import Evidence, make_own_reports
 
 __all__ = [
     "Acquittal",
--- a/jujubenotch/crashes/codec.py
+++ b/jujubenotch/crashes/codec.py
@@ -5,12 +5,12 @@
 import orjson
 from pydantic import TypeAdapter, ValidationError
 
-from jujubenotch.crashes.evidence import (
+from jujubenotch.crashes.model import InstanceReports
+from jujubenotch.crashes.state import (
     MAX_ACQUITTALS,
     MAX_CRASHES,
     MAX_SUSPECTS_PER_CRASH,
 )
-from jujubenotch.crashes.model import InstanceReports
 
 _REPORTS = TypeAdapter(InstanceReports)
 
