Part the dispatcher into claims, the attempt on a slot and what follows it

Functions moved unchanged, but for the visibility and doc comments of four; the faults that unexpected_errors.feature raises follow them.

--- a/features/claims/steps/calls_steps.py
+++ b/features/claims/steps/calls_steps.py
@@ -198,7 +198,7 @@
         ]
         return await asyncio.gather(*calls)
 
-    with mock.patch("jujubenotch.dispatch.dispatcher.run_attempt", send):
+    with mock.patch("jujubenotch.dispatch.slot_attempt.run_attempt", send):
         context.answers = context.loop.run_until_complete(dispatch_all())
 
 
--- a/features/fault_sites/unexpected_errors.feature
+++ b/features/fault_sites/unexpected_errors.feature
@@ -16,8 +16,8 @@
       | jujubenotch.dispatch.receive.take_complete_events | 3 |
       | jujubenotch.dispatch.receive.read_last_id         | 1 |
       | jujubenotch.dispatch.receive.check_not_truncated  | 1 |
+      | jujubenotch.dispatch.slot_attempt.report_attempt  | 1 |
       | jujubenotch.dispatch.dispatcher.report_attempt    | 1 |
-      | jujubenotch.dispatch.dispatcher.report_attempt    | 2 |
       | jujubenotch.forwarding.capacity.spare_after       | 1 |
       | jujubenotch.forwarding.capacity.record_result     | 1 |
 
@@ -31,7 +31,7 @@
 
     Examples: the steps of a resumption
       | step                                               | call |
-      | jujubenotch.dispatch.dispatcher.decide_next        | 1 |
-      | jujubenotch.dispatch.dispatcher.digest_request     | 1 |
+      | jujubenotch.dispatch.follow_attempt.decide_next    | 1 |
+      | jujubenotch.dispatch.follow_attempt.digest_request | 1 |
       | jujubenotch.dispatch.dispatcher.make_work_request  | 2 |
       | jujubenotch.forwarding.capacity.find_availability  | 2 |
--- a/jujubenotch/dispatch/__init__.py
+++ b/jujubenotch/dispatch/__init__.py
@@ -32,7 +32,8 @@
     record_attempt,
     record_send,
 )
-from jujubenotch.dispatch.dispatcher import digest_call, dispatch, wait_until_idle
+from jujubenotch.dispatch.dispatcher import dispatch, wait_until_idle
+from jujubenotch.dispatch.follow_attempt import digest_call
 from jujubenotch.dispatch.model import Claims, Dispatcher, Observer, RetryBudget
 from jujubenotch.dispatch.process_check import ProcessChecks
 from jujubenotch.dispatch.protocol import AnswerKind, UpstreamProtocol
