Let the stand-ins of the randomised runs answer early and with invalid statuses

The soak's upstreams spoil answers in two more ways, and some of its uploads have 90 kB; the upstreams of run_once do both in a scenario of their own, which checks each success against the upstream's whole answer.

--- a/benchmarks/site/callers.py
+++ b/benchmarks/site/callers.py
@@ -32,6 +32,10 @@
 MAX_WAIT_S = 4.0
 MAX_EVENTS = 30
 TOPICS = 12
+BODY_BYTES = 40
+# Some uploads take longer than an upstream that answers early.
+LONG_BODY_BYTES = 90_000
+LONG_BODY_EACH = 8
 # Callers resume this share of the streams that broke off, within this time.
 RESUME_RATIO = 0.8
 MAX_RETURN_S = 0.3
@@ -257,7 +261,7 @@
 
 async def _send(connection, request, wait_s):
     method = "GET" if request.kind is RouteKind.READ else "POST"
-    body = b"" if request.kind is RouteKind.READ else b"{}" * 20
+    body = b"" if request.kind is RouteKind.READ else _make_request_body(request)
     head = (
         f"{method} {request.path} HTTP/1.1\r\nHost: {HOST}\r\n"
         f"X-Attempt-Id: {request.request_id}\r\nX-Seen-By: {request.instance}\r\n"
@@ -277,6 +281,11 @@
     await connection.writer.drain()
 
 
+def _make_request_body(request):
+    is_long = int(request.request_id[:8], 16) % LONG_BODY_EACH == 0
+    return b"{}" * ((LONG_BODY_BYTES if is_long else BODY_BYTES) // 2)
+
+
 async def _read_answer(connection, request):
     """Read an answer into ``request``.
 
--- a/benchmarks/site/upstreams.py
+++ b/benchmarks/site/upstreams.py
@@ -42,6 +42,7 @@
     (b"Content-Type: text/event-stream\r\n", b"x"),
     (None, b"HTTP/1.1 102 Processing\r\n\r\n"),
 )
+INVALID_STATUSES = (b"000 None", b"099 None", b"101 Other", b"600 High", b"999 High")
 _FIELD = re.compile(rb"^([^:\r\n]+):[ \t]*([^\r\n]*)\r$", re.MULTILINE)
 
 
@@ -57,6 +58,8 @@
     EXTRA = "extra"
     MUTE = "mute"
     ENDLESS = "endless"
+    INVALID_STATUS = "invalid-status"
+    EARLY = "early"
 
 
 @dataclass(kw_only=True)
@@ -203,6 +206,9 @@
 async def _serve(upstream, reader, writer):
     while True:
         head = _read_head(await reader.readuntil(END_OF_HEAD))
+        if upstream.spoiling is Spoiling.EARLY and _draws_spoiled(upstream):
+            _answer_early(upstream, head, writer)
+            return
         await reader.readexactly(int(head.fields.get("content-length", "0")))
         await _wait_out_silence(upstream)
         answer_task = asyncio.create_task(_answer(upstream, head, writer))
@@ -217,6 +223,17 @@
         _copy_sometimes(upstream, writer, response)
 
 
+def _answer_early(upstream, head, writer):
+    """Reset a connection after a part of an answer, with the request's body unread."""
+    if head.path == REPORT_PATH:
+        return
+    _record(upstream, head, is_run=True)
+    body = make_body(head.request_id, head.path)
+    answer = _write_head(upstream, head, b"200 OK", b"", length=None)
+    writer.write(answer + body[: len(body) // 2])
+    _reset(writer)
+
+
 def _copy_sometimes(upstream, writer, response):
     copying = upstream.copying
     if copying is None or not draws_copy(copying, response, upstream.generator):
@@ -344,6 +361,12 @@
     if spoiling is Spoiling.GARBAGE:
         await _send(upstream, writer, b"\x00\x01 what\r\n\r\n")
         return False
+    if spoiling is Spoiling.INVALID_STATUS:
+        status = upstream.generator.choice(INVALID_STATUSES)
+        body = make_body(head.request_id, head.path)
+        start = _write_head(upstream, head, status, b"", length=len(body))
+        await _send(upstream, writer, start + body)
+        return False
     if spoiling is Spoiling.ENDLESS:
         return await _send_without_end(upstream, head, writer)
     if upstream.service == "model":
--- a/features/cut_off/steps/cut_off_steps.py
+++ b/features/cut_off/steps/cut_off_steps.py
@@ -59,6 +59,7 @@
     status: int
     outcome: str
     is_whole: bool
+    content: bytes = b""
 
 
 @given("a site of {count:d} instances with paths to {upstreams:d} upstreams")
@@ -182,19 +183,19 @@
     context.tries += [each.result() for each in pending]
 
 
-def send_try(context, instance, path):
+def send_try(context, instance, path, body=b"content"):
     request_id = f"{random.getrandbits(64):016x}"
     view = context.instances[instance]
     connection = http.client.HTTPConnection(view.host, 8000, timeout=CALL_TIMEOUT_S)
     headers = make_headers(request_id)
     sent_s = time.monotonic()
-    status, outcome, is_whole = 0, "", False
+    status, outcome, content, is_whole = 0, "", b"", False
     try:
-        connection.request("POST", path, body=b"content", headers=headers)
+        connection.request("POST", path, body=body, headers=headers)
         response = connection.getresponse()
         status = response.status
         outcome = response.getheader("X-Jujubenotch-Outcome") or ""
-        response.read()
+        content = response.read()
         is_whole = True
     except (OSError, http.client.HTTPException):
         is_whole = False
@@ -209,6 +210,7 @@
         status=status,
         outcome=outcome,
         is_whole=is_whole,
+        content=content,
     )
 
 
--- a/features/retries/upstream.py
+++ b/features/retries/upstream.py
@@ -11,12 +11,13 @@
 import contextlib
 import random
 import re
+import socket
 import sys
 import time
 from dataclasses import dataclass, field
 from typing import TextIO
 
-from features.scripted_upstream import REPORT, REPORT_REQUEST
+from features.scripted_upstream import REPORT, REPORT_REQUEST, RESET_ON_CLOSE
 
 END_OF_HEAD = b"\r\n\r\n"
 CONTENT_LENGTH = re.compile(rb"content-length: *(\d+)", re.IGNORECASE)
@@ -33,6 +34,11 @@
 # With this argument the process refuses some requests that may run once and some
 # streams, and sends each refusal and some answers once more, later.
 COPIES_RESPONSES = "copies-responses"
+# With this argument the process answers some requests with a status that HTTP doesn't
+# have, or with a part of an answer before it has read them.
+ANSWERS_ODDLY = "answers-oddly"
+ODD_RATIO = 0.15
+INVALID_STATUSES = (b"000 None", b"099 None", b"101 Other", b"600 High")
 STREAM_PATHS = re.compile(rb"POST /(stream|resume)/")
 REFUSED_PATHS = re.compile(rb"POST /(send|stream|resume)/")
 REFUSED_RATIO = 0.3
@@ -68,6 +74,9 @@
     with contextlib.suppress(asyncio.IncompleteReadError, ConnectionError):
         while True:
             head = await reader.readuntil(END_OF_HEAD)
+            if is_odd(head):
+                await answer_oddly(journal, head, writer)
+                break
             length = CONTENT_LENGTH.search(head)
             await reader.readexactly(int(length[1]) if length else 0)
             if head.startswith(REPORT_REQUEST):
@@ -82,6 +91,33 @@
     writer.close()
 
 
+def is_odd(head):
+    if ANSWERS_ODDLY not in sys.argv or head.startswith(REPORT_REQUEST):
+        return False
+    return random.random() < ODD_RATIO
+
+
+async def answer_oddly(journal, head, writer):
+    """Begin a run, and end its connection after what is no whole answer."""
+    request_id = REQUEST_ID.search(head)[1]
+    journal.arrivals.write(request_id.decode() + "\n")
+    begin_s = time.monotonic()
+    status = random.choice((b"200 OK", *INVALID_STATUSES))
+    kind = b"text/event-stream" if STREAM_PATHS.match(head) else b"text/plain"
+    writer.write(
+        b"HTTP/1.1 %b\r\nX-Attempt-Id: %b\r\nX-Response-Signature: s.1\r\n"
+        b"Content-Type: %b\r\n\r\n" % (status, request_id, kind)
+    )
+    writer.write(b"id: 1\ndata: w1\n\n")
+    await asyncio.sleep(random.uniform(0.0, WORK_S))
+    connection = writer.get_extra_info("socket")
+    with contextlib.suppress(OSError):
+        connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+    writer.transport.abort()
+    end_s = time.monotonic()
+    journal.runs.write(f"{request_id.decode()} {begin_s} {end_s}\n")
+
+
 def is_refused(head):
     if COPIES_RESPONSES not in sys.argv or not REFUSED_PATHS.match(head):
         return False
--- a/features/run_once/run_once.feature
+++ b/features/run_once/run_once.feature
@@ -33,3 +33,18 @@
       | 1    |
       | 2    |
       | 3    |
+
+  # Guards against a part of an early answer, or a head without a valid status, that is
+  # taken for an answer (MIXED), and against what follows from it (TWICE, REFUSED).
+  Scenario Outline: Upstreams answer early and with invalid statuses meanwhile
+    Given a site of 4 instances with paths to 3 upstreams that answer some requests of 60 kB early or with an invalid status
+    When 8 requests a second of all kinds come to each instance for 18 s
+    And faults are drawn with the seed <seed> and made meanwhile
+    Then at least 100 requests ran that may run once, and none ran twice
+    And each success is the upstream's own whole answer, and each other one a failure
+    And no request that was told as not run has run
+
+    Examples: seeds
+      | seed |
+      | 1    |
+      | 2    |
--- a/features/run_once/steps/run_once_steps.py
+++ b/features/run_once/steps/run_once_steps.py
@@ -26,13 +26,25 @@
     start_process,
     wait_for_runs,
 )
-from features.retries.upstream import COPIES_RESPONSES, COPIES_SUFFIX, REFUSED_SUFFIX
+from features.retries.upstream import (
+    ANSWERS_ODDLY,
+    COPIES_RESPONSES,
+    COPIES_SUFFIX,
+    EVENTS,
+    REFUSED_SUFFIX,
+)
 from features.run_once.faults import draw_faults, play_fault
 
 CALLERS = 96
 STREAM = "/resume/x"
 ONCE_STREAM = "/stream/x"
 NOT_RUN_STATUSES = (408, 421, 429, 503)
+OK = 200
+# Without a status the connection ended; a stream that began may be cut.
+FAILURES = (0, OK, 502, 504, *NOT_RUN_STATUSES)
+STREAM_CONTENT = b"".join(
+    b"id: %d\ndata: w%d\n\n" % (number, number) for number in range(1, EVENTS + 1)
+)
 # Callers come when all instances are known to the store.
 LISTING_S = 1.0
 # An instance and what it has sent need this time to be in order after a disturbance.
@@ -44,10 +56,11 @@
     """A fleet with a relay between each instance and each upstream.
 
     ``paths`` are those of each instance; ``spans`` tell when instances were disturbed.
-    ``kinds`` are the paths of the requests that callers send.
+    ``kinds`` are the paths of the requests that callers send, ``body`` is their body.
     """
 
     kinds: tuple = PATHS
+    body: bytes = b"content"
     paths: list = field(default_factory=list)
     spans: list = field(default_factory=list)
 
@@ -86,6 +99,15 @@
     open_fleet(context, count, upstreams, COPIES_RESPONSES)
 
 
+@given(
+    "a site of {count:d} instances with paths to {upstreams:d} upstreams that answer "
+    "some requests of {size_kb:d} kB early or with an invalid status"
+)
+def open_odd_fleet(context, count, upstreams, size_kb):
+    open_fleet(context, count, upstreams, ANSWERS_ODDLY)
+    context.fleet.body = b"b" * (size_kb * 1000)
+
+
 def _add_instance(context, number):
     fleet = context.fleet
     view = add_instance(fleet.site, number)
@@ -144,7 +166,8 @@
         time.sleep(max(0.0, start_s + number / context.rate_per_s - time.monotonic()))
         for instance in range(len(context.instances)):
             path = kinds[(number + instance) % len(kinds)]
-            pending.append(executor.submit(send_try, context, instance, path))
+            body = context.fleet.body
+            pending.append(executor.submit(send_try, context, instance, path, body))
     return pending
 
 
@@ -163,6 +186,20 @@
     assert len(counts) >= count, len(counts)
 
 
+@then("each success is the upstream's own whole answer, and each other one a failure")
+def check_successes(context):
+    for each in context.tries:
+        if each.status != OK or not each.is_whole:
+            assert each.status in FAILURES, (
+                each,
+                _read_lines(context, each.request_id),
+            )
+            continue
+        is_stream = each.path in (STREAM, ONCE_STREAM)
+        expected = STREAM_CONTENT if is_stream else b"done"
+        assert each.content == expected, (each, _read_lines(context, each.request_id))
+
+
 @then("no request that was told as not run has run")
 def check_told(context):
     broken = [
