--- a/features/cut_off/cut_off.feature
+++ b/features/cut_off/cut_off.feature
@@ -79,6 +79,24 @@
       | /send/x, which its upstream resets             | 502    | 0      | regularly  |
 
   # Guards against anybody who can connect using an instance without a key.
+  # Guards against a part of an early response, or a head without a valid status, that looks
+  # like an answer after the second connection.
+  Scenario Outline: An early or invalid response goes by way of another instance
+    Given a site of 2 instances with paths to 4 upstreams
+    And the upstreams answer the head of each upload with <answer>
+    When the paths of 1 instance are cut so that a connection hangs
+    And callers send 20 requests a second to each instance for 4 s
+    And a caller of the instance that is cut off uploads 90 kB to <path>
+    Then the caller got the status <status> and <events> events
+    And the connection ended <verdict>
+
+    Examples:
+      | answer                                 | path      | status | events | verdict    |
+      | a part of a 200 without a length       | /send/x   | 502    | 0      | regularly  |
+      | the status 000 without a length        | /send/x   | 502    | 0      | regularly  |
+      | a stream without a length and an event | /stream/x | 200    | 1      | by a reset |
+      | the status 000 without a length        | /stream/x | 502    | 0      | regularly  |
+
   Scenario: A stranger asks an instance for help
     Given a site of 2 instances with paths to 4 upstreams
     When the paths of 1 instance are cut so that a connection hangs
--- a/features/cut_off/steps/cut_off_steps.py
+++ b/features/cut_off/steps/cut_off_steps.py
@@ -49,6 +49,17 @@
 EVENT_ID = re.compile(rb"id: (\d+)")
 
 
+EARLY_HEAD = (
+    b"HTTP/1.1 %b\r\nX-Attempt-Id: %%b\r\nX-Response-Signature: s.1\r\n%b\r\n%b"
+)
+EARLY_ANSWERS = {
+    "a part of a 200 without a length": EARLY_HEAD % (b"200 OK", b"", b"half"),
+    "the status 000 without a length": EARLY_HEAD % (b"000 None", b"", b"none"),
+    "a stream without a length and an event": EARLY_HEAD
+    % (b"200 OK", b"Content-Type: text/event-stream\r\n", b"id: 1\ndata: w1\n\n"),
+}
+
+
 @dataclass(frozen=True, kw_only=True)
 class Try:
     instance: int
@@ -333,6 +344,22 @@
         upstream.is_unframed = True
 
 
+@given("the upstreams answer the head of each upload with {answer}")
+def answer_early(context, answer):
+    for upstream in context.upstreams:
+        upstream.early_answer = EARLY_ANSWERS[answer]
+
+
+@when("a caller of the instance that is cut off uploads {size_kb:d} kB to {path:S}")
+def upload(context, size_kb, path):
+    context.received, context.was_reset = read_to_end(
+        context.instances[0].host,
+        path,
+        b"b" * (size_kb * 1000),
+        extra_head="Connection: close\r\n",
+    )
+
+
 @when("a caller of the instance that is cut off requests {path:S}, {what}")
 def request_unframed(context, path, what):
     helper = context.instances[1].process
--- a/features/platform/paths.py
+++ b/features/platform/paths.py
@@ -33,6 +33,7 @@
 MANY_EVENTS = 40
 EVENTS_BY_BODY = {b"long": 100, b"many events": MANY_EVENTS}
 CHUNK_BYTES = 65536
+LONG_BODY_BYTES = 50_000
 TURNED_AWAY = (
     b"HTTP/1.1 421 Misdirected\r\nX-Attempt-Id: %b\r\nContent-Length: 0\r\n\r\n"
 )
@@ -46,6 +47,8 @@
     With ``is_unframed`` its responses have no length; it resets the connection of one
     whose request has the body ``reset``, after the second event or part. With
     ``turns_away`` it runs no request, and answers as another process than the one expected.
+    With ``early_answer`` it sends that, a format of the request's id, as soon as it has
+    the head of a long request, and resets the connection.
     """
 
     name: str
@@ -58,6 +61,7 @@
     port: int = 0
     is_unframed: bool = False
     turns_away: bool = False
+    early_answer: bytes = b""
 
 
 async def start_recording_upstream(host, upstream):
@@ -74,6 +78,10 @@
     while True:
         head = await reader.readuntil(END_OF_HEAD)
         length = CONTENT_LENGTH.search(head)
+        if upstream.early_answer and length and int(length[1]) >= LONG_BODY_BYTES:
+            upstream.ran.append(read_id(head).decode())
+            await _answer_early(upstream, head, writer)
+            return
         body = await reader.readexactly(int(length[1])) if length else b""
         if head.startswith(REPORT_REQUEST):
             writer.write(REPORT)
@@ -115,6 +123,14 @@
             return
 
 
+async def _answer_early(upstream, head, writer):
+    writer.write(upstream.early_answer % read_id(head))
+    await writer.drain()
+    await asyncio.sleep(WORK_S)
+    connection = writer.get_extra_info("socket")
+    connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
+
+
 async def _write_stream(upstream, head, request_id, writer, body):
     writer.write(STREAM_HEAD % read_id(head))
     events = EVENTS_BY_BODY.get(body, EVENTS)
