--- a/features/run_checks.py
+++ b/features/run_checks.py
@@ -1,11 +1,13 @@
 """Runs the formatter, the linter and all features, and prints the overall result.
 
-Each directory below ``features`` that contains a feature file is run by a separate
-``behave`` process; several processes run in parallel, and after them, one at a time,
-those of the directories whose features need the machine for themselves. Failed scenarios that
-``KNOWN-RED.txt`` lists are printed but do not fail the run.
+The feature files of each directory below ``features`` are run by a separate ``behave``
+process, or by several if there are many; some processes run in parallel, and after
+them, one at a time, those of the directories whose features need the machine for
+themselves. Failed scenarios that ``KNOWN-RED.txt`` lists are printed but do not fail
+the run.
 """
 
+import itertools
 import json
 import os
 import subprocess
@@ -17,9 +19,10 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 KNOWN_RED_FILE = ROOT / "KNOWN-RED.txt"
-PARALLEL_DIRECTORIES = 4
+PARALLEL_GROUPS = 4
 DIRECTORIES_RUN_ALONE = frozenset({"crowds", "endless"})
-DIRECTORY_TIMEOUT_S = 900
+FILES_PER_GROUP = 8
+GROUP_TIMEOUT_S = 900
 
 
 @dataclass(frozen=True, kw_only=True)
@@ -29,6 +32,18 @@
     detail: str
 
 
+@dataclass(frozen=True, kw_only=True)
+class FeatureGroup:
+    """Feature files of one directory that are run by one process."""
+
+    directory: Path
+    files: tuple[Path, ...]
+
+    @property
+    def name(self):
+        return f"{self.directory} ({', '.join(each.stem for each in self.files)})"
+
+
 def run_command(*arguments):
     completed = subprocess.run(
         [sys.executable, "-m", *arguments],
@@ -43,8 +58,13 @@
     )
 
 
-def find_feature_directories():
-    return sorted({path.parent for path in (ROOT / "features").rglob("*.feature")})
+def find_feature_groups():
+    files = sorted((ROOT / "features").rglob("*.feature"))
+    for directory, members in itertools.groupby(files, lambda path: path.parent):
+        rest = tuple(members)
+        while rest:
+            yield FeatureGroup(directory=directory, files=rest[:FILES_PER_GROUP])
+            rest = rest[FILES_PER_GROUP:]
 
 
 def read_scenarios(report_json, detail):
@@ -59,10 +79,10 @@
             )
 
 
-def run_directory(directory):
+def run_group(group):
     with tempfile.NamedTemporaryFile(suffix=".json") as report_file:
         command = [sys.executable, "-m", "behave", "--no-color", "-f", "json"]
-        command += ["-o", report_file.name, "-f", "plain", str(directory)]
+        command += ["-o", report_file.name, "-f", "plain", *map(str, group.files)]
         environment = dict(os.environ, PYTHONPATH=str(ROOT))
         try:
             completed = subprocess.run(
@@ -71,22 +91,22 @@
                 env=environment,
                 capture_output=True,
                 text=True,
-                timeout=DIRECTORY_TIMEOUT_S,
+                timeout=GROUP_TIMEOUT_S,
             )
         except subprocess.TimeoutExpired as error:
-            detail = f"behave was stopped after {DIRECTORY_TIMEOUT_S} s\n{error.stdout}"
-            return [Result(name=str(directory), passed=False, detail=detail)]
+            detail = f"behave was stopped after {GROUP_TIMEOUT_S} s\n{error.stdout}"
+            return [Result(name=group.name, passed=False, detail=detail)]
         detail = completed.stdout + completed.stderr
         results = list(read_scenarios(Path(report_file.name).read_text(), detail))
     has_failed_scenario = any(not result.passed for result in results)
     if completed.returncode != 0 and not has_failed_scenario or not results:
-        results.append(Result(name=str(directory), passed=False, detail=detail))
+        results.append(Result(name=group.name, passed=False, detail=detail))
     return results
 
 
-def run_in_parallel(directories, count):
+def run_in_parallel(groups, count):
     with ThreadPoolExecutor(count) as executor:
-        return list(executor.map(run_directory, directories))
+        return list(executor.map(run_group, groups))
 
 
 def read_known_red():
@@ -120,14 +140,14 @@
 def main():
     results = [run_command("ruff", "format", "--check", ".")]
     results.append(run_command("ruff", "check", "."))
-    directories = find_feature_directories()
-    alone = [each for each in directories if each.name in DIRECTORIES_RUN_ALONE]
-    together = [each for each in directories if each not in alone]
-    for directory_results in (
-        *run_in_parallel(together, PARALLEL_DIRECTORIES),
+    groups = list(find_feature_groups())
+    alone = [each for each in groups if each.directory.name in DIRECTORIES_RUN_ALONE]
+    together = [each for each in groups if each not in alone]
+    for group_results in (
+        *run_in_parallel(together, PARALLEL_GROUPS),
         *run_in_parallel(alone, 1),
     ):
-        results.extend(directory_results)
+        results.extend(group_results)
     return report(results)
 
 
