--- a/features/crashes/steps/evidence_steps.py
+++ b/features/crashes/steps/evidence_steps.py
@@ -149,45 +149,40 @@
     prepare(context, {})
 
 
-@when('a process ends while it runs "{suspects}"')
-def end_process(context, suspects):
+def end_at(context, process, suspects):
     record_break(
         context.evidence,
-        "engine-1@1",
+        process,
         suspects.split(","),
         now_s=context.now_s,
         now_unix_s=context.now_unix_s,
     )
 
 
+def pass_spacing(context):
+    context.now_s += SPACING_S
+    context.now_unix_s += SPACING_S
+
+
+@when('a process ends while it runs "{suspects}"')
+def end_process(context, suspects):
+    end_at(context, "engine-1@1", suspects)
+
+
 @when('{count:d} further process ends while it runs "{suspects}"')
 @when('{count:d} further processes end while they run "{suspects}"')
 def end_further_processes(context, count, suspects):
     for _ in range(count):
-        record_break(
-            context.evidence,
-            f"engine-at-{context.now_s}@1",
-            suspects.split(","),
-            now_s=context.now_s,
-            now_unix_s=context.now_unix_s,
-        )
-        context.now_s += SPACING_S
-        context.now_unix_s += SPACING_S
+        end_at(context, f"engine-at-{context.now_s}@1", suspects)
+        pass_spacing(context)
 
 
 @when('{count:d} processes end {spaced} while they run "{suspects}"')
 def end_processes(context, count, spaced, suspects):
     for number in range(count):
-        record_break(
-            context.evidence,
-            f"engine-{number}@1",
-            suspects.split(","),
-            now_s=context.now_s,
-            now_unix_s=context.now_unix_s,
-        )
+        end_at(context, f"engine-{number}@1", suspects)
         if spaced == "one after the other":
-            context.now_s += SPACING_S
-            context.now_unix_s += SPACING_S
+            pass_spacing(context)
 
 
 @then('it publishes the trusted part "{part}" and the suspects "{suspects}"')
