Check in the site's randomised run that each failure is one that may be told

A caller's status other than 200 has to be an upstream's signed response, or one that an instance may tell; 500 without a signature, or a status that HTTP doesn't have, is neither.

--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -32,6 +32,9 @@
 
 MAX_RUNS = 2
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# The failures that an instance tells of its own; 500 would be an unexpected error.
+INSTANCE_STATUSES = NOT_RUN_STATUSES | {400, 401, 403, 404, 413, 431, 502, 504}
+UPSTREAM_STATUSES = range(200, 600)
 OK = 200
 NOT_FOUND = 404
 UNAUTHORIZED = 401
@@ -119,6 +122,18 @@
     return violations
 
 
+def check_failures(journal: SiteJournal) -> list[str]:
+    """A failure is signed by an upstream, or has a status that an instance may tell."""
+    return [
+        f"{_describe(request)} failed with the status {request.status:03}"
+        for request in journal.told
+        # An answer with the status 000 counts as none, which another rule checks.
+        if request.status not in (0, OK)
+        and request.status not in INSTANCE_STATUSES
+        and not (request.is_signed and request.status in UPSTREAM_STATUSES)
+    ]
+
+
 def check_streams(journal: SiteJournal) -> list[str]:
     """Each event of a stream arrives once, and the events arrive in order."""
     return [
@@ -401,6 +416,11 @@
         count=lambda journal: sum(request.status == OK for request in journal.told),
         check=check_answers,
     ),
+    Rule(
+        name="each failure is a response, and no unexpected error",
+        count=lambda journal: sum(request.status != OK for request in journal.told),
+        check=check_failures,
+    ),
     Rule(
         name="the events of a stream come once and in order",
         count=_count_told(*STREAMING_KINDS),
--- a/features/soak/site.feature
+++ b/features/soak/site.feature
@@ -18,6 +18,8 @@
       | a success without a signature                         | each success is the upstream's own whole answer |
       | the body of another request                           | each success is the upstream's own whole answer |
       | a stream that ends regularly after one event          | each success is the upstream's own whole answer |
+      | a status that HTTP doesn't have                       | each failure is a response, and no unexpected error |
+      | an unexpected error of an instance                    | each failure is a response, and no unexpected error |
       | a stream with an event twice                          | the events of a stream come once and in order   |
       | a stream with an event missing                        | the events of a stream come once and in order   |
       | a request without an answer                           | one final answer by the deadline                |
--- a/features/soak/steps/site_steps.py
+++ b/features/soak/steps/site_steps.py
@@ -320,6 +320,10 @@
     "a success that no upstream ran": answer(RouteKind.SEND, runs=0),
     "a success without a signature": answer(RouteKind.SEND, is_signed=False),
     "the body of another request": answer(RouteKind.SEND, body=b"other"),
+    "a status that HTTP doesn't have": answer(RouteKind.SEND, status=101),
+    "an unexpected error of an instance": answer(
+        RouteKind.SEND, status=500, is_signed=False
+    ),
     "a stream with an event twice": answer(
         RouteKind.STREAM, events=(1, 2, 2), is_whole=False
     ),
