--- a/features/platform/directory.feature
+++ b/features/platform/directory.feature
@@ -5,6 +5,22 @@
     When the instances "edge-a-1,edge-a-2,edge-b-1,edge-a-1" are added
     Then 3 instances are counted
 
+  # Guards against an entry that an earlier release can't read, and the other way round.
+  Scenario: An entry tells the start of its process
+    Given a site without a program
+    When the instance "edge-a-1" is added with the start "0123456789abcdef"
+    Then one instance at "10.0.0.1:7340" is listed with the start "0123456789abcdef"
+
+  Scenario Outline: The entry of an earlier release tells no start
+    Given a site without a program
+    When the object "<name>" is added
+    Then one instance at "10.0.0.1:7340" is listed with the start "unknown"
+
+    Examples:
+      | name                            |
+      | instance-edge-a-1@a@10.0.0.1:7340  |
+      | instance-edge~a-1@a@10.0.0.1:7340  |
+
   Scenario: More instances than one response lists are counted
     Given a site without a program
     When 1205 instances are added
--- a/features/platform/steps/directory_steps.py
+++ b/features/platform/steps/directory_steps.py
@@ -29,6 +29,29 @@
     use_directory(context, add)
 
 
+@when('the object "{name}" is added')
+def add_object(context, name):
+    async def put():
+        context.site.state.objects[name] = b"1"
+
+    run(context.site, put())
+
+
+@when('the instance "{name}" is added with the start "{start}"')
+def add_start(context, name, start):
+    use_directory(
+        context,
+        lambda directory: directory.add_instance(name, "a", "10.0.0.1:7340", start),
+    )
+
+
+@then('one instance at "{address}" is listed with the start "{start}"')
+def check_start(context, address, start):
+    (found,) = use_directory(context, lambda directory: directory.list_instances())
+    expected = "" if start == "unknown" else start
+    assert (found.address, found.incarnation) == (address, expected), found
+
+
 @when("{count:d} instances are added")
 def add_many(context, count):
     async def put():
--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -16,12 +16,14 @@
     forward_list_checks,
     forward_origins,
     forward_records,
+    forward_registered,
     forward_stream_messages,
     forward_streams,
 )
 from jujubenotch.daemon.forward_count import keep_addresses
 from jujubenotch.daemon.forward_origins import find_stream_origin
 from jujubenotch.daemon.forward_records import find_held, keep_records
+from jujubenotch.daemon.forward_registered import keep_registrations
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.daemon.forward_stream_messages import (
     receive_streams,
@@ -54,6 +56,7 @@
     StreamObjects,
     StreamOrigin,
     VersionRecord,
+    VersionRegistration,
 )
 from jujubenotch.work import WorkReport, WorkRequest, WorkResult
 
@@ -70,6 +73,7 @@
 # Until an instance that stood still has received what was sent meanwhile.
 CATCH_UP_S = (0.02, 0.2)
 MAX_ATTEMPTS = 4
+INCARNATION = "0123456789abcdef"
 
 
 class VirtualSelector(selectors.SelectSelector):
@@ -94,6 +98,10 @@
     store and from all others, or stand still, for 1 to 6 s at a time around a rollout.
     ``power_losses`` are times at which all instances end at once. ``store_faults`` are
     spans in which no call to the store succeeds, ``restores`` times and ages of copies.
+    ``first_kill_s`` is when the first instances and upstreams are killed where no version
+    comes. ``is_earlier`` tells whether an instance of an earlier release is listed, and
+    ``replaced_at_s`` when all upstreams end at once and others of the next version take
+    their places and names.
     """
 
     instances: int
@@ -116,6 +124,9 @@
     first_start_s: float = -600.0
     store_faults: tuple = ()
     restores: tuple = ()
+    first_kill_s: float = 3.0
+    is_earlier: bool = False
+    replaced_at_s: tuple = ()
 
 
 @dataclass(kw_only=True)
@@ -151,8 +162,10 @@
     mixed: int = 0
     messages: int = 0
     store_calls: int = 0
+    registrations: int = 0
     list_reads: int = 0
     objects_left: int = 0
+    registered: set = field(default_factory=set)
 
 
 @dataclass(kw_only=True)
@@ -202,11 +215,18 @@
         return StreamObjects(
             records=tuple(each for each in objects if isinstance(each, VersionRecord)),
             batches=tuple(each for each in objects if isinstance(each, BatchName)),
+            registrations=tuple(
+                each for each in objects if isinstance(each, VersionRegistration)
+            ),
         )
 
     async def write_record(self, record):
         (await self._call()).objects[record] = {}
 
+    async def write_registration(self, registration):
+        (await self._call()).objects[registration] = {}
+        self.fleet.counts.registrations += 1
+
     async def write_batch(self, name, origins):
         (await self._call()).objects[name] = dict(origins)
 
@@ -252,11 +272,20 @@
         mock.patch.object(forward_records, "read_boot_clock_s", loop.time),
         mock.patch.object(forward_records, "time", clock),
         mock.patch.object(forward_records, "random", random.Random(seed)),
+        mock.patch.object(forward_registered, "read_boot_clock_s", loop.time),
+        mock.patch.object(forward_registered, "random", random.Random(seed)),
     ):
         fleet = Fleet(plan=plan, loop=loop, draws=random.Random(seed))
         loop.run_until_complete(_play(fleet))
     loop.close()
-    fleet.counts.objects_left = len(fleet.store.objects)
+    fleet.counts.objects_left = sum(
+        not isinstance(each, VersionRegistration) for each in fleet.store.objects
+    )
+    fleet.counts.registered = {
+        each.software_version
+        for each in fleet.store.objects
+        if isinstance(each, VersionRegistration)
+    }
     return fleet.counts
 
 
@@ -275,6 +304,8 @@
     _start(fleet, _send_streams(fleet))
     for number, at_s in enumerate(plan.rollouts, 1):
         _start(fleet, _roll_out(fleet, plan.versions[number], at_s))
+    for number, at_s in enumerate(plan.replaced_at_s, 1):
+        _start(fleet, _replace_upstreams(fleet, plan.versions[number], at_s))
     _start(fleet, _kill_upstreams(fleet))
     _start(fleet, _kill_instances(fleet))
     _start(fleet, _cut_instances(fleet))
@@ -343,6 +374,7 @@
     instance.tasks = [
         _start(fleet, send_origins(instance.watch)),
         _start(fleet, keep_records(instance.watch)),
+        _start(fleet, keep_registrations(instance.watch)),
         _start(fleet, keep_addresses(relay, components)),
     ]
 
@@ -350,8 +382,12 @@
 async def _list_instances(fleet):
     await asyncio.sleep(0.025)
     return tuple(
-        ListedInstance(data_centre="a", address=each.address)
-        for each in fleet.instances
+        ListedInstance(
+            data_centre="a",
+            address=each.address,
+            incarnation="" if fleet.plan.is_earlier and not number else INCARNATION,
+        )
+        for number, each in enumerate(fleet.instances)
     )
 
 
@@ -469,7 +505,7 @@
 
 async def _kill_upstreams(fleet):
     plan = fleet.plan
-    first_s = plan.rollouts[0] if plan.rollouts else 3.0
+    first_s = plan.rollouts[0] if plan.rollouts else plan.first_kill_s
     for _ in range(plan.upstream_kills):
         await asyncio.sleep(first_s + fleet.draws.uniform(0.0, 2.0))
         first_s = 0.5
@@ -493,7 +529,8 @@
 
 
 async def _kill_instances(fleet):
-    first_s = fleet.plan.rollouts[0] if fleet.plan.rollouts else 3.0
+    plan = fleet.plan
+    first_s = plan.rollouts[0] if plan.rollouts else plan.first_kill_s + 4.0
     for _ in range(fleet.plan.instance_kills):
         await asyncio.sleep(first_s + fleet.draws.uniform(0.2, 2.0))
         first_s = 0.0
@@ -528,6 +565,15 @@
     fleet.store.era += 1
 
 
+async def _replace_upstreams(fleet, version, at_s):
+    """End all upstreams at once; those of a version take their places and names."""
+    await asyncio.sleep(at_s)
+    for upstream in list(fleet.upstreams.values()):
+        upstream.is_up = False
+        if upstream.is_listed:
+            _start_upstream(fleet, upstream.name, version, fleet.now_s())
+
+
 async def _cut_instances(fleet):
     """Cut instances off from the store just before each rollout."""
     count = int(fleet.plan.cut_share * len(fleet.instances))
--- a/jujubenotch/daemon/forward_count.py
+++ b/jujubenotch/daemon/forward_count.py
@@ -11,7 +11,7 @@
 from jujubenotch.daemon.forward_relay import Relay
 from jujubenotch.forwarding import SourceError
 from jujubenotch.logs import log_event
-from jujubenotch.neighbours import ListedInstance, Message, MessageKind
+from jujubenotch.neighbours import Message, MessageKind
 
 logger = logging.getLogger(__name__)
 
@@ -39,7 +39,10 @@
         era = state.listing_progress.era
         await repeat_until_confirmed(
             lambda: components.directory.add_instance(
-                settings.name, settings.data_centre, relay.neighbours.own_address
+                settings.name,
+                settings.data_centre,
+                relay.neighbours.own_address,
+                relay.instance.incarnation,
             ),
             "instance-not-listed",
         )
@@ -137,6 +140,7 @@
         for each in listed
         if each.address and each.address != neighbours.own_address
     }
+    neighbours.are_versions_registered = all(each.incarnation for each in listed)
     if not relay.is_active:
         _greet_new(relay)
     log_event(
@@ -166,6 +170,5 @@
         return await components.directory.list_instances()
     listed = []
     for data_centre in relay.instance.settings.all_data_centres:
-        for address in await components.registry.list_instances(data_centre):
-            listed.append(ListedInstance(data_centre=data_centre, address=address))
+        listed += await components.registry.list_instances(data_centre)
     return listed
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -19,6 +19,7 @@
 from jujubenotch.daemon.forward_parts import ForwardingInstance, PlatformComponents
 from jujubenotch.daemon.forward_publishing import publish_reports
 from jujubenotch.daemon.forward_records import keep_records
+from jujubenotch.daemon.forward_registered import keep_registrations
 from jujubenotch.daemon.forward_registration import run_relay
 from jujubenotch.daemon.forward_relay import (
     FollowedSource,
@@ -104,6 +105,7 @@
         *lease_tasks,
         *_make_scaling_tasks(instance),
         keep_records(stream_watch),
+        keep_registrations(stream_watch),
         share_paces(instance.pace_watch),
     )
 
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -27,7 +27,7 @@
 from jujubenotch.leases import CloudApi, LeaseStore
 from jujubenotch.listeners import Listener
 from jujubenotch.memory import MemoryAccount
-from jujubenotch.neighbours import ListedInstance, Registry
+from jujubenotch.neighbours import ListedInstance, Registry, make_incarnation
 from jujubenotch.settings import Address, ForwarderSettings
 from jujubenotch.streams import StreamRecordStore
 from jujubenotch.upstreams import UpstreamConnections
@@ -39,7 +39,9 @@
 class Directory(Protocol):
     """Lists the instances of all data centres."""
 
-    async def add_instance(self, name: str, data_centre: str, address: str) -> None:
+    async def add_instance(
+        self, name: str, data_centre: str, address: str, incarnation: str
+    ) -> None:
         """Add an instance, with the address of its endpoint; empty when it has none.
 
         :raises SourceError: The store did not confirm it.
@@ -136,6 +138,7 @@
     :param usage_watch: Counts requests and demand; ``None`` when nothing calls the
         platform's API.
     :param scaling_watch: Orders upstreams; ``None`` where that duty is switched off.
+    :param incarnation: Identifies this start of the process.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -158,6 +161,7 @@
     lease_watch: LeaseWatch | None = None
     usage_watch: UsageWatch | None = None
     scaling_watch: ScalingWatch | None = None
+    incarnation: str = field(default_factory=make_incarnation)
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/daemon/forward_records.py
+++ b/jujubenotch/daemon/forward_records.py
@@ -1,7 +1,7 @@
 """Keeps versions and origins of streams in the store, to outlive all instances.
 
-Nothing is written while each service has one version. An instance reads the objects
-when a caller resumes a stream and the instance has seen too little of the list.
+Nothing is written here while each service has one version. An instance reads the
+objects when a caller resumes a stream and the instance has seen too little of the list.
 """
 
 import asyncio
@@ -15,6 +15,7 @@
 
 from jujubenotch.daemon.forward_streams import (
     LIST_AGE_S,
+    MIN_LIST_AGE_S,
     StreamWatch,
     find_window_s,
     is_split,
@@ -131,7 +132,7 @@
     """Write what is due; return when to look next for the keepers' records."""
     due = _find_due(watch, split)
     await wait_for_instances(watch, LIST_AGE_S)
-    if _is_keeper(watch):
+    if is_keeper(watch):
         await _write_records(watch, due)
         await _save_origins(watch)
         await _remove_own(watch)
@@ -169,7 +170,11 @@
     return [each for each in due if each not in watch.book.written]
 
 
-def _is_keeper(watch):
+def is_keeper(watch: StreamWatch) -> bool:
+    """Return whether this instance writes and removes objects for all.
+
+    :param watch: The state of the watch.
+    """
     return watch.neighbours.own_address in choose_keepers(list_instances(watch))
 
 
@@ -265,7 +270,7 @@
     """Remove all objects that no one needs, once one version alone has served."""
     seen = watch.reader.objects or StreamObjects()
     has_objects = watch.book.confirmed or seen.records or seen.batches
-    if not has_objects or _is_young(watch) or not _is_keeper(watch):
+    if not has_objects or _is_young(watch) or not is_keeper(watch):
         return
     try:
         objects = await watch.store.list_objects()
@@ -348,6 +353,11 @@
         return _judge(watch, service, None)
     evidence = await _read_evidence(watch, service)
     version, basis = _judge(watch, service, evidence)
+    if basis is not VersionBasis.UPSTREAMS_TOO_YOUNG:
+        return version, basis
+    is_complete = await _are_versions_registered(watch)
+    evidence = replace(evidence, is_registering_complete=is_complete)
+    version, basis = _judge(watch, service, evidence)
     if basis is not VersionBasis.UPSTREAMS_TOO_YOUNG or evidence.era:
         # After a restore the changes of the list since its beginning may be lost.
         return version, basis
@@ -360,6 +370,15 @@
     return _judge(watch, service, replace(evidence, is_first_listing=is_first))
 
 
+async def _are_versions_registered(watch):
+    """Return whether all listed instances are of releases that register versions."""
+    neighbours = watch.neighbours
+    watch.wants_all = True
+    is_known = neighbours.are_versions_registered
+    await wait_for_instances(watch, LIST_AGE_S if is_known else MIN_LIST_AGE_S)
+    return neighbours.are_versions_registered
+
+
 def _judge(watch, service, evidence):
     return judge_version(
         watch.history,
@@ -377,6 +396,7 @@
     freshness = watch.state.freshness
     return VersionEvidence(
         records=objects.records,
+        registrations=(*objects.registrations, *watch.registrations.known),
         era=freshness.era,
         store_s=freshness.store_s,
         oldest_start_age_s=_measure_oldest_start_age_s(watch, service),
--- a/jujubenotch/daemon/forward_registration.py
+++ b/jujubenotch/daemon/forward_registration.py
@@ -111,9 +111,9 @@
     own_address = relay.neighbours.own_address
     # The instance writes its own row before it reads the list. Of two instances that
     # register at the same time, at least one therefore finds the other and greets it.
-    await registry.add_instance(data_centre, own_address)
-    for address in await registry.list_instances(data_centre):
-        relay.neighbours.add(address)
+    await registry.add_instance(data_centre, own_address, relay.instance.incarnation)
+    for each in await registry.list_instances(data_centre):
+        relay.neighbours.add(each.address)
     relay.registered_era = era
     relay.neighbours.is_registered = True
     relay.endpoint.send(Message(kind=MessageKind.HELLO), relay.neighbours.addresses)
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -19,6 +19,7 @@
 from jujubenotch.streams import (
     OriginTable,
     RecordBook,
+    RegistrationBook,
     StreamObjects,
     StreamOrigin,
     StreamRecordStore,
@@ -117,6 +118,8 @@
     :param book: What this instance has written there.
     :param reader: What this instance has read there.
     :param must_record: Set when a service gets upstreams of a second version.
+    :param registrations: The versions that are registered in the store.
+    :param must_register: Set when the list of upstreams has changed.
     :param read_unseen: Reads the changes of the list that were not applied yet.
     :param list_check: The last proof that no version is missing.
     """
@@ -138,6 +141,8 @@
     book: RecordBook = field(default_factory=RecordBook)
     reader: RecordReader = field(default_factory=RecordReader)
     must_record: asyncio.Event = field(default_factory=asyncio.Event)
+    registrations: RegistrationBook = field(default_factory=RegistrationBook)
+    must_register: asyncio.Event = field(default_factory=asyncio.Event)
     read_unseen: Callable[[], Awaitable[Page]] | None = None
     list_check: ListCheck = field(default_factory=ListCheck)
 
@@ -154,6 +159,7 @@
     upstreams = watch.state.listing.upstreams.values()
     listed = [(each.listed.service, each.listed.software_version) for each in upstreams]
     record_versions(watch.history, listed, now_s=now_s)
+    watch.must_register.set()
     split = {service for service in watch.history.listed if is_split(watch, service)}
     if split:
         # The list may show a further version of a service.
@@ -219,7 +225,11 @@
     is_new = remember_origin(
         watch.origins, request_id, origin, now_s=read_boot_clock_s()
     )
-    if not is_new or origin.service not in watch.split:
+    if not is_new:
+        return
+    if origin.service not in watch.split:
+        if watch.registrations.is_overdue:
+            _send_later(watch, (request_id,))
         return
     if is_split(watch, origin.service):
         save_later(watch, request_id, origin)
--- a/jujubenotch/neighbours/__init__.py
+++ b/jujubenotch/neighbours/__init__.py
@@ -27,6 +27,8 @@
     Registry,
     StreamEntry,
     VersionEntry,
+    is_incarnation,
+    make_incarnation,
 )
 from jujubenotch.neighbours.role import (
     DEFAULT_MAX_AGE_S,
@@ -59,9 +61,11 @@
     "choose_read_wait_s",
     "decode_message",
     "find_takeover_delay_s",
+    "is_incarnation",
     "is_outage_reported",
     "is_usable_page",
     "join_datagram",
+    "make_incarnation",
     "must_step_down",
     "open_endpoint",
     "split_message",
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -1,5 +1,7 @@
 """Data model of the messages between the instances of one data centre."""
 
+import secrets
+import string
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
@@ -9,6 +11,23 @@
 
 # Bounds the datagrams that one page causes, whatever the registry contains.
 MAX_NEIGHBOURS = 512
+INCARNATION_DIGITS = 16
+
+
+def make_incarnation() -> str:
+    """Make an identity for a start of a process."""
+    return secrets.token_hex(INCARNATION_DIGITS // 2)
+
+
+def is_incarnation(text: str) -> bool:
+    """Return whether a text is the identity of a start.
+
+    :param text: The text.
+
+    >>> is_incarnation(make_incarnation()), is_incarnation("edge-1")
+    (True, False)
+    """
+    return len(text) == INCARNATION_DIGITS and set(text) <= set(string.hexdigits)
 
 
 class MessageKind(StrEnum):
@@ -138,6 +157,8 @@
     :param listed: The data centre of each instance that the store lists, of all data
         centres, by address.
     :param is_registered: Whether the others can find this instance.
+    :param are_versions_registered: Whether all listed instances are of releases that
+        register software versions; false before they were listed.
 
     >>> Neighbours(own_address="127.0.0.1:1").addresses
     set()
@@ -147,6 +168,7 @@
     addresses: set[str] = field(default_factory=set)
     listed: dict[str, str] = field(default_factory=dict)
     is_registered: bool = False
+    are_versions_registered: bool = False
 
     def add(self, address: str) -> None:
         """Add a neighbour, unless it is this instance or there are too many.
@@ -162,22 +184,27 @@
     """An instance that the store lists.
 
     :param address: The address of its endpoint; empty when it has none.
+    :param incarnation: Identifies the start of its process; empty for releases that
+        don't tell, which don't register software versions either.
     """
 
     data_centre: str
     address: str
+    incarnation: str = ""
 
 
 class Registry(Protocol):
     """Makes the instances of a data centre known to each other."""
 
-    async def list_instances(self, data_centre: str) -> set[str]:
-        """Return the addresses of all registered endpoints of a data centre.
+    async def list_instances(self, data_centre: str) -> tuple[ListedInstance, ...]:
+        """Return all registered instances of a data centre.
 
         :raises SourceError: The store did not return a valid response.
         """
 
-    async def add_instance(self, data_centre: str, address: str) -> None:
+    async def add_instance(
+        self, data_centre: str, address: str, incarnation: str
+    ) -> None:
         """Register an endpoint.
 
         :raises SourceError: The store did not confirm the registration.
--- a/jujubenotch/platform/directory.py
+++ b/jujubenotch/platform/directory.py
@@ -9,13 +9,15 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from jujubenotch.forwarding import SourceError
-from jujubenotch.neighbours import ListedInstance
+from jujubenotch.neighbours import ListedInstance, is_incarnation
 from jujubenotch.platform.addresses import is_address
 from jujubenotch.platform.store import StoreClient, call_store
 
 NAME_PREFIX = "instance-"
 # Separates the instance's name, its data centre and its address in the object's name.
 SEPARATOR = "@"
+# Follows the instance's name. Earlier releases read what follows it as a part of that.
+INCARNATION_MARK = "~"
 # The object's name is all that is read; an object can't be empty.
 OBJECT_CONTENT = b"1"
 
@@ -42,16 +44,18 @@
 
     client: StoreClient
 
-    async def add_instance(self, name: str, data_centre: str, address: str) -> None:
+    async def add_instance(
+        self, name: str, data_centre: str, address: str, incarnation: str = ""
+    ) -> None:
         """Add an instance.
 
         :param name: The instance's name.
         :param data_centre: The instance's data centre.
         :param address: The address of its endpoint; empty when it has none.
+        :param incarnation: Identifies the start of the process.
         :raises SourceError: The store did not confirm it.
         """
-        object_name = SEPARATOR.join((NAME_PREFIX + name, data_centre, address))
-        path = f"/v1/blob-put/{object_name}"
+        path = f"/v1/blob-put/{_make_name(name, data_centre, address, incarnation)}"
         await call_store(self.client, "PUT", path, data=OBJECT_CONTENT)
 
     async def list_instances(self) -> tuple[ListedInstance, ...]:
@@ -85,10 +89,23 @@
         raise SourceError(f"the list of names goes back from {after!r}")
 
 
-def _read_name(name):
-    _, _, rest = name.partition(SEPARATOR)
+def _make_name(name, data_centre, address, incarnation):
+    start = INCARNATION_MARK + incarnation if incarnation else ""
+    return SEPARATOR.join((NAME_PREFIX + name + start, data_centre, address))
+
+
+def _read_name(text):
+    name, _, rest = text.partition(SEPARATOR)
     data_centre, _, address = rest.partition(SEPARATOR)
     # An instance without an endpoint is counted, but no message is sent to it.
     return ListedInstance(
-        data_centre=data_centre, address=address if is_address(address) else ""
+        data_centre=data_centre,
+        address=address if is_address(address) else "",
+        incarnation=_read_incarnation(name),
     )
+
+
+def _read_incarnation(name):
+    """Return what follows the mark; a name of an earlier release may contain one."""
+    _, _, incarnation = name.rpartition(INCARNATION_MARK)
+    return incarnation if is_incarnation(incarnation) else ""
--- a/jujubenotch/platform/stream_records.py
+++ b/jujubenotch/platform/stream_records.py
@@ -19,14 +19,24 @@
     TableSource,
     call_store,
 )
-from jujubenotch.streams import BatchName, StreamObjects, StreamOrigin, VersionRecord
+from jujubenotch.streams import (
+    BatchName,
+    StreamObjects,
+    StreamOrigin,
+    VersionRecord,
+    VersionRegistration,
+)
 
 NAME_PREFIX = "stream-"
 RECORD_PREFIX = "stream-version"
 BATCH_PREFIX = "stream-origins"
+# Releases without registrations leave out objects of this name.
+REGISTRATION_PREFIX = "stream-registration"
 # Bounds the times and eras in object names; valid ones are far smaller.
 MAX_NUMBER = 2**53
 
+StreamObject = VersionRecord | VersionRegistration | BatchName
+
 
 class OriginsDocument(BaseModel):
     """The requests that began streams at one version of a service.
@@ -59,19 +69,23 @@
     client: StoreClient
 
     async def list_objects(self) -> StreamObjects:
-        """Return all records and the names of all batches.
+        """Return all records, all registrations and the names of all batches.
 
         :raises SourceError: The store did not return a valid response.
         """
-        records, batches = [], []
+        found = {VersionRecord: [], VersionRegistration: [], BatchName: []}
         for name in await self._list_names():
             try:
                 identity = decode_name(name)
             except DecodeError:
                 # Another release may write further kinds of objects.
                 continue
-            (batches if isinstance(identity, BatchName) else records).append(identity)
-        return StreamObjects(records=tuple(records), batches=tuple(batches))
+            found[type(identity)].append(identity)
+        return StreamObjects(
+            records=tuple(found[VersionRecord]),
+            batches=tuple(found[BatchName]),
+            registrations=tuple(found[VersionRegistration]),
+        )
 
     async def _list_names(self):
         names = []
@@ -99,6 +113,14 @@
         """
         await self._put(record, OBJECT_CONTENT)
 
+    async def write_registration(self, registration: VersionRegistration) -> None:
+        """Register a version.
+
+        :param registration: The registration.
+        :raises SourceError: The store did not confirm it.
+        """
+        await self._put(registration, OBJECT_CONTENT)
+
     async def write_batch(
         self, name: BatchName, origins: dict[str, StreamOrigin]
     ) -> None:
@@ -127,10 +149,10 @@
         except DecodeError as error:
             raise SourceError(f"{path}: {error}") from error
 
-    async def remove(self, identity: VersionRecord | BatchName) -> None:
-        """Remove a record or a batch.
+    async def remove(self, identity: StreamObject) -> None:
+        """Remove a record, a registration or a batch.
 
-        :param identity: The record, or the name of the batch.
+        :param identity: The record, the registration or the name of the batch.
         :raises SourceError: The store did not confirm it.
         """
         path = f"/v1/blob-drop/{encode_name(identity)}"
@@ -158,24 +180,27 @@
         return not is_complete or any(item.is_removed for item in page.items)
 
 
-def encode_name(identity: VersionRecord | BatchName) -> str:
-    """Encode a record, or the name of a batch, as the name of an object.
+def encode_name(identity: StreamObject) -> str:
+    """Encode a record, a registration or a batch as the name of its object.
 
-    :param identity: The record, or the name of the batch.
+    :param identity: The record, the registration or the name of the batch.
     """
     if isinstance(identity, BatchName):
         parts = (BATCH_PREFIX, identity.era, identity.begun_s, identity.number)
         return SEPARATOR.join(map(str, (*parts, _encode_text(identity.writer))))
-    service, version = identity.service, identity.software_version
-    parts = (RECORD_PREFIX, identity.era, identity.listed_s, _encode_text(service))
-    return SEPARATOR.join(map(str, (*parts, _encode_text(version))))
+    if isinstance(identity, VersionRegistration):
+        kind, time_s = REGISTRATION_PREFIX, identity.registered_s
+    else:
+        kind, time_s = RECORD_PREFIX, identity.listed_s
+    texts = (_encode_text(identity.service), _encode_text(identity.software_version))
+    return SEPARATOR.join(map(str, (kind, identity.era, time_s, *texts)))
 
 
-def decode_name(name: str) -> VersionRecord | BatchName:
+def decode_name(name: str) -> StreamObject:
     """Decode the name of an object.
 
     :param name: The name.
-    :raises DecodeError: The name is no record and no batch.
+    :raises DecodeError: The name is no record, no registration and no batch.
     """
     try:
         kind, era, time_s, third, text = name.split(SEPARATOR)
@@ -193,6 +218,13 @@
                 service=_decode_text(third),
                 software_version=_decode_text(text),
             )
+        if kind == REGISTRATION_PREFIX:
+            return VersionRegistration(
+                era=_decode_number(era),
+                registered_s=_decode_number(time_s),
+                service=_decode_text(third),
+                software_version=_decode_text(text),
+            )
     except ValueError as error:
         raise DecodeError(f"the name {name!r} of an object is invalid") from error
     raise DecodeError(f"the name {name!r} of an object is unknown")
--- a/jujubenotch/streams/__init__.py
+++ b/jujubenotch/streams/__init__.py
@@ -4,6 +4,11 @@
 the version that began it. Errors: none. Features: ``features/streams``.
 """
 
+from jujubenotch.streams.evidence import (
+    VersionBasis,
+    VersionEvidence,
+    judge_version,
+)
 from jujubenotch.streams.history import (
     VersionHistory,
     find_recent_versions,
@@ -26,8 +31,6 @@
     RecordBook,
     StreamObjects,
     StreamRecordStore,
-    VersionBasis,
-    VersionEvidence,
     VersionRecord,
     add_recorded_versions,
     choose_batches,
@@ -37,15 +40,21 @@
     find_due_records,
     find_held_versions,
     find_removable,
-    judge_version,
     take_batch,
 )
+from jujubenotch.streams.registrations import (
+    RegistrationBook,
+    VersionRegistration,
+    find_obsolete,
+    find_unregistered,
+)
 
 __all__ = [
     "BATCH_SPAN_S",
     "BatchName",
     "OriginTable",
     "RecordBook",
+    "RegistrationBook",
     "StreamObjects",
     "StreamOrigin",
     "StreamRecordStore",
@@ -53,6 +62,7 @@
     "VersionEvidence",
     "VersionHistory",
     "VersionRecord",
+    "VersionRegistration",
     "add_recorded_versions",
     "choose_batches",
     "choose_interval_s",
@@ -62,10 +72,12 @@
     "confirm_batch",
     "find_due_records",
     "find_held_versions",
+    "find_obsolete",
     "find_origin",
     "find_origins_of",
     "find_recent_versions",
     "find_removable",
+    "find_unregistered",
     "has_many_versions",
     "has_seen_window",
     "judge_version",
--- a/jujubenotch/streams/records.py
+++ b/jujubenotch/streams/records.py
@@ -7,15 +7,14 @@
 import math
 from collections.abc import Collection, Iterable
 from dataclasses import dataclass, field
-from enum import StrEnum
 from typing import Protocol
 
 from jujubenotch.streams.history import (
     VersionHistory,
     find_recent_versions,
-    has_seen_window,
 )
 from jujubenotch.streams.origins import StreamOrigin
+from jujubenotch.streams.registrations import VersionRegistration
 
 # A record is renewed several times within the window, so that one lost call doesn't
 # make it expire.
@@ -65,10 +64,11 @@
 
 @dataclass(frozen=True, kw_only=True, slots=True)
 class StreamObjects:
-    """The records and the batches of origins in the store."""
+    """The records, the registrations and the batches of origins in the store."""
 
     records: tuple[VersionRecord, ...] = ()
     batches: tuple[BatchName, ...] = ()
+    registrations: tuple[VersionRegistration, ...] = ()
 
 
 class StreamRecordStore(Protocol):
@@ -83,6 +83,9 @@
     async def write_record(self, record: VersionRecord) -> None:
         """Write a record; writing it again changes nothing."""
 
+    async def write_registration(self, registration: VersionRegistration) -> None:
+        """Register a version; doing so again changes nothing."""
+
     async def write_batch(
         self, name: BatchName, origins: dict[str, StreamOrigin]
     ) -> None:
@@ -91,46 +94,15 @@
     async def read_batch(self, name: BatchName) -> dict[str, StreamOrigin]:
         """Return the origins of a batch."""
 
-    async def remove(self, identity: VersionRecord | BatchName) -> None:
-        """Remove a record or a batch."""
+    async def remove(
+        self, identity: VersionRecord | VersionRegistration | BatchName
+    ) -> None:
+        """Remove a record, a registration or a batch."""
 
     async def has_lost_upstreams(self) -> bool:
         """Return whether an upstream has left the list since the store began."""
 
 
-class VersionBasis(StrEnum):
-    """Why a version is certain, or is not."""
-
-    HISTORY = "history"
-    RECORDS = "records"
-    FIRST_LISTING = "first-listing"
-    SEVERAL_VERSIONS = "several-versions"
-    OTHER_RECORDED = "other-recorded"
-    UPSTREAMS_TOO_YOUNG = "upstreams-too-young"
-    RECORDS_UNKNOWN = "records-unknown"
-    LIST_TOO_OLD = "list-too-old"
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class VersionEvidence:
-    """What an instance that has seen too little knows from the store.
-
-    :param records: The records of all services.
-    :param era: The era of the store.
-    :param store_s: A lower bound on the store's time, in seconds.
-    :param oldest_start_age_s: How long ago the oldest listed upstream of the service
-        started, in seconds; negative infinity when unknown.
-    :param is_first_listing: Whether no upstream has left the list since the store
-        began.
-    """
-
-    records: tuple[VersionRecord, ...]
-    era: int
-    store_s: float
-    oldest_start_age_s: float
-    is_first_listing: bool = False
-
-
 @dataclass(kw_only=True)
 class RecordBook:
     """What an instance has written to the store and read there.
@@ -278,56 +250,6 @@
     return frozenset(versions) - {oldest} - set(confirmed)
 
 
-def judge_version(
-    history: VersionHistory,
-    service: str,
-    evidence: VersionEvidence | None,
-    *,
-    window_s: float,
-    now_s: float,
-) -> tuple[str | None, VersionBasis]:
-    """Find the version of all streams of a service that may still be resumed.
-
-    An instance that has seen the list for the whole window needs no evidence. Another
-    one trusts the only listed version in two cases. One of its upstreams was listed for
-    the whole window: any other version in that time was listed beside it, and so was
-    recorded. Or no upstream ever left the list: then there was no other version.
-
-    :param history: The versions that this instance has seen.
-    :param service: The service.
-    :param evidence: What the store tells; ``None`` when that is unknown.
-    :param window_s: For how long a version that has left may still matter, in seconds.
-    :param now_s: The present time, in seconds.
-    :returns: The version, ``None`` when it is not certain, and why.
-    """
-    recent = find_recent_versions(history, service, window_s=window_s, now_s=now_s)
-    if len(recent) != 1:
-        return None, VersionBasis.SEVERAL_VERSIONS
-    (version,) = recent
-    if has_seen_window(history, window_s=window_s, now_s=now_s):
-        return version, VersionBasis.HISTORY
-    if evidence is None:
-        return None, VersionBasis.RECORDS_UNKNOWN
-    if _is_other_recorded(evidence, service, version, window_s):
-        return None, VersionBasis.OTHER_RECORDED
-    if evidence.oldest_start_age_s >= window_s + LISTING_DELAY_S:
-        return version, VersionBasis.RECORDS
-    if evidence.is_first_listing:
-        return version, VersionBasis.FIRST_LISTING
-    return None, VersionBasis.UPSTREAMS_TOO_YOUNG
-
-
-def _is_other_recorded(evidence, service, version, window_s):
-    return any(
-        record.service == service
-        and record.software_version != version
-        and is_record_recent(
-            record, era=evidence.era, store_s=evidence.store_s, window_s=window_s
-        )
-        for record in evidence.records
-    )
-
-
 def take_batch(
     book: RecordBook, *, era: int, store_s: float
 ) -> tuple[BatchName, dict[str, StreamOrigin]] | None:
