--- a/features/neighbours/fleet.py
+++ b/features/neighbours/fleet.py
@@ -46,6 +46,7 @@
     measure_age_s,
     read_boot_clock_s,
 )
+from jujubenotch.membership import add_instance
 from jujubenotch.metrics import make_metrics
 from jujubenotch.neighbours import (
     MessageKind,
@@ -357,8 +358,8 @@
     )
     _follow(fleet, member)
     for other in fleet.members.values():
-        other.relay.neighbours.add(address.text)
-        relay.neighbours.add(other.name)
+        add_instance(other.relay.neighbours, address.text)
+        add_instance(relay.neighbours, other.name)
     fleet.members[address.text] = member
     return member
 
--- a/features/pace/steps/sharing_steps.py
+++ b/features/pace/steps/sharing_steps.py
@@ -19,11 +19,11 @@
     share_once,
 )
 from jujubenotch.forwarding.shared_paces import find_shared_count
+from jujubenotch.membership import Instances, add_instance
 from jujubenotch.metrics import make_metrics
 from jujubenotch.neighbours import (
     Message,
     MessageKind,
-    Neighbours,
     PaceEntry,
     Reassembly,
     decode_message,
@@ -41,7 +41,7 @@
 class FakePages:
     """The state of an instance in the exchange of pages."""
 
-    neighbours: Neighbours
+    neighbours: Instances
     is_reading: bool
     is_active: bool = True
 
@@ -90,9 +90,9 @@
     for address, capacity in zip(addresses, fleet.capacities, strict=True):
         for known in capacity._listing.upstreams.values():
             capacity.states.add(known.listed)
-        neighbours = Neighbours(own_address=address)
+        neighbours = Instances(own_address=address)
         for other in addresses:
-            neighbours.add(other)
+            add_instance(neighbours, other)
         watch = PaceWatch(exchange=capacity.pace_exchange, metrics=make_metrics())
         connect_paces(
             watch,
--- a/features/platform/steps/limit_steps.py
+++ b/features/platform/steps/limit_steps.py
@@ -59,3 +59,12 @@
         assert each.reply.status == status, each
         assert float(each.reply.headers["retry-after"]) > 0, each
         assert each.took_s < seconds, each
+
+
+@then(
+    'callers get "{body}" for at least half of what the limit of {limit:g} a second '
+    "allows in {seconds:g} s"
+)
+def check_served(context, body, limit, seconds):
+    served = sum(each.body == body.encode() for each in context.replies)
+    assert served >= limit * seconds / 2, (served, read_log(context.site)[-2000:])
--- a/features/platform/steps/notices_steps.py
+++ b/features/platform/steps/notices_steps.py
@@ -4,6 +4,7 @@
 from behave import given, then
 
 from features.platform.site import (
+    SETTINGS,
     add_upstream,
     answer_correctly,
     open_site,
@@ -40,15 +41,26 @@
 
 
 @given('a site whose upstream names the limits "{values}" in turn')
-def open_site_with_limits(context, values):
+def open_site_with_limits(context, values, gone=0):
     context.site = context.stack.enter_context(open_site())
+    for number in range(gone):
+        name = f"instance-old-{number}~{number:016x}@a@127.9.0.{1 + number}:7340"
+        context.site.state.objects[name] = b"1"
     put_configuration(context.site)
     upstream = make_limiting_upstream(values.split(","))
     add_upstream(context.site, "i-first", upstream)
-    start_program(context.site)
+    start_program(context.site, settings=SETTINGS + "port-range=7340,7355\n")
     wait_until_ready(context.site)
 
 
+@given(
+    "a site with the entries of {gone:d} instances that are gone, whose upstream names "
+    'the limits "{values}" in turn'
+)
+def open_replaced_site(context, gone, values):
+    open_site_with_limits(context, values, gone)
+
+
 @then('the program logged the limits "{values}" and a withdrawal')
 def check_limits(context, values):
     time.sleep(0.1)
--- a/features/streams/fleet.py
+++ b/features/streams/fleet.py
@@ -20,8 +20,9 @@
     forward_stream_messages,
     forward_streams,
 )
-from jujubenotch.daemon.forward_count import keep_addresses
+from jujubenotch.daemon.forward_instances import keep_addresses, keep_asking
 from jujubenotch.daemon.forward_origins import find_stream_origin
+from jujubenotch.daemon.forward_parts import InstanceCount
 from jujubenotch.daemon.forward_records import find_held, keep_records
 from jujubenotch.daemon.forward_registered import keep_registrations
 from jujubenotch.daemon.forward_state import ForwardState
@@ -48,7 +49,7 @@
     apply_items,
     build_index,
 )
-from jujubenotch.neighbours import ListedInstance, MessageKind, Neighbours
+from jujubenotch.membership import Instances, ListedInstance, record_heard
 from jujubenotch.outcomes import Refusal
 from jujubenotch.records import ServiceClass, Team
 from jujubenotch.streams import (
@@ -101,7 +102,7 @@
     ``first_kill_s`` is when the first instances and upstreams are killed where no version
     comes. ``is_earlier`` tells whether an instance of an earlier release is listed, and
     ``replaced_at_s`` when all upstreams end at once and others of the next version take
-    their places and names.
+    their places and names. ``replaced_instances`` are listed, and gone for good.
     """
 
     instances: int
@@ -127,6 +128,7 @@
     first_kill_s: float = 3.0
     is_earlier: bool = False
     replaced_at_s: tuple = ()
+    replaced_instances: int = 0
 
 
 @dataclass(kw_only=True)
@@ -246,6 +248,8 @@
     loop: asyncio.AbstractEventLoop
     draws: random.Random
     instances: list = field(default_factory=list)
+    by_address: dict = field(default_factory=dict)
+    gone: list = field(default_factory=list)
     upstreams: dict = field(default_factory=dict)
     counts: Counts = field(default_factory=Counts)
     store: Store = field(default_factory=Store)
@@ -291,6 +295,7 @@
 
 async def _play(fleet):
     plan = fleet.plan
+    fleet.gone = _make_gone(fleet)
     for number in range(plan.upstreams):
         name = f"{plan.versions[0]}-{number}"
         _start_upstream(fleet, name, plan.versions[0], plan.first_start_s)
@@ -299,6 +304,7 @@
             name=f"e-{number}", address=f"10.0.{number // 250}.{number % 250}:1"
         )
         fleet.instances.append(instance)
+        fleet.by_address[instance.address] = instance
         _start_instance(fleet, instance)
     _start(fleet, _confirm(fleet))
     _start(fleet, _send_streams(fleet))
@@ -344,7 +350,7 @@
         is_resumable=True,
     )
     state.index = build_index(SiteConfiguration(version=1, routes=(route,)))
-    neighbours = Neighbours(own_address=instance.address)
+    neighbours = Instances(own_address=instance.address)
     instance.is_up = True
     instance.watch = StreamWatch(
         state=state,
@@ -363,8 +369,14 @@
     _apply_list(fleet, instance, instance.watch)
     _confirm_one(fleet, instance)
     relay = SimpleNamespace(
-        instance=SimpleNamespace(stream_watch=instance.watch),
-        is_active=False,
+        instance=SimpleNamespace(
+            stream_watch=instance.watch,
+            incarnation=INCARNATION,
+            instance_count=InstanceCount(),
+            settings=SimpleNamespace(data_centre="a"),
+        ),
+        shares_pages=False,
+        must_ask=asyncio.Event(),
         neighbours=neighbours,
         endpoint=SimpleNamespace(send=instance.watch.send),
     )
@@ -376,6 +388,15 @@
         _start(fleet, keep_records(instance.watch)),
         _start(fleet, keep_registrations(instance.watch)),
         _start(fleet, keep_addresses(relay, components)),
+        _start(fleet, keep_asking(relay)),
+    ]
+
+
+def _make_gone(fleet):
+    """Make the instances that were replaced before, whose entries are still listed."""
+    return [
+        Instance(name=f"old-{number}", address=f"10.9.0.{number}:1")
+        for number in range(fleet.plan.replaced_instances)
     ]
 
 
@@ -387,7 +408,7 @@
             address=each.address,
             incarnation="" if fleet.plan.is_earlier and not number else INCARNATION,
         )
-        for number, each in enumerate(fleet.instances)
+        for number, each in enumerate((*fleet.instances, *fleet.gone))
     )
 
 
@@ -396,8 +417,8 @@
         fleet.counts.messages += 1
         if fleet.draws.random() < fleet.plan.loss:
             continue
-        receiver = next(each for each in fleet.instances if each.address == address)
-        if sender.is_isolated or receiver.is_isolated:
+        receiver = fleet.by_address.get(address)
+        if receiver is None or sender.is_isolated or receiver.is_isolated:
             continue
         delay_s = fleet.draws.uniform(*TRANSIT_S) + _find_rest_s(fleet, receiver)
         fleet.loop.call_later(delay_s, _receive, sender, receiver, message)
@@ -411,9 +432,11 @@
 
 def _receive(sender, receiver, message):
     if receiver.is_up:
-        receiver.watch.neighbours.add(sender.address)
-        if message.kind is not MessageKind.HELLO:
-            receive_streams(receiver.watch, sender.address, message)
+        neighbours = receiver.watch.neighbours
+        record_heard(
+            neighbours, sender.address, now_s=asyncio.get_running_loop().time()
+        )
+        receive_streams(receiver.watch, sender.address, message)
 
 
 def _start_upstream(fleet, name, version, started_s):
--- a/features/streams/histories.feature
+++ b/features/streams/histories.feature
@@ -119,6 +119,24 @@
       | upstreams and instances are killed soon after the deployment's start         |
       | upstreams are killed and all instances end soon after the deployment's start |
 
+  # Guards against origins that are told to instances that are gone (review/12).
+  Scenario Outline: Instances were replaced before, and their entries are still listed
+    Given histories of <instances> instances and 9 upstreams with 80 streams a second in which <what>
+    When the histories of 3 seeds are played
+    Then in each at most 2 streams went on at another version
+    And of the streams that were taken up, while two upstreams of their version served, at least half as many went on as of the new ones began
+
+    Examples:
+      | instances | what                                               |
+      | 3         | instances are killed, and 60 were replaced before  |
+      | 3         | instances are killed, and 200 were replaced before |
+
+  # Guards against an instance that takes those for gone from which it is cut off itself.
+  Scenario: Instances are cut off, and others were replaced before
+    Given histories of 7 instances and 9 upstreams with 80 streams a second in which instances are cut off, and 60 were replaced before
+    When the histories of 3 seeds are played
+    Then in each no stream went on at another version
+
   # Guards against trust in registrations beside a release that writes none, and where a
   # restore has undone them, or an upstream has been replaced under its name.
   Scenario Outline: The registrations don't prove that one version has served
--- a/features/streams/steps/histories_steps.py
+++ b/features/streams/steps/histories_steps.py
@@ -149,6 +149,22 @@
         "first_start_s": -2.0,
     },
     "one version serves": {"rollouts": (), "upstream_kills": 0},
+    "instances are killed, and 60 were replaced before": {
+        "instance_kills": 4,
+        "pace_s": 1.5,
+        "replaced_instances": 60,
+    },
+    "instances are killed, and 200 were replaced before": {
+        "instance_kills": 4,
+        "pace_s": 1.5,
+        "replaced_instances": 200,
+    },
+    "instances are cut off, and 60 were replaced before": {
+        "isolations": 4,
+        "upstream_kills": 14,
+        "named_share": 0.5,
+        "replaced_instances": 60,
+    },
     "upstreams and instances are killed soon after the deployment's start": {
         "rollouts": (),
         "first_kill_s": 1.0,
--- a/jujubenotch/daemon/forward_cloud.py
+++ b/jujubenotch/daemon/forward_cloud.py
@@ -4,6 +4,7 @@
 from collections.abc import Awaitable, Callable, Coroutine, Mapping
 from dataclasses import dataclass
 
+from jujubenotch.daemon.forward_instances import has_others
 from jujubenotch.daemon.forward_leases import (
     LeaseWatch,
     end_tenure,
@@ -29,8 +30,6 @@
 )
 from jujubenotch.metrics import count_cloud_call
 
-# The first of them is this instance itself.
-MIN_LISTED = 2
 # Label of the calls that were not sent, as the token may no longer be used.
 NOT_SENT = "not-sent"
 
@@ -54,7 +53,7 @@
         instance.observer.metrics,
     )
     watch.is_candidate = lambda: relay.is_reading
-    watch.has_others = functools.partial(_has_others, relay, components)
+    watch.has_others = functools.partial(has_others, relay, components)
     watch.note_revisions = functools.partial(_add_revisions, instance.state)
     watch.api = GuardedApi(watch=watch, api=components.cloud)
     relay.request_lease_read = functools.partial(request_lease_read, watch)
@@ -86,21 +85,6 @@
     return list_known_revisions(watch)
 
 
-async def _has_others(relay, components):
-    """Return whether another instance could hold the lease.
-
-    Where pages are shared, only the readers of the other data centres could.
-    """
-    if relay.is_active:
-        own = relay.instance.settings.data_centre
-        for data_centre in relay.instance.settings.all_data_centres:
-            if data_centre != own:
-                if await components.registry.list_instances(data_centre):
-                    return True
-        return False
-    return len(await components.directory.list_instances()) >= MIN_LISTED
-
-
 @dataclass(frozen=True, kw_only=True)
 class GuardedApi:
     """The platform's API for the holder of the lease.
--- a/jujubenotch/daemon/forward_detour.py
+++ b/jujubenotch/daemon/forward_detour.py
@@ -35,6 +35,7 @@
     run_attempt,
 )
 from jujubenotch.logs import log_event
+from jujubenotch.membership import list_helpers
 from jujubenotch.outcomes import (
     ATTEMPTS_HEADER,
     REASON_HEADER,
@@ -135,7 +136,7 @@
 
 async def _ask_in_turn(detour):
     """Ask one instance after the other until one has sent the call on."""
-    listed = detour.watch.streams.neighbours.listed
+    listed = list_helpers(detour.watch.streams.neighbours)
     draws = {each: random.random() for each in listed}
     started_s = read_clock_s()
     while read_clock_s() - started_s < ASKING_TIME_S:
@@ -151,7 +152,7 @@
         detour.service,
         "",
         asked=len(detour.asked),
-        listed=len(detour.watch.streams.neighbours.listed),
+        listed=len(list_helpers(detour.watch.streams.neighbours)),
         avoided=len(detour.watch.helpers.avoided_until_s),
         lost_for_s=round(detour.lost_for_s, 3),
     )
@@ -173,7 +174,7 @@
         "detour-begun",
         detour.service,
         address,
-        data_centre=detour.watch.streams.neighbours.listed.get(address, ""),
+        data_centre=list_helpers(detour.watch.streams.neighbours).get(address, ""),
         lost_for_s=round(detour.lost_for_s, 3),
     )
     is_retry = detour.has_sent
@@ -204,7 +205,7 @@
 
 async def _wait_for_helpers(streams):
     """Wait until the other instances are listed, again if that has failed before."""
-    is_listed = bool(streams.neighbours.listed)
+    is_listed = bool(list_helpers(streams.neighbours))
     streams.wants_all = streams.wants_all or not is_listed
     await wait_for_instances(streams, math.inf if is_listed else MIN_LIST_AGE_S)
 
@@ -218,7 +219,7 @@
 
 
 def _choose(watch, asked, draws):
-    listed = watch.streams.neighbours.listed
+    listed = list_helpers(watch.streams.neighbours)
     return choose_helper(
         watch.helpers,
         {address: listed[address] for address in draws if address in listed},
--- a/jujubenotch/daemon/forward_followers.py
+++ b/jujubenotch/daemon/forward_followers.py
@@ -6,8 +6,14 @@
 from collections.abc import Coroutine
 
 from jujubenotch.daemon.forward_cloud import follow_lease
-from jujubenotch.daemon.forward_count import keep_addresses, keep_count, stay_counted
 from jujubenotch.daemon.forward_crashes import apply_crash_page
+from jujubenotch.daemon.forward_instances import (
+    keep_addresses,
+    keep_asking,
+    keep_count,
+    keep_list_clean,
+    stay_listed,
+)
 from jujubenotch.daemon.forward_leases import LeaseWatch
 from jujubenotch.daemon.forward_messages import (
     report_outage,
@@ -95,12 +101,14 @@
         publish_reports(
             instance.crash_watch,
             components.crash_reports,
-            lambda: instance.instance_count.value,
+            lambda: instance.instance_count.sharing,
         ),
         run_relay(relay, components),
-        stay_counted(relay, components),
+        stay_listed(relay, components),
         keep_count(relay, components),
         keep_addresses(relay, components),
+        keep_asking(relay),
+        keep_list_clean(relay, components),
         send_origins(stream_watch),
         *lease_tasks,
         *_make_scaling_tasks(instance),
--- a/jujubenotch/daemon/forward_list_checks.py
+++ b/jujubenotch/daemon/forward_list_checks.py
@@ -19,6 +19,7 @@
 )
 from jujubenotch.forwarding import SourceError, read_boot_clock_s
 from jujubenotch.logs import log_event
+from jujubenotch.membership import list_helpers, list_possible
 from jujubenotch.neighbours import Message, MessageKind
 
 logger = logging.getLogger(__name__)
@@ -103,12 +104,13 @@
 async def _ask_others(watch):
     """Ask all other instances for the versions that they know."""
     await wait_for_instances(watch, LIST_AGE_S)
-    others = sorted(watch.neighbours.listed)
-    if not others or len(others) > MAX_ASKED:
+    possible = list_possible(watch.neighbours)
+    asked = sorted(possible.intersection(list_helpers(watch.neighbours)))
+    # Together with this instance they are more than half of all that may be running.
+    needed = (len(possible) + 1) // 2
+    if not possible or not needed <= len(asked) <= MAX_ASKED:
         return False
-    # Together with this instance they are more than half of all.
-    needed = (len(others) + 1) // 2
-    question = Question(pending=set(others))
+    question = Question(pending=set(asked))
     message = Message(kind=MessageKind.STREAM_QUERY, wants_versions=True)
     watch.list_check.question = question
     try:
@@ -117,7 +119,7 @@
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(ANSWER_TIMEOUT_S):
                     await question.is_answered.wait()
-            if len(others) - len(question.pending) >= needed:
+            if len(asked) - len(question.pending) >= needed:
                 return True
     finally:
         watch.list_check.question = None
--- a/jujubenotch/daemon/forward_messages.py
+++ b/jujubenotch/daemon/forward_messages.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterable
 from dataclasses import replace
 
+from jujubenotch.daemon.forward_instance_count import update_count
 from jujubenotch.daemon.forward_missed import start_catch_up
 from jujubenotch.daemon.forward_paces import note_reader, receive_paces
 from jujubenotch.daemon.forward_relay import Relay
@@ -21,6 +22,7 @@
     record_update,
 )
 from jujubenotch.logs import log_event
+from jujubenotch.membership import list_neighbours, record_heard
 from jujubenotch.metrics import count_neighbour_message
 from jujubenotch.neighbours import (
     Message,
@@ -39,6 +41,7 @@
 CATCH_UP_SPREAD_S = 0.3
 # The lease's writes of some pages, so that a lost page leaves no gap.
 MAX_SENT_REVISIONS = 24
+STREAM_KINDS = frozenset({MessageKind.STREAMS, MessageKind.STREAM_QUERY})
 
 
 def report_outage(relay: Relay) -> None:
@@ -69,7 +72,7 @@
 
 
 def _send(relay, message):
-    return send_message(relay, message, relay.neighbours.addresses)
+    return send_message(relay, message, list_neighbours(relay.neighbours))
 
 
 def send_message(relay: Relay, message: Message, addresses: Iterable[str]) -> bool:
@@ -129,7 +132,7 @@
         # These come from other data centres too, whose instances get no pages.
         _receive_reports(relay, message)
         return
-    relay.neighbours.add(sender)
+    _record_heard(relay, sender, message)
     metrics = relay.instance.observer.metrics
     count_neighbour_message(metrics, message.kind, "received")
     _receive_own_kind(relay, sender, message)
@@ -138,6 +141,15 @@
         _receive_page(relay, followed, sender, message)
 
 
+def _record_heard(relay, sender, message):
+    # Those of other data centres send messages about streams, but get no pages.
+    is_neighbour = not relay.shares_pages or message.kind not in STREAM_KINDS
+    now_s = asyncio.get_running_loop().time()
+    if record_heard(relay.neighbours, sender, is_neighbour=is_neighbour, now_s=now_s):
+        update_count(relay)
+        log_event(logger, logging.INFO, "instance-heard", address=sender)
+
+
 def _receive_own_kind(relay, sender, message):
     """Pass a message on to the part that it belongs to."""
     instance = relay.instance
--- a/jujubenotch/daemon/forward_origins.py
+++ b/jujubenotch/daemon/forward_origins.py
@@ -21,6 +21,7 @@
 from jujubenotch.dispatch import Call
 from jujubenotch.forwarding import measure_age_s, read_boot_clock_s
 from jujubenotch.logs import log_event
+from jujubenotch.membership import list_neighbours
 from jujubenotch.neighbours import Message, MessageKind
 from jujubenotch.outcomes import Refusal, RefusalReason
 from jujubenotch.streams import (
@@ -94,7 +95,7 @@
     origin, basis = await _find_sole_origin(watch, call, arrived_s)
     if origin is not None or not request_id:
         return origin, f"only-version: {basis}"
-    others = sorted(watch.neighbours.addresses.difference(owners))[:MAX_ASKED]
+    others = sorted(list_neighbours(watch.neighbours).difference(owners))[:MAX_ASKED]
     origin = await _ask(watch, request_id, others)
     if origin is not None or not needs_records(watch):
         return origin, "others"
--- a/jujubenotch/daemon/forward_paces.py
+++ b/jujubenotch/daemon/forward_paces.py
@@ -23,8 +23,9 @@
     take_totals,
 )
 from jujubenotch.logs import log_event
+from jujubenotch.membership import Instances, list_neighbours
 from jujubenotch.metrics import Metrics, set_learned_capacity
-from jujubenotch.neighbours import Message, MessageKind, Neighbours, PaceEntry
+from jujubenotch.neighbours import Message, MessageKind, PaceEntry
 from jujubenotch.pace import SharedPace
 
 logger = logging.getLogger(__name__)
@@ -44,7 +45,7 @@
 class Pages(Protocol):
     """The exchange of pages with the neighbours."""
 
-    neighbours: Neighbours
+    neighbours: Instances
 
     @property
     def is_active(self) -> bool:
@@ -150,7 +151,7 @@
     if watch.pages is not None and watch.pages.is_active:
         if is_collecting(watch):
             entries = list_totals(exchange, now_s)
-            addresses = watch.pages.neighbours.addresses
+            addresses = list_neighbours(watch.pages.neighbours)
             _send_all(watch, entries, addresses, has_totals=True)
         elif watch.reader and now_s - watch.reader_heard_s < READER_SILENT_S:
             entries = list_own(exchange, now_s)
--- a/jujubenotch/daemon/forward_parts.py
+++ b/jujubenotch/daemon/forward_parts.py
@@ -26,8 +26,9 @@
 )
 from jujubenotch.leases import CloudApi, LeaseStore
 from jujubenotch.listeners import Listener
+from jujubenotch.membership import ListedInstance, make_incarnation
 from jujubenotch.memory import MemoryAccount
-from jujubenotch.neighbours import ListedInstance, Registry, make_incarnation
+from jujubenotch.neighbours import Registry
 from jujubenotch.settings import Address, ForwarderSettings
 from jujubenotch.streams import StreamRecordStore
 from jujubenotch.upstreams import UpstreamConnections
@@ -41,18 +42,24 @@
 
     async def add_instance(
         self, name: str, data_centre: str, address: str, incarnation: str
-    ) -> None:
+    ) -> ListedInstance:
         """Add an instance, with the address of its endpoint; empty when it has none.
 
         :raises SourceError: The store did not confirm it.
         """
 
     async def list_instances(self) -> tuple[ListedInstance, ...]:
-        """Return all instances that have been added.
+        """Return all instances that have been added and not removed.
 
         :raises SourceError: The store did not return a valid response.
         """
 
+    async def remove_instance(self, entry: ListedInstance) -> None:
+        """Remove the entry of one start of an instance.
+
+        :raises SourceError: The store did not confirm it.
+        """
+
 
 class CrashReportStore(Protocol):
     """Where the instances publish their reports of crashed upstreams."""
@@ -104,12 +111,15 @@
 class InstanceCount:
     """The number of instances of all data centres, as this instance knows it.
 
-    :param value: The number.
-    :param is_known: Whether the instances were counted; the number is a guess before.
+    :param sharing: The number of those that send to the same upstreams as this one.
+    :param possible: The number of those that may be running, also where this instance
+        doesn't reach them.
+    :param is_known: Whether the instances were counted; the numbers are guesses before.
     :param wanted: Set when an upstream has named a limit, or a retry is to be made.
     """
 
-    value: int = UNKNOWN_COUNT
+    sharing: int = UNKNOWN_COUNT
+    possible: int = UNKNOWN_COUNT
     is_known: bool = False
     wanted: asyncio.Event = field(default_factory=asyncio.Event)
 
@@ -139,6 +149,7 @@
         platform's API.
     :param scaling_watch: Orders upstreams; ``None`` where that duty is switched off.
     :param incarnation: Identifies this start of the process.
+    :param own_entry: Its entry in the directory; ``None`` before, and without one.
     :param refuses_requests: Whether new requests are refused because the instance
         is stopping.
     """
@@ -162,6 +173,7 @@
     usage_watch: UsageWatch | None = None
     scaling_watch: ScalingWatch | None = None
     incarnation: str = field(default_factory=make_incarnation)
+    own_entry: ListedInstance | None = None
     refuses_requests: bool = False
     settings_error: str = ""
     listeners: list[Listener] = field(default_factory=list)
--- a/jujubenotch/daemon/forward_registration.py
+++ b/jujubenotch/daemon/forward_registration.py
@@ -11,6 +11,7 @@
 from jujubenotch.daemon.forward_state import ForwardState
 from jujubenotch.forwarding import SourceError
 from jujubenotch.logs import log_event
+from jujubenotch.membership import list_neighbours, record_listed
 from jujubenotch.neighbours import Message, MessageKind, open_endpoint
 from jujubenotch.sockets import ListenerError
 
@@ -112,15 +113,23 @@
     # The instance writes its own row before it reads the list. Of two instances that
     # register at the same time, at least one therefore finds the other and greets it.
     await registry.add_instance(data_centre, own_address, relay.instance.incarnation)
-    for each in await registry.list_instances(data_centre):
-        relay.neighbours.add(each.address)
+    listed = await registry.list_instances(data_centre)
+    record_listed(
+        relay.neighbours,
+        listed,
+        own_incarnation=relay.instance.incarnation,
+        data_centre=data_centre,
+        neighbours_in=data_centre,
+        now_s=asyncio.get_running_loop().time(),
+    )
     relay.registered_era = era
     relay.neighbours.is_registered = True
-    relay.endpoint.send(Message(kind=MessageKind.HELLO), relay.neighbours.addresses)
+    neighbours = list_neighbours(relay.neighbours)
+    relay.endpoint.send(Message(kind=MessageKind.HELLO), neighbours)
     log_event(
         logger,
         logging.INFO,
         "neighbours-registered",
-        neighbours=len(relay.neighbours.addresses),
+        neighbours=len(neighbours),
         era=era,
     )
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -19,11 +19,11 @@
     read_boot_clock_s,
 )
 from jujubenotch.logs import log_event
+from jujubenotch.membership import Instances, list_neighbours
 from jujubenotch.neighbours import (
     DEFAULT_MAX_AGE_S,
     MessageKind,
     NeighbourEndpoint,
-    Neighbours,
     ReaderRole,
     allows_single_reader,
     choose_read_wait_s,
@@ -61,6 +61,8 @@
 class Relay:
     """The state of the exchange with the neighbours.
 
+    :param shares_pages: Whether the instances of a data centre share pages, and find
+        each other in the registry; otherwise all are in the directory.
     :param is_registering: Whether this instance is about to register for the first
         time; it then need not follow the sources yet.
     :param endpoint: The socket for messages; ``None`` before it is opened.
@@ -68,6 +70,7 @@
         ``None`` before.
     :param reader_address: The endpoint that sent the last page of the configuration;
         empty before.
+    :param must_ask: Set when other instances may have to be asked whether they live.
     :param request_lease_read: Called when a revision of the store may be a write of
         the lease.
     :param is_lease_read_due: Tells whether such a write may not have been read yet.
@@ -75,13 +78,15 @@
     """
 
     instance: ForwardingInstance
-    neighbours: Neighbours
+    neighbours: Instances
     role: ReaderRole
+    shares_pages: bool = False
     is_registering: bool = False
     followed: dict[MessageKind, FollowedSource] = field(default_factory=dict)
     endpoint: NeighbourEndpoint | None = None
     registered_era: int | None = None
     reader_address: str = ""
+    must_ask: asyncio.Event = field(default_factory=asyncio.Event)
     request_lease_read: Callable[[], None] = lambda: None
     is_lease_read_due: Callable[[], bool] = lambda: False
     list_lease_revisions: Callable[[], tuple[int, ...]] = tuple
@@ -89,7 +94,7 @@
     @property
     def is_active(self) -> bool:
         """Whether pages are shared; otherwise each instance reads for itself."""
-        return self.neighbours.is_registered and bool(self.neighbours.addresses)
+        return self.neighbours.is_registered and bool(list_neighbours(self.neighbours))
 
     @property
     def is_reading(self) -> bool:
@@ -105,12 +110,15 @@
     """
     settings = instance.settings
     address = settings.neighbours
+    shares_pages = address is not None and allows_single_reader(
+        settings.max_change_delay_s
+    )
     return Relay(
         instance=instance,
-        neighbours=Neighbours(own_address=address.text if address else ""),
+        neighbours=Instances(own_address=address.text if address else ""),
         role=ReaderRole(draw=random.random()),
-        is_registering=address is not None
-        and allows_single_reader(settings.max_change_delay_s),
+        shares_pages=shares_pages,
+        is_registering=shares_pages,
     )
 
 
--- a/jujubenotch/daemon/forward_retries.py
+++ b/jujubenotch/daemon/forward_retries.py
@@ -59,7 +59,7 @@
         ratio=settings.retry_ratio,
         extra=settings.retry_extra,
         window_s=settings.retry_window_s,
-        instances=count.value if count.is_known else 0,
+        instances=count.possible if count.is_known else 0,
     )
 
 
--- a/jujubenotch/daemon/forward_streams.py
+++ b/jujubenotch/daemon/forward_streams.py
@@ -15,7 +15,8 @@
 from jujubenotch.dispatch import Call
 from jujubenotch.forwarding import Page, read_boot_clock_s
 from jujubenotch.logs import log_event
-from jujubenotch.neighbours import Message, Neighbours
+from jujubenotch.membership import Instances, list_choosable, list_possible
+from jujubenotch.neighbours import Message
 from jujubenotch.streams import (
     OriginTable,
     RecordBook,
@@ -125,7 +126,7 @@
     """
 
     state: ForwardState
-    neighbours: Neighbours = field(default_factory=lambda: Neighbours(own_address=""))
+    neighbours: Instances = field(default_factory=lambda: Instances(own_address=""))
     send: Callable[[Message, Iterable[str]], bool] = lambda message, addresses: False
     origins: OriginTable = field(default_factory=OriginTable)
     history: VersionHistory = field(default_factory=VersionHistory)
@@ -252,6 +253,16 @@
         del unsaved[next(iter(unsaved))]
 
 
+def tell_again(watch: StreamWatch) -> None:
+    """Tell the origins of shared streams again, as some of their owners have ended.
+
+    :param watch: The state of the watch; changed in place.
+    """
+    since_s = read_boot_clock_s() - find_window_s(watch.state)
+    for service in watch.split:
+        _send_later(watch, find_origins_of(watch.origins, service, since_s=since_s))
+
+
 def _send_later(watch, request_ids):
     watch.unsent.extend(request_ids)
     if watch.unsent:
@@ -259,11 +270,11 @@
 
 
 def list_instances(watch: StreamWatch) -> set[str]:
-    """Return the addresses of all known instances, this one's included.
+    """Return the addresses of the instances that keep origins, this one's included.
 
     :param watch: The state of the watch.
     """
-    return {*watch.neighbours.addresses, watch.neighbours.own_address}
+    return list_choosable(watch.neighbours)
 
 
 async def wait_for_instances(watch: StreamWatch, max_age_s: float) -> None:
@@ -293,7 +304,9 @@
 
 
 def _has_listed(watch, host):
-    return any(each.rpartition(":")[0] == host for each in watch.neighbours.listed)
+    return any(
+        each.rpartition(":")[0] == host for each in list_possible(watch.neighbours)
+    )
 
 
 def add_versions(watch: StreamWatch, seen: Iterable[tuple[str, str]]) -> None:
--- a/jujubenotch/daemon/forwarder.py
+++ b/jujubenotch/daemon/forwarder.py
@@ -21,6 +21,7 @@
 )
 from jujubenotch.daemon.forward_detour import send_elsewhere
 from jujubenotch.daemon.forward_followers import make_followers
+from jujubenotch.daemon.forward_instances import leave_list
 from jujubenotch.daemon.forward_leases import hand_over
 from jujubenotch.daemon.forward_limits import choose_in_progress_bytes
 from jujubenotch.daemon.forward_listeners import start_listeners
@@ -235,7 +236,7 @@
         listing=state.listing,
         read_clock_s=asyncio.get_running_loop().time,
         read_listing_clock_s=read_boot_clock_s,
-        read_instance_count=lambda: instance_count.value,
+        read_instance_count=lambda: instance_count.sharing,
         report_limit=instance_count.wanted.set,
         find_held_versions=functools.partial(find_held, watches.streams),
     )
@@ -317,6 +318,7 @@
     for task in instance.tasks:
         task.cancel()
     await asyncio.gather(*instance.tasks, return_exceptions=True)
+    await leave_list(instance, components)
     await close_connections(instance.dispatcher.connections)
     await close_connections(instance.helper_connections)
     await components.close()
--- a/jujubenotch/neighbours/__init__.py
+++ b/jujubenotch/neighbours/__init__.py
@@ -17,18 +17,13 @@
 )
 from jujubenotch.neighbours.endpoint import NeighbourEndpoint, open_endpoint
 from jujubenotch.neighbours.model import (
-    MAX_NEIGHBOURS,
-    ListedInstance,
     Message,
     MessageItem,
     MessageKind,
-    Neighbours,
     PaceEntry,
     Registry,
     StreamEntry,
     VersionEntry,
-    is_incarnation,
-    make_incarnation,
 )
 from jujubenotch.neighbours.role import (
     DEFAULT_MAX_AGE_S,
@@ -43,10 +38,7 @@
 
 __all__ = [
     "DEFAULT_MAX_AGE_S",
-    "MAX_NEIGHBOURS",
-    "ListedInstance",
     "NeighbourEndpoint",
-    "Neighbours",
     "Message",
     "MessageError",
     "MessageItem",
@@ -61,11 +53,9 @@
     "choose_read_wait_s",
     "decode_message",
     "find_takeover_delay_s",
-    "is_incarnation",
     "is_outage_reported",
     "is_usable_page",
     "join_datagram",
-    "make_incarnation",
     "must_step_down",
     "open_endpoint",
     "split_message",
--- a/jujubenotch/neighbours/model.py
+++ b/jujubenotch/neighbours/model.py
@@ -1,34 +1,13 @@
 """Data model of the messages between the instances of one data centre."""
 
-import secrets
-import string
 from collections.abc import Mapping
 from dataclasses import dataclass, field
 from enum import StrEnum
 from typing import Protocol
 
+from jujubenotch.membership import ListedInstance
 from jujubenotch.usage import ProcessReport
 
-# Bounds the datagrams that one page causes, whatever the registry contains.
-MAX_NEIGHBOURS = 512
-INCARNATION_DIGITS = 16
-
-
-def make_incarnation() -> str:
-    """Make an identity for a start of a process."""
-    return secrets.token_hex(INCARNATION_DIGITS // 2)
-
-
-def is_incarnation(text: str) -> bool:
-    """Return whether a text is the identity of a start.
-
-    :param text: The text.
-
-    >>> is_incarnation(make_incarnation()), is_incarnation("edge-1")
-    (True, False)
-    """
-    return len(text) == INCARNATION_DIGITS and set(text) <= set(string.hexdigits)
-
 
 class MessageKind(StrEnum):
     """What a message is about."""
@@ -149,50 +128,6 @@
     short_counts: Mapping[str, int] = field(default_factory=dict)
 
 
-@dataclass(kw_only=True)
-class Neighbours:
-    """The other instances of the data centre, by the address of their endpoint.
-
-    :param own_address: The address of this instance's endpoint.
-    :param listed: The data centre of each instance that the store lists, of all data
-        centres, by address.
-    :param is_registered: Whether the others can find this instance.
-    :param are_versions_registered: Whether all listed instances are of releases that
-        register software versions; false before they were listed.
-
-    >>> Neighbours(own_address="127.0.0.1:1").addresses
-    set()
-    """
-
-    own_address: str
-    addresses: set[str] = field(default_factory=set)
-    listed: dict[str, str] = field(default_factory=dict)
-    is_registered: bool = False
-    are_versions_registered: bool = False
-
-    def add(self, address: str) -> None:
-        """Add a neighbour, unless it is this instance or there are too many.
-
-        :param address: The address of its endpoint.
-        """
-        if address != self.own_address and len(self.addresses) < MAX_NEIGHBOURS:
-            self.addresses.add(address)
-
-
-@dataclass(frozen=True, kw_only=True, slots=True)
-class ListedInstance:
-    """An instance that the store lists.
-
-    :param address: The address of its endpoint; empty when it has none.
-    :param incarnation: Identifies the start of its process; empty for releases that
-        don't tell, which don't register software versions either.
-    """
-
-    data_centre: str
-    address: str
-    incarnation: str = ""
-
-
 class Registry(Protocol):
     """Makes the instances of a data centre known to each other."""
 
@@ -209,3 +144,9 @@
 
         :raises SourceError: The store did not confirm the registration.
         """
+
+    async def remove_instance(self, entry: ListedInstance) -> None:
+        """Remove an entry, unless its instance has registered again since.
+
+        :raises SourceError: The store did not confirm it.
+        """
--- a/jujubenotch/platform/directory.py
+++ b/jujubenotch/platform/directory.py
@@ -9,7 +9,7 @@
 from pydantic import BaseModel, ConfigDict, Field
 
 from jujubenotch.forwarding import SourceError
-from jujubenotch.neighbours import ListedInstance, is_incarnation
+from jujubenotch.membership import ListedInstance, is_incarnation
 from jujubenotch.platform.addresses import is_address
 from jujubenotch.platform.store import StoreClient, call_store
 
@@ -46,17 +46,27 @@
 
     async def add_instance(
         self, name: str, data_centre: str, address: str, incarnation: str = ""
-    ) -> None:
+    ) -> ListedInstance:
         """Add an instance.
 
         :param name: The instance's name.
         :param data_centre: The instance's data centre.
         :param address: The address of its endpoint; empty when it has none.
         :param incarnation: Identifies the start of the process.
+        :returns: Its entry.
         :raises SourceError: The store did not confirm it.
         """
-        path = f"/v1/blob-put/{_make_name(name, data_centre, address, incarnation)}"
-        await call_store(self.client, "PUT", path, data=OBJECT_CONTENT)
+        key = _make_name(name, data_centre, address, incarnation)
+        await call_store(self.client, "PUT", f"/v1/blob-put/{key}", data=OBJECT_CONTENT)
+        return _read_name(key)
+
+    async def remove_instance(self, entry: ListedInstance) -> None:
+        """Remove an entry, whose name tells the start of its process.
+
+        :param entry: The entry.
+        :raises SourceError: The store did not confirm it.
+        """
+        await call_store(self.client, "DELETE", f"/v1/blob-drop/{entry.key}")
 
     async def list_instances(self) -> tuple[ListedInstance, ...]:
         """Return all instances that have been added.
@@ -102,6 +112,7 @@
         data_centre=data_centre,
         address=address if is_address(address) else "",
         incarnation=_read_incarnation(name),
+        key=text,
     )
 
 
--- a/jujubenotch/platform/registry.py
+++ b/jujubenotch/platform/registry.py
@@ -7,9 +7,9 @@
 from pydantic import BaseModel, ConfigDict
 
 from jujubenotch.forwarding import SourceError
-from jujubenotch.neighbours import ListedInstance, is_incarnation
+from jujubenotch.membership import ListedInstance, is_incarnation
 from jujubenotch.platform.addresses import is_address
-from jujubenotch.platform.rows import write_row
+from jujubenotch.platform.rows import remove_row, write_row
 from jujubenotch.platform.store import RowsDocument, StoreClient, call_store
 
 INSTANCE_TABLE = "instances"
@@ -54,6 +54,8 @@
                 data_centre=data_centre,
                 address=row.key,
                 incarnation=_read_incarnation(row.value),
+                key=row.key,
+                revision=row.revision,
             )
             for row in document.rows
             if is_address(row.key)
@@ -72,6 +74,20 @@
         content = InstanceDocument(incarnation=incarnation).model_dump_json().encode()
         await write_row(self.client, INSTANCE_TABLE, address, content, part=data_centre)
 
+    async def remove_instance(self, entry: ListedInstance) -> None:
+        """Remove an entry, unless its instance has registered again since.
+
+        :param entry: The entry.
+        :raises SourceError: The store did not confirm it.
+        """
+        await remove_row(
+            self.client,
+            INSTANCE_TABLE,
+            entry.key,
+            part=entry.data_centre,
+            revision=entry.revision,
+        )
+
 
 def _read_incarnation(value):
     """Read a row's value; that of another writer tells no incarnation."""
--- a/jujubenotch/platform/rows.py
+++ b/jujubenotch/platform/rows.py
@@ -24,3 +24,24 @@
         "remove": [],
     }
     await call_store(client, "POST", "/v1/rows-tx", json=body)
+
+
+async def remove_row(
+    client: StoreClient, table: str, key: str, *, part: str = "", revision: int
+) -> None:
+    """Remove a row, if it was not written again.
+
+    :param client: The client of the store.
+    :param table: The table.
+    :param key: The row's key.
+    :param part: The part of the table.
+    :param revision: The revision that the row must have.
+    :raises SourceError: The store did not confirm the change.
+    """
+    row = {"table": table, "part": part, "key": key}
+    body = {
+        "expected-rev": [{**row, "schema-version": revision}],
+        "writes": [],
+        "remove": [row],
+    }
+    await call_store(client, "POST", "/v1/rows-tx", json=body)
