--- a/features/platform/directory.feature
+++ b/features/platform/directory.feature
@@ -39,3 +39,12 @@
     When the copy of the store is restored
     And 6 s pass
     Then 1 instance is counted
+
+  # Guards against entries that stay for good after each planned stop.
+  Scenario: A program that is stopped removes its entry, and no other one
+    Given a site whose upstream answers correctly
+    When 0.5 s pass
+    And the instance "edge-a-9" is added with the start "0123456789abcdef"
+    Then 2 instances are counted
+    When the program is stopped, and has ended
+    Then one instance at "10.0.0.1:7340" is listed with the start "0123456789abcdef"
--- a/features/platform/registry.feature
+++ b/features/platform/registry.feature
@@ -19,6 +19,18 @@
       | 0123456789abcdef | 0123456789abcdef |
       | other            | unknown          |
 
+  # Guards against a late removal of an instance that has started again at its address.
+  Scenario Outline: An entry is removed unless its instance has registered again
+    Given a site without a program
+    When the instance "10.0.0.1:7000" of the data centre "north" registers as "0123456789abcdef"
+    And its entry is read, it registers again <times> times, and the entry is removed
+    Then <left> instances are registered in "north"
+
+    Examples:
+      | times | left |
+      | 0     | 0    |
+      | 1     | 1    |
+
   Scenario: A store that doesn't answer is told as an error of the source
     Given a site without a program
     When the store is unavailable
--- a/features/platform/steps/directory_steps.py
+++ b/features/platform/steps/directory_steps.py
@@ -2,13 +2,15 @@
 
 from behave import given, then, when
 
-from features.platform.site import call_store, run
+from features.platform.site import call_store, run, signal_program
 from jujubenotch.forwarding import SourceError
 from jujubenotch.platform.directory import NAME_PREFIX, StoreDirectory
 from jujubenotch.platform.store import open_store
 from jujubenotch.settings import Address
 from standins.store import copy_store
 
+END_TIMEOUT_S = 10.0
+
 
 def use_directory(context, work):
     async def run_work():
@@ -74,6 +76,12 @@
     assert len(found) == count, found
 
 
+@when("the program is stopped, and has ended")
+def stop_program(context):
+    signal_program(context.site)
+    context.site.process.wait(END_TIMEOUT_S)
+
+
 @then("counting fails with a source error")
 def check_counting_fails(context):
     try:
--- a/features/platform/steps/registry_steps.py
+++ b/features/platform/steps/registry_steps.py
@@ -1,4 +1,5 @@
 import asyncio
+import contextlib
 
 from behave import given, then, when
 
@@ -52,6 +53,24 @@
     }, found
 
 
+@when("its entry is read, it registers again {times:d} times, and the entry is removed")
+def remove_entry(context, times):
+    async def remove(registry):
+        (entry,) = await registry.list_instances("north")
+        for _ in range(times):
+            await registry.add_instance("north", entry.address, entry.incarnation)
+        with contextlib.suppress(SourceError):
+            await registry.remove_instance(entry)
+
+    use_registry(context, remove)
+
+
+@then('{count:d} instances are registered in "{name}"')
+def check_registered_count(context, count, name):
+    found = use_registry(context, lambda registry: registry.list_instances(name))
+    assert len(found) == count, found
+
+
 @then("registering fails with a source error")
 def check_registering_fails(context):
     try:
