Count instances without an endpoint by their names, this one once

Entries without an address are now told apart by the instance's name. Scenario 'This instance has no endpoint either'.

Keepers are chosen once for all origins that are sent together.

--- a/features/membership/instances.feature
+++ b/features/membership/instances.feature
@@ -99,6 +99,15 @@
     Then 7 instances share a limit
     And 7 instances may be running
 
+  # Guards against an instance that counts itself twice, and against one that takes the entries
+  # of all others for its own earlier ones.
+  Scenario: This instance has no endpoint either
+    Given an instance without an endpoint, which lists 3 such instances
+    Then 3 instances share a limit
+    And 3 instances may be running
+    And no entry is to be removed
+    And the earlier starts of this instance alone are known as superseded
+
   # Guards against a restart at the same address that counts twice, or whose new entry is
   # removed with the old one.
   Scenario: An instance was killed and started again at its address
--- a/features/membership/steps/instances_steps.py
+++ b/features/membership/steps/instances_steps.py
@@ -87,10 +87,29 @@
 
 @given("{count:d} instances without an endpoint")
 def add_without_endpoint(context, count):
-    context.listed += [make_entry("") for _ in range(count)]
+    context.listed += [
+        ListedInstance(
+            data_centre="a",
+            address="",
+            name=f"bare-{number}",
+            incarnation=f"{number:015x}{start}",
+        )
+        for number in range(count)
+        for start in range(2)
+    ]
     list_store(context)
 
 
+@given("an instance without an endpoint, which lists {count:d} such instances")
+def make_bare_instances(context, count):
+    context.now_s = 100.0
+    context.place = None
+    context.gone = []
+    context.listed = []
+    context.instances = Instances(own_address="", own_name="bare-0")
+    add_without_endpoint(context, count)
+
+
 @given("{count:d} earlier starts at the address of each")
 def add_starts(context, count):
     context.listed += [
@@ -233,3 +252,9 @@
 def check_bound(context, count):
     assert len(context.instances.known) <= count
     assert set(LIVE) <= set(context.instances.known)
+
+
+@then("the earlier starts of this instance alone are known as superseded")
+def check_own_superseded(context):
+    names = [each.name for each in context.instances.superseded]
+    assert names == ["bare-0"] * 2, names
--- a/jujubenotch/daemon/forward_relay.py
+++ b/jujubenotch/daemon/forward_relay.py
@@ -115,7 +115,9 @@
     )
     return Relay(
         instance=instance,
-        neighbours=Instances(own_address=address.text if address else ""),
+        neighbours=Instances(
+            own_address=address.text if address else "", own_name=settings.name
+        ),
         role=ReaderRole(draw=random.random()),
         shares_pages=shares_pages,
         is_registering=shares_pages,
--- a/jujubenotch/daemon/forward_stream_messages.py
+++ b/jujubenotch/daemon/forward_stream_messages.py
@@ -40,10 +40,10 @@
         watch.must_send.clear()
         request_ids, watch.unsent = watch.unsent, []
         by_owner = {}
+        instances = list_instances(watch)
+        keepers = choose_keepers(instances)
         for request_id in request_ids:
-            instances = list_instances(watch)
-            owners = {*choose_owners(request_id, instances), *choose_keepers(instances)}
-            for owner in sorted(owners):
+            for owner in sorted({*choose_owners(request_id, instances), *keepers}):
                 by_owner.setdefault(owner, []).append(request_id)
         by_owner.pop(watch.neighbours.own_address, None)
         for owner, owned in by_owner.items():
--- a/jujubenotch/membership/instances.py
+++ b/jujubenotch/membership/instances.py
@@ -61,6 +61,7 @@
     """An entry in the store's list of instances.
 
     :param address: The address of its endpoint; empty when it has none.
+    :param name: The instance's name; empty where entries have addresses alone.
     :param incarnation: Identifies the start of its process; empty for releases that
         don't tell, which don't register software versions either.
     :param key: Identifies the entry in the store.
@@ -69,6 +70,7 @@
 
     data_centre: str
     address: str
+    name: str = ""
     incarnation: str = ""
     key: str = ""
     revision: int = 0
@@ -101,8 +103,9 @@
 class Instances:
     """The other instances, by the address of their endpoint.
 
-    :param own_address: The address of this instance's endpoint.
-    :param superseded: Entries of earlier starts at this instance's address.
+    :param own_address: The address of this instance's endpoint; empty without one.
+    :param own_name: This instance's name.
+    :param superseded: Entries of earlier starts of this instance.
     :param without_endpoint: The number of listed instances that can't be asked.
     :param was_listed: Whether the store has listed the instances.
     :param is_own_listed: Whether this start of the process was listed.
@@ -115,6 +118,7 @@
     """
 
     own_address: str
+    own_name: str = ""
     known: dict[str, KnownInstance] = field(default_factory=dict)
     superseded: tuple[ListedInstance, ...] = ()
     without_endpoint: int = 0
@@ -196,21 +200,22 @@
         all are.
     :param now_s: The present monotonic time, in seconds.
     """
-    by_address = {}
-    for entry in listed:
-        by_address.setdefault(entry.address, []).append(entry)
-    if data_centre is None:
-        instances.are_versions_registered = all(
-            entry.incarnation for group in by_address.values() for entry in group
-        )
-        instances.without_endpoint = len(by_address.get("", ()))
+    entries = tuple(listed)
     instances.was_listed = True
-    own = by_address.pop(instances.own_address, ())
-    by_address.pop("", None)
+    own = [entry for entry in entries if _is_own(instances, entry)]
     instances.is_own_listed = any(each.incarnation == own_incarnation for each in own)
     instances.superseded = tuple(
         each for each in own if each.incarnation != own_incarnation
     )
+    by_address = {}
+    for entry in entries:
+        if entry.address not in ("", instances.own_address):
+            by_address.setdefault(entry.address, []).append(entry)
+    if data_centre is None:
+        instances.are_versions_registered = all(each.incarnation for each in entries)
+        # An instance without an endpoint is known by its name, whenever it started.
+        names = {each.name for each in entries if not each.address}
+        instances.without_endpoint = len(names - {instances.own_name})
     has_room = True
     for address, group in by_address.items():
         place = group[0].data_centre
@@ -229,6 +234,12 @@
             _confirm_silence(known, now_s)
 
 
+def _is_own(instances, entry):
+    if entry.address != instances.own_address:
+        return False
+    return bool(entry.address) or entry.name == instances.own_name
+
+
 def _forget_entry(instances, known):
     """Forget an instance that has left the list, unless it is heard."""
     known.entries = ()
--- a/jujubenotch/platform/directory.py
+++ b/jujubenotch/platform/directory.py
@@ -109,6 +109,7 @@
     data_centre, _, address = rest.partition(SEPARATOR)
     # An instance without an endpoint is counted, but no message is sent to it.
     return ListedInstance(
+        name=_read_instance_name(name),
         data_centre=data_centre,
         address=address if is_address(address) else "",
         incarnation=_read_incarnation(name),
@@ -120,3 +121,9 @@
     """Return what follows the mark; a name of an earlier release may contain one."""
     _, _, incarnation = name.rpartition(INCARNATION_MARK)
     return incarnation if is_incarnation(incarnation) else ""
+
+
+def _read_instance_name(name):
+    incarnation = _read_incarnation(name)
+    mark = INCARNATION_MARK + incarnation if incarnation else ""
+    return name.removeprefix(NAME_PREFIX).removesuffix(mark)
