Let the soak replace instances in series, each at a new address

A new kind of fault kills an instance for good up to three times in a row; its rules are those of a kill.

--- a/benchmarks/site/faults.py
+++ b/benchmarks/site/faults.py
@@ -15,6 +15,7 @@
     Site,
     UpstreamEndpoint,
     kill_instance,
+    move_instance,
     publish_configuration,
     publish_upstream,
     replace_upstream,
@@ -76,6 +77,7 @@
 INSTANCE_KINDS = frozenset(
     {
         SiteFault.KILL_INSTANCE,
+        SiteFault.REPLACE_INSTANCE,
         SiteFault.PAUSE_INSTANCE,
         SiteFault.STOP_INSTANCE,
         SiteFault.RELOAD_SETTINGS,
@@ -104,6 +106,7 @@
 PROCESS_KINDS = frozenset(
     {
         SiteFault.KILL_INSTANCE,
+        SiteFault.REPLACE_INSTANCE,
         SiteFault.PAUSE_INSTANCE,
         SiteFault.STOP_INSTANCE,
         SiteFault.CRASH_UPSTREAM,
@@ -115,9 +118,12 @@
 )
 START_S = 2.0
 INTERPRETER_START_S = 0.3
+# An instance is replaced so often in series, at most.
+MAX_REPLACEMENTS = 3
 # How much longer a fault of these kinds lasts than its drawn duration.
 EXTRA_DURATION_S = {
     SiteFault.KILL_INSTANCE: START_S,
+    SiteFault.REPLACE_INSTANCE: MAX_REPLACEMENTS * START_S,
     SiteFault.STOP_INSTANCE: GRACE_S + START_S,
     SiteFault.CRASH_UPSTREAM: LIST_EXPIRY_S,
     SiteFault.DRAIN_UPSTREAM: DRAIN_S,
@@ -263,6 +269,14 @@
     await start_instance(site, event.target)
 
 
+async def _replace_in_series(site, event):
+    """Replace an instance for good, up to three times, each at a new address."""
+    for _ in range(1 + int(event.value * MAX_REPLACEMENTS)):
+        await kill_instance(site, event.target)
+        move_instance(site, event.target)
+        await start_instance(site, event.target)
+
+
 async def _pause_and_resume(site, event):
     process = site.instances[event.target].process
     process.send_signal(signal.SIGSTOP)
@@ -523,6 +537,7 @@
 
 _ACTIONS = {
     SiteFault.KILL_INSTANCE: _kill_and_restart,
+    SiteFault.REPLACE_INSTANCE: _replace_in_series,
     SiteFault.PAUSE_INSTANCE: _pause_and_resume,
     SiteFault.STOP_INSTANCE: _stop_and_restart,
     SiteFault.RELOAD_SETTINGS: _reload_settings,
--- a/benchmarks/site/fleet.py
+++ b/benchmarks/site/fleet.py
@@ -94,6 +94,7 @@
 
     :param newest_version: The number of the newest software version of upstreams.
     :param unframed_ratio: The share of the upstreams whose answers have no length.
+    :param addresses: The number of addresses that instances had.
     """
 
     directory: Path
@@ -107,6 +108,7 @@
     restarts: set[asyncio.Task] = field(default_factory=set)
     newest_version: int = 2
     unframed_ratio: float = 0.0
+    addresses: int = 0
 
 
 @asynccontextmanager
@@ -241,6 +243,24 @@
     await instance.process.wait()
 
 
+def move_instance(site: Site, name: str) -> None:
+    """Give an instance that has ended an address that none had before.
+
+    :param site: The site.
+    :param name: The instance's name.
+    """
+    instance = site.instances[name]
+    former = instance.host
+    site.addresses += 1
+    instance.host = f"{former.rpartition('.')[0]}.{site.addresses}"
+    text = instance.settings_path.read_text()
+    instance.settings_path.write_text(text.replace(former, instance.host))
+    instance.callers_route.target_host = instance.host
+    for endpoint in site.callers.endpoints:
+        if endpoint.instance == name:
+            endpoint.ready_host = instance.host
+
+
 async def stop_instance(site: Site, name: str) -> int:
     """Ask an instance to stop, and wait until it has ended.
 
@@ -376,6 +396,7 @@
     # Each site draws its own loopback addresses, so that sites that run at the same
     # time don't use the same ones.
     network = f"127.{random.randrange(1, 255)}.{random.randrange(1, 255)}"
+    site.addresses = instances
     for number in range(instances):
         host = f"{network}.{number + 1}"
         zone = f"zone-{number % zones}"
--- a/benchmarks/site/model.py
+++ b/benchmarks/site/model.py
@@ -21,6 +21,7 @@
     """The kinds of faults that are injected into a site from outside its programs."""
 
     KILL_INSTANCE = "kill-instance"
+    REPLACE_INSTANCE = "replace-instance"
     PAUSE_INSTANCE = "pause-instance"
     STOP_INSTANCE = "stop-instance"
     RELOAD_SETTINGS = "reload-settings"
--- a/benchmarks/site/rules.py
+++ b/benchmarks/site/rules.py
@@ -53,6 +53,7 @@
 CONTACT_FAULTS = frozenset(
     {
         SiteFault.KILL_INSTANCE,
+        SiteFault.REPLACE_INSTANCE,
         SiteFault.PAUSE_INSTANCE,
         SiteFault.STOP_INSTANCE,
         SiteFault.CUT_STORE,
@@ -71,7 +72,12 @@
     }
 )
 ENDING_FAULTS = frozenset(
-    {SiteFault.KILL_INSTANCE, SiteFault.PAUSE_INSTANCE, SiteFault.RESET_CALLERS}
+    {
+        SiteFault.KILL_INSTANCE,
+        SiteFault.REPLACE_INSTANCE,
+        SiteFault.PAUSE_INSTANCE,
+        SiteFault.RESET_CALLERS,
+    }
 )
 
 # Streams that may go on at another software version.
--- a/benchmarks/site/statement_rules.py
+++ b/benchmarks/site/statement_rules.py
@@ -16,7 +16,12 @@
 LEAVING_BOUND_S = 3.0
 MAX_WHILE_WAITING = 2
 RESTART_FAULTS = frozenset(
-    {SiteFault.KILL_INSTANCE, SiteFault.STOP_INSTANCE, SiteFault.PAUSE_INSTANCE}
+    {
+        SiteFault.KILL_INSTANCE,
+        SiteFault.REPLACE_INSTANCE,
+        SiteFault.STOP_INSTANCE,
+        SiteFault.PAUSE_INSTANCE,
+    }
 )
 CONNECTION_FAULTS = frozenset(
     {
